--- /dev/null
+++ b/crates/ctl/src/lib.rs
@@ -0,0 +1,14 @@
+//! The operators' command line.
+//!
+//! It talks to the administration API of any instance; all of them give the same answers. See
+//! docs/OPERATIONS.md.
+
+mod client;
+mod error;
+mod flags;
+mod output;
+mod run;
+
+pub use error::{Error, Result};
+pub use flags::Chicoryctl;
+pub use run::run;
--- /dev/null
+++ b/crates/ctl/src/run.rs
@@ -0,0 +1,189 @@
+//! Carries commands out.
+
+use serde_json::Value;
+
+use crate::client::Client;
+use crate::flags::{BundleCmd, Chicoryctl, ChicoryctlCmd, EngineCmd};
+use crate::output::{short, table};
+use crate::{Error, Result};
+
+const BUNDLE_COLUMNS: [&str; 7] = [
+    "version",
+    "base",
+    "digest",
+    "offset",
+    "signed_by",
+    "withdrawn",
+    "in_force",
+];
+const INSTANCE_COLUMNS: [&str; 5] = [
+    "instance",
+    "zone",
+    "condition",
+    "bundle_version",
+    "applied_offset",
+];
+const ENGINE_COLUMNS: [&str; 7] = [
+    "engine", "group", "role", "presence", "loaded", "drained", "slowness",
+];
+const AUDIT_COLUMNS: [&str; 5] = ["offset", "wall_ms", "actor", "action", "outcome"];
+const WORKSPACE_COLUMNS: [&str; 3] = ["member", "workspace", "in_flight"];
+
+/// Carries a command out and gives what to print.
+pub async fn run(flags: &Chicoryctl) -> Result<String> {
+    if let ChicoryctlCmd::Bundle(bundle) = &flags.subcommand
+        && let BundleCmd::Check(check) = &bundle.subcommand
+    {
+        return check_here(&check.file);
+    }
+    let client = Client::new(address(flags)?, key(flags)?);
+    let json = flags.json;
+    match &flags.subcommand {
+        ChicoryctlCmd::Bundle(bundle) => run_bundle(&client, &bundle.subcommand, json).await,
+        ChicoryctlCmd::Engine(engine) => run_engine(&client, &engine.subcommand, json).await,
+        ChicoryctlCmd::Audit(audit) => {
+            let query = audit
+                .before
+                .map_or(String::new(), |offset| format!("?before={offset}"));
+            let rows = client.get("audit", &format!("audit{query}")).await?;
+            Ok(rows_or_json(&rows, &AUDIT_COLUMNS, json))
+        }
+        ChicoryctlCmd::Workspaces(wanted) => {
+            let member = wanted
+                .member
+                .as_ref()
+                .map(|member| format!("&member={member}"));
+            let after = wanted.after.clone().unwrap_or_default();
+            let path = format!("workspaces?after={after}{}", member.unwrap_or_default());
+            let rows = client.get("workspaces", &path).await?;
+            Ok(rows_or_json(&rows, &WORKSPACE_COLUMNS, json))
+        }
+    }
+}
+
+fn address(flags: &Chicoryctl) -> Result<String> {
+    let given = flags.address.clone();
+    given
+        .or_else(|| std::env::var("CHICORYRACK_ADDRESS").ok())
+        .ok_or_else(|| Error::Usage {
+            detail: "--address or CHICORYRACK_ADDRESS is needed".to_owned(),
+        })
+}
+
+fn key(flags: &Chicoryctl) -> Result<String> {
+    if let Some(file) = &flags.key_file {
+        return Ok(read(file)?.trim().to_owned());
+    }
+    std::env::var("CHICORYRACK_KEY").map_err(|_| Error::Usage {
+        detail: "--key-file or CHICORYRACK_KEY is needed".to_owned(),
+    })
+}
+
+fn read(file: &str) -> Result<String> {
+    std::fs::read_to_string(file).map_err(|source| Error::File {
+        file: file.to_owned(),
+        source,
+    })
+}
+
+/// A check needs no instance, so that it can run before anything is deployed.
+fn check_here(file: &str) -> Result<String> {
+    let text = read(file)?;
+    match conf::parse_bundle(&text, file) {
+        Ok(bundle) => {
+            let digest = conf::digest(&text);
+            Ok(format!(
+                "bundle {} is well formed, digest {}\n",
+                bundle.version,
+                short(&digest)
+            ))
+        }
+        Err(error) => Err(Error::Refused {
+            detail: error.to_string(),
+        }),
+    }
+}
+
+async fn run_bundle(client: &Client, command: &BundleCmd, json: bool) -> Result<String> {
+    match command {
+        BundleCmd::Check(check) => check_here(&check.file),
+        BundleCmd::Publish(publish) => {
+            let text = read(&publish.file)?;
+            let done = client.post("publish", "bundles", text).await?;
+            let digest = short(done["digest"].as_str().unwrap_or_default()).to_owned();
+            Ok(said(
+                &done,
+                json,
+                &format!("published {} as {digest}", done["version"]),
+            ))
+        }
+        BundleCmd::Sign(sign) => verb(client, "sign", sign.version, json).await,
+        BundleCmd::Roll(roll) => verb(client, "roll", roll.version, json).await,
+        BundleCmd::Withdraw(withdraw) => verb(client, "withdraw", withdraw.version, json).await,
+        BundleCmd::Show(show) => {
+            if let Some(version) = show.version {
+                return client.text("show", &format!("bundles/{version}")).await;
+            }
+            let rows = client.get("show", "bundles").await?;
+            Ok(rows_or_json(&rows, &BUNDLE_COLUMNS, json))
+        }
+        BundleCmd::Status(_) => {
+            let status = client.get("status", "status").await?;
+            if json {
+                return Ok(pretty(&status));
+            }
+            let digest = short(status["digest"].as_str().unwrap_or_default()).to_owned();
+            let (version, offset) = (&status["version"], &status["offset"]);
+            let head = format!("bundle {version} ({digest}) in force since offset {offset}\n\n");
+            let instances = table(&status["instances"], &INSTANCE_COLUMNS);
+            let engines = table(&status["engines"], &ENGINE_COLUMNS);
+            Ok(format!("{head}{instances}\n{engines}"))
+        }
+    }
+}
+
+async fn verb(client: &Client, verb: &'static str, version: u64, json: bool) -> Result<String> {
+    let done = client
+        .post(verb, &format!("bundles/{version}/{verb}"), String::new())
+        .await?;
+    Ok(said(&done, json, &format!("{verb} of bundle {version}")))
+}
+
+async fn run_engine(client: &Client, command: &EngineCmd, json: bool) -> Result<String> {
+    let (step, engine) = match command {
+        EngineCmd::Drain(drain) => ("drain", &drain.engine),
+        EngineCmd::Undrain(undrain) => ("undrain", &undrain.engine),
+        EngineCmd::List(_) => {
+            let rows = client.get("list", "engines").await?;
+            return Ok(rows_or_json(&rows, &ENGINE_COLUMNS, json));
+        }
+    };
+    let done = client
+        .post(step, &format!("engines/{engine}/{step}"), String::new())
+        .await?;
+    Ok(said(&done, json, &format!("{step} of {engine}")))
+}
+
+fn said(done: &Value, json: bool, text: &str) -> String {
+    if json {
+        return pretty(done);
+    }
+    format!(
+        "{text}: {} at offset {}\n",
+        done["outcome"].as_str().unwrap_or_default(),
+        done["offset"]
+    )
+}
+
+fn rows_or_json(rows: &Value, columns: &[&str], json: bool) -> String {
+    if json {
+        pretty(rows)
+    } else {
+        table(rows, columns)
+    }
+}
+
+fn pretty(value: &Value) -> String {
+    let text = serde_json::to_string_pretty(value).unwrap_or_default();
+    format!("{text}\n")
+}
--- /dev/null
+++ b/crates/entry/src/app.rs
@@ -0,0 +1,160 @@
+//! State that all parts of an instance share, on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
+
+use conf::{BundleIndex, Settings};
+use feed::{Cursor, HttpLog, Outbox, Outcome};
+use lease::Identity;
+use once::{Epochs, Home, Witness};
+use peer::Members;
+use plan::{Fleet, Forecast, RetryBudget, RouteSettings, Router, Workspaces};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+use tick::{Clock, Timers};
+use tokio::sync::{Notify, oneshot, watch};
+use wire::{Body, Condition};
+
+use crate::metrics::Metrics;
+use crate::upstreams::Upstreams;
+
+/// Time that a connection to an upstream may take to be made.
+const CONNECT_MS: u64 = 1_000;
+
+/// What became of a record, and where it is.
+pub(crate) type Landed = (u64, Outcome);
+
+/// State that all parts of an instance share.
+pub(crate) struct App {
+    pub(crate) settings: Settings,
+    pub(crate) identity: Identity,
+    pub(crate) clock: Clock,
+    pub(crate) timers: Timers,
+    pub(crate) epochs: Epochs,
+    pub(crate) caller_address: String,
+    pub(crate) log: HttpLog,
+    pub(crate) client: awc::Client,
+    pub(crate) peers: peer::Client,
+    pub(crate) cursor: RefCell<Cursor>,
+    pub(crate) outbox: RefCell<Outbox>,
+    pub(crate) outgoing: Notify,
+    pub(crate) waiting: RefCell<HashMap<u64, oneshot::Sender<Landed>>>,
+    pub(crate) bundle: RefCell<Option<Rc<BundleIndex>>>,
+    pub(crate) members: RefCell<Members>,
+    pub(crate) fleet: RefCell<Fleet>,
+    pub(crate) upstreams: RefCell<Upstreams>,
+    /// `model@version` that new requests are sent to, by model.
+    pub(crate) serving: RefCell<HashMap<String, String>>,
+    pub(crate) router: RefCell<Router>,
+    pub(crate) forecast: RefCell<Forecast>,
+    pub(crate) retries: RefCell<RetryBudget>,
+    pub(crate) workspaces: RefCell<Workspaces>,
+    pub(crate) home: RefCell<Home>,
+    pub(crate) witness: RefCell<Witness>,
+    pub(crate) call_ended: watch::Sender<u64>,
+    pub(crate) condition: Cell<Condition>,
+    pub(crate) log_up: Cell<bool>,
+    pub(crate) learned_from: RefCell<String>,
+    pub(crate) in_flight: Cell<usize>,
+    pub(crate) metrics: Metrics,
+    pub(crate) rng: RefCell<Pcg64>,
+}
+
+impl App {
+    pub(crate) fn new(settings: Settings, caller_address: String, clock: Clock) -> Rc<Self> {
+        let mut rng = Pcg64::from_os_rng();
+        let incarnation = rand::Rng::random(&mut rng);
+        let identity = Identity {
+            instance: settings.instance.clone(),
+            incarnation,
+        };
+        let epochs = Epochs::new(clock.now_ms());
+        let membership = peer::Settings {
+            suspect_ms: settings.membership.suspect_ms,
+            fan_out: settings.membership.fan_out as usize,
+        };
+        let connector = awc::Connector::new().timeout(Duration::from_millis(CONNECT_MS));
+        let client = awc::Client::builder()
+            .connector(connector)
+            .disable_timeout()
+            .disable_redirects()
+            .finish();
+        Rc::new(Self {
+            log: HttpLog::new(&settings.platform.log),
+            outbox: RefCell::new(Outbox::new(&settings.instance, incarnation)),
+            members: RefCell::new(Members::new(membership)),
+            home: RefCell::new(Home::new(&settings.instance, incarnation, epochs)),
+            witness: RefCell::new(Witness::new(&settings.instance, incarnation, epochs)),
+            timers: Timers::start(clock),
+            router: RefCell::new(Router::new(RouteSettings::default())),
+            metrics: Metrics::new(&settings.instance, &settings.zone),
+            call_ended: watch::Sender::new(0),
+            settings,
+            identity,
+            clock,
+            epochs,
+            caller_address,
+            client,
+            rng: RefCell::new(rng),
+            peers: peer::Client::default(),
+            cursor: RefCell::default(),
+            outgoing: Notify::new(),
+            waiting: RefCell::default(),
+            bundle: RefCell::default(),
+            fleet: RefCell::default(),
+            upstreams: RefCell::default(),
+            serving: RefCell::default(),
+            forecast: RefCell::default(),
+            retries: RefCell::default(),
+            workspaces: RefCell::default(),
+            condition: Cell::default(),
+            log_up: Cell::new(false),
+            learned_from: RefCell::default(),
+            in_flight: Cell::new(0),
+        })
+    }
+
+    pub(crate) fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// Queues a record for the log and gives its sequence number.
+    pub(crate) fn write(&self, actor: &str, body: Body, expires_ms: Option<u64>) -> u64 {
+        let sequence = self
+            .outbox
+            .borrow_mut()
+            .push(actor, tick::wall_ms(), body, expires_ms);
+        self.outgoing.notify_one();
+        sequence
+    }
+
+    /// Queues a record and waits until it was read back; `None` when that takes too long.
+    ///
+    /// The record may then still take effect.
+    pub(crate) async fn write_and_wait(
+        &self,
+        actor: &str,
+        body: Body,
+        limit_ms: u64,
+    ) -> Option<Landed> {
+        let (sender, receiver) = oneshot::channel();
+        let sequence = self.write(actor, body, Some(self.now_ms() + limit_ms));
+        self.waiting.borrow_mut().insert(sequence, sender);
+        let limit = Duration::from_millis(limit_ms);
+        let landed = actix_rt::time::timeout(limit, receiver).await;
+        self.waiting.borrow_mut().remove(&sequence);
+        landed.ok().and_then(Result::ok)
+    }
+
+    pub(crate) fn bundle(&self) -> Option<Rc<BundleIndex>> {
+        self.bundle.borrow().clone()
+    }
+
+    /// A random name that no other request has.
+    pub(crate) fn request_id(&self) -> String {
+        let number: u128 = rand::Rng::random(&mut *self.rng.borrow_mut());
+        format!("{number:032x}")
+    }
+}
--- /dev/null
+++ b/crates/entry/src/beats.rs
@@ -0,0 +1,158 @@
+//! Heartbeats to other instances, and the answers to what they ask.
+
+use std::rc::Rc;
+
+use feed::Entry;
+use once::{BodyDigest, Key};
+use plan::Outstanding;
+use wire::{Answer, Beat, Call, CallStatus, ClaimVerdict, Condition, Load};
+
+use crate::app::App;
+
+/// Time between two ticks after which this process counts as having been paused.
+const PAUSE_BEATS: u64 = 4;
+
+/// Sends heartbeats to a few instances at each tick.
+pub(crate) async fn send(app: Rc<App>) {
+    let period_ms = app.settings.membership.beat_ms;
+    let mut ticks = app.timers.every(period_ms);
+    let mut last_ms = app.now_ms();
+    while let Some(tick) = ticks.next().await {
+        if tick.now_ms > last_ms + PAUSE_BEATS * period_ms {
+            log::warn!(step = "beat", paused_ms = tick.now_ms - last_ms; "this process was paused");
+            app.members.borrow_mut().resumed(tick.now_ms);
+        }
+        last_ms = tick.now_ms;
+        app.home.borrow_mut().expire(tick.now_ms);
+        app.witness.borrow_mut().expire(tick.now_ms);
+        let targets = app.members.borrow().targets(&mut *app.rng.borrow_mut());
+        for target in targets {
+            actix_rt::spawn(exchange(app.clone(), target));
+        }
+    }
+}
+
+/// Tells all other instances at once, as on leaving.
+pub(crate) async fn send_to_all(app: &Rc<App>) {
+    let targets: Vec<String> = {
+        let members = app.members.borrow();
+        let known = members.all().map(|known| known.peer_address.clone());
+        known.filter(|address| !address.is_empty()).collect()
+    };
+    let sends = targets
+        .into_iter()
+        .map(|target| exchange(app.clone(), target));
+    futures_util::future::join_all(sends).await;
+}
+
+async fn exchange(app: Rc<App>, peer: String) {
+    let mine = beat(&app);
+    let limit_ms = app.settings.membership.suspect_ms;
+    match app.peers.exchange(&peer, &mine, limit_ms).await {
+        Ok(theirs) => hear(&app, theirs),
+        Err(error) => log::debug!(step = error.step, peer = error.peer.as_str(); "{error}"),
+    }
+}
+
+fn beat(app: &App) -> Beat {
+    let now_ms = app.now_ms();
+    let fleet = app.fleet.borrow();
+    let busy = fleet.iter().filter(|engine| {
+        let own = engine.own();
+        own.waiting + own.running > 0.0
+    });
+    let sent = busy.map(|engine| load(now_ms, engine)).collect();
+    Beat {
+        instance: app.identity.instance.clone(),
+        incarnation: app.identity.incarnation,
+        zone: app.settings.zone.clone(),
+        condition: app.condition.get(),
+        applied_offset: app.cursor.borrow().state().next_offset(),
+        epoch: app.epochs.at(now_ms),
+        caller_address: app.caller_address.clone(),
+        sent,
+        bundle_version: app.bundle().map_or(0, |bundle| bundle.bundle().version),
+        prompt_rate: app.forecast.borrow().prompt_rate(),
+        output_rate: app.forecast.borrow().output_rate(),
+    }
+}
+
+fn load(now_ms: u64, engine: &plan::Engine) -> Load {
+    let own = engine.own();
+    Load {
+        engine: engine.name.clone(),
+        at_ms: now_ms,
+        prompt_tokens: own.prompt.map(|tokens| tokens as u64).to_vec(),
+        waiting: own.waiting as u64,
+        running: own.running as u64,
+        output_tokens: own.output as u64,
+    }
+}
+
+fn hear(app: &App, beat: Beat) {
+    let now_ms = app.now_ms();
+    let mut fleet = app.fleet.borrow_mut();
+    for engine in fleet.iter_mut() {
+        engine.peer_left(&beat.instance);
+    }
+    for load in &beat.sent {
+        if let Some(place) = fleet.place(&load.engine) {
+            let engine = fleet.get_mut(place);
+            engine.told(now_ms, &beat.instance, outstanding(load));
+        }
+    }
+    app.members.borrow_mut().heard(now_ms, beat);
+}
+
+fn outstanding(load: &Load) -> Outstanding {
+    let mut outstanding = Outstanding {
+        waiting: load.waiting as f64,
+        running: load.running as f64,
+        output: load.output_tokens as f64,
+        ..Outstanding::default()
+    };
+    for (mine, theirs) in outstanding.prompt.iter_mut().zip(&load.prompt_tokens) {
+        *mine = *theirs as f64;
+    }
+    outstanding
+}
+
+/// Answers other instances from the shared state.
+pub(crate) struct Peers(pub(crate) Rc<App>);
+
+impl peer::Handler for Peers {
+    fn exchange(&self, theirs: Beat) -> Beat {
+        hear(&self.0, theirs);
+        beat(&self.0)
+    }
+
+    fn records(&self, from: u64) -> (Vec<Entry>, u64, Option<Vec<u8>>) {
+        let cursor = self.0.cursor.borrow();
+        let next = cursor.state().next_offset();
+        match cursor.tail(from) {
+            Some(entries) => (entries, next, None),
+            None => (Vec::new(), next, Some(cursor.state().snapshot().encode())),
+        }
+    }
+
+    fn claim(&self, key: &Key, digest: BodyDigest) -> ClaimVerdict {
+        if self.0.condition.get() == Condition::Starting {
+            return ClaimVerdict::Foreign;
+        }
+        let now_ms = self.0.now_ms();
+        self.0.witness.borrow_mut().claim(now_ms, key, digest)
+    }
+
+    fn fence(&self, key: &Key, digest: BodyDigest) -> CallStatus {
+        let now_ms = self.0.now_ms();
+        self.0.witness.borrow_mut().fence(now_ms, key, digest)
+    }
+
+    fn finish(&self, key: &Key, answer: Answer) {
+        self.0.witness.borrow_mut().finish(key, answer);
+    }
+
+    async fn forward(&self, call: Call) -> CallStatus {
+        crate::call::at_home(&self.0, call).await
+    }
+}
--- /dev/null
+++ b/crates/entry/src/caller.rs
@@ -0,0 +1,96 @@
+//! What a caller's completion request asks for, checked.
+
+use std::rc::Rc;
+
+use actix_http::Request;
+use conf::{BundleIndex, Tenant};
+use plan::rank_index;
+
+use crate::app::App;
+use crate::auth::{header, number, tenant};
+use crate::openai::{CompletionRequest, Flavor};
+use crate::pump::Work;
+use crate::refusal::{Code, Refusal};
+
+/// Bytes of a prompt that count as a token until the engine says how many there were.
+const TOKEN_BYTES: f64 = 4.0;
+
+/// Headers of a request, checked against the bundle.
+pub(crate) struct Asked {
+    pub(crate) bundle: Rc<BundleIndex>,
+    pub(crate) tenant: Tenant,
+    pub(crate) class: String,
+    pub(crate) rank: usize,
+    pub(crate) deadline_ms: u64,
+}
+
+/// Reads the headers of a caller's request.
+pub(crate) fn asked(app: &App, request: &Request) -> Result<Asked, Refusal> {
+    let bundle = app.bundle().ok_or_else(|| {
+        Refusal::new(Code::Unavailable, "no bundle is in force").retry_after(1_000)
+    })?;
+    let tenant = tenant(&bundle, request)?.clone();
+    let class = header(request, "x-request-class")
+        .unwrap_or(&tenant.class)
+        .to_owned();
+    let Some(known) = bundle.class(&class) else {
+        return Err(Refusal::new(
+            Code::BadRequest,
+            format!("x-request-class: no class `{class}`"),
+        ));
+    };
+    let rank = rank_index(known.rank);
+    let deadline_ms = number(request, "x-deadline-ms")?.unwrap_or(known.deadline_ms);
+    if deadline_ms == 0 {
+        return Err(Refusal::new(
+            Code::BadRequest,
+            "x-deadline-ms: must be above 0",
+        ));
+    }
+    Ok(Asked {
+        bundle,
+        tenant,
+        class,
+        rank,
+        deadline_ms,
+    })
+}
+
+/// Turns a checked body into work.
+pub(crate) fn work(
+    app: &App,
+    asked: &Asked,
+    body: &CompletionRequest,
+    flavor: Flavor,
+) -> Result<Work, Refusal> {
+    let bad = |text: String| Refusal::new(Code::BadRequest, text);
+    let prompt = body
+        .prompt(flavor)
+        .map_err(|field| bad(format!("{field}: missing or empty")))?;
+    let most = app.settings.limits.stream_tokens;
+    let max_tokens = body.tokens();
+    if max_tokens == 0 || u64::from(max_tokens) > most {
+        return Err(bad(format!(
+            "max_tokens: {max_tokens} is outside 1 to {most}"
+        )));
+    }
+    let Some(model) = asked.bundle.model(&body.model) else {
+        let text = format!("model: no model `{}`", body.model);
+        return Err(Refusal::new(Code::NotFound, text));
+    };
+    let now_ms = app.now_ms();
+    Ok(Work {
+        id: app.request_id(),
+        member: asked.tenant.member.clone(),
+        share: asked.tenant.share,
+        class: asked.class.clone(),
+        rank: asked.rank,
+        model: model.name.clone(),
+        loaded: crate::upstreams::serving(app, model),
+        prompt_tokens: (prompt.len() as f64 / TOKEN_BYTES).max(1.0),
+        prompt,
+        max_tokens,
+        arrived_ms: now_ms,
+        deadline_ms: now_ms.saturating_add(asked.deadline_ms),
+    })
+}
--- /dev/null
+++ b/crates/entry/src/control.rs
@@ -0,0 +1,390 @@
+//! Leases, orders and roles of the groups of engines.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::rc::Rc;
+
+use lease::{Action, Authority, Desk, Elector, Move, Times, Wish};
+use plan::{RolePlanner, RoleSettings};
+use wire::{Body, LeaseClaimed, LeaseRef, OrderKind, OrderPlaced, OrderSettled};
+
+use crate::app::App;
+use crate::ordering::Orderer;
+
+/// Time between two looks at leases and orders.
+const LOOK_MS: u64 = 50;
+
+/// Loads under way at once in a group, so that the weight store's rate is shared out.
+const LOADS_AT_ONCE: usize = 2;
+
+/// Time after a roll for which old versions stay loaded for requests admitted under them.
+const KEEP_OLD_MS: u64 = 30_000;
+
+thread_local! {
+    /// The control of the instance whose thread this is, for what the log follower observes.
+    static CONTROL: RefCell<Option<Rc<Control>>> = const { RefCell::new(None) };
+}
+
+struct Group {
+    elector: Elector,
+    desk: Desk,
+    planner: RolePlanner,
+}
+
+/// Control of all groups by one instance.
+pub(crate) struct Control {
+    app: Rc<App>,
+    orderer: Orderer,
+    groups: RefCell<BTreeMap<String, Group>>,
+    rolled: RefCell<(u64, u64)>,
+}
+
+impl Control {
+    pub(crate) async fn start(app: &Rc<App>) -> std::io::Result<Rc<Self>> {
+        let control = Rc::new(Self {
+            app: app.clone(),
+            orderer: Orderer::start(app.clock).await?,
+            groups: RefCell::default(),
+            rolled: RefCell::default(),
+        });
+        CONTROL.set(Some(control.clone()));
+        actix_rt::spawn(control.clone().run());
+        Ok(control)
+    }
+
+    async fn run(self: Rc<Self>) {
+        let mut ticks = self.app.timers.every(LOOK_MS);
+        while ticks.next().await.is_some() {
+            self.add_groups();
+            let names: Vec<String> = self.groups.borrow().keys().cloned().collect();
+            for name in names {
+                self.elect(&name);
+                self.command(&name);
+            }
+        }
+    }
+
+    fn add_groups(&self) {
+        let now_ms = self.app.now_ms();
+        let lease = &self.app.settings.lease;
+        let times = Times {
+            ttl_ms: lease.ttl_ms,
+            margin_ms: lease.margin_ms,
+        };
+        let weight = self
+            .app
+            .bundle()
+            .map(|bundle| bundle.bundle().policy.role_change_weight);
+        let mut groups = self.groups.borrow_mut();
+        for name in self.app.upstreams.borrow().groups() {
+            groups.entry(name.clone()).or_insert_with(|| {
+                let mut elector = Elector::new(self.app.identity.clone(), &name, times, now_ms);
+                elector.observe(now_ms, self.app.cursor.borrow().state().lease(&name));
+                let settings = RoleSettings {
+                    change_weight: weight.unwrap_or(RoleSettings::default().change_weight),
+                    ..RoleSettings::default()
+                };
+                Group {
+                    elector,
+                    desk: Desk::default(),
+                    planner: RolePlanner::new(settings),
+                }
+            });
+        }
+    }
+
+    /// Takes in what the log says of the leases, as soon as it was read.
+    fn observe(&self) {
+        let now_ms = self.app.now_ms();
+        let cursor = self.app.cursor.borrow();
+        for (name, group) in self.groups.borrow_mut().iter_mut() {
+            group.elector.observe(now_ms, cursor.state().lease(name));
+        }
+        let offset = cursor.state().in_force_offset();
+        let mut rolled = self.rolled.borrow_mut();
+        if rolled.0 != offset {
+            *rolled = (offset, now_ms);
+        }
+    }
+
+    fn elect(&self, name: &str) {
+        // Without the log nothing can be claimed, and a claim that waits would be old.
+        if !self.app.log_up.get() || self.app.condition.get() != wire::Condition::Ready {
+            return;
+        }
+        let now_ms = self.app.now_ms();
+        let me = &self.app.identity.instance;
+        let rank = self.app.members.borrow().rank(now_ms, me, name);
+        let mut groups = self.groups.borrow_mut();
+        let Some(group) = groups.get_mut(name) else {
+            return;
+        };
+        let ttl_ms = self.app.settings.lease.ttl_ms;
+        let body = match group.elector.poll(now_ms, rank) {
+            Action::Wait => return,
+            Action::Claim { supersedes } => Body::LeaseClaimed(LeaseClaimed {
+                group: name.to_owned(),
+                supersedes,
+                ttl_ms,
+            }),
+            Action::Renew { fence } => Body::LeaseRenewed(LeaseRef {
+                group: name.to_owned(),
+                fence,
+            }),
+        };
+        let sequence = self.app.write(me, body, Some(now_ms + ttl_ms));
+        group.elector.sent(now_ms, sequence);
+    }
+
+    fn command(self: &Rc<Self>, name: &str) {
+        let now_ms = self.app.now_ms();
+        let authority = {
+            let groups = self.groups.borrow();
+            groups
+                .get(name)
+                .and_then(|group| group.elector.authority(now_ms))
+        };
+        let held = i64::from(authority.is_some());
+        self.app.metrics.leases.with_label_values(&[name]).set(held);
+        let Some(authority) = authority else {
+            return;
+        };
+        let wishes = self.wishes(name, now_ms);
+        for next in self.moves(name, now_ms, authority, &wishes) {
+            match next {
+                Move::Place(order) => self.place(order),
+                Move::Settle(settled) => self.settle(settled),
+                Move::Send(order) => {
+                    actix_rt::spawn(self.clone().send(order));
+                }
+            }
+        }
+    }
+
+    fn moves(&self, name: &str, now_ms: u64, authority: Authority, wishes: &[Wish]) -> Vec<Move> {
+        let cursor = self.app.cursor.borrow();
+        let upstreams = self.app.upstreams.borrow();
+        let report = |engine: &str| upstreams.engines.get(engine)?.report.clone();
+        let mut groups = self.groups.borrow_mut();
+        let Some(group) = groups.get_mut(name) else {
+            return Vec::new();
+        };
+        let open = cursor.state().open_orders(name);
+        group
+            .desk
+            .moves(now_ms, authority, name, wishes, open, report)
+    }
+
+    fn place(&self, order: OrderPlaced) {
+        let expires_ms = self.app.now_ms() + self.app.settings.lease.ttl_ms;
+        let me = &self.app.identity.instance;
+        self.app
+            .write(me, Body::OrderPlaced(order), Some(expires_ms));
+    }
+
+    fn settle(&self, settled: OrderSettled) {
+        let expires_ms = self.app.now_ms() + self.app.settings.lease.ttl_ms;
+        let me = &self.app.identity.instance;
+        self.app
+            .write(me, Body::OrderSettled(settled), Some(expires_ms));
+    }
+
+    async fn send(self: Rc<Self>, order: lease::Send) {
+        let address = {
+            let upstreams = self.app.upstreams.borrow();
+            upstreams
+                .engines
+                .get(&order.engine)
+                .map(|engine| engine.address.clone())
+        };
+        let Some(address) = address else {
+            return;
+        };
+        let (engine, number) = (order.engine.clone(), order.order);
+        let kind = format!("{:?}", order.kind).to_lowercase();
+        self.app.metrics.orders.with_label_values(&[&kind]).inc();
+        match self.orderer.send(order, address).await {
+            Ok(status) => {
+                log::info!(step = "order", peer = engine.as_str(), order = number, status; "{kind}");
+            }
+            Err(detail) => {
+                log::warn!(step = "order", peer = engine.as_str(), order = number; "{detail}");
+            }
+        }
+    }
+
+    /// What the engines of a group should be doing: versions first, then roles.
+    fn wishes(&self, name: &str, now_ms: u64) -> Vec<Wish> {
+        let mut wishes = self.load_wishes(name);
+        wishes.extend(self.unload_wishes(name, now_ms));
+        if wishes.is_empty() {
+            wishes = self.strays(name);
+        }
+        if wishes.is_empty() {
+            wishes = self.role_wishes(name, now_ms);
+        }
+        wishes
+    }
+
+    fn load_wishes(&self, name: &str) -> Vec<Wish> {
+        let Some(bundle) = self.app.bundle() else {
+            return Vec::new();
+        };
+        let cursor = self.app.cursor.borrow();
+        let loading = cursor
+            .state()
+            .open_orders(name)
+            .filter(|order| order.placed.kind == OrderKind::Load)
+            .count();
+        let upstreams = self.app.upstreams.borrow();
+        let fleet = self.app.fleet.borrow();
+        let missing = fleet
+            .iter()
+            .filter(|engine| engine.group == name)
+            .filter_map(|engine| {
+                let model = bundle.model(&engine.model)?;
+                let argument = format!("{}@{}", model.name, model.version);
+                let report = upstreams.engines.get(&engine.name)?.report.as_ref()?;
+                let has = report.loaded.contains(&argument);
+                (!has).then(|| Wish {
+                    engine: engine.name.clone(),
+                    kind: OrderKind::Load,
+                    argument,
+                })
+            });
+        missing
+            .take(LOADS_AT_ONCE.saturating_sub(loading))
+            .collect()
+    }
+
+    /// Versions that no bundle in force names, once every instance has moved on for a while.
+    fn unload_wishes(&self, name: &str, now_ms: u64) -> Vec<Wish> {
+        let Some(bundle) = self.app.bundle() else {
+            return Vec::new();
+        };
+        let version = bundle.bundle().version;
+        let moved_on = self
+            .app
+            .members
+            .borrow()
+            .live(now_ms)
+            .all(|beat| beat.bundle_version >= version);
+        if !moved_on || now_ms < self.rolled.borrow().1 + KEEP_OLD_MS {
+            return Vec::new();
+        }
+        let upstreams = self.app.upstreams.borrow();
+        let fleet = self.app.fleet.borrow();
+        let mut wishes = Vec::new();
+        for engine in fleet.iter().filter(|engine| engine.group == name) {
+            let report = upstreams
+                .engines
+                .get(&engine.name)
+                .and_then(|entry| entry.report.as_ref());
+            let (Some(model), Some(report)) = (bundle.model(&engine.model), report) else {
+                continue;
+            };
+            let current = format!("{}@{}", model.name, model.version);
+            if !report.loaded.contains(&current) {
+                continue;
+            }
+            if let Some(old) = report.loaded.iter().find(|loaded| **loaded != current) {
+                wishes.push(Wish {
+                    engine: engine.name.clone(),
+                    kind: OrderKind::Unload,
+                    argument: old.clone(),
+                });
+            }
+        }
+        wishes
+    }
+
+    /// Engines whose role differs from their last order: a stray order reached them, or they
+    /// were restarted. Giving the last order again, under a new number, puts them right.
+    fn strays(&self, name: &str) -> Vec<Wish> {
+        let cursor = self.app.cursor.borrow();
+        let upstreams = self.app.upstreams.borrow();
+        let of_group = upstreams
+            .engines
+            .iter()
+            .filter(|(_, engine)| engine.group == name);
+        of_group
+            .filter_map(|(engine, entry)| {
+                let last = cursor.state().order(engine)?;
+                let report = entry.report.as_ref()?;
+                let role = last.placed.kind == OrderKind::Role && last.settled && last.done;
+                let strayed = role && !report.changing && report.role != last.placed.argument;
+                strayed.then(|| Wish {
+                    engine: engine.clone(),
+                    kind: OrderKind::Role,
+                    argument: last.placed.argument.clone(),
+                })
+            })
+            .collect()
+    }
+
+    fn role_wishes(&self, name: &str, now_ms: u64) -> Vec<Wish> {
+        let Some(bundle) = self.app.bundle() else {
+            return Vec::new();
+        };
+        let (mut prompt, mut output) = (0.0, 0.0);
+        for beat in self.app.members.borrow().live(now_ms) {
+            prompt += beat.prompt_rate;
+            output += beat.output_rate;
+        }
+        let fleet = self.app.fleet.borrow();
+        let places: Vec<usize> = fleet
+            .iter()
+            .filter(|engine| engine.group == name)
+            .filter_map(|engine| fleet.place(&engine.name))
+            .collect();
+        // The forecast is for the whole model; this group takes its share.
+        let all = places
+            .first()
+            .map_or(1, |&place| fleet.of_model(&fleet.get(place).model).len());
+        let share = places.len() as f64 / all.max(1) as f64;
+        let forecast = self
+            .app
+            .forecast
+            .borrow()
+            .with_others(prompt, output)
+            .scaled(share);
+        let allows = |place: usize, role| bundle.allows(&fleet.get(place).name, role);
+        let mut groups = self.groups.borrow_mut();
+        let Some(group) = groups.get_mut(name) else {
+            return Vec::new();
+        };
+        let changes = group
+            .planner
+            .plan(now_ms, &fleet, &places, &forecast, allows);
+        let wishes = changes.iter().map(|change| Wish {
+            engine: fleet.get(change.engine).name.clone(),
+            kind: OrderKind::Role,
+            argument: crate::upstreams::role_name(change.role).to_owned(),
+        });
+        wishes.collect()
+    }
+
+    /// Gives all leases up, so that others need not wait for them to lapse.
+    pub(crate) fn leave(&self) {
+        let now_ms = self.app.now_ms();
+        let me = &self.app.identity.instance;
+        for (name, group) in self.groups.borrow_mut().iter_mut() {
+            if let Some(fence) = group.elector.leave(now_ms) {
+                let released = LeaseRef {
+                    group: name.clone(),
+                    fence,
+                };
+                self.app.write(me, Body::LeaseReleased(released), None);
+            }
+        }
+    }
+}
+
+/// Tells the control that records were folded in.
+pub(crate) fn observed(_app: &App) {
+    CONTROL.with_borrow(|control| {
+        if let Some(control) = control {
+            control.observe();
+        }
+    });
+}
--- /dev/null
+++ b/crates/entry/src/follow.rs
@@ -0,0 +1,166 @@
+//! Follows the log, appends to it, and learns from peers while it is down.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use conf::BundleIndex;
+use feed::{Log, Step};
+use rand::seq::IteratorRandom;
+use wire::{Condition, Snapshot};
+
+use crate::app::App;
+
+/// Time for which the log may hold back an answer while there is nothing new.
+const WAIT_MS: u64 = 1_000;
+
+/// Time that a peer may take.
+const PEER_MS: u64 = 1_000;
+
+/// Time after a failed append before it is tried again.
+const AGAIN_MS: u64 = 200;
+
+/// Reads the log on and on, and peers while the log does not answer.
+pub(crate) async fn follow(app: Rc<App>) {
+    loop {
+        let from = app.cursor.borrow().from();
+        // The first read asks what there is; later ones wait for what is new.
+        let wait_ms = if app.log_up.get() { WAIT_MS } else { 0 };
+        match app.log.read(from, wait_ms).await {
+            Ok(page) => {
+                app.log_up.set(true);
+                app.metrics.log_up.set(1);
+                let caught_up = page.entries.is_empty();
+                let steps = app.cursor.borrow_mut().take(&page);
+                applied(&app, &steps);
+                if caught_up && !app.cursor.borrow().is_searching() {
+                    become_ready(&app, "log");
+                }
+            }
+            Err(error) => {
+                if app.log_up.replace(false) {
+                    log::warn!(step = error.step, peer = error.peer.as_str(); "log is down: {error}");
+                }
+                app.metrics.log_up.set(0);
+                learn_from_peer(&app).await;
+                app.timers.sleep(app.settings.platform.poll_ms).await;
+            }
+        }
+    }
+}
+
+/// Asks one peer for what it has read back. A peer that knows less changes nothing.
+async fn learn_from_peer(app: &Rc<App>) {
+    let peer = {
+        let members = app.members.borrow();
+        let known = members.all().filter(|known| !known.peer_address.is_empty());
+        let mut rng = app.rng.borrow_mut();
+        known
+            .map(|known| known.peer_address.clone())
+            .choose(&mut *rng)
+    };
+    let Some(peer) = peer else {
+        return;
+    };
+    let from = app.cursor.borrow().state().next_offset();
+    let records = match app.peers.records(&peer, from, PEER_MS).await {
+        Ok(records) => records,
+        Err(error) => {
+            log::debug!(step = error.step, peer = error.peer.as_str(); "{error}");
+            return;
+        }
+    };
+    if let Some(bytes) = records.snapshot {
+        match Snapshot::decode(&bytes) {
+            Ok(snapshot) => {
+                app.cursor.borrow_mut().adopt(snapshot);
+            }
+            Err(error) => {
+                log::warn!(step = "records", peer = peer.as_str(); "{error}");
+                return;
+            }
+        }
+        applied(app, &[]);
+    } else {
+        let steps = app
+            .cursor
+            .borrow_mut()
+            .relay(from, &records.entries, records.next);
+        applied(app, &steps);
+    }
+    // A peer that has nothing yet must not make this instance ready with nothing.
+    if app.cursor.borrow().state().in_force().is_some() {
+        become_ready(app, &peer);
+    }
+}
+
+fn become_ready(app: &App, source: &str) {
+    if app.condition.get() == Condition::Starting {
+        app.condition.set(Condition::Ready);
+        source.clone_into(&mut app.learned_from.borrow_mut());
+        let offset = app.cursor.borrow().state().next_offset();
+        log::info!(step = "ready", source, offset; "state is current");
+    }
+}
+
+/// Acts on records that were folded in.
+fn applied(app: &Rc<App>, steps: &[Step]) {
+    for step in steps {
+        let origin = &step.record.origin;
+        if origin.writer == app.identity.instance && origin.incarnation == app.identity.incarnation
+        {
+            let waiter = app.waiting.borrow_mut().remove(&origin.sequence);
+            if let Some(waiter) = waiter {
+                let _ = waiter.send((step.offset, step.outcome.clone()));
+            }
+        }
+    }
+    app.metrics
+        .offset
+        .set(app.cursor.borrow().state().next_offset().cast_signed());
+    put_in_force(app);
+    crate::upstreams::drains_changed(app);
+    crate::control::observed(app);
+}
+
+/// Takes the bundle in force into use. Requests under way keep the one they were admitted under.
+fn put_in_force(app: &App) {
+    let cursor = app.cursor.borrow();
+    let Some(state) = cursor.state().in_force() else {
+        return;
+    };
+    let current = app.bundle();
+    if current.is_some_and(|bundle| bundle.digest() == state.published.digest) {
+        return;
+    }
+    // The bundle was checked before it was published, by an instance of perhaps another version.
+    match conf::parse_bundle(&state.published.text, "bundle") {
+        Ok(bundle) => {
+            let version = state.published.version;
+            let index = BundleIndex::new(bundle, state.published.digest.clone());
+            app.bundle.replace(Some(Rc::new(index)));
+            app.metrics.bundle.set(version.cast_signed());
+            let offset = cursor.state().in_force_offset();
+            log::info!(step = "roll", version, offset; "bundle is in force");
+        }
+        Err(error) => log::error!(step = "roll"; "bundle in force cannot be read: {error}"),
+    }
+}
+
+/// Appends what the instance has to say, one batch at a time.
+pub(crate) async fn append(app: Rc<App>) {
+    loop {
+        let batch = app.outbox.borrow_mut().batch(app.now_ms());
+        let Some(batch) = batch else {
+            app.outgoing.notified().await;
+            continue;
+        };
+        match app.log.append(&batch).await {
+            Ok(_) => app.outbox.borrow_mut().appended(),
+            Err(error) => {
+                log::warn!(step = error.step, peer = error.peer.as_str(); "{error}");
+                app.outbox.borrow_mut().failed();
+                actix_rt::time::sleep(Duration::from_millis(AGAIN_MS)).await;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/instance.rs
@@ -0,0 +1,120 @@
+//! The life of an instance: starting, serving, leaving.
+
+use std::rc::Rc;
+
+use actix_rt::task::JoinHandle;
+use conf::Settings;
+use tick::Clock;
+use web::{Options, Server};
+use wire::Condition;
+
+use crate::app::App;
+use crate::control::Control;
+use crate::{Error, Result, beats, follow, platform, routes, upstreams};
+
+/// Time between two looks at whether all requests have ended.
+const DRAIN_LOOK_MS: u64 = 20;
+
+/// Time for last records, such as released leases, to reach the log.
+const LAST_RECORDS_MS: u64 = 1_000;
+
+/// A running entry instance.
+pub struct Instance {
+    app: Rc<App>,
+    control: Rc<Control>,
+    callers: Server,
+    peers: peer::Server,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Instance {
+    /// Starts an instance on the current runtime thread.
+    pub async fn start(settings: Settings) -> Result<Self> {
+        let listen = |address: &str| {
+            let address = address.to_owned();
+            async move {
+                let bound = web::bind(&address).await;
+                bound.map_err(|source| Error::Listen { address, source })
+            }
+        };
+        let callers = listen(&settings.caller_address).await?;
+        let peers = listen(&settings.peer_address).await?;
+        let failed = |source| Error::Listen {
+            address: settings.caller_address.clone(),
+            source,
+        };
+        let caller_address = callers.local_addr().map_err(failed)?.to_string();
+        let options = Options {
+            connections: settings.limits.connections as usize,
+            ..Options::default()
+        };
+        let app = App::new(settings.clone(), caller_address, Clock::default());
+        let handler = app.clone();
+        let callers = web::serve(callers, options, move |request| {
+            routes::answer(handler.clone(), request)
+        });
+        let callers = callers.await.map_err(failed)?;
+        let peers = peer::serve(peers, Rc::new(beats::Peers(app.clone()))).map_err(failed)?;
+        let control = Control::start(&app)
+            .await
+            .map_err(|source| Error::Guard { source })?;
+        let tasks = vec![
+            actix_rt::spawn(follow::follow(app.clone())),
+            actix_rt::spawn(follow::append(app.clone())),
+            actix_rt::spawn(beats::send(app.clone())),
+            actix_rt::spawn(platform::watch_list(app.clone())),
+            actix_rt::spawn(upstreams::watch_reports(app.clone())),
+        ];
+        Ok(Self {
+            app,
+            control,
+            callers,
+            peers,
+            tasks,
+        })
+    }
+
+    /// Where callers and operators connect.
+    pub fn caller_address(&self) -> String {
+        self.callers.address().to_string()
+    }
+
+    /// Where other instances connect.
+    pub fn peer_address(&self) -> String {
+        self.peers.address().to_string()
+    }
+
+    /// Whether it serves.
+    pub fn is_ready(&self) -> bool {
+        self.app.condition.get() == Condition::Ready
+    }
+
+    /// Leaves as planned: is handed out no more, serves callers that still hold its address for
+    /// the grace period, then takes nothing new and ends what it holds.
+    pub async fn stop(&self) {
+        log::info!(step = "stop"; "leaving");
+        self.app.condition.set(Condition::Leaving);
+        self.control.leave();
+        beats::send_to_all(&self.app).await;
+        let timers = self.app.timers.clone();
+        timers.sleep(self.app.settings.limits.stop_grace_ms).await;
+        self.callers.stop_accepting();
+        while self.app.in_flight.get() > 0 {
+            timers.sleep(DRAIN_LOOK_MS).await;
+        }
+        let give_up_ms = self.app.now_ms() + LAST_RECORDS_MS;
+        while !self.app.outbox.borrow().is_empty() && self.app.now_ms() < give_up_ms {
+            timers.sleep(DRAIN_LOOK_MS).await;
+        }
+        log::info!(step = "stop"; "gone");
+    }
+
+    /// Ends at once, as a crash would: connections are cut and nothing more is done.
+    pub fn kill(&self) {
+        self.callers.kill();
+        self.peers.kill();
+        for task in &self.tasks {
+            task.abort();
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/metrics.rs
@@ -0,0 +1,130 @@
+//! Metrics, the first of which are answers in time beside answers at all.
+
+use prometheus::{
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
+};
+
+/// Buckets of times from a fraction of a ms to a minute, in seconds.
+const TIME_BUCKETS: [f64; 14] = [
+    0.000_1, 0.000_25, 0.000_5, 0.001, 0.005, 0.02, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0, 15.0, 60.0,
+];
+
+/// All metrics of an instance; docs/OPERATIONS.md has a table of them.
+pub(crate) struct Metrics {
+    registry: Registry,
+    /// Answers by class, and whether they came in time.
+    pub(crate) answers: IntCounterVec,
+    /// Refusals by code.
+    pub(crate) refusals: IntCounterVec,
+    /// Calls that ended without a known outcome.
+    pub(crate) unknown: IntCounterVec,
+    /// Answers that belonged to another request, or came after their request was over.
+    pub(crate) strays: IntCounterVec,
+    /// Attempts beyond a request's first, by reason.
+    pub(crate) retries: IntCounterVec,
+    /// Time to the first token.
+    pub(crate) first_token: HistogramVec,
+    /// Time that the instance itself spent on a request.
+    pub(crate) own_time: HistogramVec,
+    /// Requests in flight.
+    pub(crate) in_flight: IntGauge,
+    /// Version of the bundle in force.
+    pub(crate) bundle: IntGauge,
+    /// First log offset that is not applied.
+    pub(crate) offset: IntGauge,
+    /// Whether the log answers.
+    pub(crate) log_up: IntGauge,
+    /// Leases held, by group.
+    pub(crate) leases: IntGaugeVec,
+    /// Orders given, by kind.
+    pub(crate) orders: IntCounterVec,
+}
+
+impl Metrics {
+    pub(crate) fn new(instance: &str, zone: &str) -> Self {
+        let labels = [("instance", instance), ("zone", zone)]
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .into();
+        let registry =
+            Registry::new_custom(Some("chicoryrack".to_owned()), Some(labels)).unwrap_or_default();
+        Self {
+            answers: counter(
+                &registry,
+                "answers_total",
+                "Whole answers.",
+                &["class", "in_time"],
+            ),
+            refusals: counter(&registry, "refusals_total", "Refusals.", &["code"]),
+            unknown: counter(
+                &registry,
+                "unknown_total",
+                "Calls of unknown outcome.",
+                &["upstream"],
+            ),
+            strays: counter(
+                &registry,
+                "strays_total",
+                "Late or crossed answers.",
+                &["kind"],
+            ),
+            retries: counter(&registry, "retries_total", "Further attempts.", &["reason"]),
+            first_token: times(
+                &registry,
+                "first_token_seconds",
+                "Time to first token.",
+                &["class"],
+            ),
+            own_time: times(
+                &registry,
+                "own_seconds",
+                "Time spent in the instance.",
+                &["step"],
+            ),
+            in_flight: gauge(&registry, "in_flight", "Requests in flight."),
+            bundle: gauge(&registry, "bundle_version", "Version in force."),
+            offset: gauge(&registry, "log_offset", "First offset not applied."),
+            log_up: gauge(&registry, "log_up", "Whether the log answers."),
+            leases: {
+                let opts = Opts::new("leases_held", "Leases held.");
+                register(&registry, IntGaugeVec::new(opts, &["group"]))
+            },
+            orders: counter(&registry, "orders_total", "Orders given.", &["kind"]),
+            registry,
+        }
+    }
+
+    /// All metrics in the text format.
+    pub(crate) fn text(&self) -> Vec<u8> {
+        let mut text = Vec::new();
+        if let Err(error) = TextEncoder::new().encode(&self.registry.gather(), &mut text) {
+            log::error!("metrics cannot be written: {error}");
+        }
+        text
+    }
+}
+
+/// Names and labels are constants of this file, so a failure here is a mistake in it.
+fn register<M: prometheus::core::Collector + Clone + 'static>(
+    registry: &Registry,
+    metric: prometheus::Result<M>,
+) -> M {
+    let metric = metric.expect("metric names and labels are well formed");
+    registry
+        .register(Box::new(metric.clone()))
+        .expect("each metric is registered once");
+    metric
+}
+
+fn counter(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+    register(registry, IntCounterVec::new(Opts::new(name, help), labels))
+}
+
+fn gauge(registry: &Registry, name: &str, help: &str) -> IntGauge {
+    register(registry, IntGauge::new(name, help))
+}
+
+fn times(registry: &Registry, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+    let opts = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
+    register(registry, HistogramVec::new(opts, labels))
+}
--- /dev/null
+++ b/crates/entry/src/openai.rs
@@ -0,0 +1,211 @@
+//! The JSON that clients of the usual completion API send and expect.
+
+use serde::{Deserialize, Serialize};
+
+use crate::engine::Usage;
+
+/// Tokens of an answer whose request names no number.
+const DEFAULT_TOKENS: u32 = 128;
+
+/// Which of the two completion calls a request is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Flavor {
+    /// `/v1/chat/completions`.
+    Chat,
+    /// `/v1/completions`.
+    Text,
+}
+
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct Message {
+    role: String,
+    content: String,
+}
+
+/// Body of a completion request. Fields beyond these are those of other servers and are ignored.
+#[derive(Debug, Clone, Deserialize)]
+pub(crate) struct CompletionRequest {
+    pub(crate) model: String,
+    messages: Option<Vec<Message>>,
+    prompt: Option<String>,
+    max_tokens: Option<u32>,
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    pub(crate) stream: bool,
+}
+
+impl CompletionRequest {
+    /// The prompt as the engine reads it, or the field that is missing.
+    pub(crate) fn prompt(&self, flavor: Flavor) -> Result<String, &'static str> {
+        match flavor {
+            Flavor::Text => self.prompt.clone().ok_or("prompt"),
+            Flavor::Chat => {
+                let messages = self
+                    .messages
+                    .as_ref()
+                    .filter(|messages| !messages.is_empty());
+                let lines = messages.ok_or("messages")?.iter();
+                let lines = lines.map(|message| format!("{}: {}\n", message.role, message.content));
+                Ok(lines.collect())
+            }
+        }
+    }
+
+    pub(crate) fn tokens(&self) -> u32 {
+        let asked = self.max_completion_tokens.or(self.max_tokens);
+        asked.unwrap_or(DEFAULT_TOKENS)
+    }
+}
+
+#[derive(Debug, Default, Serialize)]
+struct Text<'a> {
+    #[serde(skip_serializing_if = "Option::is_none")]
+    role: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    content: Option<&'a str>,
+}
+
+#[derive(Debug, Default, Serialize)]
+struct Choice<'a> {
+    index: u32,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    text: Option<&'a str>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    message: Option<Text<'a>>,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    delta: Option<Text<'a>>,
+    finish_reason: Option<&'a str>,
+}
+
+#[derive(Debug, Serialize)]
+struct UsageOut {
+    prompt_tokens: u32,
+    completion_tokens: u32,
+    total_tokens: u32,
+}
+
+/// An answer, or one event of it.
+#[derive(Debug, Serialize)]
+struct Completion<'a> {
+    id: &'a str,
+    object: &'a str,
+    created: u64,
+    model: &'a str,
+    choices: [Choice<'a>; 1],
+    #[serde(skip_serializing_if = "Option::is_none")]
+    usage: Option<UsageOut>,
+    /// Token with which the rest can be had at another instance.
+    #[serde(skip_serializing_if = "Option::is_none")]
+    resume: Option<&'a str>,
+}
+
+/// What all events of an answer share.
+#[derive(Debug, Clone)]
+pub(crate) struct Head {
+    pub(crate) id: String,
+    pub(crate) model: String,
+    pub(crate) flavor: Flavor,
+    pub(crate) created: u64,
+}
+
+impl Head {
+    fn object(&self, streamed: bool) -> &'static str {
+        match (self.flavor, streamed) {
+            (Flavor::Chat, true) => "chat.completion.chunk",
+            (Flavor::Chat, false) => "chat.completion",
+            (Flavor::Text, _) => "text_completion",
+        }
+    }
+
+    fn completion<'a>(&'a self, streamed: bool, choice: Choice<'a>) -> Completion<'a> {
+        Completion {
+            id: &self.id,
+            object: self.object(streamed),
+            created: self.created,
+            model: &self.model,
+            choices: [choice],
+            usage: None,
+            resume: None,
+        }
+    }
+
+    /// The event of one token.
+    pub(crate) fn token(&self, number: u32, text: &str, resume: &str) -> String {
+        let choice = match self.flavor {
+            Flavor::Text => Choice {
+                text: Some(text),
+                ..Choice::default()
+            },
+            Flavor::Chat => Choice {
+                delta: Some(Text {
+                    role: (number == 1).then_some("assistant"),
+                    content: Some(text),
+                }),
+                ..Choice::default()
+            },
+        };
+        let event = Completion {
+            resume: Some(resume),
+            ..self.completion(true, choice)
+        };
+        format!("id: {number}\ndata: {}\n\n", to_json(&event))
+    }
+
+    /// The events of the end.
+    pub(crate) fn end(&self, usage: Usage) -> String {
+        let choice = match self.flavor {
+            Flavor::Text => Choice {
+                text: Some(""),
+                finish_reason: Some("stop"),
+                ..Choice::default()
+            },
+            Flavor::Chat => Choice {
+                delta: Some(Text::default()),
+                finish_reason: Some("stop"),
+                ..Choice::default()
+            },
+        };
+        let event = Completion {
+            usage: Some(usage.into()),
+            ..self.completion(true, choice)
+        };
+        format!("data: {}\n\ndata: [DONE]\n\n", to_json(&event))
+    }
+
+    /// A whole answer.
+    pub(crate) fn whole(&self, text: &str, usage: Usage) -> String {
+        let choice = match self.flavor {
+            Flavor::Text => Choice {
+                text: Some(text),
+                finish_reason: Some("stop"),
+                ..Choice::default()
+            },
+            Flavor::Chat => Choice {
+                message: Some(Text {
+                    role: Some("assistant"),
+                    content: Some(text),
+                }),
+                finish_reason: Some("stop"),
+                ..Choice::default()
+            },
+        };
+        to_json(&Completion {
+            usage: Some(usage.into()),
+            ..self.completion(false, choice)
+        })
+    }
+}
+
+impl From<Usage> for UsageOut {
+    fn from(usage: Usage) -> Self {
+        Self {
+            prompt_tokens: usage.prompt_tokens,
+            completion_tokens: usage.completion_tokens,
+            total_tokens: usage.prompt_tokens + usage.completion_tokens,
+        }
+    }
+}
+
+fn to_json(completion: &Completion) -> String {
+    serde_json::to_string(completion).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/entry/src/ordering.rs
@@ -0,0 +1,156 @@
+//! Gives orders to engines, from a thread of its own at which the lease guard is aimed.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Uri;
+use actix_service::Service;
+use actix_tls::connect::{ConnectError, ConnectInfo, Connection};
+use lease::{Guard, Send as Order, Watch};
+use serde::Serialize;
+use tick::Clock;
+use tokio::net::TcpStream;
+use tokio::sync::{mpsc, oneshot};
+use wire::OrderKind;
+
+/// What became of sending an order.
+pub(crate) type Sent = Result<u16, String>;
+
+struct Errand {
+    order: Order,
+    address: String,
+    reply: oneshot::Sender<Sent>,
+}
+
+#[derive(Serialize)]
+struct Body<'a> {
+    order: u64,
+    kind: &'static str,
+    argument: &'a str,
+}
+
+/// The ordering thread.
+#[derive(Clone)]
+pub(crate) struct Orderer {
+    errands: mpsc::UnboundedSender<Errand>,
+}
+
+impl Orderer {
+    /// Starts the thread.
+    pub(crate) async fn start(clock: Clock) -> std::io::Result<Self> {
+        let (errands, receiver) = mpsc::unbounded_channel();
+        let (ready, started) = oneshot::channel();
+        actix_rt::Arbiter::new().spawn_fn(move || {
+            actix_rt::spawn(serve(clock, receiver, ready));
+        });
+        let started = started.await;
+        started.unwrap_or_else(|_| Err(std::io::Error::other("the ordering thread ended")))?;
+        Ok(Self { errands })
+    }
+
+    /// Sends one order and gives the status of the answer.
+    pub(crate) async fn send(&self, order: Order, address: String) -> Sent {
+        let (reply, answer) = oneshot::channel();
+        let errand = Errand {
+            order,
+            address,
+            reply,
+        };
+        if self.errands.send(errand).is_err() {
+            return Err("the ordering thread has ended".to_owned());
+        }
+        answer
+            .await
+            .unwrap_or_else(|_| Err("the ordering thread has ended".to_owned()))
+    }
+}
+
+async fn serve(
+    clock: Clock,
+    mut errands: mpsc::UnboundedReceiver<Errand>,
+    ready: oneshot::Sender<std::io::Result<()>>,
+) {
+    let guard = match Guard::new(clock) {
+        Ok(guard) => Rc::new(guard),
+        Err(error) => {
+            let _ = ready.send(Err(error));
+            return;
+        }
+    };
+    let _ = ready.send(Ok(()));
+    // One at a time: the guard has one slot.
+    while let Some(errand) = errands.recv().await {
+        let sent = send(&guard, clock, &errand.order, &errand.address).await;
+        let _ = errand.reply.send(sent);
+    }
+}
+
+async fn send(guard: &Rc<Guard>, clock: Clock, order: &Order, address: &str) -> Sent {
+    let left_ms = order.until_ms.saturating_sub(clock.now_ms());
+    let limit = Duration::from_millis(left_ms);
+    let connector = GuardedConnector {
+        guard: guard.clone(),
+        until_ms: order.until_ms,
+        watch: Rc::default(),
+    };
+    let watch = connector.watch.clone();
+    let client = awc::Client::builder()
+        .connector(awc::Connector::new().connector(connector).timeout(limit))
+        .timeout(limit)
+        .disable_redirects()
+        .finish();
+    let body = Body {
+        order: order.order,
+        kind: match order.kind {
+            OrderKind::Role => "role",
+            OrderKind::Load => "load",
+            OrderKind::Unload => "unload",
+        },
+        argument: &order.argument,
+    };
+    // The connection is closed after the exchange, so none outlives its lease in a pool.
+    let request = client
+        .post(format!("http://{address}/orders"))
+        .force_close();
+    let sent = request.send_json(&body).await;
+    let status = sent.map(|response| response.status().as_u16());
+    watch.borrow_mut().take();
+    status.map_err(|error| error.to_string())
+}
+
+/// Connects as usual, then puts the connection under the guard before a byte is written.
+#[derive(Clone)]
+struct GuardedConnector {
+    guard: Rc<Guard>,
+    until_ms: u64,
+    watch: Rc<RefCell<Option<Watch>>>,
+}
+
+impl Service<ConnectInfo<Uri>> for GuardedConnector {
+    type Response = Connection<Uri, TcpStream>;
+    type Error = ConnectError;
+    type Future =
+        futures_util::future::LocalBoxFuture<'static, Result<Self::Response, ConnectError>>;
+
+    actix_service::always_ready!();
+
+    fn call(&self, info: ConnectInfo<Uri>) -> Self::Future {
+        let connect = actix_tls::connect::ConnectorService::default().call(info);
+        let this = self.clone();
+        Box::pin(async move {
+            let connection = connect.await?;
+            this.put_under_guard(connection.io_ref())
+                .map_err(ConnectError::Io)?;
+            Ok(connection)
+        })
+    }
+}
+
+impl GuardedConnector {
+    fn put_under_guard(&self, stream: &TcpStream) -> std::io::Result<()> {
+        let watch = self.guard.watch(stream, self.until_ms)?;
+        self.watch.replace(Some(watch));
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/entry/src/refusal.rs
@@ -0,0 +1,199 @@
+//! What a caller is told when there is no answer.
+
+use actix_http::StatusCode;
+use serde::Serialize;
+use web::Response;
+
+use crate::app::App;
+
+/// Instances named to a refused caller.
+const OTHERS: usize = 3;
+
+/// Whether a call may have taken effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Ran {
+    /// No byte of it reached an upstream, and none will.
+    NotRun,
+    /// It may have, or may yet.
+    Unknown,
+}
+
+/// Why a caller gets no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub(crate) enum Code {
+    /// The request is malformed.
+    BadRequest,
+    /// The key is missing or unknown.
+    Unauthorized,
+    /// There is no such thing.
+    NotFound,
+    /// The idempotency key was used with another body.
+    KeyReused,
+    /// The idempotency key is older than records are kept.
+    KeyExpired,
+    /// A limit of the workspace or the member.
+    Limited,
+    /// No upstream would finish in time.
+    TooLate,
+    /// No upstream may serve it now.
+    NoUpstream,
+    /// The instance is not ready, or leaving.
+    Unavailable,
+    /// The upstream failed.
+    Upstream,
+}
+
+impl Code {
+    fn status(self) -> StatusCode {
+        match self {
+            Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::Unauthorized => StatusCode::UNAUTHORIZED,
+            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::KeyExpired => StatusCode::GONE,
+            Self::Limited => StatusCode::TOO_MANY_REQUESTS,
+            Self::TooLate | Self::NoUpstream | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Upstream => StatusCode::BAD_GATEWAY,
+        }
+    }
+
+    /// The code as the body and the metrics show it.
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::BadRequest => "bad_request",
+            Self::Unauthorized => "unauthorized",
+            Self::NotFound => "not_found",
+            Self::KeyReused => "key_reused",
+            Self::KeyExpired => "key_expired",
+            Self::Limited => "limited",
+            Self::TooLate => "too_late",
+            Self::NoUpstream => "no_upstream",
+            Self::Unavailable => "unavailable",
+            Self::Upstream => "upstream",
+        }
+    }
+}
+
+/// A refusal, or the news that an outcome is unknown.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Refusal {
+    pub(crate) code: Code,
+    pub(crate) ran: Ran,
+    pub(crate) message: String,
+    pub(crate) retry_after_ms: Option<u64>,
+}
+
+#[derive(Serialize)]
+struct ErrorObject<'a> {
+    message: &'a str,
+    r#type: &'static str,
+    code: &'static str,
+}
+
+/// The body of a refusal: the error object that clients of the usual API expect, and our fields.
+#[derive(Serialize)]
+struct Body<'a> {
+    error: ErrorObject<'a>,
+    code: Code,
+    ran: Ran,
+    retry_after_ms: Option<u64>,
+    instances: Vec<String>,
+    key_prefix: Option<String>,
+}
+
+impl Refusal {
+    pub(crate) fn new(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            code,
+            ran: Ran::NotRun,
+            message: message.into(),
+            retry_after_ms: None,
+        }
+    }
+
+    pub(crate) fn unknown(code: Code, message: impl Into<String>) -> Self {
+        Self {
+            ran: Ran::Unknown,
+            ..Self::new(code, message)
+        }
+    }
+
+    pub(crate) fn retry_after(self, retry_after_ms: u64) -> Self {
+        Self {
+            retry_after_ms: Some(retry_after_ms),
+            ..self
+        }
+    }
+
+    /// The refusal as JSON, without the parts that only a response has.
+    pub(crate) fn event(&self) -> String {
+        let body = self.body(Vec::new(), None);
+        serde_json::to_string(&body).unwrap_or_default()
+    }
+
+    fn body(&self, instances: Vec<String>, key_prefix: Option<String>) -> Body<'_> {
+        Body {
+            error: ErrorObject {
+                message: &self.message,
+                r#type: "chicoryrack_error",
+                code: self.code.name(),
+            },
+            code: self.code,
+            ran: self.ran,
+            retry_after_ms: self.retry_after_ms,
+            instances,
+            key_prefix,
+        }
+    }
+
+    pub(crate) fn respond(&self, app: &App) -> Response {
+        app.metrics
+            .refusals
+            .with_label_values(&[self.code.name()])
+            .inc();
+        let retry = self.retry_after_ms.is_some();
+        let (instances, key_prefix) = if retry {
+            (others(app), crate::lookup::key_prefix(app))
+        } else {
+            (Vec::new(), None)
+        };
+        let mut response = web::json(self.code.status(), &self.body(instances, key_prefix));
+        if let Some(ms) = self.retry_after_ms {
+            // The header counts whole seconds; the body has the exact time.
+            let value = actix_http::header::HeaderValue::from(ms.div_ceil(1_000));
+            response
+                .headers_mut()
+                .insert(actix_http::header::RETRY_AFTER, value);
+        }
+        response
+    }
+}
+
+fn others(app: &App) -> Vec<String> {
+    let members = app.members.borrow();
+    let ready = members.ready(app.now_ms(), &app.settings.zone);
+    ready
+        .iter()
+        .take(OTHERS)
+        .map(|beat| beat.caller_address.clone())
+        .collect()
+}
+
+impl From<web::BodyError> for Refusal {
+    fn from(error: web::BodyError) -> Self {
+        Self::new(Code::BadRequest, error.to_string())
+    }
+}
+
+impl From<plan::Refusal> for Refusal {
+    fn from(refusal: plan::Refusal) -> Self {
+        let code = match refusal.limit {
+            plan::Limit::Deadline => Code::TooLate,
+            plan::Limit::Share | plan::Limit::Workspace => Code::Limited,
+            plan::Limit::NoUpstream => Code::NoUpstream,
+        };
+        Self::new(code, refusal.limit.to_string()).retry_after(refusal.retry_after_ms)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/resume.rs
@@ -0,0 +1,119 @@
+//! `GET /v1/streams/{token}`: the rest of an answer whose entry instance is gone.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::Request;
+use bytes::Bytes;
+use conf::hex_sha256;
+use futures_util::StreamExt;
+use sha2::{Digest, Sha256};
+use tokio::sync::mpsc;
+use web::Response;
+
+use crate::app::App;
+use crate::auth::number;
+use crate::caller::asked;
+use crate::engine::{self, Part, Parts};
+use crate::openai::{Flavor, Head};
+use crate::refusal::{Code, Refusal};
+
+/// Between the parts of a token.
+const PART: char = '~';
+
+/// Hexadecimal digits that tie a token to its workspace.
+const TAG_DIGITS: usize = 16;
+
+/// Events on their way to a caller.
+const EVENTS: usize = 64;
+
+/// Time that the engine may take to answer.
+const OPEN_MS: u64 = 2_000;
+
+/// The token under which the rest of a stream can be had.
+///
+/// It names the engine and the request there, so any instance can serve it without having heard
+/// of the request, and carries a digest by which only the same workspace can use it.
+pub(crate) fn token(engine: &str, request_id: &str, workspace: &str) -> String {
+    let tag = tag(request_id, workspace);
+    format!("{engine}{PART}{request_id}{PART}{tag}")
+}
+
+fn tag(request_id: &str, workspace: &str) -> String {
+    let digest = Sha256::digest(format!("{workspace} {request_id}"));
+    let mut digits = hex_sha256(&digest);
+    digits.truncate(TAG_DIGITS);
+    digits
+}
+
+/// Answers with the events after `Last-Event-ID`.
+pub(crate) async fn resume(
+    app: &Rc<App>,
+    request: &Request,
+    text: &str,
+) -> Result<Response, Refusal> {
+    let asked = asked(app, request)?;
+    let after = number(request, "last-event-id")?.unwrap_or(0) as u32;
+    let mut fields = text.split(PART);
+    let (Some(engine), Some(request_id), Some(given), None) =
+        (fields.next(), fields.next(), fields.next(), fields.next())
+    else {
+        return Err(Refusal::new(Code::BadRequest, "stream: malformed token"));
+    };
+    if given != tag(request_id, &asked.tenant.workspace) {
+        return Err(Refusal::new(
+            Code::NotFound,
+            "stream: not one of this workspace",
+        ));
+    }
+    let address = {
+        let upstreams = app.upstreams.borrow();
+        upstreams
+            .engines
+            .get(engine)
+            .map(|engine| engine.address.clone())
+    };
+    let gone = || Refusal::unknown(Code::NotFound, "stream: no longer there");
+    let address = address.ok_or_else(gone)?;
+    let limit = Duration::from_millis(OPEN_MS);
+    let opened =
+        actix_rt::time::timeout(limit, engine::resume(app, &address, request_id, after)).await;
+    let parts = opened.map_err(|_| gone())?.map_err(|_| gone())?;
+    let head = Head {
+        id: format!(
+            "cmpl-{}",
+            request_id.split('.').next().unwrap_or(request_id)
+        ),
+        model: String::new(),
+        flavor: Flavor::Text,
+        created: tick::wall_ms() / 1_000,
+    };
+    let (sender, receiver) = mpsc::channel(EVENTS);
+    actix_rt::spawn(feed(head, text.to_owned(), after, parts, sender));
+    Ok(web::stream("text/event-stream", receiver))
+}
+
+async fn feed(
+    head: Head,
+    token: String,
+    after: u32,
+    mut parts: Parts,
+    sender: mpsc::Sender<Bytes>,
+) {
+    let mut produced = after;
+    while let Some(Ok(part)) = parts.next().await {
+        let event = match part {
+            Part::Token(number, _) if number <= produced => continue,
+            Part::Token(number, text) if number == produced + 1 => {
+                produced = number;
+                head.token(number, &text, &token)
+            }
+            Part::End(usage) if usage.completion_tokens == produced => head.end(usage),
+            // A gap: ending without the end mark lets the caller resume again.
+            Part::Token(..) | Part::End(_) => return,
+        };
+        if sender.send(Bytes::from(event)).await.is_err() {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/entry/src/upstreams.rs
@@ -0,0 +1,293 @@
+//! Upstreams: where they are, how loaded they are and what they report.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::rc::Rc;
+use std::time::Duration;
+
+use conf::Role;
+use lease::EngineReport;
+use plan::{Engine, Health, Presence, RANKS, Report, Shape};
+use serde::Deserialize;
+
+use crate::app::App;
+use crate::platform::{Kind, Listed, Standing};
+
+/// Time between two reads of an engine's report.
+const REPORT_MS: u64 = 250;
+
+/// Time that a report may take.
+const ANSWER_MS: u64 = 1_000;
+
+/// Time of one way to an upstream in another availability zone, from the brief.
+const OTHER_ZONE_MS: f64 = 1.2;
+
+/// Reports missed in a row after which an engine counts as gone.
+const MISSED: u32 = 3;
+
+/// An engine besides what routing knows of it.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct EngineEntry {
+    pub(crate) address: String,
+    pub(crate) group: String,
+    pub(crate) leaving: bool,
+    pub(crate) report: Option<EngineReport>,
+    missed: u32,
+}
+
+/// One instance of a plain service.
+#[derive(Debug, Clone)]
+pub(crate) struct ServiceEntry {
+    pub(crate) name: String,
+    pub(crate) address: String,
+    pub(crate) leaving: bool,
+    pub(crate) near: bool,
+    pub(crate) in_flight: u32,
+    pub(crate) health: Health,
+}
+
+/// All upstreams by name.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Upstreams {
+    pub(crate) engines: BTreeMap<String, EngineEntry>,
+    pub(crate) services: BTreeMap<String, Vec<ServiceEntry>>,
+}
+
+impl Upstreams {
+    /// Groups of engines that leases are over.
+    pub(crate) fn groups(&self) -> BTreeSet<String> {
+        self.engines
+            .values()
+            .map(|engine| engine.group.clone())
+            .collect()
+    }
+
+    /// An instance of a service by name, to be changed.
+    pub(crate) fn service_mut(&mut self, service: &str, name: &str) -> Option<&mut ServiceEntry> {
+        let instances = self.services.get_mut(service)?;
+        instances.iter_mut().find(|instance| instance.name == name)
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct WireReport {
+    role: Role,
+    loaded: Vec<String>,
+    changing: bool,
+    order: u64,
+    queued: Vec<f64>,
+    running: f64,
+    age_ms: u64,
+}
+
+/// Takes in the platform's list of upstreams.
+pub(crate) fn listed(app: &App, list: impl Iterator<Item = Listed>) {
+    let mut upstreams = app.upstreams.borrow_mut();
+    let mut seen = BTreeSet::new();
+    let before = std::mem::take(&mut upstreams.services);
+    for listed in list {
+        let leaving = listed.standing == Standing::Leaving;
+        let near = listed.zone == app.settings.zone;
+        match listed.kind {
+            Kind::Engine => {
+                seen.insert(listed.name.clone());
+                add_engine(app, &mut upstreams, listed, near, leaving);
+            }
+            Kind::Service => {
+                let known = before.get(&listed.serves).and_then(|instances| {
+                    instances
+                        .iter()
+                        .find(|instance| instance.name == listed.name)
+                });
+                let entry = ServiceEntry {
+                    name: listed.name,
+                    address: listed.address,
+                    leaving,
+                    near,
+                    in_flight: known.map_or(0, |known| known.in_flight),
+                    health: known.map_or_else(Health::default, |known| known.health),
+                };
+                upstreams
+                    .services
+                    .entry(listed.serves)
+                    .or_default()
+                    .push(entry);
+            }
+            Kind::Entry => {}
+        }
+    }
+    let mut fleet = app.fleet.borrow_mut();
+    for engine in fleet
+        .iter_mut()
+        .filter(|engine| !seen.contains(&engine.name))
+    {
+        engine.presence = Presence::Gone;
+        upstreams.engines.remove(&engine.name);
+    }
+}
+
+fn add_engine(app: &App, upstreams: &mut Upstreams, listed: Listed, near: bool, leaving: bool) {
+    // One group for each model and availability zone: small enough for one holder, and a zone
+    // that is cut off loses only its own.
+    let group = format!("{}/{}", listed.serves, listed.zone);
+    let entry = upstreams.engines.entry(listed.name.clone()).or_default();
+    entry.address = listed.address;
+    entry.group.clone_from(&group);
+    entry.leaving = leaving;
+    let mut engine = Engine::new(&listed.name, &listed.serves, &group, Shape::default());
+    engine.distance_ms = if near { 0.0 } else { OTHER_ZONE_MS };
+    engine.presence = Presence::Gone;
+    app.fleet.borrow_mut().add(engine);
+}
+
+/// Reads every engine's report again and again.
+pub(crate) async fn watch_reports(app: Rc<App>) {
+    let mut ticks = app.timers.every(REPORT_MS);
+    while ticks.next().await.is_some() {
+        let engines: Vec<(String, String)> = app
+            .upstreams
+            .borrow()
+            .engines
+            .iter()
+            .map(|(name, engine)| (name.clone(), engine.address.clone()))
+            .collect();
+        let reads = engines
+            .into_iter()
+            .map(|(name, address)| read(&app, name, address));
+        futures_util::future::join_all(reads).await;
+    }
+}
+
+async fn read(app: &App, name: String, address: String) {
+    let url = format!("http://{address}/report");
+    let request = app
+        .client
+        .get(url)
+        .timeout(Duration::from_millis(ANSWER_MS));
+    let report = match request.send().await {
+        Ok(mut response) => response.json::<WireReport>().await.ok(),
+        Err(_) => None,
+    };
+    match report {
+        Some(report) => reported(app, &name, report),
+        None => missed(app, &name),
+    }
+}
+
+fn reported(app: &App, name: &str, wire: WireReport) {
+    let drained = app.cursor.borrow().state().is_drained(name);
+    let mut upstreams = app.upstreams.borrow_mut();
+    let Some(entry) = upstreams.engines.get_mut(name) else {
+        return;
+    };
+    entry.missed = 0;
+    // A load goes on beside the work; only a role change takes the engine away.
+    let role_order = app
+        .cursor
+        .borrow()
+        .state()
+        .order(name)
+        .is_some_and(|order| !order.settled && order.placed.kind == wire::OrderKind::Role);
+    let presence = if drained || entry.leaving {
+        Presence::Leaving
+    } else if role_order {
+        Presence::Changing
+    } else {
+        Presence::Live
+    };
+    let mut fleet = app.fleet.borrow_mut();
+    if let Some(place) = fleet.place(name) {
+        let engine = fleet.get_mut(place);
+        engine.presence = presence;
+        engine.role = wire.role;
+        let mut queued = [0.0; RANKS];
+        for (mine, theirs) in queued.iter_mut().zip(&wire.queued) {
+            *mine = *theirs;
+        }
+        engine.reported(Report {
+            at_ms: app.now_ms().saturating_sub(wire.age_ms),
+            queued,
+            running: wire.running,
+        });
+    }
+    entry.report = Some(EngineReport {
+        role: role_name(wire.role).to_owned(),
+        loaded: wire.loaded,
+        changing: wire.changing,
+        order: wire.order,
+    });
+}
+
+fn missed(app: &App, name: &str) {
+    let mut upstreams = app.upstreams.borrow_mut();
+    let Some(entry) = upstreams.engines.get_mut(name) else {
+        return;
+    };
+    entry.missed += 1;
+    if entry.missed < MISSED {
+        return;
+    }
+    entry.report = None;
+    let mut fleet = app.fleet.borrow_mut();
+    if let Some(place) = fleet.place(name) {
+        fleet.get_mut(place).presence = Presence::Gone;
+    }
+}
+
+/// A role as engines and orders spell it.
+pub(crate) fn role_name(role: Role) -> &'static str {
+    match role {
+        Role::Mixed => "mixed",
+        Role::Prefill => "prefill",
+        Role::Decode => "decode",
+    }
+}
+
+/// Applies a drain or its end at once, without waiting for the next report.
+pub(crate) fn drains_changed(app: &App) {
+    let cursor = app.cursor.borrow();
+    let mut fleet = app.fleet.borrow_mut();
+    for engine in fleet.iter_mut() {
+        if cursor.state().is_drained(&engine.name) && engine.presence != Presence::Gone {
+            engine.presence = Presence::Leaving;
+        }
+    }
+}
+
+/// `model@version` for a new request.
+///
+/// While a roll is under way the version before it goes on being served until enough engines
+/// have loaded the new one; a request keeps the version that it was given here.
+pub(crate) fn serving(app: &App, model: &conf::Model) -> String {
+    let wanted = format!("{}@{}", model.name, model.version);
+    let mut serving = app.serving.borrow_mut();
+    let current = serving.get(&model.name);
+    if current.is_some_and(|current| *current == wanted) {
+        return wanted;
+    }
+    let upstreams = app.upstreams.borrow();
+    let fleet = app.fleet.borrow();
+    let places = fleet.of_model(&model.name).iter();
+    let live = places.filter(|&&place| fleet.get(place).presence == Presence::Live);
+    let loaded: Vec<&[String]> = live
+        .filter_map(|&place| {
+            upstreams
+                .engines
+                .get(&fleet.get(place).name)?
+                .report
+                .as_ref()
+        })
+        .map(|report| report.loaded.as_slice())
+        .collect();
+    let having = |version: &String| {
+        loaded
+            .iter()
+            .filter(|loaded| loaded.contains(version))
+            .count()
+    };
+    let with_current = current.map_or(0, having);
+    if !plan::moves_over(loaded.len(), having(&wanted), with_current) {
+        return current.cloned().unwrap_or(wanted);
+    }
+    serving.insert(model.name.clone(), wanted.clone());
+    wanted
+}
--- /dev/null
+++ b/crates/feed/src/state.rs
@@ -0,0 +1,258 @@
+//! Everything that a deployment has agreed on, folded from its log.
+
+use std::collections::BTreeMap;
+
+use derive_more::Display;
+use wire::{AuditEntry, Body, BundleState, Drain, LeaseState, OrderState, Record, Snapshot};
+
+use crate::audit::Trail;
+use crate::bundles::Bundles;
+use crate::leases::Leases;
+
+/// Records after which state is carried forward by a snapshot.
+pub const SNAPSHOT_EVERY: u64 = 4096;
+
+/// Records after which a silent writer is forgotten. An append that is delayed for longer would
+/// be taken for new; a lease record of that age names a superseded offset and a bundle record
+/// an old base, so each is refused all the same.
+const WRITER_HORIZON: u64 = 4 * SNAPSHOT_EVERY;
+
+/// What became of a record.
+#[derive(Debug, Display, Clone, PartialEq, Eq)]
+pub enum Outcome {
+    /// It took effect.
+    #[display("accepted")]
+    Accepted,
+    /// It had taken effect before.
+    #[display("duplicate")]
+    Duplicate,
+    /// It has none, for this reason.
+    #[display("refused: {_0}")]
+    Refused(String),
+}
+
+#[derive(Debug, Clone, PartialEq, Eq)]
+struct LastSeen {
+    sequence: u64,
+    offset: u64,
+}
+
+/// State folded from all records below `next_offset`.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct State {
+    next_offset: u64,
+    snapshot_offset: u64,
+    writers: BTreeMap<(String, u64), LastSeen>,
+    bundles: Bundles,
+    drains: BTreeMap<String, Drain>,
+    leases: Leases,
+    trail: Trail,
+}
+
+impl State {
+    /// First offset that is not folded in.
+    pub fn next_offset(&self) -> u64 {
+        self.next_offset
+    }
+
+    /// Folds one record in; records below `next_offset` change nothing.
+    pub fn apply(&mut self, offset: u64, record: &Record) -> Outcome {
+        if offset < self.next_offset {
+            return Outcome::Duplicate;
+        }
+        self.next_offset = offset + 1;
+        if !self.is_new(offset, record) {
+            return Outcome::Duplicate;
+        }
+        let outcome = self.fold(offset, record);
+        self.trail.note(offset, record, &outcome);
+        outcome
+    }
+
+    /// Moves past offsets that hold no record.
+    pub fn skip_to(&mut self, next_offset: u64) {
+        self.next_offset = self.next_offset.max(next_offset);
+    }
+
+    fn is_new(&mut self, offset: u64, record: &Record) -> bool {
+        let origin = &record.origin;
+        let key = (origin.writer.clone(), origin.incarnation);
+        let sequence = origin.sequence;
+        if self
+            .writers
+            .get(&key)
+            .is_some_and(|last| last.sequence >= sequence)
+        {
+            return false;
+        }
+        self.writers.insert(key, LastSeen { sequence, offset });
+        if offset.is_multiple_of(SNAPSHOT_EVERY) {
+            let oldest = offset.saturating_sub(WRITER_HORIZON);
+            self.writers.retain(|_, last| last.offset >= oldest);
+        }
+        true
+    }
+
+    fn fold(&mut self, offset: u64, record: &Record) -> Outcome {
+        let Record { origin, actor, .. } = record;
+        match &record.body {
+            Body::BundlePublished(bundle) => self.bundles.publish(offset, actor, bundle),
+            Body::BundleSigned(bundle) => self.bundles.sign(actor, bundle),
+            Body::BundleRolled(bundle) => self.bundles.roll(offset, bundle),
+            Body::BundleWithdrawn(bundle) => self.bundles.withdraw(bundle),
+            Body::EngineDrained(engine) => self.drain(offset, actor, engine),
+            Body::EngineUndrained(engine) => match self.drains.remove(engine) {
+                Some(_) => Outcome::Accepted,
+                None => Outcome::Refused(format!("{engine} is not drained")),
+            },
+            Body::LeaseClaimed(claim) => self.leases.claim(offset, origin, claim),
+            Body::LeaseRenewed(lease) => self.leases.renew(offset, origin, lease),
+            Body::LeaseReleased(lease) => self.leases.release(offset, origin, lease),
+            Body::OrderPlaced(order) => self.leases.place(offset, origin, order),
+            Body::OrderSettled(settled) => self.leases.settle(origin, settled),
+            Body::Snapshot(_) => {
+                self.snapshot_offset = offset;
+                Outcome::Accepted
+            }
+        }
+    }
+
+    fn drain(&mut self, offset: u64, actor: &str, engine: &str) -> Outcome {
+        if let Some(drain) = self.drains.get(engine) {
+            return Outcome::Refused(format!("{engine} was drained by {}", drain.by));
+        }
+        let drain = Drain {
+            engine: engine.to_owned(),
+            by: actor.to_owned(),
+            offset,
+        };
+        self.drains.insert(engine.to_owned(), drain);
+        Outcome::Accepted
+    }
+
+    /// The bundle in force.
+    pub fn in_force(&self) -> Option<&BundleState> {
+        self.bundles.accepted.get(&self.bundles.in_force_version)
+    }
+
+    /// Offset of the roll that put the bundle in force.
+    pub fn in_force_offset(&self) -> u64 {
+        self.bundles.in_force_offset
+    }
+
+    /// Newest accepted version.
+    pub fn head(&self) -> u64 {
+        self.bundles.head
+    }
+
+    /// Accepted bundles that are in force or newer.
+    pub fn bundles(&self) -> impl Iterator<Item = &BundleState> {
+        self.bundles.accepted.values()
+    }
+
+    /// An accepted bundle by version.
+    pub fn bundle(&self, version: u64) -> Option<&BundleState> {
+        self.bundles.accepted.get(&version)
+    }
+
+    /// Whether an operator has drained the engine.
+    pub fn is_drained(&self, engine: &str) -> bool {
+        self.drains.contains_key(engine)
+    }
+
+    /// Engines that are drained.
+    pub fn drains(&self) -> impl Iterator<Item = &Drain> {
+        self.drains.values()
+    }
+
+    /// The lease over a group of engines.
+    pub fn lease(&self, group: &str) -> Option<&LeaseState> {
+        self.leases.leases.get(group)
+    }
+
+    /// The last order to an engine.
+    pub fn order(&self, engine: &str) -> Option<&OrderState> {
+        self.leases.orders.get(engine)
+    }
+
+    /// Orders of a group that have not ended.
+    pub fn open_orders<'a>(&'a self, group: &'a str) -> impl Iterator<Item = &'a OrderState> {
+        let orders = self.leases.orders.values();
+        orders.filter(move |order| !order.settled && order.placed.group == group)
+    }
+
+    /// The audit trail, oldest first.
+    pub fn audit(&self) -> impl DoubleEndedIterator<Item = &AuditEntry> {
+        self.trail.entries.iter()
+    }
+
+    /// Whether enough records have passed since the last snapshot to write one.
+    pub fn wants_snapshot(&self) -> bool {
+        self.next_offset > self.snapshot_offset + SNAPSHOT_EVERY
+    }
+
+    /// The state as a snapshot carries it.
+    pub fn snapshot(&self) -> Snapshot {
+        let writers = self.writers.iter();
+        Snapshot {
+            next_offset: self.next_offset,
+            head: self.bundles.head,
+            in_force_version: self.bundles.in_force_version,
+            in_force_offset: self.bundles.in_force_offset,
+            writers: writers
+                .map(|((writer, incarnation), last)| wire::Writer {
+                    writer: writer.clone(),
+                    incarnation: *incarnation,
+                    sequence: last.sequence,
+                    offset: last.offset,
+                })
+                .collect(),
+            bundles: self.bundles.accepted.values().cloned().collect(),
+            drains: self.drains.values().cloned().collect(),
+            leases: self.leases.leases.values().cloned().collect(),
+            orders: self.leases.orders.values().cloned().collect(),
+            audit: self.trail.entries.iter().cloned().collect(),
+        }
+    }
+}
+
+impl From<Snapshot> for State {
+    fn from(snapshot: Snapshot) -> Self {
+        let by_version = |bundle: BundleState| (bundle.published.version, bundle);
+        let by_group = |lease: LeaseState| (lease.group.clone(), lease);
+        let by_engine = |order: OrderState| (order.placed.engine.clone(), order);
+        Self {
+            next_offset: snapshot.next_offset,
+            snapshot_offset: snapshot.next_offset,
+            writers: snapshot
+                .writers
+                .into_iter()
+                .map(|writer| {
+                    let last = LastSeen {
+                        sequence: writer.sequence,
+                        offset: writer.offset,
+                    };
+                    ((writer.writer, writer.incarnation), last)
+                })
+                .collect(),
+            bundles: Bundles {
+                head: snapshot.head,
+                in_force_version: snapshot.in_force_version,
+                in_force_offset: snapshot.in_force_offset,
+                accepted: snapshot.bundles.into_iter().map(by_version).collect(),
+            },
+            drains: snapshot
+                .drains
+                .into_iter()
+                .map(|drain| (drain.engine.clone(), drain))
+                .collect(),
+            leases: Leases {
+                leases: snapshot.leases.into_iter().map(by_group).collect(),
+                orders: snapshot.orders.into_iter().map(by_engine).collect(),
+            },
+            trail: Trail {
+                entries: snapshot.audit.into(),
+            },
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,17 @@
+//! Callers that look instances up, retry and resume, and what became of their requests.
+//!
+//! The demo and the load command drive a deployment with these, and check every answer against
+//! the text that the stand-ins are known to produce.
+
+mod caller;
+mod completion;
+mod fleet;
+mod mix;
+mod service;
+mod tally;
+
+pub use caller::{Caller, Tenant};
+pub use completion::{Question, Seen};
+pub use fleet::{Running, run};
+pub use mix::{Deployment, Kind, Mix, Phase, Traffic};
+pub use tally::{Outcome, Row, Tally};
--- /dev/null
+++ b/crates/peer/src/members.rs
@@ -0,0 +1,181 @@
+//! Which instances there are, and which to name to callers.
+
+use std::collections::BTreeMap;
+use std::hash::{Hash, Hasher};
+
+use fnv::FnvHasher;
+use rand::Rng;
+use rand::seq::IteratorRandom;
+use wire::{Beat, Condition};
+
+/// Times of the membership.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Settings {
+    /// Silence after which an instance is not handed out.
+    pub suspect_ms: u64,
+    /// Instances that one heartbeat goes to.
+    pub fan_out: usize,
+}
+
+/// What is known of another instance.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Known {
+    /// Name.
+    pub instance: String,
+    /// Where other instances reach it.
+    pub peer_address: String,
+    /// Availability zone.
+    pub zone: String,
+    /// The last heartbeat from it, and when it was heard.
+    pub heard: Option<(u64, Beat)>,
+    /// The platform lists it as leaving.
+    pub leaving: bool,
+}
+
+/// All other instances.
+///
+/// The list says who there may be and where; only a heartbeat, heard directly, makes an instance
+/// fit to be handed out. A list that lags thus cannot hand out one that is gone for longer than
+/// `suspect_ms`.
+#[derive(Debug, Clone)]
+pub struct Members {
+    settings: Settings,
+    known: BTreeMap<String, Known>,
+    resumed_ms: u64,
+}
+
+impl Members {
+    /// No other instance is known.
+    pub fn new(settings: Settings) -> Self {
+        Self {
+            settings,
+            known: BTreeMap::new(),
+            resumed_ms: 0,
+        }
+    }
+
+    /// Takes in the platform's list of other instances.
+    pub fn listed(&mut self, now_ms: u64, list: impl Iterator<Item = Known>) {
+        let mut listed = BTreeMap::new();
+        for mut known in list {
+            if let Some(before) = self.known.remove(&known.instance) {
+                known.heard = before.heard;
+            }
+            listed.insert(known.instance.clone(), known);
+        }
+        // A list may lag behind an instance that is new: one that is heard stays.
+        let suspect_ms = self.settings.suspect_ms;
+        let heard = |known: &Known| {
+            known
+                .heard
+                .as_ref()
+                .is_some_and(|heard| heard.0 + suspect_ms > now_ms)
+        };
+        for (name, known) in std::mem::take(&mut self.known) {
+            if heard(&known) {
+                listed.insert(name, known);
+            }
+        }
+        self.known = listed;
+    }
+
+    /// Takes in a heartbeat that came directly from its sender.
+    pub fn heard(&mut self, now_ms: u64, beat: Beat) {
+        let known = self.known.entry(beat.instance.clone()).or_insert(Known {
+            instance: beat.instance.clone(),
+            peer_address: String::new(),
+            zone: beat.zone.clone(),
+            heard: None,
+            leaving: false,
+        });
+        known.heard = Some((now_ms, beat));
+    }
+
+    /// This process was paused until `now_ms`: what it last heard says nothing of now.
+    ///
+    /// Without this an instance that wakes up would hand out others by heartbeats that look
+    /// fresh on a clock that did not run, or that it reads from a full socket buffer.
+    pub fn resumed(&mut self, now_ms: u64) {
+        self.resumed_ms = now_ms;
+    }
+
+    fn is_fresh(&self, now_ms: u64, known: &Known) -> bool {
+        let heard = known.heard.as_ref();
+        heard.is_some_and(|heard| {
+            heard.0 >= self.resumed_ms && heard.0 + self.settings.suspect_ms > now_ms
+        })
+    }
+
+    /// Instances that are heard and serve, the given availability zone's first.
+    pub fn ready(&self, now_ms: u64, zone: &str) -> Vec<&Beat> {
+        let mut ready: Vec<&Beat> = self
+            .known
+            .values()
+            .filter(|known| !known.leaving && self.is_fresh(now_ms, known))
+            .filter_map(|known| known.heard.as_ref().map(|heard| &heard.1))
+            .filter(|beat| beat.condition == Condition::Ready)
+            .collect();
+        ready.sort_by_key(|beat| (beat.zone != zone, beat.instance.clone()));
+        ready
+    }
+
+    /// Instances that are heard in any condition.
+    pub fn live(&self, now_ms: u64) -> impl Iterator<Item = &Beat> {
+        let fresh = self
+            .known
+            .values()
+            .filter(move |known| self.is_fresh(now_ms, known));
+        fresh.filter_map(|known| known.heard.as_ref().map(|heard| &heard.1))
+    }
+
+    /// Where an instance in a given life is reached, if it is heard.
+    pub fn address(&self, now_ms: u64, instance: &str, incarnation: u64) -> Option<&str> {
+        let known = self.known.get(instance)?;
+        let same = known
+            .heard
+            .as_ref()
+            .is_some_and(|heard| heard.1.incarnation == incarnation);
+        let reachable = same && self.is_fresh(now_ms, known) && !known.peer_address.is_empty();
+        reachable.then_some(known.peer_address.as_str())
+    }
+
+    /// Whether an instance is known to be in a later life than the given one.
+    pub fn is_replaced(&self, instance: &str, incarnation: u64) -> bool {
+        let heard = self
+            .known
+            .get(instance)
+            .and_then(|known| known.heard.as_ref());
+        heard.is_some_and(|heard| heard.1.incarnation != incarnation)
+    }
+
+    /// Who gets the next heartbeat: a few at random, so that the cost stays the same at any size.
+    pub fn targets(&self, rng: &mut impl Rng) -> Vec<String> {
+        let addresses = self.known.values().map(|known| &known.peer_address);
+        let reachable = addresses.filter(|address| !address.is_empty());
+        reachable
+            .cloned()
+            .choose_multiple(rng, self.settings.fan_out)
+    }
+
+    /// Place of an instance among those that are live, for taking turns over `subject`.
+    pub fn rank(&self, now_ms: u64, me: &str, subject: &str) -> u64 {
+        let mine = turn(me, subject);
+        let before = self
+            .live(now_ms)
+            .filter(|beat| turn(&beat.instance, subject) < mine);
+        before.count() as u64
+    }
+
+    /// All that is known, for operators.
+    pub fn all(&self) -> impl Iterator<Item = &Known> {
+        self.known.values()
+    }
+}
+
+/// Rendezvous hash: each subject gets its own order of instances.
+fn turn(instance: &str, subject: &str) -> (u64, String) {
+    // FNV is stable across processes and versions, unlike the hasher of the standard library.
+    let mut hasher = FnvHasher::default();
+    (instance, subject).hash(&mut hasher);
+    (hasher.finish(), instance.to_owned())
+}
--- /dev/null
+++ b/crates/perf/src/lib.rs
@@ -0,0 +1,1 @@
+//! Deterministic decision benches, slopes and reports.
--- /dev/null
+++ b/crates/plan/src/deadline.rs
@@ -0,0 +1,70 @@
+//! Retries belong to the deadline, not to a count.
+//!
+//! The idea that a request's deadline travels with it, and that an attempt may use only part of
+//! what is left while another upstream could still answer, is from "A hundred per cent success
+//! rate and one usable answer"; docs/design/retries.md has the share measured against others.
+
+/// Share of the remaining time that one attempt may spend while another upstream is available.
+const ATTEMPT_SHARE: f64 = 0.6;
+
+/// Time an attempt needs to be worth making.
+const LEAST_ATTEMPT_MS: u64 = 20;
+
+/// Time that an attempt may take to show a sign of life.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct AttemptBudget {
+    /// Time for the attempt; none left means that no further attempt is made.
+    pub spend_ms: u64,
+}
+
+impl AttemptBudget {
+    /// What an attempt may spend of the time left, with `others` upstreams that could still
+    /// answer instead.
+    pub fn next(left_ms: u64, others: usize) -> Option<Self> {
+        if left_ms < LEAST_ATTEMPT_MS {
+            return None;
+        }
+        let spend_ms = if others == 0 {
+            left_ms
+        } else {
+            (left_ms as f64 * ATTEMPT_SHARE) as u64
+        };
+        Some(Self {
+            spend_ms: spend_ms.max(LEAST_ATTEMPT_MS),
+        })
+    }
+}
+
+/// Retries as a share of first attempts, so that a fleet in trouble is not asked twice as much.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RetryBudget {
+    tokens: f64,
+}
+
+/// Retries that each first attempt pays for.
+const PER_REQUEST: f64 = 0.1;
+
+/// Most retries saved up.
+const SAVED: f64 = 20.0;
+
+impl Default for RetryBudget {
+    fn default() -> Self {
+        Self { tokens: SAVED }
+    }
+}
+
+impl RetryBudget {
+    /// A first attempt was made.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + PER_REQUEST).min(SAVED);
+    }
+
+    /// Whether a retry may be made; takes it from the budget.
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+}
--- /dev/null
+++ b/crates/plan/src/lib.rs
@@ -0,0 +1,26 @@
+//! Routing, admission, retries and roles as pure decisions.
+//!
+//! Time, random numbers and observations are arguments, so that the daemon and the bench run the
+//! very same lines. See docs/design/routing.md, admission.md, retries.md and roles.md.
+
+mod admission;
+mod deadline;
+mod ejection;
+mod fairness;
+mod fleet;
+mod forecast;
+mod roles;
+mod rollout;
+mod route;
+mod shape;
+
+pub use admission::{Limit, Refusal, Workspaces};
+pub use deadline::{AttemptBudget, RetryBudget};
+pub use ejection::{Health, Verdict};
+pub use fairness::Fairness;
+pub use fleet::{Engine, Fleet, Outstanding, Presence, Report};
+pub use forecast::Forecast;
+pub use roles::{Assignment, RoleChange, RolePlanner, RoleSettings};
+pub use rollout::moves_over;
+pub use route::{Choice, Request, RouteSettings, Router};
+pub use shape::{RANKS, Shape, rank_index};
--- /dev/null
+++ b/crates/plan/src/roles.rs
@@ -0,0 +1,261 @@
+//! Which engine plays which role, and when a change is worth its price.
+
+use conf::Role;
+
+use crate::{Fleet, Forecast, Presence, Shape};
+
+/// Tastes and bounds of role changes.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct RoleSettings {
+    /// 0 changes for any gain in goodput, 1 almost never; from the bundle.
+    pub change_weight: f64,
+    /// Least time that an engine keeps a role.
+    pub stay_ms: u64,
+    /// Engines in change at once, as a share of those that serve the model.
+    pub at_once_share: f64,
+    /// Time for which a mix is expected to last.
+    pub horizon_ms: f64,
+    /// Time for which a change must have looked worth it.
+    pub settle_ms: u64,
+}
+
+impl Default for RoleSettings {
+    fn default() -> Self {
+        Self {
+            change_weight: 0.3,
+            stay_ms: 30_000,
+            at_once_share: 0.12,
+            horizon_ms: 60_000.0,
+            settle_ms: 4_000,
+        }
+    }
+}
+
+/// How many engines play each role.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Assignment {
+    /// Engines set up for long prompts.
+    pub prefill: usize,
+    /// Engines set up for output.
+    pub decode: usize,
+    /// Engines set up for both.
+    pub mixed: usize,
+}
+
+/// One engine's change.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct RoleChange {
+    /// Place of the engine in the fleet.
+    pub engine: usize,
+    /// Role it is to play.
+    pub role: Role,
+}
+
+/// Plans the roles of one group of engines.
+#[derive(Debug, Clone)]
+pub struct RolePlanner {
+    settings: RoleSettings,
+    since_ms: std::collections::HashMap<usize, u64>,
+    wanted_since_ms: Option<(Assignment, u64)>,
+}
+
+impl RolePlanner {
+    /// A planner that has changed nothing yet.
+    pub fn new(settings: RoleSettings) -> Self {
+        Self {
+            settings,
+            since_ms: std::collections::HashMap::new(),
+            wanted_since_ms: None,
+        }
+    }
+
+    /// Changes that are worth their price now.
+    pub fn plan(
+        &mut self,
+        now_ms: u64,
+        fleet: &Fleet,
+        engines: &[usize],
+        forecast: &Forecast,
+        allows: impl Fn(usize, Role) -> bool,
+    ) -> Vec<RoleChange> {
+        let live: Vec<usize> = engines
+            .iter()
+            .copied()
+            .filter(|&place| fleet.get(place).presence == Presence::Live)
+            .collect();
+        let changing = engines
+            .iter()
+            .filter(|&&place| fleet.get(place).presence == Presence::Changing)
+            .count();
+        let at_once = ((engines.len() as f64 * self.settings.at_once_share) as usize).max(1);
+        if live.len() < 2 || changing >= at_once {
+            return Vec::new();
+        }
+        let shape = fleet.get(live[0]).shape;
+        let current = count(fleet, &live);
+        let Some(target) = self.target(&shape, current, forecast) else {
+            self.wanted_since_ms = None;
+            return Vec::new();
+        };
+        let since_ms = match self.wanted_since_ms {
+            Some((wanted, since_ms)) if wanted == target => since_ms,
+            _ => now_ms,
+        };
+        self.wanted_since_ms = Some((target, since_ms));
+        if now_ms < since_ms + self.settings.settle_ms {
+            return Vec::new();
+        }
+        let mut changes = self.moves(now_ms, fleet, &live, current, target, allows);
+        changes.truncate(at_once - changing);
+        for change in &changes {
+            self.since_ms.insert(change.engine, now_ms);
+        }
+        changes
+    }
+
+    /// The neighbouring assignment whose gain over the horizon is worth the engine time it costs.
+    fn target(
+        &self,
+        shape: &Shape,
+        current: Assignment,
+        forecast: &Forecast,
+    ) -> Option<Assignment> {
+        let now = served(shape, current, forecast);
+        let best = neighbours(current)
+            .into_iter()
+            .map(|next| (next, served(shape, next, forecast)))
+            .max_by(|a, b| a.1.total_cmp(&b.1))?;
+        let engines = (current.prefill + current.decode + current.mixed) as f64;
+        // A change takes one engine away for a while, in which its part of the work is not done.
+        let price = shape.change_ms as f64 / engines * now.max(1e-9);
+        let gain = (best.1 - now) * self.settings.horizon_ms;
+        let factor = 1.0 + 20.0 * self.settings.change_weight;
+        (gain > price * factor).then_some(best.0)
+    }
+
+    fn moves(
+        &self,
+        now_ms: u64,
+        fleet: &Fleet,
+        live: &[usize],
+        current: Assignment,
+        target: Assignment,
+        allows: impl Fn(usize, Role) -> bool,
+    ) -> Vec<RoleChange> {
+        let (from, to) = step(current, target);
+        let stayed = |place: &usize| {
+            let since_ms = self.since_ms.get(place);
+            since_ms.is_none_or(|since_ms| now_ms >= since_ms + self.settings.stay_ms)
+        };
+        let mut candidates: Vec<usize> = live
+            .iter()
+            .copied()
+            .filter(|&place| fleet.get(place).role == from && allows(place, to))
+            .filter(stayed)
+            .collect();
+        // The engine with the least on it loses the least.
+        candidates.sort_by(|&a, &b| {
+            let load = |place: usize| fleet.get(place).load(now_ms).output;
+            load(a).total_cmp(&load(b))
+        });
+        let first = candidates.first();
+        first
+            .map(|&engine| RoleChange { engine, role: to })
+            .into_iter()
+            .collect()
+    }
+}
+
+fn count(fleet: &Fleet, live: &[usize]) -> Assignment {
+    let mut current = Assignment::default();
+    for &place in live {
+        match fleet.get(place).role {
+            Role::Prefill => current.prefill += 1,
+            Role::Decode => current.decode += 1,
+            Role::Mixed => current.mixed += 1,
+        }
+    }
+    current
+}
+
+fn neighbours(current: Assignment) -> Vec<Assignment> {
+    let mut all = Vec::with_capacity(6);
+    for (from, to) in [
+        (Role::Mixed, Role::Prefill),
+        (Role::Mixed, Role::Decode),
+        (Role::Prefill, Role::Mixed),
+        (Role::Prefill, Role::Decode),
+        (Role::Decode, Role::Mixed),
+        (Role::Decode, Role::Prefill),
+    ] {
+        let mut next = current;
+        if *slot(&mut next, from) == 0 {
+            continue;
+        }
+        *slot(&mut next, from) -= 1;
+        *slot(&mut next, to) += 1;
+        all.push(next);
+    }
+    all
+}
+
+fn slot(assignment: &mut Assignment, role: Role) -> &mut usize {
+    match role {
+        Role::Prefill => &mut assignment.prefill,
+        Role::Decode => &mut assignment.decode,
+        Role::Mixed => &mut assignment.mixed,
+    }
+}
+
+fn step(current: Assignment, target: Assignment) -> (Role, Role) {
+    let (mut current, mut target) = (current, target);
+    let mut from = Role::Mixed;
+    let mut to = Role::Mixed;
+    for role in [Role::Mixed, Role::Prefill, Role::Decode] {
+        let (had, has) = (*slot(&mut current, role), *slot(&mut target, role));
+        if has < had {
+            from = role;
+        }
+        if has > had {
+            to = role;
+        }
+    }
+    (from, to)
+}
+
+/// Share of the coming work that an assignment would get done, long prompts and output alike.
+///
+/// Each role's engines read prompts at their chunk's pace while producing output beside them;
+/// what one kind cannot take overflows to the others. The smaller of the two shares counts
+/// most, as a fleet that answers only one kind of caller has failed the other.
+fn served(shape: &Shape, assignment: Assignment, forecast: &Forecast) -> f64 {
+    let mut prompt_capacity = 0.0;
+    let mut output_capacity = 0.0;
+    for (role, engines) in [
+        (Role::Prefill, assignment.prefill),
+        (Role::Decode, assignment.decode),
+        (Role::Mixed, assignment.mixed),
+    ] {
+        let (prompt, output) = capacity(shape, role);
+        prompt_capacity += prompt * engines as f64;
+        output_capacity += output * engines as f64;
+    }
+    let part = |capacity: f64, rate: f64| {
+        if rate <= 0.0 {
+            1.0
+        } else {
+            (capacity / rate).min(1.0)
+        }
+    };
+    let prompt = part(prompt_capacity, forecast.prompt_rate());
+    let output = part(output_capacity, forecast.output_rate());
+    prompt.min(output) + 0.25 * prompt.max(output)
+}
+
+/// Prompt and output tokens a ms of one engine in a role, kept busy with both.
+fn capacity(shape: &Shape, role: Role) -> (f64, f64) {
+    let chunk = f64::from(Shape::chunk(role));
+    let running = f64::from(shape.max_running) / 2.0;
+    let iteration_ms = shape.iteration_ms(running, chunk);
+    (chunk / iteration_ms, running / iteration_ms)
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,137 @@
+//! A plain service, some of whose calls may not be repeated.
+
+use std::cell::RefCell;
+use std::collections::BTreeMap;
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{Method, Request, StatusCode};
+use serde::{Deserialize, Serialize};
+use web::{Options, Response, Server};
+
+/// Largest body, in bytes.
+const BODY_BYTES: usize = 1 << 20;
+
+/// Switches of a service.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct ServiceFaults {
+    /// Answers after this time.
+    pub slow_ms: u64,
+    /// Calls take effect, then no answer comes.
+    pub lose_answers: bool,
+}
+
+/// What a service is like.
+#[derive(Debug, Clone)]
+pub struct ServiceOptions {
+    /// Name of the instance.
+    pub name: String,
+    /// Time of a call.
+    pub call_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct Store {
+    faults: ServiceFaults,
+    effects: BTreeMap<String, u64>,
+}
+
+#[derive(Serialize)]
+struct Receipt<'a> {
+    done: bool,
+    by: &'a str,
+    path: &'a str,
+    bytes: usize,
+}
+
+/// A running service.
+#[derive(Clone)]
+pub struct ServiceStandin {
+    options: ServiceOptions,
+    store: Rc<RefCell<Store>>,
+    server: Rc<RefCell<Option<Server>>>,
+}
+
+impl ServiceStandin {
+    /// Starts a service.
+    pub async fn start(address: &str, options: ServiceOptions) -> io::Result<Self> {
+        let service = Self {
+            options,
+            store: Rc::default(),
+            server: Rc::default(),
+        };
+        let listener = web::bind(address).await?;
+        let handler = service.clone();
+        let server = web::serve(listener, Options::default(), move |request| {
+            let service = handler.clone();
+            async move { service.answer(request).await }
+        })
+        .await?;
+        service.server.replace(Some(server));
+        Ok(service)
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> String {
+        let server = self.server.borrow();
+        server
+            .as_ref()
+            .map_or(String::new(), |server| server.address().to_string())
+    }
+
+    /// Sets the switches.
+    pub fn set_faults(&self, faults: ServiceFaults) {
+        self.store.borrow_mut().faults = faults;
+    }
+
+    /// How often each body took effect.
+    pub fn effects(&self) -> BTreeMap<String, u64> {
+        self.store.borrow().effects.clone()
+    }
+
+    /// Cuts all connections and stops listening, as a crash would.
+    pub fn kill(&self) {
+        if let Some(server) = self.server.borrow().as_ref() {
+            server.kill();
+        }
+    }
+
+    async fn answer(&self, mut request: Request) -> Response {
+        let method = request.method().clone();
+        let path = request.path().to_owned();
+        if (&method, path.as_str()) == (&Method::GET, "/effects") {
+            return web::json(StatusCode::OK, &self.effects());
+        }
+        let body = match web::read_body(request.take_payload(), BODY_BYTES, 5_000).await {
+            Ok(body) => body,
+            Err(error) => return web::text(error.status(), "text/plain", error.to_string()),
+        };
+        if (&method, path.as_str()) == (&Method::PUT, "/faults") {
+            return match web::parse_json(&body) {
+                Ok(faults) => {
+                    self.set_faults(faults);
+                    web::empty(StatusCode::NO_CONTENT)
+                }
+                Err(error) => web::text(error.status(), "text/plain", error.to_string()),
+            };
+        }
+        let faults = self.store.borrow().faults;
+        let what = format!("{path} {}", String::from_utf8_lossy(&body));
+        *self.store.borrow_mut().effects.entry(what).or_default() += 1;
+        let wait_ms = if faults.lose_answers {
+            3_600_000
+        } else {
+            self.options.call_ms + faults.slow_ms
+        };
+        actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
+        let receipt = Receipt {
+            done: true,
+            by: &self.options.name,
+            path: &path,
+            bytes: body.len(),
+        };
+        web::json(StatusCode::OK, &receipt)
+    }
+}
--- /dev/null
+++ b/crates/web/src/server.rs
@@ -0,0 +1,162 @@
+//! Accepts connections and serves them on the current runtime thread.
+
+use std::cell::{Cell, RefCell};
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_http::{HttpService, KeepAlive, Request};
+use actix_rt::net::TcpStream;
+use actix_rt::task::JoinHandle;
+use actix_service::{Service, ServiceFactory, fn_service};
+use tokio::net::TcpListener;
+
+use crate::Response;
+
+/// Bounds on connections.
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Most connections open at once; further ones are closed at once.
+    pub connections: usize,
+    /// Longest time for a request's head to arrive, in ms.
+    pub head_ms: u64,
+    /// Time for which an idle connection is kept, in ms.
+    pub idle_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            connections: 4_096,
+            head_ms: 5_000,
+            idle_ms: 30_000,
+        }
+    }
+}
+
+/// A running server.
+#[derive(Debug)]
+pub struct Server {
+    address: SocketAddr,
+    accepting: JoinHandle<()>,
+    open: Rc<Cell<usize>>,
+    tasks: Rc<RefCell<Vec<JoinHandle<()>>>>,
+}
+
+impl Server {
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    /// Takes no new connections; those that are open go on.
+    pub fn stop_accepting(&self) {
+        self.accepting.abort();
+    }
+
+    /// Cuts everything at once, as a crash would.
+    pub fn kill(&self) {
+        self.accepting.abort();
+        for task in self.tasks.borrow_mut().drain(..) {
+            task.abort();
+        }
+    }
+}
+
+/// Listens on an IP address and port; port 0 takes a free one.
+pub async fn bind(address: &str) -> io::Result<TcpListener> {
+    TcpListener::bind(address).await
+}
+
+/// Serves a handler on a listener.
+pub async fn serve<H, F>(listener: TcpListener, options: Options, handler: H) -> io::Result<Server>
+where
+    H: Fn(Request) -> F + Clone + 'static,
+    F: Future<Output = Response> + 'static,
+{
+    let address = listener.local_addr()?;
+    let handler = fn_service(move |request: Request| {
+        let answer = handler(request);
+        async move { Ok::<_, actix_http::Error>(answer.await) }
+    });
+    let factory = HttpService::build()
+        .keep_alive(KeepAlive::Timeout(Duration::from_millis(options.idle_ms)))
+        .client_request_timeout(Duration::from_millis(options.head_ms))
+        .h1(handler)
+        .tcp();
+    let service = factory
+        .new_service(())
+        .await
+        .map_err(|()| io::Error::other("HTTP service cannot be built"))?;
+    let open = Rc::new(Cell::new(0));
+    let tasks = Rc::new(RefCell::new(Vec::new()));
+    let accepting = actix_rt::spawn(accept(
+        listener,
+        options,
+        Rc::new(service),
+        open.clone(),
+        tasks.clone(),
+    ));
+    Ok(Server {
+        address,
+        accepting,
+        open,
+        tasks,
+    })
+}
+
+async fn accept<S>(
+    listener: TcpListener,
+    options: Options,
+    service: Rc<S>,
+    open: Rc<Cell<usize>>,
+    tasks: Rc<RefCell<Vec<JoinHandle<()>>>>,
+) where
+    S: Service<TcpStream> + 'static,
+    S::Error: std::fmt::Debug,
+{
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                // Out of descriptors: accepting again at once would spin.
+                log::warn!("accept: {error}");
+                actix_rt::time::sleep(Duration::from_millis(50)).await;
+                continue;
+            }
+        };
+        if open.get() >= options.connections {
+            continue;
+        }
+        let _ = stream.set_nodelay(true);
+        open.set(open.get() + 1);
+        let closed = Closed(open.clone());
+        let connection = service.call(stream);
+        let task = actix_rt::spawn(async move {
+            let _closed = closed;
+            if let Err(error) = connection.await {
+                log::debug!("connection: {error:?}");
+            }
+        });
+        let mut tasks = tasks.borrow_mut();
+        if tasks.len() >= 2 * options.connections.min(open.get() + 64) {
+            tasks.retain(|task| !task.is_finished());
+        }
+        tasks.push(task);
+    }
+}
+
+struct Closed(Rc<Cell<usize>>);
+
+impl Drop for Closed {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- /dev/null
+++ b/src/demo/platform.rs
@@ -0,0 +1,201 @@
+//! The platform and the upstreams, embedded.
+
+use conf::{Settings, hex_sha256, parse_settings};
+use load::Deployment;
+use serde_json::json;
+use sha2::{Digest, Sha256};
+use standin::{
+    EngineOptions, EngineStandin, InstanceList, Listed, LogStandin, ServiceOptions, ServiceStandin,
+    Standing, WeightStandin,
+};
+
+use super::Result;
+use super::threads::InstanceThread;
+
+/// Key of the demo's only operator.
+pub const OPERATOR_KEY: &str = "demo-operator";
+
+/// Age of what the instance list shows.
+const LIST_LAG_MS: u64 = 500;
+
+/// Time in which the weight store gives out one set of weights.
+const FETCH_MS: u64 = 100;
+
+/// Time of a call to the plain service.
+const CALL_MS: u64 = 8;
+
+/// Everything that is not an entry instance.
+pub struct Platform {
+    log: LogStandin,
+    list: InstanceList,
+    _weights: WeightStandin,
+    engines: Vec<(String, EngineStandin)>,
+    services: Vec<ServiceStandin>,
+}
+
+impl Platform {
+    /// Starts the stand-ins of a deployment.
+    pub async fn start(deployment: Deployment) -> Result<Self> {
+        let any = "127.0.0.1:0";
+        let log = LogStandin::start(any).await?;
+        let list = InstanceList::start(any, LIST_LAG_MS).await?;
+        let weights = WeightStandin::start(any, FETCH_MS).await?;
+        let mut platform = Self {
+            log,
+            list,
+            _weights: weights.clone(),
+            engines: Vec::new(),
+            services: Vec::new(),
+        };
+        for number in 0..deployment.engines() {
+            let name = format!("engine-{}", number + 1);
+            let mut options = EngineOptions::new(&name, &format!("{}@v1", deployment.model()));
+            options.weights = weights.address();
+            options.checks_orders = number % 2 == 0;
+            let engine = EngineStandin::start(any, options).await?;
+            let zone = deployment.zones()[number % 3];
+            platform.list_upstream(&name, "engine", &engine.address(), zone, deployment.model());
+            platform.engines.push((name, engine));
+        }
+        for number in 0..deployment.services() {
+            let name = format!("{}-{}", deployment.service().0, number + 1);
+            let options = ServiceOptions {
+                name: name.clone(),
+                call_ms: CALL_MS,
+            };
+            let service = ServiceStandin::start(any, options).await?;
+            let zone = deployment.zones()[number % 3];
+            platform.list_upstream(
+                &name,
+                "service",
+                &service.address(),
+                zone,
+                deployment.service().0,
+            );
+            platform.services.push(service);
+        }
+        Ok(platform)
+    }
+
+    fn list_upstream(&self, name: &str, kind: &str, address: &str, zone: &str, serves: &str) {
+        self.list.put(Listed {
+            name: name.to_owned(),
+            kind: kind.to_owned(),
+            address: address.to_owned(),
+            peer_address: String::new(),
+            zone: zone.to_owned(),
+            serves: serves.to_owned(),
+            checks_orders: false,
+            standing: Standing::Live,
+        });
+    }
+
+    fn listed(instance: &InstanceThread, zone: &str, standing: Standing) -> Listed {
+        Listed {
+            name: instance.name.clone(),
+            kind: "entry".to_owned(),
+            address: instance.caller_address.clone(),
+            peer_address: instance.peer_address.clone(),
+            zone: zone.to_owned(),
+            serves: String::new(),
+            checks_orders: false,
+            standing,
+        }
+    }
+
+    /// Puts an entry instance on the list.
+    pub fn list_instance(&self, instance: &InstanceThread, zone: &str) {
+        self.list.put(Self::listed(instance, zone, Standing::Live));
+    }
+
+    /// Takes an entry instance that leaves off the list.
+    pub fn leaving(&self, name: &str) {
+        self.list.remove(name);
+    }
+
+    /// Takes an entry instance that is gone off the list.
+    pub fn gone(&self, name: &str) {
+        self.list.remove(name);
+    }
+
+    /// Name of an engine.
+    pub fn engine_name(&self, place: usize) -> String {
+        self.engines[place].0.clone()
+    }
+
+    /// Role orders that engines took.
+    pub fn role_changes(&self) -> usize {
+        let orders = self.engines.iter().flat_map(|(_, engine)| engine.orders());
+        orders.filter(|(_, what)| what.starts_with("role")).count()
+    }
+
+    /// Calls that ran twice, were answered without having run, or ran though refused.
+    pub fn ran_wrongly(&self, path: &str, answered: &[String], refused: &[String]) -> u64 {
+        let mut effects = std::collections::BTreeMap::<String, u64>::new();
+        for service in &self.services {
+            for (what, count) in service.effects() {
+                *effects.entry(what).or_default() += count;
+            }
+        }
+        let count = |body: &String| effects.get(&format!("{path} {body}")).copied().unwrap_or(0);
+        let twice = effects.values().filter(|&&count| count > 1).count();
+        let missing = answered.iter().filter(|body| count(body) != 1).count();
+        let untrue = refused.iter().filter(|body| count(body) != 0).count();
+        (twice + missing + untrue) as u64
+    }
+
+    /// Settings of an entry instance.
+    pub fn settings(&self, name: &str, zone: &str) -> Settings {
+        let text = json!({
+            "instance": name,
+            "zone": zone,
+            "region": "demo",
+            "operator_key_sha256": [{ "operator": "demo", "sha256": sha256(OPERATOR_KEY) }],
+            "platform": { "log": self.log.address(), "instances": self.list.address() },
+        });
+        parse_settings(&text.to_string(), "demo").expect("the demo's own settings are well formed")
+    }
+}
+
+/// API key of a member's only workspace.
+pub fn member_key(member: &str) -> String {
+    format!("demo-{member}")
+}
+
+fn sha256(text: &str) -> String {
+    hex_sha256(&Sha256::digest(text.as_bytes()))
+}
+
+/// The bundle of a version: each has weights of its own.
+pub fn bundle(deployment: Deployment, version: u64) -> String {
+    let (service, path) = deployment.service();
+    let members: Vec<_> = deployment
+        .members()
+        .iter()
+        .map(|member| {
+            json!({
+                "name": member,
+                "share": 1,
+                "workspaces": [{
+                    "name": format!("{member}/main"),
+                    "key_sha256": sha256(&member_key(member)),
+                    "class": "quick",
+                }],
+            })
+        })
+        .collect();
+    let bundle = json!({
+        "version": version,
+        "base": version - 1,
+        "models": [{ "name": deployment.model(), "version": format!("v{version}") }],
+        "classes": [
+            { "name": "urgent", "rank": 0, "deadline_ms": 2_000 },
+            { "name": "quick", "rank": 1, "deadline_ms": 5_000 },
+            { "name": "long", "rank": 2, "deadline_ms": 10_000 },
+        ],
+        "members": members,
+        "services": [{ "name": service, "once_paths": [path] }],
+        "policy": { "role_change_weight": deployment.role_change_weight() },
+    });
+    bundle.to_string()
+}
--- /dev/null
+++ b/src/demo/threads.rs
@@ -0,0 +1,103 @@
+//! Entry instances on threads of their own, each as single-threaded as a process of its own.
+
+use std::thread::JoinHandle;
+
+use conf::Settings;
+use entry::Instance;
+use tokio::sync::mpsc;
+
+use super::Result;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Command {
+    Stop,
+    Kill,
+}
+
+/// A running instance.
+pub struct InstanceThread {
+    /// Name.
+    pub name: String,
+    /// Where callers connect.
+    pub caller_address: String,
+    /// Where other instances connect.
+    pub peer_address: String,
+    commands: mpsc::UnboundedSender<Command>,
+    thread: Option<JoinHandle<std::result::Result<(), String>>>,
+    running: bool,
+}
+
+impl InstanceThread {
+    /// Starts an instance and waits until it listens.
+    pub fn start(settings: Settings) -> Result<Self> {
+        let name = settings.instance.clone();
+        let (commands, receiver) = mpsc::unbounded_channel();
+        let (ready, started) = std::sync::mpsc::channel();
+        let thread = std::thread::Builder::new()
+            .name(name.clone())
+            .spawn(move || actix_rt::System::new().block_on(live(settings, receiver, ready)))?;
+        let (caller_address, peer_address) = started.recv()??;
+        Ok(Self {
+            name,
+            caller_address,
+            peer_address,
+            commands,
+            thread: Some(thread),
+            running: true,
+        })
+    }
+
+    /// Whether it was neither stopped nor killed.
+    pub fn is_running(&self) -> bool {
+        self.running
+    }
+
+    /// Lets it leave as planned, without waiting for it.
+    pub fn stop(&mut self) {
+        self.running = false;
+        let _ = self.commands.send(Command::Stop);
+    }
+
+    /// Ends it at once.
+    pub fn kill(&mut self) {
+        self.running = false;
+        let _ = self.commands.send(Command::Kill);
+    }
+
+    /// Waits for its end.
+    pub fn join(&mut self) -> Result<()> {
+        let Some(thread) = self.thread.take() else {
+            return Ok(());
+        };
+        let ended = thread
+            .join()
+            .map_err(|_| format!("{} panicked", self.name))?;
+        ended.map_err(Into::into)
+    }
+}
+
+type Ready = std::sync::mpsc::Sender<std::result::Result<(String, String), String>>;
+
+async fn live(
+    settings: Settings,
+    mut commands: mpsc::UnboundedReceiver<Command>,
+    ready: Ready,
+) -> std::result::Result<(), String> {
+    let instance = match Instance::start(settings).await {
+        Ok(instance) => instance,
+        Err(error) => {
+            let _ = ready.send(Err(error.to_string()));
+            return Err(error.to_string());
+        }
+    };
+    let _ = ready.send(Ok((instance.caller_address(), instance.peer_address())));
+    if commands.recv().await != Some(Command::Stop) {
+        instance.kill();
+        return Ok(());
+    }
+    tokio::select! {
+        () = instance.stop() => {}
+        _ = commands.recv() => instance.kill(),
+    }
+    Ok(())
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,10 @@
+//! Serves language models and plain services from a fixed fleet of upstreams.
+//!
+//! The areas are crates of their own; this one gathers them for the programs under `src/bin`,
+//! which only read their command line and call in here. See docs/ARCHITECTURE.md.
+
+pub mod daemon;
+pub mod demo;
+pub mod logging;
+
+pub use {conf, ctl, entry, feed, lease, load, once, peer, perf, plan, standin, tick, wire};
