Add the engine model and a first policy bench in virtual time

Cause: decisions had no measurement. Change: crate model (batched engine, mixes), crate perf (traces, baselines, ablations, upper bound), and from its first runs: role planning by a fluid model, health by the pace of output, waits for a place in the batch in place of a hard refusal.

--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -57,10 +57,7 @@
 fn beat(app: &App) -> Beat {
     let now_ms = app.now_ms();
     let fleet = app.fleet.borrow();
-    let busy = fleet.iter().filter(|engine| {
-        let own = engine.own();
-        own.waiting + own.running > 0.0
-    });
+    let busy = fleet.iter().filter(|engine| engine.own().requests() > 0.0);
     let sent = busy.map(|engine| load(now_ms, engine)).collect();
     Beat {
         instance: app.identity.instance.clone(),
@@ -83,7 +80,7 @@
         engine: engine.name.clone(),
         at_ms: now_ms,
         prompt_tokens: own.prompt.map(|tokens| tokens as u64).to_vec(),
-        waiting: own.waiting as u64,
+        waiting: own.waiting.map(|count| count as u64).to_vec(),
         running: own.running as u64,
         output_tokens: own.output as u64,
     }
@@ -106,11 +103,13 @@
 
 fn outstanding(load: &Load) -> Outstanding {
     let mut outstanding = Outstanding {
-        waiting: load.waiting as f64,
         running: load.running as f64,
         output: load.output_tokens as f64,
         ..Outstanding::default()
     };
+    for (mine, theirs) in outstanding.waiting.iter_mut().zip(&load.waiting) {
+        *mine = *theirs as f64;
+    }
     for (mine, theirs) in outstanding.prompt.iter_mut().zip(&load.prompt_tokens) {
         *mine = *theirs as f64;
     }
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -7,7 +7,9 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
-use crate::{Caller, Deployment, Kind, Phase, Question, Tally, Traffic};
+use model::{Deployment, Kind, Phase, Traffic};
+
+use crate::{Caller, Question, Tally};
 
 /// Deadlines by kind, in ms.
 fn deadline_ms(kind: Kind) -> u64 {
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -6,12 +6,12 @@
 mod caller;
 mod completion;
 mod fleet;
-mod mix;
+
 mod service;
 mod tally;
 
 pub use caller::{Caller, Tenant};
 pub use completion::{Question, Seen};
 pub use fleet::{Running, run};
-pub use mix::{Deployment, Kind, Mix, Phase, Traffic};
+
 pub use tally::{Outcome, Row, Tally};
--- /dev/null
+++ b/crates/model/src/lib.rs
@@ -0,0 +1,12 @@
+//! What the system serves: engines iteration by iteration, and the mixes of requests.
+//!
+//! The stand-ins run it in real time and the benches in virtual time; docs/BENCH.md states its
+//! source and its limits.
+
+mod batch;
+mod mix;
+mod prefix;
+
+pub use batch::{Batch, Iteration, Job};
+pub use mix::{Deployment, Kind, Mix, Phase, Traffic};
+pub use prefix::PrefixCache;
--- a/crates/perf/src/lib.rs
+++ b/crates/perf/src/lib.rs
@@ -1,1 +1,20 @@
 //! Deterministic decision benches, slopes and reports.
+//!
+//! The policy bench runs the decisions of `plan` in virtual time against the engine model of
+//! `model`, with fixed seeds: the same figures on every machine. See docs/BENCH.md.
+
+mod bound;
+mod calendar;
+mod engine;
+mod figures;
+mod node;
+mod policy;
+mod run;
+mod suite;
+mod trace;
+
+pub use figures::{ClassFigures, Figures};
+pub use policy::Policy;
+pub use run::{Setting, run};
+pub use suite::{Case, Row, Suite, cases, load_factors, markdown};
+pub use trace::{Arrival, Event, Trace, TraceKind};
--- a/crates/plan/src/ejection.rs
+++ b/crates/plan/src/ejection.rs
@@ -3,6 +3,9 @@
 /// Weight of one answer in the moving average.
 const SMOOTHING: f64 = 0.1;
 
+/// Ratio of pace to prediction that an engine in good health shows under changing mixes.
+const ORDINARY: f64 = 1.6;
+
 /// Slowness at which an upstream gets no ordinary work.
 const EJECT_AT: f64 = 4.0;
 
@@ -34,6 +37,7 @@
     ejections: u32,
     rest_until_ms: u64,
     probing: bool,
+    sign_ms: u64,
 }
 
 impl Default for Health {
@@ -44,17 +48,25 @@
             ejections: 0,
             rest_until_ms: 0,
             probing: false,
+            sign_ms: 0,
         }
     }
 }
 
 impl Health {
-    /// Factor by which answers take longer than predicted, as a moving average.
+    /// Factor by which predictions of the upstream are to be stretched.
+    ///
+    /// Within `ORDINARY` the pace differs for the mix's sake, and stretching predictions for it
+    /// would refuse requests that would have been in time.
     pub fn slowness(&self) -> f64 {
-        self.slowness
+        (self.slowness / ORDINARY).max(1.0)
     }
 
-    /// An answer took `actual_ms` where `predicted_ms` was expected.
+    /// The time between tokens was `actual_ms` where `predicted_ms` was expected of an engine in
+    /// good health, or a call took that long.
+    ///
+    /// The pace of the output tells an engine's health better than the time to the first token,
+    /// which says more of the queue than of the engine.
     pub fn answered(&mut self, now_ms: u64, predicted_ms: f64, actual_ms: f64) {
         let ratio = (actual_ms / predicted_ms.max(1.0)).clamp(0.25, 20.0);
         self.failures = 0;
@@ -73,6 +85,20 @@
         }
     }
 
+    /// The upstream gave a sign of life: a token of any request.
+    pub fn sign(&mut self, now_ms: u64) {
+        self.sign_ms = self.sign_ms.max(now_ms);
+    }
+
+    /// Whether the upstream has been silent towards everyone since a request was sent to it.
+    ///
+    /// A request that waits behind others on a busy engine must not be taken for one that sits
+    /// on a dead one: giving it up and starting again elsewhere, at the back of another queue,
+    /// adds work exactly when there is too much.
+    pub fn is_silent_since(&self, sent_ms: u64) -> bool {
+        self.sign_ms < sent_ms
+    }
+
     /// A request failed for the upstream's own sake.
     pub fn failed(&mut self, now_ms: u64) {
         self.failures += 1;
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use conf::Role;
 
-use crate::{Health, RANKS, Shape};
+use crate::{Forecast, Health, RANKS, Shape};
 
 /// Age at which what a peer said of its own load is no longer counted.
 const PEER_STALE_MS: u64 = 3_000;
@@ -39,8 +39,8 @@
 pub struct Outstanding {
     /// Prompt tokens without a first token yet, by rank.
     pub prompt: [f64; RANKS],
-    /// Requests without a first token yet.
-    pub waiting: f64,
+    /// Requests without a first token yet, by rank.
+    pub waiting: [f64; RANKS],
     /// Requests that produce output.
     pub running: f64,
     /// Output tokens still expected.
@@ -52,11 +52,23 @@
         for (mine, theirs) in self.prompt.iter_mut().zip(other.prompt) {
             *mine += theirs;
         }
-        self.waiting += other.waiting;
+        for (mine, theirs) in self.waiting.iter_mut().zip(other.waiting) {
+            *mine += theirs;
+        }
         self.running += other.running;
         self.output += other.output;
     }
 
+    /// Requests without a first token yet, at this rank or before it.
+    pub fn waiting_ahead(&self, rank: usize) -> f64 {
+        self.waiting.iter().take(rank + 1).sum()
+    }
+
+    /// Requests that are not finished.
+    pub fn requests(&self) -> f64 {
+        self.running + self.waiting_ahead(RANKS - 1)
+    }
+
     /// Prompt tokens at this rank or before it.
     pub fn ahead(&self, rank: usize) -> f64 {
         self.prompt.iter().take(rank + 1).sum()
@@ -151,14 +163,14 @@
     /// A request was sent.
     pub fn sent(&mut self, rank: usize, prompt_tokens: f64, output_tokens: f64) {
         self.own.prompt[rank] += prompt_tokens;
-        self.own.waiting += 1.0;
+        self.own.waiting[rank] += 1.0;
         self.own.output += output_tokens;
     }
 
     /// A request's first token came.
     pub fn started(&mut self, rank: usize, prompt_tokens: f64) {
         self.own.prompt[rank] = (self.own.prompt[rank] - prompt_tokens).max(0.0);
-        self.own.waiting = (self.own.waiting - 1.0).max(0.0);
+        self.own.waiting[rank] = (self.own.waiting[rank] - 1.0).max(0.0);
         self.own.running += 1.0;
     }
 
@@ -247,6 +259,24 @@
         &mut self.engines[place]
     }
 
+    /// Spreads the prompts that are coming over a model's live engines, so that predictions
+    /// count the work of higher rank that will arrive while a request waits.
+    pub fn expect(&mut self, model: &str, forecast: &Forecast) {
+        let places = self.of_model(model).to_vec();
+        let live = places
+            .iter()
+            .filter(|&&place| self.get(place).presence == Presence::Live);
+        let live = live.count().max(1) as f64;
+        for place in places {
+            let engine = self.get_mut(place);
+            let chunk = f64::from(Shape::chunk(engine.role));
+            let pace = chunk / engine.shape.iteration_ms(engine.own.running, chunk);
+            for (rank, busy) in engine.busy.iter_mut().enumerate() {
+                *busy = forecast.prompt_rate_of(rank) / live / pace;
+            }
+        }
+    }
+
     /// All engines.
     pub fn iter(&self) -> impl Iterator<Item = &Engine> {
         self.engines.iter()
--- a/crates/plan/src/forecast.rs
+++ b/crates/plan/src/forecast.rs
@@ -2,11 +2,9 @@
 
 use crate::RANKS;
 
-/// Time constant of the fast average, which follows a swing.
-const FAST_MS: f64 = 8_000.0;
-
-/// Time constant of the slow average, which tells a swing from a blip.
-const SLOW_MS: f64 = 60_000.0;
+/// Time constant of the averages: short enough to follow a swing within minutes, long enough to
+/// smooth single long prompts.
+const MEMORY_MS: f64 = 8_000.0;
 
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 struct Rate {
@@ -17,9 +15,9 @@
 /// Rates of prompt and output tokens, by rank, as moving averages.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Forecast {
-    fast: Rate,
-    slow: Rate,
+    rate: Rate,
     prompt_by_rank: [f64; RANKS],
+    count_by_rank: [f64; RANKS],
     at_ms: u64,
 }
 
@@ -27,24 +25,20 @@
     /// Work arrived.
     pub fn arrived(&mut self, now_ms: u64, rank: usize, prompt_tokens: f64, output_tokens: f64) {
         self.decay(now_ms);
-        self.fast.prompt += prompt_tokens / FAST_MS;
-        self.fast.output += output_tokens / FAST_MS;
-        self.slow.prompt += prompt_tokens / SLOW_MS;
-        self.slow.output += output_tokens / SLOW_MS;
-        self.prompt_by_rank[rank] += prompt_tokens / FAST_MS;
+        self.rate.prompt += prompt_tokens / MEMORY_MS;
+        self.rate.output += output_tokens / MEMORY_MS;
+        self.prompt_by_rank[rank] += prompt_tokens / MEMORY_MS;
+        self.count_by_rank[rank] += 1.0 / MEMORY_MS;
     }
 
     fn decay(&mut self, now_ms: u64) {
         let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
         self.at_ms = self.at_ms.max(now_ms);
-        let fast = (-passed_ms / FAST_MS).exp();
-        let slow = (-passed_ms / SLOW_MS).exp();
-        self.fast.prompt *= fast;
-        self.fast.output *= fast;
-        self.slow.prompt *= slow;
-        self.slow.output *= slow;
-        for rate in &mut self.prompt_by_rank {
-            *rate *= fast;
+        let keep = (-passed_ms / MEMORY_MS).exp();
+        self.rate.prompt *= keep;
+        self.rate.output *= keep;
+        for rate in self.prompt_by_rank.iter_mut().chain(&mut self.count_by_rank) {
+            *rate *= keep;
         }
     }
 
@@ -52,8 +46,13 @@
     #[must_use]
     pub fn with_others(&self, prompt_rate: f64, output_rate: f64) -> Self {
         let mut all = *self;
-        all.fast.prompt += prompt_rate;
-        all.fast.output += output_rate;
+        if self.rate.prompt > 0.0 {
+            let factor = 1.0 + prompt_rate / self.rate.prompt;
+            all.prompt_by_rank = self.prompt_by_rank.map(|rate| rate * factor);
+            all.count_by_rank = self.count_by_rank.map(|rate| rate * factor);
+        }
+        all.rate.prompt += prompt_rate;
+        all.rate.output += output_rate;
         all
     }
 
@@ -61,14 +60,16 @@
     #[must_use]
     pub fn scaled(&self, share: f64) -> Self {
         let mut part = *self;
-        part.fast.prompt *= share;
-        part.fast.output *= share;
+        part.rate.prompt *= share;
+        part.rate.output *= share;
+        part.prompt_by_rank = self.prompt_by_rank.map(|rate| rate * share);
+        part.count_by_rank = self.count_by_rank.map(|rate| rate * share);
         part
     }
 
     /// Prompt tokens a ms, now.
     pub fn prompt_rate(&self) -> f64 {
-        self.fast.prompt
+        self.rate.prompt
     }
 
     /// Prompt tokens a ms at one rank, now.
@@ -76,14 +77,13 @@
         self.prompt_by_rank[rank]
     }
 
-    /// Output tokens a ms, now.
-    pub fn output_rate(&self) -> f64 {
-        self.fast.output
+    /// Requests a ms at one rank, now.
+    pub fn count_rate_of(&self, rank: usize) -> f64 {
+        self.count_by_rank[rank]
     }
 
-    /// Share of tokens that are prompt, now and over the longer run.
-    pub fn prompt_shares(&self) -> (f64, f64) {
-        let share = |rate: &Rate| rate.prompt / (rate.prompt + rate.output).max(1e-9);
-        (share(&self.fast), share(&self.slow))
+    /// Output tokens a ms, now.
+    pub fn output_rate(&self) -> f64 {
+        self.rate.output
     }
 }
--- a/crates/plan/src/roles.rs
+++ b/crates/plan/src/roles.rs
@@ -2,7 +2,16 @@
 
 use conf::Role;
 
-use crate::{Fleet, Forecast, Presence, Shape};
+use crate::{Fleet, Forecast, Presence, RANKS, Shape};
+
+/// Longest pause between two tokens that callers of short answers bear.
+const LONGEST_PAUSE_MS: f64 = 48.0;
+
+/// Time in which an engine ends what it holds before a change.
+const ENDING_MS: f64 = 5_000.0;
+
+/// Change weight 1 asks for this many times the price.
+const PRICE_FACTOR: f64 = 20.0;
 
 /// Tastes and bounds of role changes.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -120,16 +129,17 @@
         current: Assignment,
         forecast: &Forecast,
     ) -> Option<Assignment> {
-        let now = served(shape, current, forecast);
+        let now = completed(shape, current, forecast);
         let best = neighbours(current)
             .into_iter()
-            .map(|next| (next, served(shape, next, forecast)))
+            .map(|next| (next, completed(shape, next, forecast)))
             .max_by(|a, b| a.1.total_cmp(&b.1))?;
         let engines = (current.prefill + current.decode + current.mixed) as f64;
-        // A change takes one engine away for a while, in which its part of the work is not done.
-        let price = shape.change_ms as f64 / engines * now.max(1e-9);
+        // A change takes one engine away while it ends what it holds and while it changes; its
+        // part of the work is not done meanwhile.
+        let price = (shape.change_ms as f64 + ENDING_MS) / engines * now.max(1e-9);
         let gain = (best.1 - now) * self.settings.horizon_ms;
-        let factor = 1.0 + 20.0 * self.settings.change_weight;
+        let factor = 1.0 + PRICE_FACTOR * self.settings.change_weight;
         (gain > price * factor).then_some(best.0)
     }
 
@@ -223,39 +233,46 @@
     (from, to)
 }
 
-/// Share of the coming work that an assignment would get done, long prompts and output alike.
+/// Requests a ms that an assignment would complete, by a fluid model of the engines.
 ///
-/// Each role's engines read prompts at their chunk's pace while producing output beside them;
-/// what one kind cannot take overflows to the others. The smaller of the two shares counts
-/// most, as a fleet that answers only one kind of caller has failed the other.
-fn served(shape: &Shape, assignment: Assignment, forecast: &Forecast) -> f64 {
-    let mut prompt_capacity = 0.0;
-    let mut output_capacity = 0.0;
-    for (role, engines) in [
-        (Role::Prefill, assignment.prefill),
-        (Role::Decode, assignment.decode),
-        (Role::Mixed, assignment.mixed),
-    ] {
-        let (prompt, output) = capacity(shape, role);
-        prompt_capacity += prompt * engines as f64;
-        output_capacity += output * engines as f64;
+/// Prefill engines take only the last rank, whose answers are short; the others share the output
+/// evenly. An engine that produces `o` tokens a ms beside prompts in chunks of `k` iterates in
+/// `t = (base + token * k) / (1 - sequence * o)` with `o * t` sequences running, and reads
+/// `k / t` prompt tokens a ms.
+fn completed(shape: &Shape, assignment: Assignment, forecast: &Forecast) -> f64 {
+    let last = RANKS - 1;
+    let early_prompt: f64 = (0..last).map(|rank| forecast.prompt_rate_of(rank)).sum();
+    let early_count: f64 = (0..last).map(|rank| forecast.count_rate_of(rank)).sum();
+    let general = (assignment.mixed + assignment.decode).max(1) as f64;
+    let output_each = forecast.output_rate() / general;
+    let mut output = 0.0;
+    let mut prompt = 0.0;
+    for (role, engines) in [(Role::Mixed, assignment.mixed), (Role::Decode, assignment.decode)] {
+        let (taken, read) = capacity(shape, role, output_each);
+        output += taken * engines as f64;
+        prompt += read * engines as f64;
     }
-    let part = |capacity: f64, rate: f64| {
-        if rate <= 0.0 {
-            1.0
-        } else {
-            (capacity / rate).min(1.0)
-        }
-    };
-    let prompt = part(prompt_capacity, forecast.prompt_rate());
-    let output = part(output_capacity, forecast.output_rate());
-    prompt.min(output) + 0.25 * prompt.max(output)
+    let (_, read) = capacity(shape, Role::Prefill, 0.0);
+    let apart = read * assignment.prefill as f64;
+    let part = |capacity: f64, rate: f64| if rate <= 0.0 { 1.0 } else { (capacity / rate).clamp(0.0, 1.0) };
+    let early = part(output, forecast.output_rate()).min(part(prompt, early_prompt));
+    let left = apart + (prompt - early * early_prompt).max(0.0);
+    let late = part(left, forecast.prompt_rate_of(last));
+    early * early_count + late * forecast.count_rate_of(last)
 }
 
-/// Prompt and output tokens a ms of one engine in a role, kept busy with both.
-fn capacity(shape: &Shape, role: Role) -> (f64, f64) {
-    let chunk = f64::from(Shape::chunk(role));
-    let running = f64::from(shape.max_running) / 2.0;
-    let iteration_ms = shape.iteration_ms(running, chunk);
-    (chunk / iteration_ms, running / iteration_ms)
+/// Output and prompt tokens a ms of one engine that is asked for `output` tokens a ms.
+///
+/// Admission leaves prompts out where they would slow the output down too much, so only as much
+/// of a chunk is counted as keeps the iteration short enough.
+fn capacity(shape: &Shape, role: Role, output: f64) -> (f64, f64) {
+    let most = f64::from(shape.max_running);
+    let taken = output.min(most / shape.iteration_ms(most, 0.0));
+    let spare = 1.0 - shape.sequence_ms * taken;
+    let paced_ms = if role == Role::Prefill { f64::INFINITY } else { LONGEST_PAUSE_MS };
+    let longest_ms = paced_ms.min(most / taken.max(1e-9));
+    let room = (longest_ms * spare - shape.base_ms) / shape.token_ms;
+    let chunk = room.clamp(0.0, f64::from(Shape::chunk(role)));
+    let iteration_ms = shape.iteration_ms(0.0, chunk) / spare;
+    (taken, chunk / iteration_ms)
 }
--- a/crates/plan/src/route.rs
+++ b/crates/plan/src/route.rs
@@ -46,6 +46,8 @@
     pub first_token_ms: f64,
     /// Predicted time to the end.
     pub finish_ms: f64,
+    /// Predicted time between two tokens.
+    pub token_ms: f64,
     /// Prompt tokens that the engine will have to read.
     pub uncached_tokens: f64,
 }
@@ -190,9 +192,6 @@
             Verdict::Ejected => return None,
         };
         let load = engine.load(now_ms);
-        if load.running + load.waiting >= f64::from(engine.shape.max_running) {
-            return None;
-        }
         let uncached_tokens = (request.prompt_tokens - cached).max(1.0);
         let choice = predict(engine, place, &load, request, uncached_tokens);
         let harm_ms = harm(engine, &load, request, uncached_tokens);
@@ -258,8 +257,9 @@
     let ahead = load.ahead(request.rank) + uncached_tokens;
     let prefill_ms = shape.prefill_ms(engine.role, load.running, ahead) / unhindered;
     let queue_ms = shape.iteration_ms(load.running, chunk.min(load.ahead(RANKS - 1))) / 2.0;
-    let first_token_ms =
-        2.0 * engine.distance_ms + (queue_ms + prefill_ms) * engine.health.slowness();
+    let slot_ms = slot_wait(engine, load, request);
+    let first_token_ms = 2.0 * engine.distance_ms
+        + (queue_ms + prefill_ms.max(slot_ms)) * engine.health.slowness();
 
     // Prompts that are read beside the output lengthen its iterations.
     let running = load.running + 1.0;
@@ -269,19 +269,36 @@
     let busy: f64 = engine.busy.iter().sum();
     let beside = (behind_ms / (plain_ms * request.output_tokens).max(1.0) + busy).min(1.0);
     let token_ms = shape.iteration_ms(running, chunk * beside);
-    let output_ms = request.output_tokens * token_ms * engine.health.slowness();
+    let token_ms = token_ms * engine.health.slowness();
+    let output_ms = request.output_tokens * token_ms;
     Choice {
         engine: place,
         first_token_ms,
         finish_ms: first_token_ms + output_ms,
+        token_ms,
         uncached_tokens,
     }
 }
 
+/// Time until a sequence ends that leaves its place in the batch to the request.
+fn slot_wait(engine: &Engine, load: &Outstanding, request: &Request) -> f64 {
+    let shape = &engine.shape;
+    let most = f64::from(shape.max_running);
+    let short = load.running + load.waiting_ahead(request.rank) + 1.0 - most;
+    if short <= 0.0 {
+        return 0.0;
+    }
+    // Sequences end one after the other, each with half of its output still to come on average.
+    let output = load.output / load.requests().max(1.0);
+    let chunk = f64::from(crate::Shape::chunk(engine.role));
+    let token_ms = shape.iteration_ms(most, chunk);
+    short * output * token_ms / most
+}
+
 /// Delay that the request causes to the others on the engine, for each of them on average.
 fn harm(engine: &Engine, load: &Outstanding, request: &Request, uncached_tokens: f64) -> f64 {
     let shape = &engine.shape;
-    let streams = load.running + load.waiting;
+    let streams = load.requests();
     let delay_ms = shape.token_ms * uncached_tokens + shape.sequence_ms * request.output_tokens;
     let spare = match engine.role {
         Role::Prefill => 0.5,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 use web::{Options, Server};
 
-use crate::Batch;
+use model::Batch;
 use orders::Orders;
 use streams::Streams;
 
--- a/crates/standin/src/engine/streams.rs
+++ b/crates/standin/src/engine/streams.rs
@@ -5,7 +5,9 @@
 
 use tokio::sync::Notify;
 
-use crate::{Iteration, Job, expected_text, word};
+use model::{Iteration, Job};
+
+use crate::{expected_text, word};
 
 /// Time for which a stream that nobody reads is still worked on.
 const ABANDON_MS: u64 = 5_000;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -3,20 +3,18 @@
 //! Each is an HTTP service of its own and can be started inside a test, inside the demo or as a
 //! process by `chicoryrack standin`. `PUT /faults` sets its fault switches.
 
-mod batch;
 mod engine;
 mod instances;
 mod log;
-mod prefix;
+
 mod service;
 mod text;
 mod weights;
 
-pub use batch::{Batch, Iteration, Job};
 pub use engine::{EngineFaults, EngineOptions, EngineStandin};
 pub use instances::{InstanceList, Listed, Standing, register};
 pub use log::{LogFaults, LogStandin};
-pub use prefix::PrefixCache;
+
 pub use service::{ServiceFaults, ServiceOptions, ServiceStandin};
 pub use text::{expected_text, prompt_tokens, word};
 pub use weights::WeightStandin;
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -27,8 +27,8 @@
     pub prompt_tokens: Vec<u64>,
     /// Output tokens still expected.
     pub output_tokens: u64,
-    /// Requests without a first token yet.
-    pub waiting: u64,
+    /// Requests without a first token yet, by rank.
+    pub waiting: Vec<u64>,
     /// Requests that produce output.
     pub running: u64,
 }
@@ -79,12 +79,16 @@
             out.set_engine(&load.engine);
             out.set_at_ms(load.at_ms);
             out.set_output_tokens(load.output_tokens);
-            out.set_waiting(load.waiting);
             out.set_running(load.running);
-            let mut tokens = out.init_prompt_tokens(load.prompt_tokens.len() as u32);
+            let count = load.prompt_tokens.len() as u32;
+            let mut tokens = out.reborrow().init_prompt_tokens(count);
             for (rank, count) in load.prompt_tokens.iter().enumerate() {
                 tokens.set(rank as u32, *count);
             }
+            let mut waiting = out.init_waiting(load.waiting.len() as u32);
+            for (rank, count) in load.waiting.iter().enumerate() {
+                waiting.set(rank as u32, *count);
+            }
         }
     }
 }
@@ -153,7 +157,7 @@
             at_ms: wire.get_at_ms(),
             prompt_tokens: wire.get_prompt_tokens()?.iter().collect(),
             output_tokens: wire.get_output_tokens(),
-            waiting: wire.get_waiting(),
+            waiting: wire.get_waiting()?.iter().collect(),
             running: wire.get_running(),
         })
     }
--- a/crates/wire/src/gen/peer_capnp.rs
+++ b/crates/wire/src/gen/peer_capnp.rs
@@ -140,12 +140,19 @@
             self.reader.get_data_field::<u64>(1)
         }
         #[inline]
-        pub fn get_waiting(self) -> u64 {
-            self.reader.get_data_field::<u64>(2)
+        pub fn get_waiting(self) -> ::capnp::Result<::capnp::primitive_list::Reader<'a, u64>> {
+            ::capnp::traits::FromPointerReader::get_from_pointer(
+                &self.reader.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
+        }
+        #[inline]
+        pub fn has_waiting(&self) -> bool {
+            !self.reader.get_pointer_field(2).is_null()
         }
         #[inline]
         pub fn get_running(self) -> u64 {
-            self.reader.get_data_field::<u64>(3)
+            self.reader.get_data_field::<u64>(2)
         }
     }
 
@@ -155,8 +162,8 @@
     impl ::capnp::traits::HasStructSize for Builder<'_> {
         const STRUCT_SIZE: ::capnp::private::layout::StructSize =
             ::capnp::private::layout::StructSize {
-                data: 4,
-                pointers: 2,
+                data: 3,
+                pointers: 3,
             };
     }
     impl ::capnp::traits::HasTypeId for Builder<'_> {
@@ -313,20 +320,41 @@
             self.builder.set_data_field::<u64>(1, value);
         }
         #[inline]
-        pub fn get_waiting(self) -> u64 {
-            self.builder.get_data_field::<u64>(2)
+        pub fn get_waiting(self) -> ::capnp::Result<::capnp::primitive_list::Builder<'a, u64>> {
+            ::capnp::traits::FromPointerBuilder::get_from_pointer(
+                self.builder.get_pointer_field(2),
+                ::core::option::Option::None,
+            )
         }
         #[inline]
-        pub fn set_waiting(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(2, value);
+        pub fn set_waiting(
+            &mut self,
+            value: impl ::capnp::traits::SetterInput<::capnp::primitive_list::Owned<u64>>,
+        ) -> ::capnp::Result<()> {
+            ::capnp::traits::SetterInput::set_pointer_builder(
+                self.builder.reborrow().get_pointer_field(2),
+                value,
+                false,
+            )
+        }
+        #[inline]
+        pub fn init_waiting(self, size: u32) -> ::capnp::primitive_list::Builder<'a, u64> {
+            ::capnp::traits::FromPointerBuilder::init_pointer(
+                self.builder.get_pointer_field(2),
+                size,
+            )
+        }
+        #[inline]
+        pub fn has_waiting(&self) -> bool {
+            !self.builder.is_pointer_field_null(2)
         }
         #[inline]
         pub fn get_running(self) -> u64 {
-            self.builder.get_data_field::<u64>(3)
+            self.builder.get_data_field::<u64>(2)
         }
         #[inline]
         pub fn set_running(&mut self, value: u64) {
-            self.builder.set_data_field::<u64>(3, value);
+            self.builder.set_data_field::<u64>(2, value);
         }
     }
 
@@ -342,12 +370,12 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 112] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 116] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(138, 48, 113, 219, 193, 206, 171, 179),
-            ::capnp::word(11, 0, 0, 0, 1, 0, 4, 0),
+            ::capnp::word(11, 0, 0, 0, 1, 0, 3, 0),
             ::capnp::word(125, 131, 240, 65, 154, 44, 222, 182),
-            ::capnp::word(2, 0, 7, 0, 0, 0, 0, 0),
+            ::capnp::word(3, 0, 7, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
@@ -393,14 +421,14 @@
             ::capnp::word(193, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(188, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(200, 0, 0, 0, 2, 0, 1, 0),
-            ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
+            ::capnp::word(216, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(5, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(197, 0, 0, 0, 66, 0, 0, 0),
+            ::capnp::word(213, 0, 0, 0, 66, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(192, 0, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(204, 0, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(208, 0, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(220, 0, 0, 0, 2, 0, 1, 0),
             ::capnp::word(101, 110, 103, 105, 110, 101, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
@@ -440,11 +468,15 @@
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(119, 97, 105, 116, 105, 110, 103, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 3, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(9, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(14, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(114, 117, 110, 110, 105, 110, 103, 0),
@@ -462,7 +494,7 @@
                 1 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 2 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 3 => <u64 as ::capnp::introspect::Introspect>::introspect(),
-                4 => <u64 as ::capnp::introspect::Introspect>::introspect(),
+                4 => <::capnp::primitive_list::Owned<u64> as ::capnp::introspect::Introspect>::introspect(),
                 5 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -6,7 +6,7 @@
   atMs @1 :UInt64;
   promptTokens @2 :List(UInt64);
   outputTokens @3 :UInt64;
-  waiting @4 :UInt64;
+  waiting @4 :List(UInt64);
   running @5 :UInt64;
 }
 
--- a/src/bin/chicoryrack.rs
+++ b/src/bin/chicoryrack.rs
@@ -7,7 +7,8 @@
 
 use std::process::ExitCode;
 
-use chicoryrack::load::Deployment;
+use chicoryrack::model::Deployment;
+use chicoryrack::perf::TraceKind;
 
 xflags::xflags! {
     /// Demo and benches of chicoryrack.
@@ -19,6 +20,23 @@
             /// Machine-readable output.
             optional --json
         }
+        /// Deterministic benches of the decisions.
+        cmd bench {
+            /// policy, or another of those that --list names.
+            optional name: String
+            /// Lists the benches, traces and policies.
+            optional --list
+            /// annabhandar or lakeshore; both otherwise.
+            optional --deployment deployment: Deployment
+            /// Seed of traces and choices.
+            optional --seed seed: u64
+            /// Only this trace.
+            optional --trace trace: TraceKind
+            /// Only this load.
+            optional --load load: f64
+            /// Machine-readable output.
+            optional --json
+        }
     }
 }
 
@@ -27,6 +45,7 @@
     let flags = Chicoryrack::from_env_or_exit();
     match flags.subcommand {
         ChicoryrackCmd::Demo(demo) => run_demo(&demo),
+        ChicoryrackCmd::Bench(bench) => run_bench(&bench),
     }
 }
 
@@ -72,3 +91,32 @@
         report.role_changes, report.ran_wrongly, report.roll_ms
     );
 }
+
+fn run_bench(flags: &Bench) -> ExitCode {
+    use chicoryrack::perf::{Policy, Suite, cases, load_factors, markdown};
+    let deployments = match flags.deployment {
+        Some(deployment) => vec![deployment],
+        None => vec![Deployment::Annabhandar, Deployment::Lakeshore],
+    };
+    let traces = flags
+        .trace
+        .map_or(TraceKind::ALL.to_vec(), |trace| vec![trace]);
+    let loads = flags
+        .load
+        .map_or(load_factors().to_vec(), |load| vec![load]);
+    let mut policies = vec![Policy::Own];
+    policies.extend(Policy::BASELINES);
+    policies.extend(Policy::ABLATIONS);
+    let suite = Suite::run(
+        &cases(&deployments, &traces, &loads, &policies),
+        flags.seed.unwrap_or(1),
+    );
+    if flags.json {
+        println!("{}", serde_json::to_string(&suite).unwrap_or_default());
+        return ExitCode::SUCCESS;
+    }
+    for deployment in deployments {
+        println!("{}", markdown(&suite, deployment, &policies));
+    }
+    ExitCode::SUCCESS
+}
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -10,7 +10,8 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use load::{Caller, Deployment, Mix, Phase, Running, Tally, Tenant};
+use load::{Caller, Running, Tally, Tenant};
+use model::{Deployment, Mix, Phase};
 use rand::SeedableRng;
 use rand_pcg::Pcg64;
 use serde::Serialize;
--- a/src/demo/platform.rs
+++ b/src/demo/platform.rs
@@ -1,7 +1,7 @@
 //! The platform and the upstreams, embedded.
 
 use conf::{Settings, hex_sha256, parse_settings};
-use load::Deployment;
+use model::Deployment;
 use serde_json::json;
 use sha2::{Digest, Sha256};
 use standin::{
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,4 +7,4 @@
 pub mod demo;
 pub mod logging;
 
-pub use {conf, ctl, entry, feed, lease, load, once, peer, perf, plan, standin, tick, wire};
+pub use {conf, ctl, entry, feed, lease, load, model, once, peer, perf, plan, standin, tick, wire};
