--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -9,6 +9,10 @@
 
 use crate::app::App;
 
+/// Beats of which one tells the load: at 250 ms between beats once a second, which costs a third
+/// of the bytes and, as `bench views` shows, no goodput.
+const LOAD_BEATS: u64 = 4;
+
 /// Time between two ticks after which this process counts as having been paused.
 const PAUSE_BEATS: u64 = 4;
 
@@ -23,6 +27,7 @@
             app.members.borrow_mut().resumed(tick.now_ms);
         }
         last_ms = tick.now_ms;
+        expect(&app, tick.now_ms);
         app.home.borrow_mut().expire(tick.now_ms);
         app.witness.borrow_mut().expire(tick.now_ms);
         let targets = app.members.borrow().targets(&mut *app.rng.borrow_mut());
@@ -32,6 +37,23 @@
     }
 }
 
+/// Counts the prompts that all instances expect into the predictions for each model.
+fn expect(app: &App, now_ms: u64) {
+    let Some(bundle) = app.bundle() else {
+        return;
+    };
+    let (mut prompt, mut output) = (0.0, 0.0);
+    for beat in app.members.borrow().live(now_ms) {
+        prompt += beat.prompt_rate;
+        output += beat.output_rate;
+    }
+    let forecast = app.forecast.borrow().with_others(prompt, output);
+    let mut fleet = app.fleet.borrow_mut();
+    for model in &bundle.bundle().models {
+        fleet.expect(&model.name, &forecast);
+    }
+}
+
 /// Tells all other instances at once, as on leaving.
 pub(crate) async fn send_to_all(app: &Rc<App>) {
     let targets: Vec<String> = {
@@ -56,9 +78,10 @@
 
 fn beat(app: &App) -> Beat {
     let now_ms = app.now_ms();
-    let fleet = app.fleet.borrow();
-    let busy = fleet.iter().filter(|engine| engine.own().requests() > 0.0);
-    let sent = busy.map(|engine| load(now_ms, engine)).collect();
+    let tells = (now_ms / app.settings.membership.beat_ms).is_multiple_of(LOAD_BEATS);
+    let sent = tells.then(|| loads(app, now_ms));
+    let rate = app.forecast.borrow();
+    let (prompt_rate, output_rate) = (rate.prompt_rate(), rate.output_rate());
     Beat {
         instance: app.identity.instance.clone(),
         incarnation: app.identity.incarnation,
@@ -69,11 +92,17 @@
         caller_address: app.caller_address.clone(),
         sent,
         bundle_version: app.bundle().map_or(0, |bundle| bundle.bundle().version),
-        prompt_rate: app.forecast.borrow().prompt_rate(),
-        output_rate: app.forecast.borrow().output_rate(),
+        prompt_rate,
+        output_rate,
     }
 }
 
+fn loads(app: &App, now_ms: u64) -> Vec<Load> {
+    let fleet = app.fleet.borrow();
+    let busy = fleet.iter().filter(|engine| engine.own().requests() > 0.0);
+    busy.map(|engine| load(now_ms, engine)).collect()
+}
+
 fn load(now_ms: u64, engine: &plan::Engine) -> Load {
     let own = engine.own();
     Load {
@@ -88,14 +117,17 @@
 
 fn hear(app: &App, beat: Beat) {
     let now_ms = app.now_ms();
-    let mut fleet = app.fleet.borrow_mut();
-    for engine in fleet.iter_mut() {
-        engine.peer_left(&beat.instance);
-    }
-    for load in &beat.sent {
-        if let Some(place) = fleet.place(&load.engine) {
-            let engine = fleet.get_mut(place);
-            engine.told(now_ms, &beat.instance, outstanding(load));
+    if let Some(loads) = &beat.sent {
+        let mut fleet = app.fleet.borrow_mut();
+        // An engine that is not told of any more has nothing of that peer's left.
+        for engine in fleet.iter_mut() {
+            engine.told(now_ms, &beat.instance, Outstanding::default());
+        }
+        for load in loads {
+            if let Some(place) = fleet.place(&load.engine) {
+                let engine = fleet.get_mut(place);
+                engine.told(now_ms, &beat.instance, outstanding(load));
+            }
         }
     }
     app.members.borrow_mut().heard(now_ms, beat);
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -65,6 +65,9 @@
     /// The answer belongs to another request.
     #[display("answer of another request")]
     Crossed,
+    /// It lives, but the answer can no longer be in time.
+    #[display("too late")]
+    Hopeless,
     /// The connection broke, or what came was no answer.
     #[display("broken: {detail}")]
     Broken {
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use futures_util::StreamExt;
-use plan::{AttemptBudget, Choice, Presence, Request};
+use plan::{AttemptBudget, Choice, Presence, Request, Shape};
 use tokio::sync::mpsc;
 
 use crate::app::App;
@@ -14,6 +14,9 @@
 /// Silence between two tokens after which a stream is resumed.
 const SILENCE_MS: u64 = 2_500;
 
+/// Tokens from which an answer's pace is judged.
+const LEAST_TOKENS: u32 = 8;
+
 /// Times that a stream is resumed on one engine.
 const RESUMES: u32 = 3;
 
@@ -56,6 +59,7 @@
 enum Ended {
     Whole(Usage),
     CallerGone,
+    Hopeless,
     Again(&'static str),
 }
 
@@ -144,6 +148,12 @@
                     return;
                 }
                 Ended::CallerGone => return,
+                Ended::Hopeless => {
+                    let text = "it can no longer be in time";
+                    return self
+                        .fail(Refusal::new(Code::TooLate, text).retry_after(1_000))
+                        .await;
+                }
                 Ended::Again(reason) => {
                     self.tried.push(choice.engine);
                     self.app.metrics.retries.with_label_values(&[reason]).inc();
@@ -221,7 +231,11 @@
 
     async fn attempt(&mut self, choice: &Choice) -> Ended {
         let app = self.app.clone();
-        let name = app.fleet.borrow().get(choice.engine).name.clone();
+        let (name, slowness) = {
+            let fleet = app.fleet.borrow();
+            let engine = fleet.get(choice.engine);
+            (engine.name.clone(), engine.health.slowness())
+        };
         let address = app
             .upstreams
             .borrow()
@@ -245,8 +259,9 @@
             address,
             request_id,
             booking,
-            predicted_ms: choice.first_token_ms,
+            token_ms: choice.token_ms / slowness,
             sent_ms: app.now_ms(),
+            first: None,
             budget,
         };
         let ended = self.carry(&mut attempt).await;
@@ -265,6 +280,7 @@
         loop {
             let reason = match self.read(attempt, &mut parts).await {
                 Ok(ended) => return ended,
+                Err(EngineError::Hopeless) => return Ended::Hopeless,
                 Err(error) => error,
             };
             log::info!(
@@ -331,7 +347,7 @@
                     .inc();
                 self.blame(attempt, "crossed")
             }
-            EngineError::Broken { .. } => {
+            EngineError::Broken { .. } | EngineError::Hopeless => {
                 self.touched = true;
                 self.blame(attempt, "open")
             }
@@ -352,14 +368,8 @@
         parts: &mut Parts,
     ) -> Result<Ended, EngineError> {
         loop {
-            let limit_ms = if attempt.booking.started {
-                SILENCE_MS
-            } else {
-                attempt.budget.spend_ms
-            };
-            let next = async { parts.next().await.unwrap_or(Err(ended_early())) };
             let part = tokio::select! {
-                part = timed(limit_ms, next) => part?,
+                part = self.next(attempt, parts) => part?,
                 () = self.sender.closed() => return Ok(Ended::CallerGone),
             };
             match part {
@@ -369,6 +379,7 @@
                     }
                 }
                 Part::End(usage) if usage.completion_tokens == self.produced => {
+                    self.judge(attempt);
                     return Ok(Ended::Whole(usage));
                 }
                 Part::End(usage) => {
@@ -381,6 +392,42 @@
         }
     }
 
+    /// Waits for the next part: for a first token as long as it can still be in time and the
+    /// engine shows that it lives, later for a bounded silence.
+    async fn next(&self, attempt: &Attempt, parts: &mut Parts) -> Result<Part, EngineError> {
+        let mut limit_ms = if attempt.booking.started {
+            SILENCE_MS
+        } else {
+            attempt.budget.spend_ms
+        };
+        loop {
+            let limit = Duration::from_millis(limit_ms);
+            if let Ok(part) = actix_rt::time::timeout(limit, parts.next()).await {
+                return part.unwrap_or(Err(ended_early()));
+            }
+            if attempt.booking.started || self.is_silent(attempt) {
+                return Err(silent(limit_ms));
+            }
+            limit_ms = self.hope_ms();
+            if limit_ms == 0 {
+                return Err(EngineError::Hopeless);
+            }
+        }
+    }
+
+    fn is_silent(&self, attempt: &Attempt) -> bool {
+        let fleet = self.app.fleet.borrow();
+        let engine = fleet.get(attempt.booking.engine);
+        engine.health.is_silent_since(attempt.sent_ms)
+    }
+
+    /// Time for which an answer that has not started can still be in time.
+    fn hope_ms(&self) -> u64 {
+        let tokens = f64::from(self.work.max_tokens);
+        let until_ms = plan::give_up_ms(&Shape::default(), self.work.deadline_ms as f64, tokens);
+        (until_ms - self.app.now_ms() as f64).max(0.0) as u64
+    }
+
     /// Hands one token on, unless the caller has it; `false` when the caller is gone.
     async fn take(
         &mut self,
@@ -417,15 +464,29 @@
         Ok(matches!(sent, Ok(Ok(()))))
     }
 
+    /// Compares the pace of the output with what was predicted of an engine in good health.
+    fn judge(&self, attempt: &Attempt) {
+        let Some((first, first_ms)) = attempt.first else {
+            return;
+        };
+        let tokens = self.produced.saturating_sub(first);
+        if tokens < LEAST_TOKENS {
+            return;
+        }
+        let now_ms = self.app.now_ms();
+        let pace_ms = now_ms.saturating_sub(first_ms) as f64 / f64::from(tokens);
+        let mut fleet = self.app.fleet.borrow_mut();
+        let engine = fleet.get_mut(attempt.booking.engine);
+        engine.health.answered(now_ms, attempt.token_ms, pace_ms);
+    }
+
     fn first(&self, attempt: &mut Attempt) {
         attempt.booking.start();
         let now_ms = self.app.now_ms();
-        let took_ms = now_ms.saturating_sub(attempt.sent_ms) as f64;
         let mut fleet = self.app.fleet.borrow_mut();
         let engine = fleet.get_mut(attempt.booking.engine);
-        engine
-            .health
-            .answered(now_ms, attempt.predicted_ms, took_ms);
+        engine.health.sign(now_ms);
+        attempt.first = Some((self.produced + 1, now_ms));
         if self.produced == 0 {
             let since_ms = now_ms.saturating_sub(self.work.arrived_ms) as f64;
             let metric = &self.app.metrics.first_token;
@@ -441,8 +502,11 @@
     address: String,
     request_id: String,
     booking: Booking,
-    predicted_ms: f64,
+    /// Predicted time between two tokens, without what the engine's slowness adds.
+    token_ms: f64,
     sent_ms: u64,
+    /// Number and time of the first token of this attempt.
+    first: Option<(u32, u64)>,
     budget: AttemptBudget,
 }
 
@@ -452,15 +516,17 @@
     }
 }
 
+fn silent(limit_ms: u64) -> EngineError {
+    EngineError::Broken {
+        detail: format!("silent for {limit_ms} ms"),
+    }
+}
+
 async fn timed<T>(
     limit_ms: u64,
     step: impl Future<Output = Result<T, EngineError>>,
 ) -> Result<T, EngineError> {
     let limit = Duration::from_millis(limit_ms);
     let done = actix_rt::time::timeout(limit, step).await;
-    done.unwrap_or_else(|_| {
-        Err(EngineError::Broken {
-            detail: format!("silent for {limit_ms} ms"),
-        })
-    })
+    done.unwrap_or_else(|_| Err(silent(limit_ms)))
 }
--- a/crates/perf/src/lib.rs
+++ b/crates/perf/src/lib.rs
@@ -4,17 +4,22 @@
 //! `model`, with fixed seeds: the same figures on every machine. See docs/BENCH.md.
 
 mod bound;
+mod bounds;
 mod calendar;
 mod engine;
 mod figures;
+mod greedy;
 mod node;
 mod policy;
 mod run;
 mod suite;
 mod trace;
+mod views;
 
+pub use bounds::{BOUNDS_SEED, Bound, bounded_cases, broken, committed, from_suite};
 pub use figures::{ClassFigures, Figures};
 pub use policy::Policy;
 pub use run::{Setting, run};
 pub use suite::{Case, Row, Suite, cases, load_factors, markdown};
 pub use trace::{Arrival, Event, Trace, TraceKind};
+pub use views::views;
--- a/crates/perf/src/run.rs
+++ b/crates/perf/src/run.rs
@@ -14,6 +14,7 @@
 use crate::calendar::Calendar;
 use crate::engine::SimEngine;
 use crate::figures::{Counter, Ended, Figures};
+use crate::greedy;
 use crate::node::Node;
 use crate::trace::{Event, LENGTH_MS, Trace, rank};
 
@@ -49,7 +50,7 @@
     pub policy: Policy,
     /// Entry instances.
     pub instances: usize,
-    /// Time between two heartbeats of an instance, which is how stale they know each other.
+    /// Time between two tellings of load, which is how stale instances know each other.
     pub beat_ms: f64,
     /// Seed of the policy's own choices.
     pub seed: u64,
@@ -67,9 +68,9 @@
         Self {
             policy,
             instances: 9,
-            beat_ms: 250.0,
+            beat_ms: 1_000.0,
             seed,
-            route: RouteSettings { deadline_share: std::env::var("DS").map_or(0.9,|v|v.parse().unwrap()), harm_weight: std::env::var("HW").map_or(0.5,|v|v.parse().unwrap()), spread: std::env::var("SP").map_or(1.03,|v|v.parse().unwrap()), ..RouteSettings::default()},
+            route: RouteSettings::default(),
             roles: RoleSettings {
                 change_weight: deployment.role_change_weight(),
                 ..RoleSettings::default()
@@ -108,6 +109,10 @@
         tokens: f64,
     },
     Beat(usize),
+    GiveUp {
+        request: usize,
+        attempt: usize,
+    },
     Silence {
         request: usize,
         attempt: usize,
@@ -202,16 +207,6 @@
                 node.fleet.get_mut(number).role = role(number);
             }
         }
-        let roles = match setting.policy {
-            Policy::GreedyRoles => RoleSettings {
-                change_weight: 0.0,
-                stay_ms: 0,
-                settle_ms: 0,
-                at_once_share: 1.0,
-                ..setting.roles
-            },
-            _ => setting.roles,
-        };
         Self {
             trace,
             setting,
@@ -221,7 +216,7 @@
             engines,
             retries: vec![RetryBudget::default(); setting.instances],
             nodes,
-            planners: vec![RolePlanner::new(roles); deployment.zones().len()],
+            planners: vec![RolePlanner::new(setting.roles); deployment.zones().len()],
             requests: Vec::new(),
             jobs: HashMap::new(),
             change_began_ms: HashMap::new(),
@@ -282,6 +277,7 @@
             }
             Step::Beat(node) => self.beat(node),
             Step::Silence { request, attempt } => self.silence(request, attempt),
+            Step::GiveUp { request, attempt } => self.give_up(request, attempt),
             Step::Leave(request) => self.leave(request),
             Step::Happens(event) => self.happens(event),
             Step::Notice {
@@ -360,6 +356,13 @@
                 engine: choice.engine,
             },
         );
+        if self.setting.policy.is_routed() && self.setting.policy != Policy::CountedRetries {
+            let due_ms = arrival.at_ms + arrival.deadline_ms;
+            let tokens = f64::from(arrival.expected_tokens);
+            let give_up_ms = plan::give_up_ms(&Shape::default(), due_ms, tokens);
+            self.calendar
+                .add(give_up_ms, Step::GiveUp { request, attempt });
+        }
         if let Some(spend_ms) = self.attempt_ms(request, left_ms) {
             self.calendar
                 .add(self.now_ms + spend_ms, Step::Silence { request, attempt });
@@ -421,7 +424,11 @@
         for (id, tokens) in &iteration.tokens {
             if let Some(request) = self.current(*id) {
                 let node = self.requests[request].node;
-                self.nodes[node].fleet.get_mut(engine).health.sign(self.now_ms as u64);
+                self.nodes[node]
+                    .fleet
+                    .get_mut(engine)
+                    .health
+                    .sign(self.now_ms as u64);
             }
             if *tokens == 1
                 && let Some(request) = self.current(*id)
@@ -489,7 +496,9 @@
         if judged && arrival.output_tokens >= LEAST_TOKENS {
             let pace_ms = (self.now_ms - first_ms) / f64::from(arrival.output_tokens - 1);
             let known = self.nodes[progress.node].fleet.get_mut(engine);
-            known.health.answered(self.now_ms as u64, progress.token_ms, pace_ms);
+            known
+                .health
+                .answered(self.now_ms as u64, progress.token_ms, pace_ms);
         }
     }
 
@@ -568,7 +577,11 @@
         if let Some(engine) = progress.engine
             && self.setting.policy.is_routed()
             && self.setting.policy != Policy::CountedRetries
-            && !self.nodes[progress.node].fleet.get(engine).health.is_silent_since(progress.sent_ms as u64)
+            && !self.nodes[progress.node]
+                .fleet
+                .get(engine)
+                .health
+                .is_silent_since(progress.sent_ms as u64)
         {
             return;
         }
@@ -576,6 +589,14 @@
         self.fail(request, true);
     }
 
+    /// A request that has not started and can no longer be in time is answered at once.
+    fn give_up(&mut self, request: usize, attempt: usize) {
+        let progress = &self.requests[request];
+        if progress.attempt == attempt && progress.first_ms.is_none() {
+            self.leave(request);
+        }
+    }
+
     fn cancel(&mut self, request: usize) {
         let progress = &self.requests[request];
         let id = (request as u64) << 8 | progress.attempt as u64;
@@ -635,10 +656,7 @@
             .iter()
             .map(|engine| *engine.own())
             .collect();
-        let busy = loads
-            .iter()
-            .filter(|load| load.requests() > 0.0)
-            .count();
+        let busy = loads.iter().filter(|load| load.requests() > 0.0).count();
         self.bytes += BEAT_BYTES + LOAD_BYTES * busy as f64;
         let name = format!("node-{from}");
         for (engine, load) in loads.into_iter().enumerate() {
@@ -721,8 +739,11 @@
             let forecast = self.total_forecast(holder).scaled(share);
             let fleet = &self.nodes[holder].fleet;
             let now_ms = self.now_ms as u64;
-            let changes =
-                self.planners[group].plan(now_ms, fleet, &engines, &forecast, |_, _| true);
+            let changes = if self.setting.policy == Policy::GreedyRoles {
+                greedy::plan(fleet, &engines, &forecast)
+            } else {
+                self.planners[group].plan(now_ms, fleet, &engines, &forecast, |_, _| true)
+            };
             for change in changes {
                 self.order(change.engine, change.role);
             }
--- a/crates/perf/src/trace.rs
+++ b/crates/perf/src/trace.rs
@@ -32,6 +32,9 @@
     /// The share of long prompts swings between a fifth and four fifths.
     #[display("swing")]
     Swing,
+    /// After a third of the time nearly all work is long prompts.
+    #[display("reads")]
+    Reads,
     /// Long prompts come four times as fast for ten seconds.
     #[display("burst")]
     Burst,
@@ -60,9 +63,10 @@
 
 impl TraceKind {
     /// All kinds.
-    pub const ALL: [Self; 10] = [
+    pub const ALL: [Self; 11] = [
         Self::Steady,
         Self::Swing,
+        Self::Reads,
         Self::Burst,
         Self::Flood,
         Self::Lost,
@@ -199,6 +203,7 @@
     let rest = 1.0 - URGENT_SHARE;
     let long = match kind {
         TraceKind::Swing | TraceKind::LogDown => swing(at_ms),
+        TraceKind::Reads if at_ms > LENGTH_MS / 3.0 => 0.95,
         _ => 0.5,
     };
     let burst = kind == TraceKind::Burst && (40_000.0..50_000.0).contains(&at_ms);
--- a/crates/plan/src/deadline.rs
+++ b/crates/plan/src/deadline.rs
@@ -4,6 +4,8 @@
 //! what is left while another upstream could still answer, is from "A hundred per cent success
 //! rate and one usable answer"; docs/design/retries.md has the share measured against others.
 
+use crate::Shape;
+
 /// Share of the remaining time that one attempt may spend while another upstream is available.
 const ATTEMPT_SHARE: f64 = 0.6;
 
@@ -35,6 +37,14 @@
     }
 }
 
+/// Moment at which a request without a first token can no longer be in time.
+///
+/// Even alone on the engine its output takes this long. Cancelling it then frees the engine of
+/// work for nobody, and its caller gets its final answer while it can still act on it.
+pub fn give_up_ms(shape: &Shape, due_ms: f64, output_tokens: f64) -> f64 {
+    due_ms - output_tokens * shape.iteration_ms(1.0, 0.0)
+}
+
 /// Retries as a share of first attempts, so that a fleet in trouble is not asked twice as much.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct RetryBudget {
--- a/crates/plan/src/forecast.rs
+++ b/crates/plan/src/forecast.rs
@@ -37,7 +37,11 @@
         let keep = (-passed_ms / MEMORY_MS).exp();
         self.rate.prompt *= keep;
         self.rate.output *= keep;
-        for rate in self.prompt_by_rank.iter_mut().chain(&mut self.count_by_rank) {
+        for rate in self
+            .prompt_by_rank
+            .iter_mut()
+            .chain(&mut self.count_by_rank)
+        {
             *rate *= keep;
         }
     }
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -16,7 +16,7 @@
 mod shape;
 
 pub use admission::{Limit, Refusal, Workspaces};
-pub use deadline::{AttemptBudget, RetryBudget};
+pub use deadline::{AttemptBudget, RetryBudget, give_up_ms};
 pub use ejection::{Health, Verdict};
 pub use fairness::Fairness;
 pub use fleet::{Engine, Fleet, Outstanding, Presence, Report};
--- a/crates/plan/src/roles.rs
+++ b/crates/plan/src/roles.rs
@@ -10,6 +10,10 @@
 /// Time in which an engine ends what it holds before a change.
 const ENDING_MS: f64 = 5_000.0;
 
+/// Part of an engine's batch that can be counted on: requests come in clumps and are not spread
+/// evenly.
+const EVEN_SHARE: f64 = 0.85;
+
 /// Change weight 1 asks for this many times the price.
 const PRICE_FACTOR: f64 = 20.0;
 
@@ -245,32 +249,48 @@
     let early_count: f64 = (0..last).map(|rank| forecast.count_rate_of(rank)).sum();
     let general = (assignment.mixed + assignment.decode).max(1) as f64;
     let output_each = forecast.output_rate() / general;
+    let prompt_each = early_prompt / forecast.output_rate().max(1e-9);
     let mut output = 0.0;
     let mut prompt = 0.0;
-    for (role, engines) in [(Role::Mixed, assignment.mixed), (Role::Decode, assignment.decode)] {
-        let (taken, read) = capacity(shape, role, output_each);
+    for (role, engines) in [
+        (Role::Mixed, assignment.mixed),
+        (Role::Decode, assignment.decode),
+    ] {
+        let (taken, read) = capacity(shape, role, output_each, prompt_each);
         output += taken * engines as f64;
         prompt += read * engines as f64;
     }
-    let (_, read) = capacity(shape, Role::Prefill, 0.0);
+    let (_, read) = capacity(shape, Role::Prefill, 0.0, 0.0);
     let apart = read * assignment.prefill as f64;
-    let part = |capacity: f64, rate: f64| if rate <= 0.0 { 1.0 } else { (capacity / rate).clamp(0.0, 1.0) };
+    let part = |capacity: f64, rate: f64| {
+        if rate <= 0.0 {
+            1.0
+        } else {
+            (capacity / rate).clamp(0.0, 1.0)
+        }
+    };
     let early = part(output, forecast.output_rate()).min(part(prompt, early_prompt));
     let left = apart + (prompt - early * early_prompt).max(0.0);
     let late = part(left, forecast.prompt_rate_of(last));
     early * early_count + late * forecast.count_rate_of(last)
 }
 
-/// Output and prompt tokens a ms of one engine that is asked for `output` tokens a ms.
+/// Output and prompt tokens a ms of one engine that is asked for `output` tokens a ms, each of
+/// which comes with `prompt` tokens of its own kind.
 ///
 /// Admission leaves prompts out where they would slow the output down too much, so only as much
 /// of a chunk is counted as keeps the iteration short enough.
-fn capacity(shape: &Shape, role: Role, output: f64) -> (f64, f64) {
+fn capacity(shape: &Shape, role: Role, output: f64, prompt: f64) -> (f64, f64) {
     let most = f64::from(shape.max_running);
-    let taken = output.min(most / shape.iteration_ms(most, 0.0));
+    let each_ms = shape.sequence_ms + shape.token_ms * prompt;
+    let taken = output.min(EVEN_SHARE * most / (shape.base_ms + most * each_ms));
     let spare = 1.0 - shape.sequence_ms * taken;
-    let paced_ms = if role == Role::Prefill { f64::INFINITY } else { LONGEST_PAUSE_MS };
-    let longest_ms = paced_ms.min(most / taken.max(1e-9));
+    let paced_ms = if role == Role::Prefill {
+        f64::INFINITY
+    } else {
+        LONGEST_PAUSE_MS
+    };
+    let longest_ms = paced_ms.min(EVEN_SHARE * most / taken.max(1e-9));
     let room = (longest_ms * spare - shape.base_ms) / shape.token_ms;
     let chunk = room.clamp(0.0, f64::from(Shape::chunk(role)));
     let iteration_ms = shape.iteration_ms(0.0, chunk) / spare;
--- a/crates/plan/src/route.rs
+++ b/crates/plan/src/route.rs
@@ -12,6 +12,9 @@
 /// Most that work of higher rank is taken to slow a prompt down, as a share of the engine.
 const MOST_OVERTAKEN: f64 = 0.8;
 
+/// Free places of the batch at which prompts of later ranks are read at full pace.
+const PLACES_FOR_LATER: f64 = 8.0;
+
 /// Longest time that a refused caller is told to wait.
 const LONGEST_RETRY_MS: f64 = 5_000.0;
 
@@ -79,7 +82,7 @@
             fair: true,
             deadline_share: 0.9,
             prefixes: true,
-            pressure_share: 0.5,
+            pressure_share: 0.8,
             spread: 1.03,
         }
     }
@@ -257,41 +260,52 @@
     let ahead = load.ahead(request.rank) + uncached_tokens;
     let prefill_ms = shape.prefill_ms(engine.role, load.running, ahead) / unhindered;
     let queue_ms = shape.iteration_ms(load.running, chunk.min(load.ahead(RANKS - 1))) / 2.0;
-    let slot_ms = slot_wait(engine, load, request);
-    let first_token_ms = 2.0 * engine.distance_ms
-        + (queue_ms + prefill_ms.max(slot_ms)) * engine.health.slowness();
-
-    // Prompts that are read beside the output lengthen its iterations.
-    let running = load.running + 1.0;
-    let plain_ms = shape.iteration_ms(running, 0.0);
-    let behind = load.ahead(RANKS - 1) + uncached_tokens - ahead;
-    let behind_ms = shape.prefill_ms(engine.role, running, behind);
-    let busy: f64 = engine.busy.iter().sum();
-    let beside = (behind_ms / (plain_ms * request.output_tokens).max(1.0) + busy).min(1.0);
-    let token_ms = shape.iteration_ms(running, chunk * beside);
+    let token_ms = pace(engine, load, request, ahead);
+    let slot_ms = slot_wait(engine, load, request, token_ms);
+    let first_token_ms =
+        2.0 * engine.distance_ms + (queue_ms + prefill_ms.max(slot_ms)) * engine.health.slowness();
     let token_ms = token_ms * engine.health.slowness();
-    let output_ms = request.output_tokens * token_ms;
     Choice {
         engine: place,
         first_token_ms,
-        finish_ms: first_token_ms + output_ms,
+        finish_ms: first_token_ms + request.output_tokens * token_ms,
         token_ms,
         uncached_tokens,
     }
 }
 
-/// Time until a sequence ends that leaves its place in the batch to the request.
-fn slot_wait(engine: &Engine, load: &Outstanding, request: &Request) -> f64 {
+/// Time between two tokens, with the prompts that will be read beside the output.
+///
+/// Prompts of a later rank are begun only while the batch has places that no earlier rank wants,
+/// so a full batch runs at its own pace however long the queue of long prompts is.
+fn pace(engine: &Engine, load: &Outstanding, request: &Request, ahead: f64) -> f64 {
     let shape = &engine.shape;
+    let chunk = f64::from(crate::Shape::chunk(engine.role));
     let most = f64::from(shape.max_running);
+    let sequences = load.running + load.waiting_ahead(request.rank) + 1.0;
+    let running = sequences.min(most);
+    let plain_ms = shape.iteration_ms(running, 0.0) * request.output_tokens;
+    let part = |tokens: f64, busy: f64| {
+        let read_ms = shape.prefill_ms(engine.role, running, tokens);
+        (read_ms / plain_ms.max(1.0) + busy).min(1.0)
+    };
+    let (early, late) = engine.busy.split_at(request.rank + 1);
+    let room = ((most - sequences) / PLACES_FOR_LATER).clamp(0.0, 1.0);
+    let behind = load.ahead(RANKS - 1) + request.prompt_tokens - ahead;
+    let beside = part(load.ahead(request.rank), early.iter().sum())
+        + room * part(behind.max(0.0), late.iter().sum());
+    shape.iteration_ms(running, chunk * beside.min(1.0))
+}
+
+/// Time until a sequence ends that leaves its place in the batch to the request.
+fn slot_wait(engine: &Engine, load: &Outstanding, request: &Request, token_ms: f64) -> f64 {
+    let most = f64::from(engine.shape.max_running);
     let short = load.running + load.waiting_ahead(request.rank) + 1.0 - most;
     if short <= 0.0 {
         return 0.0;
     }
     // Sequences end one after the other, each with half of its output still to come on average.
     let output = load.output / load.requests().max(1.0);
-    let chunk = f64::from(crate::Shape::chunk(engine.role));
-    let token_ms = shape.iteration_ms(most, chunk);
     short * output * token_ms / most
 }
 
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -50,8 +50,8 @@
     pub epoch: u64,
     /// Where callers reach it.
     pub caller_address: String,
-    /// Work it has sent to engines.
-    pub sent: Vec<Load>,
+    /// Work it has sent to engines; `None` where this beat does not tell.
+    pub sent: Option<Vec<Load>>,
     /// Version of the bundle in force there.
     pub bundle_version: u64,
     /// Prompt tokens a ms that arrive there.
@@ -73,8 +73,12 @@
         out.set_bundle_version(self.bundle_version);
         out.set_prompt_rate(self.prompt_rate);
         out.set_output_rate(self.output_rate);
-        let mut sent = out.init_sent(self.sent.len() as u32);
-        for (index, load) in self.sent.iter().enumerate() {
+        let Some(loads) = &self.sent else {
+            return;
+        };
+        out.set_tells_load(true);
+        let mut sent = out.init_sent(loads.len() as u32);
+        for (index, load) in loads.iter().enumerate() {
             let mut out = sent.reborrow().get(index as u32);
             out.set_engine(&load.engine);
             out.set_at_ms(load.at_ms);
@@ -125,11 +129,7 @@
             applied_offset: wire.get_applied_offset(),
             epoch: wire.get_epoch(),
             caller_address: name("beat.callerAddress", wire.get_caller_address())?,
-            sent: wire
-                .get_sent()?
-                .iter()
-                .map(Load::try_from)
-                .collect::<Result<_>>()?,
+            sent: loads(wire)?,
             bundle_version: wire.get_bundle_version(),
             prompt_rate: rate("beat.promptRate", wire.get_prompt_rate())?,
             output_rate: rate("beat.outputRate", wire.get_output_rate())?,
@@ -137,6 +137,14 @@
     }
 }
 
+fn loads(wire: schema::beat::Reader) -> Result<Option<Vec<Load>>> {
+    if !wire.get_tells_load() {
+        return Ok(None);
+    }
+    let loads = wire.get_sent()?.iter().map(Load::try_from);
+    loads.collect::<Result<_>>().map(Some)
+}
+
 /// A rate that is no number or below 0 would poison every sum it enters.
 fn rate(field: &'static str, value: f64) -> Result<f64> {
     if value.is_finite() && value >= 0.0 {
--- a/crates/wire/src/gen/peer_capnp.rs
+++ b/crates/wire/src/gen/peer_capnp.rs
@@ -796,6 +796,10 @@
         pub fn get_output_rate(self) -> f64 {
             self.reader.get_data_field::<f64>(6)
         }
+        #[inline]
+        pub fn get_tells_load(self) -> bool {
+            self.reader.get_bool_field(80)
+        }
     }
 
     pub struct Builder<'a> {
@@ -1058,6 +1062,14 @@
         pub fn set_output_rate(&mut self, value: f64) {
             self.builder.set_data_field::<f64>(6, value);
         }
+        #[inline]
+        pub fn get_tells_load(self) -> bool {
+            self.builder.get_bool_field(80)
+        }
+        #[inline]
+        pub fn set_tells_load(&mut self, value: bool) {
+            self.builder.set_bool_field(80, value);
+        }
     }
 
     pub struct Pipeline {
@@ -1072,7 +1084,7 @@
     }
     impl Pipeline {}
     mod _private {
-        pub(crate) static ENCODED_NODE: [::capnp::Word; 193] = [
+        pub(crate) static ENCODED_NODE: [::capnp::Word; 209] = [
             ::capnp::word(0, 0, 0, 0, 5, 0, 6, 0),
             ::capnp::word(238, 224, 48, 139, 35, 122, 132, 236),
             ::capnp::word(11, 0, 0, 0, 1, 0, 7, 0),
@@ -1082,90 +1094,97 @@
             ::capnp::word(21, 0, 0, 0, 130, 0, 0, 0),
             ::capnp::word(25, 0, 0, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(21, 0, 0, 0, 111, 2, 0, 0),
+            ::capnp::word(21, 0, 0, 0, 167, 2, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(112, 101, 101, 114, 46, 99, 97, 112),
             ::capnp::word(110, 112, 58, 66, 101, 97, 116, 0),
             ::capnp::word(0, 0, 0, 0, 1, 0, 1, 0),
-            ::capnp::word(44, 0, 0, 0, 3, 0, 4, 0),
+            ::capnp::word(48, 0, 0, 0, 3, 0, 4, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(37, 1, 0, 0, 74, 0, 0, 0),
+            ::capnp::word(65, 1, 0, 0, 74, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(36, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(48, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(45, 1, 0, 0, 98, 0, 0, 0),
+            ::capnp::word(73, 1, 0, 0, 98, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(44, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(56, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(72, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(2, 0, 0, 0, 1, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(53, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(81, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(48, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(60, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(3, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(57, 1, 0, 0, 82, 0, 0, 0),
+            ::capnp::word(85, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(56, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(68, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(84, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(4, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(65, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(93, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(64, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(76, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(92, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(5, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(73, 1, 0, 0, 50, 0, 0, 0),
+            ::capnp::word(101, 1, 0, 0, 50, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(68, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(80, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(96, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(6, 0, 0, 0, 2, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(77, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(105, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(76, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(88, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(7, 0, 0, 0, 3, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 7, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(85, 1, 0, 0, 42, 0, 0, 0),
+            ::capnp::word(113, 1, 0, 0, 42, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(80, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(108, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(108, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(136, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(8, 0, 0, 0, 4, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 8, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(105, 1, 0, 0, 114, 0, 0, 0),
+            ::capnp::word(133, 1, 0, 0, 114, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(104, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(116, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(132, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(144, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(9, 0, 0, 0, 5, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 9, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(113, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(141, 1, 0, 0, 90, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(112, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(124, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(140, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(152, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(10, 0, 0, 0, 6, 0, 0, 0),
             ::capnp::word(0, 0, 1, 0, 10, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(121, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(149, 1, 0, 0, 90, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(148, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(160, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(11, 0, 0, 0, 80, 0, 0, 0),
+            ::capnp::word(0, 0, 1, 0, 11, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(157, 1, 0, 0, 82, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
-            ::capnp::word(120, 1, 0, 0, 3, 0, 1, 0),
-            ::capnp::word(132, 1, 0, 0, 2, 0, 1, 0),
+            ::capnp::word(156, 1, 0, 0, 3, 0, 1, 0),
+            ::capnp::word(168, 1, 0, 0, 2, 0, 1, 0),
             ::capnp::word(105, 110, 115, 116, 97, 110, 99, 101),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(12, 0, 0, 0, 0, 0, 0, 0),
@@ -1266,6 +1285,15 @@
             ::capnp::word(11, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
             ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(116, 101, 108, 108, 115, 76, 111, 97),
+            ::capnp::word(100, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(1, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
+            ::capnp::word(0, 0, 0, 0, 0, 0, 0, 0),
         ];
         pub(crate) fn get_field_types(index: u16) -> ::capnp::introspect::Type {
             match index {
@@ -1280,6 +1308,7 @@
                 8 => <u64 as ::capnp::introspect::Introspect>::introspect(),
                 9 => <f64 as ::capnp::introspect::Introspect>::introspect(),
                 10 => <f64 as ::capnp::introspect::Introspect>::introspect(),
+                11 => <bool as ::capnp::introspect::Introspect>::introspect(),
                 _ => ::capnp::introspect::panic_invalid_field_index(index),
             }
         }
@@ -1298,9 +1327,9 @@
                 MEMBERS_BY_DISCRIMINANT,
                 MEMBERS_BY_NAME,
             );
-        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+        pub(crate) static NONUNION_MEMBERS: &[u16] = &[0, 1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11];
         pub(crate) static MEMBERS_BY_DISCRIMINANT: &[u16] = &[];
-        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 8, 6, 3, 5, 1, 0, 10, 9, 7, 2];
+        pub(crate) static MEMBERS_BY_NAME: &[u16] = &[4, 8, 6, 3, 5, 1, 0, 10, 9, 7, 11, 2];
         pub(crate) const TYPE_ID: u64 = 0xec84_7a23_8b30_e0ee;
     }
 }
--- a/schema/peer.capnp
+++ b/schema/peer.capnp
@@ -28,6 +28,8 @@
   bundleVersion @8 :UInt64;
   promptRate @9 :Float64;
   outputRate @10 :Float64;
+  tellsLoad @11 :Bool;
+  # Whether `sent` is told; without it the load is as told before.
 }
 
 enum ClaimVerdict {
--- a/src/bin/chicoryrack.rs
+++ b/src/bin/chicoryrack.rs
@@ -7,8 +7,9 @@
 
 use std::process::ExitCode;
 
+use chicoryrack::benches::{self, Kind};
 use chicoryrack::model::Deployment;
-use chicoryrack::perf::TraceKind;
+use chicoryrack::perf::{self, TraceKind};
 
 xflags::xflags! {
     /// Demo and benches of chicoryrack.
@@ -20,12 +21,14 @@
             /// Machine-readable output.
             optional --json
         }
-        /// Deterministic benches of the decisions.
+        /// Deterministic benches of the decisions: policy, views, bounds.
         cmd bench {
-            /// policy, or another of those that --list names.
-            optional name: String
+            /// Which bench; policy otherwise.
+            optional name: Kind
             /// Lists the benches, traces and policies.
             optional --list
+            /// For bounds: prints new bounds instead of checking the committed ones.
+            optional --print
             /// annabhandar or lakeshore; both otherwise.
             optional --deployment deployment: Deployment
             /// Seed of traces and choices.
@@ -93,30 +96,48 @@
 }
 
 fn run_bench(flags: &Bench) -> ExitCode {
-    use chicoryrack::perf::{Policy, Suite, cases, load_factors, markdown};
-    let deployments = match flags.deployment {
-        Some(deployment) => vec![deployment],
-        None => vec![Deployment::Annabhandar, Deployment::Lakeshore],
-    };
-    let traces = flags
-        .trace
-        .map_or(TraceKind::ALL.to_vec(), |trace| vec![trace]);
-    let loads = flags
-        .load
-        .map_or(load_factors().to_vec(), |load| vec![load]);
-    let mut policies = vec![Policy::Own];
-    policies.extend(Policy::BASELINES);
-    policies.extend(Policy::ABLATIONS);
-    let suite = Suite::run(
-        &cases(&deployments, &traces, &loads, &policies),
-        flags.seed.unwrap_or(1),
-    );
-    if flags.json {
-        println!("{}", serde_json::to_string(&suite).unwrap_or_default());
+    let seed = flags.seed.unwrap_or(perf::BOUNDS_SEED);
+    if flags.list {
+        print!("{}", benches::list());
         return ExitCode::SUCCESS;
     }
-    for deployment in deployments {
-        println!("{}", markdown(&suite, deployment, &policies));
+    match flags.name.unwrap_or_default() {
+        Kind::Policy => {
+            let choice = benches::Choice {
+                deployment: flags.deployment,
+                trace: flags.trace,
+                load: flags.load,
+                seed,
+            };
+            println!("{}", benches::policy(&choice, flags.json));
+            ExitCode::SUCCESS
+        }
+        Kind::Views => {
+            for deployment in benches::deployments(flags.deployment) {
+                println!(
+                    "{deployment}, seed {seed}\n\n{}",
+                    perf::views(deployment, seed)
+                );
+            }
+            ExitCode::SUCCESS
+        }
+        Kind::Bounds => run_bounds(flags.print),
+    }
+}
+
+fn run_bounds(print: bool) -> ExitCode {
+    if print {
+        println!("{}", benches::new_bounds());
+        return ExitCode::SUCCESS;
+    }
+    match benches::check_bounds() {
+        Ok(count) => {
+            println!("{count} bounds hold");
+            ExitCode::SUCCESS
+        }
+        Err(lines) => {
+            eprintln!("{}", lines.join("\n"));
+            ExitCode::FAILURE
+        }
     }
-    ExitCode::SUCCESS
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! The areas are crates of their own; this one gathers them for the programs under `src/bin`,
 //! which only read their command line and call in here. See docs/ARCHITECTURE.md.
 
+pub mod benches;
 pub mod daemon;
 pub mod demo;
 pub mod logging;
