Let callers shun dead instances and use the prefix that a refusal gives

Cause: the demo refused 10 of 108 calls and lost one stream after a kill. Found: callers drew the same keys (one seed for several), which the homes rightly refused as reused; a fresh lookup cleared the list of failed instances and named the dead one again until the tries were used up; new keys named a witness that was gone. Change: a seed for each caller, failed instances are passed over for 3 s, a witness that does not answer is handed out no more, refusals bring a fresh key prefix.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -346,6 +346,8 @@
         .await;
     if let Err(error) = &answer {
         log::info!(step = error.step, peer = error.peer.as_str(), key = call.key.as_str(); "{error}");
+        // The next key must not name a witness that does not answer.
+        app.members.borrow_mut().failed(&witness.instance);
     }
     answer.ok()
 }
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -9,6 +9,10 @@
 use serde::Deserialize;
 use tick::Clock;
 
+/// Time for which an instance that failed is passed over: longer than instances take to notice
+/// that it is gone, or a fresh lookup would name it again at once.
+const SHUN_MS: u64 = 3_000;
+
 /// Time for a lookup.
 const LOOKUP_MS: u64 = 1_000;
 
@@ -37,7 +41,8 @@
 struct Kept {
     answer: Option<LookedUp>,
     until_ms: u64,
-    failed: Vec<String>,
+    /// Instances that failed, and until when they are passed over.
+    failed: Vec<(String, u64)>,
 }
 
 /// One caller.
@@ -72,10 +77,16 @@
         self.refresh().await;
         let kept = self.kept.borrow();
         let answer = kept.answer.as_ref()?;
+        let now_ms = self.clock.now_ms();
+        let shunned = |address: &str| {
+            kept.failed
+                .iter()
+                .any(|(failed, until_ms)| failed == address && now_ms < *until_ms)
+        };
         let good = answer
             .instances
             .iter()
-            .find(|instance| !kept.failed.contains(&instance.address));
+            .find(|instance| !shunned(&instance.address));
         good.or(answer.instances.first())
             .map(|instance| instance.address.clone())
     }
@@ -89,10 +100,18 @@
     /// The instance failed: the next request goes elsewhere, and asks anew.
     pub(crate) fn failed(&self, instance: &str) {
         let mut kept = self.kept.borrow_mut();
-        kept.failed.push(instance.to_owned());
+        let until_ms = self.clock.now_ms() + SHUN_MS;
+        kept.failed.push((instance.to_owned(), until_ms));
         kept.until_ms = 0;
     }
 
+    /// The part that a key made from a refusal's own prefix begins with.
+    pub(crate) fn adopt_prefix(&self, prefix: &str) {
+        if let Some(answer) = &mut self.kept.borrow_mut().answer {
+            answer.key_prefix = Some(prefix.to_owned());
+        }
+    }
+
     pub(crate) fn random(&self) -> u64 {
         self.rng.borrow_mut().random()
     }
@@ -118,7 +137,8 @@
             };
             let mut kept = self.kept.borrow_mut();
             kept.until_ms = self.clock.now_ms() + answer.keep_ms;
-            kept.failed.clear();
+            let now_ms = self.clock.now_ms();
+            kept.failed.retain(|(_, until_ms)| now_ms < *until_ms);
             kept.answer = Some(answer);
             return;
         }
--- a/crates/load/src/service.rs
+++ b/crates/load/src/service.rs
@@ -53,6 +53,9 @@
                     }
                     // A call that is told not to have run may be made again, under a new key.
                     current = None;
+                    if let Some(prefix) = body["key_prefix"].as_str() {
+                        self.adopt_prefix(prefix);
+                    }
                     actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
                 }
                 Some((_, body)) => {
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -91,6 +91,13 @@
         known.heard = Some((now_ms, beat));
     }
 
+    /// A message to an instance failed: it is not handed out until it is heard again.
+    pub fn failed(&mut self, instance: &str) {
+        if let Some(known) = self.known.get_mut(instance) {
+            known.heard = None;
+        }
+    }
+
     /// This process was paused until `now_ms`: what it last heard says nothing of now.
     ///
     /// Without this an instance that wakes up would hand out others by heartbeats that look
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -140,13 +140,13 @@
         .map(|instance| instance.caller_address.clone())
         .collect();
     let mut callers = Vec::new();
-    for (place, member) in deployment.members().iter().enumerate() {
+    for member in deployment.members() {
         for zone in deployment.zones() {
             let tenant = Tenant {
                 key: member_key(member),
                 zone: zone.to_owned(),
             };
-            let rng = Pcg64::seed_from_u64(SEED + place as u64);
+            let rng = Pcg64::seed_from_u64(SEED + callers.len() as u64);
             callers.push(Caller::new(tenant, seeds.clone(), rng));
         }
     }
