--- a/crates/entry/src/beats.rs
+++ b/crates/entry/src/beats.rs
@@ -30,7 +30,10 @@
         expect(&app, tick.now_ms);
         app.home.borrow_mut().expire(tick.now_ms);
         app.witness.borrow_mut().expire(tick.now_ms);
-        let targets = app.members.borrow().targets(&mut *app.rng.borrow_mut());
+        let targets = {
+            let mut rng = app.rng.borrow_mut();
+            app.members.borrow().targets(&app.settings.zone, &mut *rng)
+        };
         for target in targets {
             actix_rt::spawn(exchange(app.clone(), target));
         }
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -156,12 +156,25 @@
     }
 
     /// Who gets the next heartbeat: a few at random, so that the cost stays the same at any size.
-    pub fn targets(&self, rng: &mut impl Rng) -> Vec<String> {
-        let addresses = self.known.values().map(|known| &known.peer_address);
-        let reachable = addresses.filter(|address| !address.is_empty());
-        reachable
-            .cloned()
-            .choose_multiple(rng, self.settings.fan_out)
+    ///
+    /// All but one are of the own availability zone, whose callers and engines are shared; the
+    /// one beyond it keeps the zones known to each other. A zone that has too few others is
+    /// filled up from elsewhere.
+    pub fn targets(&self, zone: &str, rng: &mut impl Rng) -> Vec<String> {
+        let reachable = self
+            .known
+            .values()
+            .filter(|known| !known.peer_address.is_empty());
+        let (near, far): (Vec<&Known>, Vec<&Known>) =
+            reachable.partition(|known| known.zone == zone);
+        let near_count = (self.settings.fan_out - 1).min(near.len());
+        let far_count = self.settings.fan_out - near_count;
+        let mut chosen = near.into_iter().choose_multiple(rng, near_count);
+        chosen.extend(far.into_iter().choose_multiple(rng, far_count));
+        chosen
+            .into_iter()
+            .map(|known| known.peer_address.clone())
+            .collect()
     }
 
     /// Place of an instance among those that are live, for taking turns over `subject`.
--- a/crates/perf/src/lib.rs
+++ b/crates/perf/src/lib.rs
@@ -12,6 +12,7 @@
 mod node;
 mod policy;
 mod run;
+mod slopes;
 mod suite;
 mod trace;
 mod views;
@@ -20,6 +21,7 @@
 pub use figures::{ClassFigures, Figures};
 pub use policy::Policy;
 pub use run::{Setting, run};
+pub use slopes::{Fit, slopes, slopes_markdown};
 pub use suite::{Case, Row, Suite, cases, load_factors, markdown};
 pub use trace::{Arrival, Event, Trace, TraceKind};
 pub use views::views;
--- a/crates/wire/src/beat.rs
+++ b/crates/wire/src/beat.rs
@@ -61,6 +61,19 @@
 }
 
 impl Beat {
+    /// Encodes the beat as one framed message.
+    pub fn encode(&self) -> Vec<u8> {
+        let mut message = capnp::message::Builder::new_default();
+        self.fill(message.init_root());
+        crate::read::frame(&message)
+    }
+
+    /// Decodes one framed message.
+    pub fn decode(bytes: &[u8]) -> Result<Self> {
+        let message = crate::read::unframe(bytes)?;
+        Self::try_from(message.get_root::<schema::beat::Reader>()?)
+    }
+
     /// Writes the beat into a message.
     pub fn fill(&self, mut out: schema::beat::Builder) {
         out.set_instance(&self.instance);
--- a/src/benches.rs
+++ b/src/benches.rs
@@ -19,6 +19,9 @@
     /// The committed bounds.
     #[display("bounds")]
     Bounds,
+    /// What state, time and bytes cost as sizes grow.
+    #[display("slopes")]
+    Slopes,
 }
 
 /// Which runs of the policy bench to make.
@@ -76,7 +79,7 @@
 
 /// Names of benches, traces and policies.
 pub fn list() -> String {
-    let mut text = "benches: policy views bounds\ntraces:".to_owned();
+    let mut text = "benches: policy views bounds slopes\ntraces:".to_owned();
     for trace in TraceKind::ALL {
         let _ = write!(text, " {trace}");
     }
--- a/src/bin/chicoryrack.rs
+++ b/src/bin/chicoryrack.rs
@@ -21,7 +21,9 @@
             /// Machine-readable output.
             optional --json
         }
-        /// Deterministic benches of the decisions: policy, views, bounds.
+        /// Prints the fault matrix: which fault is tried at which step.
+        cmd faults { }
+        /// Deterministic benches of the decisions: policy, views, bounds, slopes.
         cmd bench {
             /// Which bench; policy otherwise.
             optional name: Kind
@@ -48,6 +50,10 @@
     let flags = Chicoryrack::from_env_or_exit();
     match flags.subcommand {
         ChicoryrackCmd::Demo(demo) => run_demo(&demo),
+        ChicoryrackCmd::Faults(_) => {
+            print!("{}", chicoryrack::fault::markdown());
+            ExitCode::SUCCESS
+        }
         ChicoryrackCmd::Bench(bench) => run_bench(&bench),
     }
 }
@@ -121,6 +127,10 @@
             }
             ExitCode::SUCCESS
         }
+        Kind::Slopes => {
+            println!("{}", perf::slopes_markdown(&perf::slopes()));
+            ExitCode::SUCCESS
+        }
         Kind::Bounds => run_bounds(flags.print),
     }
 }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,4 +8,6 @@
 pub mod demo;
 pub mod logging;
 
-pub use {conf, ctl, entry, feed, lease, load, model, once, peer, perf, plan, standin, tick, wire};
+pub use {
+    conf, ctl, entry, fault, feed, lease, load, model, once, peer, perf, plan, standin, tick, wire,
+};
