--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -22,7 +22,9 @@
         })?;
     let mut deserializer = serde_json::Deserializer::from_str(&plain);
     let value = serde_path_to_error::deserialize(&mut deserializer).map_err(|error| {
-        let field = error.path().to_string();
+        let path = error.path().to_string();
+        // A text that ends too early has no field to blame.
+        let field = if path == "?" { ".".to_owned() } else { path };
         located(file, field, error.inner())
     })?;
     deserializer
--- a/crates/entry/src/refusal.rs
+++ b/crates/entry/src/refusal.rs
@@ -25,6 +25,10 @@
 pub(crate) enum Code {
     /// The request is malformed.
     BadRequest,
+    /// The body is larger than allowed.
+    TooLarge,
+    /// The body did not arrive in time.
+    TooSlow,
     /// The key is missing or unknown.
     Unauthorized,
     /// There is no such thing.
@@ -49,6 +53,8 @@
     fn status(self) -> StatusCode {
         match self {
             Self::BadRequest => StatusCode::BAD_REQUEST,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::TooSlow => StatusCode::REQUEST_TIMEOUT,
             Self::Unauthorized => StatusCode::UNAUTHORIZED,
             Self::NotFound => StatusCode::NOT_FOUND,
             Self::KeyReused => StatusCode::UNPROCESSABLE_ENTITY,
@@ -63,6 +69,8 @@
     pub(crate) fn name(self) -> &'static str {
         match self {
             Self::BadRequest => "bad_request",
+            Self::TooLarge => "too_large",
+            Self::TooSlow => "too_slow",
             Self::Unauthorized => "unauthorized",
             Self::NotFound => "not_found",
             Self::KeyReused => "key_reused",
@@ -183,7 +191,12 @@
 
 impl From<web::BodyError> for Refusal {
     fn from(error: web::BodyError) -> Self {
-        Self::new(Code::BadRequest, error.to_string())
+        let code = match error {
+            web::BodyError::TooLarge { .. } => Code::TooLarge,
+            web::BodyError::TooSlow { .. } => Code::TooSlow,
+            web::BodyError::Broken { .. } | web::BodyError::Json { .. } => Code::BadRequest,
+        };
+        Self::new(code, error.to_string())
     }
 }
 
--- a/crates/web/src/body.rs
+++ b/crates/web/src/body.rs
@@ -76,12 +76,23 @@
     let mut deserializer = serde_json::Deserializer::from_slice(body);
     let value =
         serde_path_to_error::deserialize(&mut deserializer).map_err(|error| BodyError::Json {
-            field: error.path().to_string(),
+            field: field(error.path()),
             detail: error.inner().to_string(),
         })?;
     deserializer.end().map_err(|error| BodyError::Json {
-        field: ".".to_owned(),
+        field: WHOLE.to_owned(),
         detail: error.to_string(),
     })?;
     Ok(value)
 }
+
+/// Names the whole body where no field of it is to blame.
+const WHOLE: &str = "body";
+
+fn field(path: &serde_path_to_error::Path) -> String {
+    let path = path.to_string();
+    match path.as_str() {
+        "?" | "." => WHOLE.to_owned(),
+        _ => path,
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/codec.rs
@@ -0,0 +1,170 @@
+//! Codecs: what is written is read back, and no bytes do harm.
+
+use proptest::prelude::*;
+use wire::{
+    Beat, Body, BundlePublished, BundleRef, Condition, LeaseClaimed, LeaseRef, Load, OrderKind,
+    OrderPlaced, OrderSettled, Origin, Record, Snapshot,
+};
+
+fn text() -> impl Strategy<Value = String> {
+    "[a-z0-9/._-]{0,24}"
+}
+
+fn kind() -> impl Strategy<Value = OrderKind> {
+    prop_oneof![
+        Just(OrderKind::Role),
+        Just(OrderKind::Load),
+        Just(OrderKind::Unload)
+    ]
+}
+
+fn body() -> impl Strategy<Value = Body> {
+    let named =
+        || (any::<u64>(), text()).prop_map(|(version, digest)| BundleRef { version, digest });
+    let lease = || (text(), any::<u64>()).prop_map(|(group, fence)| LeaseRef { group, fence });
+    prop_oneof![
+        (any::<u64>(), any::<u64>(), text(), ".{0,200}").prop_map(
+            |(version, base, digest, text)| {
+                Body::BundlePublished(BundlePublished {
+                    version,
+                    base,
+                    digest,
+                    text,
+                })
+            }
+        ),
+        named().prop_map(Body::BundleSigned),
+        named().prop_map(Body::BundleRolled),
+        named().prop_map(Body::BundleWithdrawn),
+        text().prop_map(Body::EngineDrained),
+        text().prop_map(Body::EngineUndrained),
+        (text(), any::<u64>(), any::<u64>()).prop_map(|(group, supersedes, ttl_ms)| {
+            Body::LeaseClaimed(LeaseClaimed {
+                group,
+                supersedes,
+                ttl_ms,
+            })
+        }),
+        lease().prop_map(Body::LeaseRenewed),
+        lease().prop_map(Body::LeaseReleased),
+        (text(), any::<u64>(), text(), kind(), text()).prop_map(
+            |(group, fence, engine, kind, argument)| {
+                Body::OrderPlaced(OrderPlaced {
+                    group,
+                    fence,
+                    engine,
+                    kind,
+                    argument,
+                })
+            }
+        ),
+        (text(), any::<u64>(), any::<bool>()).prop_map(|(engine, order, done)| {
+            Body::OrderSettled(OrderSettled {
+                engine,
+                order,
+                done,
+            })
+        }),
+    ]
+}
+
+fn record() -> impl Strategy<Value = Record> {
+    (
+        text(),
+        any::<u64>(),
+        any::<u64>(),
+        any::<u64>(),
+        text(),
+        body(),
+    )
+        .prop_map(
+            |(writer, incarnation, sequence, wall_ms, actor, body)| Record {
+                origin: Origin {
+                    writer,
+                    incarnation,
+                    sequence,
+                },
+                wall_ms,
+                actor,
+                body,
+            },
+        )
+}
+
+fn beat() -> impl Strategy<Value = Beat> {
+    let load = (text(), any::<u64>()).prop_map(|(engine, tokens)| Load {
+        engine,
+        at_ms: tokens,
+        prompt_tokens: vec![tokens, 1, 2],
+        output_tokens: tokens,
+        waiting: vec![1, 0, tokens],
+        running: tokens,
+    });
+    let loads = proptest::option::of(proptest::collection::vec(load, 0..4));
+    (text(), any::<u64>(), loads, 0.0..1e9_f64).prop_map(|(instance, number, sent, rate)| Beat {
+        instance,
+        incarnation: number,
+        zone: "zone".to_owned(),
+        condition: Condition::Ready,
+        applied_offset: number,
+        epoch: number,
+        caller_address: "127.0.0.1:1".to_owned(),
+        sent,
+        bundle_version: number,
+        prompt_rate: rate,
+        output_rate: rate,
+    })
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(3),
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn a_record_is_read_back_as_written(record in record()) {
+        prop_assert_eq!(Record::decode(&record.encode()), Ok(record));
+    }
+
+    #[test]
+    fn a_heartbeat_is_read_back_as_written(beat in beat()) {
+        prop_assert_eq!(Beat::decode(&beat.encode()), Ok(beat));
+    }
+
+    #[test]
+    fn foreign_bytes_are_an_error_and_no_panic(bytes in proptest::collection::vec(any::<u8>(), 0..300)) {
+        let _ = Record::decode(&bytes);
+        let _ = Beat::decode(&bytes);
+        let _ = Snapshot::decode(&bytes);
+    }
+
+    #[test]
+    fn damaged_records_do_no_harm(record in record(), place in any::<prop::sample::Index>(), bit in 0..8_u8) {
+        let mut bytes = record.encode();
+        let place = place.index(bytes.len());
+        bytes[place] ^= 1 << bit;
+        let _ = Record::decode(&bytes);
+        let _ = Record::decode(&bytes[..place]);
+    }
+}
+
+#[test]
+fn a_rate_that_is_no_number_is_refused_by_name() {
+    let beat = Beat {
+        instance: "a".to_owned(),
+        incarnation: 1,
+        zone: "z".to_owned(),
+        condition: Condition::Ready,
+        applied_offset: 0,
+        epoch: 1,
+        caller_address: String::new(),
+        sent: None,
+        bundle_version: 0,
+        prompt_rate: f64::NAN,
+        output_rate: 0.0,
+    };
+    let error = Beat::decode(&beat.encode()).expect_err("refused");
+    assert!(error.to_string().contains("beat.promptRate"), "{error}");
+}
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -87,6 +87,15 @@
         let _ = self.child.wait();
     }
 
+    /// Resident memory of the process.
+    pub fn resident_kb(&self) -> u64 {
+        let status = std::fs::read_to_string(format!("/proc/{}/status", self.child.id()));
+        let status = status.expect("the process runs");
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let number = line.and_then(|line| line.split_whitespace().next());
+        number.and_then(|number| number.parse().ok()).unwrap_or(0)
+    }
+
     /// Waits for a planned end and gives its exit code.
     pub async fn ended(&mut self) -> Option<i32> {
         let begun = Instant::now();
