--- a/src/benches.rs
+++ b/src/benches.rs
@@ -22,6 +22,9 @@
     /// What state, time and bytes cost as sizes grow.
     #[display("slopes")]
     Slopes,
+    /// Times of a running deployment.
+    #[display("live")]
+    Live,
 }
 
 /// Which runs of the policy bench to make.
@@ -79,7 +82,7 @@
 
 /// Names of benches, traces and policies.
 pub fn list() -> String {
-    let mut text = "benches: policy views bounds slopes\ntraces:".to_owned();
+    let mut text = "benches: policy views bounds slopes live\ntraces:".to_owned();
     for trace in TraceKind::ALL {
         let _ = write!(text, " {trace}");
     }
--- a/src/bin/chicoryrack.rs
+++ b/src/bin/chicoryrack.rs
@@ -23,7 +23,7 @@
         }
         /// Prints the fault matrix: which fault is tried at which step.
         cmd faults { }
-        /// Deterministic benches of the decisions: policy, views, bounds, slopes.
+        /// Deterministic benches of the decisions: policy, views, bounds, slopes, live.
         cmd bench {
             /// Which bench; policy otherwise.
             optional name: Kind
@@ -131,10 +131,24 @@
             println!("{}", perf::slopes_markdown(&perf::slopes()));
             ExitCode::SUCCESS
         }
+        Kind::Live => run_live(),
         Kind::Bounds => run_bounds(flags.print),
     }
 }
 
+fn run_live() -> ExitCode {
+    match actix_rt::System::new().block_on(chicoryrack::demo::live::run()) {
+        Ok(table) => {
+            println!("{table}");
+            ExitCode::SUCCESS
+        }
+        Err(error) => {
+            eprintln!("chicoryrack: live: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn run_bounds(print: bool) -> ExitCode {
     if print {
         println!("{}", benches::new_bounds());
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -1,6 +1,7 @@
 //! The main job on embedded stand-ins: a mix that shifts while bundles are rolled, an engine is
 //! drained, one instance leaves and another dies.
 
+pub mod live;
 mod operator;
 mod platform;
 mod threads;
@@ -68,7 +69,7 @@
         deployment.engines(),
         deployment.services()
     ));
-    let mut instances = start_instances(&platform, deployment)?;
+    let mut instances = start_instances(&platform, deployment, INSTANCES)?;
     let operator = Operator::new(&instances[0].caller_address);
     operator.wait_ready().await;
     operator.roll(&platform::bundle(deployment, 1)).await?;
@@ -92,9 +93,13 @@
     report(deployment, &platform, &running, roll_ms, instances)
 }
 
-fn start_instances(platform: &Platform, deployment: Deployment) -> Result<Vec<InstanceThread>> {
+fn start_instances(
+    platform: &Platform,
+    deployment: Deployment,
+    count: usize,
+) -> Result<Vec<InstanceThread>> {
     let mut instances = Vec::new();
-    for number in 0..INSTANCES {
+    for number in 0..count {
         let zone = deployment.zones()[number % 3];
         let settings = platform.settings(&format!("entry-{}", number + 1), zone);
         let instance = InstanceThread::start(settings)?;
--- a/src/demo/operator.rs
+++ b/src/demo/operator.rs
@@ -34,15 +34,40 @@
 
     /// Publishes a bundle, signs it off and rolls it.
     pub async fn roll(&self, bundle: &str) -> Result<()> {
+        let version = self.publish_and_sign(bundle).await?;
+        self.put_in_force(version).await
+    }
+
+    /// Publishes a bundle and signs it off; gives its version.
+    pub async fn publish_and_sign(&self, bundle: &str) -> Result<u64> {
         let published = self.post("bundles", bundle.to_owned()).await?;
-        let version = published["version"].to_string();
-        for verb in ["sign", "roll"] {
-            self.post(&format!("bundles/{version}/{verb}"), String::new())
-                .await?;
-        }
+        let version = published["version"].as_u64().ok_or("no version")?;
+        self.post(&format!("bundles/{version}/sign"), String::new())
+            .await?;
+        Ok(version)
+    }
+
+    /// Rolls a bundle that is signed off.
+    pub async fn put_in_force(&self, version: u64) -> Result<()> {
+        self.post(&format!("bundles/{version}/roll"), String::new())
+            .await?;
         Ok(())
     }
 
+    /// Leases that the instance holds.
+    pub async fn leases(&self) -> u64 {
+        let url = format!("http://{}/metrics", self.address);
+        let Ok(mut response) = self.client.get(url).send().await else {
+            return 0;
+        };
+        let body = response.body().await.unwrap_or_default();
+        let text = String::from_utf8_lossy(&body).into_owned();
+        let held = text
+            .lines()
+            .filter(|line| line.contains("leases_held{") && line.ends_with(" 1"));
+        held.count() as u64
+    }
+
     /// Drains an engine.
     pub async fn drain(&self, engine: &str) -> Result<()> {
         self.post(&format!("engines/{engine}/drain"), String::new())
--- a/src/demo/platform.rs
+++ b/src/demo/platform.rs
@@ -5,8 +5,8 @@
 use serde_json::json;
 use sha2::{Digest, Sha256};
 use standin::{
-    EngineOptions, EngineStandin, InstanceList, Listed, LogStandin, ServiceOptions, ServiceStandin,
-    Standing, WeightStandin,
+    EngineOptions, EngineStandin, InstanceList, Listed, LogFaults, LogStandin, ServiceOptions,
+    ServiceStandin, Standing, WeightStandin,
 };
 
 use super::Result;
@@ -118,6 +118,19 @@
         self.list.remove(name);
     }
 
+    /// Appends that the log took.
+    pub fn appends(&self) -> u64 {
+        self.log.appends()
+    }
+
+    /// Takes the log down, or brings it back.
+    pub fn set_log_down(&self, down: bool) {
+        self.log.set_faults(LogFaults {
+            down,
+            ..LogFaults::default()
+        });
+    }
+
     /// Name of an engine.
     pub fn engine_name(&self, place: usize) -> String {
         self.engines[place].0.clone()
