--- /dev/null
+++ b/crates/entry/src/booking.rs
@@ -0,0 +1,55 @@
+//! Work that this instance has put on an engine.
+
+use std::rc::Rc;
+
+use plan::Choice;
+
+use crate::app::App;
+use crate::pump::Work;
+
+/// Keeps the engine's own load right however an attempt ends.
+pub(crate) struct Booking {
+    app: Rc<App>,
+    pub(crate) engine: usize,
+    rank: usize,
+    prompt: f64,
+    output: f64,
+    pub(crate) started: bool,
+}
+
+impl Booking {
+    /// Books a request that is about to be sent.
+    pub(crate) fn new(app: &Rc<App>, work: &Work, choice: &Choice, output: f64) -> Self {
+        let prompt = choice.uncached_tokens;
+        let mut fleet = app.fleet.borrow_mut();
+        fleet.get_mut(choice.engine).sent(work.rank, prompt, output);
+        Self {
+            app: app.clone(),
+            engine: choice.engine,
+            rank: work.rank,
+            prompt,
+            output,
+            started: false,
+        }
+    }
+
+    /// Its first token came.
+    pub(crate) fn start(&mut self) {
+        if !std::mem::replace(&mut self.started, true) {
+            let mut fleet = self.app.fleet.borrow_mut();
+            fleet.get_mut(self.engine).started(self.rank, self.prompt);
+        }
+    }
+}
+
+impl Drop for Booking {
+    fn drop(&mut self) {
+        let mut fleet = self.app.fleet.borrow_mut();
+        let engine = fleet.get_mut(self.engine);
+        if self.started {
+            engine.ended(self.output);
+        } else {
+            engine.dropped(self.rank, self.prompt, self.output);
+        }
+    }
+}
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -8,6 +8,7 @@
 mod app;
 mod auth;
 mod beats;
+mod booking;
 mod call;
 mod caller;
 mod completion;
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -8,6 +8,7 @@
 use tokio::sync::mpsc;
 
 use crate::app::App;
+use crate::booking::Booking;
 use crate::engine::{self, Ask, EngineError, Part, Parts, Usage};
 use crate::refusal::{Code, Refusal};
 
@@ -63,51 +64,6 @@
     Again(&'static str),
 }
 
-/// Keeps the engine's own load right however an attempt ends.
-struct Booking {
-    app: Rc<App>,
-    engine: usize,
-    rank: usize,
-    prompt: f64,
-    output: f64,
-    started: bool,
-}
-
-impl Booking {
-    fn new(app: &Rc<App>, work: &Work, choice: &Choice, output: f64) -> Self {
-        let prompt = choice.uncached_tokens;
-        let mut fleet = app.fleet.borrow_mut();
-        fleet.get_mut(choice.engine).sent(work.rank, prompt, output);
-        Self {
-            app: app.clone(),
-            engine: choice.engine,
-            rank: work.rank,
-            prompt,
-            output,
-            started: false,
-        }
-    }
-
-    fn start(&mut self) {
-        if !std::mem::replace(&mut self.started, true) {
-            let mut fleet = self.app.fleet.borrow_mut();
-            fleet.get_mut(self.engine).started(self.rank, self.prompt);
-        }
-    }
-}
-
-impl Drop for Booking {
-    fn drop(&mut self) {
-        let mut fleet = self.app.fleet.borrow_mut();
-        let engine = fleet.get_mut(self.engine);
-        if self.started {
-            engine.ended(self.output);
-        } else {
-            engine.dropped(self.rank, self.prompt, self.output);
-        }
-    }
-}
-
 /// One completion on its way.
 pub(crate) struct Pump {
     app: Rc<App>,
