Test single decisions; a cached prefix no longer counts against its engine

Cause: tests of single decisions found that the cached part of a prompt was counted as reading that slows the output down, which pushed a request away from the engine that held its prefix, and that a retry budget in floating point paid nine retries for a hundred attempts. Change: only prompts of later ranks are counted beside the output; the budget counts whole parts.

--- a/crates/plan/src/deadline.rs
+++ b/crates/plan/src/deadline.rs
@@ -45,36 +45,38 @@
     due_ms - output_tokens * shape.iteration_ms(1.0, 0.0)
 }
 
+/// Parts of a retry that first attempts pay with.
+const PARTS: u32 = 10;
+
+/// Most retries saved up.
+const SAVED: u32 = 20;
+
 /// Retries as a share of first attempts, so that a fleet in trouble is not asked twice as much.
-#[derive(Debug, Clone, Copy, PartialEq)]
+///
+/// Ten first attempts pay for one retry.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct RetryBudget {
-    tokens: f64,
+    parts: u32,
 }
 
-/// Retries that each first attempt pays for.
-const PER_REQUEST: f64 = 0.1;
-
-/// Most retries saved up.
-const SAVED: f64 = 20.0;
-
 impl Default for RetryBudget {
     fn default() -> Self {
-        Self { tokens: SAVED }
+        Self {
+            parts: SAVED * PARTS,
+        }
     }
 }
 
 impl RetryBudget {
     /// A first attempt was made.
     pub fn earn(&mut self) {
-        self.tokens = (self.tokens + PER_REQUEST).min(SAVED);
+        self.parts = (self.parts + 1).min(SAVED * PARTS);
     }
 
     /// Whether a retry may be made; takes it from the budget.
     pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
-        }
-        self.tokens -= 1.0;
-        true
+        let left = self.parts.checked_sub(PARTS);
+        self.parts = left.unwrap_or(self.parts);
+        left.is_some()
     }
 }
--- a/crates/plan/src/route.rs
+++ b/crates/plan/src/route.rs
@@ -260,7 +260,7 @@
     let ahead = load.ahead(request.rank) + uncached_tokens;
     let prefill_ms = shape.prefill_ms(engine.role, load.running, ahead) / unhindered;
     let queue_ms = shape.iteration_ms(load.running, chunk.min(load.ahead(RANKS - 1))) / 2.0;
-    let token_ms = pace(engine, load, request, ahead);
+    let token_ms = pace(engine, load, request);
     let slot_ms = slot_wait(engine, load, request, token_ms);
     let first_token_ms =
         2.0 * engine.distance_ms + (queue_ms + prefill_ms.max(slot_ms)) * engine.health.slowness();
@@ -278,7 +278,7 @@
 ///
 /// Prompts of a later rank are begun only while the batch has places that no earlier rank wants,
 /// so a full batch runs at its own pace however long the queue of long prompts is.
-fn pace(engine: &Engine, load: &Outstanding, request: &Request, ahead: f64) -> f64 {
+fn pace(engine: &Engine, load: &Outstanding, request: &Request) -> f64 {
     let shape = &engine.shape;
     let chunk = f64::from(crate::Shape::chunk(engine.role));
     let most = f64::from(shape.max_running);
@@ -291,9 +291,9 @@
     };
     let (early, late) = engine.busy.split_at(request.rank + 1);
     let room = ((most - sequences) / PLACES_FOR_LATER).clamp(0.0, 1.0);
-    let behind = load.ahead(RANKS - 1) + request.prompt_tokens - ahead;
-    let beside = part(load.ahead(request.rank), early.iter().sum())
-        + room * part(behind.max(0.0), late.iter().sum());
+    let behind = load.ahead(RANKS - 1) - load.ahead(request.rank);
+    let beside =
+        part(load.ahead(request.rank), early.iter().sum()) + room * part(behind, late.iter().sum());
     shape.iteration_ms(running, chunk * beside.min(1.0))
 }
 
--- /dev/null
+++ b/crates/plan/tests/decisions.rs
@@ -0,0 +1,221 @@
+//! Single decisions: roles, shares, ejection, deadlines, roll-over and routing.
+
+use conf::Role;
+use plan::{
+    AttemptBudget, Engine, Fairness, Fleet, Forecast, Health, Limit, Prefixes, Presence, Request,
+    RetryBudget, RolePlanner, RoleSettings, RouteSettings, Router, Shape, Verdict, moves_over,
+};
+use rand::SeedableRng;
+use rand_pcg::Pcg64;
+
+fn fleet(engines: usize, shape: Shape) -> Fleet {
+    let mut fleet = Fleet::default();
+    for number in 0..engines {
+        fleet.add(Engine::new(
+            &format!("engine-{number}"),
+            "model",
+            "group",
+            shape,
+        ));
+    }
+    fleet
+}
+
+fn request(rank: usize, prompt_tokens: f64, left_ms: f64) -> Request<'static> {
+    Request {
+        member: "member",
+        share: 1,
+        model: "model",
+        rank,
+        prompt_tokens,
+        output_tokens: 20.0,
+        left_ms,
+    }
+}
+
+/// Only long prompts, more than mixed engines can read.
+fn reads() -> Forecast {
+    let mut forecast = Forecast::default();
+    for second in 0..60 {
+        forecast.arrived(second * 1_000, 2, 40_000.0, 100.0);
+    }
+    forecast
+}
+
+/// An engine whose fixed time per iteration makes small chunks dear.
+fn heavy() -> Shape {
+    Shape {
+        base_ms: 38.0,
+        ..Shape::default()
+    }
+}
+
+fn changes(weight: f64, shape: Shape) -> usize {
+    let fleet = fleet(6, shape);
+    let places: Vec<usize> = (0..6).collect();
+    let mut planner = RolePlanner::new(RoleSettings {
+        change_weight: weight,
+        ..RoleSettings::default()
+    });
+    let mut count = 0;
+    for step in 0..40 {
+        let now_ms = 60_000 + step * 500;
+        count += planner
+            .plan(now_ms, &fleet, &places, &reads(), |_, _| true)
+            .len();
+    }
+    count
+}
+
+#[test]
+fn a_lasting_mix_of_long_prompts_is_worth_a_change_where_chunks_are_dear() {
+    assert!(changes(0.0, heavy()) > 0);
+}
+
+#[test]
+fn the_weight_holds_changes_back() {
+    assert_eq!(changes(1.0, heavy()), 0);
+    assert!(changes(0.0, heavy()) >= changes(0.3, heavy()));
+}
+
+#[test]
+fn a_role_that_the_bundle_forbids_is_not_ordered() {
+    let fleet = fleet(6, heavy());
+    let places: Vec<usize> = (0..6).collect();
+    let mut planner = RolePlanner::new(RoleSettings {
+        change_weight: 0.0,
+        settle_ms: 0,
+        ..RoleSettings::default()
+    });
+    let ordered = planner.plan(60_000, &fleet, &places, &reads(), |_, role| {
+        role != Role::Prefill
+    });
+    assert!(ordered.iter().all(|change| change.role != Role::Prefill));
+}
+
+#[test]
+fn what_would_be_late_is_refused_at_once_and_what_would_not_is_routed() {
+    let fleet = fleet(3, Shape::default());
+    let mut router = Router::default();
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut route = |left_ms| {
+        router.route(
+            0,
+            &fleet,
+            &request(2, 6_000.0, left_ms),
+            |_| 0.0,
+            &[],
+            &mut rng,
+        )
+    };
+    assert_eq!(route(100.0).expect_err("too late").limit, Limit::Deadline);
+    assert!(route(10_000.0).is_ok());
+}
+
+#[test]
+fn engines_that_leave_or_were_tried_get_nothing() {
+    let mut fleet = fleet(3, Shape::default());
+    fleet.get_mut(0).presence = Presence::Leaving;
+    let mut router = Router::default();
+    let mut rng = Pcg64::seed_from_u64(1);
+    for _ in 0..50 {
+        let choice = router.route(
+            0,
+            &fleet,
+            &request(1, 100.0, 5_000.0),
+            |_| 0.0,
+            &[1],
+            &mut rng,
+        );
+        assert_eq!(choice.expect("one is left").engine, 2);
+    }
+    let none = router.route(
+        0,
+        &fleet,
+        &request(1, 100.0, 5_000.0),
+        |_| 0.0,
+        &[1, 2],
+        &mut rng,
+    );
+    assert_eq!(none.expect_err("none is left").limit, Limit::NoUpstream);
+}
+
+#[test]
+fn a_cached_prefix_draws_its_request() {
+    let fleet = fleet(4, Shape::default());
+    let mut prefixes = Prefixes::default();
+    prefixes.held(7, 2, 5_000.0);
+    let mut router = Router::new(RouteSettings::default());
+    let mut rng = Pcg64::seed_from_u64(1);
+    let cached = |engine| prefixes.tokens(7, engine);
+    let choice = router.route(
+        0,
+        &fleet,
+        &request(2, 6_000.0, 10_000.0),
+        cached,
+        &[],
+        &mut rng,
+    );
+    assert_eq!(choice.expect("routed").engine, 2);
+}
+
+#[test]
+fn under_pressure_a_member_that_floods_gives_way_and_idle_shares_are_free_to_take() {
+    let mut fairness = Fairness::default();
+    for step in 0..200 {
+        fairness.note(step * 50, "flood", 1, 100.0, true);
+        fairness.note(step * 50, "modest", 1, 80.0, step % 4 == 0);
+    }
+    assert!(!fairness.allows(10_000, "flood", 100.0));
+    assert!(fairness.allows(10_000, "modest", 80.0));
+    let mut alone = Fairness::default();
+    for step in 0..200 {
+        alone.note(step * 50, "only", 1, 100.0, true);
+    }
+    assert!(alone.allows(10_000, "only", 100.0));
+}
+
+#[test]
+fn a_slow_engine_is_left_alone_and_tried_again() {
+    let mut health = Health::default();
+    for answer in 0..40 {
+        health.answered(answer * 10, 10.0, 60.0);
+    }
+    assert_eq!(health.verdict(400), Verdict::Ejected);
+    assert_eq!(health.verdict(30_000), Verdict::Probe);
+    health.probe();
+    assert_eq!(health.verdict(30_000), Verdict::Ejected);
+    health.answered(30_100, 10.0, 10.0);
+    assert_eq!(health.verdict(30_100), Verdict::Fit);
+}
+
+#[test]
+fn an_attempt_leaves_time_for_another_upstream_and_none_is_made_too_late() {
+    assert_eq!(
+        AttemptBudget::next(1_000, 1).map(|budget| budget.spend_ms),
+        Some(600)
+    );
+    assert_eq!(
+        AttemptBudget::next(1_000, 0).map(|budget| budget.spend_ms),
+        Some(1_000)
+    );
+    assert_eq!(AttemptBudget::next(5, 3), None);
+}
+
+#[test]
+fn a_retry_storm_runs_out_of_budget() {
+    let mut budget = RetryBudget::default();
+    let allowed = (0..1_000).filter(|_| budget.spend()).count();
+    assert!(allowed <= 20, "{allowed}");
+    for _ in 0..100 {
+        budget.earn();
+    }
+    assert_eq!((0..1_000).filter(|_| budget.spend()).count(), 10);
+}
+
+#[test]
+fn new_requests_move_over_when_half_have_the_new_version() {
+    assert!(!moves_over(4, 1, 4));
+    assert!(moves_over(4, 2, 4));
+    assert!(moves_over(4, 0, 0));
+}
