Send heartbeats anywhere in a small fleet, and ask silent instances all the same

Cause: with nine instances, heartbeats that prefer the own zone left instances of other zones silent for longer than the suspicion time, so a live run never saw all of them; and a witness that had only been silent for a second was not asked, which refused calls for no reason. Change: the zone is preferred above 12 instances only; whoever was heard in that life is asked, and a failed message takes it back; suspicion after 1.5 s.

--- a/crates/conf/src/gen/settings.rs
+++ b/crates/conf/src/gen/settings.rs
@@ -64,7 +64,7 @@
     #[serde(default = "defaults::default_u64::<u64, 3>")]
     pub fan_out: u64,
     #[doc = "Silence after which an instance is not handed out, in ms."]
-    #[serde(default = "defaults::default_u64::<u64, 1000>")]
+    #[serde(default = "defaults::default_u64::<u64, 1500>")]
     pub suspect_ms: u64,
 }
 impl ::std::default::Default for Membership {
@@ -72,7 +72,7 @@
         Self {
             beat_ms: defaults::default_u64::<u64, 250>(),
             fan_out: defaults::default_u64::<u64, 3>(),
-            suspect_ms: defaults::default_u64::<u64, 1000>(),
+            suspect_ms: defaults::default_u64::<u64, 1500>(),
         }
     }
 }
@@ -155,7 +155,7 @@
         super::Membership {
             beat_ms: 250_u64,
             fan_out: 3_u64,
-            suspect_ms: 1000_u64,
+            suspect_ms: 1500_u64,
         }
     }
     pub(super) fn settings_peer_address() -> ::std::string::String {
--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -336,7 +336,7 @@
     let witness = &key.witness;
     let address = {
         let members = app.members.borrow();
-        let address = members.address(app.now_ms(), &witness.instance, witness.incarnation);
+        let address = members.address(&witness.instance, witness.incarnation);
         address?.to_owned()
     };
     let limit_ms = PEER_MS.min(call.deadline_ms / 2).max(1);
@@ -380,7 +380,7 @@
     let witness = &key.witness;
     let address = {
         let members = app.members.borrow();
-        let address = members.address(app.now_ms(), &witness.instance, witness.incarnation);
+        let address = members.address(&witness.instance, witness.incarnation);
         address.map(str::to_owned)
     };
     let Some(address) = address else {
@@ -395,7 +395,7 @@
 async fn elsewhere(app: &Rc<App>, key: &Key, call: &Call) -> CallStatus {
     let home = {
         let members = app.members.borrow();
-        let address = members.address(app.now_ms(), &key.home.instance, key.home.incarnation);
+        let address = members.address(&key.home.instance, key.home.incarnation);
         address.map(str::to_owned)
     };
     if let Some(home) = home {
@@ -421,7 +421,7 @@
     }
     let address = {
         let members = app.members.borrow();
-        let address = members.address(app.now_ms(), &witness.instance, witness.incarnation);
+        let address = members.address(&witness.instance, witness.incarnation);
         address.map(str::to_owned)
     };
     let Some(address) = address else {
--- a/crates/entry/src/lookup.rs
+++ b/crates/entry/src/lookup.rs
@@ -69,11 +69,7 @@
     let now_ms = app.now_ms();
     let members = app.members.borrow();
     let ready = members.ready(now_ms, &app.settings.zone);
-    let usable = |beat: &&&Beat| {
-        members
-            .address(now_ms, &beat.instance, beat.incarnation)
-            .is_some()
-    };
+    let usable = |beat: &&&Beat| members.address(&beat.instance, beat.incarnation).is_some();
     let usable: Vec<&&Beat> = ready.iter().filter(usable).collect();
     let far: Vec<&&Beat> = usable
         .iter()
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -8,6 +8,9 @@
 use rand::seq::IteratorRandom;
 use wire::{Beat, Condition};
 
+/// Instances for each target of a heartbeat up to which a fleet counts as small.
+const SMALL_FLEET: usize = 4;
+
 /// Times of the membership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Settings {
@@ -135,14 +138,15 @@
         fresh.filter_map(|known| known.heard.as_ref().map(|heard| &heard.1))
     }
 
-    /// Where an instance in a given life is reached, if it is heard.
-    pub fn address(&self, now_ms: u64, instance: &str, incarnation: u64) -> Option<&str> {
+    /// Where an instance in a given life is reached, if it was heard at all.
+    ///
+    /// A silence that keeps it from being handed out is no reason not to ask it: the answer to a
+    /// message decides, and `failed` takes it back.
+    pub fn address(&self, instance: &str, incarnation: u64) -> Option<&str> {
         let known = self.known.get(instance)?;
-        let same = known
-            .heard
-            .as_ref()
-            .is_some_and(|heard| heard.1.incarnation == incarnation);
-        let reachable = same && self.is_fresh(now_ms, known) && !known.peer_address.is_empty();
+        let heard = known.heard.as_ref();
+        let same = heard.is_some_and(|heard| heard.1.incarnation == incarnation);
+        let reachable = same && !known.peer_address.is_empty();
         reachable.then_some(known.peer_address.as_str())
     }
 
@@ -157,20 +161,25 @@
 
     /// Who gets the next heartbeat: a few at random, so that the cost stays the same at any size.
     ///
-    /// All but one are of the own availability zone, whose callers and engines are shared; the
-    /// one beyond it keeps the zones known to each other. A zone that has too few others is
-    /// filled up from elsewhere.
+    /// In a large fleet all but one are of the own availability zone, whose callers and engines
+    /// are shared; the one beyond it keeps the zones known to each other. In a small one that
+    /// would leave instances of other zones silent for longer than `suspect_ms`.
     pub fn targets(&self, zone: &str, rng: &mut impl Rng) -> Vec<String> {
         let reachable = self
             .known
             .values()
             .filter(|known| !known.peer_address.is_empty());
-        let (near, far): (Vec<&Known>, Vec<&Known>) =
-            reachable.partition(|known| known.zone == zone);
-        let near_count = (self.settings.fan_out - 1).min(near.len());
-        let far_count = self.settings.fan_out - near_count;
-        let mut chosen = near.into_iter().choose_multiple(rng, near_count);
-        chosen.extend(far.into_iter().choose_multiple(rng, far_count));
+        let fan_out = self.settings.fan_out;
+        let chosen = if self.known.len() <= SMALL_FLEET * fan_out {
+            reachable.choose_multiple(rng, fan_out)
+        } else {
+            let (near, far): (Vec<&Known>, Vec<&Known>) =
+                reachable.partition(|known| known.zone == zone);
+            let near_count = (fan_out - 1).min(near.len());
+            let mut chosen = near.into_iter().choose_multiple(rng, near_count);
+            chosen.extend(far.into_iter().choose_multiple(rng, fan_out - near_count));
+            chosen
+        };
         chosen
             .into_iter()
             .map(|known| known.peer_address.clone())
