Do not name an instance as witness to which a message just failed

Change: a failed forward or fence takes the instance out until it is heard again, as a failed claim did already.

--- a/crates/entry/src/call.rs
+++ b/crates/entry/src/call.rs
@@ -404,6 +404,8 @@
             Ok(_) => {}
             Err(error) => {
                 log::info!(step = error.step, peer = error.peer.as_str(), key = call.key.as_str(); "{error}");
+                // The next key must not name it as its witness.
+                app.members.borrow_mut().failed(&key.home.instance);
             }
         }
     }
@@ -431,5 +433,9 @@
         .peers
         .fence(&address, key, call.body_digest, PEER_MS)
         .await;
-    asked.unwrap_or(CallStatus::bare(CallState::Unknown))
+    asked.unwrap_or_else(|error| {
+        log::info!(step = error.step, peer = error.peer.as_str(), key = call.key.as_str(); "{error}");
+        app.members.borrow_mut().failed(&witness.instance);
+        CallStatus::bare(CallState::Unknown)
+    })
 }
