Notice slow engines sooner, probe them with what is not urgent, never refuse for ejection

Change: a heavier weight on the newest answers, probes that are sent on purpose and never urgent, ejected engines as a last resort.

--- a/crates/entry/src/booking.rs
+++ b/crates/entry/src/booking.rs
@@ -22,7 +22,9 @@
     pub(crate) fn new(app: &Rc<App>, work: &Work, choice: &Choice, output: f64) -> Self {
         let prompt = choice.uncached_tokens;
         let mut fleet = app.fleet.borrow_mut();
-        fleet.get_mut(choice.engine).sent(work.rank, prompt, output);
+        fleet
+            .get_mut(choice.engine)
+            .sent(app.now_ms(), work.rank, prompt, output);
         Self {
             app: app.clone(),
             engine: choice.engine,
--- a/crates/perf/src/run/requests.rs
+++ b/crates/perf/src/run/requests.rs
@@ -56,12 +56,8 @@
         };
         progress.booked = Some(booked);
         let known = node.fleet.get_mut(choice.engine);
-        known.sent(rank(arrival.kind), booked.prompt, booked.output);
-        if self.setting.policy != Policy::WithoutEjection
-            && known.health.verdict(self.now_ms as u64) == plan::Verdict::Probe
-        {
-            known.health.probe();
-        }
+        let now_ms = self.now_ms as u64;
+        known.sent(now_ms, rank(arrival.kind), booked.prompt, booked.output);
         let attempt = progress.attempt;
         let distance_ms = known.distance_ms;
         self.calendar.add(
--- a/crates/perf/src/slopes.rs
+++ b/crates/perf/src/slopes.rs
@@ -188,7 +188,7 @@
             "group",
             Shape::default(),
         );
-        engine.sent(2, (number % 7) as f64 * 900.0, 40.0);
+        engine.sent(0, 2, (number % 7) as f64 * 900.0, 40.0);
         fleet.add(engine);
     }
     fleet
--- a/crates/plan/src/ejection.rs
+++ b/crates/plan/src/ejection.rs
@@ -1,7 +1,7 @@
 //! Slow upstreams: noticed by how their answers compare with predictions, left alone, tried again.
 
 /// Weight of one answer in the moving average.
-const SMOOTHING: f64 = 0.1;
+const SMOOTHING: f64 = 0.25;
 
 /// Ratio of pace to prediction that an engine in good health shows under changing mixes.
 const ORDINARY: f64 = 1.6;
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -4,7 +4,7 @@
 
 use conf::Role;
 
-use crate::{Forecast, Health, RANKS, Shape};
+use crate::{Forecast, Health, RANKS, Shape, Verdict};
 
 /// Age at which what a peer said of its own load is no longer counted.
 const PEER_STALE_MS: u64 = 3_000;
@@ -160,8 +160,11 @@
         &self.own
     }
 
-    /// A request was sent.
-    pub fn sent(&mut self, rank: usize, prompt_tokens: f64, output_tokens: f64) {
+    /// A request was sent; to an engine that rests it is the probe.
+    pub fn sent(&mut self, now_ms: u64, rank: usize, prompt_tokens: f64, output_tokens: f64) {
+        if self.health.verdict(now_ms) == Verdict::Probe {
+            self.health.probe();
+        }
         self.own.prompt[rank] += prompt_tokens;
         self.own.waiting[rank] += 1.0;
         self.own.output += output_tokens;
--- a/crates/plan/src/route.rs
+++ b/crates/plan/src/route.rs
@@ -92,7 +92,7 @@
 struct Scored {
     choice: Choice,
     score: f64,
-    probe: bool,
+    verdict: Verdict,
 }
 
 /// Routing and admission of one instance.
@@ -137,7 +137,7 @@
             };
             scored.extend(self.score(now_ms, fleet.get(place), place, request, cached));
         }
-        let Some(best) = self.pick(&scored, rng) else {
+        let Some(best) = self.pick(request, &scored, rng) else {
             return Err(Refusal {
                 limit: Limit::NoUpstream,
                 retry_after_ms: 1_000,
@@ -189,11 +189,7 @@
         if engine.presence != Presence::Live {
             return None;
         }
-        let probe = match engine.health.verdict(now_ms) {
-            Verdict::Fit => false,
-            Verdict::Probe => true,
-            Verdict::Ejected => return None,
-        };
+        let verdict = engine.health.verdict(now_ms);
         let load = engine.load(now_ms);
         let uncached_tokens = (request.prompt_tokens - cached).max(1.0);
         let choice = predict(engine, place, &load, request, uncached_tokens);
@@ -201,26 +197,36 @@
         Some(Scored {
             choice,
             score: choice.finish_ms + self.settings.harm_weight * harm_ms,
-            probe,
+            verdict,
         })
     }
 
-    /// Takes the best that is in time, drawing among those that are nearly as good.
+    /// Takes the best, drawing among those that are nearly as good.
     ///
     /// Instances that see the same stale picture would otherwise all send to the one engine that
-    /// looks idle.
-    fn pick(&self, scored: &[Scored], rng: &mut impl Rng) -> Option<Scored> {
-        let fit = scored.iter().filter(|each| !each.probe);
-        let best = fit
-            .map(|each| each.score)
-            .min_by(f64::total_cmp)
-            .or_else(|| scored.iter().map(|each| each.score).min_by(f64::total_cmp))?;
-        let near: Vec<&Scored> = scored
-            .iter()
-            .filter(|each| each.score <= best * self.settings.spread)
-            .collect();
+    /// looks idle. An engine that is due for a probe gets one, though never an urgent request;
+    /// one that is ejected is taken only when there is no other, since a slow answer is better
+    /// than none.
+    fn pick(&self, request: &Request, scored: &[Scored], rng: &mut impl Rng) -> Option<Scored> {
+        let in_time = request.left_ms * self.settings.deadline_share;
+        let due =
+            |each: &&Scored| each.verdict == Verdict::Probe && each.choice.finish_ms <= in_time;
+        if request.rank > 0
+            && let Some(probe) = scored.iter().find(due)
+        {
+            return Some(*probe);
+        }
+        let fit = || scored.iter().filter(|each| each.verdict == Verdict::Fit);
+        let pool: Vec<&Scored> = if fit().count() > 0 {
+            fit().collect()
+        } else {
+            scored.iter().collect()
+        };
+        let best = pool.iter().map(|each| each.score).min_by(f64::total_cmp)?;
+        let near = |each: &&&Scored| each.score <= best * self.settings.spread;
+        let near: Vec<&&Scored> = pool.iter().filter(near).collect();
         near.get(rng.random_range(0..near.len().max(1)))
-            .map(|each| **each)
+            .map(|each| ***each)
     }
 }
 
--- a/crates/plan/tests/decisions.rs
+++ b/crates/plan/tests/decisions.rs
@@ -219,3 +219,32 @@
     assert!(moves_over(4, 2, 4));
     assert!(moves_over(4, 0, 0));
 }
+
+#[test]
+fn a_probe_is_never_urgent_and_an_ejected_engine_is_better_than_none() {
+    // One engine of two became slow and rests. When its rest is over, the next request that is
+    // not urgent goes there, and only that one. Were both ejected, requests would still go to
+    // one of them rather than be refused.
+    let mut fleet = fleet(2, Shape::default());
+    let eject = |fleet: &mut Fleet, place: usize| {
+        for _ in 0..40 {
+            fleet.get_mut(place).health.answered(0, 10.0, 100.0);
+        }
+    };
+    eject(&mut fleet, 0);
+    let mut router = Router::default();
+    let mut rng = Pcg64::seed_from_u64(1);
+    let mut route = |fleet: &Fleet, rank, now_ms| {
+        let request = request(rank, 100.0, 9_000.0);
+        router
+            .route(now_ms, fleet, &request, |_| 0.0, &[], &mut rng)
+            .map(|choice| choice.engine)
+    };
+    assert_eq!(route(&fleet, 1, 100), Ok(1));
+    assert_eq!(route(&fleet, 0, 60_000), Ok(1));
+    assert_eq!(route(&fleet, 1, 60_000), Ok(0));
+    fleet.get_mut(0).sent(60_000, 1, 100.0, 20.0);
+    assert_eq!(route(&fleet, 1, 60_000), Ok(1));
+    eject(&mut fleet, 1);
+    assert!(route(&fleet, 0, 100).is_ok());
+}
