Leave a silent engine for another instead of opening its stream again

Cause: with one of two engines taking requests and producing nothing, a request was refused as too late although the other engine was idle: after six tenths of its time the stream was opened again three times on the silent engine, each for as long (found by a new black-box test, the first it ran). Ruled out: routing, which chose the other engine as soon as it was asked. Change: a stream without a first token on an engine that has shown nobody a sign of life is not opened again.

--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -65,6 +65,12 @@
     /// The answer belongs to another request.
     #[display("answer of another request")]
     Crossed,
+    /// Nothing came for too long.
+    #[display("silent for {limit_ms} ms")]
+    Silent {
+        /// How long.
+        limit_ms: u64,
+    },
     /// It lives, but the answer can no longer be in time.
     #[display("too late")]
     Hopeless,
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -243,7 +243,10 @@
                 step = "stream", request_id = attempt.request_id.as_str(),
                 peer = attempt.name.as_str(), number = self.produced; "{reason}"
             );
-            if resumes == RESUMES {
+            // Opening the stream again on an engine that has shown nobody a sign of life would
+            // spend the time that another engine needs.
+            let dead = matches!(reason, EngineError::Silent { .. }) && !attempt.booking.started;
+            if dead || resumes == RESUMES {
                 return self.blame(attempt, "stream");
             }
             resumes += 1;
@@ -303,7 +306,7 @@
                     .inc();
                 self.blame(attempt, "crossed")
             }
-            EngineError::Broken { .. } | EngineError::Hopeless => {
+            EngineError::Broken { .. } | EngineError::Silent { .. } | EngineError::Hopeless => {
                 self.touched = true;
                 self.blame(attempt, "open")
             }
@@ -473,9 +476,7 @@
 }
 
 fn silent(limit_ms: u64) -> EngineError {
-    EngineError::Broken {
-        detail: format!("silent for {limit_ms} ms"),
-    }
+    EngineError::Silent { limit_ms }
 }
 
 async fn timed<T>(
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -448,3 +448,40 @@
     let reply = ask(&address, "after", 4).await;
     assert_eq!(reply.status, 200, "{}", reply.text());
 }
+
+#[actix_rt::test]
+async fn an_engine_that_falls_silent_is_left_in_time_for_another() {
+    // One engine takes requests and produces nothing. A request there is given up after six
+    // tenths of its time, as the engine has shown nobody a sign of life, and the other engine
+    // answers it before its deadline.
+    let platform = Platform::start(2).await;
+    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
+    let address = daemon.caller_address.clone();
+    ready(&address).await;
+    roll(&address, 1).await;
+    knows(&address, 1, 2).await;
+    platform.engines[0].set_faults(EngineFaults {
+        stall: true,
+        ..EngineFaults::default()
+    });
+    for number in 0..4 {
+        let prompt = format!("silent {number}");
+        let body = completion(&prompt, 4, false);
+        let headers = [("x-deadline-ms", "4000")];
+        let reply = send(
+            "POST",
+            &address,
+            "/v1/completions",
+            MEMBER_KEY,
+            &headers,
+            body,
+        )
+        .await;
+        let reply = reply.expect("an answer");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+        assert_eq!(
+            reply.json()["choices"][0]["text"],
+            expected_text(&prompt, 4)
+        );
+    }
+}
