--- a/crates/ctl/src/client.rs
+++ b/crates/ctl/src/client.rs
@@ -105,5 +105,6 @@
     }
     let texts = [&value["outcome"], &value["error"]["message"]];
     let text = texts.iter().find_map(|text| text.as_str());
+    let text = text.map(|text| text.strip_prefix("refused: ").unwrap_or(text));
     text.map_or_else(|| format!("status {status}"), str::to_owned)
 }
--- a/src/bin/chicoryrack.rs
+++ b/src/bin/chicoryrack.rs
@@ -21,6 +21,11 @@
             /// Machine-readable output.
             optional --json
         }
+        /// Runs the stand-ins of a deployment until they are stopped.
+        cmd standin {
+            /// annabhandar or lakeshore.
+            optional --deployment deployment: Deployment
+        }
         /// Prints the fault matrix: which fault is tried at which step.
         cmd faults { }
         /// Deterministic benches of the decisions: policy, views, bounds, slopes, live.
@@ -50,6 +55,7 @@
     let flags = Chicoryrack::from_env_or_exit();
     match flags.subcommand {
         ChicoryrackCmd::Demo(demo) => run_demo(&demo),
+        ChicoryrackCmd::Standin(standin) => run_standin(standin.deployment.unwrap_or_default()),
         ChicoryrackCmd::Faults(_) => {
             print!("{}", chicoryrack::fault::markdown());
             ExitCode::SUCCESS
@@ -89,6 +95,16 @@
     }
 }
 
+fn run_standin(deployment: Deployment) -> ExitCode {
+    match actix_rt::System::new().block_on(chicoryrack::demo::stand_in(deployment)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("chicoryrack: standin: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 fn print_report(report: &chicoryrack::demo::Report, json: bool) {
     if json {
         println!("{}", serde_json::to_string(report).unwrap_or_default());
--- a/src/demo.rs
+++ b/src/demo.rs
@@ -93,6 +93,20 @@
     report(deployment, &platform, &running, roll_ms, instances)
 }
 
+/// Runs the platform and the upstreams of a deployment until SIGTERM or SIGINT.
+///
+/// The addresses of the log and of the instance list go to standard output as one JSON line.
+pub async fn stand_in(deployment: Deployment) -> Result<()> {
+    let platform = Platform::start(deployment).await?;
+    println!("{}", platform.addresses());
+    let mut terminate = tokio::signal::unix::signal(tokio::signal::unix::SignalKind::terminate())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        ended = tokio::signal::ctrl_c() => ended?,
+    }
+    Ok(())
+}
+
 fn start_instances(
     platform: &Platform,
     deployment: Deployment,
--- a/src/demo/platform.rs
+++ b/src/demo/platform.rs
@@ -118,6 +118,11 @@
         self.list.remove(name);
     }
 
+    /// Where the log and the instance list listen.
+    pub fn addresses(&self) -> serde_json::Value {
+        json!({ "log": self.log.address(), "instances": self.list.address() })
+    }
+
     /// Appends that the log took.
     pub fn appends(&self) -> u64 {
         self.log.appends()
