Share the start of one instance among tests, and let the app know its control

Cause: the same five lines opened eight tests, and the log follower reached the control through a thread-local, which a reader had to find.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::rc::Rc;
+use std::rc::{Rc, Weak};
 use std::time::Duration;
 
 use conf::{BundleIndex, Settings};
@@ -17,6 +17,7 @@
 use tokio::sync::{Notify, oneshot, watch};
 use wire::{Body, Condition};
 
+use crate::control::Control;
 use crate::metrics::Metrics;
 use crate::upstreams::Upstreams;
 
@@ -58,6 +59,8 @@
     pub(crate) log_up: Cell<bool>,
     pub(crate) learned_from: RefCell<String>,
     pub(crate) in_flight: Cell<usize>,
+    /// What acts on leases and orders, to be told of records that were folded in.
+    pub(crate) control: RefCell<Weak<Control>>,
     pub(crate) metrics: Metrics,
     pub(crate) rng: RefCell<Pcg64>,
 }
@@ -113,6 +116,7 @@
             log_up: Cell::new(false),
             learned_from: RefCell::default(),
             in_flight: Cell::new(0),
+            control: RefCell::default(),
         })
     }
 
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -20,11 +20,6 @@
 /// Time after a roll for which old versions stay loaded for requests admitted under them.
 const KEEP_OLD_MS: u64 = 30_000;
 
-thread_local! {
-    /// The control of the instance whose thread this is, for what the log follower observes.
-    static CONTROL: RefCell<Option<Rc<Control>>> = const { RefCell::new(None) };
-}
-
 struct Group {
     elector: Elector,
     desk: Desk,
@@ -47,7 +42,7 @@
             groups: RefCell::default(),
             rolled: RefCell::default(),
         });
-        CONTROL.set(Some(control.clone()));
+        app.control.replace(Rc::downgrade(&control));
         actix_rt::spawn(control.clone().run());
         Ok(control)
     }
@@ -94,7 +89,7 @@
     }
 
     /// Takes in what the log says of the leases, as soon as it was read.
-    fn observe(&self) {
+    pub(crate) fn observe(&self) {
         let now_ms = self.app.now_ms();
         let cursor = self.app.cursor.borrow();
         for (name, group) in self.groups.borrow_mut().iter_mut() {
@@ -379,12 +374,3 @@
         }
     }
 }
-
-/// Tells the control that records were folded in.
-pub(crate) fn observed(_app: &App) {
-    CONTROL.with_borrow(|control| {
-        if let Some(control) = control {
-            control.observe();
-        }
-    });
-}
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -123,7 +123,10 @@
         .set(app.cursor.borrow().state().next_offset().cast_signed());
     put_in_force(app);
     crate::upstreams::drains_changed(app);
-    crate::control::observed(app);
+    let control = app.control.borrow().upgrade();
+    if let Some(control) = control {
+        control.observe();
+    }
 }
 
 /// Takes the bundle in force into use. Requests under way keep the one they were admitted under.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -286,6 +286,15 @@
     }
 }
 
+/// Starts one instance, puts a bundle in force and waits until it sees the engines live.
+pub async fn serve(platform: &Platform) -> Daemon {
+    let daemon = Daemon::start("entry-1", "salt-lake", platform);
+    ready(&daemon.caller_address).await;
+    roll(&daemon.caller_address, 1).await;
+    knows(&daemon.caller_address, 1, platform.engines.len()).await;
+    daemon
+}
+
 /// Waits until an instance serves.
 pub async fn ready(address: &str) {
     until("the instance is ready", || async {
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -5,7 +5,9 @@
 use std::time::Duration;
 
 use chicoryrack::standin::{EngineFaults, LogFaults, ServiceFaults, expected_text};
-use common::{Daemon, MEMBER_KEY, MODEL, Platform, admin, bundle, knows, ready, roll, send, until};
+use common::{
+    Daemon, MEMBER_KEY, MODEL, Platform, admin, bundle, knows, ready, roll, send, serve, until,
+};
 use serde_json::{Value, json};
 
 fn completion(prompt: &str, tokens: u32, stream: bool) -> String {
@@ -69,10 +71,7 @@
     // instance opens the stream again after the last one it has. No token comes twice, as each
     // has its number.
     let platform = Platform::start(1).await;
-    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
-    ready(&daemon.caller_address).await;
-    roll(&daemon.caller_address, 1).await;
-    knows(&daemon.caller_address, 1, 1).await;
+    let daemon = serve(&platform).await;
     platform.engines[0].set_faults(EngineFaults {
         cut_after: 4,
         ..EngineFaults::default()
@@ -87,10 +86,7 @@
     // One engine names another request in its answers. The instance drops them, counts them and
     // asks the other engine; the caller sees its own answer.
     let platform = Platform::start(2).await;
-    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
-    ready(&daemon.caller_address).await;
-    roll(&daemon.caller_address, 1).await;
-    knows(&daemon.caller_address, 1, 2).await;
+    let daemon = serve(&platform).await;
     platform.engines[0].set_faults(EngineFaults {
         cross_ids: true,
         ..EngineFaults::default()
@@ -117,11 +113,8 @@
     // The engine loses the request after some tokens. The instance cannot resume there, so it
     // lets the other engine continue from the text so far; the caller sees one whole answer.
     let platform = Platform::start(2).await;
-    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
+    let daemon = serve(&platform).await;
     let address = daemon.caller_address.clone();
-    ready(&address).await;
-    roll(&address, 1).await;
-    knows(&address, 1, 2).await;
     let asking = actix_rt::spawn(async move { ask(&address, "crash", 150).await });
     until("an engine has begun", || async {
         platform.engines.iter().any(|engine| engine.held() > 0)
@@ -400,11 +393,8 @@
     // An operator drains one of two engines. From the moment that the drain is in force the
     // other one gets every request.
     let platform = Platform::start(2).await;
-    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
+    let daemon = serve(&platform).await;
     let address = daemon.caller_address.clone();
-    ready(&address).await;
-    roll(&address, 1).await;
-    knows(&address, 1, 2).await;
     let drained = admin(&address, "POST", "engines/engine-1/drain", "").await;
     assert_eq!(drained.status, 200, "{}", drained.text());
     platform.engines[0].set_faults(EngineFaults {
@@ -423,11 +413,8 @@
     // A bundle with new weights is rolled while requests come. Engines load them by the lease
     // holder's orders, one group at a time; until then the old version answers.
     let platform = Platform::start(2).await;
-    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
+    let daemon = serve(&platform).await;
     let address = daemon.caller_address.clone();
-    ready(&address).await;
-    roll(&address, 1).await;
-    knows(&address, 1, 2).await;
     let reply = ask(&address, "before", 4).await;
     assert_eq!(reply.status, 200, "{}", reply.text());
     let mut next = bundle(2);
@@ -455,11 +442,8 @@
     // tenths of its time, as the engine has shown nobody a sign of life, and the other engine
     // answers it before its deadline.
     let platform = Platform::start(2).await;
-    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
+    let daemon = serve(&platform).await;
     let address = daemon.caller_address.clone();
-    ready(&address).await;
-    roll(&address, 1).await;
-    knows(&address, 1, 2).await;
     platform.engines[0].set_faults(EngineFaults {
         stall: true,
         ..EngineFaults::default()
--- a/tests/input.rs
+++ b/tests/input.rs
@@ -6,7 +6,7 @@
 use std::net::TcpStream;
 use std::time::Duration;
 
-use common::{Daemon, MEMBER_KEY, MODEL, Platform, admin, bundle, knows, ready, roll, send};
+use common::{MEMBER_KEY, MODEL, Platform, admin, bundle, send, serve};
 use serde_json::json;
 
 /// Name, API key, headers and body.
@@ -17,18 +17,10 @@
     String,
 );
 
-async fn serving(platform: &Platform) -> Daemon {
-    let daemon = Daemon::start("entry-1", "salt-lake", platform);
-    ready(&daemon.caller_address).await;
-    roll(&daemon.caller_address, 1).await;
-    knows(&daemon.caller_address, 1, 1).await;
-    daemon
-}
-
 #[actix_rt::test]
 async fn malformed_requests_are_refused_with_the_field_named() {
     let platform = Platform::start(1).await;
-    let daemon = serving(&platform).await;
+    let daemon = serve(&platform).await;
     let address = &daemon.caller_address;
     let good = json!({ "model": MODEL, "prompt": "p", "max_tokens": 2 }).to_string();
     let cases: Vec<Case> = vec![
@@ -117,7 +109,7 @@
 #[actix_rt::test]
 async fn malformed_keys_and_bundles_are_refused_with_the_field_named() {
     let platform = Platform::start(1).await;
-    let daemon = serving(&platform).await;
+    let daemon = serve(&platform).await;
     let address = &daemon.caller_address;
     let mut seen = Vec::new();
     for key in ["", "abc", "a:1:1~b:2:1~", "a:1:1~a:2:1~x", "a:zz:1~b:2:1~x"] {
@@ -169,7 +161,7 @@
     // One sender stops in the midst of its body, one sends bytes that are no UTF-8, one no HTTP.
     // Each is answered or cut by its own limit, and a good request is answered beside them.
     let platform = Platform::start(1).await;
-    let daemon = serving(&platform).await;
+    let daemon = serve(&platform).await;
     let address = daemon.caller_address.clone();
     let head = format!(
         "POST /v1/completions HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {MEMBER_KEY}\r\ncontent-length: 40\r\n\r\n"
@@ -201,7 +193,7 @@
 #[actix_rt::test]
 async fn an_idle_instance_is_small() {
     let platform = Platform::start(1).await;
-    let daemon = serving(&platform).await;
+    let daemon = serve(&platform).await;
     let rss_kb = daemon.resident_kb();
     println!("resident: {rss_kb} kB");
     assert!(rss_kb > 0 && rss_kb < 32_768, "{rss_kb} kB");
--- a/tests/path.rs
+++ b/tests/path.rs
@@ -2,17 +2,14 @@
 
 mod common;
 
-use common::{Daemon, MEMBER_KEY, MODEL, Platform, admin, bundle, knows, ready, roll, send};
+use common::{Daemon, MEMBER_KEY, MODEL, Platform, admin, bundle, ready, send, serve};
 use serde_json::json;
 
 #[actix_rt::test]
 async fn a_bundle_is_published_and_a_completion_is_answered_whole() {
     let platform = Platform::start(2).await;
-    let daemon = Daemon::start("entry-1", "salt-lake", &platform);
+    let daemon = serve(&platform).await;
     let address = daemon.caller_address.clone();
-    ready(&address).await;
-    roll(&address, 1).await;
-    knows(&address, 1, 2).await;
 
     let prompt = "grade today's manifest";
     let body = json!({ "model": MODEL, "prompt": prompt, "max_tokens": 12 });
