Refuse what kept-open connections bring a leaving instance after its grace

Cause: closing the listener left connections that callers keep open, on which a leaving instance went on taking work. Change: after the grace everything new is refused as not run, with other instances to use.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -56,6 +56,8 @@
     pub(crate) witness: RefCell<Witness>,
     pub(crate) call_ended: watch::Sender<u64>,
     pub(crate) condition: Cell<Condition>,
+    /// The grace of a leaving instance is over: it only ends what it holds.
+    pub(crate) closed: Cell<bool>,
     pub(crate) log_up: Cell<bool>,
     pub(crate) learned_from: RefCell<String>,
     pub(crate) in_flight: Cell<usize>,
@@ -113,6 +115,7 @@
             retries: RefCell::default(),
             workspaces: RefCell::default(),
             condition: Cell::default(),
+            closed: Cell::new(false),
             log_up: Cell::new(false),
             learned_from: RefCell::default(),
             in_flight: Cell::new(0),
--- a/crates/entry/src/instance.rs
+++ b/crates/entry/src/instance.rs
@@ -99,6 +99,7 @@
         let timers = self.app.timers.clone();
         timers.sleep(self.app.settings.limits.stop_grace_ms).await;
         self.callers.stop_accepting();
+        self.app.closed.set(true);
         while self.app.in_flight.get() > 0 {
             timers.sleep(DRAIN_LOOK_MS).await;
         }
--- a/crates/entry/src/routes.rs
+++ b/crates/entry/src/routes.rs
@@ -79,6 +79,11 @@
         let text = "this instance has no current state yet";
         return Err(Refusal::new(Code::Unavailable, text).retry_after(500));
     }
+    // Connections that callers keep open outlive the listener.
+    if app.closed.get() {
+        let text = "this instance is leaving and takes nothing new";
+        return Err(Refusal::new(Code::Unavailable, text).retry_after(0));
+    }
     match (&method, path.as_str()) {
         (&Method::GET, "/v1/models") => models(app, &request),
         (&Method::GET, "/v1/bundle") => in_force(app, &request),
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -164,6 +164,50 @@
     assert_eq!(daemons[0].ended().await, Some(0));
 }
 
+/// Sends one request on an open connection and gives the first line of its answer.
+fn exchange(stream: &mut std::net::TcpStream, request: &str) -> String {
+    use std::io::{Read, Write};
+    stream
+        .write_all(request.as_bytes())
+        .expect("the connection is open");
+    let mut answer = [0; 1_024];
+    let read = stream.read(&mut answer).expect("an answer");
+    let text = String::from_utf8_lossy(&answer[..read]).into_owned();
+    text.lines().next().unwrap_or_default().to_owned()
+}
+
+#[actix_rt::test]
+async fn a_connection_kept_open_brings_a_leaving_instance_nothing_new() {
+    // A caller keeps its connection open while the instance leaves. The listener is closed after
+    // the grace, but this connection is not: a request on it is refused as not run, while the
+    // answer that was under way comes whole.
+    let platform = Platform::start(1).await;
+    let daemon = serve(&platform).await;
+    let address = daemon.caller_address.clone();
+    let mut kept = std::net::TcpStream::connect(&address).expect("a connection");
+    let line = exchange(&mut kept, "GET /healthz HTTP/1.1\r\nhost: x\r\n\r\n");
+    assert!(line.starts_with("HTTP/1.1 200"), "{line}");
+    let asking = actix_rt::spawn(async move { ask(&address, "leave", 400).await });
+    until("the engine has begun", || async {
+        platform.engines[0].held() > 0
+    })
+    .await;
+    daemon.signal(libc::SIGTERM);
+    until("the listener is closed", || async {
+        std::net::TcpStream::connect(&daemon.caller_address).is_err()
+    })
+    .await;
+    let request =
+        format!("GET /v1/models HTTP/1.1\r\nhost: x\r\nauthorization: Bearer {MEMBER_KEY}\r\n\r\n");
+    let line = exchange(&mut kept, &request);
+    assert!(line.starts_with("HTTP/1.1 503"), "{line}");
+    let reply = asking.await.expect("the task ends");
+    assert_eq!(
+        reply.json()["choices"][0]["text"],
+        expected_text("leave", 400)
+    );
+}
+
 #[actix_rt::test]
 async fn the_rest_of_an_answer_comes_from_another_instance_after_a_kill() {
     // The caller streams from an instance that is killed with SIGKILL. It asks another instance
