Write a page with goodput and role changes over time

Cause: tables show where a policy ends, not when it falls off. Change: figures keep a series in slots of 2.5 s; bench report draws it for each trace with the committed bound beside it.

--- a/crates/perf/src/figures.rs
+++ b/crates/perf/src/figures.rs
@@ -29,6 +29,20 @@
     pub between_p95_ms: u64,
 }
 
+/// Length of one slot of the series over time.
+pub(crate) const SLOT_MS: f64 = 2_500.0;
+
+/// What happened in one slot of time, by the arrival of requests.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize, PartialEq, Eq)]
+pub struct Slot {
+    /// Requests.
+    pub asked: u64,
+    /// Whole answers in time.
+    pub good: u64,
+    /// Role changes.
+    pub role_changes: u64,
+}
+
 /// Figures of one run.
 #[derive(Debug, Clone, Default, Serialize, Deserialize, PartialEq)]
 pub struct Figures {
@@ -38,6 +52,9 @@
     pub good_by_member: Vec<u64>,
     /// Requests by member.
     pub asked_by_member: Vec<u64>,
+    /// Figures over time.
+    #[serde(default)]
+    pub series: Vec<Slot>,
     /// Role changes.
     pub role_changes: u64,
     /// Engine time lost to them, in s.
@@ -104,6 +121,7 @@
 pub(crate) struct Ended<'a> {
     pub(crate) class: &'a str,
     pub(crate) member: usize,
+    pub(crate) arrived_ms: f64,
     pub(crate) took_ms: f64,
     pub(crate) first_ms: f64,
     pub(crate) tokens: u32,
@@ -122,7 +140,22 @@
         self.figures.classes.entry(class.to_owned()).or_default()
     }
 
-    pub(crate) fn asked(&mut self, class: &str, member: usize) {
+    fn slot(&mut self, at_ms: f64) -> &mut Slot {
+        let place = (at_ms / SLOT_MS) as usize;
+        let series = &mut self.figures.series;
+        if series.len() <= place {
+            series.resize(place + 1, Slot::default());
+        }
+        &mut series[place]
+    }
+
+    pub(crate) fn role_changed(&mut self, at_ms: f64) {
+        self.figures.role_changes += 1;
+        self.slot(at_ms).role_changes += 1;
+    }
+
+    pub(crate) fn asked(&mut self, at_ms: f64, class: &str, member: usize) {
+        self.slot(at_ms).asked += 1;
         self.class(class).asked += 1;
         self.figures.asked_by_member[member] += 1;
     }
@@ -138,6 +171,7 @@
     pub(crate) fn ended(&mut self, ended: &Ended) {
         if ended.in_time {
             self.class(ended.class).good += 1;
+            self.slot(ended.arrived_ms).good += 1;
             self.figures.good_by_member[ended.member] += 1;
         } else {
             self.class(ended.class).late += 1;
--- a/crates/perf/src/lib.rs
+++ b/crates/perf/src/lib.rs
@@ -11,6 +11,7 @@
 mod greedy;
 mod node;
 mod policy;
+mod report;
 mod run;
 mod slopes;
 mod suite;
@@ -18,8 +19,9 @@
 mod views;
 
 pub use bounds::{BOUNDS_SEED, Bound, bounded_cases, broken, committed, from_suite};
-pub use figures::{ClassFigures, Figures};
+pub use figures::{ClassFigures, Figures, Slot};
 pub use policy::Policy;
+pub use report::{ReportError, report};
 pub use run::{Setting, run};
 pub use slopes::{Fit, slopes, slopes_markdown};
 pub use suite::{Case, Row, Suite, cases, load_factors, markdown};
--- a/crates/perf/src/run/control.rs
+++ b/crates/perf/src/run/control.rs
@@ -75,7 +75,7 @@
         }
         self.engines[engine].changing = Some(role);
         self.change_began_ms.insert(engine, self.now_ms);
-        self.counter.figures.role_changes += 1;
+        self.counter.role_changed(self.now_ms);
         let current = self.engines[engine].role();
         for node in &mut self.nodes {
             let known = node.fleet.get_mut(engine);
--- a/crates/perf/src/run/requests.rs
+++ b/crates/perf/src/run/requests.rs
@@ -16,7 +16,7 @@
         let arrival = &self.trace.arrivals[request];
         let node = self.requests[request].node;
         self.counter
-            .asked(&arrival.kind.to_string(), arrival.member);
+            .asked(arrival.at_ms, &arrival.kind.to_string(), arrival.member);
         self.retries[node].earn();
         let (prompt, output) = (
             f64::from(arrival.prompt_tokens),
@@ -225,6 +225,7 @@
         self.counter.ended(&Ended {
             class: &arrival.kind.to_string(),
             member: arrival.member,
+            arrived_ms: arrival.at_ms,
             took_ms,
             first_ms: progress.first_ms.unwrap_or(at_ms) - arrival.at_ms,
             tokens: arrival.output_tokens,
--- a/src/benches.rs
+++ b/src/benches.rs
@@ -25,6 +25,9 @@
     /// Times of a running deployment.
     #[display("live")]
     Live,
+    /// A page with goodput and role changes over time.
+    #[display("report")]
+    Report,
 }
 
 /// Which runs of the policy bench to make.
@@ -82,7 +85,7 @@
 
 /// Names of benches, traces and policies.
 pub fn list() -> String {
-    let mut text = "benches: policy views bounds slopes live\ntraces:".to_owned();
+    let mut text = "benches: policy views bounds slopes live report\ntraces:".to_owned();
     for trace in TraceKind::ALL {
         let _ = write!(text, " {trace}");
     }
--- a/src/bin/chicoryrack.rs
+++ b/src/bin/chicoryrack.rs
@@ -28,7 +28,7 @@
         }
         /// Prints the fault matrix: which fault is tried at which step.
         cmd faults { }
-        /// Deterministic benches of the decisions: policy, views, bounds, slopes, live.
+        /// Deterministic benches of the decisions: policy, views, bounds, slopes, live, report.
         cmd bench {
             /// Which bench; policy otherwise.
             optional name: Kind
@@ -38,6 +38,8 @@
             optional --print
             /// annabhandar or lakeshore; both otherwise.
             optional --deployment deployment: Deployment
+            /// For report: file that the page goes to; report.html otherwise.
+            optional --out file: String
             /// Seed of traces and choices.
             optional --seed seed: u64
             /// Only this trace.
@@ -148,6 +150,7 @@
             ExitCode::SUCCESS
         }
         Kind::Live => run_live(),
+        Kind::Report => run_report(flags, seed),
         Kind::Bounds => run_bounds(flags.print),
     }
 }
@@ -165,6 +168,26 @@
     }
 }
 
+fn run_report(flags: &Bench, seed: u64) -> ExitCode {
+    let file = flags
+        .out
+        .clone()
+        .unwrap_or_else(|| "report.html".to_owned());
+    let page = match perf::report(&benches::deployments(flags.deployment), seed) {
+        Ok(page) => page,
+        Err(error) => {
+            eprintln!("chicoryrack: report: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    if let Err(error) = std::fs::write(&file, page) {
+        eprintln!("chicoryrack: report: {file}: {error}");
+        return ExitCode::FAILURE;
+    }
+    println!("{file}");
+    ExitCode::SUCCESS
+}
+
 fn run_bounds(print: bool) -> ExitCode {
     if print {
         println!("{}", benches::new_bounds());
