--- a/crates/conf/src/gen/settings.rs
+++ b/crates/conf/src/gen/settings.rs
@@ -96,6 +96,9 @@
     #[doc = "Time between two reads of the log, in ms."]
     #[serde(default = "defaults::default_u64::<u64, 200>")]
     pub poll_ms: u64,
+    #[doc = "Records after which state is carried forward by a snapshot; far fewer than the log keeps."]
+    #[serde(default = "defaults::default_u64::<u64, 4096>")]
+    pub snapshot_records: u64,
 }
 #[doc = "Settings of one entry instance, read once at its start."]
 #[derive(:: serde :: Deserialize, :: serde :: Serialize, Clone, Debug)]
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -47,6 +47,8 @@
     checker.address("platform.log", &settings.platform.log);
     checker.address("platform.instances", &settings.platform.instances);
     checker.range("platform.poll_ms", settings.platform.poll_ms, 1, LONGEST_MS);
+    let records = settings.platform.snapshot_records;
+    checker.range("platform.snapshot_records", records, 16, 1 << 20);
     for (index, key) in settings.operator_key_sha256.iter().enumerate() {
         let field = format!("operator_key_sha256[{index}]");
         checker.name(format!("{field}.operator"), &key.operator);
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -1,6 +1,6 @@
 //! Leases, orders and roles of the groups of engines.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
 
@@ -14,6 +14,12 @@
 /// Time between two looks at leases and orders.
 const LOOK_MS: u64 = 50;
 
+/// What instances take turns over when a snapshot is due.
+const SNAPSHOT_TURN: &str = "snapshot";
+
+/// Time after which a snapshot that has not come back from the log is written again.
+const SNAPSHOT_AGAIN_MS: u64 = 10_000;
+
 /// Loads under way at once in a group, so that the weight store's rate is shared out.
 const LOADS_AT_ONCE: usize = 2;
 
@@ -32,6 +38,7 @@
     orderer: Orderer,
     groups: RefCell<BTreeMap<String, Group>>,
     rolled: RefCell<(u64, u64)>,
+    snapshot_due_ms: Cell<u64>,
 }
 
 impl Control {
@@ -41,6 +48,7 @@
             orderer: Orderer::start(app.clock).await?,
             groups: RefCell::default(),
             rolled: RefCell::default(),
+            snapshot_due_ms: Cell::new(0),
         });
         app.control.replace(Rc::downgrade(&control));
         actix_rt::spawn(control.clone().run());
@@ -51,6 +59,7 @@
         let mut ticks = self.app.timers.every(LOOK_MS);
         while ticks.next().await.is_some() {
             self.add_groups();
+            self.carry_forward();
             let names: Vec<String> = self.groups.borrow().keys().cloned().collect();
             for name in names {
                 self.elect(&name);
@@ -88,6 +97,37 @@
         }
     }
 
+    /// Writes the state into the log before the records it rests on expire.
+    ///
+    /// Without it a new instance finds no state once the log has dropped the roll of the bundle in
+    /// force. The first in turn writes; two that both think they are do no harm, as a snapshot
+    /// changes nothing for those who have its records.
+    fn carry_forward(&self) {
+        let now_ms = self.app.now_ms();
+        let due = {
+            let cursor = self.app.cursor.borrow();
+            cursor.state().since_snapshot() >= self.app.settings.platform.snapshot_records
+        };
+        if !due {
+            // The last one has come back; the next need not wait for the time of a lost one.
+            self.snapshot_due_ms.set(0);
+            return;
+        }
+        let ready = self.app.condition.get() == wire::Condition::Ready && self.app.log_up.get();
+        if !ready || now_ms < self.snapshot_due_ms.get() {
+            return;
+        }
+        let me = &self.app.identity.instance;
+        if self.app.members.borrow().rank(now_ms, me, SNAPSHOT_TURN) > 0 {
+            return;
+        }
+        let snapshot = self.app.cursor.borrow().state().snapshot();
+        let expires_ms = now_ms + SNAPSHOT_AGAIN_MS;
+        self.snapshot_due_ms.set(expires_ms);
+        self.app
+            .write(me, Body::Snapshot(Box::new(snapshot)), Some(expires_ms));
+    }
+
     /// Takes in what the log says of the leases, as soon as it was read.
     pub(crate) fn observe(&self) {
         let now_ms = self.app.now_ms();
--- a/crates/feed/src/lib.rs
+++ b/crates/feed/src/lib.rs
@@ -17,7 +17,7 @@
 pub use error::{Error, Fate, Result};
 pub use http::HttpLog;
 pub use outbox::Outbox;
-pub use state::{Outcome, SNAPSHOT_EVERY, State};
+pub use state::{Outcome, State};
 
 /// One record with its place in the log.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -9,13 +9,13 @@
 use crate::bundles::Bundles;
 use crate::leases::Leases;
 
-/// Records after which state is carried forward by a snapshot.
-pub const SNAPSHOT_EVERY: u64 = 4096;
+/// Records after which silent writers are looked for.
+const SWEEP_EVERY: u64 = 4096;
 
 /// Records after which a silent writer is forgotten. An append that is delayed for longer would
 /// be taken for new; a lease record of that age names a superseded offset and a bundle record
 /// an old base, so each is refused all the same.
-const WRITER_HORIZON: u64 = 4 * SNAPSHOT_EVERY;
+const WRITER_HORIZON: u64 = 4 * SWEEP_EVERY;
 
 /// What became of a record.
 #[derive(Debug, Display, Clone, PartialEq, Eq)]
@@ -86,7 +86,7 @@
             return false;
         }
         self.writers.insert(key, LastSeen { sequence, offset });
-        if offset.is_multiple_of(SNAPSHOT_EVERY) {
+        if offset.is_multiple_of(SWEEP_EVERY) {
             let oldest = offset.saturating_sub(WRITER_HORIZON);
             self.writers.retain(|_, last| last.offset >= oldest);
         }
@@ -186,9 +186,9 @@
         self.trail.entries.iter()
     }
 
-    /// Whether enough records have passed since the last snapshot to write one.
-    pub fn wants_snapshot(&self) -> bool {
-        self.next_offset > self.snapshot_offset + SNAPSHOT_EVERY
+    /// Records folded in since the last snapshot.
+    pub fn since_snapshot(&self) -> u64 {
+        self.next_offset.saturating_sub(self.snapshot_offset + 1)
     }
 
     /// The state as a snapshot carries it.
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -40,7 +40,7 @@
             "zone": zone,
             "region": "kolkata",
             "operator_key_sha256": [{ "operator": "asha", "sha256": sha256(OPERATOR_KEY) }],
-            "platform": { "log": platform.log.address(), "instances": platform.list.address(), "poll_ms": 50 },
+            "platform": { "log": platform.log.address(), "instances": platform.list.address(), "poll_ms": 50, "snapshot_records": 16 },
             "lease": { "ttl_ms": 1_000, "margin_ms": 600 },
             "membership": { "beat_ms": 100, "suspect_ms": 600, "fan_out": 3 },
             "limits": { "body_bytes": 65_536, "stream_tokens": 512, "connections": 256,
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -513,3 +513,36 @@
         );
     }
 }
+
+#[actix_rt::test]
+async fn a_new_instance_learns_the_bundle_from_a_log_that_has_dropped_its_roll() {
+    // Operators drain and undrain until the roll of the bundle in force is older than all that
+    // the log keeps. The instance has written snapshots meanwhile; a new one, alone with the log
+    // after the first is killed, finds the bundle in a snapshot and serves.
+    let platform = Platform::start(1).await;
+    let mut first = serve(&platform).await;
+    for _ in 0..30 {
+        for verb in ["drain", "undrain"] {
+            let path = format!("engines/engine-1/{verb}");
+            let reply = admin(&first.caller_address, "POST", &path, "").await;
+            assert_eq!(reply.status, 200, "{}", reply.text());
+        }
+    }
+    first.kill();
+    platform.log.set_faults(LogFaults {
+        keep: 40,
+        ..LogFaults::default()
+    });
+    let late = Daemon::start("entry-9", "howrah", &platform);
+    ready(&late.caller_address).await;
+    let status = admin(&late.caller_address, "GET", "status", "")
+        .await
+        .json();
+    assert_eq!(
+        (&status["version"], &status["learned_from"]),
+        (&json!(1), &json!("log")),
+        "{status}"
+    );
+    let audit = admin(&late.caller_address, "GET", "audit", "").await.text();
+    assert!(audit.contains("roll bundle 1"), "{audit}");
+}
