--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -38,7 +38,8 @@
     orderer: Orderer,
     groups: RefCell<BTreeMap<String, Group>>,
     rolled: RefCell<(u64, u64)>,
-    snapshot_due_ms: Cell<u64>,
+    /// Offset of the snapshot before the one that was written last, and when to write it again.
+    snapshot_sent: Cell<(u64, u64)>,
 }
 
 impl Control {
@@ -48,7 +49,7 @@
             orderer: Orderer::start(app.clock).await?,
             groups: RefCell::default(),
             rolled: RefCell::default(),
-            snapshot_due_ms: Cell::new(0),
+            snapshot_sent: Cell::default(),
         });
         app.control.replace(Rc::downgrade(&control));
         actix_rt::spawn(control.clone().run());
@@ -104,17 +105,21 @@
     /// changes nothing for those who have its records.
     fn carry_forward(&self) {
         let now_ms = self.app.now_ms();
-        let due = {
+        let (since, last) = {
             let cursor = self.app.cursor.borrow();
-            cursor.state().since_snapshot() >= self.app.settings.platform.snapshot_records
+            (
+                cursor.state().since_snapshot(),
+                cursor.state().snapshot_offset(),
+            )
         };
-        if !due {
-            // The last one has come back; the next need not wait for the time of a lost one.
-            self.snapshot_due_ms.set(0);
+        let ready = self.app.condition.get() == wire::Condition::Ready && self.app.log_up.get();
+        if since < self.app.settings.platform.snapshot_records || !ready {
             return;
         }
-        let ready = self.app.condition.get() == wire::Condition::Ready && self.app.log_up.get();
-        if !ready || now_ms < self.snapshot_due_ms.get() {
+        // One that was written is waited for; once it has come back the next may follow at once,
+        // or a burst of records would outrun the log's retention.
+        let (before, again_ms) = self.snapshot_sent.get();
+        if before == last && now_ms < again_ms {
             return;
         }
         let me = &self.app.identity.instance;
@@ -123,7 +128,7 @@
         }
         let snapshot = self.app.cursor.borrow().state().snapshot();
         let expires_ms = now_ms + SNAPSHOT_AGAIN_MS;
-        self.snapshot_due_ms.set(expires_ms);
+        self.snapshot_sent.set((last, expires_ms));
         self.app
             .write(me, Body::Snapshot(Box::new(snapshot)), Some(expires_ms));
     }
--- a/crates/entry/src/follow.rs
+++ b/crates/entry/src/follow.rs
@@ -121,6 +121,8 @@
     app.metrics
         .offset
         .set(app.cursor.borrow().state().next_offset().cast_signed());
+    let since = app.cursor.borrow().state().since_snapshot();
+    app.metrics.since_snapshot.set(since.cast_signed());
     put_in_force(app);
     crate::upstreams::drains_changed(app);
     let control = app.control.borrow().upgrade();
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -33,6 +33,8 @@
     pub(crate) bundle: IntGauge,
     /// First log offset that is not applied.
     pub(crate) offset: IntGauge,
+    /// Records since the last snapshot.
+    pub(crate) since_snapshot: IntGauge,
     /// Whether the log answers.
     pub(crate) log_up: IntGauge,
     /// Leases held, by group.
@@ -84,6 +86,7 @@
             in_flight: gauge(&registry, "in_flight", "Requests in flight."),
             bundle: gauge(&registry, "bundle_version", "Version in force."),
             offset: gauge(&registry, "log_offset", "First offset not applied."),
+            since_snapshot: gauge(&registry, "records_since_snapshot", "Not in a snapshot."),
             log_up: gauge(&registry, "log_up", "Whether the log answers."),
             leases: {
                 let opts = Opts::new("leases_held", "Leases held.");
--- a/crates/feed/src/state.rs
+++ b/crates/feed/src/state.rs
@@ -186,6 +186,11 @@
         self.trail.entries.iter()
     }
 
+    /// Offset of the last snapshot.
+    pub fn snapshot_offset(&self) -> u64 {
+        self.snapshot_offset
+    }
+
     /// Records folded in since the last snapshot.
     pub fn since_snapshot(&self) -> u64 {
         self.next_offset.saturating_sub(self.snapshot_offset + 1)
--- a/tests/failure.rs
+++ b/tests/failure.rs
@@ -521,16 +521,31 @@
     // after the first is killed, finds the bundle in a snapshot and serves.
     let platform = Platform::start(1).await;
     let mut first = serve(&platform).await;
-    for _ in 0..30 {
+    for _ in 0..60 {
         for verb in ["drain", "undrain"] {
             let path = format!("engines/engine-1/{verb}");
             let reply = admin(&first.caller_address, "POST", &path, "").await;
             assert_eq!(reply.status, 200, "{}", reply.text());
         }
     }
+    let address = first.caller_address.clone();
+    until("the last snapshot is near the end of the log", || async {
+        let metrics = send("GET", &address, "/metrics", "", &[], "")
+            .await
+            .expect("metrics")
+            .text();
+        let mut lines = metrics
+            .lines()
+            .filter(|line| line.contains("records_since_snapshot{"));
+        let since = lines
+            .next()
+            .and_then(|line| line.rsplit(' ').next()?.parse::<u64>().ok());
+        since.is_some_and(|since| since < 16)
+    })
+    .await;
     first.kill();
     platform.log.set_faults(LogFaults {
-        keep: 40,
+        keep: 64,
         ..LogFaults::default()
     });
     let late = Daemon::start("entry-9", "howrah", &platform);
