Use the generated role's own text, and drop what nothing calls

Cause: reading the whole change again. The role's names stood three times, though the type generated from the schema writes and reads them; four methods of membership, fleet and prefixes had no caller left. Change: to_string and parse of conf::Role; the dead methods are gone. No behaviour changed.

Checked: formatting, Clippy and the whole suite, 113 tests as before.

--- a/crates/entry/src/admin.rs
+++ b/crates/entry/src/admin.rs
@@ -62,7 +62,7 @@
 struct EngineView {
     engine: String,
     group: String,
-    role: &'static str,
+    role: String,
     presence: String,
     loaded: Vec<String>,
     drained: bool,
@@ -292,7 +292,7 @@
         EngineView {
             engine: engine.name.clone(),
             group: engine.group.clone(),
-            role: crate::upstreams::role_name(engine.role),
+            role: engine.role.to_string(),
             presence: format!("{:?}", engine.presence).to_lowercase(),
             loaded: report.map_or_else(Vec::new, |report| report.loaded.clone()),
             drained: cursor.state().is_drained(&engine.name),
--- a/crates/entry/src/control.rs
+++ b/crates/entry/src/control.rs
@@ -399,7 +399,7 @@
         let wishes = changes.iter().map(|change| Wish {
             engine: fleet.get(change.engine).name.clone(),
             kind: OrderKind::Role,
-            argument: crate::upstreams::role_name(change.role).to_owned(),
+            argument: change.role.to_string(),
         });
         wishes.collect()
     }
--- a/crates/entry/src/upstreams.rs
+++ b/crates/entry/src/upstreams.rs
@@ -210,7 +210,7 @@
         });
     }
     entry.report = Some(EngineReport {
-        role: role_name(wire.role).to_owned(),
+        role: wire.role.to_string(),
         loaded: wire.loaded,
         changing: wire.changing,
         order: wire.order,
@@ -233,15 +233,6 @@
     }
 }
 
-/// A role as engines and orders spell it.
-pub(crate) fn role_name(role: Role) -> &'static str {
-    match role {
-        Role::Mixed => "mixed",
-        Role::Prefill => "prefill",
-        Role::Decode => "decode",
-    }
-}
-
 /// Applies a drain or its end at once, without waiting for the next report.
 pub(crate) fn drains_changed(app: &App) {
     let cursor = app.cursor.borrow();
--- a/crates/peer/src/members.rs
+++ b/crates/peer/src/members.rs
@@ -150,15 +150,6 @@
         reachable.then_some(known.peer_address.as_str())
     }
 
-    /// Whether an instance is known to be in a later life than the given one.
-    pub fn is_replaced(&self, instance: &str, incarnation: u64) -> bool {
-        let heard = self
-            .known
-            .get(instance)
-            .and_then(|known| known.heard.as_ref());
-        heard.is_some_and(|heard| heard.1.incarnation != incarnation)
-    }
-
     /// Who gets the next heartbeat: a few at random, so that the cost stays the same at any size.
     ///
     /// In a large fleet all but one are of the own availability zone, whose callers and engines
--- a/crates/plan/src/fleet.rs
+++ b/crates/plan/src/fleet.rs
@@ -150,11 +150,6 @@
         self.peers.insert(peer.to_owned(), told);
     }
 
-    /// Forgets a peer that has left.
-    pub fn peer_left(&mut self, peer: &str) {
-        self.peers.remove(peer);
-    }
-
     /// Work of our own that is not finished.
     pub fn own(&self) -> &Outstanding {
         &self.own
--- a/crates/plan/src/prefixes.rs
+++ b/crates/plan/src/prefixes.rs
@@ -37,23 +37,10 @@
         }
     }
 
-    /// An engine was found not to hold a prefix.
-    pub fn missed(&mut self, prefix: u64, engine: usize) {
-        if let Some(holders) = self.holders.get_mut(&prefix) {
-            holders.retain(|holder| holder.0 != engine);
-        }
-    }
-
     /// Tokens of a prefix that an engine is believed to hold.
     pub fn tokens(&self, prefix: u64, engine: usize) -> f64 {
         let holders = self.holders.get(&prefix);
         let holder = holders.and_then(|holders| holders.iter().find(|holder| holder.0 == engine));
         holder.map_or(0.0, |holder| holder.1)
     }
-
-    /// Engines that are believed to hold a prefix.
-    pub fn holders(&self, prefix: u64) -> impl Iterator<Item = usize> {
-        let holders = self.holders.get(&prefix);
-        holders.into_iter().flatten().map(|holder| holder.0)
-    }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -238,7 +238,7 @@
 impl Inner {
     fn status(&self) -> EngineStatus {
         EngineStatus {
-            role: role_name(self.batch.role()).to_owned(),
+            role: self.batch.role().to_string(),
             loaded: self.options.loaded.clone(),
             changing: self.orders.is_changing(),
             order: self.orders.highest(),
@@ -262,11 +262,3 @@
         }
     }
 }
-
-fn role_name(role: Role) -> &'static str {
-    match role {
-        Role::Mixed => "mixed",
-        Role::Prefill => "prefill",
-        Role::Decode => "decode",
-    }
-}
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -4,7 +4,6 @@
 
 use actix_http::{HttpMessage, Method, Request, StatusCode};
 use bytes::Bytes;
-use conf::Role;
 use plan::RANKS;
 use serde::Deserialize;
 use serde_json::json;
@@ -229,7 +228,7 @@
                     actix_rt::time::sleep(Duration::from_millis(10)).await;
                 }
                 actix_rt::time::sleep(Duration::from_millis(change_ms)).await;
-                if let Some(role) = role(&order.argument) {
+                if let Ok(role) = order.argument.parse() {
                     self.inner.borrow_mut().batch.set_role(role);
                 }
             }
@@ -281,12 +280,3 @@
     });
     format!("data: {data}\n\ndata: [DONE]\n\n")
 }
-
-fn role(name: &str) -> Option<Role> {
-    match name {
-        "mixed" => Some(Role::Mixed),
-        "prefill" => Some(Role::Prefill),
-        "decode" => Some(Role::Decode),
-        _ => None,
-    }
-}
