--- /dev/null
+++ b/crates/relay/src/answer.rs
@@ -0,0 +1,165 @@
+//! Answers to callers: those of upstreams passed on, and refusals of our own.
+
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+use bytes::Bytes;
+use derive_more::{Display, Error};
+use futures_util::Stream;
+use http::{HeaderValue, Response, StatusCode};
+use http_body::{Body, Frame, SizeHint};
+use log::kv::ToValue;
+
+/// An answer that ends early. Its connection is closed, so that it does not look whole.
+#[derive(Debug, Display, Error)]
+#[display("the answer broke off: {why}")]
+pub struct BrokenOff {
+    /// What happened.
+    pub why: String,
+}
+
+type Frames = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>>>>;
+
+/// Body of an answer to a caller.
+pub enum AnswerBody {
+    /// All of it is there.
+    Whole(Bytes),
+    /// It is passed on as it comes.
+    Streamed(Frames),
+}
+
+impl AnswerBody {
+    /// Passes on what a stream gives.
+    pub fn stream(frames: impl Stream<Item = Result<Bytes, BrokenOff>> + 'static) -> Self {
+        Self::Streamed(Box::pin(frames))
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = BrokenOff;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
+        match &mut *self {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Streamed(frames) => {
+                let polled = frames.as_mut().poll_next(context);
+                polled.map(|next| next.map(|frame| frame.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Streamed(_) => SizeHint::default(),
+        }
+    }
+}
+
+/// Why a request was not served.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// This instance knows no configuration yet.
+    #[display("no configuration yet")]
+    NoConfig,
+    /// No route matches.
+    #[display("no such route")]
+    NoRoute,
+    /// The request cannot be read.
+    #[display("the request is malformed")]
+    Malformed,
+    /// The body is longer than allowed.
+    #[display("the body is too long")]
+    TooLong,
+    /// No upstream may take it now.
+    #[display("no upstream is free")]
+    NoUpstream,
+    /// It would come too late.
+    #[display("no upstream would answer in time")]
+    TooLate,
+    /// An upstream rejected it without running it.
+    #[display("an upstream rejected it unrun")]
+    Rejected,
+    /// It was sent and no whole answer came.
+    #[display("the upstream's answer was lost")]
+    Lost,
+    /// Its time ran out.
+    #[display("out of time")]
+    TimedOut,
+}
+
+impl ToValue for Reason {
+    fn to_value(&self) -> log::kv::Value<'_> {
+        log::kv::Value::from_display(self)
+    }
+}
+
+impl Reason {
+    /// Status of the answer; 503 says that the request has not run and will not.
+    pub fn status(self) -> StatusCode {
+        match self {
+            Self::NoConfig | Self::NoUpstream | Self::TooLate | Self::Rejected => {
+                StatusCode::SERVICE_UNAVAILABLE
+            }
+            Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Lost => StatusCode::BAD_GATEWAY,
+            Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+        }
+    }
+}
+
+/// A refusal, or an error of our own.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Refused {
+    /// Why.
+    pub reason: Reason,
+    /// When to come back, where that may help.
+    pub retry_after_ms: Option<u64>,
+}
+
+impl Refused {
+    /// A refusal that coming back does not help.
+    pub fn plain(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after_ms: None,
+        }
+    }
+
+    /// A refusal with the time after which another try may go better.
+    pub fn later(reason: Reason, retry_after_ms: u64) -> Self {
+        Self {
+            reason,
+            retry_after_ms: Some(retry_after_ms),
+        }
+    }
+
+    /// The answer.
+    pub fn response(self, body: Vec<u8>) -> Response<AnswerBody> {
+        let mut response = Response::new(AnswerBody::Whole(body.into()));
+        *response.status_mut() = self.reason.status();
+        let headers = response.headers_mut();
+        headers.insert(
+            http::header::CONTENT_TYPE,
+            HeaderValue::from_static("application/json"),
+        );
+        if let Some(wait_ms) = self.retry_after_ms {
+            let seconds = format!("{:.3}", wait_ms as f64 / 1_000.0);
+            if let Ok(value) = HeaderValue::from_str(&seconds) {
+                headers.insert(http::header::RETRY_AFTER, value);
+            }
+        }
+        response
+    }
+}
--- /dev/null
+++ b/crates/relay/src/audit.rs
@@ -0,0 +1,110 @@
+//! Logs as JSON lines on standard output, bounded and never waited for.
+
+use std::io::Write;
+use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::sync::Arc;
+
+use log::kv::{Error, Key, Value, VisitSource};
+use serde_json::{Map, json};
+
+/// Lines that wait for a slow reader; further ones are counted and left out.
+const QUEUED_LINES: usize = 2_048;
+
+struct Fields(Map<String, serde_json::Value>);
+
+impl<'kvs> VisitSource<'kvs> for Fields {
+    fn visit_pair(&mut self, key: Key<'kvs>, value: Value<'kvs>) -> Result<(), Error> {
+        let value = match (value.to_u64(), value.to_f64()) {
+            (Some(number), _) => json!(number),
+            (None, Some(number)) => json!(number),
+            (None, None) => json!(value.to_string()),
+        };
+        self.0.insert(key.to_string(), value);
+        Ok(())
+    }
+}
+
+/// Hands whole lines to a thread of its own.
+///
+/// A reader of standard output that stops would otherwise stop every request with it.
+pub struct Queue {
+    lines: SyncSender<Vec<u8>>,
+    left_out: Arc<AtomicU64>,
+}
+
+impl Queue {
+    /// A queue, and the end at which its lines are written.
+    pub fn new(most: usize) -> (Self, Drain) {
+        let (lines, receiver) = sync_channel(most);
+        let left_out = Arc::new(AtomicU64::new(0));
+        let drain = Drain {
+            receiver,
+            left_out: Arc::clone(&left_out),
+        };
+        (Self { lines, left_out }, drain)
+    }
+}
+
+impl Write for Queue {
+    fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        if self.lines.try_send(line.to_vec()).is_err() {
+            self.left_out.fetch_add(1, Ordering::Relaxed);
+        }
+        Ok(line.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The end of the queue at which lines are written.
+pub struct Drain {
+    receiver: Receiver<Vec<u8>>,
+    left_out: Arc<AtomicU64>,
+}
+
+impl Drain {
+    /// Writes lines until the queue is closed or the reader is gone.
+    pub fn run(self, mut out: impl Write) {
+        while let Ok(line) = self.receiver.recv() {
+            let left_out = self.left_out.swap(0, Ordering::Relaxed);
+            if left_out > 0 {
+                let note = json!({ "level": "WARN", "message": "lines left out", "lines": left_out });
+                if writeln!(out, "{note}").is_err() {
+                    return;
+                }
+            }
+            if out.write_all(&line).is_err() {
+                return;
+            }
+        }
+    }
+}
+
+/// Starts logging; `RUST_LOG` sets the level.
+pub fn start() {
+    let (queue, drain) = Queue::new(QUEUED_LINES);
+    std::thread::spawn(move || drain.run(std::io::stdout()));
+    let env = env_logger::Env::default().default_filter_or("info");
+    let started = env_logger::Builder::from_env(env)
+        .target(env_logger::Target::Pipe(Box::new(queue)))
+        .format(|out, record| {
+            let mut fields = Fields(Map::new());
+            let wall_ms = json!(tick::wall_ms());
+            fields.0.insert("wall_ms".to_owned(), wall_ms);
+            let level = json!(record.level().as_str());
+            fields.0.insert("level".to_owned(), level);
+            let message = json!(record.args().to_string());
+            fields.0.insert("message".to_owned(), message);
+            if record.key_values().visit(&mut fields).is_err() {
+                fields.0.insert("fields".to_owned(), json!("unreadable"));
+            }
+            writeln!(out, "{}", serde_json::Value::Object(fields.0))
+        })
+        .try_init();
+    if let Err(error) = started {
+        eprintln!("logging was started before: {error}");
+    }
+}
--- /dev/null
+++ b/crates/relay/src/call.rs
@@ -0,0 +1,147 @@
+//! One request of a caller, read and ready to be sent on.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::request::Parts;
+use http::uri::PathAndQuery;
+use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
+use http_body_util::Full;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::config::Route;
+use crate::dialect::{Asked, Dialect, Sending};
+
+/// Headers that concern one connection only.
+const HOP_BY_HOP: [HeaderName; 7] = [
+    header::CONNECTION,
+    header::TE,
+    header::TRAILER,
+    header::TRANSFER_ENCODING,
+    header::UPGRADE,
+    header::PROXY_AUTHENTICATE,
+    header::PROXY_AUTHORIZATION,
+];
+
+/// A request of a caller.
+pub struct Call {
+    /// Its route.
+    pub route: Rc<Route>,
+    /// Service that is to run it.
+    pub service: String,
+    /// What its head says.
+    pub asked: Asked,
+    /// Number drawn from its id, the same wherever the request is seen.
+    pub draw: u64,
+    /// When its head had come, on the instance's clock.
+    pub arrived_ms: u64,
+    /// When its answer must be complete.
+    pub due_ms: u64,
+    /// Sends of it that may have run.
+    pub sends: Cell<u32>,
+    /// Upstreams that it was sent to, those that rejected it included.
+    pub attempts: Cell<u32>,
+    method: Method,
+    target: PathAndQuery,
+    headers: HeaderMap,
+    body: Bytes,
+}
+
+impl Call {
+    /// Takes a request over; gives nothing if its route has no service.
+    pub fn new(
+        dialect: &dyn Dialect,
+        route: Rc<Route>,
+        asked: Asked,
+        arrived_ms: u64,
+        parts: Parts,
+        body: Bytes,
+    ) -> Option<Self> {
+        let draw = asked
+            .attempt
+            .as_ref()
+            .map_or(arrived_ms, |id| xxh3_64(id.as_bytes()));
+        let service = route.service(draw)?.to_owned();
+        let wait_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
+        let target = parts.uri.path_and_query().cloned()?;
+        let mut headers = parts.headers;
+        strip_hop_by_hop(&mut headers, |name| dialect.is_end_to_end(name));
+        headers.remove(header::CONTENT_LENGTH);
+        headers.remove(header::EXPECT);
+        dialect.strip(&mut headers);
+        Some(Self {
+            route,
+            service,
+            asked,
+            draw,
+            arrived_ms,
+            due_ms: arrived_ms.saturating_add(wait_ms),
+            sends: Cell::default(),
+            attempts: Cell::default(),
+            method: parts.method,
+            target,
+            headers,
+            body,
+        })
+    }
+
+    /// Time left.
+    pub fn left_ms(&self, now_ms: u64) -> u64 {
+        self.due_ms.saturating_sub(now_ms)
+    }
+
+    /// The caller's id for the attempt, for logs.
+    pub fn id(&self) -> &str {
+        let attempt = self.asked.attempt.as_ref();
+        attempt.and_then(|id| id.to_str().ok()).unwrap_or("-")
+    }
+
+    /// The request as it is sent to an upstream.
+    pub fn request(&self, dialect: &dyn Dialect, sending: &Sending) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.target.clone());
+        let mut headers = self.headers.clone();
+        dialect.send(&mut headers, sending);
+        *request.headers_mut() = headers;
+        request
+    }
+}
+
+/// Takes out headers that concern one connection, those named in `Connection` included.
+///
+/// A caller could otherwise have the headers that identify its request dropped on the way.
+pub fn strip_hop_by_hop(headers: &mut HeaderMap, keeps: impl Fn(&HeaderName) -> bool) {
+    let named: Vec<HeaderName> = headers
+        .get_all(header::CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .filter(|name: &HeaderName| !keeps(name) && name != header::HOST)
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP {
+        headers.remove(name);
+    }
+    headers.remove("keep-alive");
+    headers.remove("proxy-connection");
+}
+
+/// The host that a request names, in lower case and without a port.
+pub fn host(uri: &Uri, headers: &HeaderMap) -> Option<String> {
+    let named = headers.get(header::HOST).map(HeaderValue::to_str);
+    let host = match (uri.authority(), named) {
+        (Some(authority), _) => authority.as_str(),
+        (None, Some(Ok(host))) => host,
+        (None, _) => return None,
+    };
+    let bare = host.rsplit_once(':').map_or(host, |(name, port)| {
+        let is_port = port.bytes().all(|byte| byte.is_ascii_digit());
+        if is_port { name } else { host }
+    });
+    Some(bare.to_ascii_lowercase())
+}
--- /dev/null
+++ b/crates/relay/src/dialect.rs
@@ -0,0 +1,129 @@
+//! What an installation calls things on the wire.
+//!
+//! The relay works with its own types; an implementation of [`Dialect`] reads and writes the
+//! headers and bodies of one installation. It decides nothing.
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+
+/// A part of a prompt that requests may share.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Part {
+    /// Identity of its text.
+    pub id: u64,
+    /// Its length.
+    pub tokens: u32,
+}
+
+/// What a generation request says of its prompt and output.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Prompt {
+    /// Tokens of the whole prompt.
+    pub input_tokens: u32,
+    /// Most output tokens.
+    pub output_tokens: u32,
+    /// The caller's estimate of the output; right at the median and often far off.
+    pub output_hint_tokens: Option<u32>,
+    /// The prompt's parts in order; the last is the request's own.
+    pub parts: Vec<Part>,
+}
+
+/// What the relay reads in a request's head.
+#[derive(Debug, Clone, Default)]
+pub struct Asked {
+    /// Id of the attempt, as the caller wrote it.
+    pub attempt: Option<HeaderValue>,
+    /// How long the caller waits, in ms.
+    pub deadline_ms: Option<u64>,
+    /// Set on requests that generate text.
+    pub prompt: Option<Prompt>,
+    /// Last event that the caller has of a stream that it resumes.
+    pub last_event: Option<u64>,
+}
+
+/// Where an engine finds the KV cache of a prompt that another has read.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KvHandle {
+    /// Address of the engine that holds it.
+    pub holder: std::net::SocketAddr,
+    /// Name that it gave the cache.
+    pub id: String,
+}
+
+/// Which part of a generation is asked for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Step {
+    /// All of it.
+    #[default]
+    Whole,
+    /// Only the reading of the prompt.
+    Prefill,
+}
+
+/// What the relay sets on a request that it sends to an upstream.
+#[derive(Debug, Clone, Default)]
+pub struct Sending<'a> {
+    /// Incarnation that is to run it; any other rejects it.
+    pub instance: &'a str,
+    /// Time left, in ms.
+    pub deadline_ms: u64,
+    /// Urgency for the engine, 0 first.
+    pub priority: Option<u8>,
+    /// Part of the generation.
+    pub step: Step,
+    /// KV cache to go on from.
+    pub kv: Option<&'a KvHandle>,
+    /// Event after which a resumed stream goes on.
+    pub last_event: Option<u64>,
+}
+
+/// Load as an upstream told it with an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ToldLoad {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+}
+
+/// What the relay reads in an answer's head.
+#[derive(Debug, Clone, Default)]
+pub struct Answered {
+    /// Id of the attempt that it answers.
+    pub attempt: Option<HeaderValue>,
+    /// Whether it bears the upstream's proof.
+    pub has_proof: bool,
+    /// Whether the upstream says that it did not run the request.
+    pub not_run: bool,
+    /// The incarnation that answers, where it says so.
+    pub instance: Option<String>,
+    /// The upstream's load.
+    pub load: Option<ToldLoad>,
+}
+
+/// Reads and writes one installation's headers, paths and small bodies.
+pub trait Dialect {
+    /// Reads a request's head.
+    fn asked(&self, headers: &HeaderMap) -> Asked;
+    /// Takes out what a caller may not set, and leaves all else.
+    fn strip(&self, headers: &mut HeaderMap);
+    /// Whether a header belongs to the request even if the caller names it in `Connection`.
+    fn is_end_to_end(&self, name: &HeaderName) -> bool;
+    /// Writes what the relay sets.
+    fn send(&self, headers: &mut HeaderMap, sending: &Sending);
+    /// Reads an answer's head.
+    fn answered(&self, headers: &HeaderMap) -> Answered;
+    /// Reads the name that an engine gave to the KV cache of a prompt that it read.
+    fn prefilled(&self, body: &[u8]) -> Option<String>;
+    /// The call that frees a KV cache which nobody will take.
+    fn free(&self, handle: &KvHandle) -> (Method, String);
+    /// Path at which instances say whether they are ready.
+    fn ready_path(&self) -> &str;
+    /// Path at which callers ask for addresses.
+    fn resolve_path(&self) -> &str;
+    /// Writes the answer to a caller who asks for addresses.
+    fn addresses(&self, addresses: &[std::net::SocketAddr], ttl_ms: u64) -> Vec<u8>;
+    /// The zone that a caller who asks for addresses names in its query.
+    fn caller_zone(&self, query: &str) -> Option<String>;
+    /// Writes the body of an error of our own.
+    fn error(&self, reason: &str) -> Vec<u8>;
+}
--- /dev/null
+++ b/crates/relay/src/front.rs
@@ -0,0 +1,224 @@
+//! Listeners: callers, the directory, readiness and metrics.
+
+use std::convert::Infallible;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Limited};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::sync::watch;
+
+use crate::answer::{AnswerBody, Reason, Refused};
+use crate::call::{Call, host};
+use crate::config::Limits;
+use crate::forward::forward;
+use crate::relay::{Phase, Relay};
+
+/// Connections that may wait to be accepted, so that a wave of new ones is not turned away.
+const BACKLOG: u32 = 1_024;
+
+/// Wait after a failed accept, such as one for want of descriptors, in ms.
+const ACCEPT_RETRY_MS: u64 = 20;
+
+/// Time after which a caller comes back to an instance that has no configuration yet, in ms.
+const NO_CONFIG_RETRY_MS: u64 = 250;
+
+/// What a listener serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Duty {
+    /// Requests of callers.
+    Callers,
+    /// Addresses to connect to.
+    Directory,
+    /// Whether the instance takes callers.
+    Readiness,
+    /// Metrics.
+    Metrics,
+}
+
+/// Opens a listener that another start of the same program can follow at once.
+pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = TcpSocket::new_v4()?;
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
+
+/// Accepts and serves connections until the phase says otherwise.
+pub async fn serve(
+    relay: Rc<Relay>,
+    duty: Duty,
+    listener: TcpListener,
+    mut phase: watch::Receiver<Phase>,
+) {
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = phase.wait_for(|phase| duty == Duty::Callers && *phase == Phase::Closing) => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let relay = Rc::clone(&relay);
+                let phase = phase.clone();
+                actix_rt::spawn(counted(relay, duty, stream, phase));
+            }
+            Err(error) => {
+                log::warn!(error:%; "connection not accepted");
+                actix_rt::time::sleep(Duration::from_millis(ACCEPT_RETRY_MS)).await;
+            }
+        }
+    }
+}
+
+/// Counts connections of callers, so that a process ends only when the last answer is out.
+async fn counted(
+    relay: Rc<Relay>,
+    duty: Duty,
+    stream: TcpStream,
+    phase: watch::Receiver<Phase>,
+) {
+    if duty != Duty::Callers {
+        connection(relay, duty, stream, phase).await;
+        return;
+    }
+    relay.opened();
+    connection(Rc::clone(&relay), duty, stream, phase).await;
+    relay.closed();
+}
+
+async fn connection(
+    relay: Rc<Relay>,
+    duty: Duty,
+    stream: TcpStream,
+    mut phase: watch::Receiver<Phase>,
+) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:%; "connection without TCP_NODELAY");
+    }
+    let limits = relay.config().map_or_else(Limits::default, |config| config.limits);
+    let service = service_fn(|request| {
+        let relay = Rc::clone(&relay);
+        async move { Ok::<_, Infallible>(answer(&relay, duty, request).await) }
+    });
+    let serving = http1::Builder::new()
+        .timer(TokioTimer::new())
+        // A connection may idle for as long as callers are told; this bounds both that and a
+        // head that never ends.
+        .header_read_timeout(Duration::from_millis(limits.idle_ms))
+        .max_buf_size(limits.head_bytes.max(16_384))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut serving = std::pin::pin!(serving);
+    let ended = tokio::select! {
+        ended = serving.as_mut() => ended,
+        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
+            serving.as_mut().graceful_shutdown();
+            serving.await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!(error:%; "caller's connection ended");
+    }
+}
+
+async fn answer(relay: &Rc<Relay>, duty: Duty, request: Request<Incoming>) -> Response<AnswerBody> {
+    let mut response = match duty {
+        Duty::Callers => caller(relay, request).await,
+        Duty::Directory => directory(relay, &request),
+        Duty::Readiness => status(ready_status(relay, request.uri().path())),
+        Duty::Metrics => whole(relay.metrics.text(), "text/plain; version=0.0.4"),
+    };
+    if relay.phase() >= Phase::Leaving {
+        let headers = response.headers_mut();
+        headers.insert(header::CONNECTION, HeaderValue::from_static("close"));
+    }
+    response
+}
+
+fn ready_status(relay: &Relay, path: &str) -> StatusCode {
+    if path != relay.dialect.ready_path() {
+        return StatusCode::NOT_FOUND;
+    }
+    if relay.is_ready() {
+        StatusCode::OK
+    } else {
+        StatusCode::SERVICE_UNAVAILABLE
+    }
+}
+
+fn directory(relay: &Relay, request: &Request<Incoming>) -> Response<AnswerBody> {
+    if request.uri().path() != relay.dialect.resolve_path() || request.method() != Method::GET {
+        return status(StatusCode::NOT_FOUND);
+    }
+    let zone = relay.dialect.caller_zone(request.uri().query().unwrap_or(""));
+    let own = relay.heartbeat_view();
+    let members = relay.members.borrow();
+    let addresses = crate::directory::addresses(members.ready(), &own, zone.as_deref());
+    if addresses.is_empty() {
+        return status(StatusCode::SERVICE_UNAVAILABLE);
+    }
+    let ttl_ms = relay.settings.borrow().addresses_ttl_ms;
+    whole(relay.dialect.addresses(&addresses, ttl_ms), "application/json")
+}
+
+async fn caller(relay: &Rc<Relay>, request: Request<Incoming>) -> Response<AnswerBody> {
+    let arrived_ms = relay.now_ms();
+    let (parts, body) = request.into_parts();
+    let asked = relay.dialect.asked(&parts.headers);
+    let config = relay.config();
+    let limits = config.as_ref().map_or_else(Limits::default, |config| config.limits);
+    let body = Limited::new(body, limits.body_bytes).collect().await;
+    let body = match body {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) if error.is::<http_body_util::LengthLimitError>() => {
+            return refuse(relay, Refused::plain(Reason::TooLong));
+        }
+        Err(error) => {
+            log::debug!(error:%; "request's body not read");
+            return refuse(relay, Refused::plain(Reason::Malformed));
+        }
+    };
+    let Some(config) = config else {
+        return refuse(relay, Refused::later(Reason::NoConfig, NO_CONFIG_RETRY_MS));
+    };
+    let Some(host) = host(&parts.uri, &parts.headers) else {
+        return refuse(relay, Refused::plain(Reason::Malformed));
+    };
+    let Some(route) = config.route(&host, parts.uri.path()).cloned() else {
+        log::info!(
+            request = asked.attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-"),
+            version = config.version;
+            "no such route"
+        );
+        return refuse(relay, Refused::plain(Reason::NoRoute));
+    };
+    let call = Call::new(&*relay.dialect, route, asked, arrived_ms, parts, body);
+    let Some(call) = call else {
+        return refuse(relay, Refused::plain(Reason::NoUpstream));
+    };
+    forward(relay, call).await
+}
+
+fn refuse(relay: &Relay, refused: Refused) -> Response<AnswerBody> {
+    refused.response(relay.dialect.error(&refused.reason.to_string()))
+}
+
+fn status(status: StatusCode) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(Bytes::new()));
+    *response.status_mut() = status;
+    response
+}
+
+fn whole(body: Vec<u8>, content_type: &'static str) -> Response<AnswerBody> {
+    let mut response = Response::new(AnswerBody::Whole(body.into()));
+    let headers = response.headers_mut();
+    headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
+    response
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,26 @@
+//! Passes requests on to upstreams.
+//!
+//! An instance follows a configuration and a list of upstreams that it is told; callers connect
+//! to it, and it places each request, sends it, and passes the answer on. The names that an
+//! installation uses on the wire come from a [`dialect::Dialect`]. See docs/design/platform.md.
+
+pub mod answer;
+pub mod audit;
+pub mod call;
+pub mod config;
+pub mod dialect;
+pub mod directory;
+pub mod events;
+pub mod forward;
+pub mod front;
+pub mod members;
+pub mod metrics;
+pub mod place;
+pub mod pool;
+pub mod relay;
+pub mod stream;
+pub mod upstream;
+pub mod upstreams;
+
+pub use plan::RepeatTerms;
+pub use relay::{Phase, Relay, Settings};
--- /dev/null
+++ b/crates/relay/src/members.rs
@@ -0,0 +1,79 @@
+//! The instances of the system, from the heartbeats that each writes.
+//!
+//! Each instance writes one small record a period and reads those of all, so the cost grows with
+//! their number and not with its square. See docs/design/platform.md.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// Time between two heartbeats of an instance, in ms: short beside the time for which callers
+/// keep an answer, long enough that heartbeats stay a small part of the store's calls.
+pub const BEAT_MS: u64 = 1_000;
+
+/// Heartbeats that may be missed before an instance is no longer handed out.
+const MISSED: u64 = 3;
+
+/// What an instance says of itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Member {
+    /// Its name.
+    pub name: String,
+    /// Where callers connect.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Whether it takes callers.
+    pub ready: bool,
+    /// Grows with each heartbeat of one process.
+    pub beat: u64,
+}
+
+#[derive(Debug, Clone)]
+struct Heard {
+    member: Member,
+    at_ms: u64,
+}
+
+/// All instances that were heard of.
+#[derive(Debug, Clone, Default)]
+pub struct Members {
+    heard: HashMap<String, Heard>,
+    read_ms: u64,
+}
+
+impl Members {
+    /// Heartbeats were read at `now_ms`; none may have come.
+    pub fn read(&mut self, now_ms: u64) {
+        self.read_ms = now_ms;
+    }
+
+    /// A heartbeat was read.
+    pub fn heard(&mut self, now_ms: u64, member: Member) {
+        let at_ms = now_ms;
+        let name = member.name.clone();
+        self.heard.insert(name, Heard { member, at_ms });
+    }
+
+    /// Instances that take callers.
+    ///
+    /// Age is counted up to the last time that heartbeats could be read. While they cannot, all
+    /// that lived keep being handed out, since the silence is the store's and not theirs.
+    pub fn ready(&self) -> impl Iterator<Item = &Member> {
+        let oldest_ms = self.read_ms.saturating_sub(BEAT_MS * MISSED);
+        let fresh = move |heard: &&Heard| heard.at_ms >= oldest_ms && heard.member.ready;
+        self.heard.values().filter(fresh).map(|heard| &heard.member)
+    }
+
+    /// Number of instances among which shared bounds are split; one at least.
+    pub fn count(&self) -> usize {
+        self.ready().count().max(1)
+    }
+
+    /// Forgets instances that have been silent for long.
+    pub fn forget_silent(&mut self) {
+        let oldest_ms = self.read_ms.saturating_sub(10 * BEAT_MS * MISSED);
+        self.heard.retain(|_, heard| heard.at_ms >= oldest_ms);
+    }
+}
--- /dev/null
+++ b/crates/relay/src/pool.rs
@@ -0,0 +1,246 @@
+//! Connections to one peer.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use actix_rt::task::JoinHandle;
+use bytes::Bytes;
+use derive_more::Display;
+use http::{Request, Response};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1::{self, SendRequest};
+use hyper_util::rt::TokioIo;
+use tick::Clock;
+use tokio::net::TcpStream;
+
+
+/// Longest time to open a connection, in ms: several round trips between availability zones and
+/// one lost packet's first repeat.
+const CONNECT_MS: u64 = 350;
+
+/// Time for which an idle connection is kept when the upstream names none, in ms; shorter than
+/// the usual five seconds of servers, so that a request rarely meets their close.
+const IDLE_MS: u64 = 4_000;
+
+/// Part of an announced idle time that is used: the last second may already be the upstream's.
+const IDLE_MARGIN_MS: u64 = 1_000;
+
+/// Why no answer came.
+#[derive(Debug, Clone, Display, PartialEq, Eq)]
+pub enum Fault {
+    /// No connection could be opened; nothing was sent.
+    #[display("connecting to {peer}: {why}")]
+    Connect {
+        /// Where to.
+        peer: SocketAddr,
+        /// What happened.
+        why: String,
+    },
+    /// All connections that this instance may open are in use; nothing was sent.
+    #[display("no connection to {peer} is free")]
+    Crowded {
+        /// Where to.
+        peer: SocketAddr,
+    },
+    /// The request was sent, wholly or in part, and may have run.
+    #[display("answer of {peer}: {why}")]
+    Lost {
+        /// Who was asked.
+        peer: SocketAddr,
+        /// What happened.
+        why: String,
+    },
+}
+
+struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: JoinHandle<()>,
+    idle_until_ms: u64,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+/// Idle connections to one peer, and the number of all that are open.
+pub struct Pool {
+    peer: SocketAddr,
+    clock: Clock,
+    idle: RefCell<Vec<Connection>>,
+    open: Cell<usize>,
+    closing: Cell<bool>,
+}
+
+impl Pool {
+    /// A pool without connections.
+    pub fn new(peer: SocketAddr, clock: Clock) -> Rc<Self> {
+        Rc::new(Self {
+            peer,
+            clock,
+            idle: RefCell::default(),
+            open: Cell::default(),
+            closing: Cell::default(),
+        })
+    }
+
+    /// Closes what is idle now, and each other connection as soon as its answer is whole.
+    pub fn close(&self) {
+        self.closing.set(true);
+        let closed = std::mem::take(&mut *self.idle.borrow_mut());
+        self.open.set(self.open.get() - closed.len());
+    }
+
+    /// Connections that are open.
+    pub fn open(&self) -> usize {
+        self.open.get()
+    }
+
+    fn take_idle(&self) -> Option<Connection> {
+        let now_ms = self.clock.now_ms();
+        loop {
+            let connection = self.idle.borrow_mut().pop()?;
+            let usable = connection.idle_until_ms > now_ms && connection.sender.is_ready();
+            if usable {
+                return Some(connection);
+            }
+            self.open.set(self.open.get() - 1);
+        }
+    }
+}
+
+/// A connection in use. It is closed when dropped, which tells the upstream to stop working;
+/// only a whole answer gives it back.
+pub struct Lease {
+    connection: Option<Connection>,
+    pool: Rc<Pool>,
+    idle_ms: u64,
+}
+
+impl Lease {
+    /// The answer was read to its end and the connection may serve the next request.
+    pub fn give_back(mut self) {
+        let Some(mut connection) = self.connection.take() else {
+            return;
+        };
+        let keep = self.idle_ms > 0 && !self.pool.closing.get() && !connection.sender.is_closed();
+        if !keep {
+            self.pool.open.set(self.pool.open.get() - 1);
+            return;
+        }
+        connection.idle_until_ms = self.pool.clock.now_ms() + self.idle_ms;
+        self.pool.idle.borrow_mut().push(connection);
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        if self.connection.take().is_some() {
+            self.pool.open.set(self.pool.open.get() - 1);
+        }
+    }
+}
+
+/// A request's answer and the connection on which the rest of it comes.
+pub type Exchanged = (Response<Incoming>, Lease);
+
+/// Sends a request and waits for the head of its answer.
+///
+/// A connection that closed before anything was written is replaced; once a byte was written the
+/// request counts as sent. Dropping the future closes the connection.
+pub async fn exchange(
+    pool: &Rc<Pool>,
+    most: usize,
+    mut request: Request<Full<Bytes>>,
+) -> Result<Exchanged, Fault> {
+    let peer = pool.peer;
+    loop {
+        let (connection, fresh) = match pool.take_idle() {
+            Some(connection) => (connection, false),
+            None => (open(pool, most).await?, true),
+        };
+        let mut lease = Lease {
+            connection: Some(connection),
+            pool: Rc::clone(pool),
+            idle_ms: IDLE_MS,
+        };
+        let Some(connection) = lease.connection.as_mut() else {
+            continue;
+        };
+        match connection.sender.try_send_request(request).await {
+            Ok(response) => {
+                lease.idle_ms = idle_ms(&response);
+                return Ok((response, lease));
+            }
+            Err(mut error) => {
+                let why = error.error().to_string();
+                match error.take_message() {
+                    Some(unsent) if !fresh => request = unsent,
+                    Some(_) => return Err(Fault::Connect { peer, why }),
+                    None => return Err(Fault::Lost { peer, why }),
+                }
+            }
+        }
+    }
+}
+
+async fn open(pool: &Rc<Pool>, most: usize) -> Result<Connection, Fault> {
+    let peer = pool.peer;
+    if pool.open.get() >= most {
+        return Err(Fault::Crowded { peer });
+    }
+    let failed = |why: String| Fault::Connect { peer, why };
+    let wait = Duration::from_millis(CONNECT_MS);
+    let connected = actix_rt::time::timeout(wait, TcpStream::connect(peer)).await;
+    let stream = connected
+        .map_err(|_| failed(format!("nothing within {CONNECT_MS} ms")))?
+        .map_err(|error| failed(error.to_string()))?;
+    // Small requests would otherwise wait for the acknowledgement of the one before.
+    stream
+        .set_nodelay(true)
+        .map_err(|error| failed(error.to_string()))?;
+    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
+        .await
+        .map_err(|error| failed(error.to_string()))?;
+    let task = actix_rt::spawn(async move {
+        if let Err(error) = connection.await {
+            log::debug!(peer:%, error:%; "connection ended");
+        }
+    });
+    pool.open.set(pool.open.get() + 1);
+    let connection = Connection {
+        sender: {
+            // The task has to run once before the connection takes a request.
+            let _ = sender.ready().await;
+            sender
+        },
+        task,
+        idle_until_ms: 0,
+    };
+    Ok(connection)
+}
+
+/// Time for which the upstream keeps the connection after this answer.
+fn idle_ms(response: &Response<Incoming>) -> u64 {
+    let headers = response.headers();
+    let closes = headers
+        .get(http::header::CONNECTION)
+        .and_then(|value| value.to_str().ok())
+        .is_some_and(|value| value.to_ascii_lowercase().contains("close"));
+    if closes {
+        return 0;
+    }
+    let announced = headers
+        .get("keep-alive")
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|seconds| seconds.trim().parse::<u64>().ok());
+    match announced {
+        Some(seconds) => (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS),
+        None => IDLE_MS,
+    }
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,246 @@
+//! What one instance knows, and who may change it.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use plan::{Pace, RepeatTerms, Repeats};
+use tick::Clock;
+
+use crate::config::Config;
+use crate::dialect::Dialect;
+use crate::members::{Member, Members};
+use crate::metrics::Metrics;
+use crate::upstreams::{Change, Effect, Upstreams};
+
+/// What an instance is told of itself.
+#[derive(Debug, Clone)]
+pub struct Settings {
+    /// Its name.
+    pub name: String,
+    /// Its availability zone.
+    pub zone: String,
+    /// Where callers connect.
+    pub address: std::net::SocketAddr,
+    /// Bound on repeated sends.
+    pub repeats: RepeatTerms,
+    /// Longest time that callers may keep an answer of the directory, in ms.
+    pub addresses_ttl_ms: u64,
+}
+
+/// How far a process has come on its way out.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
+pub enum Phase {
+    /// It serves.
+    #[default]
+    Serving,
+    /// It is not handed out any more, and serves who still comes.
+    Leaving,
+    /// It takes no new connections and finishes what it has.
+    Closing,
+}
+
+/// The state of one instance.
+pub struct Relay {
+    /// Settings.
+    pub settings: RefCell<Settings>,
+    /// Names on the wire.
+    pub dialect: Rc<dyn Dialect>,
+    /// Clock that all times go by.
+    pub clock: Clock,
+    /// Metrics.
+    pub metrics: Metrics,
+    /// Upstreams.
+    pub upstreams: RefCell<Upstreams>,
+    /// Instances.
+    pub members: RefCell<Members>,
+    phase: Cell<Phase>,
+    connections: Cell<usize>,
+    beat: Cell<u64>,
+    config: RefCell<Option<Rc<Config>>>,
+    repeats: RefCell<HashMap<String, Repeats>>,
+    paces: RefCell<HashMap<String, Pace>>,
+}
+
+impl Relay {
+    /// An instance that knows nothing yet.
+    pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, clock: Clock) -> Rc<Self> {
+        let metrics = Metrics::new(&settings.name, &settings.zone);
+        let upstreams = Upstreams::new(&settings.zone, clock);
+        Rc::new(Self {
+            settings: RefCell::new(settings),
+            dialect,
+            clock,
+            metrics,
+            upstreams: RefCell::new(upstreams),
+            members: RefCell::default(),
+            phase: Cell::default(),
+            connections: Cell::default(),
+            beat: Cell::default(),
+            config: RefCell::default(),
+            repeats: RefCell::default(),
+            paces: RefCell::default(),
+        })
+    }
+
+    /// Time on the instance's clock.
+    pub fn now_ms(&self) -> u64 {
+        self.clock.now_ms()
+    }
+
+    /// How far it is on its way out.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Goes on to a later phase.
+    pub fn enter(&self, phase: Phase) {
+        if phase > self.phase.get() {
+            self.phase.set(phase);
+            log::info!(phase:? ; "leaving");
+        }
+    }
+
+    /// Connections of callers that are open.
+    pub fn connections(&self) -> usize {
+        self.connections.get()
+    }
+
+    /// A caller's connection was opened.
+    pub fn opened(&self) {
+        self.connections.set(self.connections.get() + 1);
+    }
+
+    /// A caller's connection is closed.
+    pub fn closed(&self) {
+        self.connections.set(self.connections.get().saturating_sub(1));
+    }
+
+    /// Whether callers may be sent here: only with a configuration can anything be served.
+    pub fn is_ready(&self) -> bool {
+        self.phase.get() == Phase::Serving && self.config.borrow().is_some()
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> Option<Rc<Config>> {
+        self.config.borrow().clone()
+    }
+
+    /// Takes a version into force unless a newer one is; gives whether it was taken.
+    pub fn configure(&self, config: Config) -> bool {
+        let mut current = self.config.borrow_mut();
+        if current.as_ref().is_some_and(|now| now.version >= config.version) {
+            return false;
+        }
+        log::info!(version = config.version, routes = config.routes(); "configuration taken");
+        self.metrics.config_version.set(config.version as i64);
+        *current = Some(Rc::new(config));
+        true
+    }
+
+    /// Takes in a change of the list of upstreams.
+    pub fn apply(&self, change: Change) {
+        let id = match &change {
+            Change::Put(entry) => entry.id.clone(),
+            Change::Gone(id) => id.clone(),
+        };
+        let effect = self.upstreams.borrow_mut().apply(self.now_ms(), change);
+        note(&id, effect);
+    }
+
+    /// Takes in the whole list of upstreams.
+    pub fn replace(&self, entries: Vec<crate::upstream::Entry>) {
+        let effects = self.upstreams.borrow_mut().replace(self.now_ms(), entries);
+        for (id, effect) in effects {
+            note(&id, effect);
+        }
+    }
+
+    /// Drops what lapsed from the list and did not come back.
+    pub fn settle(&self) {
+        for id in self.upstreams.borrow_mut().settle(self.now_ms()) {
+            note(&id, Effect::Left);
+        }
+    }
+
+    /// The heartbeat to be written now.
+    pub fn heartbeat(&self) -> Member {
+        self.beat.set(self.beat.get() + 1);
+        self.heartbeat_view()
+    }
+
+    /// What the instance would say of itself now.
+    pub fn heartbeat_view(&self) -> Member {
+        let settings = self.settings.borrow();
+        Member {
+            name: settings.name.clone(),
+            address: settings.address,
+            zone: settings.zone.clone(),
+            ready: self.is_ready(),
+            beat: self.beat.get(),
+        }
+    }
+
+    /// Instances among which shared bounds are split.
+    pub fn instances(&self) -> usize {
+        self.members.borrow().count()
+    }
+
+    /// Counts a first send to a service.
+    pub fn sent_first(&self, service: &str) {
+        let terms = self.settings.borrow().repeats;
+        let mut all = self.repeats.borrow_mut();
+        let repeats = all.entry(service.to_owned()).or_default();
+        repeats.first(self.now_ms(), &terms);
+    }
+
+    /// Takes one repeat from the budget of a service.
+    pub fn may_repeat(&self, service: &str) -> bool {
+        let terms = self.settings.borrow().repeats;
+        let instances = self.instances();
+        let mut all = self.repeats.borrow_mut();
+        let repeats = all.entry(service.to_owned()).or_default();
+        let may = repeats.take(self.now_ms(), &terms, instances);
+        let outcome = if may { "taken" } else { "refused" };
+        self.metrics.repeats.with_label_values(&[outcome]).inc();
+        may
+    }
+
+    /// Counts a repeat that had been sent before it was known to be one.
+    pub fn forced_repeat(&self, service: &str) {
+        let terms = self.settings.borrow().repeats;
+        let mut all = self.repeats.borrow_mut();
+        let repeats = all.entry(service.to_owned()).or_default();
+        repeats.forced(self.now_ms(), &terms);
+    }
+
+    /// Another incarnation answered at an upstream's address, so the one known is gone.
+    pub fn found_gone(&self, upstream: &crate::upstream::Upstream) {
+        self.upstreams.borrow_mut().found_gone(&upstream.id);
+        log::info!(upstream = upstream.id; "upstream replaced by another incarnation");
+    }
+
+    /// What was learned of a service's engines.
+    pub fn pace(&self, service: &str) -> Pace {
+        self.paces.borrow().get(service).copied().unwrap_or_default()
+    }
+
+    /// An engine of a service took `elapsed_ms` to read `tokens`.
+    pub fn learn_pace(&self, service: &str, tokens: f64, elapsed_ms: f64) {
+        let mut paces = self.paces.borrow_mut();
+        paces
+            .entry(service.to_owned())
+            .or_default()
+            .learn(tokens, elapsed_ms);
+    }
+}
+
+fn note(id: &str, effect: Effect) {
+    match effect {
+        Effect::Same => {}
+        Effect::Joined => log::info!(upstream = id; "upstream joined"),
+        Effect::Changed => log::info!(upstream = id; "upstream changed"),
+        Effect::Left => log::info!(upstream = id; "upstream left"),
+        Effect::Doubted => log::info!(upstream = id; "upstream's entry lapsed with the store"),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stream.rs
@@ -0,0 +1,258 @@
+//! Streams passed on event by event, and gone on with elsewhere when one breaks off.
+
+use std::collections::VecDeque;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream::unfold;
+use http::{Response, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::answer::{AnswerBody, BrokenOff};
+use crate::call::{Call, strip_hop_by_hop};
+use crate::dialect::Sending;
+use crate::events::Splitter;
+use crate::forward::{Checked, Sent, may_repeat, send};
+use crate::place;
+use crate::pool::Lease;
+use crate::relay::Relay;
+use crate::upstream::InFlight;
+
+/// Silence of an engine, in objectives for the pause between events, after which a stream that
+/// may go on elsewhere does so. Callers leave after eight; what is left is for the other engine.
+const SILENT_GAPS: u64 = 3;
+
+/// Least silence after which a stream goes on elsewhere, in ms.
+const SILENT_MS: u64 = 700;
+
+/// A stream on its way from an engine to a caller.
+pub struct Streaming {
+    relay: Rc<Relay>,
+    call: Rc<Call>,
+    source: Option<Source>,
+    splitter: Splitter,
+    ready: VecDeque<Bytes>,
+    last_event: Option<u64>,
+    tried: Vec<String>,
+}
+
+struct Source {
+    body: Incoming,
+    lease: Lease,
+    guard: InFlight,
+}
+
+/// What came of waiting for the engine.
+enum Next {
+    Data(Bytes),
+    End,
+    Broken(String),
+    OutOfTime,
+}
+
+impl Streaming {
+    /// Passes on the head of a stream, and its events as they come.
+    pub fn start(
+        relay: &Rc<Relay>,
+        call: &Rc<Call>,
+        checked: Checked,
+        guard: InFlight,
+        tried: Vec<String>,
+    ) -> Response<AnswerBody> {
+        let (mut head, body) = checked.response.into_parts();
+        strip_hop_by_hop(&mut head.headers, |_| false);
+        if call.route.is_repeatable() {
+            // The rest may come from elsewhere and be of another length.
+            head.headers.remove(header::CONTENT_LENGTH);
+        }
+        let took_s = (relay.now_ms() - call.arrived_ms) as f64 / 1_000.0;
+        let labels = [call.route.name.as_str()];
+        relay.metrics.head_s.with_label_values(&labels).observe(took_s);
+        let streaming = Self {
+            relay: Rc::clone(relay),
+            call: Rc::clone(call),
+            source: Some(Source {
+                body,
+                lease: checked.lease,
+                guard,
+            }),
+            splitter: Splitter::default(),
+            ready: VecDeque::new(),
+            last_event: call.asked.last_event,
+            tried,
+        };
+        let frames = unfold(Some(streaming), |streaming| async move {
+            let mut streaming = streaming?;
+            match streaming.next().await {
+                Some(Ok(bytes)) => Some((Ok(bytes), Some(streaming))),
+                Some(Err(broken)) => Some((Err(broken), None)),
+                None => None,
+            }
+        });
+        Response::from_parts(head, AnswerBody::stream(frames))
+    }
+
+    async fn next(&mut self) -> Option<Result<Bytes, BrokenOff>> {
+        loop {
+            if let Some(bytes) = self.ready.pop_front() {
+                return Some(Ok(bytes));
+            }
+            match self.wait().await {
+                Next::Data(bytes) if !self.call.route.is_repeatable() => return Some(Ok(bytes)),
+                Next::Data(bytes) => {
+                    self.splitter.push(&bytes);
+                    self.take_events();
+                }
+                Next::End if !self.splitter.has_rest() => {
+                    self.finish("200");
+                    return None;
+                }
+                Next::End => {
+                    if let Err(broken) = self.go_on("it ended within an event").await {
+                        return Some(Err(broken));
+                    }
+                }
+                Next::Broken(why) => {
+                    if let Err(broken) = self.go_on(&why).await {
+                        return Some(Err(broken));
+                    }
+                }
+                Next::OutOfTime => return Some(Err(self.broken("out of time"))),
+            }
+        }
+    }
+
+    fn take_events(&mut self) {
+        while let Some(event) = self.splitter.next_event() {
+            let is_old = match (event.id, self.last_event) {
+                (Some(id), Some(last)) => id <= last,
+                _ => false,
+            };
+            if is_old {
+                continue;
+            }
+            self.last_event = event.id.or(self.last_event);
+            self.ready.push_back(event.bytes);
+        }
+    }
+
+    async fn wait(&mut self) -> Next {
+        let left_ms = self.call.left_ms(self.relay.now_ms());
+        let silent_ms = (self.call.route.gap_goal_ms * SILENT_GAPS).max(SILENT_MS);
+        let may_move = self.call.route.is_repeatable()
+            && self.call.attempts.get() < self.call.route.max_attempts;
+        let wait_ms = if may_move { left_ms.min(silent_ms) } else { left_ms };
+        let Some(source) = self.source.as_mut() else {
+            return Next::End;
+        };
+        let frame = source.body.frame();
+        let waited = actix_rt::time::timeout(Duration::from_millis(wait_ms), frame).await;
+        match waited {
+            Err(_) if wait_ms == left_ms => Next::OutOfTime,
+            Err(_) => Next::Broken(format!("silent for {wait_ms} ms")),
+            Ok(None) => Next::End,
+            Ok(Some(Err(error))) => Next::Broken(error.to_string()),
+            Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+        }
+    }
+
+    /// Goes on with the stream at another engine, after the last whole event.
+    async fn go_on(&mut self, why: &str) -> Result<(), BrokenOff> {
+        if let Some(source) = self.source.take() {
+            source.guard.upstream().failed(self.relay.now_ms());
+            log::info!(
+                request = self.call.id(), upstream = source.guard.upstream().id, why,
+                last_event = self.last_event.unwrap_or(0);
+                "stream broke off"
+            );
+        }
+        self.splitter.clear();
+        let call = Rc::clone(&self.call);
+        let Some(prompt) = call.asked.prompt.as_ref() else {
+            return Err(self.broken(why));
+        };
+        if !call.route.is_repeatable() || !may_repeat(&self.relay, &call) {
+            return Err(self.broken(why));
+        }
+        let Ok(placement) = place::generation(&self.relay, &call, prompt, &self.tried) else {
+            return Err(self.broken(why));
+        };
+        let maker = placement.maker;
+        self.tried.push(maker.id.clone());
+        let guard = InFlight::enter(&maker, self.relay.now_ms(), placement.maker_tokens);
+        let sending = Sending {
+            instance: &maker.id,
+            deadline_ms: call.left_ms(self.relay.now_ms()),
+            priority: Some(call.route.priority),
+            last_event: self.last_event,
+            ..Sending::default()
+        };
+        let left = Duration::from_millis(call.left_ms(self.relay.now_ms()));
+        let sent = actix_rt::time::timeout(left, send(&self.relay, &call, &maker, &sending)).await;
+        match sent {
+            Ok(Sent::Answer(checked)) if checked.response.status() == StatusCode::OK => {
+                guard.has_read();
+                log::info!(request = call.id(), upstream = maker.id; "stream goes on");
+                self.source = Some(Source {
+                    body: checked.response.into_body(),
+                    lease: checked.lease,
+                    guard,
+                });
+                Ok(())
+            }
+            _ => Err(self.broken(why)),
+        }
+    }
+
+    fn finish(&mut self, end: &str) {
+        let labels = [self.call.route.name.as_str(), end];
+        self.relay.metrics.requests.with_label_values(&labels).inc();
+        if let Some(source) = self.source.take() {
+            source.lease.give_back();
+        }
+    }
+
+    fn broken(&self, why: &str) -> BrokenOff {
+        log::info!(
+            request = self.call.id(), route = self.call.route.name, why,
+            took_ms = self.relay.now_ms() - self.call.arrived_ms;
+            "stream not finished"
+        );
+        let labels = [self.call.route.name.as_str(), "broken"];
+        self.relay.metrics.requests.with_label_values(&labels).inc();
+        BrokenOff {
+            why: why.to_owned(),
+        }
+    }
+}
+
+/// Passes on a long answer as it comes.
+pub fn relayed(body: Incoming, lease: Lease, guard: InFlight) -> AnswerBody {
+    struct State {
+        body: Incoming,
+        lease: Lease,
+        _guard: InFlight,
+    }
+    let state = State {
+        body,
+        lease,
+        _guard: guard,
+    };
+    let frames = unfold(Some(state), |state| async move {
+        let mut state = state?;
+        match state.body.frame().await {
+            Some(Ok(frame)) => Some((Ok(frame.into_data().unwrap_or_default()), Some(state))),
+            Some(Err(error)) => {
+                let why = error.to_string();
+                Some((Err(BrokenOff { why }), None))
+            }
+            None => {
+                state.lease.give_back();
+                None
+            }
+        }
+    });
+    AnswerBody::stream(frames)
+}
--- /dev/null
+++ b/crates/relay/src/upstream.rs
@@ -0,0 +1,273 @@
+//! One incarnation of an upstream, and what this instance has seen of it.
+
+use std::cell::{Cell, RefCell};
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+use plan::{EngineView, Health, Verdict};
+use tick::Clock;
+
+use crate::dialect::ToldLoad;
+use crate::pool::Pool;
+
+/// Time over which what an upstream told of the load that others put on it fades, in ms: a few
+/// times the length of a short answer, after which it describes other requests.
+const TOLD_FADES_MS: f64 = 400.0;
+
+/// Share of an engine's cache memory that a belief about cached parts may count on; the rest
+/// holds the requests that run.
+const CACHE_SHARE: f64 = 0.7;
+
+/// What an upstream does of a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Stage {
+    /// All of it, or no generation at all.
+    #[default]
+    Whole,
+    /// It reads prompts.
+    Prefill,
+    /// It makes output, and reads prompts beside it if it has to.
+    Decode,
+}
+
+/// Whether an upstream may get new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Standing {
+    /// It may.
+    #[default]
+    Ready,
+    /// It has said that it is leaving, and gets nothing new.
+    Leaving,
+}
+
+/// An upstream as the list of upstreams describes it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Entry {
+    /// Incarnation; a restart has another.
+    pub id: String,
+    /// Service that it runs.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it gets new work.
+    pub standing: Standing,
+    /// What it does of a generation.
+    pub stage: Stage,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Told {
+    others: f64,
+    at_ms: u64,
+}
+
+/// A part of a prompt that an upstream has read for us.
+#[derive(Debug, Clone, Copy)]
+struct Kept {
+    part: u64,
+    tokens: f64,
+}
+
+/// An upstream with its connections and what was seen of it.
+pub struct Upstream {
+    /// The incarnation's id.
+    pub id: String,
+    /// Service that it runs.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Time of one way to it, in ms.
+    pub distance_ms: f64,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Its connections.
+    pub pool: Rc<Pool>,
+    standing: Cell<Standing>,
+    stage: Cell<Stage>,
+    in_flight: Cell<u32>,
+    queued_tokens: Cell<f64>,
+    answer_ms: Cell<f64>,
+    told: Cell<Told>,
+    health: RefCell<Health>,
+    kept: RefCell<Vec<Kept>>,
+}
+
+impl Upstream {
+    /// An upstream that was just heard of.
+    pub fn new(entry: &Entry, distance_ms: f64, clock: Clock) -> Self {
+        Self {
+            id: entry.id.clone(),
+            service: entry.service.clone(),
+            address: entry.address,
+            distance_ms,
+            slots: entry.slots.max(1),
+            pool: Pool::new(entry.address, clock),
+            standing: Cell::new(entry.standing),
+            stage: Cell::new(entry.stage),
+            in_flight: Cell::default(),
+            queued_tokens: Cell::default(),
+            answer_ms: Cell::new(0.0),
+            told: Cell::default(),
+            health: RefCell::default(),
+            kept: RefCell::default(),
+        }
+    }
+
+    /// Whether it gets new work.
+    pub fn is_ready(&self) -> bool {
+        self.standing.get() == Standing::Ready
+    }
+
+    /// What it does of a generation.
+    pub fn stage(&self) -> Stage {
+        self.stage.get()
+    }
+
+    /// Takes over what the list says now; gives whether anything changed.
+    pub fn update(&self, entry: &Entry) -> bool {
+        let standing = self.standing.replace(entry.standing);
+        let stage = self.stage.replace(entry.stage);
+        if entry.standing == Standing::Leaving {
+            self.pool.close();
+        }
+        standing != entry.standing || stage != entry.stage
+    }
+
+    /// Requests of ours that it has.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight.get()
+    }
+
+    /// Requests that it has, ours exactly and those of others as it last told.
+    pub fn load(&self, now_ms: u64) -> f64 {
+        let told = self.told.get();
+        let age_ms = now_ms.saturating_sub(told.at_ms) as f64;
+        f64::from(self.in_flight.get()) + told.others * (-age_ms / TOLD_FADES_MS).exp()
+    }
+
+    /// It told its load, of which `own` were ours.
+    pub fn told(&self, now_ms: u64, load: ToldLoad) {
+        let all = f64::from(load.running + load.waiting);
+        let others = (all - f64::from(self.in_flight.get())).max(0.0);
+        self.told.set(Told {
+            others,
+            at_ms: now_ms,
+        });
+    }
+
+    /// Whether it is fit for work.
+    pub fn verdict(&self, now_ms: u64) -> Verdict {
+        self.health.borrow().verdict(now_ms)
+    }
+
+    /// How much slower it is than predicted.
+    pub fn slowness(&self) -> f64 {
+        self.health.borrow().slowness()
+    }
+
+    /// It answered after `actual_ms` where `predicted_ms` was expected.
+    pub fn answered(&self, now_ms: u64, predicted_ms: f64, actual_ms: f64) {
+        self.health
+            .borrow_mut()
+            .answered(now_ms, predicted_ms, actual_ms);
+        let seen = self.answer_ms.get();
+        let next = if seen == 0.0 {
+            actual_ms
+        } else {
+            seen + 0.2 * (actual_ms - seen)
+        };
+        self.answer_ms.set(next);
+    }
+
+    /// It failed a request for its own sake.
+    pub fn failed(&self, now_ms: u64) {
+        self.health.borrow_mut().failed(now_ms);
+    }
+
+    /// Moving average of its answers' times.
+    pub fn answer_ms(&self) -> f64 {
+        self.answer_ms.get()
+    }
+
+    /// Prompt tokens of ours that it has still to read.
+    pub fn queued_tokens(&self) -> f64 {
+        self.queued_tokens.get()
+    }
+
+    /// It has read, or been sent, a prompt part.
+    pub fn keeps(&self, part: u64, tokens: f64, room_tokens: f64) {
+        let mut kept = self.kept.borrow_mut();
+        kept.retain(|each| each.part != part);
+        kept.push(Kept { part, tokens });
+        let mut held: f64 = kept.iter().map(|each| each.tokens).sum();
+        while held > room_tokens * CACHE_SHARE && kept.len() > 1 {
+            held -= kept.remove(0).tokens;
+        }
+    }
+
+    /// Tokens of a part that it is believed to hold.
+    pub fn kept(&self, part: u64) -> f64 {
+        let kept = self.kept.borrow();
+        let found = kept.iter().find(|each| each.part == part);
+        found.map_or(0.0, |each| each.tokens)
+    }
+
+    /// The upstream as a placement of a prompt sees it.
+    pub fn view(&self, now_ms: u64, cached_tokens: f64) -> EngineView {
+        EngineView {
+            queued_tokens: self.queued_tokens.get(),
+            cached_tokens,
+            requests: self.load(now_ms),
+            slots: f64::from(self.slots),
+            distance_ms: self.distance_ms,
+            slowness: self.slowness(),
+        }
+    }
+}
+
+/// Counts a request against its upstream for as long as it lives.
+///
+/// A request ends in many ways, a caller that leaves among them; only a count that falls when
+/// the request is dropped stays right through all of them.
+pub struct InFlight {
+    upstream: Rc<Upstream>,
+    tokens: Cell<f64>,
+}
+
+impl InFlight {
+    /// A request with `tokens` of prompt to read is about to be sent.
+    pub fn enter(upstream: &Rc<Upstream>, now_ms: u64, tokens: f64) -> Self {
+        if upstream.verdict(now_ms) == Verdict::Probe {
+            upstream.health.borrow_mut().probe();
+        }
+        upstream.in_flight.set(upstream.in_flight.get() + 1);
+        upstream.queued_tokens.set(upstream.queued_tokens.get() + tokens);
+        Self {
+            upstream: Rc::clone(upstream),
+            tokens: Cell::new(tokens),
+        }
+    }
+
+    /// The upstream that has the request.
+    pub fn upstream(&self) -> &Rc<Upstream> {
+        &self.upstream
+    }
+
+    /// The prompt has been read.
+    pub fn has_read(&self) {
+        let queued = self.upstream.queued_tokens.get() - self.tokens.take();
+        self.upstream.queued_tokens.set(queued.max(0.0));
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.has_read();
+        let count = self.upstream.in_flight.get();
+        self.upstream.in_flight.set(count.saturating_sub(1));
+    }
+}
--- /dev/null
+++ b/crates/relay/src/upstreams.rs
@@ -0,0 +1,208 @@
+//! The list of upstreams as this instance knows it.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+
+use tick::Clock;
+
+use crate::upstream::{Entry, Standing, Upstream};
+
+/// Time for which an entry that lapsed while the list could not be read is still used, in ms.
+///
+/// Entries expire while the list's store is away, though their upstreams live, and are back
+/// about 2 s after its return. Dropping them at once would leave no upstream at all for that
+/// time. Upstreams that are really gone refuse the connection or the incarnation.
+const LAPSE_MS: u64 = 2_000;
+
+/// A change of the list.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Change {
+    /// An upstream is there, as described.
+    Put(Entry),
+    /// An upstream's entry was taken away.
+    Gone(String),
+}
+
+/// What came of a change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Effect {
+    /// A new incarnation.
+    Joined,
+    /// It changed its standing or stage.
+    Changed,
+    /// It is no longer used.
+    Left,
+    /// It is used on for a short time, since its entry may have lapsed with the store.
+    Doubted,
+    /// Nothing new.
+    Same,
+}
+
+/// How far apart two places are, in ms one way.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Distances {
+    /// Within an availability zone.
+    pub in_zone_ms: f64,
+    /// Between two.
+    pub across_ms: f64,
+}
+
+impl Default for Distances {
+    fn default() -> Self {
+        Self {
+            in_zone_ms: 0.2,
+            across_ms: 1.4,
+        }
+    }
+}
+
+/// All upstreams.
+#[derive(Default)]
+pub struct Upstreams {
+    clock: Clock,
+    zone: String,
+    distances: Distances,
+    by_id: HashMap<String, Rc<Upstream>>,
+    by_service: HashMap<String, Vec<Rc<Upstream>>>,
+    doubted: HashMap<String, u64>,
+    unreachable_until_ms: u64,
+}
+
+impl Upstreams {
+    /// An empty list, seen from an availability zone.
+    pub fn new(zone: &str, clock: Clock) -> Self {
+        Self {
+            clock,
+            zone: zone.to_owned(),
+            ..Self::default()
+        }
+    }
+
+    /// The list's store did not answer at `now_ms`.
+    pub fn unreachable(&mut self, now_ms: u64) {
+        self.unreachable_until_ms = now_ms + LAPSE_MS;
+    }
+
+    /// Takes in a change.
+    pub fn apply(&mut self, now_ms: u64, change: Change) -> Effect {
+        match change {
+            Change::Put(entry) => self.put(&entry),
+            Change::Gone(id) => self.gone(now_ms, &id),
+        }
+    }
+
+    /// Takes in the whole list: what is not in it is gone.
+    pub fn replace(&mut self, now_ms: u64, entries: Vec<Entry>) -> Vec<(String, Effect)> {
+        let ids: Vec<String> = entries.iter().map(|entry| entry.id.clone()).collect();
+        let missing: Vec<String> = self
+            .by_id
+            .keys()
+            .filter(|id| !ids.contains(id))
+            .cloned()
+            .collect();
+        let mut effects = Vec::new();
+        for entry in entries {
+            let id = entry.id.clone();
+            effects.push((id, self.put(&entry)));
+        }
+        for id in missing {
+            let effect = self.gone(now_ms, &id);
+            effects.push((id, effect));
+        }
+        effects
+    }
+
+    /// Drops what lapsed and did not come back; gives what was dropped.
+    pub fn settle(&mut self, now_ms: u64) -> Vec<String> {
+        let over = |until_ms: &u64| *until_ms <= now_ms;
+        let lapsed: Vec<String> = self
+            .doubted
+            .iter()
+            .filter(|(_, until_ms)| over(until_ms))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in &lapsed {
+            self.remove(id);
+        }
+        lapsed
+    }
+
+    /// The upstreams of a service that get new work.
+    pub fn ready<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Rc<Upstream>> {
+        let all = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        all.iter().filter(|each| each.is_ready())
+    }
+
+    /// An incarnation that turned out to be gone, before the list says so.
+    pub fn found_gone(&mut self, id: &str) {
+        self.remove(id);
+    }
+
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Whether none is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    fn put(&mut self, entry: &Entry) -> Effect {
+        self.doubted.remove(&entry.id);
+        if let Some(known) = self.by_id.get(&entry.id) {
+            if known.address == entry.address && known.service == entry.service {
+                return if known.update(entry) {
+                    Effect::Changed
+                } else {
+                    Effect::Same
+                };
+            }
+            self.remove(&entry.id);
+        }
+        let distance_ms = if entry.zone == self.zone {
+            self.distances.in_zone_ms
+        } else {
+            self.distances.across_ms
+        };
+        let upstream = Rc::new(Upstream::new(entry, distance_ms, self.clock));
+        self.by_id.insert(entry.id.clone(), Rc::clone(&upstream));
+        self.by_service
+            .entry(entry.service.clone())
+            .or_default()
+            .push(upstream);
+        Effect::Joined
+    }
+
+    fn gone(&mut self, now_ms: u64, id: &str) -> Effect {
+        let Some(known) = self.by_id.get(id) else {
+            return Effect::Same;
+        };
+        if now_ms < self.unreachable_until_ms && known.is_ready() {
+            let until_ms = now_ms + LAPSE_MS;
+            self.doubted.entry(id.to_owned()).or_insert(until_ms);
+            return Effect::Doubted;
+        }
+        self.remove(id);
+        Effect::Left
+    }
+
+    fn remove(&mut self, id: &str) {
+        self.doubted.remove(id);
+        let Some(known) = self.by_id.remove(id) else {
+            return;
+        };
+        if let Some(all) = self.by_service.get_mut(&known.service) {
+            all.retain(|each| each.id != id);
+        }
+        known.update(&Entry {
+            id: id.to_owned(),
+            service: known.service.clone(),
+            address: known.address,
+            zone: String::new(),
+            slots: known.slots,
+            standing: Standing::Leaving,
+            stage: known.stage(),
+        });
+    }
+}
