--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -7,17 +7,28 @@
 //! reading the part elsewhere. Every instance derives that engine from the part's id alone, and
 //! nothing needs to be exchanged. See docs/design/platform.md.
 
-/// Weight that one answer has in the learned time of a prompt token.
+/// Weight that one answer has in the learned times.
 const SMOOTHING: f64 = 0.1;
 
 /// Time of a prompt token before any answer, in ms; corrected by the first answers.
-const FIRST_GUESS_MS: f64 = 0.02;
+const FIRST_GUESS_MS: f64 = 0.015;
 
 /// Bounds of the learned time of a prompt token, in ms: engines read 5 to 500 tokens a ms.
 const TOKEN_MS: (f64, f64) = (0.002, 0.2);
 
-/// Prompts shorter than this say more of the engine's fixed costs than of its reading.
-const TELLING_TOKENS: f64 = 1_000.0;
+/// Prompts with less to read say more of the engine's fixed costs than of its reading.
+const TELLING_TOKENS: f64 = 2_000.0;
+
+/// Time from an idle engine's last prompt token to its answer before any was seen, in ms.
+const FIRST_BASE_MS: f64 = 80.0;
+
+/// Weight of an answer in the learned fixed time when it is above it, beside `SMOOTHING` when it
+/// is below: waiting only ever adds, so the fixed time is near the least that is seen.
+const ABOVE_SHARE: f64 = 0.02;
+
+/// Tokens whose reading costs as much as attending a million pairs of tokens. Attention grows
+/// with the square of the prompt; for two fleets of different engines the ratio was 32 and 41.
+const TOKENS_A_MILLION_PAIRS: f64 = 36.0;
 
 /// How much longer a decoding engine takes to read a prompt: it reads at half the speed, in
 /// pieces between the output of other requests.
@@ -26,7 +37,7 @@
 /// An engine as one placement sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct EngineView {
-    /// Prompt tokens sent there that it has still to read.
+    /// Work sent there that it has still to read, in tokens.
     pub queued_tokens: f64,
     /// Tokens of this prompt that it is believed to hold.
     pub cached_tokens: f64,
@@ -40,56 +51,100 @@
     pub slowness: f64,
 }
 
+/// A prediction, split by what causes it.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Predicted {
+    /// Time behind other requests.
+    pub wait_ms: f64,
+    /// Time for the request itself.
+    pub own_ms: f64,
+}
+
+impl Predicted {
+    /// Both.
+    pub fn total_ms(&self) -> f64 {
+        self.wait_ms + self.own_ms
+    }
+}
+
+/// Work of reading the rest of a prompt whose start is cached, in tokens of a short prompt.
+pub fn work_tokens(prompt_tokens: f64, cached_tokens: f64) -> f64 {
+    let own = (prompt_tokens - cached_tokens).max(0.0);
+    let pairs = own * (cached_tokens.min(prompt_tokens) + own / 2.0);
+    own + pairs / 1e6 * TOKENS_A_MILLION_PAIRS
+}
+
 /// What was learned of the engines of one service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Pace {
     token_ms: f64,
+    base_ms: f64,
 }
 
 impl Default for Pace {
     fn default() -> Self {
         Self {
             token_ms: FIRST_GUESS_MS,
+            base_ms: FIRST_BASE_MS,
         }
     }
 }
 
 impl Pace {
-    /// A prompt call took `elapsed_ms` with `tokens` to read, its own and those before it.
+    /// A prompt was read after `elapsed_ms`, with `tokens` of work, its own and that before it.
     pub fn learn(&mut self, tokens: f64, elapsed_ms: f64) {
+        let base_ms = elapsed_ms - tokens * self.token_ms;
+        let weight = if base_ms < self.base_ms {
+            SMOOTHING
+        } else {
+            SMOOTHING * ABOVE_SHARE
+        };
+        self.base_ms = (self.base_ms + weight * (base_ms - self.base_ms)).max(0.0);
         if tokens < TELLING_TOKENS {
             return;
         }
-        let seen = (elapsed_ms / tokens).clamp(TOKEN_MS.0, TOKEN_MS.1);
+        let seen = ((elapsed_ms - self.base_ms) / tokens).clamp(TOKEN_MS.0, TOKEN_MS.1);
         self.token_ms += SMOOTHING * (seen - self.token_ms);
     }
 
-    /// Time of one prompt token, in ms.
+    /// Time of one token of work, in ms.
     pub fn token_ms(&self) -> f64 {
         self.token_ms
     }
 
+    /// Fixed time of an answer, in ms.
+    pub fn base_ms(&self) -> f64 {
+        self.base_ms
+    }
+
     /// Time until an engine that only reads prompts has read this one.
-    pub fn prefill_ms(&self, view: &EngineView, prompt_tokens: f64) -> f64 {
-        let own = (prompt_tokens - view.cached_tokens).max(0.0);
-        2.0 * view.distance_ms
-            + (view.queued_tokens + own) * self.token_ms * view.slowness.max(1.0)
+    pub fn prefill_ms(&self, view: &EngineView, prompt_tokens: f64) -> Predicted {
+        let own = work_tokens(prompt_tokens, view.cached_tokens);
+        let pace_ms = self.token_ms * view.slowness.max(1.0);
+        Predicted {
+            wait_ms: view.queued_tokens * pace_ms,
+            own_ms: 2.0 * view.distance_ms + self.base_ms + own * pace_ms,
+        }
     }
 
     /// Time until a decoding engine has read a prompt itself and waited for a place.
-    pub fn decode_ms(&self, view: &EngineView, prompt_tokens: f64, place_ms: f64) -> f64 {
-        let own = (prompt_tokens - view.cached_tokens).max(0.0);
-        let read = (view.queued_tokens + own) * self.token_ms * READ_BESIDE;
+    pub fn decode_ms(&self, view: &EngineView, prompt_tokens: f64, place_ms: f64) -> Predicted {
+        let own = work_tokens(prompt_tokens, view.cached_tokens);
+        let pace_ms = self.token_ms * READ_BESIDE * view.slowness.max(1.0);
         let over = (view.requests + 1.0 - view.slots).max(0.0);
-        let wait = over / view.slots.max(1.0) * place_ms;
-        let crowding = view.requests / view.slots.max(1.0) * place_ms * 0.25;
-        2.0 * view.distance_ms + (read + wait + crowding) * view.slowness.max(1.0)
+        let places_ms = over / view.slots.max(1.0) * place_ms;
+        let crowding_ms = view.requests / view.slots.max(1.0) * place_ms * 0.25;
+        let base_ms = if own > 0.0 { self.base_ms } else { 0.0 };
+        Predicted {
+            wait_ms: view.queued_tokens * pace_ms + places_ms + crowding_ms,
+            own_ms: 2.0 * view.distance_ms + base_ms + own * pace_ms,
+        }
     }
 }
 
-/// Index of the least time, and that time.
-pub fn least(times_ms: impl Iterator<Item = f64>) -> Option<(usize, f64)> {
-    times_ms
+/// Index of the least time, and what is predicted there.
+pub fn least(predicted: impl Iterator<Item = Predicted>) -> Option<(usize, Predicted)> {
+    predicted
         .enumerate()
-        .min_by(|a, b| a.1.total_cmp(&b.1))
+        .min_by(|a, b| a.1.total_ms().total_cmp(&b.1.total_ms()))
 }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -1,6 +1,8 @@
 //! Answers to callers: those of upstreams passed on, and refusals of our own.
 
+use std::cell::Cell;
 use std::pin::Pin;
+use std::rc::Rc;
 use std::task::{Context, Poll};
 
 use bytes::Bytes;
@@ -20,18 +22,61 @@
 
 type Frames = Pin<Box<dyn Stream<Item = Result<Bytes, BrokenOff>>>>;
 
-/// Body of an answer to a caller.
-pub enum AnswerBody {
-    /// All of it is there.
+enum Content {
     Whole(Bytes),
-    /// It is passed on as it comes.
     Streamed(Frames),
 }
 
+/// Body of an answer to a caller.
+pub struct AnswerBody {
+    content: Content,
+    busy: Option<Busy>,
+}
+
 impl AnswerBody {
+    /// A body that is all there.
+    pub fn whole(bytes: impl Into<Bytes>) -> Self {
+        Self {
+            content: Content::Whole(bytes.into()),
+            busy: None,
+        }
+    }
+
     /// Passes on what a stream gives.
     pub fn stream(frames: impl Stream<Item = Result<Bytes, BrokenOff>> + 'static) -> Self {
-        Self::Streamed(Box::pin(frames))
+        Self {
+            content: Content::Streamed(Box::pin(frames)),
+            busy: None,
+        }
+    }
+
+    /// Keeps the process counted as busy until the body has been sent.
+    pub fn counted(&mut self, busy: Busy) {
+        self.busy = Some(busy);
+    }
+}
+
+/// Counts a request from its arrival until its answer is out.
+///
+/// A process that leaves ends when none is left. Connections without a request do not hold it
+/// up, since callers keep some open that they may never use again.
+pub struct Busy {
+    count: Rc<Cell<usize>>,
+}
+
+impl Busy {
+    /// One more request.
+    pub fn enter(count: &Rc<Cell<usize>>) -> Self {
+        count.set(count.get() + 1);
+        Self {
+            count: Rc::clone(count),
+        }
+    }
+}
+
+impl Drop for Busy {
+    fn drop(&mut self) {
+        self.count.set(self.count.get().saturating_sub(1));
     }
 }
 
@@ -43,10 +88,10 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, BrokenOff>>> {
-        match &mut *self {
-            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
-            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
-            Self::Streamed(frames) => {
+        match &mut self.content {
+            Content::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Content::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Content::Streamed(frames) => {
                 let polled = frames.as_mut().poll_next(context);
                 polled.map(|next| next.map(|frame| frame.map(Frame::data)))
             }
@@ -54,13 +99,13 @@
     }
 
     fn is_end_stream(&self) -> bool {
-        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+        matches!(&self.content, Content::Whole(bytes) if bytes.is_empty())
     }
 
     fn size_hint(&self) -> SizeHint {
-        match self {
-            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
-            Self::Streamed(_) => SizeHint::default(),
+        match &self.content {
+            Content::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Content::Streamed(_) => SizeHint::default(),
         }
     }
 }
@@ -147,7 +192,7 @@
 
     /// The answer.
     pub fn response(self, body: Vec<u8>) -> Response<AnswerBody> {
-        let mut response = Response::new(AnswerBody::Whole(body.into()));
+        let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = self.reason.status();
         let headers = response.headers_mut();
         headers.insert(
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::Kind;
 use crate::dialect::{Answered, KvHandle, Prompt, Sending, Step};
-use crate::place::{self, Placement};
+use crate::place::{self, Maker, Placement, Reader};
 use crate::pool::{Exchanged, Fault, Lease, exchange};
 use crate::relay::Relay;
 use crate::stream::Streaming;
@@ -149,12 +149,15 @@
     let mut tried = Vec::new();
     let mut unreached = 0;
     loop {
-        let placement = place::generation(relay, call, prompt, &tried)?;
-        let kv = read_apart(relay, call, prompt, &placement).await;
-        let maker = &placement.maker;
-        let sent = make(relay, call, prompt, &placement, kv.as_ref()).await;
-        let (sent, guard) = sent;
-        tried.push(maker.id.clone());
+        let (maker, kv) = match place::generation(relay, call, prompt, &tried)? {
+            Placement::Whole(maker) => (maker, None),
+            Placement::Apart(reader) => {
+                let kv = read_apart(relay, call, prompt, &reader).await;
+                (place::maker(relay, call, prompt, &tried, kv.is_some())?, kv)
+            }
+        };
+        let (sent, guard) = make(relay, call, prompt, &maker, kv.as_ref()).await;
+        tried.push(maker.engine.id.clone());
         let refused = match sent {
             Sent::Answer(checked) if checked.response.status() == StatusCode::OK => {
                 return Ok(Streaming::start(relay, call, *checked, guard, tried));
@@ -190,15 +193,12 @@
     relay: &Rc<Relay>,
     call: &Rc<Call>,
     prompt: &Prompt,
-    placement: &Placement,
+    maker: &Maker,
     kv: Option<&Handed>,
 ) -> (Sent, InFlight) {
-    let maker = &placement.maker;
-    let tokens = match kv {
-        Some(_) => placement.maker_tokens,
-        None => f64::from(prompt.input_tokens),
-    };
-    let guard = InFlight::enter(maker, relay.now_ms(), tokens);
+    let predicted_ms = maker.first.total_ms();
+    let guard = InFlight::enter(&maker.engine, relay.now_ms(), maker.tokens);
+    let maker = &maker.engine;
     let mut sending = Sending {
         instance: &maker.id,
         deadline_ms: call.left_ms(relay.now_ms()),
@@ -226,7 +226,11 @@
         guard.has_read();
         keep_parts(relay, call, prompt, maker);
         let took_ms = (relay.now_ms() - began_ms) as f64;
-        let predicted_ms = placement.first_ms.max(call.route.goal_ms as f64 / 2.0);
+        log::info!(
+            request = call.id(), upstream = maker.id, predicted_ms, took_ms, apart = kv.is_some(),
+            load = maker.load(relay.now_ms()); "output begun"
+        );
+        let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
         maker.answered(relay.now_ms(), predicted_ms, took_ms);
     }
     (sent, guard)
@@ -295,10 +299,11 @@
     relay: &Rc<Relay>,
     call: &Rc<Call>,
     prompt: &Prompt,
-    placement: &Placement,
+    reader: &Reader,
 ) -> Option<Handed> {
-    let (reader, missing) = placement.reader.as_ref()?;
-    let guard = InFlight::enter(reader, relay.now_ms(), *missing);
+    let guard = InFlight::enter(&reader.engine, relay.now_ms(), reader.tokens);
+    let read_ms = reader.read.total_ms();
+    let reader = &reader.engine;
     let before = reader.queued_tokens();
     let sending = Sending {
         instance: &reader.id,
@@ -321,9 +326,9 @@
     drop(guard);
     if handed.is_some() {
         let took_ms = (relay.now_ms() - began_ms) as f64;
-        let predicted_ms = relay.pace(&call.service).token_ms() * before;
+        log::info!(request = call.id(), upstream = reader.id, tokens = before, read_ms, took_ms, load = reader.load(relay.now_ms()); "prompt read");
         relay.learn_pace(&call.service, before, took_ms);
-        reader.answered(relay.now_ms(), predicted_ms.max(50.0), took_ms);
+        reader.answered(relay.now_ms(), read_ms, took_ms);
         keep_parts(relay, call, prompt, reader);
         let took_s = took_ms / 1_000.0;
         let labels = [call.service.as_str()];
@@ -508,7 +513,7 @@
         head.headers.remove(header::CONTENT_LENGTH);
         checked.lease.give_back();
         drop(guard);
-        AnswerBody::Whole(collected.to_bytes())
+        AnswerBody::whole(collected.to_bytes())
     };
     let end = head.status.as_u16().to_string();
     let labels = [call.route.name.as_str(), &end];
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,7 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
-use crate::answer::{AnswerBody, Reason, Refused};
+use crate::answer::{AnswerBody, Busy, Reason, Refused};
 use crate::call::{Call, host};
 use crate::config::Limits;
 use crate::forward::forward;
@@ -68,7 +68,7 @@
             Ok((stream, _)) => {
                 let relay = Rc::clone(&relay);
                 let phase = phase.clone();
-                actix_rt::spawn(counted(relay, duty, stream, phase));
+                actix_rt::spawn(connection(relay, duty, stream, phase));
             }
             Err(error) => {
                 log::warn!(error:%; "connection not accepted");
@@ -78,22 +78,6 @@
     }
 }
 
-/// Counts connections of callers, so that a process ends only when the last answer is out.
-async fn counted(
-    relay: Rc<Relay>,
-    duty: Duty,
-    stream: TcpStream,
-    phase: watch::Receiver<Phase>,
-) {
-    if duty != Duty::Callers {
-        connection(relay, duty, stream, phase).await;
-        return;
-    }
-    relay.opened();
-    connection(Rc::clone(&relay), duty, stream, phase).await;
-    relay.closed();
-}
-
 async fn connection(
     relay: Rc<Relay>,
     duty: Duty,
@@ -130,7 +114,12 @@
 
 async fn answer(relay: &Rc<Relay>, duty: Duty, request: Request<Incoming>) -> Response<AnswerBody> {
     let mut response = match duty {
-        Duty::Callers => caller(relay, request).await,
+        Duty::Callers => {
+            let busy = Busy::enter(&relay.busy);
+            let mut response = caller(relay, request).await;
+            response.body_mut().counted(busy);
+            response
+        }
         Duty::Directory => directory(relay, &request),
         Duty::Readiness => status(ready_status(relay, request.uri().path())),
         Duty::Metrics => whole(relay.metrics.text(), "text/plain; version=0.0.4"),
@@ -211,13 +200,13 @@
 }
 
 fn status(status: StatusCode) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::Whole(Bytes::new()));
+    let mut response = Response::new(AnswerBody::whole(Bytes::new()));
     *response.status_mut() = status;
     response
 }
 
 fn whole(body: Vec<u8>, content_type: &'static str) -> Response<AnswerBody> {
-    let mut response = Response::new(AnswerBody::Whole(body.into()));
+    let mut response = Response::new(AnswerBody::whole(body));
     let headers = response.headers_mut();
     headers.insert(header::CONTENT_TYPE, HeaderValue::from_static(content_type));
     response
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use plan::{Verdict, least};
+use plan::{Predicted, Verdict, least, work_tokens};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::answer::{Reason, Refused};
@@ -31,23 +31,44 @@
 /// engine from work that would be on time, and earns little.
 const LATEST_START: f64 = 1.5;
 
+/// Wait, as a share of the objective, that a request bears which is late by its own length.
+const LONGEST_WAIT: f64 = 0.5;
+
 /// Share of the time left that a prediction may use up.
 const LEFT_SHARE: f64 = 0.8;
 
 /// Bounds of the time after which a refused caller is asked back, in ms.
 const RETRY_MS: (f64, f64) = (80.0, 900.0);
 
-/// Where a generation goes.
+/// Where a generation goes first.
 #[derive(Clone)]
-pub struct Placement {
-    /// Engine that reads the prompt, if it is read apart, and the tokens that it has to read.
-    pub reader: Option<(Rc<Upstream>, f64)>,
-    /// Engine that makes the output.
-    pub maker: Rc<Upstream>,
-    /// Tokens that the maker has to read.
-    pub maker_tokens: f64,
+pub enum Placement {
+    /// An engine reads the prompt, and another one makes the output from its KV cache.
+    Apart(Reader),
+    /// One engine does both.
+    Whole(Maker),
+}
+
+/// Engine that reads a prompt.
+#[derive(Clone)]
+pub struct Reader {
+    /// The engine.
+    pub engine: Rc<Upstream>,
+    /// Work of reading it there, in tokens.
+    pub tokens: f64,
+    /// Predicted time until it is read.
+    pub read: Predicted,
+}
+
+/// Engine that makes output.
+#[derive(Clone)]
+pub struct Maker {
+    /// The engine.
+    pub engine: Rc<Upstream>,
+    /// Work of reading what it lacks of the prompt, in tokens.
+    pub tokens: f64,
     /// Predicted time to the first event.
-    pub first_ms: f64,
+    pub first: Predicted,
 }
 
 /// Upstreams of a service that may be tried, the fit ones if there are any.
@@ -75,7 +96,7 @@
 pub fn plain(relay: &Relay, call: &Call, tried: &[String]) -> Result<Rc<Upstream>, Refused> {
     let now_ms = relay.now_ms();
     let all = candidates(relay, call, tried, &[Stage::Whole]);
-    let wait_ms = |each: &Rc<Upstream>| {
+    let predicted = |each: &Rc<Upstream>| {
         let answer_ms = if each.answer_ms() > 0.0 {
             each.answer_ms()
         } else {
@@ -83,19 +104,23 @@
         };
         let load = (each.load(now_ms) + 1.0) / f64::from(each.slots);
         let queue = (load - 1.0).max(0.0) + 0.3 * load;
-        2.0 * each.distance_ms + answer_ms * (1.0 + queue)
+        Predicted {
+            wait_ms: answer_ms * queue,
+            own_ms: 2.0 * each.distance_ms + answer_ms,
+        }
     };
-    let Some((at, time_ms)) = least(all.iter().map(wait_ms)) else {
+    let Some((at, time)) = least(all.iter().map(predicted)) else {
         return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
     };
     let left_ms = call.left_ms(now_ms) as f64;
+    let time_ms = time.total_ms();
     if time_ms > left_ms * LEFT_SHARE {
         return Err(refuse(call, Reason::TooLate, time_ms - left_ms * LEFT_SHARE));
     }
     Ok(Rc::clone(&all[at]))
 }
 
-/// Chooses for a request that generates text.
+/// Chooses for a request that generates text, or refuses it if it would start too late.
 pub fn generation(
     relay: &Relay,
     call: &Call,
@@ -103,63 +128,85 @@
     tried: &[String],
 ) -> Result<Placement, Refused> {
     let now_ms = relay.now_ms();
-    let makers = candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]);
-    if makers.is_empty() {
-        return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
-    }
+    let whole = maker(relay, call, prompt, tried, false)?;
     let tokens = f64::from(prompt.input_tokens);
-    let pace = relay.pace(&call.service);
-    let whole_ms = |each: &Rc<Upstream>| {
-        let view = each.view(now_ms, kept_tokens(each, prompt));
-        pace.decode_ms(&view, tokens, PLACE_MS)
-    };
-    let alone = least(makers.iter().map(whole_ms));
-    let handed_ms = |each: &Rc<Upstream>| {
-        let view = each.view(now_ms, tokens);
-        pace.decode_ms(&view, tokens, PLACE_MS)
-    };
-    let handed = least(makers.iter().map(handed_ms));
-    let (Some((alone_at, alone_ms)), Some((handed_at, after_ms))) = (alone, handed) else {
-        return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
-    };
     let apart = (tokens >= READ_APART_TOKENS)
         .then(|| reader(relay, call, prompt, tried))
         .flatten();
-    let placement = match apart {
-        Some((engine, missing, read_ms)) if read_ms + HAND_OVER_MS + after_ms < alone_ms => {
-            Placement {
-                reader: Some((engine, missing)),
-                maker: Rc::clone(&makers[handed_at]),
-                maker_tokens: 0.0,
-                first_ms: read_ms + HAND_OVER_MS + after_ms,
+    let after = maker(relay, call, prompt, tried, true)?.first;
+    let (placement, first) = match apart {
+        Some(reader) => {
+            let first = Predicted {
+                wait_ms: reader.read.wait_ms + after.wait_ms,
+                own_ms: reader.read.own_ms + HAND_OVER_MS + after.own_ms,
+            };
+            if first.total_ms() < whole.first.total_ms() {
+                (Placement::Apart(reader), first)
+            } else {
+                let first = whole.first;
+                (Placement::Whole(whole), first)
             }
         }
-        _ => {
-            let maker = Rc::clone(&makers[alone_at]);
-            let maker_tokens = (tokens - kept_tokens(&maker, prompt)).max(0.0);
-            Placement {
-                reader: None,
-                maker,
-                maker_tokens,
-                first_ms: alone_ms,
-            }
+        None => {
+            let first = whole.first;
+            (Placement::Whole(whole), first)
         }
     };
-    let left_ms = call.left_ms(now_ms) as f64;
-    let latest_ms = (call.route.goal_ms as f64 * LATEST_START).min(left_ms * LEFT_SHARE);
-    if placement.first_ms > latest_ms {
-        return Err(refuse(call, Reason::TooLate, placement.first_ms - latest_ms));
+    let late_ms = late_ms(&first, call.route.goal_ms as f64, call.left_ms(now_ms) as f64);
+    if late_ms > 0.0 {
+        return Err(refuse(call, Reason::TooLate, late_ms));
     }
     Ok(placement)
 }
 
-/// Chooses the engine that reads a prompt apart: gives it, the tokens it reads, and the time.
-fn reader(
+/// How far a prediction lies beyond what is worth admitting; not above zero if it is worth it.
+///
+/// Load pattern: long prompts come at five times the usual rate for some seconds. With a long
+/// queue each of them would be served late; with one that is bounded by the objective, as many
+/// are served, and on time. A request whose own reading takes longer than the objective is late
+/// on an idle engine too, and is held to the wait alone, or the largest would never be served.
+fn late_ms(first: &Predicted, goal_ms: f64, left_ms: f64) -> f64 {
+    let on_time_ms = (goal_ms * LATEST_START).max(first.own_ms + goal_ms * LONGEST_WAIT);
+    first.total_ms() - on_time_ms.min(left_ms * LEFT_SHARE)
+}
+
+/// Chooses the engine that makes the output, for a prompt that was read or not.
+///
+/// After a prompt was read apart this is asked again: reading takes up to seconds in a rush, and
+/// an engine that looked best before may be leaving by then.
+pub fn maker(
     relay: &Relay,
     call: &Call,
     prompt: &Prompt,
     tried: &[String],
-) -> Option<(Rc<Upstream>, f64, f64)> {
+    is_read: bool,
+) -> Result<Maker, Refused> {
+    let now_ms = relay.now_ms();
+    let tokens = f64::from(prompt.input_tokens);
+    let pace = relay.pace(&call.service);
+    let makers = candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]);
+    let cached = |each: &Rc<Upstream>| {
+        if is_read {
+            tokens
+        } else {
+            kept_tokens(each, prompt)
+        }
+    };
+    let predicted =
+        |each: &Rc<Upstream>| pace.decode_ms(&each.view(now_ms, cached(each)), tokens, PLACE_MS);
+    let Some((at, first)) = least(makers.iter().map(predicted)) else {
+        return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
+    };
+    let engine = Rc::clone(&makers[at]);
+    Ok(Maker {
+        tokens: work_tokens(tokens, cached(&engine)),
+        engine,
+        first,
+    })
+}
+
+/// Chooses the engine that reads a prompt apart.
+fn reader(relay: &Relay, call: &Call, prompt: &Prompt, tried: &[String]) -> Option<Reader> {
     let now_ms = relay.now_ms();
     let tokens = f64::from(prompt.input_tokens);
     let pace = relay.pace(&call.service);
@@ -172,11 +219,15 @@
             kept_tokens(each, prompt)
         }
     };
-    let read_ms = |each: &Rc<Upstream>| pace.prefill_ms(&each.view(now_ms, cached(each)), tokens);
-    let (at, time_ms) = least(all.iter().map(read_ms))?;
-    let chosen = Rc::clone(&all[at]);
-    let missing = (tokens - cached(&chosen)).max(0.0);
-    Some((chosen, missing, time_ms))
+    let predicted =
+        |each: &Rc<Upstream>| pace.prefill_ms(&each.view(now_ms, cached(each)), tokens);
+    let (at, read) = least(all.iter().map(predicted))?;
+    let engine = Rc::clone(&all[at]);
+    Some(Reader {
+        tokens: work_tokens(tokens, cached(&engine)),
+        engine,
+        read,
+    })
 }
 
 /// The engine at which requests that share this prompt's first part meet.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -54,8 +54,9 @@
     pub upstreams: RefCell<Upstreams>,
     /// Instances.
     pub members: RefCell<Members>,
+    /// Requests whose answers are not out yet.
+    pub busy: Rc<Cell<usize>>,
     phase: Cell<Phase>,
-    connections: Cell<usize>,
     beat: Cell<u64>,
     config: RefCell<Option<Rc<Config>>>,
     repeats: RefCell<HashMap<String, Repeats>>,
@@ -75,7 +76,7 @@
             upstreams: RefCell::new(upstreams),
             members: RefCell::default(),
             phase: Cell::default(),
-            connections: Cell::default(),
+            busy: Rc::default(),
             beat: Cell::default(),
             config: RefCell::default(),
             repeats: RefCell::default(),
@@ -101,21 +102,6 @@
         }
     }
 
-    /// Connections of callers that are open.
-    pub fn connections(&self) -> usize {
-        self.connections.get()
-    }
-
-    /// A caller's connection was opened.
-    pub fn opened(&self) {
-        self.connections.set(self.connections.get() + 1);
-    }
-
-    /// A caller's connection is closed.
-    pub fn closed(&self) {
-        self.connections.set(self.connections.get().saturating_sub(1));
-    }
-
     /// Whether callers may be sent here: only with a configuration can anything be served.
     pub fn is_ready(&self) -> bool {
         self.phase.get() == Phase::Serving && self.config.borrow().is_some()
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -176,12 +176,13 @@
         if !call.route.is_repeatable() || !may_repeat(&self.relay, &call) {
             return Err(self.broken(why));
         }
-        let Ok(placement) = place::generation(&self.relay, &call, prompt, &self.tried) else {
+        let Ok(maker) = place::maker(&self.relay, &call, prompt, &self.tried, false) else {
             return Err(self.broken(why));
         };
-        let maker = placement.maker;
+        let tokens = maker.tokens;
+        let maker = maker.engine;
         self.tried.push(maker.id.clone());
-        let guard = InFlight::enter(&maker, self.relay.now_ms(), placement.maker_tokens);
+        let guard = InFlight::enter(&maker, self.relay.now_ms(), tokens);
         let sending = Sending {
             instance: &maker.id,
             deadline_ms: call.left_ms(self.relay.now_ms()),
--- /dev/null
+++ b/crates/relay/tests/engines.rs
@@ -0,0 +1,165 @@
+//! Generations: read apart, moved, gone on with, left.
+
+mod common;
+
+use std::rc::Rc;
+
+use common::{Act, Bed, Seen, StandIn, until};
+use http::Method;
+use http_body_util::BodyExt;
+use relay::upstream::{Entry, Stage, Standing};
+use relay::upstreams::Change;
+
+fn events(from: u64, to: u64) -> String {
+    (from..=to).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
+}
+
+fn maker() -> StandIn {
+    StandIn::start(|seen| {
+        let from = seen.header("last-event-id").map_or(1, |id| id.parse::<u64>().unwrap() + 1);
+        seen.answer("200 OK", "content-type: text/event-stream\r\n", &events(from, 3))
+    })
+}
+
+fn leaving(entry: Entry) -> Change {
+    Change::Put(Entry {
+        standing: Standing::Leaving,
+        ..entry
+    })
+}
+
+/// The caller sees its answer as always. While its long prompt is read by one engine, the engine
+/// that looked best for the output says that it is leaving; the prompt is done two seconds
+/// later. The output must be made elsewhere, since the leaving engine may be gone by then.
+#[actix_rt::test]
+async fn an_engine_that_left_while_the_prompt_was_read_gets_no_output() {
+    let reader = StandIn::start(|seen| {
+        let mut acts = vec![Act::Wait(300)];
+        acts.extend(seen.answer("200 OK", "", "kv-1"));
+        acts
+    });
+    let (near, far) = (maker(), maker());
+    let near_entry = near.entry("near", "llm", Stage::Decode);
+    let far_entry = Entry {
+        zone: "there".to_owned(),
+        ..far.entry("far", "llm", Stage::Decode)
+    };
+    let bed = Bed::start(vec![
+        reader.entry("reader", "llm", Stage::Prefill),
+        near_entry.clone(),
+        far_entry,
+    ]);
+    let mut request = bed.request(Method::POST, "/once/x", "1");
+    request.headers_mut().insert("x-prompt", "7:13000,8:4000".parse().unwrap());
+    let relay = Rc::clone(&bed.relay);
+    let seen = Rc::clone(&reader.seen);
+    actix_rt::spawn(async move {
+        until(|| !seen.borrow().is_empty()).await;
+        relay.apply(leaving(near_entry));
+    });
+    let (status, body) = bed.get(request).await;
+    assert_eq!((status, body), (200, Some(events(1, 3))));
+    assert_eq!(near.count(), 0, "the leaving engine got the output");
+    assert_eq!(far.seen.borrow()[0].header("x-kv"), Some("kv-1"));
+}
+
+/// The caller sees one whole stream. The engine's connection breaks in the middle of the second
+/// event; the rest comes from another engine, after the last whole event, without a seam.
+#[actix_rt::test]
+async fn a_broken_stream_goes_on_at_another_engine() {
+    let breaks = |seen: &Seen| {
+        if seen.header("last-event-id").is_some() {
+            return seen.answer("200 OK", "", &events(2, 3));
+        }
+        let whole = seen.text("200 OK", "", &events(1, 3));
+        vec![Act::Say(whole[..whole.len() - 22].to_owned()), Act::Close]
+    };
+    let (one, two) = (StandIn::start(breaks), StandIn::start(breaks));
+    let bed = Bed::start(vec![
+        one.entry("one", "llm", Stage::Decode),
+        two.entry("two", "llm", Stage::Decode),
+    ]);
+    let mut request = bed.request(Method::POST, "/grades/x", "1");
+    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let (status, body) = bed.get(request).await;
+    assert_eq!((status, body), (200, Some(events(1, 3))));
+    assert_eq!(one.count() + two.count(), 2);
+}
+
+/// The caller sees a stream that breaks off, not one that looks complete: it may not be made a
+/// second time, and the engine broke off after two of three events.
+#[actix_rt::test]
+async fn a_broken_stream_that_may_not_be_resumed_does_not_look_whole() {
+    let engine = StandIn::start(|seen| {
+        let whole = seen.text("200 OK", "", &events(1, 3));
+        vec![Act::Say(whole[..whole.len() - 15].to_owned()), Act::Close]
+    });
+    let other = maker();
+    let bed = Bed::start(vec![
+        engine.entry("one", "llm", Stage::Decode),
+        Entry {
+            zone: "there".to_owned(),
+            ..other.entry("two", "llm", Stage::Decode)
+        },
+    ]);
+    let mut request = bed.request(Method::POST, "/once/x", "1");
+    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let (status, body) = bed.get(request).await;
+    assert_eq!((status, body), (200, None));
+    assert_eq!(other.count(), 0);
+}
+
+/// The caller leaves while its stream is being made. The engine sees its connection closed and
+/// can stop; without that it would work on for nobody.
+#[actix_rt::test]
+async fn a_caller_that_leaves_stops_the_engine() {
+    let engine = StandIn::start(|seen| {
+        let whole = seen.text("200 OK", "", &events(1, 3));
+        let cut = whole.len() - 18;
+        vec![Act::Say(whole[..cut].to_owned()), Act::Wait(5_000)]
+    });
+    let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
+    let mut request = bed.request(Method::POST, "/once/x", "1");
+    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let response = bed.ask(request).await.unwrap();
+    let mut body = response.into_body();
+    assert!(body.frame().await.is_some());
+    drop(body);
+    assert!(until(|| *engine.left.borrow() == 1).await, "the engine works on");
+}
+
+/// The caller leaves before the first event. Its connection is closed while the engine still
+/// waits, and the engine must see that too.
+#[actix_rt::test]
+async fn a_caller_that_leaves_early_stops_the_engine() {
+    let engine = StandIn::start(|_| vec![Act::Wait(5_000)]);
+    let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
+    let mut request = bed.request(Method::POST, "/once/x", "1");
+    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let wait = std::time::Duration::from_millis(200);
+    let asked = actix_rt::time::timeout(wait, bed.ask(request)).await;
+    assert!(asked.is_err());
+    assert!(until(|| *engine.left.borrow() == 1).await, "the engine works on");
+}
+
+/// The caller sees its answer. The engine cannot fetch the prompt's cache any more and says that
+/// nothing ran; it is asked again to read the prompt itself.
+#[actix_rt::test]
+async fn a_lapsed_cache_is_read_again_by_the_same_engine() {
+    let reader = StandIn::start(|seen| seen.answer("200 OK", "", "kv-1"));
+    let engine = StandIn::start(|seen| {
+        if seen.header("x-kv").is_some() {
+            return seen.answer("503 Unavailable", "x-not-run: 1\r\n", "");
+        }
+        seen.answer("200 OK", "", &events(1, 3))
+    });
+    let bed = Bed::start(vec![
+        reader.entry("reader", "llm", Stage::Prefill),
+        engine.entry("one", "llm", Stage::Decode),
+    ]);
+    let mut request = bed.request(Method::POST, "/once/x", "1");
+    request.headers_mut().insert("x-prompt", "7:13000,8:4000".parse().unwrap());
+    let (status, body) = bed.get(request).await;
+    assert_eq!((status, body), (200, Some(events(1, 3))));
+    assert_eq!(engine.count(), 2);
+}
