Tell other instances what is outstanding and read at shared engines

Cause: with long prompts, predicted reading was 200 to 270 ms where 1,300 to 2,400 ms were seen: each instance knew only its own sixth of the queue, and took a shared part as read at its home before it was. Ruled out: the learned pace (right on idle engines), the load header (comes with the answer, too late).

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -12,6 +12,7 @@
 use crate::answer::{AnswerBody, Reason, Refused};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::Kind;
+use crate::gossip::Read;
 use crate::dialect::{Answered, KvHandle, Prompt, Sending, Step};
 use crate::place::{self, Maker, Placement, Reader};
 use crate::pool::{Exchanged, Fault, Lease, exchange};
@@ -30,6 +31,9 @@
 /// Time after which a caller whose request was rejected unrun is asked back, in ms.
 const REJECTED_RETRY_MS: u64 = 120;
 
+/// Parts shorter than this are read again sooner than told about, in tokens.
+const TOLD_TOKENS: u32 = 500;
+
 /// Share of an upstream's connections that one instance leaves to the others' jitter.
 const CONNECTION_SHARE: f64 = 0.9;
 
@@ -236,12 +240,28 @@
     (sent, guard)
 }
 
+/// Notes that an engine is reading a prompt, here and for the other instances.
+///
+/// It is noted as soon as the prompt is on its way: who asks next for the same part finds it read
+/// by then, or waits for it there instead of having it read twice.
 fn keep_parts(relay: &Relay, call: &Call, prompt: &Prompt, engine: &Upstream) {
     let config = relay.config();
     let service = config.as_ref().and_then(|config| config.service(&call.service));
-    let room = service.and_then(|service| service.engine).map_or(0, |engine| engine.kv_tokens);
-    for part in &prompt.parts {
-        engine.keeps(part.id, f64::from(part.tokens), room as f64);
+    let room_tokens = service.and_then(|service| service.engine).map_or(0, |engine| engine.kv_tokens);
+    let Some((_own, shared)) = prompt.parts.split_last() else {
+        return;
+    };
+    for part in shared {
+        let is_new = engine.kept(part.id) == 0.0;
+        engine.keeps(part.id, f64::from(part.tokens), room_tokens as f64);
+        if is_new && part.tokens >= TOLD_TOKENS {
+            relay.reads.borrow_mut().add(Read {
+                upstream: engine.id.clone(),
+                part: part.id,
+                tokens: part.tokens,
+                room_tokens,
+            });
+        }
     }
 }
 
@@ -304,7 +324,8 @@
     let guard = InFlight::enter(&reader.engine, relay.now_ms(), reader.tokens);
     let read_ms = reader.read.total_ms();
     let reader = &reader.engine;
-    let before = reader.queued_tokens();
+    let before = reader.view(relay.now_ms(), 0.0).queued_tokens;
+    keep_parts(relay, call, prompt, reader);
     let sending = Sending {
         instance: &reader.id,
         deadline_ms: call.left_ms(relay.now_ms()),
@@ -329,7 +350,6 @@
         log::info!(request = call.id(), upstream = reader.id, tokens = before, read_ms, took_ms, load = reader.load(relay.now_ms()); "prompt read");
         relay.learn_pace(&call.service, before, took_ms);
         reader.answered(relay.now_ms(), read_ms, took_ms);
-        keep_parts(relay, call, prompt, reader);
         let took_s = took_ms / 1_000.0;
         let labels = [call.service.as_str()];
         relay.metrics.prefill_s.with_label_values(&labels).observe(took_s);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod events;
 pub mod forward;
 pub mod front;
+pub mod gossip;
 pub mod members;
 pub mod metrics;
 pub mod place;
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -22,6 +22,9 @@
     pub name: String,
     /// Where callers connect.
     pub address: SocketAddr,
+    /// Where other instances tell it of their load.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer: Option<SocketAddr>,
     /// Availability zone.
     pub zone: String,
     /// Whether it takes callers.
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -31,6 +31,10 @@
 /// engine from work that would be on time, and earns little.
 const LATEST_START: f64 = 1.5;
 
+/// How much more a prompt whose shared part nobody has read yet seems to cost where it is not at
+/// home, so that instances which see its first requests at once choose the same engine.
+const AWAY: f64 = 1.3;
+
 /// Wait, as a share of the objective, that a request bears which is late by its own length.
 const LONGEST_WAIT: f64 = 0.5;
 
@@ -212,19 +216,18 @@
     let pace = relay.pace(&call.service);
     let all = candidates(relay, call, tried, &[Stage::Prefill]);
     let home = home(&all, prompt).map(|each| each.id.clone());
-    let cached = |each: &Rc<Upstream>| {
-        if Some(&each.id) == home.as_ref() {
-            shared_tokens(prompt)
-        } else {
-            kept_tokens(each, prompt)
+    let predicted = |each: &Rc<Upstream>| {
+        let cached = kept_tokens(each, prompt);
+        let mut read = pace.prefill_ms(&each.view(now_ms, cached), tokens);
+        if cached == 0.0 && Some(&each.id) != home.as_ref() {
+            read.own_ms *= AWAY;
         }
+        read
     };
-    let predicted =
-        |each: &Rc<Upstream>| pace.prefill_ms(&each.view(now_ms, cached(each)), tokens);
     let (at, read) = least(all.iter().map(predicted))?;
     let engine = Rc::clone(&all[at]);
     Some(Reader {
-        tokens: work_tokens(tokens, cached(&engine)),
+        tokens: work_tokens(tokens, kept_tokens(&engine, prompt)),
         engine,
         read,
     })
@@ -238,14 +241,6 @@
         .max_by_key(|engine| xxh3_64_with_seed(engine.id.as_bytes(), part.id))
 }
 
-/// Tokens of the parts that other requests may share.
-fn shared_tokens(prompt: &Prompt) -> f64 {
-    let Some((_own, shared)) = prompt.parts.split_last() else {
-        return 0.0;
-    };
-    shared.iter().map(|part| f64::from(part.tokens)).sum()
-}
-
 /// Tokens at the start of the prompt that an engine is believed to hold.
 fn kept_tokens(engine: &Upstream, prompt: &Prompt) -> f64 {
     let kept = prompt.parts.iter().map(|part| engine.kept(part.id));
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -9,6 +9,7 @@
 
 use crate::config::Config;
 use crate::dialect::Dialect;
+use crate::gossip::{Reads, Telling};
 use crate::members::{Member, Members};
 use crate::metrics::Metrics;
 use crate::upstreams::{Change, Effect, Upstreams};
@@ -22,6 +23,8 @@
     pub zone: String,
     /// Where callers connect.
     pub address: std::net::SocketAddr,
+    /// Where other instances tell it of their load.
+    pub peer: Option<std::net::SocketAddr>,
     /// Bound on repeated sends.
     pub repeats: RepeatTerms,
     /// Longest time that callers may keep an answer of the directory, in ms.
@@ -56,6 +59,8 @@
     pub members: RefCell<Members>,
     /// Requests whose answers are not out yet.
     pub busy: Rc<Cell<usize>>,
+    /// Prompt parts to be told to other instances.
+    pub reads: RefCell<Reads>,
     phase: Cell<Phase>,
     beat: Cell<u64>,
     config: RefCell<Option<Rc<Config>>>,
@@ -75,6 +80,7 @@
             metrics,
             upstreams: RefCell::new(upstreams),
             members: RefCell::default(),
+            reads: RefCell::default(),
             phase: Cell::default(),
             busy: Rc::default(),
             beat: Cell::default(),
@@ -161,12 +167,39 @@
         Member {
             name: settings.name.clone(),
             address: settings.address,
+            peer: settings.peer,
             zone: settings.zone.clone(),
             ready: self.is_ready(),
             beat: self.beat.get(),
         }
     }
 
+    /// What other instances are to be told now.
+    pub fn telling(&self) -> Telling {
+        let upstreams = self.upstreams.borrow();
+        Telling {
+            from: self.settings.borrow().name.clone(),
+            outstanding: upstreams.iter().filter_map(|each| each.outstanding()).collect(),
+            reads: self.reads.borrow_mut().take(),
+        }
+    }
+
+    /// Another instance told something.
+    pub fn heard(&self, telling: &Telling) {
+        let now_ms = self.now_ms();
+        let upstreams = self.upstreams.borrow();
+        for upstream in upstreams.iter() {
+            let id = upstream.id.as_str();
+            let told = telling.outstanding.iter().find(|each| each.upstream == id);
+            upstream.peer_has(now_ms, &telling.from, told);
+        }
+        for read in &telling.reads {
+            if let Some(upstream) = upstreams.get(&read.upstream) {
+                upstream.keeps(read.part, f64::from(read.tokens), read.room_tokens as f64);
+            }
+        }
+    }
+
     /// Instances among which shared bounds are split.
     pub fn instances(&self) -> usize {
         self.members.borrow().count()
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,6 +1,7 @@
 //! One incarnation of an upstream, and what this instance has seen of it.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -8,12 +9,17 @@
 use tick::Clock;
 
 use crate::dialect::ToldLoad;
+use crate::gossip::Outstanding;
 use crate::pool::Pool;
 
 /// Time over which what an upstream told of the load that others put on it fades, in ms: a few
 /// times the length of a short answer, after which it describes other requests.
 const TOLD_FADES_MS: f64 = 400.0;
 
+/// Age at which what another instance said of its load is no longer counted, in ms: several
+/// tellings, so that single lost ones do not show.
+const PEER_STALE_MS: u64 = 600;
+
 /// Share of an engine's cache memory that a belief about cached parts may count on; the rest
 /// holds the requests that run.
 const CACHE_SHARE: f64 = 0.7;
@@ -65,6 +71,14 @@
     at_ms: u64,
 }
 
+/// What another instance has outstanding here.
+#[derive(Debug, Clone, Copy, Default)]
+struct PeerLoad {
+    requests: f64,
+    tokens: f64,
+    at_ms: u64,
+}
+
 /// A part of a prompt that an upstream has read for us.
 #[derive(Debug, Clone, Copy)]
 struct Kept {
@@ -94,6 +108,7 @@
     told: Cell<Told>,
     health: RefCell<Health>,
     kept: RefCell<Vec<Kept>>,
+    peers: RefCell<HashMap<String, PeerLoad>>,
 }
 
 impl Upstream {
@@ -114,6 +129,7 @@
             told: Cell::default(),
             health: RefCell::default(),
             kept: RefCell::default(),
+            peers: RefCell::default(),
         }
     }
 
@@ -142,8 +158,46 @@
         self.in_flight.get()
     }
 
-    /// Requests that it has, ours exactly and those of others as it last told.
+    /// What this instance has outstanding here, to be told to others.
+    pub fn outstanding(&self) -> Option<Outstanding> {
+        (self.in_flight.get() > 0).then(|| Outstanding {
+            upstream: self.id.clone(),
+            requests: self.in_flight.get(),
+            tokens: self.queued_tokens.get() as u32,
+        })
+    }
+
+    /// Another instance told what it has outstanding here.
+    pub fn peer_has(&self, now_ms: u64, peer: &str, told: Option<&Outstanding>) {
+        let load = PeerLoad {
+            requests: told.map_or(0.0, |told| f64::from(told.requests)),
+            tokens: told.map_or(0.0, |told| f64::from(told.tokens)),
+            at_ms: now_ms,
+        };
+        let mut peers = self.peers.borrow_mut();
+        if let Some(known) = peers.get_mut(peer) {
+            *known = load;
+        } else if told.is_some() {
+            peers.insert(peer.to_owned(), load);
+        }
+    }
+
+    fn peers(&self, now_ms: u64) -> Option<PeerLoad> {
+        let peers = self.peers.borrow();
+        let fresh = |load: &&PeerLoad| load.at_ms + PEER_STALE_MS > now_ms;
+        peers.values().filter(fresh).copied().reduce(|sum, load| PeerLoad {
+            requests: sum.requests + load.requests,
+            tokens: sum.tokens + load.tokens,
+            at_ms: now_ms,
+        })
+    }
+
+    /// Requests that it has: ours exactly, those of others as they told, or, without word from
+    /// them, as it told itself with an answer.
     pub fn load(&self, now_ms: u64) -> f64 {
+        if let Some(peers) = self.peers(now_ms) {
+            return f64::from(self.in_flight.get()) + peers.requests;
+        }
         let told = self.told.get();
         let age_ms = now_ms.saturating_sub(told.at_ms) as f64;
         f64::from(self.in_flight.get()) + told.others * (-age_ms / TOLD_FADES_MS).exp()
@@ -219,7 +273,8 @@
     /// The upstream as a placement of a prompt sees it.
     pub fn view(&self, now_ms: u64, cached_tokens: f64) -> EngineView {
         EngineView {
-            queued_tokens: self.queued_tokens.get(),
+            queued_tokens: self.queued_tokens.get()
+                + self.peers(now_ms).map_or(0.0, |peers| peers.tokens),
             cached_tokens,
             requests: self.load(now_ms),
             slots: f64::from(self.slots),
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -138,6 +138,16 @@
         self.remove(id);
     }
 
+    /// An incarnation.
+    pub fn get(&self, id: &str) -> Option<&Rc<Upstream>> {
+        self.by_id.get(id)
+    }
+
+    /// All of them.
+    pub fn iter(&self) -> impl Iterator<Item = &Rc<Upstream>> {
+        self.by_id.values()
+    }
+
     /// Number of upstreams.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -339,6 +339,7 @@
         name: "a".to_owned(),
         zone: "here".to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
+        peer: None,
         repeats: RepeatTerms {
             ratio: 0.2,
             window_ms: 10_000,
