Weigh harm by the requests that an engine for output has

Cause: pauses over the objective made half of the late answers on lgcp (three quarters of reads beside output had pauses of 207 ms and more).

--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -34,6 +34,11 @@
 /// pieces between the output of other requests.
 const READ_BESIDE: f64 = 2.0;
 
+/// Weight of the time for which each other request of a decoding engine pauses while a prompt is
+/// read there. A pause over the objective makes a whole answer late, so it weighs more than the
+/// same time before a start.
+const HARM: f64 = 0.3;
+
 /// An engine as one placement sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct EngineView {
@@ -58,13 +63,20 @@
     pub wait_ms: f64,
     /// Time for the request itself.
     pub own_ms: f64,
+    /// Time that it takes from the other requests of the engine, weighed.
+    pub harm_ms: f64,
 }
 
 impl Predicted {
-    /// Both.
+    /// Time until the request is served.
     pub fn total_ms(&self) -> f64 {
         self.wait_ms + self.own_ms
     }
+
+    /// What placements are compared by.
+    pub fn cost_ms(&self) -> f64 {
+        self.total_ms() + self.harm_ms
+    }
 }
 
 /// Work of reading the rest of a prompt whose start is cached, in tokens of a short prompt.
@@ -124,6 +136,7 @@
         Predicted {
             wait_ms: view.queued_tokens * pace_ms,
             own_ms: 2.0 * view.distance_ms + self.base_ms + own * pace_ms,
+            harm_ms: 0.0,
         }
     }
 
@@ -138,6 +151,7 @@
         Predicted {
             wait_ms: view.queued_tokens * pace_ms + places_ms + crowding_ms,
             own_ms: 2.0 * view.distance_ms + base_ms + own * pace_ms,
+            harm_ms: HARM * view.requests * own * pace_ms,
         }
     }
 }
@@ -146,5 +160,5 @@
 pub fn least(predicted: impl Iterator<Item = Predicted>) -> Option<(usize, Predicted)> {
     predicted
         .enumerate()
-        .min_by(|a, b| a.1.total_ms().total_cmp(&b.1.total_ms()))
+        .min_by(|a, b| a.1.cost_ms().total_cmp(&b.1.cost_ms()))
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -31,10 +31,6 @@
 /// engine from work that would be on time, and earns little.
 const LATEST_START: f64 = 1.5;
 
-/// Weight of the time that a long prompt takes from the output of others, where an engine for
-/// output reads it: they all wait for it.
-const HARM: f64 = 2.0;
-
 /// How much more a prompt whose shared part nobody has read yet seems to cost where it is not at
 /// home, so that instances which see its first requests at once choose the same engine.
 const AWAY: f64 = 1.3;
@@ -115,6 +111,7 @@
         Predicted {
             wait_ms: answer_ms * queue,
             own_ms: 2.0 * each.distance_ms + answer_ms,
+            harm_ms: 0.0,
         }
     };
     let Some((at, time)) = least(all.iter().map(predicted)) else {
@@ -147,9 +144,9 @@
             let first = Predicted {
                 wait_ms: reader.read.wait_ms + after.wait_ms,
                 own_ms: reader.read.own_ms + HAND_OVER_MS + after.own_ms,
+                harm_ms: after.harm_ms,
             };
-            let harm_ms = HARM * whole.first.own_ms;
-            if first.total_ms() < whole.first.total_ms() + harm_ms {
+            if first.cost_ms() < whole.first.cost_ms() {
                 (Placement::Apart(reader), first)
             } else {
                 let first = whole.first;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -36,6 +36,9 @@
     ready: VecDeque<Bytes>,
     last_event: Option<u64>,
     tried: Vec<String>,
+    first_ms: u64,
+    last_ms: u64,
+    longest_gap_ms: u64,
 }
 
 struct Source {
@@ -82,6 +85,9 @@
             ready: VecDeque::new(),
             last_event: call.asked.last_event,
             tried,
+            first_ms: relay.now_ms() - call.arrived_ms,
+            last_ms: relay.now_ms(),
+            longest_gap_ms: 0,
         };
         let frames = unfold(Some(streaming), |streaming| async move {
             let mut streaming = streaming?;
@@ -154,10 +160,19 @@
             Err(_) => Next::Broken(format!("silent for {wait_ms} ms")),
             Ok(None) => Next::End,
             Ok(Some(Err(error))) => Next::Broken(error.to_string()),
-            Ok(Some(Ok(frame))) => Next::Data(frame.into_data().unwrap_or_default()),
+            Ok(Some(Ok(frame))) => {
+                self.moved();
+                Next::Data(frame.into_data().unwrap_or_default())
+            }
         }
     }
 
+    fn moved(&mut self) {
+        let now_ms = self.relay.now_ms();
+        self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_ms);
+        self.last_ms = now_ms;
+    }
+
     /// Goes on with the stream at another engine, after the last whole event.
     async fn go_on(&mut self, why: &str) -> Result<(), BrokenOff> {
         if let Some(source) = self.source.take() {
@@ -210,7 +225,14 @@
     fn finish(&mut self, end: &str) {
         let labels = [self.call.route.name.as_str(), end];
         self.relay.metrics.requests.with_label_values(&labels).inc();
+        let route = &self.call.route;
+        let in_time = self.first_ms <= route.goal_ms && self.longest_gap_ms <= route.gap_goal_ms;
         if let Some(source) = self.source.take() {
+            log::info!(
+                request = self.call.id(), route = route.name, upstream = source.guard.upstream().id,
+                first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time;
+                "stream finished"
+            );
             source.lease.give_back();
         }
     }
