Count harm by the length of what an engine for output is at

Cause: on lgcp pauses make answers late; a step attends to the whole context of each request, and a read beside long ones makes each of them late.

--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -39,6 +39,12 @@
 /// same time before a start.
 const HARM: f64 = 0.3;
 
+/// Part of the harm that counts for every request, however short.
+const SHORT: f64 = 0.3;
+
+/// Context of a request that counts in full, in tokens.
+const LONG_TOKENS: f64 = 10_000.0;
+
 /// An engine as one placement sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct EngineView {
@@ -48,6 +54,8 @@
     pub cached_tokens: f64,
     /// Requests there, waiting or running.
     pub requests: f64,
+    /// Prompt tokens of the requests that make output there.
+    pub context_tokens: f64,
     /// Requests that it runs at once.
     pub slots: f64,
     /// Time of one way to it.
@@ -151,7 +159,10 @@
         Predicted {
             wait_ms: view.queued_tokens * pace_ms + places_ms + crowding_ms,
             own_ms: 2.0 * view.distance_ms + base_ms + own * pace_ms,
-            harm_ms: HARM * view.requests * own * pace_ms,
+            harm_ms: HARM
+                * (view.requests * SHORT + view.context_tokens / LONG_TOKENS)
+                * own
+                * pace_ms,
         }
     }
 }
--- a/crates/relay/src/audit.rs
+++ b/crates/relay/src/audit.rs
@@ -1,9 +1,9 @@
 //! Logs as JSON lines on standard output, bounded and never waited for.
 
 use std::io::Write;
+use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
-use std::sync::Arc;
 
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
@@ -71,7 +71,8 @@
         while let Ok(line) = self.receiver.recv() {
             let left_out = self.left_out.swap(0, Ordering::Relaxed);
             if left_out > 0 {
-                let note = json!({ "level": "WARN", "message": "lines left out", "lines": left_out });
+                let note =
+                    json!({ "level": "WARN", "message": "lines left out", "lines": left_out });
                 if writeln!(out, "{note}").is_err() {
                     return;
                 }
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -25,11 +25,18 @@
         all.push(own);
     }
     all.sort_by(|a, b| a.name.cmp(&b.name));
-    let near = || all.iter().filter(|member| Some(member.zone.as_str()) == zone);
+    let near = || {
+        all.iter()
+            .filter(|member| Some(member.zone.as_str()) == zone)
+    };
     let chosen: Vec<&Member> = if near().count() >= LEAST_NEAR {
         near().copied().collect()
     } else {
         all.clone()
     };
-    chosen.iter().take(MOST).map(|member| member.address).collect()
+    chosen
+        .iter()
+        .take(MOST)
+        .map(|member| member.address)
+        .collect()
 }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -12,8 +12,8 @@
 use crate::answer::{AnswerBody, Reason, Refused};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::Kind;
-use crate::gossip::Read;
 use crate::dialect::{Answered, KvHandle, Prompt, Sending, Step};
+use crate::gossip::Read;
 use crate::place::{self, Maker, Placement, Reader};
 use crate::pool::{Exchanged, Fault, Lease, exchange};
 use crate::relay::Relay;
@@ -100,7 +100,7 @@
     loop {
         let upstream = place::plain(relay, call, &tried)?;
         tried.push(upstream.id.clone());
-        let guard = InFlight::enter(&upstream, relay.now_ms(), 0.0);
+        let guard = InFlight::enter(&upstream, relay.now_ms(), 0.0, 0.0);
         let sending = Sending {
             instance: &upstream.id,
             deadline_ms: call.left_ms(relay.now_ms()),
@@ -201,7 +201,12 @@
     kv: Option<&Handed>,
 ) -> (Sent, InFlight) {
     let predicted_ms = maker.first.total_ms();
-    let guard = InFlight::enter(&maker.engine, relay.now_ms(), maker.tokens);
+    let guard = InFlight::enter(
+        &maker.engine,
+        relay.now_ms(),
+        maker.tokens,
+        f64::from(prompt.input_tokens),
+    );
     let maker = &maker.engine;
     let mut sending = Sending {
         instance: &maker.id,
@@ -246,8 +251,12 @@
 /// by then, or waits for it there instead of having it read twice.
 fn keep_parts(relay: &Relay, call: &Call, prompt: &Prompt, engine: &Upstream) {
     let config = relay.config();
-    let service = config.as_ref().and_then(|config| config.service(&call.service));
-    let room_tokens = service.and_then(|service| service.engine).map_or(0, |engine| engine.kv_tokens);
+    let service = config
+        .as_ref()
+        .and_then(|config| config.service(&call.service));
+    let room_tokens = service
+        .and_then(|service| service.engine)
+        .map_or(0, |engine| engine.kv_tokens);
     let Some((_own, shared)) = prompt.parts.split_last() else {
         return;
     };
@@ -321,7 +330,7 @@
     prompt: &Prompt,
     reader: &Reader,
 ) -> Option<Handed> {
-    let guard = InFlight::enter(&reader.engine, relay.now_ms(), reader.tokens);
+    let guard = InFlight::enter(&reader.engine, relay.now_ms(), reader.tokens, 0.0);
     let read_ms = reader.read.total_ms();
     let reader = &reader.engine;
     let before = reader.view(relay.now_ms(), 0.0).queued_tokens;
@@ -352,7 +361,11 @@
         reader.answered(relay.now_ms(), read_ms, took_ms);
         let took_s = took_ms / 1_000.0;
         let labels = [call.service.as_str()];
-        relay.metrics.prefill_s.with_label_values(&labels).observe(took_s);
+        relay
+            .metrics
+            .prefill_s
+            .with_label_values(&labels)
+            .observe(took_s);
     } else {
         // A rejected call counts as a repeat, whether or not it was wanted.
         relay.forced_repeat(&call.service);
@@ -466,7 +479,9 @@
     request: http::Request<http_body_util::Full<Bytes>>,
 ) -> Result<Exchanged, Fault> {
     let config = relay.config();
-    let service = config.as_ref().and_then(|config| config.service(&call.service));
+    let service = config
+        .as_ref()
+        .and_then(|config| config.service(&call.service));
     let most = service.map_or(usize::MAX, |service| service.max_connections);
     let most = (most as f64 * CONNECTION_SHARE / relay.instances() as f64) as usize;
     exchange(&upstream.pool, most.max(2), request).await
@@ -487,7 +502,11 @@
     let is_own = answered.attempt == call.asked.attempt;
     if status == StatusCode::MISDIRECTED_REQUEST && (is_own || answered.attempt.is_none()) {
         // The same incarnation also answers so when it does not do this step of a generation.
-        if answered.instance.as_deref().is_some_and(|id| id != upstream.id) {
+        if answered
+            .instance
+            .as_deref()
+            .is_some_and(|id| id != upstream.id)
+        {
             relay.found_gone(upstream);
         }
         return Sent::NotRun(status);
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -87,7 +87,9 @@
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:%; "connection without TCP_NODELAY");
     }
-    let limits = relay.config().map_or_else(Limits::default, |config| config.limits);
+    let limits = relay
+        .config()
+        .map_or_else(Limits::default, |config| config.limits);
     let service = service_fn(|request| {
         let relay = Rc::clone(&relay);
         async move { Ok::<_, Infallible>(answer(&relay, duty, request).await) }
@@ -146,7 +148,9 @@
     if request.uri().path() != relay.dialect.resolve_path() || request.method() != Method::GET {
         return status(StatusCode::NOT_FOUND);
     }
-    let zone = relay.dialect.caller_zone(request.uri().query().unwrap_or(""));
+    let zone = relay
+        .dialect
+        .caller_zone(request.uri().query().unwrap_or(""));
     let own = relay.heartbeat_view();
     let members = relay.members.borrow();
     let addresses = crate::directory::addresses(members.ready(), &own, zone.as_deref());
@@ -154,7 +158,10 @@
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
     let ttl_ms = relay.settings.borrow().addresses_ttl_ms;
-    whole(relay.dialect.addresses(&addresses, ttl_ms), "application/json")
+    whole(
+        relay.dialect.addresses(&addresses, ttl_ms),
+        "application/json",
+    )
 }
 
 async fn caller(relay: &Rc<Relay>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -162,7 +169,9 @@
     let (parts, body) = request.into_parts();
     let asked = relay.dialect.asked(&parts.headers);
     let config = relay.config();
-    let limits = config.as_ref().map_or_else(Limits::default, |config| config.limits);
+    let limits = config
+        .as_ref()
+        .map_or_else(Limits::default, |config| config.limits);
     let body = Limited::new(body, limits.body_bytes).collect().await;
     let body = match body {
         Ok(collected) => collected.to_bytes(),
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -41,6 +41,9 @@
     pub requests: u32,
     /// Work of reading prompts, in tokens.
     pub tokens: u32,
+    /// Prompt tokens of the requests that make output.
+    #[serde(default)]
+    pub context: u32,
 }
 
 /// A prompt part that an upstream has read or is reading.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -5,9 +5,7 @@
 };
 
 /// Buckets of times from a ms to ten seconds, in seconds.
-const TIME_BUCKETS: [f64; 11] = [
-    0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 4.0, 10.0,
-];
+const TIME_BUCKETS: [f64; 11] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 4.0, 10.0];
 
 /// All metrics of an instance.
 pub struct Metrics {
@@ -55,7 +53,11 @@
         };
         Self {
             requests: counter("requests_total", "Requests.", &["route", "end"]),
-            repeats: counter("repeats_total", "Repeats asked of the budget.", &["outcome"]),
+            repeats: counter(
+                "repeats_total",
+                "Repeats asked of the budget.",
+                &["outcome"],
+            ),
             head_s: histogram("head_seconds", "Time to an answer's head.", &["route"]),
             prefill_s: histogram("prefill_seconds", "Time to read a prompt.", &["service"]),
             config_version: gauge("config_version", "Version in force."),
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -120,7 +120,11 @@
     let left_ms = call.left_ms(now_ms) as f64;
     let time_ms = time.total_ms();
     if time_ms > left_ms * LEFT_SHARE {
-        return Err(refuse(call, Reason::TooLate, time_ms - left_ms * LEFT_SHARE));
+        return Err(refuse(
+            call,
+            Reason::TooLate,
+            time_ms - left_ms * LEFT_SHARE,
+        ));
     }
     Ok(Rc::clone(&all[at]))
 }
@@ -158,7 +162,11 @@
             (Placement::Whole(whole), first)
         }
     };
-    let late_ms = late_ms(&first, call.route.goal_ms as f64, call.left_ms(now_ms) as f64);
+    let late_ms = late_ms(
+        &first,
+        call.route.goal_ms as f64,
+        call.left_ms(now_ms) as f64,
+    );
     if late_ms > 0.0 {
         return Err(refuse(call, Reason::TooLate, late_ms));
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -16,7 +16,6 @@
 use tick::Clock;
 use tokio::net::TcpStream;
 
-
 /// Longest time to open a connection, in ms: several round trips between availability zones and
 /// one lost packet's first repeat.
 const CONNECT_MS: u64 = 350;
@@ -237,7 +236,11 @@
     let announced = headers
         .get("keep-alive")
         .and_then(|value| value.to_str().ok())
-        .and_then(|value| value.split(',').find_map(|part| part.trim().strip_prefix("timeout=")))
+        .and_then(|value| {
+            value
+                .split(',')
+                .find_map(|part| part.trim().strip_prefix("timeout="))
+        })
         .and_then(|seconds| seconds.trim().parse::<u64>().ok());
     match announced {
         Some(seconds) => (seconds * 1_000).saturating_sub(IDLE_MARGIN_MS),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -121,7 +121,10 @@
     /// Takes a version into force unless a newer one is; gives whether it was taken.
     pub fn configure(&self, config: Config) -> bool {
         let mut current = self.config.borrow_mut();
-        if current.as_ref().is_some_and(|now| now.version >= config.version) {
+        if current
+            .as_ref()
+            .is_some_and(|now| now.version >= config.version)
+        {
             return false;
         }
         log::info!(version = config.version, routes = config.routes(); "configuration taken");
@@ -179,7 +182,10 @@
         let upstreams = self.upstreams.borrow();
         Telling {
             from: self.settings.borrow().name.clone(),
-            outstanding: upstreams.iter().filter_map(|each| each.outstanding()).collect(),
+            outstanding: upstreams
+                .iter()
+                .filter_map(|each| each.outstanding())
+                .collect(),
             reads: self.reads.borrow_mut().take(),
         }
     }
@@ -241,7 +247,11 @@
 
     /// What was learned of a service's engines.
     pub fn pace(&self, service: &str) -> Pace {
-        self.paces.borrow().get(service).copied().unwrap_or_default()
+        self.paces
+            .borrow()
+            .get(service)
+            .copied()
+            .unwrap_or_default()
     }
 
     /// An engine of a service took `elapsed_ms` to read `tokens`.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -72,7 +72,11 @@
         }
         let took_s = (relay.now_ms() - call.arrived_ms) as f64 / 1_000.0;
         let labels = [call.route.name.as_str()];
-        relay.metrics.head_s.with_label_values(&labels).observe(took_s);
+        relay
+            .metrics
+            .head_s
+            .with_label_values(&labels)
+            .observe(took_s);
         let streaming = Self {
             relay: Rc::clone(relay),
             call: Rc::clone(call),
@@ -149,7 +153,11 @@
         let silent_ms = (self.call.route.gap_goal_ms * SILENT_GAPS).max(SILENT_MS);
         let may_move = self.call.route.is_repeatable()
             && self.call.attempts.get() < self.call.route.max_attempts;
-        let wait_ms = if may_move { left_ms.min(silent_ms) } else { left_ms };
+        let wait_ms = if may_move {
+            left_ms.min(silent_ms)
+        } else {
+            left_ms
+        };
         let Some(source) = self.source.as_mut() else {
             return Next::End;
         };
@@ -197,7 +205,12 @@
         let tokens = maker.tokens;
         let maker = maker.engine;
         self.tried.push(maker.id.clone());
-        let guard = InFlight::enter(&maker, self.relay.now_ms(), tokens);
+        let guard = InFlight::enter(
+            &maker,
+            self.relay.now_ms(),
+            tokens,
+            f64::from(prompt.input_tokens),
+        );
         let sending = Sending {
             instance: &maker.id,
             deadline_ms: call.left_ms(self.relay.now_ms()),
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -76,6 +76,7 @@
 struct PeerLoad {
     requests: f64,
     tokens: f64,
+    context: f64,
     at_ms: u64,
 }
 
@@ -104,6 +105,7 @@
     stage: Cell<Stage>,
     in_flight: Cell<u32>,
     queued_tokens: Cell<f64>,
+    context_tokens: Cell<f64>,
     answer_ms: Cell<f64>,
     told: Cell<Told>,
     health: RefCell<Health>,
@@ -125,6 +127,7 @@
             stage: Cell::new(entry.stage),
             in_flight: Cell::default(),
             queued_tokens: Cell::default(),
+            context_tokens: Cell::default(),
             answer_ms: Cell::new(0.0),
             told: Cell::default(),
             health: RefCell::default(),
@@ -164,6 +167,7 @@
             upstream: self.id.clone(),
             requests: self.in_flight.get(),
             tokens: self.queued_tokens.get() as u32,
+            context: self.context_tokens.get() as u32,
         })
     }
 
@@ -172,6 +176,7 @@
         let load = PeerLoad {
             requests: told.map_or(0.0, |told| f64::from(told.requests)),
             tokens: told.map_or(0.0, |told| f64::from(told.tokens)),
+            context: told.map_or(0.0, |told| f64::from(told.context)),
             at_ms: now_ms,
         };
         let mut peers = self.peers.borrow_mut();
@@ -185,11 +190,16 @@
     fn peers(&self, now_ms: u64) -> Option<PeerLoad> {
         let peers = self.peers.borrow();
         let fresh = |load: &&PeerLoad| load.at_ms + PEER_STALE_MS > now_ms;
-        peers.values().filter(fresh).copied().reduce(|sum, load| PeerLoad {
-            requests: sum.requests + load.requests,
-            tokens: sum.tokens + load.tokens,
-            at_ms: now_ms,
-        })
+        peers
+            .values()
+            .filter(fresh)
+            .copied()
+            .reduce(|sum, load| PeerLoad {
+                requests: sum.requests + load.requests,
+                tokens: sum.tokens + load.tokens,
+                context: sum.context + load.context,
+                at_ms: now_ms,
+            })
     }
 
     /// Requests that it has: ours exactly, those of others as they told, or, without word from
@@ -272,9 +282,10 @@
 
     /// The upstream as a placement of a prompt sees it.
     pub fn view(&self, now_ms: u64, cached_tokens: f64) -> EngineView {
+        let peers = self.peers(now_ms).unwrap_or_default();
         EngineView {
-            queued_tokens: self.queued_tokens.get()
-                + self.peers(now_ms).map_or(0.0, |peers| peers.tokens),
+            queued_tokens: self.queued_tokens.get() + peers.tokens,
+            context_tokens: self.context_tokens.get() + peers.context,
             cached_tokens,
             requests: self.load(now_ms),
             slots: f64::from(self.slots),
@@ -291,19 +302,27 @@
 pub struct InFlight {
     upstream: Rc<Upstream>,
     tokens: Cell<f64>,
+    context: f64,
 }
 
 impl InFlight {
-    /// A request with `tokens` of prompt to read is about to be sent.
-    pub fn enter(upstream: &Rc<Upstream>, now_ms: u64, tokens: f64) -> Self {
+    /// A request with `tokens` of work to read its prompt is about to be sent, whose output will
+    /// be made from a prompt of `context` tokens.
+    pub fn enter(upstream: &Rc<Upstream>, now_ms: u64, tokens: f64, context: f64) -> Self {
         if upstream.verdict(now_ms) == Verdict::Probe {
             upstream.health.borrow_mut().probe();
         }
         upstream.in_flight.set(upstream.in_flight.get() + 1);
-        upstream.queued_tokens.set(upstream.queued_tokens.get() + tokens);
+        upstream
+            .queued_tokens
+            .set(upstream.queued_tokens.get() + tokens);
+        upstream
+            .context_tokens
+            .set(upstream.context_tokens.get() + context);
         Self {
             upstream: Rc::clone(upstream),
             tokens: Cell::new(tokens),
+            context,
         }
     }
 
@@ -322,6 +341,8 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.has_read();
+        let context = self.upstream.context_tokens.get() - self.context;
+        self.upstream.context_tokens.set(context.max(0.0));
         let count = self.upstream.in_flight.get();
         self.upstream.in_flight.set(count.saturating_sub(1));
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -223,7 +223,10 @@
                     Act::Wait(ms) => {
                         let mut byte = [0];
                         let wait = Duration::from_millis(ms);
-                        if actix_rt::time::timeout(wait, stream.peek(&mut byte)).await.is_ok() {
+                        if actix_rt::time::timeout(wait, stream.peek(&mut byte))
+                            .await
+                            .is_ok()
+                        {
                             *self.left.borrow_mut() += 1;
                             return;
                         }
@@ -257,7 +260,11 @@
     let mut bytes = Vec::new();
     loop {
         let mut chunk = [0; 4_096];
-        let count = stream.read(&mut chunk).await.ok().filter(|&count| count > 0)?;
+        let count = stream
+            .read(&mut chunk)
+            .await
+            .ok()
+            .filter(|&count| count > 0)?;
         bytes.extend_from_slice(&chunk[..count]);
         let text = String::from_utf8_lossy(&bytes).into_owned();
         let Some((head, body)) = text.split_once("\r\n\r\n") else {
@@ -269,7 +276,9 @@
             headers: headers.to_ascii_lowercase(),
             body: body.to_owned(),
         };
-        let length = seen.header("content-length").map_or(0, |value| value.parse().unwrap_or(0));
+        let length = seen
+            .header("content-length")
+            .map_or(0, |value| value.parse().unwrap_or(0));
         if body.len() >= length {
             return Some(seen);
         }
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -11,13 +11,21 @@
 use relay::upstreams::Change;
 
 fn events(from: u64, to: u64) -> String {
-    (from..=to).map(|id| format!("id: {id}\ndata: {id}\n\n")).collect()
+    (from..=to)
+        .map(|id| format!("id: {id}\ndata: {id}\n\n"))
+        .collect()
 }
 
 fn maker() -> StandIn {
     StandIn::start(|seen| {
-        let from = seen.header("last-event-id").map_or(1, |id| id.parse::<u64>().unwrap() + 1);
-        seen.answer("200 OK", "content-type: text/event-stream\r\n", &events(from, 3))
+        let from = seen
+            .header("last-event-id")
+            .map_or(1, |id| id.parse::<u64>().unwrap() + 1);
+        seen.answer(
+            "200 OK",
+            "content-type: text/event-stream\r\n",
+            &events(from, 3),
+        )
     })
 }
 
@@ -50,7 +58,9 @@
         far_entry,
     ]);
     let mut request = bed.request(Method::POST, "/once/x", "1");
-    request.headers_mut().insert("x-prompt", "7:13000,8:4000".parse().unwrap());
+    request
+        .headers_mut()
+        .insert("x-prompt", "7:13000,8:4000".parse().unwrap());
     let relay = Rc::clone(&bed.relay);
     let seen = Rc::clone(&reader.seen);
     actix_rt::spawn(async move {
@@ -80,7 +90,9 @@
         two.entry("two", "llm", Stage::Decode),
     ]);
     let mut request = bed.request(Method::POST, "/grades/x", "1");
-    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    request
+        .headers_mut()
+        .insert("x-prompt", "7:50,8:40".parse().unwrap());
     let (status, body) = bed.get(request).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(one.count() + two.count(), 2);
@@ -103,7 +115,9 @@
         },
     ]);
     let mut request = bed.request(Method::POST, "/once/x", "1");
-    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    request
+        .headers_mut()
+        .insert("x-prompt", "7:50,8:40".parse().unwrap());
     let (status, body) = bed.get(request).await;
     assert_eq!((status, body), (200, None));
     assert_eq!(other.count(), 0);
@@ -120,12 +134,17 @@
     });
     let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
     let mut request = bed.request(Method::POST, "/once/x", "1");
-    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    request
+        .headers_mut()
+        .insert("x-prompt", "7:50,8:40".parse().unwrap());
     let response = bed.ask(request).await.unwrap();
     let mut body = response.into_body();
     assert!(body.frame().await.is_some());
     drop(body);
-    assert!(until(|| *engine.left.borrow() == 1).await, "the engine works on");
+    assert!(
+        until(|| *engine.left.borrow() == 1).await,
+        "the engine works on"
+    );
 }
 
 /// The caller leaves before the first event. Its connection is closed while the engine still
@@ -135,11 +154,16 @@
     let engine = StandIn::start(|_| vec![Act::Wait(5_000)]);
     let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
     let mut request = bed.request(Method::POST, "/once/x", "1");
-    request.headers_mut().insert("x-prompt", "7:50,8:40".parse().unwrap());
+    request
+        .headers_mut()
+        .insert("x-prompt", "7:50,8:40".parse().unwrap());
     let wait = std::time::Duration::from_millis(200);
     let asked = actix_rt::time::timeout(wait, bed.ask(request)).await;
     assert!(asked.is_err());
-    assert!(until(|| *engine.left.borrow() == 1).await, "the engine works on");
+    assert!(
+        until(|| *engine.left.borrow() == 1).await,
+        "the engine works on"
+    );
 }
 
 /// The caller sees its answer. The engine cannot fetch the prompt's cache any more and says that
@@ -158,7 +182,9 @@
         engine.entry("one", "llm", Stage::Decode),
     ]);
     let mut request = bed.request(Method::POST, "/once/x", "1");
-    request.headers_mut().insert("x-prompt", "7:13000,8:4000".parse().unwrap());
+    request
+        .headers_mut()
+        .insert("x-prompt", "7:13000,8:4000".parse().unwrap());
     let (status, body) = bed.get(request).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(engine.count(), 2);
