--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -139,10 +139,10 @@
     /// Time until an engine that only reads prompts has read this one.
     pub fn prefill_ms(&self, view: &EngineView, prompt_tokens: f64) -> Predicted {
         let own = work_tokens(prompt_tokens, view.cached_tokens);
-        let pace_ms = self.token_ms * view.slowness.max(1.0);
+        let token_ms = self.token_ms * view.slowness.max(1.0);
         Predicted {
-            wait_ms: view.queued_tokens * pace_ms,
-            own_ms: 2.0 * view.distance_ms + self.base_ms + own * pace_ms,
+            wait_ms: view.queued_tokens * token_ms,
+            own_ms: 2.0 * view.distance_ms + self.base_ms + own * token_ms,
             harm_ms: 0.0,
         }
     }
@@ -150,18 +150,18 @@
     /// Time until a decoding engine has read a prompt itself and waited for a place.
     pub fn decode_ms(&self, view: &EngineView, prompt_tokens: f64, place_ms: f64) -> Predicted {
         let own = work_tokens(prompt_tokens, view.cached_tokens);
-        let pace_ms = self.token_ms * READ_BESIDE * view.slowness.max(1.0);
+        let token_ms = self.token_ms * READ_BESIDE * view.slowness.max(1.0);
         let over = (view.requests + 1.0 - view.slots).max(0.0);
-        let places_ms = over / view.slots.max(1.0) * place_ms;
+        let slot_wait_ms = over / view.slots.max(1.0) * place_ms;
         let crowding_ms = view.requests / view.slots.max(1.0) * place_ms * 0.25;
         let base_ms = if own > 0.0 { self.base_ms } else { 0.0 };
         Predicted {
-            wait_ms: view.queued_tokens * pace_ms + places_ms + crowding_ms,
-            own_ms: 2.0 * view.distance_ms + base_ms + own * pace_ms,
+            wait_ms: view.queued_tokens * token_ms + slot_wait_ms + crowding_ms,
+            own_ms: 2.0 * view.distance_ms + base_ms + own * token_ms,
             harm_ms: HARM
                 * (view.requests * SHORT + view.context_tokens / LONG_TOKENS)
                 * own
-                * pace_ms,
+                * token_ms,
         }
     }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! to it, and it places each request, sends it, and passes the answer on. The names that an
 //! installation uses on the wire come from a [`dialect::Dialect`]. See docs/design/platform.md.
 
+pub mod again;
 pub mod answer;
 pub mod audit;
 pub mod call;
@@ -13,12 +14,14 @@
 pub mod events;
 pub mod forward;
 pub mod front;
+pub mod generate;
 pub mod gossip;
 pub mod members;
 pub mod metrics;
 pub mod place;
 pub mod pool;
 pub mod relay;
+pub mod send;
 pub mod stream;
 pub mod upstream;
 pub mod upstreams;
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -143,21 +143,17 @@
         .then(|| reader(relay, call, prompt, tried))
         .flatten();
     let after = maker(relay, call, prompt, tried, true)?.first;
+    let first_of = |reader: &Reader| Predicted {
+        wait_ms: reader.read.wait_ms + after.wait_ms,
+        own_ms: reader.read.own_ms + HAND_OVER_MS + after.own_ms,
+        harm_ms: after.harm_ms,
+    };
+    let apart = apart.map(|reader| (first_of(&reader), reader));
     let (placement, first) = match apart {
-        Some(reader) => {
-            let first = Predicted {
-                wait_ms: reader.read.wait_ms + after.wait_ms,
-                own_ms: reader.read.own_ms + HAND_OVER_MS + after.own_ms,
-                harm_ms: after.harm_ms,
-            };
-            if first.cost_ms() < whole.first.cost_ms() {
-                (Placement::Apart(reader), first)
-            } else {
-                let first = whole.first;
-                (Placement::Whole(whole), first)
-            }
+        Some((first, reader)) if first.cost_ms() < whole.first.cost_ms() => {
+            (Placement::Apart(reader), first)
         }
-        None => {
+        _ => {
             let first = whole.first;
             (Placement::Whole(whole), first)
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -128,7 +128,9 @@
             return false;
         }
         log::info!(version = config.version, routes = config.routes(); "configuration taken");
-        self.metrics.config_version.set(config.version as i64);
+        self.metrics
+            .config_version
+            .set(config.version.cast_signed());
         *current = Some(Rc::new(config));
         true
     }
--- /dev/null
+++ b/crates/relay/src/send.rs
@@ -0,0 +1,162 @@
+//! One send of a request to an upstream, and what came of it.
+
+use std::rc::Rc;
+
+use bytes::Bytes;
+use http::{Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::call::Call;
+use crate::config::Kind;
+use crate::dialect::{Answered, Sending};
+use crate::pool::{Exchanged, Fault, Lease, exchange};
+use crate::relay::Relay;
+use crate::upstream::{InFlight, Upstream};
+
+/// Share of an upstream's connections that one instance leaves to the others' jitter.
+const CONNECTION_SHARE: f64 = 0.9;
+
+/// An answer's head that has been checked to belong to the request.
+pub struct Checked {
+    /// The answer.
+    pub response: Response<Incoming>,
+    /// What its head says.
+    pub answered: Answered,
+    /// The connection.
+    pub lease: Lease,
+}
+
+/// How one send ended.
+pub enum Sent {
+    /// The upstream answered, with success or failure.
+    Answer(Box<Checked>),
+    /// Nothing reached the upstream.
+    Unsent(Fault),
+    /// The upstream rejected it unrun.
+    NotRun(StatusCode),
+    /// It may have run, and there is no answer.
+    Lost(String),
+}
+
+/// Sends a request once and checks that the answer is its own.
+pub async fn send(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    upstream: &Rc<Upstream>,
+    sending: &Sending<'_>,
+) -> Sent {
+    let request = call.request(&*relay.dialect, sending);
+    call.attempts.set(call.attempts.get() + 1);
+    call.sends.set(call.sends.get() + 1);
+    let began_ms = relay.now_ms();
+    let sent = match raw_send(relay, call, upstream, request).await {
+        Ok((response, lease)) => check(relay, call, upstream, response, lease),
+        Err(fault @ Fault::Lost { .. }) => Sent::Lost(fault.to_string()),
+        Err(fault) => Sent::Unsent(fault),
+    };
+    match &sent {
+        Sent::Answer(checked) => {
+            let took_ms = (relay.now_ms() - began_ms) as f64;
+            if call.route.kind != Kind::Stream && checked.response.status().is_success() {
+                let usual_ms = upstream.answer_ms().max(15.0);
+                upstream.answered(relay.now_ms(), usual_ms, took_ms);
+            } else if checked.response.status().is_server_error() {
+                upstream.failed(relay.now_ms());
+            }
+        }
+        Sent::Unsent(fault) => {
+            call.attempts.set(call.attempts.get() - 1);
+            call.sends.set(call.sends.get() - 1);
+            note_unsent(relay, upstream, fault);
+            log::info!(request = call.id(), upstream = upstream.id, fault:%; "request not sent");
+        }
+        Sent::NotRun(status) => {
+            // It is certain that this send did not run.
+            call.sends.set(call.sends.get() - 1);
+            log::info!(
+                request = call.id(), upstream = upstream.id, status = status.as_u16();
+                "request rejected unrun"
+            );
+        }
+        Sent::Lost(why) => {
+            upstream.failed(relay.now_ms());
+            log::info!(request = call.id(), upstream = upstream.id, why; "answer lost");
+        }
+    }
+    sent
+}
+
+/// Takes an answer of any kind as a sign of life.
+pub fn note_sign(relay: &Relay, guard: &InFlight, sent: &Sent) {
+    match sent {
+        Sent::Answer(_) | Sent::NotRun(_) => guard.has_answered(relay.now_ms()),
+        Sent::Unsent(_) | Sent::Lost(_) => {}
+    }
+}
+
+/// Counts a fault against its upstream, unless the fault is our own want of connections.
+pub fn note_unsent(relay: &Relay, upstream: &Upstream, fault: &Fault) {
+    match fault {
+        Fault::Connect { .. } => upstream.unreachable(relay.now_ms()),
+        Fault::Lost { .. } => upstream.failed(relay.now_ms()),
+        Fault::Crowded { .. } => {}
+    }
+}
+
+/// Sends a request over one of the connections that this instance may open.
+pub async fn raw_send(
+    relay: &Rc<Relay>,
+    call: &Call,
+    upstream: &Rc<Upstream>,
+    request: http::Request<http_body_util::Full<Bytes>>,
+) -> Result<Exchanged, Fault> {
+    let config = relay.config();
+    let service = config
+        .as_ref()
+        .and_then(|config| config.service(&call.service));
+    let most = service.map_or(usize::MAX, |service| service.max_connections);
+    let most = (most as f64 * CONNECTION_SHARE / relay.instances() as f64) as usize;
+    exchange(&upstream.pool, most.max(2), request).await
+}
+
+fn check(
+    relay: &Rc<Relay>,
+    call: &Call,
+    upstream: &Rc<Upstream>,
+    response: Response<Incoming>,
+    lease: Lease,
+) -> Sent {
+    let answered = relay.dialect.answered(response.headers());
+    if let Some(load) = answered.load {
+        upstream.told(relay.now_ms(), load);
+    }
+    let status = response.status();
+    let is_own = answered.attempt == call.asked.attempt;
+    if status == StatusCode::MISDIRECTED_REQUEST && (is_own || answered.attempt.is_none()) {
+        // The same incarnation also answers so when it does not do this step of a generation.
+        if answered
+            .instance
+            .as_deref()
+            .is_some_and(|id| id != upstream.id)
+        {
+            relay.found_gone(upstream);
+        }
+        return Sent::NotRun(status);
+    }
+    if answered.not_run && (is_own || answered.attempt.is_none()) {
+        return Sent::NotRun(status);
+    }
+    // An answer that came late to an earlier request on the connection names another attempt.
+    if !is_own {
+        return Sent::Lost("the answer is another request's".to_owned());
+    }
+    let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
+    if status.is_success() && (!answered.has_proof || encoded) {
+        return Sent::Lost("the answer has no proof".to_owned());
+    }
+    Sent::Answer(Box::new(Checked {
+        response,
+        answered,
+        lease,
+    }))
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -14,10 +14,11 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::dialect::Sending;
 use crate::events::Splitter;
-use crate::forward::{Checked, Sent, may_repeat, send};
+use crate::forward::may_repeat;
 use crate::place;
 use crate::pool::Lease;
 use crate::relay::Relay;
+use crate::send::{Checked, Sent, send};
 use crate::upstream::InFlight;
 
 /// Silence of an engine, in objectives for the pause between events, after which a stream that
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -35,7 +35,7 @@
     text(headers, name)?.parse().ok()
 }
 
-fn prompt(value: &str) -> Option<Prompt> {
+fn prompt(value: &str) -> Prompt {
     let parts: Vec<Part> = value
         .split(',')
         .filter_map(|part| {
@@ -46,12 +46,12 @@
             })
         })
         .collect();
-    Some(Prompt {
+    Prompt {
         input_tokens: parts.iter().map(|part| part.tokens).sum(),
         output_tokens: 16,
         output_hint_tokens: None,
         parts,
-    })
+    }
 }
 
 impl Dialect for Wire {
@@ -59,7 +59,7 @@
         Asked {
             attempt: headers.get("x-attempt").cloned(),
             deadline_ms: number(headers, "x-left-ms"),
-            prompt: text(headers, "x-prompt").and_then(prompt),
+            prompt: text(headers, "x-prompt").map(prompt),
             last_event: number(headers, "last-event-id"),
         }
     }
@@ -380,19 +380,6 @@
         }
     }
 
-    /// A request to `path` under an id.
-    pub fn request(&self, method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
-        let body = if method == Method::POST { "body" } else { "" };
-        Request::builder()
-            .method(method)
-            .uri(path)
-            .header("host", "Host.test:80")
-            .header("x-attempt", id)
-            .header("x-left-ms", "3000")
-            .body(Full::from(body))
-            .expect("a request")
-    }
-
     /// Sends a request and waits for the head of its answer.
     pub async fn ask(&self, request: Request<Full<Bytes>>) -> Result<Response<Incoming>, Fault> {
         let (response, lease) = exchange(&self.pool, usize::MAX, request).await?;
@@ -411,6 +398,19 @@
     }
 }
 
+/// A request to `path` under an id.
+pub fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
+    let body = if method == Method::POST { "body" } else { "" };
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header("host", "Host.test:80")
+        .header("x-attempt", id)
+        .header("x-left-ms", "3000")
+        .body(Full::from(body))
+        .expect("a request")
+}
+
 /// Waits until something holds, for at most some seconds.
 pub async fn until(holds: impl Fn() -> bool) -> bool {
     for _ in 0..500 {
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -4,16 +4,17 @@
 
 use std::rc::Rc;
 
-use common::{Act, Bed, Seen, StandIn, until};
+use common::{Act, Bed, Seen, StandIn, request, until};
 use http::Method;
 use http_body_util::BodyExt;
 use relay::upstream::{Entry, Stage, Standing};
 use relay::upstreams::Change;
 
 fn events(from: u64, to: u64) -> String {
-    (from..=to)
-        .map(|id| format!("id: {id}\ndata: {id}\n\n"))
-        .collect()
+    let ids = (from..=to).map(|id| id.to_string());
+    ids.fold(String::new(), |all, id| {
+        all + "id: " + &id + "\ndata: " + &id + "\n\n"
+    })
 }
 
 fn maker() -> StandIn {
@@ -57,8 +58,8 @@
         near_entry.clone(),
         far_entry,
     ]);
-    let mut request = bed.request(Method::POST, "/once/x", "1");
-    request
+    let mut asked = request(Method::POST, "/once/x", "1");
+    asked
         .headers_mut()
         .insert("x-prompt", "7:13000,8:4000".parse().unwrap());
     let relay = Rc::clone(&bed.relay);
@@ -67,7 +68,7 @@
         until(|| !seen.borrow().is_empty()).await;
         relay.apply(leaving(near_entry));
     });
-    let (status, body) = bed.get(request).await;
+    let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(near.count(), 0, "the leaving engine got the output");
     assert_eq!(far.seen.borrow()[0].header("x-kv"), Some("kv-1"));
@@ -89,11 +90,11 @@
         one.entry("one", "llm", Stage::Decode),
         two.entry("two", "llm", Stage::Decode),
     ]);
-    let mut request = bed.request(Method::POST, "/grades/x", "1");
-    request
+    let mut asked = request(Method::POST, "/grades/x", "1");
+    asked
         .headers_mut()
         .insert("x-prompt", "7:50,8:40".parse().unwrap());
-    let (status, body) = bed.get(request).await;
+    let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(one.count() + two.count(), 2);
 }
@@ -114,11 +115,11 @@
             ..other.entry("two", "llm", Stage::Decode)
         },
     ]);
-    let mut request = bed.request(Method::POST, "/once/x", "1");
-    request
+    let mut asked = request(Method::POST, "/once/x", "1");
+    asked
         .headers_mut()
         .insert("x-prompt", "7:50,8:40".parse().unwrap());
-    let (status, body) = bed.get(request).await;
+    let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, None));
     assert_eq!(other.count(), 0);
 }
@@ -133,11 +134,11 @@
         vec![Act::Say(whole[..cut].to_owned()), Act::Wait(5_000)]
     });
     let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
-    let mut request = bed.request(Method::POST, "/once/x", "1");
-    request
+    let mut asked = request(Method::POST, "/once/x", "1");
+    asked
         .headers_mut()
         .insert("x-prompt", "7:50,8:40".parse().unwrap());
-    let response = bed.ask(request).await.unwrap();
+    let response = bed.ask(asked).await.unwrap();
     let mut body = response.into_body();
     assert!(body.frame().await.is_some());
     drop(body);
@@ -153,13 +154,13 @@
 async fn a_caller_that_leaves_early_stops_the_engine() {
     let engine = StandIn::start(|_| vec![Act::Wait(5_000)]);
     let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
-    let mut request = bed.request(Method::POST, "/once/x", "1");
-    request
+    let mut asked = request(Method::POST, "/once/x", "1");
+    asked
         .headers_mut()
         .insert("x-prompt", "7:50,8:40".parse().unwrap());
     let wait = std::time::Duration::from_millis(200);
-    let asked = actix_rt::time::timeout(wait, bed.ask(request)).await;
-    assert!(asked.is_err());
+    let answered = actix_rt::time::timeout(wait, bed.ask(asked)).await;
+    assert!(answered.is_err());
     assert!(
         until(|| *engine.left.borrow() == 1).await,
         "the engine works on"
@@ -181,11 +182,11 @@
         reader.entry("reader", "llm", Stage::Prefill),
         engine.entry("one", "llm", Stage::Decode),
     ]);
-    let mut request = bed.request(Method::POST, "/once/x", "1");
-    request
+    let mut asked = request(Method::POST, "/once/x", "1");
+    asked
         .headers_mut()
         .insert("x-prompt", "7:13000,8:4000".parse().unwrap());
-    let (status, body) = bed.get(request).await;
+    let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(engine.count(), 2);
 }
--- a/crates/relay/tests/services.rs
+++ b/crates/relay/tests/services.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use common::{Act, Bed, StandIn, until};
+use common::{Act, Bed, StandIn, request, until};
 use http::{HeaderValue, Method};
 use relay::upstream::{Entry, Stage};
 
@@ -23,7 +23,7 @@
         desk.entry("one", "desk", Stage::Whole),
         elsewhere(other.entry("two", "desk", Stage::Whole)),
     ]);
-    let (status, _) = bed.get(bed.request(Method::POST, "/claims/x", "1")).await;
+    let (status, _) = bed.get(request(Method::POST, "/claims/x", "1")).await;
     assert_eq!(status, 502);
     assert_eq!((desk.count(), other.count()), (1, 0));
 }
@@ -35,7 +35,7 @@
     let desk = StandIn::start(|seen| seen.answer("503 Full", "x-not-run: 1\r\n", ""));
     let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
     let response = bed
-        .ask(bed.request(Method::POST, "/claims/x", "1"))
+        .ask(request(Method::POST, "/claims/x", "1"))
         .await
         .unwrap();
     assert_eq!(response.status(), 503);
@@ -52,7 +52,7 @@
         desk.entry("one", "desk", Stage::Whole),
         elsewhere(other.entry("two", "desk", Stage::Whole)),
     ]);
-    let answer = bed.get(bed.request(Method::GET, "/reads/x", "1")).await;
+    let answer = bed.get(request(Method::GET, "/reads/x", "1")).await;
     assert_eq!(answer, (200, Some("ok".to_owned())));
 }
 
@@ -69,7 +69,7 @@
         desk.entry("one", "desk", Stage::Whole),
         elsewhere(other.entry("two", "desk", Stage::Whole)),
     ]);
-    let answer = bed.get(bed.request(Method::GET, "/reads/x", "1")).await;
+    let answer = bed.get(request(Method::GET, "/reads/x", "1")).await;
     assert_eq!(answer, (200, Some("a long body".to_owned())));
 }
 
@@ -83,7 +83,7 @@
     });
     let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
     for id in ["1", "2", "3", "4"] {
-        let (status, body) = bed.get(bed.request(Method::POST, "/claims/x", id)).await;
+        let (status, body) = bed.get(request(Method::POST, "/claims/x", id)).await;
         assert!(
             status == 502 || body.as_deref() == Some(id),
             "{id}: {status} {body:?}"
@@ -100,7 +100,7 @@
         vec![Act::Say(text.to_owned())]
     });
     let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
-    let (status, _) = bed.get(bed.request(Method::POST, "/claims/x", "1")).await;
+    let (status, _) = bed.get(request(Method::POST, "/claims/x", "1")).await;
     assert_eq!(status, 502);
 }
 
@@ -110,8 +110,8 @@
 async fn headers_pass_as_they_should() {
     let desk = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
     let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
-    let mut request = bed.request(Method::POST, "/claims/x?y=%2f", "1");
-    let headers = request.headers_mut();
+    let mut asked = request(Method::POST, "/claims/x?y=%2f", "1");
+    let headers = asked.headers_mut();
     headers.insert(
         "connection",
         HeaderValue::from_static("x-attempt, x-left-ms, private"),
@@ -119,7 +119,7 @@
     headers.insert("private", HeaderValue::from_static("1"));
     headers.insert("x-instance", HeaderValue::from_static("forged"));
     headers.insert("kept", HeaderValue::from_static("1"));
-    let (status, _) = bed.get(request).await;
+    let (status, _) = bed.get(asked).await;
     assert_eq!(status, 200);
     let seen = desk.seen.borrow()[0].clone();
     assert_eq!(seen.line, "POST /claims/x?y=%2f HTTP/1.1");
@@ -137,11 +137,11 @@
 async fn a_request_out_of_time_is_ended() {
     let desk = StandIn::start(|_| vec![Act::Wait(5_000)]);
     let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
-    let mut request = bed.request(Method::POST, "/claims/x", "1");
-    request
+    let mut asked = request(Method::POST, "/claims/x", "1");
+    asked
         .headers_mut()
         .insert("x-left-ms", HeaderValue::from_static("150"));
-    let (status, _) = bed.get(request).await;
+    let (status, _) = bed.get(asked).await;
     assert_eq!(status, 504);
     assert!(until(|| *desk.left.borrow() == 1).await);
 }
@@ -161,7 +161,7 @@
         elsewhere(desk.entry("two", "desk", Stage::Whole)),
     ]);
     for id in ["1", "2"] {
-        let (status, _) = bed.get(bed.request(Method::GET, "/reads/x", id)).await;
+        let (status, _) = bed.get(request(Method::GET, "/reads/x", id)).await;
         assert_eq!(status, 200);
     }
     assert_eq!(stranger.count(), 1);
@@ -177,14 +177,14 @@
         dark.entry("dark", "desk", Stage::Whole),
         elsewhere(desk.entry("two", "desk", Stage::Whole)),
     ]);
-    let mut first = bed.request(Method::POST, "/claims/x", "1");
+    let mut first = request(Method::POST, "/claims/x", "1");
     first
         .headers_mut()
         .insert("x-left-ms", HeaderValue::from_static("600"));
     assert_eq!(bed.get(first).await.0, 504);
     for id in 2..12 {
         let (status, _) = bed
-            .get(bed.request(Method::POST, "/claims/x", &id.to_string()))
+            .get(request(Method::POST, "/claims/x", &id.to_string()))
             .await;
         assert_eq!(status, 200);
     }
@@ -196,6 +196,6 @@
 #[actix_rt::test]
 async fn an_unknown_path_is_not_there_only_if_a_configuration_says_so() {
     let bed = Bed::start(vec![]);
-    let (status, _) = bed.get(bed.request(Method::GET, "/none/x", "1")).await;
+    let (status, _) = bed.get(request(Method::GET, "/none/x", "1")).await;
     assert_eq!(status, 404);
 }
