Ask another instance while the store cannot be read; bound silent connections and bodies

Read from the code beside it: a body that never ends, or a caller whose machine is gone, held a leaving process to the end of its grace.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -122,6 +122,9 @@
     /// The request cannot be read.
     #[display("the request is malformed")]
     Malformed,
+    /// The body did not come in time.
+    #[display("the request's body did not come in time")]
+    Unread,
     /// The body is longer than allowed.
     #[display("the body is too long")]
     TooLong,
@@ -157,6 +160,7 @@
             }
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::Unread => StatusCode::REQUEST_TIMEOUT,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,8 +3,10 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
+
 /// What may be repeated of the requests on a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Kind {
     /// Idempotent: may run more than once.
     Safe,
@@ -16,7 +18,7 @@
 }
 
 /// A service among which a route's requests are split.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Target {
     /// Service name.
     pub service: String,
@@ -25,7 +27,7 @@
 }
 
 /// One route.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Route {
     /// Name, for logs and metrics.
     pub name: String,
@@ -80,7 +82,7 @@
 }
 
 /// What is known of a service beside its upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one upstream accepts from all instances together.
     pub max_connections: usize,
@@ -89,7 +91,7 @@
 }
 
 /// Limits of a service's engines.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct EngineLimits {
     /// Requests that run at once.
     pub slots: u32,
@@ -98,7 +100,7 @@
 }
 
 /// Bounds on what callers send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Longest head.
     pub head_bytes: usize,
@@ -167,6 +169,16 @@
         self.services.get(name)
     }
 
+    /// All routes.
+    pub fn all_routes(&self) -> impl Iterator<Item = &Route> {
+        self.routes.values().flatten().map(Rc::as_ref)
+    }
+
+    /// All services by name.
+    pub fn services(&self) -> &HashMap<String, Service> {
+        &self.services
+    }
+
     /// Number of routes.
     pub fn routes(&self) -> usize {
         self.routes.values().map(Vec::len).sum()
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -42,6 +42,8 @@
     Readiness,
     /// Metrics.
     Metrics,
+    /// State for other instances.
+    Peers,
 }
 
 /// Opens a listener that another start of the same program can follow at once.
@@ -84,8 +86,8 @@
     stream: TcpStream,
     mut phase: watch::Receiver<Phase>,
 ) {
-    if let Err(error) = stream.set_nodelay(true) {
-        log::debug!(error:%; "connection without TCP_NODELAY");
+    if let Err(error) = crate::pool::tune(&stream) {
+        log::debug!(error:%; "connection with default options");
     }
     let limits = relay
         .config()
@@ -124,6 +126,7 @@
         }
         Duty::Directory => directory(relay, &request),
         Duty::Readiness => status(ready_status(relay, request.uri().path())),
+        Duty::Peers => state(relay, request.uri().path()),
         Duty::Metrics => whole(relay.metrics.text(), "text/plain; version=0.0.4"),
     };
     if relay.phase() >= Phase::Leaving {
@@ -133,6 +136,19 @@
     response
 }
 
+fn state(relay: &Relay, path: &str) -> Response<AnswerBody> {
+    if path != crate::state::PATH {
+        return status(StatusCode::NOT_FOUND);
+    }
+    match serde_json::to_vec(&relay.state()) {
+        Ok(body) => whole(body, "application/json"),
+        Err(error) => {
+            log::error!(error:%; "state not written");
+            status(StatusCode::INTERNAL_SERVER_ERROR)
+        }
+    }
+}
+
 fn ready_status(relay: &Relay, path: &str) -> StatusCode {
     if path != relay.dialect.ready_path() {
         return StatusCode::NOT_FOUND;
@@ -172,7 +188,12 @@
     let limits = config
         .as_ref()
         .map_or_else(Limits::default, |config| config.limits);
-    let body = Limited::new(body, limits.body_bytes).collect().await;
+    // A caller that falls silent within its body must not hold up a process that leaves.
+    let wait = Duration::from_millis(limits.idle_ms.min(asked.deadline_ms.unwrap_or(u64::MAX)));
+    let body = Limited::new(body, limits.body_bytes).collect();
+    let Ok(body) = actix_rt::time::timeout(wait, body).await else {
+        return refuse(relay, Refused::plain(Reason::Unread));
+    };
     let body = match body {
         Ok(collected) => collected.to_bytes(),
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod pool;
 pub mod relay;
 pub mod send;
+pub mod state;
 pub mod stream;
 pub mod upstream;
 pub mod upstreams;
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -59,6 +59,19 @@
         self.heard.insert(name, Heard { member, at_ms });
     }
 
+    /// Another instance knows of this one. It counts as heard of now only if it was not known:
+    /// its own heartbeats say more.
+    pub fn heard_from_another(&mut self, now_ms: u64, member: Member) {
+        if !self.heard.contains_key(&member.name) {
+            self.heard(now_ms, member);
+        }
+    }
+
+    /// All that are known and not silent, to be told to another instance.
+    pub fn all(&self) -> Vec<Member> {
+        self.ready().cloned().collect()
+    }
+
     /// Instances that take callers.
     ///
     /// Age is counted up to the last time that heartbeats could be read. While they cannot, all
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use socket2::{SockRef, TcpKeepalive};
 use tick::Clock;
 use tokio::net::TcpStream;
 
@@ -20,6 +21,13 @@
 /// one lost packet's first repeat.
 const CONNECT_MS: u64 = 350;
 
+/// Time for which sent bytes may stay unacknowledged, in ms: longer than a link that loses some
+/// packets takes to repeat them, shorter than the usual grace of a stop.
+const GONE_MS: u64 = 4_000;
+
+/// Silence after which a connection is probed, in s.
+const KEEPALIVE_S: u64 = 2;
+
 /// Time for which an idle connection is kept when the upstream names none, in ms; shorter than
 /// the usual five seconds of servers, so that a request rarely meets their close.
 const IDLE_MS: u64 = 4_000;
@@ -187,6 +195,22 @@
     }
 }
 
+/// Sets what every connection needs.
+///
+/// Small messages must not wait for the acknowledgement of the one before. A peer whose machine
+/// is gone or cut off answers nothing and resets nothing: without these bounds a connection to
+/// it, and all that its request holds, would stay for many minutes.
+pub fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(Duration::from_millis(GONE_MS)))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(KEEPALIVE_S))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(3);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
 async fn open(pool: &Rc<Pool>, most: usize) -> Result<Connection, Fault> {
     let peer = pool.peer;
     if pool.open.get() >= most {
@@ -198,10 +222,7 @@
     let stream = connected
         .map_err(|_| failed(format!("nothing within {CONNECT_MS} ms")))?
         .map_err(|error| failed(error.to_string()))?;
-    // Small requests would otherwise wait for the acknowledgement of the one before.
-    stream
-        .set_nodelay(true)
-        .map_err(|error| failed(error.to_string()))?;
+    tune(&stream).map_err(|error| failed(error.to_string()))?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -12,6 +12,7 @@
 use crate::gossip::{Reads, Telling};
 use crate::members::{Member, Members};
 use crate::metrics::Metrics;
+use crate::state::{Asked, State};
 use crate::upstreams::{Change, Effect, Upstreams};
 
 /// What an instance is told of itself.
@@ -25,6 +26,8 @@
     pub address: std::net::SocketAddr,
     /// Where other instances tell it of their load.
     pub peer: Option<std::net::SocketAddr>,
+    /// Where some instances can be asked before any is known.
+    pub seeds: Vec<std::net::SocketAddr>,
     /// Bound on repeated sends.
     pub repeats: RepeatTerms,
     /// Longest time that callers may keep an answer of the directory, in ms.
@@ -61,6 +64,9 @@
     pub busy: Rc<Cell<usize>>,
     /// Prompt parts to be told to other instances.
     pub reads: RefCell<Reads>,
+    /// When other instances were last asked.
+    pub asked: Asked,
+    listed_ms: Cell<Option<u64>>,
     phase: Cell<Phase>,
     beat: Cell<u64>,
     config: RefCell<Option<Rc<Config>>>,
@@ -81,6 +87,8 @@
             upstreams: RefCell::new(upstreams),
             members: RefCell::default(),
             reads: RefCell::default(),
+            asked: Asked::default(),
+            listed_ms: Cell::default(),
             phase: Cell::default(),
             busy: Rc::default(),
             beat: Cell::default(),
@@ -104,7 +112,11 @@
     pub fn enter(&self, phase: Phase) {
         if phase > self.phase.get() {
             self.phase.set(phase);
-            log::info!(phase:? ; "leaving");
+            match phase {
+                Phase::Serving => {}
+                Phase::Leaving => log::info!("not handed out any more"),
+                Phase::Closing => log::info!(busy = self.busy.get(); "no new connections any more"),
+            }
         }
     }
 
@@ -153,6 +165,27 @@
         }
     }
 
+    /// The list of upstreams was read from the store.
+    pub fn listed(&self) {
+        self.listed_ms.set(Some(self.now_ms()));
+    }
+
+    /// What this instance knows, for another one.
+    pub fn state(&self) -> State {
+        let now_ms = self.now_ms();
+        State {
+            config: self.config().map(|config| (&*config).into()),
+            upstreams: self
+                .upstreams
+                .borrow()
+                .iter()
+                .map(|each| each.entry())
+                .collect(),
+            list_age_ms: self.listed_ms.get().map(|at_ms| now_ms - at_ms),
+            members: self.members.borrow().all(),
+        }
+    }
+
     /// Drops what lapsed from the list and did not come back.
     pub fn settle(&self) {
         for id in self.upstreams.borrow_mut().settle(self.now_ms()) {
--- /dev/null
+++ b/crates/relay/src/state.rs
@@ -0,0 +1,154 @@
+//! What an instance can learn from another one while it cannot reach the store.
+//!
+//! The store may be away for long, or turn single instances away, while processes are restarted.
+//! An instance that starts then knows nothing and would refuse every caller until the store is
+//! back. Others still know, so it asks one of them, once a second at most; what it learns is
+//! replaced by the store's own word as soon as that can be read. See docs/design/platform.md.
+
+use std::cell::Cell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{Request, header};
+use http_body_util::{BodyExt, Full};
+use rand::seq::IndexedRandom;
+use serde::{Deserialize, Serialize};
+
+use crate::config::{Config, Limits, Route, Service};
+use crate::members::Member;
+use crate::pool::{Pool, exchange};
+use crate::relay::Relay;
+use crate::upstream::Entry;
+
+/// Path at which instances tell each other their state.
+pub const PATH: &str = "/state";
+
+/// Least time between two questions, in ms.
+const ASK_MS: u64 = 1_000;
+
+/// Time for an answer, in ms: many round trips, and the time that a busy instance takes.
+const ANSWER_MS: u64 = 500;
+
+/// Age up to which another instance's list of upstreams is taken for the whole list, in ms;
+/// an older one can only add to what is known.
+const FRESH_MS: u64 = 1_500;
+
+/// A configuration as instances tell it to each other.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct ConfigState {
+    version: u64,
+    routes: Vec<Route>,
+    services: HashMap<String, Service>,
+    limits: Limits,
+}
+
+impl From<&Config> for ConfigState {
+    fn from(config: &Config) -> Self {
+        Self {
+            version: config.version,
+            routes: config.all_routes().cloned().collect(),
+            services: config.services().clone(),
+            limits: config.limits,
+        }
+    }
+}
+
+impl From<ConfigState> for Config {
+    fn from(state: ConfigState) -> Self {
+        Self::new(state.version, state.routes, state.services, state.limits)
+    }
+}
+
+/// What an instance knows.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct State {
+    /// The configuration in force.
+    pub config: Option<ConfigState>,
+    /// Upstreams.
+    pub upstreams: Vec<Entry>,
+    /// Time since the list of upstreams was read from the store.
+    pub list_age_ms: Option<u64>,
+    /// Instances.
+    pub members: Vec<Member>,
+}
+
+/// When other instances were last asked.
+#[derive(Debug, Default)]
+pub struct Asked {
+    at_ms: Cell<Option<u64>>,
+}
+
+/// Asks another instance what it knows, unless one was asked just now.
+pub async fn catch_up(relay: &Rc<Relay>) {
+    let now_ms = relay.now_ms();
+    let recent = |at_ms: u64| now_ms < at_ms + ASK_MS;
+    if relay.asked.at_ms.get().is_some_and(recent) {
+        return;
+    }
+    relay.asked.at_ms.set(Some(now_ms));
+    let Some(peer) = somebody(relay) else {
+        return;
+    };
+    match ask(relay, peer).await {
+        Ok(state) => take(relay, state, peer),
+        Err(why) => log::info!(peer:%, why; "another instance could not be asked"),
+    }
+}
+
+fn somebody(relay: &Relay) -> Option<SocketAddr> {
+    let settings = relay.settings.borrow();
+    let members = relay.members.borrow();
+    let known = members.ready().filter_map(|member| member.peer);
+    let all: Vec<SocketAddr> = known
+        .chain(settings.seeds.iter().copied())
+        .filter(|peer| Some(*peer) != settings.peer)
+        .collect();
+    all.choose(&mut rand::rng()).copied()
+}
+
+async fn ask(relay: &Relay, peer: SocketAddr) -> Result<State, String> {
+    let request = Request::builder()
+        .uri(PATH)
+        .header(header::HOST, peer.to_string())
+        .body(Full::default())
+        .map_err(|error| error.to_string())?;
+    let answer = async {
+        let pool = Pool::new(peer, relay.clock);
+        let (response, _lease) = exchange(&pool, 1, request)
+            .await
+            .map_err(|fault| fault.to_string())?;
+        let collected = response.into_body().collect().await;
+        let body = collected.map_err(|error| error.to_string())?.to_bytes();
+        serde_json::from_slice(&body).map_err(|error| error.to_string())
+    };
+    let wait = Duration::from_millis(ANSWER_MS);
+    let answered = actix_rt::time::timeout(wait, answer).await;
+    answered.unwrap_or_else(|_| Err(format!("nothing within {ANSWER_MS} ms")))
+}
+
+/// Takes over what another instance knows and this one does not.
+pub fn take(relay: &Relay, state: State, peer: SocketAddr) {
+    let version = state.config.as_ref().map_or(0, |config| config.version);
+    log::info!(
+        peer:%, version, upstreams = state.upstreams.len(),
+        list_age_ms = state.list_age_ms.unwrap_or(u64::MAX);
+        "asked another instance"
+    );
+    if let Some(config) = state.config {
+        relay.configure(config.into());
+    }
+    if state.list_age_ms.is_some_and(|age_ms| age_ms < FRESH_MS) {
+        relay.replace(state.upstreams);
+    } else {
+        for entry in state.upstreams {
+            relay.apply(crate::upstreams::Change::Put(entry));
+        }
+    }
+    let now_ms = relay.now_ms();
+    let mut members = relay.members.borrow_mut();
+    for member in state.members {
+        members.heard_from_another(now_ms, member);
+    }
+}
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 
 use plan::{EngineView, Health, Verdict};
+use serde::{Deserialize, Serialize};
 use tick::Clock;
 
 use crate::dialect::ToldLoad;
@@ -35,7 +36,7 @@
 const CACHE_SHARE: f64 = 0.7;
 
 /// What an upstream does of a generation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Stage {
     /// All of it, or no generation at all.
     #[default]
@@ -47,7 +48,7 @@
 }
 
 /// Whether an upstream may get new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Standing {
     /// It may.
     #[default]
@@ -57,7 +58,7 @@
 }
 
 /// An upstream as the list of upstreams describes it.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
     /// Incarnation; a restart has another.
     pub id: String,
@@ -107,6 +108,8 @@
     pub service: String,
     /// Where it listens.
     pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
     /// Time of one way to it, in ms.
     pub distance_ms: f64,
     /// Requests that it runs at once.
@@ -136,6 +139,7 @@
             id: entry.id.clone(),
             service: entry.service.clone(),
             address: entry.address,
+            zone: entry.zone.clone(),
             distance_ms,
             slots: entry.slots.max(1),
             pool: Pool::new(entry.address, clock),
@@ -182,6 +186,20 @@
         leaves || self.stage.replace(entry.stage) != entry.stage
     }
 
+    /// What the list says of it, as far as it was taken over.
+    pub fn entry(&self) -> Entry {
+        Entry {
+            id: self.id.clone(),
+            service: self.service.clone(),
+            address: self.address,
+            zone: self.zone.clone(),
+            slots: self.slots,
+            standing: self.standing.get(),
+            stage: self.stage.get(),
+            seq: self.seq.get(),
+        }
+    }
+
     /// It gets no new work from now on.
     pub fn leave(&self) {
         self.standing.set(Standing::Leaving);
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -350,6 +350,7 @@
         zone: "here".to_owned(),
         address: "127.0.0.1:1".parse().expect("an address"),
         peer: None,
+        seeds: Vec::new(),
         repeats: RepeatTerms {
             ratio: 0.2,
             window_ms: 10_000,
@@ -362,12 +363,18 @@
 impl Bed {
     /// Starts a relay with these upstreams.
     pub fn start(entries: Vec<Entry>) -> Self {
-        let clock = Clock::default();
-        let relay = Relay::new(settings(), Rc::new(Wire), clock);
-        relay.configure(config(1));
+        let bed = Self::knowing_nothing(settings());
+        bed.relay.configure(config(1));
         for entry in entries {
-            relay.apply(Change::Put(entry));
+            bed.relay.apply(Change::Put(entry));
         }
+        bed
+    }
+
+    /// Starts a relay that has no configuration and no upstreams.
+    pub fn knowing_nothing(settings: Settings) -> Self {
+        let clock = Clock::default();
+        let relay = Relay::new(settings, Rc::new(Wire), clock);
         let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
         let address = listener.local_addr().expect("an address");
         let (phase, phases) = watch::channel(Phase::Serving);
--- /dev/null
+++ b/crates/relay/tests/peers.rs
@@ -0,0 +1,95 @@
+//! Instances that tell each other what they know.
+
+mod common;
+
+use std::rc::Rc;
+
+use common::{Bed, StandIn, Wire, request, settings, until};
+use http::Method;
+use relay::front::{Duty, bind, serve};
+use relay::gossip::{self, Telling};
+use relay::members::Member;
+use relay::state::catch_up;
+use relay::upstream::Stage;
+use relay::{Phase, Relay};
+use tick::Clock;
+use tokio::sync::watch;
+
+/// Callers of an instance that starts while the store is away are served: it asks one that has
+/// been running, and takes over its configuration and upstreams. Before, it refused them all
+/// until the store was back.
+#[actix_rt::test]
+async fn an_instance_that_starts_without_the_store_asks_another() {
+    let desk = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
+    let old = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let peer = listener.local_addr().unwrap();
+    let (_phase, phases) = watch::channel(Phase::Serving);
+    actix_rt::spawn(serve(Rc::clone(&old.relay), Duty::Peers, listener, phases));
+
+    let mut told = settings();
+    told.seeds = vec![peer];
+    let new = Bed::knowing_nothing(told);
+    let (status, _) = new.get(request(Method::GET, "/reads/x", "1")).await;
+    assert_eq!(status, 503);
+    catch_up(&new.relay).await;
+    assert!(new.relay.is_ready());
+    let (status, _) = new.get(request(Method::GET, "/reads/x", "2")).await;
+    assert_eq!(status, 200);
+}
+
+fn relay(name: &str) -> Rc<Relay> {
+    let mut told = settings();
+    name.clone_into(&mut told.name);
+    Relay::new(told, Rc::new(Wire), Clock::default())
+}
+
+/// Two instances send to one engine. What one has outstanding there counts in the other's view,
+/// until it says that it has nothing any more.
+#[actix_rt::test]
+async fn the_load_of_others_is_seen() {
+    let engine = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
+    let (one, two) = (relay("a"), relay("b"));
+    let sockets = [
+        gossip::open("127.0.0.1:0".parse().unwrap()).await.unwrap(),
+        gossip::open("127.0.0.1:0".parse().unwrap()).await.unwrap(),
+    ];
+    for relay in [&one, &two] {
+        let entry = engine.entry("one", "llm", Stage::Prefill);
+        relay.apply(relay::upstreams::Change::Put(entry));
+        let member = Member {
+            name: "b".to_owned(),
+            address: "127.0.0.1:2".parse().unwrap(),
+            peer: sockets[1].local_addr().ok(),
+            zone: "here".to_owned(),
+            ready: true,
+            beat: 1,
+        };
+        relay.members.borrow_mut().heard(relay.now_ms(), member);
+    }
+    actix_rt::spawn(gossip::tell(Rc::clone(&one), Rc::clone(&sockets[0])));
+    actix_rt::spawn(gossip::hear(Rc::clone(&two), Rc::clone(&sockets[1])));
+    let seen = |relay: &Relay| {
+        let upstreams = relay.upstreams.borrow();
+        let now_ms = relay.now_ms();
+        upstreams
+            .get("one")
+            .unwrap()
+            .view(now_ms, 0.0)
+            .queued_tokens
+    };
+    let upstream = Rc::clone(one.upstreams.borrow().get("one").unwrap());
+    let guard = relay::upstream::InFlight::enter(&upstream, one.now_ms(), 5_000.0, 0.0);
+    assert!(until(|| (seen(&two) - 5_000.0).abs() < 1.0).await);
+    drop(guard);
+    assert!(until(|| seen(&two) < 1.0).await);
+}
+
+/// The datagram's form: a new field may be left out by an older instance.
+#[test]
+fn tellings_are_read_with_fields_missing() {
+    let text =
+        r#"{"from":"a","outstanding":[{"upstream":"x","requests":1,"tokens":2}],"reads":[]}"#;
+    let telling: Telling = serde_json::from_str(text).unwrap();
+    assert_eq!(telling.outstanding[0].context, 0);
+}
