--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -29,4 +29,4 @@
 pub use rollout::moves_over;
 pub use route::{Choice, Request, RouteSettings, Router};
 pub use shape::{RANKS, Shape, rank_index};
-pub use staged::{EngineView, Pace, Predicted, least, work_tokens};
+pub use staged::{Ask, EngineView, Pace, Predicted, least, work_tokens};
--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -38,7 +38,7 @@
 /// Weight of the time for which each other request of a decoding engine pauses while a prompt is
 /// read there. A pause over the objective makes a whole answer late, so it weighs more than the
 /// same time before a start.
-const HARM: f64 = 0.3;
+const HARM: f64 = 0.4;
 
 /// Part of the harm that counts for every request, however short.
 const SHORT: f64 = 0.3;
@@ -46,6 +46,9 @@
 /// Context of a request that counts in full, in tokens.
 const LONG_TOKENS: f64 = 10_000.0;
 
+/// Pauses over the objective beyond which a longer read does no more harm.
+const MOST_GAPS: f64 = 3.0;
+
 /// An engine as one placement sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct EngineView {
@@ -65,6 +68,17 @@
     pub slowness: f64,
 }
 
+/// What an engine for output is asked.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Ask {
+    /// Length of the prompt.
+    pub prompt_tokens: f64,
+    /// Time that a place in a full batch takes to come free.
+    pub place_ms: f64,
+    /// Longest pause between two events that is on time.
+    pub gap_goal_ms: f64,
+}
+
 /// A prediction, split by what causes it.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Predicted {
@@ -148,7 +162,12 @@
     }
 
     /// Time until a decoding engine has read a prompt itself and waited for a place.
-    pub fn decode_ms(&self, view: &EngineView, prompt_tokens: f64, place_ms: f64) -> Predicted {
+    pub fn decode_ms(&self, view: &EngineView, ask: &Ask) -> Predicted {
+        let Ask {
+            prompt_tokens,
+            place_ms,
+            gap_goal_ms,
+        } = *ask;
         let own = work_tokens(prompt_tokens, view.cached_tokens);
         let token_ms = self.token_ms * READ_BESIDE * view.slowness.max(1.0);
         let over = (view.requests + 1.0 - view.slots).max(0.0);
@@ -161,7 +180,8 @@
             harm_ms: HARM
                 * (view.requests * SHORT + view.context_tokens / LONG_TOKENS)
                 * own
-                * token_ms,
+                * token_ms
+                * (own * token_ms / gap_goal_ms.max(1.0)).min(MOST_GAPS),
         }
     }
 }
--- a/crates/plan/tests/staged.rs
+++ b/crates/plan/tests/staged.rs
@@ -1,6 +1,6 @@
 //! Loads that the decisions on reading, repeating and leaving alone answer.
 
-use plan::{EngineView, Health, Pace, RepeatTerms, Repeats, Verdict, least, work_tokens};
+use plan::{Ask, EngineView, Health, Pace, RepeatTerms, Repeats, Verdict, least, work_tokens};
 use proptest::prelude::*;
 
 const TERMS: RepeatTerms = RepeatTerms {
@@ -129,7 +129,12 @@
         context_tokens: 100_000.0,
         ..EngineView::default()
     };
-    let costs = [busy, idle].map(|view| pace.decode_ms(&view, 17_000.0, 250.0));
+    let ask = Ask {
+        prompt_tokens: 17_000.0,
+        place_ms: 250.0,
+        gap_goal_ms: 150.0,
+    };
+    let costs = [busy, idle].map(|view| pace.decode_ms(&view, &ask));
     assert_eq!(least(costs.into_iter()).unwrap().0, 1);
 }
 
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use plan::{Predicted, Verdict, least, work_tokens};
+use plan::{Ask, Predicted, Verdict, least, work_tokens};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::answer::{Reason, Refused};
@@ -195,6 +195,11 @@
     let tokens = f64::from(prompt.input_tokens);
     let pace = relay.pace(&call.service);
     let makers = candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]);
+    let ask = Ask {
+        prompt_tokens: tokens,
+        place_ms: PLACE_MS,
+        gap_goal_ms: call.route.gap_goal_ms as f64,
+    };
     let cached = |each: &Rc<Upstream>| {
         if is_read {
             tokens
@@ -202,8 +207,7 @@
             kept_tokens(each, prompt)
         }
     };
-    let predicted =
-        |each: &Rc<Upstream>| pace.decode_ms(&each.view(now_ms, cached(each)), tokens, PLACE_MS);
+    let predicted = |each: &Rc<Upstream>| pace.decode_ms(&each.view(now_ms, cached(each)), &ask);
     let Some((at, first)) = least(makers.iter().map(predicted)) else {
         return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
     };
