--- a/crates/relay/src/audit.rs
+++ b/crates/relay/src/audit.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, SyncSender, sync_channel};
+use std::time::{Duration, Instant};
 
 use log::kv::{Error, Key, Value, VisitSource};
 use serde_json::{Map, json};
@@ -11,6 +12,9 @@
 /// Lines that wait for a slow reader; further ones are counted and left out.
 const QUEUED_LINES: usize = 2_048;
 
+/// Longest time for which the end of a process waits for its last lines.
+const LONGEST_FLUSH: Duration = Duration::from_millis(100);
+
 struct Fields(Map<String, serde_json::Value>);
 
 impl<'kvs> VisitSource<'kvs> for Fields {
@@ -31,6 +35,7 @@
 pub struct Queue {
     lines: SyncSender<Vec<u8>>,
     left_out: Arc<AtomicU64>,
+    waiting: Arc<AtomicU64>,
 }
 
 impl Queue {
@@ -38,17 +43,26 @@
     pub fn new(most: usize) -> (Self, Drain) {
         let (lines, receiver) = sync_channel(most);
         let left_out = Arc::new(AtomicU64::new(0));
+        let waiting = Arc::new(AtomicU64::new(0));
         let drain = Drain {
             receiver,
             left_out: Arc::clone(&left_out),
+            waiting: Arc::clone(&waiting),
+        };
+        let queue = Self {
+            lines,
+            left_out,
+            waiting,
         };
-        (Self { lines, left_out }, drain)
+        (queue, drain)
     }
 }
 
 impl Write for Queue {
     fn write(&mut self, line: &[u8]) -> std::io::Result<usize> {
+        self.waiting.fetch_add(1, Ordering::AcqRel);
         if self.lines.try_send(line.to_vec()).is_err() {
+            self.waiting.fetch_sub(1, Ordering::AcqRel);
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
@@ -63,6 +77,7 @@
 pub struct Drain {
     receiver: Receiver<Vec<u8>>,
     left_out: Arc<AtomicU64>,
+    waiting: Arc<AtomicU64>,
 }
 
 impl Drain {
@@ -77,16 +92,34 @@
                     return;
                 }
             }
-            if out.write_all(&line).is_err() {
+            let written = out.write_all(&line);
+            self.waiting.fetch_sub(1, Ordering::AcqRel);
+            if written.is_err() {
                 return;
             }
         }
     }
 }
 
+/// Lines that are not written yet.
+pub struct Waiting(Arc<AtomicU64>);
+
+impl Waiting {
+    /// Waits until all lines are written, for a short time at most.
+    ///
+    /// The last lines say why a process ended; without this they end with it.
+    pub fn flush(&self) {
+        let began = Instant::now();
+        while self.0.load(Ordering::Acquire) > 0 && began.elapsed() < LONGEST_FLUSH {
+            std::thread::sleep(LONGEST_FLUSH / 50);
+        }
+    }
+}
+
 /// Starts logging; `RUST_LOG` sets the level.
-pub fn start() {
+pub fn start() -> Waiting {
     let (queue, drain) = Queue::new(QUEUED_LINES);
+    let waiting = Waiting(Arc::clone(&queue.waiting));
     std::thread::spawn(move || drain.run(std::io::stdout()));
     let env = env_logger::Env::default().default_filter_or("info");
     let started = env_logger::Builder::from_env(env)
@@ -108,4 +141,5 @@
     if let Err(error) = started {
         eprintln!("logging was started before: {error}");
     }
+    waiting
 }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -23,8 +23,11 @@
 /// is younger than the queue that it describes.
 const PERIOD_MS: u64 = 100;
 
+/// Periods for each telling of an idle instance.
+const IDLE_PERIODS: u32 = 3;
+
 /// Most instances that one tells at a time.
-const FANOUT: usize = 8;
+pub const FANOUT: usize = 8;
 
 /// Reads of prompt parts that are told; older ones have been told before.
 const READS: usize = 24;
@@ -93,16 +96,17 @@
 
 /// Tells others until the process ends.
 pub async fn tell(relay: Rc<Relay>, socket: Rc<UdpSocket>) {
-    let mut was_busy = false;
+    let mut idle = 0;
     loop {
         actix_rt::time::sleep(Duration::from_millis(PERIOD_MS)).await;
         let telling = relay.telling();
         let is_busy = !telling.outstanding.is_empty() || !telling.reads.is_empty();
-        // One empty telling after the last busy one clears what others hold against us.
-        if is_busy || was_busy {
+        // The first empty telling clears what others hold against us; further ones only say that
+        // we live.
+        if is_busy || idle % IDLE_PERIODS == 0 {
             send(&relay, &socket, &telling).await;
         }
-        was_busy = is_busy;
+        idle = if is_busy { 0 } else { idle + 1 };
     }
 }
 
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -10,7 +10,11 @@
 
 /// Time between two heartbeats of an instance, in ms: short beside the time for which callers
 /// keep an answer, long enough that heartbeats stay a small part of the store's calls.
-pub const BEAT_MS: u64 = 1_000;
+pub const BEAT_MS: u64 = 1_500;
+
+/// Time in which an instance tells each other one something, in ms, if it is one of few; with
+/// more of them it takes as many times longer as there are groups that it tells in turn.
+const TELLS_MS: u64 = 800;
 
 /// Heartbeats that may be missed before an instance is no longer handed out.
 const MISSED: u64 = 3;
@@ -37,6 +41,7 @@
 struct Heard {
     member: Member,
     at_ms: u64,
+    told_ms: Option<u64>,
 }
 
 /// All instances that were heard of.
@@ -54,9 +59,40 @@
 
     /// A heartbeat was read.
     pub fn heard(&mut self, now_ms: u64, member: Member) {
-        let at_ms = now_ms;
         let name = member.name.clone();
-        self.heard.insert(name, Heard { member, at_ms });
+        let told_ms = self.heard.get(&name).and_then(|heard| heard.told_ms);
+        let heard = Heard {
+            member,
+            at_ms: now_ms,
+            told_ms,
+        };
+        self.heard.insert(name, heard);
+    }
+
+    /// An instance told something over the network between instances.
+    pub fn told(&mut self, now_ms: u64, name: &str) {
+        if let Some(heard) = self.heard.get_mut(name) {
+            heard.told_ms = Some(now_ms);
+        }
+    }
+
+    /// Instances that may be handed out now: those that are ready and have not fallen silent.
+    ///
+    /// A killed or frozen instance stops telling at once, and its heartbeats are missed only
+    /// seconds later; callers that were sent there meanwhile would lose a second each. If most
+    /// have fallen silent it is this instance that hears nothing, and nobody is left out.
+    pub fn reachable(&self, now_ms: u64, groups: u64) -> Vec<&Member> {
+        let all: Vec<&Heard> = self.fresh().collect();
+        let silent = |heard: &Heard| {
+            let told_ms = heard.told_ms;
+            told_ms.is_some_and(|told_ms| told_ms + TELLS_MS * groups.max(1) < now_ms)
+        };
+        let audible = all.iter().filter(|heard| !silent(heard));
+        let audible: Vec<&Member> = audible.map(|heard| &heard.member).collect();
+        if audible.len() * 2 < all.len() {
+            return all.iter().map(|heard| &heard.member).collect();
+        }
+        audible
     }
 
     /// Another instance knows of this one. It counts as heard of now only if it was not known:
@@ -77,9 +113,13 @@
     /// Age is counted up to the last time that heartbeats could be read. While they cannot, all
     /// that lived keep being handed out, since the silence is the store's and not theirs.
     pub fn ready(&self) -> impl Iterator<Item = &Member> {
+        self.fresh().map(|heard| &heard.member)
+    }
+
+    fn fresh(&self) -> impl Iterator<Item = &Heard> {
         let oldest_ms = self.read_ms.saturating_sub(BEAT_MS * MISSED);
         let fresh = move |heard: &&Heard| heard.at_ms >= oldest_ms && heard.member.ready;
-        self.heard.values().filter(fresh).map(|heard| &heard.member)
+        self.heard.values().filter(fresh)
     }
 
     /// Number of instances among which shared bounds are split; one at least.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -228,6 +228,7 @@
     /// Another instance told something.
     pub fn heard(&self, telling: &Telling) {
         let now_ms = self.now_ms();
+        self.members.borrow_mut().told(now_ms, &telling.from);
         let upstreams = self.upstreams.borrow();
         for upstream in upstreams.iter() {
             let id = upstream.id.as_str();
--- /dev/null
+++ b/crates/relay/tests/audit.rs
@@ -0,0 +1,27 @@
+//! Logs are bounded and hold nobody up.
+
+use std::io::Write;
+use std::sync::mpsc::channel;
+
+use relay::audit::Queue;
+
+/// Whoever reads standard output has stopped. Lines are written on without waiting, as many as
+/// fit are kept, and the first after it says how many were left out.
+#[test]
+fn a_reader_that_stops_holds_nobody_up() {
+    let (mut queue, drain) = Queue::new(4);
+    for line in 0..40 {
+        queue.write_all(format!("{line}\n").as_bytes()).unwrap();
+    }
+    drop(queue);
+    let (sender, receiver) = channel();
+    std::thread::spawn(move || {
+        let mut out = Vec::new();
+        drain.run(&mut out);
+        sender.send(String::from_utf8(out).unwrap())
+    });
+    let text = receiver.recv().unwrap();
+    let kept: Vec<&str> = text.lines().collect();
+    assert_eq!(kept.len(), 5, "{text}");
+    assert!(kept[0].contains("\"lines\":"), "{text}");
+}
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -192,3 +192,31 @@
         .count();
     assert_eq!(to_y, 900);
 }
+
+/// One of three instances is killed. It tells nothing any more, and callers are not sent there
+/// a second later, before its heartbeats are missed. When all fall silent at once, it is this
+/// instance that cannot hear, and all stay.
+#[test]
+fn an_instance_that_tells_nothing_is_not_handed_out() {
+    let mut members = Members::default();
+    for name in ["a", "b", "c"] {
+        members.heard(0, member(name, "here", true));
+        members.told(0, name);
+    }
+    for name in ["a", "b"] {
+        members.told(1_000, name);
+    }
+    let mut names: Vec<&str> = members
+        .reachable(1_000, 1)
+        .iter()
+        .map(|each| each.name.as_str())
+        .collect();
+    names.sort_unstable();
+    assert_eq!(names, ["a", "b"]);
+    assert_eq!(
+        members.reachable(1_000, 2).len(),
+        3,
+        "told in turn, it is not overdue"
+    );
+    assert_eq!(members.reachable(5_000, 1).len(), 3);
+}
