Count a lapsed entry's doubt from the last failed read; serve what will be late after the rest

Load: a prompt that cannot start within its objective gets a later rank at the engine and counts only for its like.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -16,7 +16,7 @@
 use crate::place;
 use crate::relay::Relay;
 use crate::send::{Checked, Sent, note_sign, send};
-use crate::upstream::{InFlight, Upstream};
+use crate::upstream::{InFlight, Upstream, Work};
 
 /// Answers up to this length are read whole before they are passed on, so that one that breaks
 /// off can be asked for again; longer ones would cost too much memory.
@@ -63,7 +63,7 @@
     loop {
         let upstream = place::plain(relay, call, &tried)?;
         tried.push(upstream.id.clone());
-        let guard = InFlight::enter(&upstream, relay.now_ms(), 0.0, 0.0);
+        let guard = InFlight::enter(&upstream, relay.now_ms(), Work::default());
         let sending = Sending {
             instance: &upstream.id,
             deadline_ms: call.left_ms(relay.now_ms()),
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -18,7 +18,13 @@
 use crate::relay::Relay;
 use crate::send::{Sent, note_sign, note_unsent, raw_send, send};
 use crate::stream::Streaming;
-use crate::upstream::{InFlight, Upstream};
+use crate::upstream::{InFlight, Upstream, Urgency, Work};
+
+/// Ranks by which a request that will be late comes after its like; more than routes differ by.
+const LATE_RANKS: u8 = 4;
+
+/// The last rank that engines know.
+const LAST_RANK: u8 = 9;
 
 /// Parts shorter than this are read again sooner than told about, in tokens.
 const TOLD_TOKENS: u32 = 500;
@@ -36,7 +42,10 @@
             Placement::Whole(maker) => (maker, None),
             Placement::Apart(reader) => {
                 let kv = read_apart(relay, call, prompt, &reader).await;
-                (place::maker(relay, call, prompt, &tried, kv.is_some())?, kv)
+                (
+                    place::maker(relay, call, prompt, &tried, kv.is_some(), reader.urgency)?,
+                    kv,
+                )
             }
         };
         let (sent, guard) = make(relay, call, prompt, &maker, kv.as_ref()).await;
@@ -78,17 +87,21 @@
     kv: Option<&Handed>,
 ) -> (Sent, InFlight) {
     let predicted_ms = maker.first.total_ms();
+    let urgency = maker.urgency;
     let guard = InFlight::enter(
         &maker.engine,
         relay.now_ms(),
-        maker.tokens,
-        f64::from(prompt.input_tokens),
+        Work {
+            tokens: maker.tokens,
+            context: f64::from(prompt.input_tokens),
+            urgency: maker.urgency,
+        },
     );
     let maker = &maker.engine;
     let mut sending = Sending {
         instance: &maker.id,
         deadline_ms: call.left_ms(relay.now_ms()),
-        priority: Some(call.route.priority),
+        priority: Some(rank(call, urgency)),
         kv: kv.map(|handed| &handed.handle),
         last_event: call.asked.last_event,
         ..Sending::default()
@@ -123,6 +136,18 @@
     (sent, guard)
 }
 
+/// Urgency as the engine is told it.
+pub fn rank(call: &Call, urgency: Urgency) -> u8 {
+    match urgency {
+        Urgency::OnTime => call.route.priority,
+        Urgency::Late => call
+            .route
+            .priority
+            .saturating_add(LATE_RANKS)
+            .min(LAST_RANK),
+    }
+}
+
 /// Notes that an engine is reading a prompt, here and for the other instances.
 ///
 /// It is noted as soon as the prompt is on its way: who asks next for the same part finds it read
@@ -208,15 +233,24 @@
     prompt: &Prompt,
     reader: &Reader,
 ) -> Option<Handed> {
-    let guard = InFlight::enter(&reader.engine, relay.now_ms(), reader.tokens, 0.0);
+    let guard = InFlight::enter(
+        &reader.engine,
+        relay.now_ms(),
+        Work {
+            tokens: reader.tokens,
+            context: 0.0,
+            urgency: reader.urgency,
+        },
+    );
     let read_ms = reader.read.total_ms();
+    let urgency = reader.urgency;
     let reader = &reader.engine;
-    let before = reader.view(relay.now_ms(), 0.0).queued_tokens;
+    let before = reader.view(relay.now_ms(), 0.0, urgency).queued_tokens;
     keep_parts(relay, call, prompt, reader);
     let sending = Sending {
         instance: &reader.id,
         deadline_ms: call.left_ms(relay.now_ms()),
-        priority: Some(call.route.priority),
+        priority: Some(rank(call, urgency)),
         step: Step::Prefill,
         ..Sending::default()
     };
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -44,6 +44,9 @@
     pub requests: u32,
     /// Work of reading prompts, in tokens.
     pub tokens: u32,
+    /// Work of reading prompts that will be late anyway, in tokens.
+    #[serde(default)]
+    pub late: u32,
     /// Prompt tokens of the requests that make output.
     #[serde(default)]
     pub context: u32,
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -11,7 +11,7 @@
 use crate::call::Call;
 use crate::dialect::Prompt;
 use crate::relay::Relay;
-use crate::upstream::{Stage, Upstream};
+use crate::upstream::{Stage, Upstream, Urgency};
 
 /// Prompts with fewer tokens to read are not worth reading apart and moving, in tokens: moving
 /// costs a request of its own and some ms of set-up.
@@ -27,14 +27,16 @@
 /// Time that a place in a full batch takes to come free, in ms.
 const PLACE_MS: f64 = 250.0;
 
-/// Share of an objective beyond which a predicted start is refused: work that is late keeps the
-/// engine from work that would be on time, and earns little.
-const LATEST_START: f64 = 1.5;
+/// Share of an objective up to which a prediction counts as on time.
+const ON_TIME_SHARE: f64 = 1.0;
 
 /// How much more a prompt whose shared part nobody has read yet seems to cost where it is not at
 /// home, so that instances which see its first requests at once choose the same engine.
 const AWAY: f64 = 1.3;
 
+/// Objectives after which a start is refused.
+const LATEST_START: f64 = 2.0;
+
 /// Wait, as a share of the objective, that a request bears which is late by its own length.
 const LONGEST_WAIT: f64 = 0.5;
 
@@ -62,6 +64,8 @@
     pub tokens: f64,
     /// Predicted time until it is read.
     pub read: Predicted,
+    /// Whether it can be on time.
+    pub urgency: Urgency,
 }
 
 /// Engine that makes output.
@@ -73,6 +77,8 @@
     pub tokens: f64,
     /// Predicted time to the first event.
     pub first: Predicted,
+    /// Whether it can be on time.
+    pub urgency: Urgency,
 }
 
 /// Upstreams of a service that may be tried, the fit ones if there are any.
@@ -129,27 +135,53 @@
     Ok(Rc::clone(&all[at]))
 }
 
-/// Chooses for a request that generates text, or refuses it if it would start too late.
+/// Chooses for a request that generates text, or refuses it if it would come too late.
+///
+/// Load pattern: long prompts come at five times the usual rate for some seconds. In one queue
+/// all of them would be late. Those that can still start within their objective go first, and the
+/// others get what these leave, up to their deadlines; so as many are served, and more of them
+/// on time.
 pub fn generation(
     relay: &Relay,
     call: &Call,
     prompt: &Prompt,
     tried: &[String],
 ) -> Result<Placement, Refused> {
-    let now_ms = relay.now_ms();
-    let whole = maker(relay, call, prompt, tried, false)?;
+    let goal_ms = call.route.goal_ms as f64;
+    let (placement, first) = best(relay, call, prompt, tried, Urgency::OnTime)?;
+    if first.total_ms() <= goal_ms * ON_TIME_SHARE {
+        return Ok(placement);
+    }
+    let (placement, first) = best(relay, call, prompt, tried, Urgency::Late)?;
+    let own_ms = first.own_ms + goal_ms * LONGEST_WAIT;
+    let latest_ms = (goal_ms * LATEST_START).max(own_ms);
+    let latest_ms = latest_ms.min(call.left_ms(relay.now_ms()) as f64 * LEFT_SHARE);
+    if first.total_ms() > latest_ms {
+        return Err(refuse(call, Reason::TooLate, first.total_ms() - latest_ms));
+    }
+    Ok(placement)
+}
+
+fn best(
+    relay: &Relay,
+    call: &Call,
+    prompt: &Prompt,
+    tried: &[String],
+    urgency: Urgency,
+) -> Result<(Placement, Predicted), Refused> {
+    let whole = maker(relay, call, prompt, tried, false, urgency)?;
     let tokens = f64::from(prompt.input_tokens);
     let apart = (tokens >= READ_APART_TOKENS)
-        .then(|| reader(relay, call, prompt, tried))
+        .then(|| reader(relay, call, prompt, tried, urgency))
         .flatten();
-    let after = maker(relay, call, prompt, tried, true)?.first;
+    let after = maker(relay, call, prompt, tried, true, urgency)?.first;
     let first_of = |reader: &Reader| Predicted {
         wait_ms: reader.read.wait_ms + after.wait_ms,
         own_ms: reader.read.own_ms + HAND_OVER_MS + after.own_ms,
         harm_ms: after.harm_ms,
     };
     let apart = apart.map(|reader| (first_of(&reader), reader));
-    let (placement, first) = match apart {
+    Ok(match apart {
         Some((first, reader)) if first.cost_ms() < whole.first.cost_ms() => {
             (Placement::Apart(reader), first)
         }
@@ -157,27 +189,7 @@
             let first = whole.first;
             (Placement::Whole(whole), first)
         }
-    };
-    let late_ms = late_ms(
-        &first,
-        call.route.goal_ms as f64,
-        call.left_ms(now_ms) as f64,
-    );
-    if late_ms > 0.0 {
-        return Err(refuse(call, Reason::TooLate, late_ms));
-    }
-    Ok(placement)
-}
-
-/// How far a prediction lies beyond what is worth admitting; not above zero if it is worth it.
-///
-/// Load pattern: long prompts come at five times the usual rate for some seconds. With a long
-/// queue each of them would be served late; with one that is bounded by the objective, as many
-/// are served, and on time. A request whose own reading takes longer than the objective is late
-/// on an idle engine too, and is held to the wait alone, or the largest would never be served.
-fn late_ms(first: &Predicted, goal_ms: f64, left_ms: f64) -> f64 {
-    let on_time_ms = (goal_ms * LATEST_START).max(first.own_ms + goal_ms * LONGEST_WAIT);
-    first.total_ms() - on_time_ms.min(left_ms * LEFT_SHARE)
+    })
 }
 
 /// Chooses the engine that makes the output, for a prompt that was read or not.
@@ -190,6 +202,7 @@
     prompt: &Prompt,
     tried: &[String],
     is_read: bool,
+    urgency: Urgency,
 ) -> Result<Maker, Refused> {
     let now_ms = relay.now_ms();
     let tokens = f64::from(prompt.input_tokens);
@@ -207,7 +220,8 @@
             kept_tokens(each, prompt)
         }
     };
-    let predicted = |each: &Rc<Upstream>| pace.decode_ms(&each.view(now_ms, cached(each)), &ask);
+    let predicted =
+        |each: &Rc<Upstream>| pace.decode_ms(&each.view(now_ms, cached(each), urgency), &ask);
     let Some((at, first)) = least(makers.iter().map(predicted)) else {
         return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
     };
@@ -216,11 +230,18 @@
         tokens: work_tokens(tokens, cached(&engine)),
         engine,
         first,
+        urgency,
     })
 }
 
 /// Chooses the engine that reads a prompt apart.
-fn reader(relay: &Relay, call: &Call, prompt: &Prompt, tried: &[String]) -> Option<Reader> {
+fn reader(
+    relay: &Relay,
+    call: &Call,
+    prompt: &Prompt,
+    tried: &[String],
+    urgency: Urgency,
+) -> Option<Reader> {
     let now_ms = relay.now_ms();
     let tokens = f64::from(prompt.input_tokens);
     let pace = relay.pace(&call.service);
@@ -228,7 +249,7 @@
     let home = home(&all, prompt).map(|each| each.id.clone());
     let predicted = |each: &Rc<Upstream>| {
         let cached = kept_tokens(each, prompt);
-        let mut read = pace.prefill_ms(&each.view(now_ms, cached), tokens);
+        let mut read = pace.prefill_ms(&each.view(now_ms, cached, urgency), tokens);
         if cached == 0.0 && Some(&each.id) != home.as_ref() {
             read.own_ms *= AWAY;
         }
@@ -240,6 +261,7 @@
         tokens: work_tokens(tokens, kept_tokens(&engine, prompt)),
         engine,
         read,
+        urgency,
     })
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,7 +19,7 @@
 use crate::pool::Lease;
 use crate::relay::Relay;
 use crate::send::{Checked, Sent, send};
-use crate::upstream::InFlight;
+use crate::upstream::{InFlight, Urgency, Work};
 
 /// Silence of an engine, in objectives for the pause between events, after which a stream that
 /// may go on elsewhere does so. Callers leave after eight; what is left is for the other engine.
@@ -203,7 +203,14 @@
         if !call.route.is_repeatable() || !may_repeat(&self.relay, &call) {
             return Err(self.broken(why));
         }
-        let Ok(maker) = place::maker(&self.relay, &call, prompt, &self.tried, false) else {
+        let Ok(maker) = place::maker(
+            &self.relay,
+            &call,
+            prompt,
+            &self.tried,
+            false,
+            Urgency::OnTime,
+        ) else {
             return Err(self.broken(why));
         };
         let tokens = maker.tokens;
@@ -212,8 +219,11 @@
         let guard = InFlight::enter(
             &maker,
             self.relay.now_ms(),
-            tokens,
-            f64::from(prompt.input_tokens),
+            Work {
+                tokens,
+                context: f64::from(prompt.input_tokens),
+                urgency: Urgency::OnTime,
+            },
         );
         let sending = Sending {
             instance: &maker.id,
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -47,6 +47,27 @@
     Decode,
 }
 
+/// Whether a generation can still start within its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Urgency {
+    /// It can.
+    #[default]
+    OnTime,
+    /// It will be late, and is served with what the others leave.
+    Late,
+}
+
+/// What a request brings to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Work {
+    /// Work of reading its prompt, in tokens.
+    pub tokens: f64,
+    /// Length of the prompt from which output will be made there, in tokens.
+    pub context: f64,
+    /// Whether it can be on time.
+    pub urgency: Urgency,
+}
+
 /// Whether an upstream may get new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub enum Standing {
@@ -89,6 +110,7 @@
 struct PeerLoad {
     requests: f64,
     tokens: f64,
+    late: f64,
     context: f64,
     at_ms: u64,
 }
@@ -124,6 +146,7 @@
     sign_ms: Cell<u64>,
     in_flight: Cell<u32>,
     queued_tokens: Cell<f64>,
+    late_tokens: Cell<f64>,
     context_tokens: Cell<f64>,
     answer_ms: Cell<f64>,
     told: Cell<Told>,
@@ -151,6 +174,7 @@
             sign_ms: Cell::default(),
             in_flight: Cell::default(),
             queued_tokens: Cell::default(),
+            late_tokens: Cell::default(),
             context_tokens: Cell::default(),
             answer_ms: Cell::new(0.0),
             told: Cell::default(),
@@ -222,6 +246,7 @@
             upstream: self.id.clone(),
             requests: self.in_flight.get(),
             tokens: self.queued_tokens.get() as u32,
+            late: self.late_tokens.get() as u32,
             context: self.context_tokens.get() as u32,
         })
     }
@@ -231,6 +256,7 @@
         let load = PeerLoad {
             requests: told.map_or(0.0, |told| f64::from(told.requests)),
             tokens: told.map_or(0.0, |told| f64::from(told.tokens)),
+            late: told.map_or(0.0, |told| f64::from(told.late)),
             context: told.map_or(0.0, |told| f64::from(told.context)),
             at_ms: now_ms,
         };
@@ -252,6 +278,7 @@
             .reduce(|sum, load| PeerLoad {
                 requests: sum.requests + load.requests,
                 tokens: sum.tokens + load.tokens,
+                late: sum.late + load.late,
                 context: sum.context + load.context,
                 at_ms: now_ms,
             })
@@ -339,9 +366,11 @@
         self.answer_ms.get()
     }
 
-    /// Prompt tokens of ours that it has still to read.
-    pub fn queued_tokens(&self) -> f64 {
-        self.queued_tokens.get()
+    fn queue(&self, urgency: Urgency) -> &Cell<f64> {
+        match urgency {
+            Urgency::OnTime => &self.queued_tokens,
+            Urgency::Late => &self.late_tokens,
+        }
     }
 
     /// It has read, or been sent, a prompt part.
@@ -363,10 +392,17 @@
     }
 
     /// The upstream as a placement of a prompt sees it.
-    pub fn view(&self, now_ms: u64, cached_tokens: f64) -> EngineView {
+    ///
+    /// What will be late anyway is served after what can be on time, and counts only for its like.
+    pub fn view(&self, now_ms: u64, cached_tokens: f64, urgency: Urgency) -> EngineView {
         let peers = self.peers(now_ms).unwrap_or_default();
         EngineView {
-            queued_tokens: self.queued_tokens.get() + peers.tokens,
+            queued_tokens: match urgency {
+                Urgency::OnTime => self.queued_tokens.get() + peers.tokens,
+                Urgency::Late => {
+                    self.queued_tokens.get() + self.late_tokens.get() + peers.tokens + peers.late
+                }
+            },
             context_tokens: self.context_tokens.get() + peers.context,
             cached_tokens,
             requests: self.load(now_ms),
@@ -384,14 +420,13 @@
 pub struct InFlight {
     upstream: Rc<Upstream>,
     tokens: Cell<f64>,
-    context: f64,
+    work: Work,
     is_answered: Cell<bool>,
 }
 
 impl InFlight {
-    /// A request with `tokens` of work to read its prompt is about to be sent, whose output will
-    /// be made from a prompt of `context` tokens.
-    pub fn enter(upstream: &Rc<Upstream>, now_ms: u64, tokens: f64, context: f64) -> Self {
+    /// A request that brings this work is about to be sent.
+    pub fn enter(upstream: &Rc<Upstream>, now_ms: u64, work: Work) -> Self {
         if upstream.verdict(now_ms) == Verdict::Probe {
             upstream.health.borrow_mut().probe();
         }
@@ -400,16 +435,15 @@
             upstream.sign_ms.set(now_ms);
         }
         upstream.unanswered.set(upstream.unanswered.get() + 1);
-        upstream
-            .queued_tokens
-            .set(upstream.queued_tokens.get() + tokens);
+        let queue = upstream.queue(work.urgency);
+        queue.set(queue.get() + work.tokens);
         upstream
             .context_tokens
-            .set(upstream.context_tokens.get() + context);
+            .set(upstream.context_tokens.get() + work.context);
         Self {
             upstream: Rc::clone(upstream),
-            tokens: Cell::new(tokens),
-            context,
+            tokens: Cell::new(work.tokens),
+            work,
             is_answered: Cell::new(false),
         }
     }
@@ -430,8 +464,8 @@
 
     /// The prompt has been read.
     pub fn has_read(&self) {
-        let queued = self.upstream.queued_tokens.get() - self.tokens.take();
-        self.upstream.queued_tokens.set(queued.max(0.0));
+        let queue = self.upstream.queue(self.work.urgency);
+        queue.set((queue.get() - self.tokens.take()).max(0.0));
     }
 }
 
@@ -447,7 +481,7 @@
             let unanswered = self.upstream.unanswered.get();
             self.upstream.unanswered.set(unanswered.saturating_sub(1));
         }
-        let context = self.upstream.context_tokens.get() - self.context;
+        let context = self.upstream.context_tokens.get() - self.work.context;
         self.upstream.context_tokens.set(context.max(0.0));
         let count = self.upstream.in_flight.get();
         self.upstream.in_flight.set(count.saturating_sub(1));
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -7,13 +7,15 @@
 
 use crate::upstream::{Entry, Upstream};
 
-/// Time for which an entry that lapsed while the list could not be read is still used, in ms;
-/// less than the shortest bound on new work for a leaving upstream.
+/// Time after the last failed read of the list for which an entry that goes is taken to have
+/// lapsed with the list's store, in ms.
 ///
-/// Entries expire while the list's store is away, though their upstreams live, and are back
-/// about 2 s after its return. Dropping them at once would leave no upstream at all for that
-/// time. Upstreams that are really gone refuse the connection or the incarnation.
-const LAPSE_MS: u64 = 1_800;
+/// Entries expire while the store is away, though their upstreams live, and are back about 2 s
+/// after its return. Dropping them at once would leave no upstream at all for that time.
+/// Upstreams that are really gone refuse the connection or the incarnation. The time counts from
+/// the failure and not from when the entry was seen to go: one that goes well after the store's
+/// return has left, and may get new work for a short time only.
+const LAPSE_MS: u64 = 2_600;
 
 /// Incarnations that are remembered after they left.
 const REMEMBERED: usize = 512;
@@ -208,7 +210,7 @@
             return Effect::Same;
         };
         if now_ms < self.unreachable_until_ms && known.is_ready() {
-            let until_ms = now_ms + LAPSE_MS;
+            let until_ms = self.unreachable_until_ms;
             self.doubted.entry(id.to_owned()).or_insert(until_ms);
             return Effect::Doubted;
         }
