--- a/crates/ctl/src/flags.rs
+++ b/crates/ctl/src/flags.rs
@@ -54,6 +54,13 @@
             /// Entries before this log offset.
             optional --before offset: u64
         }
+        /// Gathers what the logs of instances say of one request, in the order of time.
+        cmd trace {
+            /// The request's id.
+            required request: String
+            /// Log files; a name may stand before each, as in entry-1=FILE.
+            repeated files: String
+        }
         /// Lists workspaces and their limits.
         cmd workspaces {
             /// Only this member's.
--- a/crates/ctl/src/lib.rs
+++ b/crates/ctl/src/lib.rs
@@ -8,7 +8,9 @@
 mod flags;
 mod output;
 mod run;
+mod trace;
 
 pub use error::{Error, Result};
 pub use flags::Chicoryctl;
 pub use run::run;
+pub use trace::story;
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -5,6 +5,7 @@
 use crate::client::Client;
 use crate::flags::{BundleCmd, Chicoryctl, ChicoryctlCmd, EngineCmd};
 use crate::output::{short, table};
+use crate::trace::story;
 use crate::{Error, Result};
 
 const BUNDLE_COLUMNS: [&str; 7] = [
@@ -36,11 +37,15 @@
     {
         return check_here(&check.file);
     }
+    if let ChicoryctlCmd::Trace(wanted) = &flags.subcommand {
+        return trace_here(&wanted.request, &wanted.files);
+    }
     let client = Client::new(address(flags)?, key(flags)?);
     let json = flags.json;
     match &flags.subcommand {
         ChicoryctlCmd::Bundle(bundle) => run_bundle(&client, &bundle.subcommand, json).await,
         ChicoryctlCmd::Engine(engine) => run_engine(&client, &engine.subcommand, json).await,
+        ChicoryctlCmd::Trace(wanted) => trace_here(&wanted.request, &wanted.files),
         ChicoryctlCmd::Audit(audit) => {
             let query = audit
                 .before
@@ -61,6 +66,20 @@
     }
 }
 
+fn trace_here(request: &str, files: &[String]) -> Result<String> {
+    let mut logs = Vec::new();
+    for file in files {
+        let (name, path) = file.split_once('=').unwrap_or((file, file));
+        logs.push((name.to_owned(), read(path)?));
+    }
+    if logs.is_empty() {
+        return Err(Error::Usage {
+            detail: "trace needs at least one log file".to_owned(),
+        });
+    }
+    Ok(story(request, &logs))
+}
+
 fn address(flags: &Chicoryctl) -> Result<String> {
     let given = flags.address.clone();
     given
--- a/crates/relay/src/audit.rs
+++ b/crates/relay/src/audit.rs
@@ -1,5 +1,6 @@
 //! Logs as JSON lines on standard output, bounded and never waited for.
 
+use std::cell::Cell;
 use std::io::Write;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -101,6 +102,59 @@
     }
 }
 
+/// Lines of one kind that may be written in a second.
+///
+/// Ten times the load must not write ten times the lines: on a quarter of a core that alone
+/// would make answers late. What is left out is counted, and said in the next second.
+#[derive(Debug)]
+pub struct LineBudget {
+    kind: &'static str,
+    per_s: u32,
+    second: Cell<u64>,
+    used: Cell<u32>,
+}
+
+impl LineBudget {
+    /// A budget of `per_s` lines of a kind.
+    pub fn new(kind: &'static str, per_s: u32) -> Self {
+        Self {
+            kind,
+            per_s,
+            second: Cell::default(),
+            used: Cell::default(),
+        }
+    }
+
+    /// Whether one more line may be written.
+    pub fn take(&self, now_ms: u64) -> bool {
+        let second = now_ms / 1_000;
+        if self.second.replace(second) != second {
+            let left_out = self.used.replace(0).saturating_sub(self.per_s);
+            if left_out > 0 {
+                log::warn!(kind = self.kind, lines = left_out; "lines left out");
+            }
+        }
+        self.used.set(self.used.get() + 1);
+        self.used.get() <= self.per_s
+    }
+}
+
+/// Writes one record as a JSON line.
+pub fn write_line(out: &mut impl Write, record: &log::Record) -> std::io::Result<()> {
+    let mut fields = Fields(Map::new());
+    fields
+        .0
+        .insert("wall_ms".to_owned(), json!(tick::wall_ms()));
+    let level = json!(record.level().as_str());
+    fields.0.insert("level".to_owned(), level);
+    let message = json!(record.args().to_string());
+    fields.0.insert("message".to_owned(), message);
+    if record.key_values().visit(&mut fields).is_err() {
+        fields.0.insert("fields".to_owned(), json!("unreadable"));
+    }
+    writeln!(out, "{}", serde_json::Value::Object(fields.0))
+}
+
 /// Lines that are not written yet.
 pub struct Waiting(Arc<AtomicU64>);
 
@@ -124,19 +178,7 @@
     let env = env_logger::Env::default().default_filter_or("info");
     let started = env_logger::Builder::from_env(env)
         .target(env_logger::Target::Pipe(Box::new(queue)))
-        .format(|out, record| {
-            let mut fields = Fields(Map::new());
-            let wall_ms = json!(tick::wall_ms());
-            fields.0.insert("wall_ms".to_owned(), wall_ms);
-            let level = json!(record.level().as_str());
-            fields.0.insert("level".to_owned(), level);
-            let message = json!(record.args().to_string());
-            fields.0.insert("message".to_owned(), message);
-            if record.key_values().visit(&mut fields).is_err() {
-                fields.0.insert("fields".to_owned(), json!("unreadable"));
-            }
-            writeln!(out, "{}", serde_json::Value::Object(fields.0))
-        })
+        .format(write_line)
         .try_init();
     if let Err(error) = started {
         eprintln!("logging was started before: {error}");
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -38,11 +38,13 @@
 
 fn refusal(relay: &Relay, call: &Call, refused: Refused) -> Response<AnswerBody> {
     let took_ms = relay.now_ms() - call.arrived_ms;
-    log::info!(
-        request = call.id(), route = call.route.name, reason = refused.reason, took_ms,
-        sends = call.sends.get(), retry_after_ms = refused.retry_after_ms.unwrap_or(0);
-        "request not served"
-    );
+    if relay.failed_lines.take(relay.now_ms()) {
+        log::info!(
+            request = call.id(), route = call.route.name, reason = refused.reason, took_ms,
+            sends = call.sends.get(), retry_after_ms = refused.retry_after_ms.unwrap_or(0);
+            "request not served"
+        );
+    }
     let end = refused.reason.status().as_u16().to_string();
     let labels = [call.route.name.as_str(), &end];
     relay.metrics.requests.with_label_values(&labels).inc();
@@ -144,7 +146,9 @@
         let collected = body.collect().await;
         let Ok(collected) = collected else {
             upstream.failed(relay.now_ms());
-            log::info!(request = call.id(), upstream = upstream.id; "answer broke off");
+            if relay.failed_lines.take(relay.now_ms()) {
+                log::info!(request = call.id(), upstream = upstream.id; "answer broke off");
+            }
             return Err(Refused::plain(Reason::Lost));
         };
         head.headers.remove(header::CONTENT_LENGTH);
@@ -155,5 +159,14 @@
     let end = head.status.as_u16().to_string();
     let labels = [call.route.name.as_str(), &end];
     relay.metrics.requests.with_label_values(&labels).inc();
+    let now_ms = relay.now_ms();
+    if relay.served_lines.take(now_ms) {
+        log::info!(
+            request = call.id(), route = call.route.name, upstream = upstream.id,
+            status = head.status.as_u16(), took_ms = now_ms - call.arrived_ms,
+            load = upstream.load(now_ms), sends = call.sends.get();
+            "answer passed on"
+        );
+    }
     Ok(Response::from_parts(head, body))
 }
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -128,7 +128,7 @@
         Duty::Directory => directory(relay, &request),
         Duty::Readiness => status(ready_status(relay, request.uri().path())),
         Duty::Peers => state(relay, request.uri().path()),
-        Duty::Metrics => whole(relay.metrics.text(), "text/plain; version=0.0.4"),
+        Duty::Metrics => whole(relay.metrics_text(), "text/plain; version=0.0.4"),
     };
     if relay.phase() >= Phase::Leaving {
         let headers = response.headers_mut();
@@ -214,11 +214,13 @@
         return refuse(relay, Refused::plain(Reason::Malformed));
     };
     let Some(route) = config.route(&host, parts.uri.path()).cloned() else {
-        log::info!(
-            request = asked.attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-"),
-            version = config.version;
-            "no such route"
-        );
+        if relay.failed_lines.take(relay.now_ms()) {
+            log::info!(
+                request = asked.attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-"),
+                version = config.version;
+                "no such route"
+            );
+        }
         return refuse(relay, Refused::plain(Reason::NoRoute));
     };
     let call = Call::new(&*relay.dialect, route, asked, arrived_ms, parts, body);
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -126,10 +126,12 @@
         guard.has_read();
         keep_parts(relay, call, prompt, maker);
         let took_ms = (relay.now_ms() - began_ms) as f64;
-        log::info!(
-            request = call.id(), upstream = maker.id, predicted_ms, took_ms, apart = kv.is_some(),
-            load = maker.load(relay.now_ms()); "output begun"
-        );
+        if relay.served_lines.take(relay.now_ms()) {
+            log::info!(
+                request = call.id(), upstream = maker.id, predicted_ms, took_ms, apart = kv.is_some(),
+                load = maker.load(relay.now_ms()); "output begun"
+            );
+        }
         let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
         maker.answered(relay.now_ms(), predicted_ms, took_ms);
     }
@@ -264,14 +266,18 @@
         Ok((response, lease)) => prefilled(relay, reader, response, lease).await,
         Err(fault) => {
             note_unsent(relay, reader, &fault);
-            log::info!(request = call.id(), upstream = reader.id, fault:%; "prompt not read");
+            if relay.failed_lines.take(relay.now_ms()) {
+                log::info!(request = call.id(), upstream = reader.id, fault:%; "prompt not read");
+            }
             None
         }
     };
     drop(guard);
     if handed.is_some() {
         let took_ms = (relay.now_ms() - began_ms) as f64;
-        log::info!(request = call.id(), upstream = reader.id, tokens = before, read_ms, took_ms, load = reader.load(relay.now_ms()); "prompt read");
+        if relay.served_lines.take(relay.now_ms()) {
+            log::info!(request = call.id(), upstream = reader.id, tokens = before, read_ms, took_ms, load = reader.load(relay.now_ms()); "prompt read");
+        }
         relay.learn_pace(&call.service, before, took_ms);
         reader.answered(relay.now_ms(), read_ms, took_ms);
         let labels = [call.service.as_str()];
@@ -298,7 +304,9 @@
     let body = response.into_body().collect().await.ok()?.to_bytes();
     lease.give_back();
     if status != StatusCode::OK {
-        log::info!(upstream = reader.id, status = status.as_u16(); "prompt rejected");
+        if relay.failed_lines.take(relay.now_ms()) {
+            log::info!(upstream = reader.id, status = status.as_u16(); "prompt rejected");
+        }
         return None;
     }
     let id = relay.dialect.prefilled(&body)?;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -20,6 +20,14 @@
     pub prefill_s: HistogramVec,
     /// Version of the configuration in force.
     pub config_version: IntGauge,
+    /// Time since the list of upstreams was read from the store, in ms.
+    pub list_age_ms: IntGauge,
+    /// Upstreams that are known.
+    pub upstreams: IntGauge,
+    /// Instances that are known and ready.
+    pub instances: IntGauge,
+    /// Requests whose answers are not out yet.
+    pub in_flight: IntGauge,
     /// Calls to the store, by call and outcome.
     pub store_calls: IntCounterVec,
 }
@@ -60,6 +68,10 @@
             ),
             head_s: histogram("head_seconds", "Time to an answer's head.", &["route"]),
             prefill_s: histogram("prefill_seconds", "Time to read a prompt.", &["service"]),
+            list_age_ms: gauge("list_age_ms", "Age of the list of upstreams."),
+            upstreams: gauge("upstreams", "Upstreams known."),
+            instances: gauge("instances", "Instances ready."),
+            in_flight: gauge("in_flight", "Requests in flight."),
             config_version: gauge("config_version", "Version in force."),
             store_calls: counter("store_calls_total", "Calls.", &["call", "outcome"]),
             registry,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,6 +7,7 @@
 use plan::{Pace, RepeatTerms, Repeats};
 use tick::Clock;
 
+use crate::audit::LineBudget;
 use crate::config::Config;
 use crate::dialect::Dialect;
 use crate::gossip::{Reads, Telling};
@@ -15,6 +16,12 @@
 use crate::state::{Asked, State};
 use crate::upstreams::{Change, Effect, Upstreams};
 
+/// Lines in a second on requests that went well: two or three for each at the usual load.
+const SERVED_LINES: u32 = 60;
+
+/// Lines in a second on requests that did not; all of them but in a storm.
+const FAILED_LINES: u32 = 200;
+
 /// What an instance is told of itself.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -67,6 +74,10 @@
     /// When other instances were last asked.
     pub asked: Asked,
     listed_ms: Cell<Option<u64>>,
+    /// Lines on requests that went well.
+    pub served_lines: LineBudget,
+    /// Lines on requests that did not.
+    pub failed_lines: LineBudget,
     phase: Cell<Phase>,
     beat: Cell<u64>,
     config: RefCell<Option<Rc<Config>>>,
@@ -89,6 +100,8 @@
             reads: RefCell::default(),
             asked: Asked::default(),
             listed_ms: Cell::default(),
+            served_lines: LineBudget::new("served", SERVED_LINES),
+            failed_lines: LineBudget::new("failed", FAILED_LINES),
             phase: Cell::default(),
             busy: Rc::default(),
             beat: Cell::default(),
@@ -170,6 +183,22 @@
         self.listed_ms.set(Some(self.now_ms()));
     }
 
+    /// All metrics as text, those of the moment included.
+    pub fn metrics_text(&self) -> Vec<u8> {
+        let age_ms = self.listed_ms.get().map(|at_ms| self.now_ms() - at_ms);
+        let age_ms = age_ms.unwrap_or(u64::MAX);
+        let metrics = &self.metrics;
+        metrics
+            .list_age_ms
+            .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
+        metrics
+            .upstreams
+            .set(self.upstreams.borrow().len().cast_signed() as i64);
+        metrics.instances.set(self.instances().cast_signed() as i64);
+        metrics.in_flight.set(self.busy.get().cast_signed() as i64);
+        metrics.text()
+    }
+
     /// What this instance knows, for another one.
     pub fn state(&self) -> State {
         let now_ms = self.now_ms();
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -68,19 +68,25 @@
             call.attempts.set(call.attempts.get() - 1);
             call.sends.set(call.sends.get() - 1);
             note_unsent(relay, upstream, fault);
-            log::info!(request = call.id(), upstream = upstream.id, fault:%; "request not sent");
+            if relay.failed_lines.take(relay.now_ms()) {
+                log::info!(request = call.id(), upstream = upstream.id, fault:%; "request not sent");
+            }
         }
         Sent::NotRun(status) => {
             // It is certain that this send did not run.
             call.sends.set(call.sends.get() - 1);
-            log::info!(
-                request = call.id(), upstream = upstream.id, status = status.as_u16();
-                "request rejected unrun"
-            );
+            if relay.failed_lines.take(relay.now_ms()) {
+                log::info!(
+                    request = call.id(), upstream = upstream.id, status = status.as_u16();
+                    "request rejected unrun"
+                );
+            }
         }
         Sent::Lost(why) => {
             upstream.failed(relay.now_ms());
-            log::info!(request = call.id(), upstream = upstream.id, why; "answer lost");
+            if relay.failed_lines.take(relay.now_ms()) {
+                log::info!(request = call.id(), upstream = upstream.id, why; "answer lost");
+            }
         }
     }
     sent
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -189,11 +189,13 @@
     async fn go_on(&mut self, why: &str) -> Result<(), BrokenOff> {
         if let Some(source) = self.source.take() {
             source.guard.upstream().failed(self.relay.now_ms());
-            log::info!(
-                request = self.call.id(), upstream = source.guard.upstream().id, why,
-                last_event = self.last_event.unwrap_or(0);
-                "stream broke off"
-            );
+            if self.relay.failed_lines.take(self.relay.now_ms()) {
+                log::info!(
+                    request = self.call.id(), upstream = source.guard.upstream().id, why,
+                    last_event = self.last_event.unwrap_or(0);
+                    "stream broke off"
+                );
+            }
         }
         self.splitter.clear();
         let call = Rc::clone(&self.call);
@@ -238,7 +240,9 @@
             Ok(Sent::Answer(checked)) if checked.response.status() == StatusCode::OK => {
                 guard.has_read();
                 guard.has_answered(self.relay.now_ms());
-                log::info!(request = call.id(), upstream = maker.id; "stream goes on");
+                if self.relay.failed_lines.take(self.relay.now_ms()) {
+                    log::info!(request = call.id(), upstream = maker.id; "stream goes on");
+                }
                 self.source = Some(Source {
                     body: checked.response.into_body(),
                     lease: checked.lease,
@@ -256,21 +260,25 @@
         let route = &self.call.route;
         let in_time = self.first_ms <= route.goal_ms && self.longest_gap_ms <= route.gap_goal_ms;
         if let Some(source) = self.source.take() {
-            log::info!(
-                request = self.call.id(), route = route.name, upstream = source.guard.upstream().id,
-                first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time;
-                "stream finished"
-            );
+            if self.relay.served_lines.take(self.relay.now_ms()) {
+                log::info!(
+                    request = self.call.id(), route = route.name, upstream = source.guard.upstream().id,
+                    first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time;
+                    "stream finished"
+                );
+            }
             source.lease.give_back();
         }
     }
 
     fn broken(&self, why: &str) -> BrokenOff {
-        log::info!(
-            request = self.call.id(), route = self.call.route.name, why,
-            took_ms = self.relay.now_ms() - self.call.arrived_ms;
-            "stream not finished"
-        );
+        if self.relay.failed_lines.take(self.relay.now_ms()) {
+            log::info!(
+                request = self.call.id(), route = self.call.route.name, why,
+                took_ms = self.relay.now_ms() - self.call.arrived_ms;
+                "stream not finished"
+            );
+        }
         let labels = [self.call.route.name.as_str(), "broken"];
         self.relay.metrics.requests.with_label_values(&labels).inc();
         BrokenOff {
--- a/crates/relay/tests/audit.rs
+++ b/crates/relay/tests/audit.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::sync::mpsc::channel;
 
-use relay::audit::Queue;
+use relay::audit::{LineBudget, Queue};
 
 /// Whoever reads standard output has stopped. Lines are written on without waiting, as many as
 /// fit are kept, and the first after it says how many were left out.
@@ -25,3 +25,12 @@
     assert_eq!(kept.len(), 5, "{text}");
     assert!(kept[0].contains("\"lines\":"), "{text}");
 }
+
+/// Ten times the load: of 5,000 lines a second no more than the budget are written, and each
+/// second begins anew.
+#[test]
+fn ten_times_the_load_writes_no_more_than_the_budget() {
+    let budget = LineBudget::new("served", 60);
+    let written = (0..50_000_u64).filter(|line| budget.take(line / 5)).count();
+    assert_eq!(written, 600);
+}
