Log a caller that leaves; repeat nothing before others are known

Read from the code: an instance that knows no other took the whole budget of repeats; test an_instance_that_knows_nobody_repeats_nothing, failed before.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -1,6 +1,6 @@
 //! One request of a caller, read and ready to be sent on.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
 use std::rc::Rc;
 
 use bytes::Bytes;
@@ -12,6 +12,7 @@
 
 use crate::config::Route;
 use crate::dialect::{Asked, Dialect, Sending};
+use crate::relay::Relay;
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -42,6 +43,11 @@
     pub sends: Cell<u32>,
     /// Upstreams that it was sent to, those that rejected it included.
     pub attempts: Cell<u32>,
+    /// Whether its answer has ended, well or not.
+    pub is_over: Cell<bool>,
+    /// Upstream that has it.
+    pub at: RefCell<String>,
+    relay: Rc<Relay>,
     method: Method,
     target: PathAndQuery,
     headers: HeaderMap,
@@ -51,13 +57,14 @@
 impl Call {
     /// Takes a request over; gives nothing if its route has no service.
     pub fn new(
-        dialect: &dyn Dialect,
+        relay: &Rc<Relay>,
         route: Rc<Route>,
         asked: Asked,
         arrived_ms: u64,
         parts: Parts,
         body: Bytes,
     ) -> Option<Self> {
+        let dialect = &*relay.dialect;
         let draw = asked
             .attempt
             .as_ref()
@@ -79,6 +86,9 @@
             due_ms: arrived_ms.saturating_add(wait_ms),
             sends: Cell::default(),
             attempts: Cell::default(),
+            is_over: Cell::default(),
+            at: RefCell::default(),
+            relay: Rc::clone(relay),
             method: parts.method,
             target,
             headers,
@@ -109,6 +119,25 @@
     }
 }
 
+impl Drop for Call {
+    fn drop(&mut self) {
+        if self.is_over.get() {
+            return;
+        }
+        // The caller closed its connection, and all work on the request was dropped with it.
+        let now_ms = self.relay.now_ms();
+        let labels = [self.route.name.as_str(), "left"];
+        self.relay.metrics.requests.with_label_values(&labels).inc();
+        if self.relay.failed_lines.take(now_ms) {
+            log::info!(
+                request = self.id(), route = self.route.name, upstream = self.at.borrow().as_str(),
+                took_ms = now_ms - self.arrived_ms, sends = self.sends.get();
+                "caller left"
+            );
+        }
+    }
+}
+
 /// Takes out headers that concern one connection, those named in `Connection` included.
 ///
 /// A caller could otherwise have the headers that identify its request dropped on the way.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -33,7 +33,10 @@
         Err(_) if call.sends.get() == 0 => Err(Refused::plain(Reason::TooLate)),
         Err(_) => Err(Refused::plain(Reason::TimedOut)),
     };
-    outcome.unwrap_or_else(|refused| refusal(relay, &call, refused))
+    outcome.unwrap_or_else(|refused| {
+        call.is_over.set(true);
+        refusal(relay, &call, refused)
+    })
 }
 
 fn refusal(relay: &Relay, call: &Call, refused: Refused) -> Response<AnswerBody> {
@@ -160,6 +163,7 @@
     let labels = [call.route.name.as_str(), &end];
     relay.metrics.requests.with_label_values(&labels).inc();
     let now_ms = relay.now_ms();
+    call.is_over.set(true);
     if relay.served_lines.take(now_ms) {
         log::info!(
             request = call.id(), route = call.route.name, upstream = upstream.id,
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -223,7 +223,7 @@
         }
         return refuse(relay, Refused::plain(Reason::NoRoute));
     };
-    let call = Call::new(&*relay.dialect, route, asked, arrived_ms, parts, body);
+    let call = Call::new(relay, route, asked, arrived_ms, parts, body);
     let Some(call) = call else {
         return refuse(relay, Refused::plain(Reason::NoUpstream));
     };
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -249,6 +249,7 @@
     let reader = &reader.engine;
     let before = reader.view(relay.now_ms(), 0.0, urgency).queued_tokens;
     keep_parts(relay, call, prompt, reader);
+    call.at.borrow_mut().clone_from(&reader.id);
     let sending = Sending {
         instance: &reader.id,
         deadline_ms: call.left_ms(relay.now_ms()),
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -122,6 +122,11 @@
         self.heard.values().filter(fresh)
     }
 
+    /// Whether any instance, this one included, has been read.
+    pub fn is_known(&self) -> bool {
+        !self.heard.is_empty()
+    }
+
     /// Number of instances among which shared bounds are split; one at least.
     pub fn count(&self) -> usize {
         self.ready().count().max(1)
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -286,6 +286,11 @@
 
     /// Takes one repeat from the budget of a service.
     pub fn may_repeat(&self, service: &str) -> bool {
+        // An instance that has just started does not know among how many the budget is split;
+        // were all to take it whole, a restart of many during a failure would break the bound.
+        if !self.members.borrow().is_known() {
+            return false;
+        }
         let terms = self.settings.borrow().repeats;
         let instances = self.instances();
         let mut all = self.repeats.borrow_mut();
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -48,6 +48,7 @@
     let request = call.request(&*relay.dialect, sending);
     call.attempts.set(call.attempts.get() + 1);
     call.sends.set(call.sends.get() + 1);
+    call.at.borrow_mut().clone_from(&upstream.id);
     let began_ms = relay.now_ms();
     let sent = match raw_send(relay, call, upstream, request).await {
         Ok((response, lease)) => check(relay, call, upstream, response, lease),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -255,6 +255,7 @@
     }
 
     fn finish(&mut self, end: &str) {
+        self.call.is_over.set(true);
         let labels = [self.call.route.name.as_str(), end];
         self.relay.metrics.requests.with_label_values(&labels).inc();
         let route = &self.call.route;
@@ -272,6 +273,7 @@
     }
 
     fn broken(&self, why: &str) -> BrokenOff {
+        self.call.is_over.set(true);
         if self.relay.failed_lines.take(self.relay.now_ms()) {
             log::info!(
                 request = self.call.id(), route = self.call.route.name, why,
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -232,3 +232,15 @@
     );
     assert_eq!(members.reachable(5_000, 1).len(), 3);
 }
+
+/// All instances are restarted at once while upstreams fail. None knows the others yet, and if
+/// each took the whole budget of repeats they would send six times what is allowed.
+#[test]
+fn an_instance_that_knows_nobody_repeats_nothing() {
+    let relay = Relay::new(settings(), Rc::new(Wire), Clock::default());
+    relay.sent_first("desk");
+    assert!(!relay.may_repeat("desk"));
+    let own = relay.heartbeat();
+    relay.members.borrow_mut().heard(relay.now_ms(), own);
+    assert!(relay.may_repeat("desk"));
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -365,6 +365,9 @@
     pub fn start(entries: Vec<Entry>) -> Self {
         let bed = Self::knowing_nothing(settings());
         bed.relay.configure(config(1));
+        let own = bed.relay.heartbeat();
+        let now_ms = bed.relay.now_ms();
+        bed.relay.members.borrow_mut().heard(now_ms, own);
         for entry in entries {
             bed.relay.apply(Change::Put(entry));
         }
