--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
@@ -23,6 +24,18 @@
 /// Ranks by which a request that will be late comes after its like; more than routes differ by.
 const LATE_RANKS: u8 = 4;
 
+/// Times the predicted time after which a prompt's answer may have been lost.
+const PATIENCE: f64 = 3.0;
+
+/// Least time for that, in ms: an answer's fixed time and some queue that was not seen.
+const LEAST_PATIENCE_MS: u64 = 500;
+
+/// Work of others, in tokens, up to which an engine counts as having nothing else to read.
+const IDLE_TOKENS: f64 = 500.0;
+
+/// Time after which a prompt that is late behind others is looked at again, in ms.
+const LOOK_AGAIN_MS: u64 = 200;
+
 /// The last rank that engines know.
 const LAST_RANK: u8 = 9;
 
@@ -259,17 +272,23 @@
     };
     let began_ms = relay.now_ms();
     let request = call.request(&*relay.dialect, &sending);
-    let outcome = raw_send(relay, call, reader, request).await;
-    if outcome.is_ok() {
-        guard.has_answered(relay.now_ms());
-    }
-    let handed = match outcome {
-        Ok((response, lease)) => prefilled(relay, reader, response, lease).await,
-        Err(fault) => {
-            note_unsent(relay, reader, &fault);
-            if relay.failed_lines.take(relay.now_ms()) {
-                log::info!(request = call.id(), upstream = reader.id, fault:%; "prompt not read");
+    let reading = async {
+        match raw_send(relay, call, reader, request).await {
+            Ok((response, lease)) => {
+                guard.has_answered(relay.now_ms());
+                prefilled(relay, reader, response, lease).await
+            }
+            Err(fault) => {
+                note_unsent(relay, reader, &fault);
+                note_unread(relay, call, reader, &fault.to_string());
+                None
             }
+        }
+    };
+    let handed = tokio::select! {
+        handed = reading => handed,
+        () = overdue(reader, &guard, read_ms) => {
+            note_unread(relay, call, reader, "nothing came, though nothing else is read there");
             None
         }
     };
@@ -291,6 +310,25 @@
     handed
 }
 
+/// Returns once the answer to a prompt must have been lost.
+///
+/// A lost answer would hold the request to its deadline, so it is given up where it is long
+/// overdue and nothing else is read at the engine. In a rush the rest of the queue explains the
+/// wait, and beginning again elsewhere would cost more than waiting on.
+async fn overdue(reader: &Upstream, guard: &InFlight, read_ms: f64) {
+    let patience_ms = (read_ms * PATIENCE) as u64 + LEAST_PATIENCE_MS;
+    actix_rt::time::sleep(Duration::from_millis(patience_ms)).await;
+    while reader.queued_tokens() > guard.tokens() + IDLE_TOKENS {
+        actix_rt::time::sleep(Duration::from_millis(LOOK_AGAIN_MS)).await;
+    }
+}
+
+fn note_unread(relay: &Relay, call: &Call, reader: &Upstream, why: &str) {
+    if relay.failed_lines.take(relay.now_ms()) {
+        log::info!(request = call.id(), upstream = reader.id, why; "prompt not read");
+    }
+}
+
 async fn prefilled(
     relay: &Rc<Relay>,
     reader: &Rc<Upstream>,
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -373,6 +373,12 @@
         }
     }
 
+    /// Work of reading prompts that it has, whoever sent it.
+    pub fn queued_tokens(&self) -> f64 {
+        let now_ms = self.clock.now_ms();
+        self.view(now_ms, 0.0, Urgency::Late).queued_tokens
+    }
+
     /// It has read, or been sent, a prompt part.
     pub fn keeps(&self, part: u64, tokens: f64, room_tokens: f64) {
         let mut kept = self.kept.borrow_mut();
@@ -448,6 +454,11 @@
         }
     }
 
+    /// Work of the request that is still to be read.
+    pub fn tokens(&self) -> f64 {
+        self.tokens.get()
+    }
+
     /// The upstream that has the request.
     pub fn upstream(&self) -> &Rc<Upstream> {
         &self.upstream
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -190,3 +190,22 @@
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(engine.count(), 2);
 }
+
+/// The caller sees its stream. The engine that reads its prompt has run the call and lost the
+/// answer; the prompt is not waited for until the deadline but read by the engine for output.
+#[actix_rt::test]
+async fn a_prompt_whose_answer_is_lost_is_read_elsewhere() {
+    let reader = StandIn::start(|_| vec![Act::Wait(60_000)]);
+    let engine = maker();
+    let bed = Bed::start(vec![
+        reader.entry("reader", "llm", Stage::Prefill),
+        engine.entry("one", "llm", Stage::Decode),
+    ]);
+    let mut asked = request(Method::POST, "/once/x", "1");
+    let prompt = "7:13000,8:4000".parse().unwrap();
+    asked.headers_mut().insert("x-prompt", prompt);
+    let (status, body) = bed.get(asked).await;
+    assert_eq!((status, body), (200, Some(events(1, 3))));
+    assert_eq!((reader.count(), engine.count()), (1, 1));
+    assert!(until(|| *reader.left.borrow() == 1).await);
+}
