Say the inputs of a refusal in its lines

Cause: explaining a refused request from its id found no predicted time, limit, version or age of the list. Before: one line with the reason. After: wait, own time, limit, prompt, learned pace, version and age of the list.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -44,7 +44,9 @@
     if relay.failed_lines.take(relay.now_ms()) {
         log::info!(
             request = call.id(), route = call.route.name, reason = refused.reason, took_ms,
-            sends = call.sends.get(), retry_after_ms = refused.retry_after_ms.unwrap_or(0);
+            sends = call.sends.get(), retry_after_ms = refused.retry_after_ms.unwrap_or(0),
+            version = relay.config().map_or(0, |config| config.version),
+            list_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
             "request not served"
         );
     }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -157,6 +157,13 @@
     let latest_ms = (goal_ms * LATEST_START).max(own_ms);
     let latest_ms = latest_ms.min(call.left_ms(relay.now_ms()) as f64 * LEFT_SHARE);
     if first.total_ms() > latest_ms {
+        if relay.failed_lines.take(relay.now_ms()) {
+            log::info!(
+                request = call.id(), wait_ms = first.wait_ms, own_ms = first.own_ms, latest_ms,
+                prompt_tokens = prompt.input_tokens, token_ms = relay.pace(&call.service).token_ms();
+                "would start too late"
+            );
+        }
         return Err(refuse(call, Reason::TooLate, first.total_ms() - latest_ms));
     }
     Ok(placement)
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -185,8 +185,7 @@
 
     /// All metrics as text, those of the moment included.
     pub fn metrics_text(&self) -> Vec<u8> {
-        let age_ms = self.listed_ms.get().map(|at_ms| self.now_ms() - at_ms);
-        let age_ms = age_ms.unwrap_or(u64::MAX);
+        let age_ms = self.list_age_ms().unwrap_or(u64::MAX);
         let metrics = &self.metrics;
         metrics
             .list_age_ms
@@ -199,9 +198,14 @@
         metrics.text()
     }
 
+    /// Time since the list of upstreams was read from the store.
+    pub fn list_age_ms(&self) -> Option<u64> {
+        let at_ms = self.listed_ms.get();
+        at_ms.map(|at_ms| self.now_ms() - at_ms)
+    }
+
     /// What this instance knows, for another one.
     pub fn state(&self) -> State {
-        let now_ms = self.now_ms();
         State {
             config: self.config().map(|config| (&*config).into()),
             upstreams: self
@@ -210,7 +214,7 @@
                 .iter()
                 .map(|each| each.entry())
                 .collect(),
-            list_age_ms: self.listed_ms.get().map(|at_ms| now_ms - at_ms),
+            list_age_ms: self.list_age_ms(),
             members: self.members.borrow().all(),
         }
     }
