Go on only from a handle that came with the request's own id; split reading and upstream by job

Cause: read from the code: the answer to a prompt call was not checked for its attempt id, so a late answer to an earlier request on the connection would have led to another prompt's cache. Test: a_handle_of_another_request_is_not_gone_on_from, failed before.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod metrics;
 pub mod place;
 pub mod pool;
+pub mod reading;
 pub mod relay;
 pub mod send;
 pub mod state;
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,18 +1,25 @@
 //! One incarnation of an upstream, and what this instance has seen of it.
 
+mod entry;
+mod kept;
+mod work;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
 use plan::{EngineView, Health, Verdict};
-use serde::{Deserialize, Serialize};
 use tick::Clock;
 
 use crate::dialect::ToldLoad;
 use crate::gossip::Outstanding;
 use crate::pool::Pool;
 
+pub use entry::{Entry, Stage, Standing};
+pub use kept::KeptParts;
+pub use work::{InFlight, Urgency, Work};
+
 /// Time over which what an upstream told of the load that others put on it fades, in ms: a few
 /// times the length of a short answer, after which it describes other requests.
 const TOLD_FADES_MS: f64 = 400.0;
@@ -31,74 +38,6 @@
 /// the longest prompt.
 const SILENT_ENGINE_MS: u64 = 1_500;
 
-/// Share of an engine's cache memory that a belief about cached parts may count on; the rest
-/// holds the requests that run.
-const CACHE_SHARE: f64 = 0.7;
-
-/// What an upstream does of a generation.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub enum Stage {
-    /// All of it, or no generation at all.
-    #[default]
-    Whole,
-    /// It reads prompts.
-    Prefill,
-    /// It makes output, and reads prompts beside it if it has to.
-    Decode,
-}
-
-/// Whether a generation can still start within its objective.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub enum Urgency {
-    /// It can.
-    #[default]
-    OnTime,
-    /// It will be late, and is served with what the others leave.
-    Late,
-}
-
-/// What a request brings to an upstream.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct Work {
-    /// Work of reading its prompt, in tokens.
-    pub tokens: f64,
-    /// Length of the prompt from which output will be made there, in tokens.
-    pub context: f64,
-    /// Whether it can be on time.
-    pub urgency: Urgency,
-}
-
-/// Whether an upstream may get new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-pub enum Standing {
-    /// It may.
-    #[default]
-    Ready,
-    /// It has said that it is leaving, and gets nothing new.
-    Leaving,
-}
-
-/// An upstream as the list of upstreams describes it.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Entry {
-    /// Incarnation; a restart has another.
-    pub id: String,
-    /// Service that it runs.
-    pub service: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Availability zone.
-    pub zone: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it gets new work.
-    pub standing: Standing,
-    /// What it does of a generation.
-    pub stage: Stage,
-    /// Grows with each entry that the incarnation writes.
-    pub seq: u64,
-}
-
 #[derive(Debug, Clone, Copy, Default)]
 struct Told {
     others: f64,
@@ -115,13 +54,6 @@
     at_ms: u64,
 }
 
-/// A part of a prompt that an upstream has read for us.
-#[derive(Debug, Clone, Copy)]
-struct Kept {
-    part: u64,
-    tokens: f64,
-}
-
 /// An upstream with its connections and what was seen of it.
 pub struct Upstream {
     /// The incarnation's id.
@@ -151,7 +83,7 @@
     answer_ms: Cell<f64>,
     told: Cell<Told>,
     health: RefCell<Health>,
-    kept: RefCell<Vec<Kept>>,
+    kept: RefCell<KeptParts>,
     peers: RefCell<HashMap<String, PeerLoad>>,
 }
 
@@ -381,20 +313,12 @@
 
     /// It has read, or been sent, a prompt part.
     pub fn keeps(&self, part: u64, tokens: f64, room_tokens: f64) {
-        let mut kept = self.kept.borrow_mut();
-        kept.retain(|each| each.part != part);
-        kept.push(Kept { part, tokens });
-        let mut held: f64 = kept.iter().map(|each| each.tokens).sum();
-        while held > room_tokens * CACHE_SHARE && kept.len() > 1 {
-            held -= kept.remove(0).tokens;
-        }
+        self.kept.borrow_mut().add(part, tokens, room_tokens);
     }
 
     /// Tokens of a part that it is believed to hold.
     pub fn kept(&self, part: u64) -> f64 {
-        let kept = self.kept.borrow();
-        let found = kept.iter().find(|each| each.part == part);
-        found.map_or(0.0, |each| each.tokens)
+        self.kept.borrow().tokens(part)
     }
 
     /// The upstream as a placement of a prompt sees it.
@@ -418,83 +342,3 @@
         }
     }
 }
-
-/// Counts a request against its upstream for as long as it lives.
-///
-/// A request ends in many ways, a caller that leaves among them; only a count that falls when
-/// the request is dropped stays right through all of them.
-pub struct InFlight {
-    upstream: Rc<Upstream>,
-    tokens: Cell<f64>,
-    work: Work,
-    is_answered: Cell<bool>,
-}
-
-impl InFlight {
-    /// A request that brings this work is about to be sent.
-    pub fn enter(upstream: &Rc<Upstream>, now_ms: u64, work: Work) -> Self {
-        if upstream.verdict(now_ms) == Verdict::Probe {
-            upstream.health.borrow_mut().probe();
-        }
-        upstream.in_flight.set(upstream.in_flight.get() + 1);
-        if upstream.unanswered.get() == 0 {
-            upstream.sign_ms.set(now_ms);
-        }
-        upstream.unanswered.set(upstream.unanswered.get() + 1);
-        let queue = upstream.queue(work.urgency);
-        queue.set(queue.get() + work.tokens);
-        upstream
-            .context_tokens
-            .set(upstream.context_tokens.get() + work.context);
-        Self {
-            upstream: Rc::clone(upstream),
-            tokens: Cell::new(work.tokens),
-            work,
-            is_answered: Cell::new(false),
-        }
-    }
-
-    /// Work of the request that is still to be read.
-    pub fn tokens(&self) -> f64 {
-        self.tokens.get()
-    }
-
-    /// The upstream that has the request.
-    pub fn upstream(&self) -> &Rc<Upstream> {
-        &self.upstream
-    }
-
-    /// The answer's head has come.
-    pub fn has_answered(&self, now_ms: u64) {
-        self.upstream.sign(now_ms);
-        if !self.is_answered.replace(true) {
-            let unanswered = self.upstream.unanswered.get();
-            self.upstream.unanswered.set(unanswered.saturating_sub(1));
-        }
-    }
-
-    /// The prompt has been read.
-    pub fn has_read(&self) {
-        let queue = self.upstream.queue(self.work.urgency);
-        queue.set((queue.get() - self.tokens.take()).max(0.0));
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.has_read();
-        if !self.is_answered.get() {
-            let now_ms = self.upstream.clock.now_ms();
-            if self.upstream.is_silent(now_ms) {
-                // The silence must not be forgotten with the last request that waited in it.
-                self.upstream.unreachable(now_ms);
-            }
-            let unanswered = self.upstream.unanswered.get();
-            self.upstream.unanswered.set(unanswered.saturating_sub(1));
-        }
-        let context = self.upstream.context_tokens.get() - self.work.context;
-        self.upstream.context_tokens.set(context.max(0.0));
-        let count = self.upstream.in_flight.get();
-        self.upstream.in_flight.set(count.saturating_sub(1));
-    }
-}
--- /dev/null
+++ b/crates/relay/src/upstream/entry.rs
@@ -0,0 +1,48 @@
+//! An upstream as the list of upstreams describes it.
+
+use std::net::SocketAddr;
+
+use serde::{Deserialize, Serialize};
+
+/// What an upstream does of a generation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Stage {
+    /// All of it, or no generation at all.
+    #[default]
+    Whole,
+    /// It reads prompts.
+    Prefill,
+    /// It makes output, and reads prompts beside it if it has to.
+    Decode,
+}
+
+/// Whether an upstream may get new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub enum Standing {
+    /// It may.
+    #[default]
+    Ready,
+    /// It has said that it is leaving, and gets nothing new.
+    Leaving,
+}
+
+/// An upstream as the list of upstreams describes it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Entry {
+    /// Incarnation; a restart has another.
+    pub id: String,
+    /// Service that it runs.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it gets new work.
+    pub standing: Standing,
+    /// What it does of a generation.
+    pub stage: Stage,
+    /// Grows with each entry that the incarnation writes.
+    pub seq: u64,
+}
--- /dev/null
+++ b/crates/relay/src/upstream/work.rs
@@ -0,0 +1,109 @@
+//! What a request brings to an upstream, counted for as long as the request lives.
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use plan::Verdict;
+
+use super::Upstream;
+
+/// Whether a generation can still start within its objective.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Urgency {
+    /// It can.
+    #[default]
+    OnTime,
+    /// It will be late, and is served with what the others leave.
+    Late,
+}
+
+/// What a request brings to an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Work {
+    /// Work of reading its prompt, in tokens.
+    pub tokens: f64,
+    /// Length of the prompt from which output will be made there, in tokens.
+    pub context: f64,
+    /// Whether it can be on time.
+    pub urgency: Urgency,
+}
+
+/// Counts a request against its upstream for as long as it lives.
+///
+/// A request ends in many ways, a caller that leaves among them; only a count that falls when
+/// the request is dropped stays right through all of them.
+pub struct InFlight {
+    upstream: Rc<Upstream>,
+    tokens: Cell<f64>,
+    work: Work,
+    is_answered: Cell<bool>,
+}
+
+impl InFlight {
+    /// A request that brings this work is about to be sent.
+    pub fn enter(upstream: &Rc<Upstream>, now_ms: u64, work: Work) -> Self {
+        if upstream.verdict(now_ms) == Verdict::Probe {
+            upstream.health.borrow_mut().probe();
+        }
+        upstream.in_flight.set(upstream.in_flight.get() + 1);
+        if upstream.unanswered.get() == 0 {
+            upstream.sign_ms.set(now_ms);
+        }
+        upstream.unanswered.set(upstream.unanswered.get() + 1);
+        let queue = upstream.queue(work.urgency);
+        queue.set(queue.get() + work.tokens);
+        upstream
+            .context_tokens
+            .set(upstream.context_tokens.get() + work.context);
+        Self {
+            upstream: Rc::clone(upstream),
+            tokens: Cell::new(work.tokens),
+            work,
+            is_answered: Cell::new(false),
+        }
+    }
+
+    /// Work of the request that is still to be read.
+    pub fn tokens(&self) -> f64 {
+        self.tokens.get()
+    }
+
+    /// The upstream that has the request.
+    pub fn upstream(&self) -> &Rc<Upstream> {
+        &self.upstream
+    }
+
+    /// The answer's head has come.
+    pub fn has_answered(&self, now_ms: u64) {
+        self.upstream.sign(now_ms);
+        if !self.is_answered.replace(true) {
+            let unanswered = self.upstream.unanswered.get();
+            self.upstream.unanswered.set(unanswered.saturating_sub(1));
+        }
+    }
+
+    /// The prompt has been read.
+    pub fn has_read(&self) {
+        let queue = self.upstream.queue(self.work.urgency);
+        queue.set((queue.get() - self.tokens.take()).max(0.0));
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.has_read();
+        if !self.is_answered.get() {
+            let now_ms = self.upstream.clock.now_ms();
+            if self.upstream.is_silent(now_ms) {
+                // The silence must not be forgotten with the last request that waited in it.
+                self.upstream.unreachable(now_ms);
+            }
+            let unanswered = self.upstream.unanswered.get();
+            self.upstream.unanswered.set(unanswered.saturating_sub(1));
+        }
+        let context = self.upstream.context_tokens.get() - self.work.context;
+        self.upstream.context_tokens.set(context.max(0.0));
+        let count = self.upstream.in_flight.get();
+        self.upstream.in_flight.set(count.saturating_sub(1));
+    }
+}
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -209,3 +209,25 @@
     assert_eq!((reader.count(), engine.count()), (1, 1));
     assert!(until(|| *reader.left.borrow() == 1).await);
 }
+
+/// The caller sees its own answer. The engine that reads prompts sends a second answer to an
+/// earlier request where this one's is due; its handle leads to another prompt's cache, and output
+/// made from it would answer a question that nobody asked.
+#[actix_rt::test]
+async fn a_handle_of_another_request_is_not_gone_on_from() {
+    let reader = StandIn::start(|_| {
+        let text = "HTTP/1.1 200 OK\r\nx-attempt: other\r\ncontent-length: 4\r\n\r\nkv-9";
+        vec![Act::Say(text.to_owned())]
+    });
+    let engine = maker();
+    let bed = Bed::start(vec![
+        reader.entry("reader", "llm", Stage::Prefill),
+        engine.entry("one", "llm", Stage::Decode),
+    ]);
+    let mut asked = request(Method::POST, "/once/x", "1");
+    let prompt = "7:13000,8:4000".parse().unwrap();
+    asked.headers_mut().insert("x-prompt", prompt);
+    let (status, body) = bed.get(asked).await;
+    assert_eq!((status, body), (200, Some(events(1, 3))));
+    assert_eq!(engine.seen.borrow()[0].header("x-kv"), None);
+}
