Believe a rejection only with the id of its request

Cause: read from the code: a rejection without an id was taken for the request's own, so a late one could have refused a claim as unrun that then ran. Test: a_rejection_of_another_request_promises_nothing, failed before; the stand-in of a_reused_address_is_found_out now bears the id as the real ones do.

--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -138,8 +138,12 @@
         upstream.told(relay.now_ms(), load);
     }
     let status = response.status();
-    let is_own = answered.attempt == call.asked.attempt;
-    if status == StatusCode::MISDIRECTED_REQUEST && (is_own || answered.attempt.is_none()) {
+    // An answer that came late to an earlier request on the connection names another attempt. It
+    // says nothing of this one, not even that it has not run.
+    if answered.attempt != call.asked.attempt {
+        return Sent::Lost("the answer is another request's".to_owned());
+    }
+    if status == StatusCode::MISDIRECTED_REQUEST {
         // The same incarnation also answers so when it does not do this step of a generation.
         if answered
             .instance
@@ -150,13 +154,9 @@
         }
         return Sent::NotRun(status);
     }
-    if answered.not_run && (is_own || answered.attempt.is_none()) {
+    if answered.not_run {
         return Sent::NotRun(status);
     }
-    // An answer that came late to an earlier request on the connection names another attempt.
-    if !is_own {
-        return Sent::Lost("the answer is another request's".to_owned());
-    }
     let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
     if status.is_success() && (!answered.has_proof || encoded) {
         return Sent::Lost("the answer has no proof".to_owned());
