--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -1,7 +1,7 @@
-//! What an installation calls things on the wire.
+//! What a deployment calls things on the wire.
 //!
 //! The relay works with its own types; an implementation of [`Dialect`] reads and writes the
-//! headers and bodies of one installation. It decides nothing.
+//! headers and bodies of one deployment. It decides nothing.
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
@@ -90,8 +90,8 @@
 pub struct Answered {
     /// Id of the attempt that it answers.
     pub attempt: Option<HeaderValue>,
-    /// Whether it bears the upstream's proof.
-    pub has_proof: bool,
+    /// Whether it bears the upstream's signature.
+    pub is_signed: bool,
     /// Whether the upstream says that it did not run the request.
     pub not_run: bool,
     /// The incarnation that answers, where it says so.
@@ -100,7 +100,7 @@
     pub load: Option<ToldLoad>,
 }
 
-/// Reads and writes one installation's headers, paths and small bodies.
+/// Reads and writes one deployment's headers, paths and small bodies.
 pub trait Dialect {
     /// Reads a request's head.
     fn asked(&self, headers: &HeaderMap) -> Asked;
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -90,21 +90,28 @@
                     Err(_) => Outcome::Lost,
                 }
             }
-            Sent::Unsent(_) => {
-                unreached += 1;
-                Outcome::Unsent
-            }
-            Sent::NotRun(_) => Outcome::NotRun,
-            Sent::Lost(_) => Outcome::Lost,
-        };
-        let facts = Facts {
-            is_repeatable: call.route.is_repeatable(),
-            may_have_run: call.sends.get() > 0,
-            unreached,
+            unanswered => unanswered.outcome(),
         };
-        if let Next::Refuse(refused) = next(outcome, &facts, || may_repeat(relay, call)) {
-            return Err(refused);
-        }
+        follow(relay, call, outcome, &mut unreached)?;
+    }
+}
+
+/// Goes on after a send without an answer, or refuses.
+pub fn follow(
+    relay: &Relay,
+    call: &Call,
+    outcome: Outcome,
+    unreached: &mut u32,
+) -> Result<(), Refused> {
+    *unreached += u32::from(outcome == Outcome::Unsent);
+    let facts = Facts {
+        is_repeatable: call.route.is_repeatable(),
+        may_have_run: call.sends.get() > 0,
+        unreached: *unreached,
+    };
+    match next(outcome, &facts, || may_repeat(relay, call)) {
+        Next::Again => Ok(()),
+        Next::Refuse(refused) => Err(refused),
     }
 }
 
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -4,11 +4,10 @@
 
 use http::{Response, StatusCode};
 
-use crate::again::{Facts, Next, Outcome, next};
 use crate::answer::{AnswerBody, Refused};
 use crate::call::Call;
 use crate::dialect::{Prompt, Sending};
-use crate::forward::{may_repeat, pass_on};
+use crate::forward::{follow, may_repeat, pass_on};
 use crate::gossip::Read;
 use crate::place::{self, Maker, Placement};
 use crate::reading::{Handed, read_apart};
@@ -57,21 +56,9 @@
                 }
                 return pass_on(relay, call, *checked, guard).await;
             }
-            Sent::Unsent(_) => {
-                unreached += 1;
-                Outcome::Unsent
-            }
-            Sent::NotRun(_) => Outcome::NotRun,
-            Sent::Lost(_) => Outcome::Lost,
-        };
-        let facts = Facts {
-            is_repeatable: call.route.is_repeatable(),
-            may_have_run: call.sends.get() > 0,
-            unreached,
+            unanswered => unanswered.outcome(),
         };
-        if let Next::Refuse(refused) = next(outcome, &facts, || may_repeat(relay, call)) {
-            return Err(refused);
-        }
+        follow(relay, call, outcome, &mut unreached)?;
     }
 }
 
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -1,8 +1,8 @@
 //! Passes requests on to upstreams.
 //!
 //! An instance follows a configuration and a list of upstreams that it is told; callers connect
-//! to it, and it places each request, sends it, and passes the answer on. The names that an
-//! installation uses on the wire come from a [`dialect::Dialect`]. See docs/design/platform.md.
+//! to it, and it places each request, sends it, and passes the answer on. The names that a
+//! deployment uses on the wire come from a [`dialect::Dialect`]. See docs/design/platform.md.
 
 pub mod again;
 pub mod answer;
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
 
+use crate::again::Outcome;
 use crate::call::Call;
 use crate::config::Kind;
 use crate::dialect::{Answered, Sending};
@@ -38,6 +39,17 @@
     Lost(String),
 }
 
+impl Sent {
+    /// How it ended, as far as the next step goes; an answer at this point is of no use.
+    pub fn outcome(&self) -> Outcome {
+        match self {
+            Self::Unsent(_) => Outcome::Unsent,
+            Self::NotRun(_) => Outcome::NotRun,
+            Self::Answer(_) | Self::Lost(_) => Outcome::Lost,
+        }
+    }
+}
+
 /// Sends a request once and checks that the answer is its own.
 pub async fn send(
     relay: &Rc<Relay>,
@@ -158,8 +170,8 @@
         return Sent::NotRun(status);
     }
     let encoded = response.headers().contains_key(header::CONTENT_ENCODING);
-    if status.is_success() && (!answered.has_proof || encoded) {
-        return Sent::Lost("the answer has no proof".to_owned());
+    if status.is_success() && (!answered.is_signed || encoded) {
+        return Sent::Lost("the answer has no signature".to_owned());
     }
     Sent::Answer(Box::new(Checked {
         response,
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -98,7 +98,7 @@
         });
         Answered {
             attempt: headers.get("x-attempt").cloned(),
-            has_proof: headers.contains_key("x-proof"),
+            is_signed: headers.contains_key("x-signature"),
             not_run: headers.contains_key("x-not-run"),
             instance: text(headers, "x-instance").map(str::to_owned),
             load,
@@ -172,7 +172,7 @@
         let attempt = self.header("x-attempt").unwrap_or("none");
         let length = body.len();
         format!(
-            "HTTP/1.1 {status}\r\nx-attempt: {attempt}\r\nx-proof: p\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
+            "HTTP/1.1 {status}\r\nx-attempt: {attempt}\r\nx-signature: p\r\ncontent-length: {length}\r\n{headers}\r\n{body}"
         )
     }
 }
--- a/crates/relay/tests/services.rs
+++ b/crates/relay/tests/services.rs
@@ -40,7 +40,7 @@
         .unwrap();
     assert_eq!(response.status(), 503);
     assert!(response.headers().contains_key("retry-after"));
-    assert!(!response.headers().contains_key("x-proof"));
+    assert!(!response.headers().contains_key("x-signature"));
 }
 
 /// The caller sees 200. The first upstream fails an idempotent request, the second serves it.
@@ -91,10 +91,10 @@
     }
 }
 
-/// The caller sees 502: an answer without the upstream's proof is nobody's answer, whatever its
+/// The caller sees 502: an answer without the upstream's signature is nobody's answer, whatever its
 /// status says.
 #[actix_rt::test]
-async fn a_success_without_proof_is_not_passed_on() {
+async fn a_success_without_signature_is_not_passed_on() {
     let desk = StandIn::start(|_| {
         let text = "HTTP/1.1 200 OK\r\nx-attempt: 1\r\ncontent-length: 2\r\n\r\nok";
         vec![Act::Say(text.to_owned())]
