Refuse as unrun only what has not run, also after a second try

After a first send that may have run, a second try that could not be placed (no other upstream, or too late) was refused with 503, and an upstream's own failure gave way to that refusal. Ruled out: unsafe calls, which are sent once; their refusals were true. The check stands at the one place where a refusal leaves (again::truthful). Also: another instance's older list could replace a newer one; a long answer had no deadline; two errors were dropped without a line; five numbers had no name or a wrong reason. Failed before: a_read_that_may_have_run_is_not_refused_as_unrun (503), a_failed_generation_is_not_refused_as_unrun (503), a_failure_is_passed_on_where_nobody_else_can_be_tried (503), an_older_list_does_not_replace_a_newer_one. After: green.

--- a/crates/relay/src/again.rs
+++ b/crates/relay/src/again.rs
@@ -45,6 +45,18 @@
     Refuse(Refused),
 }
 
+/// A refusal as it may be given to a request of which a send may have run.
+///
+/// Placing a second try can fail for want of an upstream or of time. Its refusal says that the
+/// request has not run, which is true of that try and not of the first; the caller would then
+/// take an effect that it had for one that it had not.
+pub fn truthful(refused: Refused, may_have_run: bool) -> Refused {
+    if may_have_run && refused.reason.says_not_run() {
+        return Refused::plain(Reason::Lost);
+    }
+    refused
+}
+
 /// Decides what follows; `may_repeat` takes one more send from the route and the budget.
 pub fn next(outcome: Outcome, facts: &Facts, may_repeat: impl Fn() -> bool) -> Next {
     match outcome {
@@ -52,11 +64,12 @@
         Outcome::NotRun if may_repeat() => Next::Again,
         Outcome::Lost if facts.is_repeatable && may_repeat() => Next::Again,
         Outcome::Lost => Next::Refuse(Refused::plain(Reason::Lost)),
-        // 503 promises that nothing has run, so an earlier send forbids it.
-        Outcome::Unsent | Outcome::NotRun if facts.may_have_run => {
-            Next::Refuse(Refused::plain(Reason::Lost))
-        }
-        Outcome::Unsent => Next::Refuse(Refused::later(Reason::NoUpstream, REJECTED_RETRY_MS)),
-        Outcome::NotRun => Next::Refuse(Refused::later(Reason::Rejected, REJECTED_RETRY_MS)),
+        Outcome::Unsent => refuse(Reason::NoUpstream, facts.may_have_run),
+        Outcome::NotRun => refuse(Reason::Rejected, facts.may_have_run),
     }
 }
+
+fn refuse(reason: Reason, may_have_run: bool) -> Next {
+    let refused = Refused::later(reason, REJECTED_RETRY_MS);
+    Next::Refuse(truthful(refused, may_have_run))
+}
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -152,6 +152,14 @@
 }
 
 impl Reason {
+    /// Whether the answer promises that the request has not run and never will.
+    pub fn says_not_run(self) -> bool {
+        matches!(
+            self.status(),
+            StatusCode::SERVICE_UNAVAILABLE | StatusCode::REQUEST_TIMEOUT
+        )
+    }
+
     /// Status of the answer; 503 says that the request has not run and will not.
     pub fn status(self) -> StatusCode {
         match self {
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -7,7 +7,7 @@
 use http_body_util::BodyExt;
 use plan::AttemptBudget;
 
-use crate::again::{Facts, Next, Outcome, next};
+use crate::again::{Facts, Next, Outcome, next, truthful};
 use crate::answer::{AnswerBody, Reason, Refused};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::Kind;
@@ -35,6 +35,7 @@
     };
     outcome.unwrap_or_else(|refused| {
         call.is_over.set(true);
+        let refused = truthful(refused, call.sends.get() > 0);
         refusal(relay, &call, refused)
     })
 }
@@ -81,7 +82,10 @@
         let outcome = match sent {
             Sent::Answer(checked) => {
                 let failed = checked.response.status().is_server_error();
-                if failed && call.route.kind == Kind::Safe && may_repeat(relay, call) {
+                let repeatable = failed && call.route.kind == Kind::Safe;
+                // The upstream's own failure is worth more to the caller than our refusal.
+                let has_other = repeatable && place::plain(relay, call, &tried).is_ok();
+                if has_other && may_repeat(relay, call) {
                     continue;
                 }
                 match pass_on(relay, call, *checked, guard).await {
@@ -153,7 +157,7 @@
     let upstream = Rc::clone(guard.upstream());
     let long = http_body::Body::size_hint(&body).lower() > WHOLE_BYTES;
     let body = if long {
-        crate::stream::relayed(body, checked.lease, guard)
+        crate::stream::relayed(relay, call, body, checked.lease, guard)
     } else {
         let collected = body.collect().await;
         let Ok(collected) = collected else {
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -51,7 +51,10 @@
                 return Ok(Streaming::start(relay, call, *checked, guard, tried));
             }
             Sent::Answer(checked) => {
-                if call.route.is_repeatable() && may_repeat(relay, call) {
+                // The engine's own failure is worth more to the caller than our refusal.
+                let has_other = call.route.is_repeatable()
+                    && place::maker(relay, call, prompt, &tried, false, maker.urgency).is_ok();
+                if has_other && may_repeat(relay, call) {
                     continue;
                 }
                 return pass_on(relay, call, *checked, guard).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod again;
 pub mod answer;
 pub mod audit;
+pub mod cadence;
 pub mod call;
 pub mod config;
 pub mod dialect;
@@ -16,6 +17,7 @@
 pub mod front;
 pub mod generate;
 pub mod gossip;
+pub mod leaving;
 pub mod members;
 pub mod metrics;
 pub mod place;
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -17,13 +17,17 @@
 /// costs a request of its own and some ms of set-up.
 const READ_APART_TOKENS: f64 = 900.0;
 
-/// Time of a plain service's answer before any was seen, in ms.
-const PLAIN_MS: f64 = 15.0;
+/// Time of a plain service's answer before any was seen, in ms: the usual work of the services
+/// served today.
+pub const PLAIN_MS: f64 = 15.0;
 
 /// Time to hand a prompt's KV cache from one engine to another, in ms, as seen with 17,000
 /// tokens on links of hundreds of Gbit/s.
 const HAND_OVER_MS: f64 = 40.0;
 
+/// Part of an answer's time that a full set of places adds to it, before anything waits.
+const FILLING: f64 = 0.3;
+
 /// Time that a place in a full batch takes to come free, in ms.
 const PLACE_MS: f64 = 250.0;
 
@@ -43,6 +47,10 @@
 /// Share of the time left that a prediction may use up.
 const LEFT_SHARE: f64 = 0.8;
 
+/// Time after which a caller is asked back when no upstream is there, in ms: the list of upstreams
+/// is read about twice in that time by the instances together.
+const NO_UPSTREAM_MS: f64 = 300.0;
+
 /// Bounds of the time after which a refused caller is asked back, in ms.
 const RETRY_MS: (f64, f64) = (80.0, 900.0);
 
@@ -113,7 +121,7 @@
             PLAIN_MS
         };
         let load = (each.load(now_ms) + 1.0) / f64::from(each.slots);
-        let queue = (load - 1.0).max(0.0) + 0.3 * load;
+        let queue = (load - 1.0).max(0.0) + FILLING * load;
         Predicted {
             wait_ms: answer_ms * queue,
             own_ms: 2.0 * each.distance_ms + answer_ms,
@@ -121,7 +129,7 @@
         }
     };
     let Some((at, time)) = least(all.iter().map(predicted)) else {
-        return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
+        return Err(refuse(call, Reason::NoUpstream, NO_UPSTREAM_MS));
     };
     let left_ms = call.left_ms(now_ms) as f64;
     let time_ms = time.total_ms();
@@ -230,7 +238,7 @@
     let predicted =
         |each: &Rc<Upstream>| pace.decode_ms(&each.view(now_ms, cached(each), urgency), &ask);
     let Some((at, first)) = least(makers.iter().map(predicted)) else {
-        return Err(refuse(call, Reason::NoUpstream, RETRY_MS.1 / 3.0));
+        return Err(refuse(call, Reason::NoUpstream, NO_UPSTREAM_MS));
     };
     let engine = Rc::clone(&makers[at]);
     Ok(Maker {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -235,6 +235,7 @@
     let connection = Connection {
         sender: {
             // The task has to run once before the connection takes a request.
+            // If it failed, so will the send, with the request unsent.
             let _ = sender.ready().await;
             sender
         },
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -189,7 +189,13 @@
         note_unread(relay, call, reader, "the answer is another request's");
         return None;
     }
-    let body = response.into_body().collect().await.ok()?.to_bytes();
+    let body = match response.into_body().collect().await {
+        Ok(collected) => collected.to_bytes(),
+        Err(error) => {
+            note_unread(relay, call, reader, &error.to_string());
+            return None;
+        }
+    };
     lease.give_back();
     if status != StatusCode::OK {
         if relay.failed_lines.take(relay.now_ms()) {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -10,13 +10,19 @@
 use crate::call::Call;
 use crate::config::Kind;
 use crate::dialect::{Answered, Sending};
+use crate::place::PLAIN_MS;
 use crate::pool::{Exchanged, Fault, Lease, exchange};
 use crate::relay::Relay;
 use crate::upstream::{InFlight, Upstream};
 
-/// Share of an upstream's connections that one instance leaves to the others' jitter.
+/// Part of an instance's share of an upstream's connections that it uses; the rest is for instances
+/// that do not know of each other yet.
 const CONNECTION_SHARE: f64 = 0.9;
 
+/// Connections that an instance may open however many share an upstream: one in use, one that is
+/// being replaced.
+const LEAST_CONNECTIONS: usize = 2;
+
 /// An answer's head that has been checked to belong to the request.
 pub struct Checked {
     /// The answer.
@@ -71,7 +77,7 @@
         Sent::Answer(checked) => {
             let took_ms = (relay.now_ms() - began_ms) as f64;
             if call.route.kind != Kind::Stream && checked.response.status().is_success() {
-                let usual_ms = upstream.answer_ms().max(15.0);
+                let usual_ms = upstream.answer_ms().max(PLAIN_MS);
                 upstream.answered(relay.now_ms(), usual_ms, took_ms);
             } else if checked.response.status().is_server_error() {
                 upstream.failed(relay.now_ms());
@@ -135,7 +141,7 @@
         .and_then(|config| config.service(&call.service));
     let most = service.map_or(usize::MAX, |service| service.max_connections);
     let most = (most as f64 * CONNECTION_SHARE / relay.instances() as f64) as usize;
-    exchange(&upstream.pool, most.max(2), request).await
+    exchange(&upstream.pool, most.max(LEAST_CONNECTIONS), request).await
 }
 
 fn check(
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -139,7 +139,10 @@
     if let Some(config) = state.config {
         relay.configure(config.into());
     }
-    if state.list_age_ms.is_some_and(|age_ms| age_ms < FRESH_MS) {
+    // Our own list may be the newer one, where only another read has failed.
+    let own_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
+    let is_newer = |age_ms: u64| age_ms < FRESH_MS && age_ms < own_age_ms;
+    if state.list_age_ms.is_some_and(is_newer) {
         relay.replace(state.upstreams);
     } else {
         for entry in state.upstreams {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -289,31 +289,47 @@
     }
 }
 
-/// Passes on a long answer as it comes.
-pub fn relayed(body: Incoming, lease: Lease, guard: InFlight) -> AnswerBody {
+/// Passes on a long answer as it comes, up to the request's deadline.
+pub fn relayed(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    body: Incoming,
+    lease: Lease,
+    guard: InFlight,
+) -> AnswerBody {
     struct State {
+        relay: Rc<Relay>,
+        call: Rc<Call>,
         body: Incoming,
         lease: Lease,
-        _guard: InFlight,
+        guard: InFlight,
     }
     let state = State {
+        relay: Rc::clone(relay),
+        call: Rc::clone(call),
         body,
         lease,
-        _guard: guard,
+        guard,
     };
     let frames = unfold(Some(state), |state| async move {
         let mut state = state?;
-        match state.body.frame().await {
-            Some(Ok(frame)) => Some((Ok(frame.into_data().unwrap_or_default()), Some(state))),
-            Some(Err(error)) => {
-                let why = error.to_string();
-                Some((Err(BrokenOff { why }), None))
+        let left = Duration::from_millis(state.call.left_ms(state.relay.now_ms()));
+        let why = match actix_rt::time::timeout(left, state.body.frame()).await {
+            Ok(Some(Ok(frame))) => {
+                return Some((Ok(frame.into_data().unwrap_or_default()), Some(state)));
             }
-            None => {
+            Ok(None) => {
                 state.lease.give_back();
-                None
+                return None;
             }
+            Ok(Some(Err(error))) => error.to_string(),
+            Err(_) => "out of time".to_owned(),
+        };
+        if state.relay.failed_lines.take(state.relay.now_ms()) {
+            let upstream = state.guard.upstream();
+            log::info!(request = state.call.id(), upstream = upstream.id, why; "answer broke off");
         }
+        Some((Err(BrokenOff { why }), None))
     });
     AnswerBody::stream(frames)
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -28,6 +28,9 @@
 /// tellings, so that single lost ones do not show.
 const PEER_STALE_MS: u64 = 600;
 
+/// Weight of one answer in the moving average of an upstream's answers.
+const ANSWER_SMOOTHING: f64 = 0.2;
+
 /// Usual answers' time without any answer after which a plain service counts as silent.
 const SILENT_ANSWERS: f64 = 8.0;
 
@@ -283,7 +286,7 @@
         let next = if seen == 0.0 {
             actual_ms
         } else {
-            seen + 0.2 * (actual_ms - seen)
+            seen + ANSWER_SMOOTHING * (actual_ms - seen)
         };
         self.answer_ms.set(next);
     }
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -4,12 +4,34 @@
 
 use std::rc::Rc;
 
+use bytes::Bytes;
 use common::{Act, Bed, Seen, StandIn, request, until};
-use http::Method;
-use http_body_util::BodyExt;
+use http::{HeaderValue, Method, Request};
+use http_body_util::{BodyExt, Full};
 use relay::upstream::{Entry, Stage, Standing};
 use relay::upstreams::Change;
 
+/// A prompt of 13,000 shared tokens and 4,000 of its own.
+const LONG: &str = "7:13000,8:4000";
+
+/// A short question.
+const SHORT: &str = "7:50,8:40";
+
+fn generation(path: &str, prompt: &'static str) -> Request<Full<Bytes>> {
+    let mut asked = request(Method::POST, path, "1");
+    let prompt = HeaderValue::from_static(prompt);
+    asked.headers_mut().insert("x-prompt", prompt);
+    asked
+}
+
+/// A relay with one engine that reads prompts and one for output.
+fn reader_and_maker(reader: &StandIn, engine: &StandIn) -> Bed {
+    Bed::start(vec![
+        reader.entry("reader", "llm", Stage::Prefill),
+        engine.entry("one", "llm", Stage::Decode),
+    ])
+}
+
 fn events(from: u64, to: u64) -> String {
     let ids = (from..=to).map(|id| id.to_string());
     ids.fold(String::new(), |all, id| {
@@ -58,10 +80,7 @@
         near_entry.clone(),
         far_entry,
     ]);
-    let mut asked = request(Method::POST, "/once/x", "1");
-    asked
-        .headers_mut()
-        .insert("x-prompt", "7:13000,8:4000".parse().unwrap());
+    let asked = generation("/once/x", LONG);
     let relay = Rc::clone(&bed.relay);
     let seen = Rc::clone(&reader.seen);
     actix_rt::spawn(async move {
@@ -90,10 +109,7 @@
         one.entry("one", "llm", Stage::Decode),
         two.entry("two", "llm", Stage::Decode),
     ]);
-    let mut asked = request(Method::POST, "/grades/x", "1");
-    asked
-        .headers_mut()
-        .insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let asked = generation("/grades/x", SHORT);
     let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(one.count() + two.count(), 2);
@@ -115,10 +131,7 @@
             ..other.entry("two", "llm", Stage::Decode)
         },
     ]);
-    let mut asked = request(Method::POST, "/once/x", "1");
-    asked
-        .headers_mut()
-        .insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let asked = generation("/once/x", SHORT);
     let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, None));
     assert_eq!(other.count(), 0);
@@ -134,10 +147,7 @@
         vec![Act::Say(whole[..cut].to_owned()), Act::Wait(5_000)]
     });
     let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
-    let mut asked = request(Method::POST, "/once/x", "1");
-    asked
-        .headers_mut()
-        .insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let asked = generation("/once/x", SHORT);
     let response = bed.ask(asked).await.unwrap();
     let mut body = response.into_body();
     assert!(body.frame().await.is_some());
@@ -154,10 +164,7 @@
 async fn a_caller_that_leaves_early_stops_the_engine() {
     let engine = StandIn::start(|_| vec![Act::Wait(5_000)]);
     let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
-    let mut asked = request(Method::POST, "/once/x", "1");
-    asked
-        .headers_mut()
-        .insert("x-prompt", "7:50,8:40".parse().unwrap());
+    let asked = generation("/once/x", SHORT);
     let wait = std::time::Duration::from_millis(800);
     let answered = actix_rt::time::timeout(wait, bed.ask(asked)).await;
     assert!(answered.is_err());
@@ -178,14 +185,8 @@
         }
         seen.answer("200 OK", "", &events(1, 3))
     });
-    let bed = Bed::start(vec![
-        reader.entry("reader", "llm", Stage::Prefill),
-        engine.entry("one", "llm", Stage::Decode),
-    ]);
-    let mut asked = request(Method::POST, "/once/x", "1");
-    asked
-        .headers_mut()
-        .insert("x-prompt", "7:13000,8:4000".parse().unwrap());
+    let bed = reader_and_maker(&reader, &engine);
+    let asked = generation("/once/x", LONG);
     let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(engine.count(), 2);
@@ -197,13 +198,8 @@
 async fn a_prompt_whose_answer_is_lost_is_read_elsewhere() {
     let reader = StandIn::start(|_| vec![Act::Wait(60_000)]);
     let engine = maker();
-    let bed = Bed::start(vec![
-        reader.entry("reader", "llm", Stage::Prefill),
-        engine.entry("one", "llm", Stage::Decode),
-    ]);
-    let mut asked = request(Method::POST, "/once/x", "1");
-    let prompt = "7:13000,8:4000".parse().unwrap();
-    asked.headers_mut().insert("x-prompt", prompt);
+    let bed = reader_and_maker(&reader, &engine);
+    let asked = generation("/once/x", LONG);
     let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!((reader.count(), engine.count()), (1, 1));
@@ -220,14 +216,19 @@
         vec![Act::Say(text.to_owned())]
     });
     let engine = maker();
-    let bed = Bed::start(vec![
-        reader.entry("reader", "llm", Stage::Prefill),
-        engine.entry("one", "llm", Stage::Decode),
-    ]);
-    let mut asked = request(Method::POST, "/once/x", "1");
-    let prompt = "7:13000,8:4000".parse().unwrap();
-    asked.headers_mut().insert("x-prompt", prompt);
+    let bed = reader_and_maker(&reader, &engine);
+    let asked = generation("/once/x", LONG);
     let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
     assert_eq!(engine.seen.borrow()[0].header("x-kv"), None);
 }
+
+/// The caller sees the engine's own failure: a resumable generation ran and failed at the only
+/// engine, and neither "not run" nor another error would be true.
+#[actix_rt::test]
+async fn a_failed_generation_is_not_refused_as_unrun() {
+    let engine = StandIn::start(|seen| seen.answer("500 Oops", "", "oops"));
+    let bed = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
+    let asked = generation("/grades/x", SHORT);
+    assert_eq!(bed.get(asked).await, (500, Some("oops".to_owned())));
+}
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -97,3 +97,19 @@
     let telling: Telling = serde_json::from_str(text).unwrap();
     assert_eq!(telling.outstanding[0].context, 0);
 }
+
+/// One read of this instance fails while its list of upstreams is up to date; the instance that it
+/// asks has an older list, without the upstream that has just joined. It must stay in use.
+#[actix_rt::test]
+async fn an_older_list_does_not_replace_a_newer_one() {
+    let engine = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
+    let relay = relay("a");
+    let entry = engine.entry("one", "llm", Stage::Prefill);
+    relay.apply(relay::upstreams::Change::Put(entry));
+    relay.listed();
+    let mut told = relay.state();
+    told.upstreams.clear();
+    told.list_age_ms = Some(1_000);
+    relay::state::take(&relay, told, "127.0.0.1:1".parse().unwrap());
+    assert_eq!(relay.upstreams.borrow().len(), 1);
+}
--- a/crates/relay/tests/services.rs
+++ b/crates/relay/tests/services.rs
@@ -209,3 +209,24 @@
     let (status, _) = bed.get(request(Method::POST, "/claims/x", "1")).await;
     assert_eq!(status, 502);
 }
+
+/// The caller sees 502, not 503. Its read was sent to the only upstream, which may have run it
+/// before the connection closed; no other upstream is there for a second try, and "not run" would
+/// not be true.
+#[actix_rt::test]
+async fn a_read_that_may_have_run_is_not_refused_as_unrun() {
+    let desk = StandIn::start(|_| vec![Act::Close]);
+    let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    let (status, _) = bed.get(request(Method::GET, "/reads/x", "1")).await;
+    assert_eq!((status, desk.count()), (502, 1));
+}
+
+/// The caller sees the upstream's own failure. The read ran and failed, and there is no other
+/// upstream to try; the answer that was made must not give way to a refusal of ours.
+#[actix_rt::test]
+async fn a_failure_is_passed_on_where_nobody_else_can_be_tried() {
+    let desk = StandIn::start(|seen| seen.answer("500 Oops", "", "oops"));
+    let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    let answer = bed.get(request(Method::GET, "/reads/x", "1")).await;
+    assert_eq!(answer, (500, Some("oops".to_owned())));
+}
