Write tellings between instances in a compact form

Cause: tellings were text, ten a second to each of eight others, and with work by rank and each use of a part they grew to 1 to 2 KB: most of the bytes between availability zones. Ruled out: bodies of requests (17 KB a long prompt, sent twice, a third of the bytes).

Conclusion: upstreams named once, whole numbers in as few bytes as they need, a first byte for the form; another form is passed over like a lost datagram. Limits of a service's engines are looked up in one place instead of four.

--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -8,12 +8,12 @@
 use crate::call::Call;
 use crate::dialect::{Part, Prompt, Sending};
 use crate::forward::{follow, may_repeat, pass_on};
-use crate::gossip::Read;
 use crate::place::{self, Maker, Placement};
 use crate::reading::{Handed, read_apart};
 use crate::relay::Relay;
 use crate::send::{Sent, note_sign, send};
 use crate::stream::Streaming;
+use crate::telling::Read;
 use crate::upstream::{InFlight, LEAST_TOKENS, Reading, Upstream, Work};
 
 /// Places, sends and answers it.
@@ -132,25 +132,18 @@
     engine: &Upstream,
     reading: Reading,
 ) {
-    let config = relay.config();
-    let service = config
-        .as_ref()
-        .and_then(|config| config.service(&call.service));
-    let room_tokens = service
-        .and_then(|service| service.engine)
-        .map_or(0, |engine| engine.kv_tokens);
+    let kv_tokens = relay.engine_limits(&call.service).kv_tokens;
     let long = |part: &&Part| part.tokens >= LEAST_TOKENS;
     for part in prompt.parts.iter().filter(long) {
         let is_news = reading == Reading::Done || engine.kept(part.id) == 0.0;
         let tokens = f64::from(part.tokens);
-        engine.keeps(part.id, tokens, reading, room_tokens as f64);
+        engine.keeps(part.id, tokens, reading, kv_tokens as f64);
         if is_news {
             relay.reads.borrow_mut().add(Read {
                 upstream: engine.id.clone(),
                 part: part.id,
                 tokens: part.tokens,
-                room_tokens,
-                is_read: reading == Reading::Done,
+                reading,
             });
         }
     }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -14,11 +14,10 @@
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
-use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
 
 use crate::relay::Relay;
-use crate::upstream::{Queue, Reading};
+use crate::telling::{Read, Telling, decode, encode};
 
 /// Time between two tellings, in ms: a tenth of the shortest objective's order, so that a view
 /// is younger than the queue that it describes.
@@ -36,59 +35,6 @@
 /// Longest datagram that is read, in bytes.
 const DATAGRAM_BYTES: usize = 16 * 1024;
 
-/// What one instance has outstanding at one upstream.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Outstanding {
-    /// The upstream's incarnation.
-    pub upstream: String,
-    /// Requests.
-    pub requests: u32,
-    /// Work of reading prompts, in tokens by rank.
-    #[serde(default)]
-    pub queue: Queue,
-    /// Prompt tokens of the requests that make output.
-    #[serde(default)]
-    pub context: u32,
-}
-
-/// A prompt part that an upstream has read or is reading.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Read {
-    /// The upstream's incarnation.
-    pub upstream: String,
-    /// The part.
-    pub part: u64,
-    /// Its length.
-    pub tokens: u32,
-    /// Memory of the upstream, in tokens.
-    pub room_tokens: u64,
-    /// Whether it has been read; otherwise it is being read.
-    #[serde(default)]
-    pub is_read: bool,
-}
-
-impl Read {
-    /// How far the upstream has come with it.
-    pub fn reading(&self) -> Reading {
-        if self.is_read {
-            Reading::Done
-        } else {
-            Reading::Begun
-        }
-    }
-}
-
-/// One telling.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct Telling {
-    /// Who tells.
-    pub from: String,
-    /// Upstreams at which it has requests, or had some when it last told.
-    pub outstanding: Vec<Outstanding>,
-    /// Parts that it had read lately.
-    pub reads: Vec<Read>,
-}
-
 /// Parts that this instance had read since it last told everyone it tells.
 #[derive(Debug, Default)]
 pub struct Reads {
@@ -128,7 +74,7 @@
 
 async fn send(relay: &Relay, socket: &UdpSocket, telling: &Telling) {
     let peers = peers(relay);
-    let bytes = match serde_json::to_vec(telling) {
+    let bytes = match encode(telling) {
         Ok(bytes) => bytes,
         Err(error) => {
             log::error!(error:%; "telling not written");
@@ -160,7 +106,7 @@
     loop {
         let received = socket.recv_from(&mut buffer).await;
         match received {
-            Ok((length, peer)) => match serde_json::from_slice::<Telling>(&buffer[..length]) {
+            Ok((length, peer)) => match decode(&buffer[..length]) {
                 Ok(telling) => relay.heard(&telling),
                 Err(error) => log::debug!(peer:%, error:%; "telling not understood"),
             },
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod send;
 pub mod state;
 pub mod stream;
+pub mod telling;
 pub mod upstream;
 pub mod upstreams;
 pub mod urgency;
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -236,7 +236,7 @@
         prompt_tokens: tokens,
         place_ms: PLACE_MS,
         gap_goal_ms: call.route.gap_goal_ms as f64,
-        event_tokens: event_tokens(relay, call),
+        event_tokens: f64::from(relay.engine_limits(&call.service).event_tokens.max(1)),
     };
     let holders = Holders::of(relay, call, prompt);
     let rank = urgency.rank(&call.route);
@@ -264,16 +264,6 @@
     })
 }
 
-/// Tokens that come with one event of a request's service.
-fn event_tokens(relay: &Relay, call: &Call) -> f64 {
-    let config = relay.config();
-    let service = config
-        .as_ref()
-        .and_then(|config| config.service(&call.service));
-    let engine = service.and_then(|service| service.engine);
-    engine.map_or(1.0, |engine| f64::from(engine.event_tokens.max(1)))
-}
-
 /// Chooses the engine that reads a prompt apart.
 fn reader(
     relay: &Relay,
--- a/crates/relay/src/prefix.rs
+++ b/crates/relay/src/prefix.rs
@@ -58,15 +58,11 @@
     /// Those among the engines of the request's service that are fit.
     pub fn of(relay: &Relay, call: &Call, prompt: &Prompt) -> Self {
         let now_ms = relay.now_ms();
-        let config = relay.config();
-        let service = config
-            .as_ref()
-            .and_then(|config| config.service(&call.service));
-        let engine = service.and_then(|service| service.engine);
-        let link = engine.map_or_else(Link::default, |engine| Link {
+        let engine = relay.engine_limits(&call.service);
+        let link = Link {
             token_bytes: engine.token_bytes as f64,
             mbps: engine.link_mbps as f64,
-        });
+        };
         if prompt.input_tokens < COPIED_FOR_TOKENS {
             return Self {
                 link,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,12 +8,13 @@
 use tick::Clock;
 
 use crate::audit::LineBudget;
-use crate::config::Config;
+use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
-use crate::gossip::{Reads, Telling};
+use crate::gossip::Reads;
 use crate::members::{Member, Members};
 use crate::metrics::Metrics;
 use crate::state::{Asked, State};
+use crate::telling::Telling;
 use crate::upstreams::{Change, Effect, Upstreams};
 
 /// Lines in a second on requests that went well: two or three for each at the usual load.
@@ -270,12 +271,22 @@
         }
         for read in &telling.reads {
             if let Some(upstream) = upstreams.get(&read.upstream) {
+                let kv_tokens = self.engine_limits(&upstream.service).kv_tokens;
                 let tokens = f64::from(read.tokens);
-                upstream.keeps(read.part, tokens, read.reading(), read.room_tokens as f64);
+                upstream.keeps(read.part, tokens, read.reading, kv_tokens as f64);
             }
         }
     }
 
+    /// Limits of a service's engines; nothing is known of what is not configured.
+    pub fn engine_limits(&self, service: &str) -> EngineLimits {
+        let config = self.config.borrow();
+        let service = config.as_ref().and_then(|config| config.service(service));
+        service
+            .and_then(|service| service.engine)
+            .unwrap_or_default()
+    }
+
     /// Instances among which shared bounds are split.
     pub fn instances(&self) -> usize {
         self.members.borrow().count()
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -14,8 +14,8 @@
 use tick::Clock;
 
 use crate::dialect::ToldLoad;
-use crate::gossip::Outstanding;
 use crate::pool::Pool;
+use crate::telling::Outstanding;
 
 pub use entry::{Entry, Stage, Standing};
 pub use kept::{KeptParts, LEAST_TOKENS, Reading};
@@ -179,7 +179,7 @@
         (self.in_flight.get() > 0).then(|| Outstanding {
             upstream: self.id.clone(),
             requests: self.in_flight.get(),
-            queue: self.queue.borrow().rounded(),
+            queue: *self.queue.borrow(),
             context: self.context_tokens.get() as u32,
         })
     }
--- a/crates/relay/src/upstream/queue.rs
+++ b/crates/relay/src/upstream/queue.rs
@@ -1,7 +1,5 @@
 //! Work of reading prompts that an engine has, by rank.
 
-use serde::{Deserialize, Serialize};
-
 /// Ranks that engines know; 0 goes first.
 pub const RANKS: usize = 10;
 
@@ -9,15 +7,14 @@
 ///
 /// An engine takes up the first rank first, so a short urgent question does not wait for the long
 /// prompts behind which it would seem to stand.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-#[serde(transparent)]
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct Queue([f64; RANKS]);
 
 impl Queue {
     /// Adds tokens at a rank, or takes them away again.
     pub fn add(&mut self, rank: u8, tokens: f64) {
-        let at = usize::from(rank).min(RANKS - 1);
-        self.0[at] = (self.0[at] + tokens).max(0.0);
+        let waiting = &mut self.0[index(rank)];
+        *waiting = (*waiting + tokens).max(0.0);
     }
 
     /// Adds another queue to this one.
@@ -29,9 +26,14 @@
         self
     }
 
+    /// Tokens at one rank.
+    pub fn at(&self, rank: u8) -> f64 {
+        self.0[index(rank)]
+    }
+
     /// Tokens that are read before something new of a rank.
     pub fn before(&self, rank: u8) -> f64 {
-        self.0[..=usize::from(rank).min(RANKS - 1)].iter().sum()
+        self.0[..=index(rank)].iter().sum()
     }
 
     /// Tokens of later ranks, one prompt of which may be being read by now.
@@ -43,10 +45,18 @@
     pub fn total(&self) -> f64 {
         self.0.iter().sum()
     }
+}
 
-    /// The queue in whole tokens, which is shorter to write.
-    #[must_use]
-    pub fn rounded(&self) -> Self {
-        Self(self.0.map(f64::round))
+impl FromIterator<(u8, u32)> for Queue {
+    fn from_iter<I: IntoIterator<Item = (u8, u32)>>(all: I) -> Self {
+        let mut queue = Self::default();
+        for (rank, tokens) in all {
+            queue.add(rank, f64::from(tokens));
+        }
+        queue
     }
 }
+
+fn index(rank: u8) -> usize {
+    usize::from(rank).min(RANKS - 1)
+}
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -7,10 +7,11 @@
 use common::{Bed, StandIn, Wire, request, settings, until};
 use http::Method;
 use relay::front::{Duty, bind, serve};
-use relay::gossip::{self, Telling};
+use relay::gossip;
 use relay::members::Member;
 use relay::state::catch_up;
-use relay::upstream::{InFlight, Stage, Work};
+use relay::telling::{Outstanding, Read, Telling, decode, encode};
+use relay::upstream::{InFlight, Reading, Stage, Work};
 use relay::{Phase, Relay};
 use tick::Clock;
 use tokio::sync::watch;
@@ -89,13 +90,68 @@
     assert!(until(|| seen(&two) < 1.0).await);
 }
 
-/// The datagram's form: a new field may be left out by an older instance.
+/// A telling comes back as it was sent, and is a fifth of what it was as text.
 #[test]
-fn tellings_are_read_with_fields_missing() {
-    let text =
-        r#"{"from":"a","outstanding":[{"upstream":"x","requests":1,"tokens":2}],"reads":[]}"#;
-    let telling: Telling = serde_json::from_str(text).unwrap();
-    assert_eq!(telling.outstanding[0].context, 0);
+fn a_telling_comes_back_as_it_was() {
+    let outstanding = (0..9_u8).map(|each| Outstanding {
+        upstream: format!("i-520360d7d{each}"),
+        requests: 3,
+        queue: [(1, 5_400), (5, 31_000)].into_iter().collect(),
+        context: 51_000,
+    });
+    let reads = (0..9_u8).map(|each| Read {
+        upstream: format!("i-520360d7d{each}"),
+        part: 0x5c1e_07a2,
+        tokens: 13_300,
+        reading: if each % 2 == 0 {
+            Reading::Done
+        } else {
+            Reading::Begun
+        },
+    });
+    let telling = Telling {
+        from: "front-salt-lake-1".to_owned(),
+        outstanding: outstanding.collect(),
+        reads: reads.collect(),
+    };
+    let bytes = encode(&telling).unwrap();
+    assert_eq!(decode(&bytes).unwrap(), telling);
+    assert!(bytes.len() < 450, "{}", bytes.len());
+}
+
+/// A datagram of another version of the program, one that was cut short, one that names what it
+/// does not have, and one that is nothing of the kind are passed over, and said to be.
+#[test]
+fn what_is_no_telling_is_refused() {
+    let telling = Telling {
+        from: "a".to_owned(),
+        ..Telling::default()
+    };
+    let bytes = encode(&telling).unwrap();
+    let mut newer = bytes.clone();
+    newer[0] += 1;
+    let cut = &bytes[..bytes.len() - 1];
+    // An outstanding entry of upstream 7 with an empty table.
+    let unnamed = [2, 1, b'a', 0, 1, 7, 0, 0, 0, 0];
+    for (bytes, why) in [
+        (&newer[..], "form Some(3) is not known"),
+        (&[][..], "form None is not known"),
+        (cut, "Hit the end of buffer, expected more data"),
+        (&unnamed[..], "no upstream 7 in its table"),
+    ] {
+        assert_eq!(decode(bytes).unwrap_err().to_string(), why);
+    }
+}
+
+proptest::proptest! {
+    /// Whatever comes from the network, reading it ends with a telling or an error.
+    #[test]
+    fn any_datagram_is_read_or_refused(bytes in proptest::collection::vec(proptest::prelude::any::<u8>(), 0..200)) {
+        let mut formed = vec![2];
+        formed.extend(&bytes);
+        let _ = decode(&bytes);
+        let _ = decode(&formed);
+    }
 }
 
 /// One read of this instance fails while its list of upstreams is up to date; the instance that it
