Tell answers in time, causes of refusals, own time and ages as metrics

Cause: metrics told only how requests ended. That a success was late, why a route was refused, what an instance itself took, what is left of the budget of repeats, how old the configuration and the load of others are, and how many lines were left out could be had from no metric. Ruled out: a label for the caller's zone, which a request does not carry; the instance's zone stands on all.

Figures: three new tests in relay/tests/metrics.rs, one of them the age of what was never had; a placement's count in engines.rs.

An answer's time counts from the caller's first attempt.

--- a/crates/plan/src/repeats.rs
+++ b/crates/plan/src/repeats.rs
@@ -54,12 +54,17 @@
         self.slot(now_ms, terms).first += 1;
     }
 
-    /// Whether one more repeat is within this instance's part, and counts it if so.
-    pub fn take(&mut self, now_ms: u64, terms: &RepeatTerms, instances: usize) -> bool {
+    /// Repeats that are left of this instance's part.
+    pub fn left(&mut self, now_ms: u64, terms: &RepeatTerms, instances: usize) -> f64 {
         let (first, again) = self.counts(now_ms, terms);
         let part = terms.slack / instances.max(1) as f64;
         let most = USED_SHARE * (terms.ratio * f64::from(first) + part);
-        if f64::from(again + 1) > most {
+        (most - f64::from(again)).max(0.0)
+    }
+
+    /// Whether one more repeat is within this instance's part, and counts it if so.
+    pub fn take(&mut self, now_ms: u64, terms: &RepeatTerms, instances: usize) -> bool {
+        if self.left(now_ms, terms, instances) < 1.0 {
             return false;
         }
         self.slot(now_ms, terms).again += 1;
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -152,6 +152,22 @@
 }
 
 impl Reason {
+    /// Its name in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::NoConfig => "no_config",
+            Self::NoRoute => "no_route",
+            Self::Malformed => "malformed",
+            Self::Unread => "unread",
+            Self::TooLong => "too_long",
+            Self::NoUpstream => "no_upstream",
+            Self::TooLate => "too_late",
+            Self::Rejected => "rejected",
+            Self::Lost => "lost",
+            Self::TimedOut => "timed_out",
+        }
+    }
+
     /// Whether the answer promises that the request has not run and never will.
     pub fn says_not_run(self) -> bool {
         matches!(
--- a/crates/relay/src/audit.rs
+++ b/crates/relay/src/audit.rs
@@ -30,6 +30,14 @@
     }
 }
 
+/// Lines of this process that a slow reader cost.
+static LEFT_OUT: AtomicU64 = AtomicU64::new(0);
+
+/// Lines that were left out since the process began, since their reader was too slow.
+pub fn lines_left_out() -> u64 {
+    LEFT_OUT.load(Ordering::Relaxed)
+}
+
 /// Hands whole lines to a thread of its own.
 ///
 /// A reader of standard output that stops would otherwise stop every request with it.
@@ -65,6 +73,7 @@
         if self.lines.try_send(line.to_vec()).is_err() {
             self.waiting.fetch_sub(1, Ordering::AcqRel);
             self.left_out.fetch_add(1, Ordering::Relaxed);
+            LEFT_OUT.fetch_add(1, Ordering::Relaxed);
         }
         Ok(line.len())
     }
@@ -112,6 +121,7 @@
     per_s: u32,
     second: Cell<u64>,
     used: Cell<u32>,
+    left_out: Cell<u64>,
 }
 
 impl LineBudget {
@@ -122,9 +132,20 @@
             per_s,
             second: Cell::default(),
             used: Cell::default(),
+            left_out: Cell::default(),
         }
     }
 
+    /// Kind of the lines.
+    pub fn kind(&self) -> &'static str {
+        self.kind
+    }
+
+    /// Lines left out since the start.
+    pub fn left_out(&self) -> u64 {
+        self.left_out.get()
+    }
+
     /// Whether one more line may be written.
     pub fn take(&self, now_ms: u64) -> bool {
         let second = now_ms / 1_000;
@@ -135,7 +156,9 @@
             }
         }
         self.used.set(self.used.get() + 1);
-        self.used.get() <= self.per_s
+        let may = self.used.get() <= self.per_s;
+        self.left_out.set(self.left_out.get() + u64::from(!may));
+        may
     }
 }
 
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -47,6 +47,8 @@
     pub attempts: Cell<u32>,
     /// Whether its answer has ended, well or not.
     pub is_over: Cell<bool>,
+    /// Whether it has been sent to an upstream, run there or not.
+    pub is_sent: Cell<bool>,
     /// Upstream that has it.
     pub at: RefCell<String>,
     relay: Rc<Relay>,
@@ -91,6 +93,7 @@
             sends: Cell::default(),
             attempts: Cell::default(),
             is_over: Cell::default(),
+            is_sent: Cell::default(),
             at: RefCell::default(),
             relay: Rc::clone(relay),
             method: parts.method,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -54,6 +54,8 @@
     let end = refused.reason.status().as_u16().to_string();
     let labels = [call.route.name.as_str(), &end];
     relay.metrics.requests.with_label_values(&labels).inc();
+    let labels = [call.route.name.as_str(), refused.reason.label()];
+    relay.metrics.refusals.with_label_values(&labels).inc();
     refused.response(relay.dialect.error(&refused.reason.to_string()))
 }
 
@@ -145,6 +147,13 @@
     })
 }
 
+/// Counts a whole answer; one that came late is told apart, since a success alone says little.
+pub fn note_answer(relay: &Relay, call: &Call, in_time: bool) {
+    let in_time = if in_time { "yes" } else { "no" };
+    let labels = [call.route.name.as_str(), in_time];
+    relay.metrics.answers.with_label_values(&labels).inc();
+}
+
 /// Reads an answer whole and passes it on.
 pub async fn pass_on(
     relay: &Rc<Relay>,
@@ -177,6 +186,10 @@
     relay.metrics.requests.with_label_values(&labels).inc();
     let now_ms = relay.now_ms();
     call.is_over.set(true);
+    if head.status.is_success() {
+        let took_ms = call.waited_ms + now_ms - call.arrived_ms;
+        note_answer(relay, call, took_ms <= call.route.goal_ms);
+    }
     if relay.served_lines.take(now_ms) {
         log::info!(
             request = call.id(), route = call.route.name, upstream = upstream.id,
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -231,6 +231,8 @@
 }
 
 fn refuse(relay: &Relay, refused: Refused) -> Response<AnswerBody> {
+    let labels = ["-", refused.reason.label()];
+    relay.metrics.refusals.with_label_values(&labels).inc();
     refused.response(relay.dialect.error(&refused.reason.to_string()))
 }
 
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -95,6 +95,12 @@
         audible
     }
 
+    /// Time since the instance told something that has been silent for longest.
+    pub fn load_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let told_ms = self.fresh().filter_map(|heard| heard.told_ms);
+        told_ms.min().map(|at_ms| now_ms.saturating_sub(at_ms))
+    }
+
     /// Another instance knows of this one. It counts as heard of now only if it was not known:
     /// its own heartbeats say more.
     pub fn heard_from_another(&mut self, now_ms: u64, member: Member) {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,7 +1,8 @@
 //! Metrics; docs/OPERATIONS.md has a table of them.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, Opts, Registry, TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
+    TextEncoder,
 };
 
 /// Buckets of times from a ms to ten seconds, in seconds.
@@ -12,6 +13,26 @@
     registry: Registry,
     /// Requests by route and how they ended.
     pub requests: IntCounterVec,
+    /// Whole answers by route and whether they were in time.
+    pub answers: IntCounterVec,
+    /// Requests that were not served, by route and reason.
+    pub refusals: IntCounterVec,
+    /// Prompts by service, where they are read and what of them is held there.
+    pub placed: IntCounterVec,
+    /// Time until a request first goes to an upstream, by route.
+    pub own_s: HistogramVec,
+    /// Predicted wait at the upstream that was chosen, by service.
+    pub wait_s: HistogramVec,
+    /// Time from a send to the answer's head, by service.
+    pub upstream_s: HistogramVec,
+    /// Repeats that are left in the window, by service.
+    pub repeats_left: IntGaugeVec,
+    /// Log lines left out since the start, by kind.
+    pub lines_left_out: IntGaugeVec,
+    /// Time since the configuration was asked for with success, in ms.
+    pub config_age_ms: IntGauge,
+    /// Time since the load of the instance that was silent for longest was told, in ms.
+    pub load_age_ms: IntGauge,
     /// Repeats asked of the budget.
     pub repeats: IntCounterVec,
     /// Time to an answer's head, by route.
@@ -59,7 +80,22 @@
             registry.register(Box::new(made.clone())).expect("one each");
             made
         };
+        let gauges = |name: &str, help: &str, labels: &[&str]| {
+            let made = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
+            registry.register(Box::new(made.clone())).expect("one each");
+            made
+        };
         Self {
+            answers: counter("answers_total", "Whole answers.", &["route", "in_time"]),
+            refusals: counter("refusals_total", "Not served.", &["route", "reason"]),
+            placed: counter("placed_total", "Prompts.", &["service", "read", "held"]),
+            own_s: histogram("own_seconds", "Time to the first send.", &["route"]),
+            wait_s: histogram("wait_seconds", "Predicted wait.", &["service"]),
+            upstream_s: histogram("upstream_seconds", "Send to head.", &["service"]),
+            repeats_left: gauges("repeats_left", "Repeats left.", &["service"]),
+            lines_left_out: gauges("lines_left_out", "Lines left out.", &["kind"]),
+            config_age_ms: gauge("config_age_ms", "Age of the configuration's last read."),
+            load_age_ms: gauge("load_age_ms", "Age of the oldest load told."),
             requests: counter("requests_total", "Requests.", &["route", "end"]),
             repeats: counter(
                 "repeats_total",
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -176,6 +176,7 @@
     let waited_ms = call.waited_ms as f64;
     let (placement, first) = best(relay, call, prompt, tried, Urgency::OnTime)?;
     if first.total_ms() <= goal_ms * ON_TIME_SHARE - waited_ms {
+        note(relay, call, &placement, &first);
         return Ok(placement);
     }
     let (placement, first) = best(relay, call, prompt, tried, Urgency::Late)?;
@@ -196,9 +197,30 @@
         }
         return Err(refuse(call, Reason::TooLate, first.total_ms() - latest_ms));
     }
+    note(relay, call, &placement, &first);
     Ok(placement)
 }
 
+fn note(relay: &Relay, call: &Call, placement: &Placement, first: &Predicted) {
+    let (read, copies, held_tokens) = match placement {
+        Placement::Apart(reader) => ("apart", reader.copy_from.is_some(), reader.held_tokens),
+        Placement::Whole(maker) => ("whole", maker.copy_from.is_some(), maker.held_tokens),
+    };
+    let held = match (copies, held_tokens > 0.0) {
+        (true, _) => "copied",
+        (false, true) => "there",
+        (false, false) => "nowhere",
+    };
+    let service = call.service.as_str();
+    let placed = relay
+        .metrics
+        .placed
+        .with_label_values(&[service, read, held]);
+    placed.inc();
+    let wait = relay.metrics.wait_s.with_label_values(&[service]);
+    wait.observe(first.wait_ms / 1_000.0);
+}
+
 fn best(
     relay: &Relay,
     call: &Call,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,7 +7,7 @@
 use plan::{Pace, RepeatTerms, Repeats};
 use tick::Clock;
 
-use crate::audit::LineBudget;
+use crate::audit::{LineBudget, lines_left_out};
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
 use crate::gossip::Reads;
@@ -75,6 +75,7 @@
     /// When other instances were last asked.
     pub asked: Asked,
     listed_ms: Cell<Option<u64>>,
+    config_read_ms: Cell<Option<u64>>,
     /// Lines on requests that went well.
     pub served_lines: LineBudget,
     /// Lines on requests that did not.
@@ -102,6 +103,7 @@
             reads: RefCell::default(),
             asked: Asked::default(),
             listed_ms: Cell::default(),
+            config_read_ms: Cell::default(),
             served_lines: LineBudget::new("served", SERVED_LINES),
             failed_lines: LineBudget::new("failed", FAILED_LINES),
             phase: Cell::default(),
@@ -186,18 +188,45 @@
         self.listed_ms.set(Some(self.now_ms()));
     }
 
+    /// The configuration was asked for and the store answered.
+    pub fn config_read(&self) {
+        self.config_read_ms.set(Some(self.now_ms()));
+    }
+
     /// All metrics as text, those of the moment included.
     pub fn metrics_text(&self) -> Vec<u8> {
-        let age_ms = self.list_age_ms().unwrap_or(u64::MAX);
         let metrics = &self.metrics;
-        metrics
-            .list_age_ms
-            .set(i64::try_from(age_ms).unwrap_or(i64::MAX));
-        metrics
-            .upstreams
-            .set(self.upstreams.borrow().len().cast_signed() as i64);
+        let now_ms = self.now_ms();
+        let age = |age_ms: Option<u64>| age_ms.map_or(i64::MAX, u64::cast_signed);
+        let config_age_ms = self.config_read_ms.get().map(|at_ms| now_ms - at_ms);
+        let load_age_ms = self.members.borrow().load_age_ms(now_ms);
+        let upstreams = self.upstreams.borrow().len();
+        metrics.config_age_ms.set(age(config_age_ms));
+        metrics.list_age_ms.set(age(self.list_age_ms()));
+        metrics.load_age_ms.set(age(load_age_ms));
+        metrics.upstreams.set(upstreams.cast_signed() as i64);
         metrics.instances.set(self.instances().cast_signed() as i64);
         metrics.in_flight.set(self.busy.get().cast_signed() as i64);
+        let terms = self.settings.borrow().repeats;
+        let instances = self.instances();
+        for (service, repeats) in self.repeats.borrow_mut().iter_mut() {
+            let left = repeats.left(now_ms, &terms, instances);
+            metrics
+                .repeats_left
+                .with_label_values(&[service])
+                .set(left as i64);
+        }
+        let budgets = [&self.served_lines, &self.failed_lines];
+        let left_out = budgets.map(|budget| (budget.kind(), budget.left_out()));
+        for (kind, lines) in left_out
+            .into_iter()
+            .chain([("slow_reader", lines_left_out())])
+        {
+            metrics
+                .lines_left_out
+                .with_label_values(&[kind])
+                .set(lines.cast_signed());
+        }
         metrics.text()
     }
 
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -141,7 +141,18 @@
         .and_then(|config| config.service(&call.service));
     let most = service.map_or(usize::MAX, |service| service.max_connections);
     let most = (most as f64 * CONNECTION_SHARE / relay.instances() as f64) as usize;
-    exchange(&upstream.pool, most.max(LEAST_CONNECTIONS), request).await
+    let began_ms = relay.now_ms();
+    let seconds = |from_ms: u64| (relay.now_ms() - from_ms) as f64 / 1_000.0;
+    if !call.is_sent.replace(true) {
+        let own = relay.metrics.own_s.with_label_values(&[&call.route.name]);
+        own.observe(seconds(call.arrived_ms));
+    }
+    let exchanged = exchange(&upstream.pool, most.max(LEAST_CONNECTIONS), request).await;
+    if exchanged.is_ok() {
+        let at_upstream = relay.metrics.upstream_s.with_label_values(&[&call.service]);
+        at_upstream.observe(seconds(began_ms));
+    }
+    exchanged
 }
 
 fn check(
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -14,7 +14,7 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::dialect::Sending;
 use crate::events::Splitter;
-use crate::forward::may_repeat;
+use crate::forward::{may_repeat, note_answer};
 use crate::place;
 use crate::pool::Lease;
 use crate::relay::Relay;
@@ -262,7 +262,9 @@
         let labels = [self.call.route.name.as_str(), end];
         self.relay.metrics.requests.with_label_values(&labels).inc();
         let route = &self.call.route;
-        let in_time = self.first_ms <= route.goal_ms && self.longest_gap_ms <= route.gap_goal_ms;
+        let first_ms = self.call.waited_ms + self.first_ms;
+        let in_time = first_ms <= route.goal_ms && self.longest_gap_ms <= route.gap_goal_ms;
+        note_answer(&self.relay, &self.call, in_time);
         if let Some(source) = self.source.take() {
             if self.relay.served_lines.take(self.relay.now_ms()) {
                 log::info!(
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -273,6 +273,9 @@
     let from = busy.address.to_string();
     assert_eq!(seen[0].header("x-copy"), Some(from.as_str()));
     assert_eq!(engine.seen.borrow()[0].header("x-copy"), None);
+    let metrics = String::from_utf8(bed.relay.metrics_text()).unwrap();
+    let placed = r#"placed_total{held="copied",read="apart",service="llm""#;
+    assert!(metrics.contains(placed), "the placement is not counted");
 }
 
 /// The caller sees its stream. The engine that would be copied from is still reading the part, so
--- /dev/null
+++ b/crates/relay/tests/metrics.rs
@@ -0,0 +1,107 @@
+//! What the metrics tell of requests and of the age of what is believed.
+
+mod common;
+
+use common::{Bed, StandIn, request};
+use http::Method;
+use relay::members::Member;
+use relay::upstream::Stage;
+
+/// The lines of one metric, without the instance's own labels.
+fn lines(bed: &Bed, name: &str) -> Vec<String> {
+    let text = String::from_utf8(bed.relay.metrics_text()).unwrap();
+    let own = [r#",instance="a""#, r#",zone="here""#];
+    let lines = text.lines().filter(|line| line.starts_with(name));
+    lines
+        .map(|line| line.replace(own[0], "").replace(own[1], ""))
+        .collect()
+}
+
+/// An engineer sees a route's failures beside its answers: one read is answered in time, one comes
+/// late, one finds no upstream and is refused. A success alone would hide the second.
+#[actix_rt::test]
+async fn answers_in_time_stand_beside_answers_and_refusals() {
+    let desk = StandIn::start(|seen| {
+        let mut acts = Vec::new();
+        if seen.line.contains("late") {
+            acts.push(common::Act::Wait(900));
+        }
+        acts.extend(seen.answer("200 OK", "", "ok"));
+        acts
+    });
+    let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    bed.relay.config_read();
+    for (path, id) in [("/reads/x", "1"), ("/reads/late", "2")] {
+        let (status, _) = bed.get(request(Method::GET, path, id)).await;
+        assert_eq!(status, 200);
+    }
+    bed.relay.replace(Vec::new());
+    let (status, _) = bed.get(request(Method::GET, "/reads/x", "3")).await;
+    assert_eq!(status, 503);
+    let (status, _) = bed.get(request(Method::GET, "/nowhere/x", "4")).await;
+    assert_eq!(status, 404);
+    assert_eq!(
+        lines(&bed, "chicoryrack_answers_total"),
+        [
+            r#"chicoryrack_answers_total{in_time="no",route="reads"} 1"#,
+            r#"chicoryrack_answers_total{in_time="yes",route="reads"} 1"#,
+        ]
+    );
+    assert_eq!(
+        lines(&bed, "chicoryrack_refusals_total"),
+        [
+            r#"chicoryrack_refusals_total{reason="no_route",route="-"} 1"#,
+            r#"chicoryrack_refusals_total{reason="no_upstream",route="reads"} 1"#,
+        ]
+    );
+    assert_eq!(
+        lines(&bed, "chicoryrack_own_seconds_count"),
+        [r#"chicoryrack_own_seconds_count{route="reads"} 2"#]
+    );
+    assert_eq!(
+        lines(&bed, "chicoryrack_upstream_seconds_count"),
+        [r#"chicoryrack_upstream_seconds_count{service="desk"} 2"#]
+    );
+}
+
+/// How old each belief is can be read, and one that was never had does not look fresh.
+#[actix_rt::test]
+async fn the_age_of_beliefs_is_told() {
+    let bed = Bed::start(Vec::new());
+    let names = ["config_age_ms", "list_age_ms", "load_age_ms"];
+    let ages = || names.map(|name| age_ms(&bed, name));
+    assert!(ages().iter().all(|age_ms| *age_ms > 1e15), "{:?}", ages());
+    let other = Member {
+        name: "b".to_owned(),
+        address: "127.0.0.1:2".parse().unwrap(),
+        peer: None,
+        zone: "here".to_owned(),
+        ready: true,
+        beat: 1,
+    };
+    let now_ms = bed.relay.now_ms();
+    bed.relay.members.borrow_mut().heard(now_ms, other);
+    bed.relay.members.borrow_mut().told(now_ms, "b");
+    bed.relay.config_read();
+    bed.relay.listed();
+    assert!(ages().iter().all(|age_ms| *age_ms < 1e6), "{:?}", ages());
+}
+
+fn age_ms(bed: &Bed, name: &str) -> f64 {
+    let line = lines(bed, &format!("chicoryrack_{name}")).concat();
+    line.rsplit(' ').next().unwrap().parse().unwrap()
+}
+
+/// Lines that were left out are counted, so that a missing line is not taken for nothing done.
+#[actix_rt::test]
+async fn lines_left_out_are_counted() {
+    let bed = Bed::start(Vec::new());
+    for _ in 0..260 {
+        bed.relay.failed_lines.take(1);
+    }
+    let lines = lines(&bed, "chicoryrack_lines_left_out");
+    assert!(
+        lines.contains(&r#"chicoryrack_lines_left_out{kind="failed"} 60"#.to_owned()),
+        "{lines:?}"
+    );
+}
