Let the longest prompts of a route go first among those on time

Cause: of the largest tenth of long prompts a fifth to a quarter were on time and up to two fifths refused, against two thirds and a twentieth of all. They take longest to read and have least to spare. Ruled out: that they can never be on time: with their shared part held or copied, 300 to 400 ms of reading stand against an objective of 600 or 800.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -13,6 +13,7 @@
 use crate::config::Route;
 use crate::dialect::{Asked, Dialect, Sending};
 use crate::relay::Relay;
+use crate::urgency::Urgency;
 
 /// Headers that concern one connection only.
 const HOP_BY_HOP: [HeaderName; 7] = [
@@ -37,6 +38,8 @@
     pub draw: u64,
     /// When its head had come, on the instance's clock.
     pub arrived_ms: u64,
+    /// Whether it lets longer prompts of its route go first.
+    pub yields: bool,
     /// How long its caller had waited before this attempt, as its deadline tells.
     pub waited_ms: u64,
     /// When its answer must be complete.
@@ -76,6 +79,9 @@
         let service = route.service(draw)?.to_owned();
         let wait_ms = asked.deadline_ms.unwrap_or(u64::MAX).min(route.timeout_ms);
         let waited_ms = relay.waited_ms(&route.name, asked.deadline_ms);
+        let yields = asked.prompt.as_ref().is_some_and(|prompt| {
+            relay.yields_to_longer(&route.name, f64::from(prompt.input_tokens))
+        });
         let target = parts.uri.path_and_query().cloned()?;
         let mut headers = parts.headers;
         strip_hop_by_hop(&mut headers, |name| dialect.is_end_to_end(name));
@@ -88,6 +94,7 @@
             asked,
             draw,
             arrived_ms,
+            yields,
             waited_ms,
             due_ms: arrived_ms.saturating_add(wait_ms),
             sends: Cell::default(),
@@ -108,6 +115,11 @@
         self.due_ms.saturating_sub(now_ms)
     }
 
+    /// Rank at an engine, 0 first.
+    pub fn rank(&self, urgency: Urgency) -> u8 {
+        urgency.rank(&self.route, self.yields)
+    }
+
     /// The caller's id for the attempt, for logs.
     pub fn id(&self) -> &str {
         let attempt = self.asked.attempt.as_ref();
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -65,7 +65,7 @@
     kv: Option<&Handed>,
 ) -> (Sent, InFlight) {
     let predicted_ms = maker.first.total_ms();
-    let rank = maker.urgency.rank(&call.route);
+    let rank = call.rank(maker.urgency);
     let guard = InFlight::enter(
         &maker.engine,
         relay.now_ms(),
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -274,7 +274,7 @@
         event_tokens: f64::from(relay.engine_limits(&call.service).event_tokens.max(1)),
     };
     let holders = Holders::of(relay, call, prompt);
-    let rank = urgency.rank(&call.route);
+    let rank = call.rank(urgency);
     let start = |each: &Rc<Upstream>| {
         if is_read {
             Start::all(each, prompt)
@@ -313,7 +313,7 @@
     let all = candidates(relay, call, tried, &[Stage::Prefill]);
     let home = home(&all, prompt).map(|each| each.id.clone());
     let holders = Holders::of(relay, call, prompt);
-    let rank = urgency.rank(&call.route);
+    let rank = call.rank(urgency);
     let predicted = |each: &Rc<Upstream>| {
         let start = holders.start_at(each, prompt);
         let mut read = pace.prefill_ms(&start.view(each, now_ms, rank), tokens);
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -87,7 +87,7 @@
     prompt: &Prompt,
     reader: &Reader,
 ) -> Option<Handed> {
-    let rank = reader.urgency.rank(&call.route);
+    let rank = call.rank(reader.urgency);
     let guard = InFlight::enter(
         &reader.engine,
         relay.now_ms(),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,6 +16,7 @@
 use crate::state::{Asked, State};
 use crate::telling::Telling;
 use crate::upstreams::{Change, Effect, Upstreams};
+use crate::urgency::UsualLength;
 
 /// Lines in a second on requests that went well: two or three for each at the usual load.
 const SERVED_LINES: u32 = 60;
@@ -86,6 +87,7 @@
     repeats: RefCell<HashMap<String, Repeats>>,
     paces: RefCell<HashMap<String, Pace>>,
     patience_ms: RefCell<HashMap<String, u64>>,
+    lengths: RefCell<HashMap<String, UsualLength>>,
 }
 
 impl Relay {
@@ -113,6 +115,7 @@
             repeats: RefCell::default(),
             paces: RefCell::default(),
             patience_ms: RefCell::default(),
+            lengths: RefCell::default(),
         })
     }
 
@@ -377,6 +380,12 @@
         *longest_ms - deadline_ms
     }
 
+    /// Whether a prompt of a route lets longer ones of it go first.
+    pub fn yields_to_longer(&self, route: &str, tokens: f64) -> bool {
+        let mut all = self.lengths.borrow_mut();
+        all.entry(route.to_owned()).or_default().yields(tokens)
+    }
+
     /// What was learned of a service's engines.
     pub fn pace(&self, service: &str) -> Pace {
         self.paces
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -226,13 +226,13 @@
             Work {
                 tokens,
                 context: f64::from(prompt.input_tokens),
-                rank: call.route.priority,
+                rank: call.rank(Urgency::OnTime),
             },
         );
         let sending = Sending {
             instance: &maker.id,
             deadline_ms: call.left_ms(self.relay.now_ms()),
-            priority: Some(call.route.priority),
+            priority: Some(call.rank(Urgency::OnTime)),
             copy_from,
             last_event: self.last_event,
             ..Sending::default()
--- a/crates/relay/src/urgency.rs
+++ b/crates/relay/src/urgency.rs
@@ -1,13 +1,31 @@
 //! Whether a generation can still be on time, and the rank that engines are told.
+//!
+//! Load pattern: in a rush the largest prompts of a route are late or refused first, since they take
+//! the longest to read and have least to spare, and their callers are the worst served of all.
+//! Among those that can be on time they go first; the others, which need a fraction of their
+//! time, mostly still fit behind them.
 
 use crate::config::Route;
 
-/// Ranks by which a request that will be late comes after its like; more than routes differ by.
-const LATE_RANKS: u8 = 4;
+/// First rank of what will be late. Engines know ten ranks; the six before it hold two for each of
+/// three priorities, so that no prompt goes behind one of a less urgent route.
+const LATE_RANK: u8 = 6;
 
 /// The last rank that engines know.
 const LAST_RANK: u8 = 9;
 
+/// Prompts shorter than this are not ordered by length, in tokens: they are read in less time than
+/// their order could save.
+const ORDERED_TOKENS: f64 = 2_000.0;
+
+/// Length from which a prompt goes first, in usual lengths of its route: about the largest tenth
+/// and half of the fifth below it, for the lengths that were seen. Over 36 days the worst served
+/// class, which is theirs, got 0.549 of its worth (0.528 before) and 0.433 (0.420).
+const LONG: f64 = 1.5;
+
+/// Weight of one prompt in the usual length of its route.
+const SMOOTHING: f64 = 0.02;
+
 /// Whether a generation can still start within its objective.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub enum Urgency {
@@ -19,11 +37,33 @@
 }
 
 impl Urgency {
-    /// Rank at an engine of a request of this route, 0 first.
-    pub fn rank(self, route: &Route) -> u8 {
+    /// Rank at an engine of a request of this route, 0 first; one that yields lets longer prompts
+    /// of its route go before it.
+    pub fn rank(self, route: &Route, yields: bool) -> u8 {
         match self {
-            Self::OnTime => route.priority,
-            Self::Late => route.priority.saturating_add(LATE_RANKS).min(LAST_RANK),
+            Self::OnTime => {
+                let rank = route
+                    .priority
+                    .saturating_mul(2)
+                    .saturating_add(yields.into());
+                rank.min(LATE_RANK - 1)
+            }
+            Self::Late => route.priority.saturating_add(LATE_RANK).min(LAST_RANK),
         }
     }
 }
+
+/// Usual length of a route's prompts.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct UsualLength {
+    tokens: Option<f64>,
+}
+
+impl UsualLength {
+    /// Takes one prompt in; gives whether it lets longer ones of its route go first.
+    pub fn yields(&mut self, tokens: f64) -> bool {
+        let usual = self.tokens.unwrap_or(tokens);
+        self.tokens = Some(usual + SMOOTHING * (tokens - usual));
+        tokens >= ORDERED_TOKENS && tokens < LONG * usual
+    }
+}
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -10,6 +10,7 @@
 use http_body_util::{BodyExt, Full};
 use relay::upstream::{Entry, InFlight, KeptParts, Queue, Reading, Stage, Standing, Work};
 use relay::upstreams::Change;
+use relay::urgency::{Urgency, UsualLength};
 
 /// A prompt of 13,000 shared tokens and 4,000 of its own.
 const LONG: &str = "7:13000,8:4000";
@@ -380,3 +381,29 @@
     again.headers_mut().insert("x-left-ms", left);
     assert_eq!(bed.get(again).await, (200, Some(events(1, 3))));
 }
+
+/// Prompts of a route are 17,000 tokens long, and some 30,000. The long ones go first among those
+/// that can be on time; short questions are not ordered, and what is late stays behind all.
+#[test]
+fn the_longest_prompts_of_a_route_go_first() {
+    let mut usual = UsualLength::default();
+    for _ in 0..50 {
+        usual.yields(17_000.0);
+    }
+    assert!(usual.yields(17_000.0));
+    assert!(!usual.yields(30_000.0));
+    assert!(!usual.yields(400.0));
+    let mut route = common::route("/grades/", relay::config::Kind::Stream, "llm");
+    let mut ranks = Vec::new();
+    for priority in [0, 1, 2, 3, 255] {
+        route.priority = priority;
+        ranks.push(Urgency::OnTime.rank(&route, false));
+        ranks.push(Urgency::OnTime.rank(&route, true));
+    }
+    assert_eq!(ranks, [0, 1, 2, 3, 4, 5, 5, 5, 5, 5]);
+    let late = [0, 1, 255].map(|priority| {
+        route.priority = priority;
+        Urgency::Late.rank(&route, false)
+    });
+    assert_eq!(late, [6, 7, 9]);
+}
