Take the prediction of reading beside output apart

Cause: decode_ms had grown to forty lines in which waits, reading and harm were one sum. Ruled out: nothing, since no behaviour changes.

Conclusion: one function each for places, pauses and reading beside.

--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -71,6 +71,9 @@
 /// 0.61 at 0.003, 0.70 and 0.64 at 0.03, 0.70 and 0.63 at 0.06, where the fewest were read again.
 const DISPLACED_MS: f64 = 0.06;
 
+/// Part of a place's time by which a batch slows its answers on the way to being full.
+const FILLING: f64 = 0.25;
+
 /// Work of one prompt that will be late, in tokens: what makes it late is mostly its length.
 const LATE_TOKENS: f64 = 40_000.0;
 
@@ -108,6 +111,17 @@
         self.new_tokens * DISPLACED_MS
     }
 
+    /// Requests there as a share of those that it runs at once.
+    fn fullness(&self) -> f64 {
+        self.requests / self.slots.max(1.0)
+    }
+
+    /// Time until a place comes free, and what a filling batch adds before none is.
+    fn place_ms(&self, place_ms: f64) -> f64 {
+        let over = (self.requests + 1.0 - self.slots).max(0.0);
+        place_ms * (over / self.slots.max(1.0) + FILLING * self.fullness())
+    }
+
     /// What is expected to be left of a prompt of a later rank that is being read.
     fn being_read_tokens(&self) -> f64 {
         self.later_tokens.min(LATE_TOKENS) * LEFT_SHARE
@@ -224,37 +238,33 @@
 
     /// Time until a decoding engine has read a prompt itself and waited for a place.
     pub fn decode_ms(&self, view: &EngineView, ask: &Ask) -> Predicted {
-        let Ask {
-            prompt_tokens,
-            place_ms,
-            gap_goal_ms,
-            event_tokens,
-        } = *ask;
-        let own = work_tokens(prompt_tokens, view.cached_tokens);
-        let fullness = view.requests / view.slots.max(1.0);
-        let beside = READ_BESIDE * (1.0 + IDLE_STEP + FULL_STEP * fullness.min(1.0));
-        let token_ms = self.token_ms * beside * view.slowness.max(1.0);
-        let over = (view.requests + 1.0 - view.slots).max(0.0);
-        let slot_wait_ms = over / view.slots.max(1.0) * place_ms;
-        let crowding_ms = fullness * place_ms * 0.25;
-        let base_ms = if own > 0.0 { self.base_ms } else { 0.0 };
-        let before = prompt_tokens.max(PIECE_TOKENS) - PIECE_TOKENS;
-        let slowness = view.slowness.max(1.0);
-        let piece_ms =
-            work_tokens(before + PIECE_TOKENS, before) * self.token_ms * READ_BESIDE * slowness;
+        let own = work_tokens(ask.prompt_tokens, view.cached_tokens);
+        let token_ms = self.token_beside_ms(view);
         let read_ms = own * token_ms;
-        let others = view.requests * SHORT + view.context_tokens / LONG_TOKENS;
-        let harm_ms = HARM
-            * others
-            * read_ms
-            * (read_ms / gap_goal_ms.max(1.0)).min(MOST_GAPS)
-            * late_share(read_ms, event_tokens * piece_ms, gap_goal_ms);
+        let base_ms = if own > 0.0 { self.base_ms } else { 0.0 };
         Predicted {
-            wait_ms: self.unread_ms(view.queued_tokens * token_ms) + slot_wait_ms + crowding_ms,
-            own_ms: 2.0 * view.distance_ms + view.copy_ms + base_ms + own * token_ms,
-            harm_ms: harm_ms + view.displacing_ms(),
+            wait_ms: self.unread_ms(view.queued_tokens * token_ms) + view.place_ms(ask.place_ms),
+            own_ms: 2.0 * view.distance_ms + view.copy_ms + base_ms + read_ms,
+            harm_ms: self.pausing_ms(view, ask, read_ms) + view.displacing_ms(),
         }
     }
+
+    /// Time of one token of work that is read beside output.
+    fn token_beside_ms(&self, view: &EngineView) -> f64 {
+        let steps = 1.0 + IDLE_STEP + FULL_STEP * view.fullness().min(1.0);
+        self.token_ms * READ_BESIDE * steps * view.slowness.max(1.0)
+    }
+
+    /// What the others at an engine lose by the pauses that a read of `read_ms` makes, weighed.
+    fn pausing_ms(&self, view: &EngineView, ask: &Ask, read_ms: f64) -> f64 {
+        let before = ask.prompt_tokens.max(PIECE_TOKENS) - PIECE_TOKENS;
+        let piece = work_tokens(before + PIECE_TOKENS, before);
+        let piece_ms = piece * self.token_ms * READ_BESIDE * view.slowness.max(1.0);
+        let others = view.requests * SHORT + view.context_tokens / LONG_TOKENS;
+        let gaps = (read_ms / ask.gap_goal_ms.max(1.0)).min(MOST_GAPS);
+        let late = late_share(read_ms, ask.event_tokens * piece_ms, ask.gap_goal_ms);
+        HARM * others * read_ms * gaps * late
+    }
 }
 
 /// How likely a prompt read beside output makes the output late, from none to surely.
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -201,6 +201,7 @@
     Ok(placement)
 }
 
+/// Counts where a prompt is read, what is held of it there, and the wait that is expected.
 fn note(relay: &Relay, call: &Call, placement: &Placement, first: &Predicted) {
     let (read, copies, held_tokens) = match placement {
         Placement::Apart(reader) => ("apart", reader.copy_from.is_some(), reader.held_tokens),
@@ -234,6 +235,8 @@
         .then(|| reader(relay, call, prompt, tried, urgency))
         .flatten();
     let after = maker(relay, call, prompt, tried, true, urgency)?.first;
+    // What a part displaces at the engine that reads apart decides among such engines only. Counted
+    // here it sent more reads beside output, and 8 instead of 5 in 100 short answers were late.
     let first_of = |reader: &Reader| Predicted {
         wait_ms: reader.read.wait_ms + after.wait_ms,
         own_ms: reader.read.own_ms + HAND_OVER_MS + after.own_ms,
