Learn fixed times from answers that did not wait, apart and beside output separately

Cause: the time that an engine takes beside the work itself was learned as one figure from the answers of engines that only read, waits of a rush included, and used for reads beside output too, where it was 123 ms too long at the median; so prompts were refused as too late that would have been in time. Now an answer teaches by its own share of its time, reads beside output have a fixed time of their own, and the time of a hand-over is learned instead of a constant 40 ms. Ruled out: the time of a token (0.0163 ms learned, 0.0163 by the sheet).

--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -8,25 +8,7 @@
 //! the instances tell each other; a part that nobody holds has a home that each derives from its
 //! id alone. See docs/design/platform.md.
 
-/// Weight that one answer has in the learned times.
-const SMOOTHING: f64 = 0.1;
-
-/// Time of a prompt token before any answer, in ms; corrected by the first answers.
-const FIRST_GUESS_MS: f64 = 0.015;
-
-/// Bounds of the learned time of a prompt token, in ms: engines read 5 to 500 tokens a ms.
-const TOKEN_MS: (f64, f64) = (0.002, 0.2);
-
-/// Work for which fixed time and reading weigh alike in learning, in tokens: a usual prompt's own
-/// part.
-const USUAL_TOKENS: f64 = 5_000.0;
-
-/// Most that one answer counts as off, in ms: waits that nobody could foresee must not be taken
-/// for the engine's pace.
-const MOST_OFF_MS: f64 = 30.0;
-
-/// Time from an idle engine's last prompt token to its answer before any was seen, in ms.
-const FIRST_BASE_MS: f64 = 80.0;
+use crate::Pace;
 
 /// Tokens whose reading costs as much as attending a million pairs of tokens. Attention grows
 /// with the square of the prompt; for two fleets of different engines the ratio was 32 and 41.
@@ -173,67 +155,14 @@
     own + pairs / 1e6 * TOKENS_A_MILLION_PAIRS
 }
 
-/// What was learned of the engines of one service.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Pace {
-    token_ms: f64,
-    base_ms: f64,
-}
-
-impl Default for Pace {
-    fn default() -> Self {
-        Self {
-            token_ms: FIRST_GUESS_MS,
-            base_ms: FIRST_BASE_MS,
-        }
-    }
-}
-
 impl Pace {
-    /// A prompt was read after `elapsed_ms`, with `tokens` of work, its own and that before it.
-    ///
-    /// The error is shared out between the fixed time and the time of a token by how much each
-    /// has to do with this answer (normalised least mean squares).
-    pub fn learn(&mut self, tokens: f64, elapsed_ms: f64) {
-        let off_ms = elapsed_ms - self.base_ms - tokens * self.token_ms;
-        let off_ms = off_ms.clamp(-MOST_OFF_MS, MOST_OFF_MS);
-        let length = tokens / USUAL_TOKENS;
-        let step_ms = SMOOTHING * off_ms / (1.0 + length * length);
-        self.base_ms = (self.base_ms + step_ms).max(0.0);
-        let token_ms = self.token_ms + step_ms * length / USUAL_TOKENS;
-        self.token_ms = token_ms.clamp(TOKEN_MS.0, TOKEN_MS.1);
-    }
-
-    /// Time of one token of work, in ms.
-    pub fn token_ms(&self) -> f64 {
-        self.token_ms
-    }
-
-    /// Fixed time of an answer, in ms.
-    pub fn base_ms(&self) -> f64 {
-        self.base_ms
-    }
-
-    /// Time to read what is really still to be read of the work at an engine.
-    ///
-    /// A prompt counts as unread until its answer begins, which is the fixed time after it was
-    /// read. So as much as an engine reads in that time is read already, and is not waited for.
-    fn unread_ms(&self, queued_ms: f64) -> f64 {
-        (queued_ms - self.base_ms).max(0.0)
-    }
-
-    /// The same in tokens, for an engine that does nothing but read.
-    pub fn unread_tokens(&self, queued_tokens: f64) -> f64 {
-        self.unread_ms(queued_tokens * self.token_ms) / self.token_ms
-    }
-
     /// Time until an engine that only reads prompts has read this one.
     pub fn prefill_ms(&self, view: &EngineView, prompt_tokens: f64) -> Predicted {
         let own = work_tokens(prompt_tokens, view.cached_tokens);
-        let token_ms = self.token_ms * view.slowness.max(1.0);
+        let token_ms = self.token_ms() * view.slowness.max(1.0);
         Predicted {
-            wait_ms: self.unread_ms((view.queued_tokens + view.being_read_tokens()) * token_ms),
-            own_ms: 2.0 * view.distance_ms + view.copy_ms + self.base_ms + own * token_ms,
+            wait_ms: self.unread_tokens(view.queued_tokens + view.being_read_tokens()) * token_ms,
+            own_ms: 2.0 * view.distance_ms + view.copy_ms + self.base_ms() + own * token_ms,
             harm_ms: view.displacing_ms(),
         }
     }
@@ -243,25 +172,34 @@
         let own = work_tokens(ask.prompt_tokens, view.cached_tokens);
         let token_ms = self.token_beside_ms(view);
         let read_ms = own * token_ms;
-        let base_ms = if own > 0.0 { self.base_ms } else { 0.0 };
+        let fixed_ms = if own > 0.0 {
+            self.beside_ms()
+        } else {
+            self.hand_over_ms()
+        };
         Predicted {
-            wait_ms: self.unread_ms(view.queued_tokens * token_ms) + view.place_ms(ask.place_ms),
-            own_ms: 2.0 * view.distance_ms + view.copy_ms + base_ms + read_ms,
+            wait_ms: self.unread_beside_ms(view, token_ms) + view.place_ms(ask.place_ms),
+            own_ms: 2.0 * view.distance_ms + view.copy_ms + fixed_ms + read_ms,
             harm_ms: self.pausing_ms(view, ask, read_ms) + view.displacing_ms(),
         }
     }
 
+    /// Time to read what is really still to be read at an engine that makes output.
+    fn unread_beside_ms(&self, view: &EngineView, token_ms: f64) -> f64 {
+        (view.queued_tokens * token_ms - self.beside_ms()).max(0.0)
+    }
+
     /// Time of one token of work that is read beside output.
     fn token_beside_ms(&self, view: &EngineView) -> f64 {
         let steps = 1.0 + IDLE_STEP + FULL_STEP * view.fullness().min(1.0);
-        self.token_ms * READ_BESIDE * steps * view.slowness.max(1.0)
+        self.token_ms() * READ_BESIDE * steps * view.slowness.max(1.0)
     }
 
     /// What the others at an engine lose by the pauses that a read of `read_ms` makes, weighed.
     fn pausing_ms(&self, view: &EngineView, ask: &Ask, read_ms: f64) -> f64 {
         let before = ask.prompt_tokens.max(PIECE_TOKENS) - PIECE_TOKENS;
         let piece = work_tokens(before + PIECE_TOKENS, before);
-        let piece_ms = piece * self.token_ms * READ_BESIDE * view.slowness.max(1.0);
+        let piece_ms = piece * self.token_ms() * READ_BESIDE * view.slowness.max(1.0);
         let others = view.requests * SHORT + view.context_tokens / LONG_TOKENS;
         let gaps = (read_ms / ask.gap_goal_ms.max(1.0)).min(MOST_GAPS);
         let late = late_share(read_ms, ask.event_tokens * piece_ms, ask.gap_goal_ms);
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -77,6 +77,7 @@
     );
     let copy_from = maker.copy_from.as_ref().map(|holder| holder.address);
     let held_tokens = maker.held_tokens;
+    let first = maker.first;
     let maker = &maker.engine;
     let mut sending = Sending {
         instance: &maker.id,
@@ -89,6 +90,7 @@
     };
     let began_ms = relay.now_ms();
     let mut sent = send(relay, call, maker, &sending).await;
+    let mut is_handed = kv.is_some();
     if let Some(handed) = kv {
         match sent {
             Sent::Answer(_) | Sent::Lost(_) => handed.taken(),
@@ -96,6 +98,7 @@
                 // The handle lapsed or could not be fetched. The same engine can still read the
                 // prompt itself.
                 sending.kv = None;
+                is_handed = false;
                 sending.deadline_ms = call.left_ms(relay.now_ms());
                 sent = send(relay, call, maker, &sending).await;
             }
@@ -109,11 +112,14 @@
         let took_ms = (relay.now_ms() - began_ms) as f64;
         if relay.served_lines.take(relay.now_ms()) {
             log::info!(
-                request = call.id(), upstream = maker.id, predicted_ms, took_ms, apart = kv.is_some(),
+                request = call.id(), upstream = maker.id, predicted_ms, took_ms, apart = is_handed,
                 prompt_tokens = prompt.input_tokens, held_tokens,
                 load = maker.load(relay.now_ms()); "output begun"
             );
         }
+        relay
+            .learned
+            .began(&call.service, &first, is_handed, took_ms);
         let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
         maker.answered(relay.now_ms(), predicted_ms, took_ms);
     }
--- a/crates/relay/src/learned.rs
+++ b/crates/relay/src/learned.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
-use plan::Pace;
+use plan::{Pace, Predicted, Seen};
 
 use crate::patience::Patience;
 use crate::urgency::UsualLength;
@@ -26,12 +26,27 @@
         paces.get(service).copied().unwrap_or_default()
     }
 
-    /// An engine of a service took `elapsed_ms` to read `own_tokens` behind `queued_tokens`.
-    pub fn read(&self, service: &str, own_tokens: f64, queued_tokens: f64, elapsed_ms: f64) {
+    /// An engine of a service that does nothing else has read a prompt.
+    pub fn read(&self, service: &str, seen: &Seen) {
+        self.adjust(service, |pace| pace.learn(seen));
+    }
+
+    /// An engine of a service began output after `took_ms` where `first` was predicted, having read
+    /// the prompt itself or got it from another one.
+    pub fn began(&self, service: &str, first: &Predicted, is_handed: bool, took_ms: f64) {
+        let off_ms = took_ms - first.total_ms();
+        self.adjust(service, |pace| {
+            if is_handed {
+                pace.learn_hand_over(off_ms);
+            } else {
+                pace.learn_beside(off_ms, first.wait_ms, first.own_ms);
+            }
+        });
+    }
+
+    fn adjust(&self, service: &str, learn: impl FnOnce(&mut Pace)) {
         let mut paces = self.paces.borrow_mut();
-        let pace = paces.entry(service.to_owned()).or_default();
-        let tokens = own_tokens + pace.unread_tokens(queued_tokens);
-        pace.learn(tokens, elapsed_ms);
+        learn(paces.entry(service.to_owned()).or_default());
     }
 
     /// How long a caller had waited before this attempt, as far as its deadline tells.
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -22,10 +22,6 @@
 /// served today.
 pub const PLAIN_MS: f64 = 15.0;
 
-/// Time to hand a prompt's KV cache from one engine to another, in ms, as seen with 17,000
-/// tokens on links of hundreds of Gbit/s.
-const HAND_OVER_MS: f64 = 40.0;
-
 /// Part of an answer's time that a full set of places adds to it, before anything waits.
 const FILLING: f64 = 0.3;
 
@@ -239,7 +235,7 @@
     // here it sent more reads beside output, and 8 instead of 5 in 100 short answers were late.
     let first_of = |reader: &Reader| Predicted {
         wait_ms: reader.read.wait_ms + after.wait_ms,
-        own_ms: reader.read.own_ms + HAND_OVER_MS + after.own_ms,
+        own_ms: reader.read.own_ms + after.own_ms,
         harm_ms: after.harm_ms,
     };
     let apart = apart.map(|reader| (first_of(&reader), reader));
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -7,6 +7,7 @@
 use http::{Response, StatusCode, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use plan::Seen;
 
 use crate::call::Call;
 use crate::dialect::{KvHandle, Prompt, Sending, Step};
@@ -149,12 +150,12 @@
                 "prompt read"
             );
         }
-        relay.learned.read(
-            &call.service,
+        let seen = Seen {
             own_tokens,
-            (before - own_tokens).max(0.0),
-            took_ms,
-        );
+            queued_tokens: (before - own_tokens).max(0.0),
+            elapsed_ms: took_ms,
+        };
+        relay.learned.read(&call.service, &seen);
         reader.answered(relay.now_ms(), read_ms, took_ms);
         let labels = [call.service.as_str()];
         let histogram = relay.metrics.prefill_s.with_label_values(&labels);
