Count the pause that queued reads make together

Cause: late answers came from pauses more than from late starts: of 711 late profile-explain answers 655 had a pause over the objective. A read beside output was weighed by itself, though reads one after the other make one pause; two short ones were piled on one engine and made all its answers late.

--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -23,19 +23,8 @@
 const IDLE_STEP: f64 = 0.3;
 const FULL_STEP: f64 = 0.7;
 
-/// Weight of the time for which each other request of a decoding engine pauses while a prompt is
-/// read there. A pause over the objective makes a whole answer late, so it weighs more than the
-/// same time before a start.
-const HARM: f64 = 0.35;
-
-/// Part of the harm that counts for every request, however short.
-const SHORT: f64 = 0.3;
-
-/// Context of a request that counts in full, in tokens.
-const LONG_TOKENS: f64 = 10_000.0;
-
-/// Pauses over the objective beyond which a longer read does no more harm.
-const MOST_GAPS: f64 = 3.0;
+/// What one answer that a pause makes late counts as, in ms of another one's time.
+const LATE_MS: f64 = 100.0;
 
 /// Prompt tokens that an engine reads between two tokens of output: a quarter of the piece in
 /// which it reads when it does nothing else, as the users' sheets have it.
@@ -196,14 +185,17 @@
     }
 
     /// What the others at an engine lose by the pauses that a read of `read_ms` makes, weighed.
+    ///
+    /// Prompts that are read one after the other make one long pause, so what is still to be read
+    /// there counts with this one: the read that makes the pause too long pays for all of it.
     fn pausing_ms(&self, view: &EngineView, ask: &Ask, read_ms: f64) -> f64 {
         let before = ask.prompt_tokens.max(PIECE_TOKENS) - PIECE_TOKENS;
         let piece = work_tokens(before + PIECE_TOKENS, before);
-        let piece_ms = piece * self.token_ms() * READ_BESIDE * view.slowness.max(1.0);
-        let others = view.requests * SHORT + view.context_tokens / LONG_TOKENS;
-        let gaps = (read_ms / ask.gap_goal_ms.max(1.0)).min(MOST_GAPS);
-        let late = late_share(read_ms, ask.event_tokens * piece_ms, ask.gap_goal_ms);
-        HARM * others * read_ms * gaps * late
+        let token_ms = self.token_beside_ms(view);
+        let event_ms = ask.event_tokens * piece * token_ms;
+        let queued_ms = view.queued_tokens * token_ms;
+        let late = |read_ms: f64| late_share(read_ms, event_ms, ask.gap_goal_ms);
+        LATE_MS * view.requests * (late(queued_ms + read_ms) - late(queued_ms))
     }
 }
 
