Order engines to other roles, each order appended to the store's log first

Cause: a third of the engines read while the mix asks for half: the largest lever that was measured.

--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -7,10 +7,12 @@
 mod desk;
 mod elector;
 mod guard;
+mod turns;
 
 pub use desk::{Desk, EngineReport, Move, Send, Wish};
 pub use elector::{Action, Authority, Elector, Identity, Times};
 pub use guard::{Guard, HELD_BACK_MS, Watch};
+pub use turns::{Ticket, Turns};
 
 /// Bound on how much faster one instance's monotonic clock may run than another's.
 ///
--- /dev/null
+++ b/crates/lease/src/turns.rs
@@ -0,0 +1,101 @@
+//! Who may give the next order, told from a log that appends under a condition.
+//!
+//! No instance holds a lease that has to be renewed. Each order is first appended to one log, on
+//! the condition that the log ends where this instance has read to; the offset is its fencing token.
+//! Whoever has read another holder's order stays quiet for as long as that order could still be on
+//! its way, and for the time in which engines must not hear two holders. See docs/design/orders.md.
+
+/// Time from before an order is appended in which it may be sent, in ms: a store's slow answer, and
+/// a question to the engine.
+const SEND_MS: u64 = 1_500;
+
+/// Time after which nothing that was sent is still on its way, in ms: the kernel drops a connection
+/// whose bytes stay unacknowledged for 4 s, and a packet lives for far less in one region.
+const UNDERWAY_MS: u64 = 5_000;
+
+/// The right to send one order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Ticket {
+    /// Fencing token, greater than that of each order before.
+    pub fence: u64,
+    /// Time since boot after which no byte of the order may leave.
+    pub until_ms: u64,
+}
+
+impl Ticket {
+    /// Whether the order may be sent now.
+    ///
+    /// A process that was suspended between its append and its send would give an order that its
+    /// successor's has overtaken. Times since boot count the suspension.
+    pub fn is_valid(&self, since_boot_ms: u64) -> bool {
+        since_boot_ms < self.until_ms
+    }
+}
+
+/// What one holder, which is one life of a process, knows of the log of orders.
+///
+/// All times are since boot, so that a suspended process does not take its own pause for quiet.
+#[derive(Debug, Clone)]
+pub struct Turns {
+    holder: u64,
+    lease_ms: u64,
+    end: Option<u64>,
+    other_ms: Option<u64>,
+}
+
+impl Turns {
+    /// For a holder that has read nothing, where orders of two holders must be `lease_ms` apart.
+    pub fn new(holder: u64, lease_ms: u64) -> Self {
+        Self {
+            holder,
+            lease_ms,
+            end: None,
+            other_ms: None,
+        }
+    }
+
+    /// Number that tells this holder's orders from those of others.
+    pub fn holder(&self) -> u64 {
+        self.holder
+    }
+
+    /// Where the log ended when it was last read; nothing if that is not known.
+    pub fn end(&self) -> Option<u64> {
+        self.end
+    }
+
+    /// The log was read up to `end`; these holders' orders were in it.
+    pub fn read(&mut self, since_boot_ms: u64, holders: impl IntoIterator<Item = u64>, end: u64) {
+        self.end = Some(end);
+        if holders.into_iter().any(|holder| holder != self.holder) {
+            self.other_ms = Some(since_boot_ms);
+        }
+    }
+
+    /// The end of the log is no longer known: an append was not answered, or another one was first.
+    pub fn lost_end(&mut self) {
+        self.end = None;
+    }
+
+    /// Records may have been passed over unread, which may have been another holder's.
+    pub fn lost_history(&mut self, since_boot_ms: u64) {
+        self.end = None;
+        self.other_ms = Some(since_boot_ms);
+    }
+
+    /// Offset at which the log must end for this holder's order to be appended now.
+    pub fn may_append(&self, since_boot_ms: u64) -> Option<u64> {
+        let quiet_ms = SEND_MS + UNDERWAY_MS + self.lease_ms;
+        let is_quiet = |other_ms: u64| since_boot_ms >= other_ms + quiet_ms;
+        self.end.filter(|_| self.other_ms.is_none_or(is_quiet))
+    }
+
+    /// An order whose append was asked for at `asked_ms` stands in the log at an offset.
+    pub fn appended(&mut self, asked_ms: u64, offset: u64) -> Ticket {
+        self.end = Some(offset + 1);
+        Ticket {
+            fence: offset + 1,
+            until_ms: asked_ms + SEND_MS,
+        }
+    }
+}
--- /dev/null
+++ b/crates/plan/src/split.rs
@@ -0,0 +1,169 @@
+//! How many engines of a service read prompts and how many make output.
+//!
+//! Load pattern: the fleet comes with a third of its engines reading, and the mix asks for more than
+//! half. For the whole day prompts then wait at some engines while places stay free at the others,
+//! or are read beside output and make it pause. A change takes an engine away for seconds, so the
+//! split follows what stands for long and not the swings of seconds. See docs/design/roles.md.
+
+/// Time over which what is asked is averaged, in ms: longer than the swings that are to be borne,
+/// short enough that a split which is wrong from the start is seen within seconds.
+const MEMORY_MS: f64 = 4_000.0;
+
+/// Share of its time for which an engine may read before prompts wait too long: at two thirds,
+/// with prompts of very uneven length, they wait for about as long as they are read.
+const READING_SHARE: f64 = 0.66;
+
+/// Share of its places that an engine for output may fill: the rest is for clumps, for the engine
+/// beside it that fails, and because a fuller batch makes each token later.
+const MAKING_SHARE: f64 = 0.4;
+
+/// Pressure below which no engine changes, however uneven the split: nobody waits.
+const PRESSED: f64 = 0.8;
+
+/// Engines that the split must be off by before one changes; one more or less gains little, and the
+/// estimate wavers by as much.
+const OFF_BY: usize = 2;
+
+/// Time for which the same side must be short before an engine changes, in ms.
+const SETTLE_MS: u64 = 1_500;
+
+/// The same after a change in the other direction, in ms: several times what a change takes, so that
+/// swings do not move engines to and fro.
+const RETURN_MS: u64 = 12_000;
+
+/// Share of a service's engines that may be away for a change at once.
+const AWAY_SHARE: f64 = 0.17;
+
+/// Average of what is asked in a ms, over the last seconds.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Rate {
+    sum: f64,
+    at_ms: u64,
+    since_ms: Option<u64>,
+}
+
+impl Rate {
+    /// An amount was asked for.
+    pub fn add(&mut self, now_ms: u64, amount: f64) {
+        let since_ms = *self.since_ms.get_or_insert(now_ms);
+        self.sum = self.faded(now_ms) + amount;
+        self.at_ms = now_ms.max(since_ms);
+    }
+
+    fn faded(&self, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        self.sum * (-age_ms / MEMORY_MS).exp()
+    }
+
+    /// Amount a ms; what was before the first one does not count as idle time.
+    pub fn a_ms(&self, now_ms: u64) -> f64 {
+        let Some(since_ms) = self.since_ms else {
+            return 0.0;
+        };
+        let seen_ms = now_ms.saturating_sub(since_ms).max(1) as f64;
+        let window_ms = MEMORY_MS * (1.0 - (-seen_ms / MEMORY_MS).exp());
+        self.faded(now_ms) / window_ms
+    }
+
+    /// Time since the first amount.
+    pub fn seen_ms(&self, now_ms: u64) -> u64 {
+        self.since_ms
+            .map_or(0, |since_ms| now_ms.saturating_sub(since_ms))
+    }
+}
+
+/// What is asked of all engines of a service, each counted as if it did nothing else.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Demand {
+    /// Engines that would read without a pause.
+    pub reading: f64,
+    /// Engines whose places would all be taken.
+    pub making: f64,
+}
+
+/// The engines of a service by what they do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Split {
+    /// Those that read.
+    pub readers: usize,
+    /// Those that make output.
+    pub makers: usize,
+    /// Those that are away for a change; they count where they go to.
+    pub away: usize,
+}
+
+/// One engine's change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// One that makes output is to read.
+    ToReading,
+    /// One that reads is to make output.
+    ToMaking,
+}
+
+impl Demand {
+    /// How hard the side is pressed that is pressed most; 1 is as much as it should bear.
+    fn pressure(&self, readers: usize, makers: usize) -> f64 {
+        let reading = self.reading / readers.max(1) as f64 / READING_SHARE;
+        let making = self.making / makers.max(1) as f64 / MAKING_SHARE;
+        reading.max(making)
+    }
+}
+
+/// Engines that should read: the split at which the side that is pressed most is pressed least.
+pub fn readers_wanted(demand: &Demand, engines: usize) -> usize {
+    let pressure = |readers: &usize| demand.pressure(*readers, engines - readers);
+    let all = 1..engines;
+    all.min_by(|a, b| pressure(a).total_cmp(&pressure(b)))
+        .unwrap_or(1)
+}
+
+/// Decides on changes of one service's engines.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct SplitPlan {
+    wish: Option<(Turn, u64)>,
+    last: Option<(Turn, u64)>,
+}
+
+impl SplitPlan {
+    /// The change that is worth its price now.
+    pub fn next(&mut self, now_ms: u64, demand: &Demand, split: &Split) -> Option<Turn> {
+        let engines = split.readers + split.makers;
+        let turn = wished(demand, split);
+        let since_ms = match (turn, self.wish) {
+            (Some(turn), Some((same, since_ms))) if same == turn => since_ms,
+            _ => now_ms,
+        };
+        self.wish = turn.map(|turn| (turn, since_ms));
+        let turn = turn?;
+        let settle_ms = match self.last {
+            Some((last, at_ms)) if last != turn && now_ms < at_ms + RETURN_MS => RETURN_MS,
+            _ => SETTLE_MS,
+        };
+        let most_away = ((engines as f64 * AWAY_SHARE) as usize).max(1);
+        let may = now_ms >= since_ms + settle_ms && split.away < most_away;
+        may.then_some(turn)
+    }
+
+    /// A change was ordered.
+    pub fn ordered(&mut self, now_ms: u64, turn: Turn) {
+        self.last = Some((turn, now_ms));
+    }
+}
+
+/// The change that would better the split, however long it has been wrong; the last engine of a
+/// kind stays what it is.
+fn wished(demand: &Demand, split: &Split) -> Option<Turn> {
+    let engines = split.readers + split.makers;
+    if engines < 3 || demand.pressure(split.readers, split.makers) < PRESSED {
+        return None;
+    }
+    let wanted = readers_wanted(demand, engines);
+    if wanted >= split.readers + OFF_BY && split.makers > 1 {
+        return Some(Turn::ToReading);
+    }
+    if wanted + OFF_BY <= split.readers && split.readers > 1 {
+        return Some(Turn::ToMaking);
+    }
+    None
+}
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -5,6 +5,9 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
 
+use crate::orders::Order;
+use crate::upstream::Stage;
+
 /// A part of a prompt that requests may share.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Part {
@@ -102,6 +105,17 @@
     pub load: Option<ToldLoad>,
 }
 
+/// What an engine says of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct EngineReport {
+    /// What it does of a generation.
+    pub stage: Stage,
+    /// Whether it is carrying out an order.
+    pub is_busy: bool,
+    /// Orders that it has taken since its start.
+    pub orders: u64,
+}
+
 /// Reads and writes one deployment's headers, paths and small bodies.
 pub trait Dialect {
     /// Reads a request's head.
@@ -118,6 +132,14 @@
     fn prefilled(&self, body: &[u8]) -> Option<String>;
     /// The call that frees a KV cache which nobody will take.
     fn free(&self, handle: &KvHandle) -> (Method, String);
+    /// Path at which an engine reports on itself.
+    fn report_path(&self) -> &str;
+    /// Reads an engine's report.
+    fn reported(&self, body: &[u8]) -> Option<EngineReport>;
+    /// Path and body of an order to an engine.
+    fn order(&self, order: &Order) -> (String, Vec<u8>);
+    /// Names the incarnation that alone may take a call.
+    fn expect(&self, headers: &mut HeaderMap, instance: &str);
     /// Path at which instances say whether they are ready.
     fn ready_path(&self) -> &str;
     /// Path at which callers ask for addresses.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -62,7 +62,9 @@
     loop {
         actix_rt::time::sleep(Duration::from_millis(PERIOD_MS)).await;
         let telling = relay.telling();
-        let is_busy = !telling.outstanding.is_empty() || !telling.reads.is_empty();
+        let is_busy = !telling.outstanding.is_empty()
+            || !telling.reads.is_empty()
+            || !telling.turning.is_empty();
         // The first empty telling clears what others hold against us; further ones only say that
         // we live.
         if is_busy || idle % IDLE_PERIODS == 0 {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod leaving;
 pub mod members;
 pub mod metrics;
+pub mod orders;
 pub mod patience;
 pub mod place;
 pub mod pool;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -25,6 +25,8 @@
     pub wait_s: HistogramVec,
     /// Time from a send to the answer's head, by service.
     pub upstream_s: HistogramVec,
+    /// Orders to engines, by what came of them.
+    pub orders: IntCounterVec,
     /// Repeats that are left in the window, by service.
     pub repeats_left: IntGaugeVec,
     /// Log lines left out since the start, by kind.
@@ -89,6 +91,7 @@
             answers: counter("answers_total", "Whole answers.", &["route", "in_time"]),
             refusals: counter("refusals_total", "Not served.", &["route", "reason"]),
             placed: counter("placed_total", "Prompts.", &["service", "read", "held"]),
+            orders: counter("orders_total", "Orders to engines.", &["outcome"]),
             own_s: histogram("own_seconds", "Time to the first send.", &["route"]),
             wait_s: histogram("wait_seconds", "Predicted wait.", &["service"]),
             upstream_s: histogram("upstream_seconds", "Send to head.", &["service"]),
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -109,6 +109,7 @@
     let all: Vec<Rc<Upstream>> = upstreams
         .ready(&call.service, now_ms)
         .filter(|each| stages.contains(&each.stage()) && !tried.contains(&each.id))
+        .filter(|each| !each.is_turning(now_ms))
         .cloned()
         .collect();
     // A probe may meet a failing upstream, so only what can be repeated is spent on it.
@@ -171,6 +172,7 @@
     let goal_ms = call.route.goal_ms as f64;
     let waited_ms = call.waited_ms as f64;
     let (placement, first) = best(relay, call, prompt, tried, Urgency::OnTime)?;
+    note_asked(relay, call, &placement);
     if first.total_ms() <= goal_ms * ON_TIME_SHARE - waited_ms {
         note(relay, call, &placement, &first);
         return Ok(placement);
@@ -197,6 +199,16 @@
     Ok(placement)
 }
 
+/// Counts what a request asks of the engines, whether it will be served or not.
+fn note_asked(relay: &Relay, call: &Call, placement: &Placement) {
+    let tokens = match placement {
+        Placement::Apart(reader) => reader.tokens,
+        Placement::Whole(maker) => maker.tokens,
+    };
+    let read_ms = tokens * relay.learned.pace(&call.service).token_ms();
+    relay.orders.asked(&call.service, relay.now_ms(), read_ms);
+}
+
 /// Counts where a prompt is read, what is held of it there, and the wait that is expected.
 fn note(relay: &Relay, call: &Call, placement: &Placement, first: &Predicted) {
     let (read, copies, held_tokens) = match placement {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -14,6 +14,7 @@
 use crate::learned::Learned;
 use crate::members::{Member, Members};
 use crate::metrics::Metrics;
+use crate::orders::Orders;
 use crate::state::{Asked, State};
 use crate::telling::Telling;
 use crate::upstreams::{Change, Effect, Upstreams};
@@ -41,6 +42,8 @@
     pub repeats: RepeatTerms,
     /// Longest time that callers may keep an answer of the directory, in ms.
     pub addresses_ttl_ms: u64,
+    /// Time by which orders of two instances to one engine must be apart, in ms.
+    pub lease_ms: u64,
 }
 
 /// How far a process has come on its way out.
@@ -87,6 +90,8 @@
     repeats: RefCell<HashMap<String, Repeats>>,
     /// What answers and requests have taught.
     pub learned: Learned,
+    /// Orders to engines.
+    pub orders: Orders,
 }
 
 impl Relay {
@@ -94,6 +99,7 @@
     pub fn new(settings: Settings, dialect: Rc<dyn Dialect>, clock: Clock) -> Rc<Self> {
         let metrics = Metrics::new(&settings.name, &settings.zone);
         let upstreams = Upstreams::new(&settings.zone, clock);
+        let orders = Orders::new(settings.lease_ms);
         Rc::new(Self {
             settings: RefCell::new(settings),
             dialect,
@@ -113,6 +119,7 @@
             config: RefCell::default(),
             repeats: RefCell::default(),
             learned: Learned::default(),
+            orders,
         })
     }
 
@@ -287,6 +294,10 @@
                 .filter_map(|each| each.outstanding())
                 .collect(),
             reads: self.reads.borrow_mut().take(),
+            turning: upstreams
+                .iter()
+                .filter_map(|each| each.turning_told(self.now_ms()))
+                .collect(),
         }
     }
 
@@ -300,6 +311,11 @@
             let told = telling.outstanding.iter().find(|each| each.upstream == id);
             upstream.peer_has(now_ms, &telling.from, told);
         }
+        for turning in &telling.turning {
+            if let Some(upstream) = upstreams.get(&turning.upstream) {
+                upstream.turns_to(now_ms, turning.stage, turning.left_ms.into(), false);
+            }
+        }
         for read in &telling.reads {
             if let Some(upstream) = upstreams.get(&read.upstream) {
                 let kv_tokens = self.engine_limits(&upstream.service).kv_tokens;
--- a/crates/relay/src/telling.rs
+++ b/crates/relay/src/telling.rs
@@ -9,10 +9,10 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
-use crate::upstream::{Queue, RANKS, Reading};
+use crate::upstream::{Queue, RANKS, Reading, Stage};
 
 /// First byte of a telling; another form has another one.
-const FORM: u8 = 2;
+const FORM: u8 = 3;
 
 /// What one instance has outstanding at one upstream.
 #[derive(Debug, Clone, PartialEq)]
@@ -40,6 +40,17 @@
     pub reading: Reading,
 }
 
+/// An engine that was ordered to another stage.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Turning {
+    /// The engine's incarnation.
+    pub upstream: String,
+    /// What it is to do.
+    pub stage: Stage,
+    /// Time for which it gets no work, unless the list says before that it is there, in ms.
+    pub left_ms: u32,
+}
+
 /// One telling.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Telling {
@@ -49,6 +60,8 @@
     pub outstanding: Vec<Outstanding>,
     /// Parts that it had read lately.
     pub reads: Vec<Read>,
+    /// Engines that it has ordered to another stage.
+    pub turning: Vec<Turning>,
 }
 
 /// Why a datagram is no telling.
@@ -93,12 +106,20 @@
     is_done: bool,
 }
 
+#[derive(Serialize, Deserialize)]
+struct WireTurning {
+    upstream: u16,
+    stage: Stage,
+    left_ms: u32,
+}
+
 #[derive(Serialize, Deserialize)]
 struct WireTelling {
     from: String,
     upstreams: Vec<String>,
     outstanding: Vec<WireOutstanding>,
     reads: Vec<WireRead>,
+    turning: Vec<WireTurning>,
 }
 
 /// Writes a telling.
@@ -123,7 +144,9 @@
     fn try_from(telling: &Telling) -> Result<Self, TellingError> {
         let outstanding = telling.outstanding.iter().map(|each| &each.upstream);
         let reads = telling.reads.iter().map(|each| &each.upstream);
-        let mut upstreams: Vec<String> = outstanding.chain(reads).cloned().collect();
+        let turning = telling.turning.iter().map(|each| &each.upstream);
+        let named = outstanding.chain(reads).chain(turning);
+        let mut upstreams: Vec<String> = named.cloned().collect();
         upstreams.sort_unstable();
         upstreams.dedup();
         let crowded = TellingError::Crowded {
@@ -155,6 +178,15 @@
                     is_done: each.reading == Reading::Done,
                 })
                 .collect(),
+            turning: telling
+                .turning
+                .iter()
+                .map(|each| WireTurning {
+                    upstream: index(&each.upstream),
+                    stage: each.stage,
+                    left_ms: each.left_ms,
+                })
+                .collect(),
             upstreams,
         })
     }
@@ -189,10 +221,18 @@
                 },
             })
         });
+        let turning = wire.turning.into_iter().map(|each| {
+            Ok(Turning {
+                upstream: name(each.upstream)?,
+                stage: each.stage,
+                left_ms: each.left_ms,
+            })
+        });
         Ok(Self {
             from: wire.from,
             outstanding: outstanding.collect::<Result<_, TellingError>>()?,
             reads: reads.collect::<Result<_, TellingError>>()?,
+            turning: turning.collect::<Result<_, TellingError>>()?,
         })
     }
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -15,7 +15,7 @@
 
 use crate::dialect::ToldLoad;
 use crate::pool::Pool;
-use crate::telling::Outstanding;
+use crate::telling::{self, Outstanding};
 
 pub use entry::{Entry, Stage, Standing};
 pub use kept::{KeptParts, LEAST_TOKENS, Reading};
@@ -49,6 +49,14 @@
     at_ms: u64,
 }
 
+/// An order to change its stage that it has, or may have.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Turning {
+    stage: Stage,
+    until_ms: u64,
+    is_own: bool,
+}
+
 /// What another instance has outstanding here.
 #[derive(Debug, Clone, Copy, Default)]
 struct PeerLoad {
@@ -75,6 +83,8 @@
     /// Its connections.
     pub pool: Rc<Pool>,
     clock: Clock,
+    joined_ms: u64,
+    turning: Cell<Option<Turning>>,
     standing: Cell<Standing>,
     stage: Cell<Stage>,
     seq: Cell<u64>,
@@ -101,6 +111,8 @@
             distance_ms,
             slots: entry.slots.max(1),
             pool: Pool::new(entry.address, clock),
+            joined_ms: clock.now_ms(),
+            turning: Cell::default(),
             clock,
             standing: Cell::new(entry.standing),
             stage: Cell::new(entry.stage),
@@ -128,6 +140,52 @@
         self.stage.get()
     }
 
+    /// It was ordered to another stage, and is away until the list says that it is there or
+    /// `for_ms` have passed; `is_own` if this instance ordered it.
+    pub fn turns_to(&self, now_ms: u64, stage: Stage, for_ms: u64, is_own: bool) {
+        self.turning.set(Some(Turning {
+            stage,
+            until_ms: now_ms + for_ms,
+            is_own,
+        }));
+    }
+
+    /// It was not ordered to another stage after all.
+    pub fn stays(&self) {
+        self.turning.set(None);
+    }
+
+    /// Where it was ordered to by this instance, to be told to others.
+    pub fn turning_told(&self, now_ms: u64) -> Option<telling::Turning> {
+        let turning = self.turning(now_ms)?;
+        turning.is_own.then(|| telling::Turning {
+            upstream: self.id.clone(),
+            stage: turning.stage,
+            left_ms: (turning.until_ms - now_ms) as u32,
+        })
+    }
+
+    fn turning(&self, now_ms: u64) -> Option<Turning> {
+        let turning = self.turning.get()?;
+        (turning.stage != self.stage() && now_ms < turning.until_ms).then_some(turning)
+    }
+
+    /// Whether it is on its way to another stage.
+    pub fn is_turning(&self, now_ms: u64) -> bool {
+        self.turning(now_ms).is_some()
+    }
+
+    /// Its stage, or the one that it is on its way to.
+    pub fn stage_wanted(&self, now_ms: u64) -> Stage {
+        let turning = self.turning(now_ms);
+        turning.map_or_else(|| self.stage(), |turning| turning.stage)
+    }
+
+    /// Time since it was first heard of.
+    pub fn age_ms(&self, now_ms: u64) -> u64 {
+        now_ms.saturating_sub(self.joined_ms)
+    }
+
     /// Takes over what the list says now; gives whether anything changed.
     ///
     /// An entry that was written earlier may come later. It is passed over, and an incarnation
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -363,6 +363,7 @@
             slack: 50.0,
         },
         addresses_ttl_ms: 2_000,
+        lease_ms: 3_000,
     }
 }
 
--- a/crates/tick/src/lib.rs
+++ b/crates/tick/src/lib.rs
@@ -37,6 +37,21 @@
     }
 }
 
+/// Time since the machine booted, in ms, that also counts while the process or machine is suspended.
+///
+/// What was allowed for a time must be over after a suspension of that length, and the steady clock
+/// does not tell it.
+pub fn since_boot_ms() -> u64 {
+    let mut now = libc::timespec {
+        tv_sec: 0,
+        tv_nsec: 0,
+    };
+    // SAFETY: the pointer is to a valid timespec, which the call fills in.
+    let status = unsafe { libc::clock_gettime(libc::CLOCK_BOOTTIME, &raw mut now) };
+    debug_assert_eq!(status, 0, "the clock is there on every Linux");
+    now.tv_sec.cast_unsigned() * 1_000 + now.tv_nsec.cast_unsigned() / 1_000_000
+}
+
 /// Wall clock in ms since 1970, for people only: no decision may read it.
 pub fn wall_ms() -> u64 {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH);
