--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -15,6 +15,7 @@
 use crate::stream::Streaming;
 use crate::telling::Read;
 use crate::upstream::{InFlight, LEAST_TOKENS, Reading, Upstream, Work};
+use crate::urgency::Urgency;
 
 /// Places, sends and answers it.
 pub async fn generate(
@@ -24,18 +25,15 @@
 ) -> Result<Response<AnswerBody>, Refused> {
     let mut tried = Vec::new();
     let mut unreached = 0;
+    let mut read = None;
     loop {
-        let (maker, kv) = match place::generation(relay, call, prompt, &tried)? {
-            Placement::Whole(maker) => (maker, None),
-            Placement::Apart(reader) => {
-                let kv = read_apart(relay, call, prompt, &reader).await;
-                (
-                    place::maker(relay, call, prompt, &tried, kv.is_some(), reader.urgency)?,
-                    kv,
-                )
-            }
+        let (maker, kv) = match read.take() {
+            // An engine that rejected the cache left it where it was; reading the prompt once more
+            // would cost a second time and count as a repeat.
+            Some((kv, urgency)) => (after(relay, call, prompt, &tried, Some(&kv), urgency)?, Some(kv)),
+            None => place(relay, call, prompt, &tried).await?,
         };
-        let (sent, guard) = make(relay, call, prompt, &maker, kv.as_ref()).await;
+        let (sent, guard, is_handed) = make(relay, call, prompt, &maker, kv.as_ref()).await;
         tried.push(maker.engine.id.clone());
         let outcome = match sent {
             Sent::Answer(checked) if checked.response.status() == StatusCode::OK => {
@@ -52,18 +50,50 @@
             }
             unanswered => unanswered.outcome(),
         };
+        let kept = kv.filter(|kv| is_handed && kv.is_there());
+        read = kept.map(|kv| (kv, maker.urgency));
         follow(relay, call, outcome, &mut unreached)?;
     }
 }
 
-/// Sends a generation to the engine that makes its output.
+/// Places it, and has its prompt read apart if that is where it goes.
+async fn place(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    prompt: &Prompt,
+    tried: &[String],
+) -> Result<(Maker, Option<Handed>), Refused> {
+    match place::generation(relay, call, prompt, tried)? {
+        Placement::Whole(maker) => Ok((maker, None)),
+        Placement::Apart(reader) => {
+            let kv = read_apart(relay, call, prompt, &reader).await;
+            let maker = after(relay, call, prompt, tried, kv.as_ref(), reader.urgency)?;
+            Ok((maker, kv))
+        }
+    }
+}
+
+/// The engine for the output of a prompt that was read apart, or should have been.
+fn after(
+    relay: &Relay,
+    call: &Call,
+    prompt: &Prompt,
+    tried: &[String],
+    kv: Option<&Handed>,
+    urgency: Urgency,
+) -> Result<Maker, Refused> {
+    place::maker(relay, call, prompt, tried, kv.is_some(), urgency)
+}
+
+/// Sends a generation to the engine that makes its output; also tells whether the KV cache was still
+/// offered in the end.
 async fn make(
     relay: &Rc<Relay>,
     call: &Rc<Call>,
     prompt: &Prompt,
     maker: &Maker,
     kv: Option<&Handed>,
-) -> (Sent, InFlight) {
+) -> (Sent, InFlight, bool) {
     let predicted_ms = maker.first.total_ms();
     let rank = call.rank(maker.urgency);
     let guard = InFlight::enter(
@@ -123,7 +153,7 @@
         let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
         maker.answered(relay.now_ms(), predicted_ms, took_ms);
     }
-    (sent, guard)
+    (sent, guard, is_handed)
 }
 
 /// Notes that an engine is reading or has read a prompt, here and for the other instances.
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -15,7 +15,7 @@
 use crate::place::Reader;
 use crate::pool::{Lease, exchange};
 use crate::relay::Relay;
-use crate::send::{note_unsent, raw_send};
+use crate::send::{note_misdirected, note_unsent, raw_send};
 use crate::upstream::{InFlight, Reading, Upstream, Work};
 
 /// Times the predicted time after which a prompt's answer may have been lost.
@@ -46,6 +46,11 @@
     pub fn taken(&self) {
         self.taken.set(true);
     }
+
+    /// Whether another engine may still take it.
+    pub fn is_there(&self) -> bool {
+        !self.taken.get()
+    }
 }
 
 impl Drop for Handed {
@@ -211,6 +216,9 @@
         }
     };
     lease.give_back();
+    if status == StatusCode::MISDIRECTED_REQUEST {
+        note_misdirected(relay, reader, answered.instance.as_deref(), Step::Prefill);
+    }
     if status != StatusCode::OK {
         if relay.failed_lines.take(relay.now_ms()) {
             log::info!(upstream = reader.id, status = status.as_u16(); "prompt rejected");
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -9,11 +9,11 @@
 use crate::again::Outcome;
 use crate::call::Call;
 use crate::config::Kind;
-use crate::dialect::{Answered, Sending};
+use crate::dialect::{Answered, Sending, Step};
 use crate::place::PLAIN_MS;
 use crate::pool::{Exchanged, Fault, Lease, exchange};
 use crate::relay::Relay;
-use crate::upstream::{InFlight, Upstream};
+use crate::upstream::{InFlight, Stage, Upstream};
 
 /// Part of an instance's share of an upstream's connections that it uses; the rest is for instances
 /// that do not know of each other yet.
@@ -69,7 +69,7 @@
     call.at.borrow_mut().clone_from(&upstream.id);
     let began_ms = relay.now_ms();
     let sent = match raw_send(relay, call, upstream, request).await {
-        Ok((response, lease)) => check(relay, call, upstream, response, lease),
+        Ok((response, lease)) => check(relay, call, upstream, sending.step, response, lease),
         Err(fault @ Fault::Lost { .. }) => Sent::Lost(fault.to_string()),
         Err(fault) => Sent::Unsent(fault),
     };
@@ -155,10 +155,27 @@
     exchanged
 }
 
+/// A request was rejected as another's: the incarnation is gone, or does another step by now.
+pub fn note_misdirected(relay: &Relay, upstream: &Upstream, instance: Option<&str>, step: Step) {
+    let is_stale = match step {
+        Step::Prefill => upstream.stage() == Stage::Prefill,
+        Step::Whole => upstream.stage() == Stage::Decode,
+    };
+    match instance {
+        Some(id) if id != upstream.id => relay.found_gone(upstream),
+        Some(_) if is_stale => {
+            upstream.rejected_step();
+            log::info!(upstream = upstream.id, stage:? = upstream.stage(); "upstream does another step");
+        }
+        Some(_) | None => {}
+    }
+}
+
 fn check(
     relay: &Rc<Relay>,
     call: &Call,
     upstream: &Rc<Upstream>,
+    step: Step,
     response: Response<Incoming>,
     lease: Lease,
 ) -> Sent {
@@ -173,14 +190,7 @@
         return Sent::Lost("the answer is another request's".to_owned());
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
-        // The same incarnation also answers so when it does not do this step of a generation.
-        if answered
-            .instance
-            .as_deref()
-            .is_some_and(|id| id != upstream.id)
-        {
-            relay.found_gone(upstream);
-        }
+        note_misdirected(relay, upstream, answered.instance.as_deref(), step);
         return Sent::NotRun(status);
     }
     if answered.not_run {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -181,6 +181,18 @@
         turning.map_or_else(|| self.stage(), |turning| turning.stage)
     }
 
+    /// It rejected a step of a generation as not its own, so it does the other one by now.
+    ///
+    /// The list tells a change of stage only once its store can be read again; until then each
+    /// request that was sent there would be rejected and count as a repeat.
+    pub fn rejected_step(&self) {
+        self.stage.set(match self.stage.get() {
+            Stage::Prefill => Stage::Decode,
+            Stage::Decode => Stage::Prefill,
+            Stage::Whole => Stage::Whole,
+        });
+    }
+
     /// Time since it was first heard of.
     pub fn age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.joined_ms)
