--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -72,8 +72,8 @@
     pub fence: u64,
     /// Orders that the engine must have taken before; another number makes it refuse.
     pub after: u64,
-    /// What it is to do.
-    pub stage: Stage,
+    /// Whether it is to read prompts, or to make output.
+    pub reads: bool,
 }
 
 /// A change that is wished for.
@@ -314,7 +314,7 @@
         holder: &holder,
         fence: ticket.fence,
         after: report.orders,
-        stage: wish.stage,
+        reads: wish.stage == Stage::Prefill,
     });
     let request = request(relay, engine, Method::POST, &path, body)?;
     if !ticket.is_valid(since_boot_ms()) {
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -169,10 +169,12 @@
     prompt: &Prompt,
     tried: &[String],
 ) -> Result<Placement, Refused> {
+    if tried.is_empty() {
+        note_asked(relay, call, prompt);
+    }
     let goal_ms = call.route.goal_ms as f64;
     let waited_ms = call.waited_ms as f64;
     let (placement, first) = best(relay, call, prompt, tried, Urgency::OnTime)?;
-    note_asked(relay, call, &placement);
     if first.total_ms() <= goal_ms * ON_TIME_SHARE - waited_ms {
         note(relay, call, &placement, &first);
         return Ok(placement);
@@ -200,12 +202,13 @@
 }
 
 /// Counts what a request asks of the engines, whether it will be served or not.
-fn note_asked(relay: &Relay, call: &Call, placement: &Placement) {
-    let tokens = match placement {
-        Placement::Apart(reader) => reader.tokens,
-        Placement::Whole(maker) => maker.tokens,
-    };
-    let read_ms = tokens * relay.learned.pace(&call.service).token_ms();
+///
+/// Shared parts are left out. While caches are cold they are read everywhere, and the split that
+/// would suit those seconds is wrong for all that follow.
+fn note_asked(relay: &Relay, call: &Call, prompt: &Prompt) {
+    let tokens = f64::from(prompt.input_tokens);
+    let own_tokens = prompt.parts.last().map_or(tokens, |own| f64::from(own.tokens));
+    let read_ms = work_tokens(tokens, tokens - own_tokens) * relay.learned.pace(&call.service).token_ms();
     relay.orders.asked(&call.service, relay.now_ms(), read_ms);
 }
 
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -68,8 +68,10 @@
 
 /// An upstream with its connections and what was seen of it.
 pub struct Upstream {
-    /// The incarnation's id.
+    /// Its id, which a restart may keep.
     pub id: String,
+    /// When the incarnation started, by its own clock.
+    pub born_ms: u64,
     /// Service that it runs.
     pub service: String,
     /// Where it listens.
@@ -105,6 +107,7 @@
     pub fn new(entry: &Entry, distance_ms: f64, clock: Clock) -> Self {
         Self {
             id: entry.id.clone(),
+            born_ms: entry.born_ms,
             service: entry.service.clone(),
             address: entry.address,
             zone: entry.zone.clone(),
@@ -218,6 +221,7 @@
     pub fn entry(&self) -> Entry {
         Entry {
             id: self.id.clone(),
+            born_ms: self.born_ms,
             service: self.service.clone(),
             address: self.address,
             zone: self.zone.clone(),
--- a/crates/relay/src/upstream/entry.rs
+++ b/crates/relay/src/upstream/entry.rs
@@ -29,8 +29,12 @@
 /// An upstream as the list of upstreams describes it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// Incarnation; a restart has another.
+    /// Its name; a restart may have the same or another.
     pub id: String,
+    /// When the incarnation started, by its own clock, in ms since 1970; 0 if it does not say. Only
+    /// compared with that of the same id.
+    #[serde(default)]
+    pub born_ms: u64,
     /// Service that it runs.
     pub service: String,
     /// Where it listens.
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -62,6 +62,14 @@
     }
 }
 
+/// An incarnation that left, by the last entry of it that was taken over.
+#[derive(Debug, Clone)]
+struct Left {
+    id: String,
+    born_ms: u64,
+    seq: u64,
+}
+
 /// All upstreams.
 #[derive(Default)]
 pub struct Upstreams {
@@ -71,7 +79,7 @@
     by_id: HashMap<String, Rc<Upstream>>,
     by_service: HashMap<String, Vec<Rc<Upstream>>>,
     doubted: HashMap<String, u64>,
-    left: VecDeque<(String, u64)>,
+    left: VecDeque<Left>,
     unreachable_until_ms: u64,
 }
 
@@ -176,13 +184,23 @@
 
     fn put(&mut self, entry: &Entry) -> Effect {
         // An entry that was written before the incarnation left may come after it.
-        let is_old = |(id, seq): &(String, u64)| *id == entry.id && entry.seq <= *seq;
+        let is_old = |left: &Left| {
+            left.id == entry.id && (entry.born_ms, entry.seq) <= (left.born_ms, left.seq)
+        };
         if self.left.iter().any(is_old) {
             return Effect::Same;
         }
         self.doubted.remove(&entry.id);
         if let Some(known) = self.by_id.get(&entry.id) {
-            if known.address == entry.address && known.service == entry.service {
+            if entry.born_ms < known.born_ms {
+                return Effect::Same;
+            }
+            // One that started again under its id counts anew and holds nothing of before. Taken for
+            // the same, its entries would seem old for as long as the first one had lived.
+            let is_same = entry.born_ms == known.born_ms
+                && known.address == entry.address
+                && known.service == entry.service;
+            if is_same {
                 return if known.update(entry) {
                     Effect::Changed
                 } else {
@@ -226,7 +244,11 @@
         if let Some(all) = self.by_service.get_mut(&known.service) {
             all.retain(|each| each.id != id);
         }
-        self.left.push_back((id.to_owned(), known.seq()));
+        self.left.push_back(Left {
+            id: id.to_owned(),
+            born_ms: known.born_ms,
+            seq: known.seq(),
+        });
         if self.left.len() > REMEMBERED {
             self.left.pop_front();
         }
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -23,6 +23,7 @@
         standing,
         stage: Stage::Whole,
         seq,
+        born_ms: 0,
     }
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -256,6 +256,7 @@
             standing: Standing::Ready,
             stage,
             seq: 1,
+            born_ms: 0,
         }
     }
 }
