--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -9,13 +9,17 @@
 /// short enough that a split which is wrong from the start is seen within seconds.
 const MEMORY_MS: f64 = 4_000.0;
 
+/// Time in which a rush that does not come again is forgotten, in ms: several times the seconds by
+/// which rushes follow each other.
+const PEAK_MS: f64 = 30_000.0;
+
 /// Share of its time for which an engine may read before prompts wait too long: at two thirds,
 /// with prompts of very uneven length, they wait for about as long as they are read.
 const READING_SHARE: f64 = 0.66;
 
 /// Share of its places that an engine for output may fill: the rest is for clumps, for the engine
 /// beside it that fails, and because a fuller batch makes each token later.
-const MAKING_SHARE: f64 = 0.4;
+const MAKING_SHARE: f64 = 0.6;
 
 /// Pressure below which no engine changes, however uneven the split: nobody waits.
 const PRESSED: f64 = 0.8;
@@ -81,6 +85,30 @@
     pub making: f64,
 }
 
+/// The most that was asked lately, of each kind.
+///
+/// Rushes of one kind come again within seconds, and a change takes as long. So the split is made for
+/// the rushes of the last half minute and not for the lull between two of them.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct Peak {
+    demand: Demand,
+    at_ms: u64,
+}
+
+impl Peak {
+    /// Takes in what is asked now; gives the most of late.
+    pub fn note(&mut self, now_ms: u64, now: &Demand) -> Demand {
+        let age_ms = now_ms.saturating_sub(self.at_ms) as f64;
+        let left = (-age_ms / PEAK_MS).exp();
+        self.demand = Demand {
+            reading: now.reading.max(self.demand.reading * left),
+            making: now.making.max(self.demand.making * left),
+        };
+        self.at_ms = now_ms;
+        self.demand
+    }
+}
+
 /// The engines of a service by what they do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Split {
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -13,7 +13,7 @@
 use http::{HeaderMap, Method, Request, StatusCode, header};
 use http_body_util::{BodyExt, Full};
 use lease::{Ticket, Turns};
-use plan::{Demand, Rate, Split, SplitPlan, Turn, Verdict};
+use plan::{Demand, Peak, Rate, Split, SplitPlan, Turn, Verdict};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tick::since_boot_ms;
@@ -94,6 +94,7 @@
     reading: Rate,
     making: Rate,
     requests: Rate,
+    peak: Peak,
     plan: SplitPlan,
 }
 
@@ -146,7 +147,7 @@
         let places: f64 = engines
             .iter()
             .filter(|each| each.stage() == Stage::Decode)
-            .map(|each| f64::from(each.in_flight()) / f64::from(each.slots))
+            .map(|each| f64::from(each.making()) / f64::from(each.slots))
             .sum();
         asked.making.add(now_ms, places * passed_ms as f64);
         is_first
@@ -179,10 +180,13 @@
     }
     // Callers spread evenly, so this instance's own part tells the whole.
     let instances = relay.instances() as f64;
-    let demand = Demand {
-        reading: asked.reading.a_ms(now_ms) * instances,
-        making: asked.making.a_ms(now_ms) * instances,
-    };
+    let demand = asked.peak.note(
+        now_ms,
+        &Demand {
+            reading: asked.reading.a_ms(now_ms) * instances,
+            making: asked.making.a_ms(now_ms) * instances,
+        },
+    );
     let away = |each: &&Rc<Upstream>| each.is_turning(now_ms);
     let reads = |each: &&Rc<Upstream>| each.stage_wanted(now_ms) == Stage::Prefill;
     let split = Split {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -248,6 +248,11 @@
         self.in_flight.get()
     }
 
+    /// Requests of ours whose output it is making: those that wait or are read there are left out.
+    pub fn making(&self) -> u32 {
+        self.in_flight.get().saturating_sub(self.unanswered.get())
+    }
+
     /// What this instance has outstanding here, to be told to others.
     pub fn outstanding(&self) -> Option<Outstanding> {
         (self.in_flight.get() > 0).then(|| Outstanding {
