Let one engine off count where a side is pressed

Cause: two engines off before anything changes is too coarse for nine engines, which never changed. Ruled out: one engine off always (orders to and fro in lulls).

--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -29,8 +29,8 @@
 /// and by full batches than reading gained.
 const LEAST_MAKERS: f64 = 0.4;
 
-/// Engines that the split must be off by before one changes; one more or less gains little, and the
-/// estimate wavers by as much.
+/// Engines that the split must be off by before one changes while nobody is pressed beyond what is
+/// borne; one more or less gains little then, and the estimate wavers by as much.
 const OFF_BY: usize = 2;
 
 /// Time for which the same side must be short before an engine changes, in ms.
@@ -200,11 +200,13 @@
     if split.readers > most_readers(engines) {
         return Some(Turn::ToMaking);
     }
-    if demand.pressure(split.readers, split.makers) < PRESSED {
+    let pressure = demand.pressure(split.readers, split.makers);
+    if pressure < PRESSED {
         return None;
     }
+    let off_by = if pressure < 1.0 { OFF_BY } else { 1 };
     let wanted = readers_wanted(demand, engines);
-    if wanted >= split.readers + OFF_BY && split.makers > 1 {
+    if wanted >= split.readers + off_by && split.makers > 1 {
         return Some(Turn::ToReading);
     }
     if wanted + OFF_BY <= split.readers && split.readers > 1 {
