--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -23,9 +23,6 @@
 const IDLE_STEP: f64 = 0.3;
 const FULL_STEP: f64 = 0.7;
 
-/// What one answer that a pause makes late counts as, in ms of another one's time.
-const LATE_MS: f64 = 100.0;
-
 /// Prompt tokens that an engine reads between two tokens of output: a quarter of the piece in
 /// which it reads when it does nothing else, as the users' sheets have it.
 const PIECE_TOKENS: f64 = 512.0;
@@ -184,18 +181,18 @@
         self.token_ms() * READ_BESIDE * steps * view.slowness.max(1.0)
     }
 
-    /// What the others at an engine lose by the pauses that a read of `read_ms` makes, weighed.
+    /// Time that the others at an engine lose by a read of `read_ms`, if it makes them late.
     ///
     /// Prompts that are read one after the other make one long pause, so what is still to be read
-    /// there counts with this one: the read that makes the pause too long pays for all of it.
+    /// there counts with this one. Where the pause gets too long, all who make output there lose as
+    /// much as the read takes.
     fn pausing_ms(&self, view: &EngineView, ask: &Ask, read_ms: f64) -> f64 {
         let before = ask.prompt_tokens.max(PIECE_TOKENS) - PIECE_TOKENS;
         let piece = work_tokens(before + PIECE_TOKENS, before);
         let token_ms = self.token_beside_ms(view);
         let event_ms = ask.event_tokens * piece * token_ms;
         let queued_ms = view.queued_tokens * token_ms;
-        let late = |read_ms: f64| late_share(read_ms, event_ms, ask.gap_goal_ms);
-        LATE_MS * view.requests * (late(queued_ms + read_ms) - late(queued_ms))
+        view.requests * late_share(queued_ms + read_ms, event_ms, ask.gap_goal_ms) * read_ms
     }
 }
 
