--- a/crates/lease/tests/turns.rs
+++ b/crates/lease/tests/turns.rs
@@ -49,7 +49,10 @@
     log.read_by(&mut first, 0);
     let given = order(&mut log, &mut first, 10).expect("nobody else has ordered");
     log.read_by(&mut second, 20);
-    assert_eq!(second.may_append(given.until_ms + UNDERWAY_MS + LEASE_MS), None);
+    assert_eq!(
+        second.may_append(given.until_ms + UNDERWAY_MS + LEASE_MS),
+        None
+    );
     let later = order(&mut log, &mut second, 20_000).expect("quiet for long");
     assert!(later.fence > given.fence);
 }
--- a/crates/plan/tests/rush.rs
+++ b/crates/plan/tests/rush.rs
@@ -4,7 +4,7 @@
 //! to an engine for output, and drop the parts used least recently, as those of the users do.
 //! Arrivals and parts are drawn from fixed seeds.
 
-use plan::{EngineView, Holder, Link, Pace, best_copy, least, work_tokens};
+use plan::{EngineView, Holder, Link, Pace, Seen, best_copy, least, work_tokens};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
@@ -74,7 +74,11 @@
     let mut pace = Pace::default();
     for each in 0..400_u32 {
         let work = 500.0 + f64::from(each * 7_919 % 12_000);
-        pace.learn(work, ANSWER_MS + work / TOKENS_A_MS);
+        pace.learn(&Seen {
+            own_tokens: work,
+            queued_tokens: 0.0,
+            elapsed_ms: ANSWER_MS + work / TOKENS_A_MS,
+        });
     }
     let mut outcome = Outcome::default();
     let mut now_ms = 0.0;
--- a/crates/plan/tests/staged.rs
+++ b/crates/plan/tests/staged.rs
@@ -1,6 +1,8 @@
 //! Loads that the decisions on reading, repeating and leaving alone answer.
 
-use plan::{Ask, EngineView, Health, Pace, RepeatTerms, Repeats, Verdict, least, work_tokens};
+use plan::{
+    Ask, EngineView, Health, Pace, RepeatTerms, Repeats, Seen, Verdict, least, work_tokens,
+};
 use proptest::prelude::*;
 
 const TERMS: RepeatTerms = RepeatTerms {
@@ -34,6 +36,15 @@
     assert!(again > 800, "the budget is used: {again}");
 }
 
+/// An answer to a prompt before which nothing stood.
+fn alone(own_tokens: f64, elapsed_ms: f64) -> Seen {
+    Seen {
+        own_tokens,
+        queued_tokens: 0.0,
+        elapsed_ms,
+    }
+}
+
 proptest! {
     /// Whatever comes, one instance alone keeps the bound in every window.
     #[test]
@@ -59,7 +70,7 @@
     fn the_pace_stays_sane(seen in prop::collection::vec((0.0_f64..200_000.0, 0.0_f64..20_000.0), 0..200)) {
         let mut pace = Pace::default();
         for (tokens, elapsed_ms) in seen {
-            pace.learn(tokens, elapsed_ms);
+            pace.learn(&alone(tokens, elapsed_ms));
         }
         prop_assert!((0.002..=0.2).contains(&pace.token_ms()));
         prop_assert!(pace.base_ms() >= 0.0);
@@ -74,7 +85,7 @@
     for each in 0..300_u32 {
         let own = 500.0 + f64::from(each * 7_919 % 12_000);
         let work = work_tokens(13_000.0 + own, 13_000.0);
-        pace.learn(work, 90.0 + work / 61.0);
+        pace.learn(&alone(work, 90.0 + work / 61.0));
     }
     let view = EngineView {
         cached_tokens: 13_000.0,
@@ -204,7 +215,7 @@
     for each in 0..600_u32 {
         let work = 2_000.0 + f64::from(each * 7_919 % 8_000);
         let unseen_ms = if each % 5 < 2 { 400.0 } else { 0.0 };
-        pace.learn(work, 90.0 + work / 61.0 + unseen_ms);
+        pace.learn(&alone(work, 90.0 + work / 61.0 + unseen_ms));
     }
     let predicted_ms = pace.prefill_ms(&EngineView::default(), 5_000.0).total_ms();
     let actual_ms = 90.0 + work_tokens(5_000.0, 0.0) / 61.0;
@@ -222,7 +233,7 @@
     let mut pace = Pace::default();
     for each in 0..400_u32 {
         let work = 300.0 + f64::from(each * 7_919 % 12_000);
-        pace.learn(work, 90.0 + work / 61.0);
+        pace.learn(&alone(work, 90.0 + work / 61.0));
     }
     let unanswered = EngineView {
         queued_tokens: 10.0 * 380.0,
@@ -240,3 +251,101 @@
         "{wait_ms} {true_ms}"
     );
 }
+
+/// Prompts come in a rush, and each answer waits behind up to 0.4 s of work that was known of. Engines
+/// answer 15 ms after reading. Taken for the engines' own time, the waits made every read seem 100 ms
+/// longer, and what could be on time was refused.
+#[test]
+fn known_waits_teach_little() {
+    let mut pace = Pace::default();
+    for each in 0..600_u32 {
+        let own_tokens = 500.0 + f64::from(each * 7_919 % 6_000);
+        let queued_tokens = f64::from(each * 104_729 % 24_000);
+        // What stood before takes up to half as long again as its tokens tell.
+        let late = 1.0 + f64::from(each % 5) * 0.1;
+        let elapsed_ms = 15.0 + (own_tokens + queued_tokens * late) / 61.0;
+        pace.learn(&Seen {
+            own_tokens,
+            queued_tokens,
+            elapsed_ms,
+        });
+    }
+    let predicted_ms = pace.prefill_ms(&EngineView::default(), 1_000.0).own_ms;
+    let actual_ms = 15.0 + work_tokens(1_000.0, 0.0) / 61.0;
+    assert!(
+        (predicted_ms - actual_ms).abs() < 20.0,
+        "{predicted_ms} {actual_ms}"
+    );
+}
+
+/// Two fleets read alike when they do nothing else; beside output one answers 10 ms after a read and
+/// the other 90. Each is learned from its own answers, and so is the time of a hand-over.
+#[test]
+fn fixed_times_beside_output_and_of_a_hand_over_are_their_own() {
+    let ask = Ask {
+        prompt_tokens: 800.0,
+        place_ms: 250.0,
+        gap_goal_ms: 150.0,
+        event_tokens: 11.0,
+    };
+    let idle = EngineView {
+        slots: 64.0,
+        ..EngineView::default()
+    };
+    let handed = EngineView {
+        cached_tokens: 800.0,
+        ..idle
+    };
+    for fixed_ms in [10.0, 90.0] {
+        let mut pace = Pace::default();
+        for _ in 0..200 {
+            let first = pace.decode_ms(&idle, &ask);
+            let read_ms = first.own_ms - pace.beside_ms();
+            pace.learn_beside(
+                read_ms + fixed_ms - first.total_ms(),
+                first.wait_ms,
+                first.own_ms,
+            );
+            let first = pace.decode_ms(&handed, &ask);
+            pace.learn_hand_over(fixed_ms / 2.0 - first.total_ms());
+        }
+        assert!((pace.beside_ms() - fixed_ms).abs() < 5.0, "{pace:?}");
+        assert!(
+            (pace.hand_over_ms() - fixed_ms / 2.0).abs() < 5.0,
+            "{pace:?}"
+        );
+        assert!(
+            pace.base_ms() > 30.0,
+            "that of engines that only read is left: {pace:?}"
+        );
+    }
+}
+
+/// Questions of 1,500 tokens come one after the other, each read in 75 ms beside twenty answers whose
+/// events may be 150 ms apart. One such read harms nobody. A second one behind it makes one pause of
+/// 150 ms, so it goes to an engine that reads nothing, though that one is further away.
+#[test]
+fn reads_are_not_piled_into_one_long_pause() {
+    let pace = Pace::default();
+    let ask = Ask {
+        prompt_tokens: 1_500.0,
+        place_ms: 250.0,
+        gap_goal_ms: 150.0,
+        event_tokens: 11.0,
+    };
+    let quiet = EngineView {
+        requests: 20.0,
+        slots: 64.0,
+        distance_ms: 1.4,
+        ..EngineView::default()
+    };
+    let reading = EngineView {
+        queued_tokens: 1_500.0,
+        distance_ms: 0.2,
+        ..quiet
+    };
+    let costs = [reading, quiet].map(|view| pace.decode_ms(&view, &ask));
+    assert!(costs[1].harm_ms < 1.0, "{costs:?}");
+    assert!(costs[0].harm_ms > 500.0, "{costs:?}");
+    assert_eq!(least(costs.into_iter()).unwrap().0, 1);
+}
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -30,7 +30,10 @@
         let (maker, kv) = match read.take() {
             // An engine that rejected the cache left it where it was; reading the prompt once more
             // would cost a second time and count as a repeat.
-            Some((kv, urgency)) => (after(relay, call, prompt, &tried, Some(&kv), urgency)?, Some(kv)),
+            Some((kv, urgency)) => (
+                after(relay, call, prompt, &tried, Some(&kv), urgency)?,
+                Some(kv),
+            ),
             None => place(relay, call, prompt, &tried).await?,
         };
         let (sent, guard, is_handed) = make(relay, call, prompt, &maker, kv.as_ref()).await;
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -139,7 +139,11 @@
 pub fn look(relay: &Relay) -> Option<Wish> {
     let now_ms = relay.now_ms();
     let orders = &relay.orders;
-    let passed_ms = now_ms - orders.looked_ms.replace(now_ms).max(now_ms.saturating_sub(LOOK_MS));
+    let passed_ms = now_ms
+        - orders
+            .looked_ms
+            .replace(now_ms)
+            .max(now_ms.saturating_sub(LOOK_MS));
     let is_first = is_first(relay);
     let mut all = orders.asked.borrow_mut();
     all.iter_mut().find_map(|(service, asked)| {
@@ -333,7 +337,13 @@
 }
 
 async fn report(relay: &Relay, engine: &Upstream) -> Result<EngineReport, Unsent> {
-    let request = request(relay, engine, Method::GET, relay.dialect.report_path(), Vec::new())?;
+    let request = request(
+        relay,
+        engine,
+        Method::GET,
+        relay.dialect.report_path(),
+        Vec::new(),
+    )?;
     let (status, body) = call(relay, engine, request).await.map_err(Unsent::before)?;
     if status != StatusCode::OK {
         return Err(Unsent::before(format!("report: status {status}")));
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -207,8 +207,12 @@
 /// would suit those seconds is wrong for all that follow.
 fn note_asked(relay: &Relay, call: &Call, prompt: &Prompt) {
     let tokens = f64::from(prompt.input_tokens);
-    let own_tokens = prompt.parts.last().map_or(tokens, |own| f64::from(own.tokens));
-    let read_ms = work_tokens(tokens, tokens - own_tokens) * relay.learned.pace(&call.service).token_ms();
+    let own_tokens = prompt
+        .parts
+        .last()
+        .map_or(tokens, |own| f64::from(own.tokens));
+    let read_ms =
+        work_tokens(tokens, tokens - own_tokens) * relay.learned.pace(&call.service).token_ms();
     relay.orders.asked(&call.service, relay.now_ms(), read_ms);
 }
 
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -9,7 +9,7 @@
 use relay::config::{Config, Kind, Limits, Route, Target};
 use relay::directory::addresses;
 use relay::members::{BEAT_MS, Member, Members};
-use relay::upstream::{Entry, Stage, Standing};
+use relay::upstream::{Entry, Reading, Stage, Standing};
 use relay::upstreams::{Change, Effect, Upstreams};
 use tick::Clock;
 
@@ -245,3 +245,32 @@
     relay.members.borrow_mut().heard(relay.now_ms(), own);
     assert!(relay.may_repeat("desk"));
 }
+
+/// An upstream starts again under its id and counts its entries from one. Callers are served by it as
+/// soon as its entry is read; taken for the old one, it would be passed over until it had written as
+/// many entries as before. What it held is forgotten, and a late entry of its first life changes
+/// nothing.
+#[test]
+fn a_restart_under_the_same_id_is_another_incarnation() {
+    let born = |born_ms, seq, standing| Entry {
+        born_ms,
+        ..entry("a", seq, standing)
+    };
+    let mut upstreams = Upstreams::new("here", Clock::default());
+    upstreams.apply(0, Change::Put(born(1_000, 90, Standing::Ready)));
+    let first = Rc::clone(upstreams.get("a").unwrap());
+    first.keeps(7, 13_000.0, Reading::Done, 100_000.0);
+    upstreams.apply(0, Change::Put(born(1_000, 91, Standing::Leaving)));
+    assert!(ready(&upstreams, 0).is_empty());
+    let effect = upstreams.apply(0, Change::Put(born(5_000, 1, Standing::Ready)));
+    assert_eq!(effect, Effect::Joined);
+    assert_eq!(ready(&upstreams, 0), ["a"]);
+    assert!(upstreams.get("a").unwrap().kept(7) < 1.0);
+    let late = upstreams.apply(0, Change::Put(born(1_000, 92, Standing::Leaving)));
+    assert_eq!(late, Effect::Same);
+    assert_eq!(ready(&upstreams, 0), ["a"]);
+    assert!(
+        !first.is_ready(),
+        "requests of its first life do not come back to it"
+    );
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -13,8 +13,11 @@
 use hyper::body::Incoming;
 use plan::RepeatTerms;
 use relay::config::{Config, EngineLimits, Kind, Limits, Route, Service, Target};
-use relay::dialect::{Answered, Asked, Dialect, KvHandle, Part, Prompt, Sending, Step, ToldLoad};
+use relay::dialect::{
+    Answered, Asked, Dialect, EngineReport, KvHandle, Part, Prompt, Sending, Step, ToldLoad,
+};
 use relay::front::{Duty, bind, serve};
+use relay::orders::Order;
 use relay::pool::{Fault, Pool, exchange};
 use relay::upstream::{Entry, Stage, Standing};
 use relay::upstreams::Change;
@@ -116,6 +119,23 @@
         (Method::DELETE, format!("/kv/{}", handle.id))
     }
 
+    fn report_path(&self) -> &'static str {
+        "/report"
+    }
+
+    fn reported(&self, _body: &[u8]) -> Option<EngineReport> {
+        None
+    }
+
+    fn order(&self, order: &Order) -> (String, Vec<u8>) {
+        ("/order".to_owned(), order.fence.to_string().into_bytes())
+    }
+
+    fn expect(&self, headers: &mut HeaderMap, instance: &str) {
+        let id = HeaderValue::from_str(instance).expect("a valid value");
+        headers.insert("x-instance", id);
+    }
+
     fn ready_path(&self) -> &'static str {
         "/ready"
     }
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -9,6 +9,7 @@
 use http::{HeaderValue, Method, Request};
 use http_body_util::{BodyExt, Full};
 use relay::patience::Patience;
+use relay::telling::{Telling, Turning};
 use relay::upstream::{Entry, InFlight, KeptParts, Queue, Reading, Stage, Standing, Work};
 use relay::upstreams::Change;
 use relay::urgency::{Urgency, UsualLength};
@@ -427,3 +428,82 @@
         assert_eq!(mixed.waited_ms(deadline_ms * 7 % 5_000), 0);
     }
 }
+
+/// An engine turned from output to reading while the list could not be read. The first request that
+/// is handed to it is rejected as not its step; the caller sees its answer all the same. The prompt
+/// is not read a second time, the cache goes to another engine, and no further request is sent to the
+/// one that turned.
+#[actix_rt::test]
+async fn a_rejected_step_tells_that_an_engine_has_turned() {
+    let reader = kv();
+    let turned = StandIn::start(|seen| {
+        seen.answer(
+            "421 Misdirected Request",
+            "x-instance: turned\r\nx-not-run: 1\r\n",
+            "",
+        )
+    });
+    let other = maker();
+    let bed = Bed::start(vec![
+        reader.entry("reader", "llm", Stage::Prefill),
+        turned.entry("turned", "llm", Stage::Decode),
+        Entry {
+            zone: "far".to_owned(),
+            ..other.entry("other", "llm", Stage::Decode)
+        },
+    ]);
+    bed.relay
+        .members
+        .borrow_mut()
+        .heard(0, bed.relay.heartbeat());
+    for _ in 0..3 {
+        let answer = bed.ask(generation("/grades/x", LONG)).await.unwrap();
+        assert_eq!(answer.status().as_u16(), 200);
+    }
+    assert_eq!(turned.count(), 1);
+    assert_eq!(
+        reader.count(),
+        1,
+        "the part was read once and is copied from then on"
+    );
+    assert_eq!(other.seen.borrow()[0].header("x-kv"), Some("kv-1"));
+    let upstreams = bed.relay.upstreams.borrow();
+    assert_eq!(upstreams.get("turned").unwrap().stage(), Stage::Prefill);
+}
+
+/// Another instance has ordered an engine to read prompts. As soon as it tells, nothing is sent there:
+/// it would be rejected for as long as the engine is away. The list says when it is there.
+#[actix_rt::test]
+async fn an_engine_that_is_turning_gets_nothing_new() {
+    let (turning, other) = (maker(), maker());
+    let bed = Bed::start(vec![
+        turning.entry("turning", "llm", Stage::Decode),
+        Entry {
+            zone: "far".to_owned(),
+            ..other.entry("other", "llm", Stage::Decode)
+        },
+    ]);
+    bed.relay.heard(&Telling {
+        from: "b".to_owned(),
+        turning: vec![Turning {
+            upstream: "turning".to_owned(),
+            stage: Stage::Prefill,
+            left_ms: 60_000,
+        }],
+        ..Telling::default()
+    });
+    let answer = bed.ask(generation("/grades/x", SHORT)).await.unwrap();
+    assert_eq!(answer.status().as_u16(), 200);
+    assert_eq!((turning.count(), other.count()), (0, 1));
+    bed.relay.apply(Change::Put(Entry {
+        seq: 2,
+        ..turning.entry("turning", "llm", Stage::Prefill)
+    }));
+    let upstreams = bed.relay.upstreams.borrow();
+    assert!(
+        !upstreams
+            .get("turning")
+            .unwrap()
+            .is_turning(bed.relay.now_ms())
+    );
+}
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -10,7 +10,7 @@
 use relay::gossip;
 use relay::members::Member;
 use relay::state::catch_up;
-use relay::telling::{Outstanding, Read, Telling, decode, encode};
+use relay::telling::{Outstanding, Read, Telling, Turning, decode, encode};
 use relay::upstream::{InFlight, Reading, Stage, Work};
 use relay::{Phase, Relay};
 use tick::Clock;
@@ -113,6 +113,11 @@
         from: "front-salt-lake-1".to_owned(),
         outstanding: outstanding.collect(),
         reads: reads.collect(),
+        turning: vec![Turning {
+            upstream: "i-520360d7d0".to_owned(),
+            stage: Stage::Prefill,
+            left_ms: 5_900,
+        }],
     };
     let bytes = encode(&telling).unwrap();
     assert_eq!(decode(&bytes).unwrap(), telling);
@@ -132,9 +137,9 @@
     newer[0] += 1;
     let cut = &bytes[..bytes.len() - 1];
     // An outstanding entry of upstream 7 with an empty table.
-    let unnamed = [2, 1, b'a', 0, 1, 7, 0, 0, 0, 0];
+    let unnamed = [3, 1, b'a', 0, 1, 7, 0, 0, 0, 0];
     for (bytes, why) in [
-        (&newer[..], "form Some(3) is not known"),
+        (&newer[..], "form Some(4) is not known"),
         (&[][..], "form None is not known"),
         (cut, "Hit the end of buffer, expected more data"),
         (&unnamed[..], "no upstream 7 in its table"),
