--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -302,7 +302,7 @@
 }
 
 impl Unsent {
-    fn before(why: impl ToString) -> Self {
+    fn before(why: &impl ToString) -> Self {
         Self {
             why: why.to_string(),
             may_have_been_taken: false,
@@ -315,7 +315,7 @@
     let engine = &wish.engine;
     let report = report(relay, engine).await?;
     if report.is_busy || report.stage == wish.stage {
-        return Err(Unsent::before("its report says otherwise"));
+        return Err(Unsent::before(&"its report says otherwise"));
     }
     let holder = relay.settings.borrow().name.clone();
     let (path, body) = relay.dialect.order(&Order {
@@ -326,7 +326,7 @@
     });
     let request = request(relay, engine, Method::POST, &path, body)?;
     if !ticket.is_valid(since_boot_ms()) {
-        return Err(Unsent::before("too late to send it"));
+        return Err(Unsent::before(&"too late to send it"));
     }
     let sent = call(relay, engine, request).await;
     let (status, _) = sent.map_err(|why| Unsent {
@@ -344,12 +344,14 @@
         relay.dialect.report_path(),
         Vec::new(),
     )?;
-    let (status, body) = call(relay, engine, request).await.map_err(Unsent::before)?;
+    let (status, body) = call(relay, engine, request)
+        .await
+        .map_err(|why| Unsent::before(&why))?;
     if status != StatusCode::OK {
-        return Err(Unsent::before(format!("report: status {status}")));
+        return Err(Unsent::before(&format!("report: status {status}")));
     }
     let report = relay.dialect.reported(&body);
-    report.ok_or_else(|| Unsent::before("report not understood"))
+    report.ok_or_else(|| Unsent::before(&"report not understood"))
 }
 
 fn request(
@@ -367,7 +369,7 @@
         .header(header::HOST, engine.address.to_string())
         .header(header::CONTENT_TYPE, "application/json")
         .body(Full::new(body.into()));
-    let mut request = built.map_err(Unsent::before)?;
+    let mut request = built.map_err(|error| Unsent::before(&error))?;
     request.headers_mut().extend(headers);
     Ok(request)
 }
