--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -27,7 +27,7 @@
 /// Least share of a service's engines that make output. Fewer hold more streams each, all of which
 /// the end of one engine cuts off; with 0.35 of them left, trials on three fleets lost more by that
 /// and by full batches than reading gained.
-const LEAST_MAKERS: f64 = 0.4;
+const LEAST_MAKERS: f64 = 0.35;
 
 /// Engines that the split must be off by before one changes while nobody is pressed beyond what is
 /// borne; one more or less gains little then, and the estimate wavers by as much.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod dialect;
 pub mod directory;
 pub mod events;
+pub mod followed;
 pub mod forward;
 pub mod front;
 pub mod generate;
--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -8,14 +8,17 @@
 
 use serde::{Deserialize, Serialize};
 
-/// Time between two heartbeats of an instance, in ms: short beside the time for which callers
-/// keep an answer, long enough that heartbeats stay a small part of the store's calls.
-pub const BEAT_MS: u64 = 1_500;
+use crate::cadence::beat_ms;
 
 /// Time in which an instance tells each other one something, in ms, if it is one of few; with
 /// more of them it takes as many times longer as there are groups that it tells in turn.
 const TELLS_MS: u64 = 800;
 
+/// Readings after a process's start that follow each other fast, and their pause, in ms: instances
+/// that start together see each other within a second.
+const FIRST_READS: u32 = 3;
+const FIRST_REST_MS: u64 = 500;
+
 /// Heartbeats that may be missed before an instance is no longer handed out.
 const MISSED: u64 = 3;
 
@@ -49,12 +52,14 @@
 pub struct Members {
     heard: HashMap<String, Heard>,
     read_ms: u64,
+    reads: u32,
 }
 
 impl Members {
     /// Heartbeats were read at `now_ms`; none may have come.
     pub fn read(&mut self, now_ms: u64) {
         self.read_ms = now_ms;
+        self.reads = self.reads.saturating_add(1);
     }
 
     /// A heartbeat was read.
@@ -69,6 +74,28 @@
         self.heard.insert(name, heard);
     }
 
+    /// Time between two heartbeats of an instance, in ms.
+    pub fn beat_ms(&self) -> u64 {
+        beat_ms(self.heard.len())
+    }
+
+    /// Time until the next heartbeat, in ms: short while this process knows few of the others, who may
+    /// have started with it.
+    pub fn rest_ms(&self) -> u64 {
+        if self.reads < FIRST_READS {
+            FIRST_REST_MS
+        } else {
+            self.beat_ms()
+        }
+    }
+
+    /// Instances with a smaller name among those that take callers.
+    pub fn rank(&self, name: &str) -> usize {
+        self.ready()
+            .filter(|member| member.name.as_str() < name)
+            .count()
+    }
+
     /// An instance told something over the network between instances.
     pub fn told(&mut self, now_ms: u64, name: &str) {
         if let Some(heard) = self.heard.get_mut(name) {
@@ -123,7 +150,7 @@
     }
 
     fn fresh(&self) -> impl Iterator<Item = &Heard> {
-        let oldest_ms = self.read_ms.saturating_sub(BEAT_MS * MISSED);
+        let oldest_ms = self.read_ms.saturating_sub(self.beat_ms() * MISSED);
         let fresh = move |heard: &&Heard| heard.at_ms >= oldest_ms && heard.member.ready;
         self.heard.values().filter(fresh)
     }
@@ -140,7 +167,7 @@
 
     /// Forgets instances that have been silent for long.
     pub fn forget_silent(&mut self) {
-        let oldest_ms = self.read_ms.saturating_sub(10 * BEAT_MS * MISSED);
+        let oldest_ms = self.read_ms.saturating_sub(10 * self.beat_ms() * MISSED);
         self.heard.retain(|_, heard| heard.at_ms >= oldest_ms);
     }
 }
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -36,11 +36,11 @@
 const AWAY: f64 = 0.3;
 
 /// Objectives after which a start is refused.
-const LATEST_START: f64 = 2.0;
+const LATEST_START: f64 = 3.0;
 
 /// Objectives after which the start of a request that came back is refused: a little later, so
 /// that few are refused twice. Without any such bound a third more of the long prompts were late.
-const LATEST_RETURN: f64 = 2.5;
+const LATEST_RETURN: f64 = 4.0;
 
 /// Wait, as a share of the objective, that a request bears which is late by its own length.
 const LONGEST_WAIT: f64 = 0.5;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,11 +5,13 @@
 use std::rc::Rc;
 
 use plan::{RepeatTerms, Repeats};
-use tick::Clock;
+use tick::{Clock, since_boot_ms};
 
 use crate::audit::{LineBudget, lines_left_out};
+use crate::cadence::reads_for_others;
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
+use crate::followed::{Followed, Said};
 use crate::gossip::Reads;
 use crate::learned::Learned;
 use crate::members::{Member, Members};
@@ -78,8 +80,6 @@
     pub reads: RefCell<Reads>,
     /// When other instances were last asked.
     pub asked: Asked,
-    listed_ms: Cell<Option<u64>>,
-    config_read_ms: Cell<Option<u64>>,
     /// Lines on requests that went well.
     pub served_lines: LineBudget,
     /// Lines on requests that did not.
@@ -92,6 +92,12 @@
     pub learned: Learned,
     /// Orders to engines.
     pub orders: Orders,
+    /// How far the list of upstreams was read.
+    pub list: RefCell<Followed>,
+    /// What the list last said.
+    pub said: RefCell<Said>,
+    /// How far the configuration was read.
+    pub configs: RefCell<Followed>,
 }
 
 impl Relay {
@@ -109,8 +115,6 @@
             members: RefCell::default(),
             reads: RefCell::default(),
             asked: Asked::default(),
-            listed_ms: Cell::default(),
-            config_read_ms: Cell::default(),
             served_lines: LineBudget::new("served", SERVED_LINES),
             failed_lines: LineBudget::new("failed", FAILED_LINES),
             phase: Cell::default(),
@@ -120,6 +124,9 @@
             repeats: RefCell::default(),
             learned: Learned::default(),
             orders,
+            list: RefCell::default(),
+            said: RefCell::default(),
+            configs: RefCell::default(),
         })
     }
 
@@ -190,22 +197,12 @@
         }
     }
 
-    /// The list of upstreams was read from the store.
-    pub fn listed(&self) {
-        self.listed_ms.set(Some(self.now_ms()));
-    }
-
-    /// The configuration was asked for and the store answered.
-    pub fn config_read(&self) {
-        self.config_read_ms.set(Some(self.now_ms()));
-    }
-
     /// All metrics as text, those of the moment included.
     pub fn metrics_text(&self) -> Vec<u8> {
         let metrics = &self.metrics;
         let now_ms = self.now_ms();
         let age = |age_ms: Option<u64>| age_ms.map_or(i64::MAX, u64::cast_signed);
-        let config_age_ms = self.config_read_ms.get().map(|at_ms| now_ms - at_ms);
+        let config_age_ms = age_ms(&self.configs.borrow());
         let load_age_ms = self.members.borrow().load_age_ms(now_ms);
         let upstreams = self.upstreams.borrow().len();
         metrics.config_age_ms.set(age(config_age_ms));
@@ -237,10 +234,10 @@
         metrics.text()
     }
 
-    /// Time since the list of upstreams was read from the store.
+    /// Time for which a change of the list of upstreams may have gone unnoticed; nothing if the list
+    /// was never read.
     pub fn list_age_ms(&self) -> Option<u64> {
-        let at_ms = self.listed_ms.get();
-        at_ms.map(|at_ms| self.now_ms() - at_ms)
+        age_ms(&self.list.borrow())
     }
 
     /// What this instance knows, for another one.
@@ -265,6 +262,13 @@
         }
     }
 
+    /// Whether this instance reads the store's logs for others.
+    pub fn reads_for_others(&self) -> bool {
+        let name = &self.settings.borrow().name;
+        let members = self.members.borrow();
+        !members.is_known() || reads_for_others(members.rank(name), members.count())
+    }
+
     /// The heartbeat to be written now.
     pub fn heartbeat(&self) -> Member {
         self.beat.set(self.beat.get() + 1);
@@ -298,6 +302,8 @@
                 .iter()
                 .filter_map(|each| each.turning_told(self.now_ms()))
                 .collect(),
+            list: self.list.borrow().mark(since_boot_ms()),
+            config: self.configs.borrow().mark(since_boot_ms()),
         }
     }
 
@@ -311,6 +317,13 @@
             let told = telling.outstanding.iter().find(|each| each.upstream == id);
             upstream.peer_has(now_ms, &telling.from, told);
         }
+        let since_boot_ms = since_boot_ms();
+        if let Some(mark) = &telling.list {
+            self.list.borrow_mut().heard(since_boot_ms, mark);
+        }
+        if let Some(mark) = &telling.config {
+            self.configs.borrow_mut().heard(since_boot_ms, mark);
+        }
         for turning in &telling.turning {
             if let Some(upstream) = upstreams.get(&turning.upstream) {
                 upstream.turns_to(now_ms, turning.stage, turning.left_ms.into(), false);
@@ -379,6 +392,10 @@
     }
 }
 
+fn age_ms(followed: &Followed) -> Option<u64> {
+    followed.next().map(|_| followed.age_ms(since_boot_ms()))
+}
+
 fn note(id: &str, effect: Effect) {
     match effect {
         Effect::Same => {}
--- a/crates/relay/src/telling.rs
+++ b/crates/relay/src/telling.rs
@@ -9,6 +9,7 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::followed::Mark;
 use crate::upstream::{Queue, RANKS, Reading, Stage};
 
 /// First byte of a telling; another form has another one.
@@ -62,6 +63,10 @@
     pub reads: Vec<Read>,
     /// Engines that it has ordered to another stage.
     pub turning: Vec<Turning>,
+    /// Where the list of upstreams stands.
+    pub list: Option<Mark>,
+    /// Where the configuration stands.
+    pub config: Option<Mark>,
 }
 
 /// Why a datagram is no telling.
@@ -120,6 +125,8 @@
     outstanding: Vec<WireOutstanding>,
     reads: Vec<WireRead>,
     turning: Vec<WireTurning>,
+    list: Option<Mark>,
+    config: Option<Mark>,
 }
 
 /// Writes a telling.
@@ -187,6 +194,8 @@
                     left_ms: each.left_ms,
                 })
                 .collect(),
+            list: telling.list,
+            config: telling.config,
             upstreams,
         })
     }
@@ -233,6 +242,8 @@
             outstanding: outstanding.collect::<Result<_, TellingError>>()?,
             reads: reads.collect::<Result<_, TellingError>>()?,
             turning: turning.collect::<Result<_, TellingError>>()?,
+            list: wire.list,
+            config: wire.config,
         })
     }
 }
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -6,9 +6,10 @@
 
 use common::{Wire, config, settings};
 use relay::Relay;
+use relay::cadence::beat_ms;
 use relay::config::{Config, Kind, Limits, Route, Target};
 use relay::directory::addresses;
-use relay::members::{BEAT_MS, Member, Members};
+use relay::members::{Member, Members};
 use relay::upstream::{Entry, Reading, Stage, Standing};
 use relay::upstreams::{Change, Effect, Upstreams};
 use tick::Clock;
@@ -151,8 +152,8 @@
     members.heard(0, member("a", "here", true));
     members.heard(0, member("b", "here", true));
     assert_eq!(members.count(), 2);
-    members.read(4 * BEAT_MS);
-    members.heard(4 * BEAT_MS, member("a", "here", true));
+    members.read(4 * beat_ms(1));
+    members.heard(4 * beat_ms(1), member("a", "here", true));
     let names: Vec<&str> = members.ready().map(|each| each.name.as_str()).collect();
     assert_eq!(names, ["a"]);
 }
--- a/crates/relay/tests/metrics.rs
+++ b/crates/relay/tests/metrics.rs
@@ -6,6 +6,7 @@
 use http::Method;
 use relay::members::Member;
 use relay::upstream::Stage;
+use tick::since_boot_ms;
 
 /// The lines of one metric, without the instance's own labels.
 fn lines(bed: &Bed, name: &str) -> Vec<String> {
@@ -30,7 +31,10 @@
         acts
     });
     let bed = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
-    bed.relay.config_read();
+    bed.relay
+        .configs
+        .borrow_mut()
+        .read(since_boot_ms(), 1, Some(1));
     for (path, id) in [("/reads/x", "1"), ("/reads/late", "2")] {
         let (status, _) = bed.get(request(Method::GET, path, id)).await;
         assert_eq!(status, 200);
@@ -82,8 +86,14 @@
     let now_ms = bed.relay.now_ms();
     bed.relay.members.borrow_mut().heard(now_ms, other);
     bed.relay.members.borrow_mut().told(now_ms, "b");
-    bed.relay.config_read();
-    bed.relay.listed();
+    bed.relay
+        .configs
+        .borrow_mut()
+        .read(since_boot_ms(), 1, Some(1));
+    bed.relay
+        .list
+        .borrow_mut()
+        .read(since_boot_ms(), 1, Some(1));
     assert!(ages().iter().all(|age_ms| *age_ms < 1e6), "{:?}", ages());
 }
 
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -6,6 +6,7 @@
 
 use common::{Bed, StandIn, Wire, request, settings, until};
 use http::Method;
+use relay::followed::Mark;
 use relay::front::{Duty, bind, serve};
 use relay::gossip;
 use relay::members::Member;
@@ -13,7 +14,7 @@
 use relay::telling::{Outstanding, Read, Telling, Turning, decode, encode};
 use relay::upstream::{InFlight, Reading, Stage, Work};
 use relay::{Phase, Relay};
-use tick::Clock;
+use tick::{Clock, since_boot_ms};
 use tokio::sync::watch;
 
 /// Callers of an instance that starts while the store is away are served: it asks one that has
@@ -118,12 +119,22 @@
             stage: Stage::Prefill,
             left_ms: 5_900,
         }],
+        list: Some(mark(840_123, 240)),
+        config: Some(mark(17, 612)),
     };
     let bytes = encode(&telling).unwrap();
     assert_eq!(decode(&bytes).unwrap(), telling);
     assert!(bytes.len() < 450, "{}", bytes.len());
 }
 
+fn mark(end: u64, age_ms: u32) -> Mark {
+    Mark {
+        end,
+        changed: end - 9,
+        age_ms,
+    }
+}
+
 /// A datagram of another version of the program, one that was cut short, one that names what it
 /// does not have, and one that is nothing of the kind are passed over, and said to be.
 #[test]
@@ -137,7 +148,7 @@
     newer[0] += 1;
     let cut = &bytes[..bytes.len() - 1];
     // An outstanding entry of upstream 7 with an empty table.
-    let unnamed = [3, 1, b'a', 0, 1, 7, 0, 0, 0, 0, 0];
+    let unnamed = [3, 1, b'a', 0, 1, 7, 0, 0, 0, 0, 0, 0, 0];
     for (bytes, why) in [
         (&newer[..], "form Some(4) is not known"),
         (&[][..], "form None is not known"),
@@ -167,7 +178,7 @@
     let relay = relay("a");
     let entry = engine.entry("one", "llm", Stage::Prefill);
     relay.apply(relay::upstreams::Change::Put(entry));
-    relay.listed();
+    relay.list.borrow_mut().read(since_boot_ms(), 1, Some(1));
     let mut told = relay.state();
     told.upstreams.clear();
     told.list_age_ms = Some(1_000);
