Count steps once in a pause, and long reads for each pause

Cause: an earlier test (a read in pieces harms only where pauses get too long) failed with the harm above, rightly: steps were counted twice, so that a fleet with wide objectives seemed as harmed as one with narrow ones.

--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -23,6 +23,11 @@
 const IDLE_STEP: f64 = 0.3;
 const FULL_STEP: f64 = 0.7;
 
+/// Pauses that a read counts as at the least and at the most: one that is shorter than a pause makes
+/// one, and beyond a few the same answers are late already.
+const FEWEST_PAUSES: f64 = 1.0;
+const MOST_PAUSES: f64 = 3.0;
+
 /// Prompt tokens that an engine reads between two tokens of output: a quarter of the piece in
 /// which it reads when it does nothing else, as the users' sheets have it.
 const PIECE_TOKENS: f64 = 512.0;
@@ -185,14 +190,18 @@
     ///
     /// Prompts that are read one after the other make one long pause, so what is still to be read
     /// there counts with this one. Where the pause gets too long, all who make output there lose as
-    /// much as the read takes.
+    /// much as the read takes, and once more for each further pause of a long one. With the usual
+    /// pause, steps without a read are counted already.
     fn pausing_ms(&self, view: &EngineView, ask: &Ask, read_ms: f64) -> f64 {
         let before = ask.prompt_tokens.max(PIECE_TOKENS) - PIECE_TOKENS;
         let piece = work_tokens(before + PIECE_TOKENS, before);
         let token_ms = self.token_beside_ms(view);
-        let event_ms = ask.event_tokens * piece * token_ms;
+        let piece_ms = piece * self.token_ms() * READ_BESIDE * view.slowness.max(1.0);
         let queued_ms = view.queued_tokens * token_ms;
-        view.requests * late_share(queued_ms + read_ms, event_ms, ask.gap_goal_ms) * read_ms
+        let event_ms = ask.event_tokens * piece_ms;
+        let late = late_share(queued_ms + read_ms, event_ms, ask.gap_goal_ms);
+        let pauses = (read_ms / ask.gap_goal_ms.max(1.0)).clamp(FEWEST_PAUSES, MOST_PAUSES);
+        view.requests * late * read_ms * pauses
     }
 }
 
--- a/crates/plan/tests/staged.rs
+++ b/crates/plan/tests/staged.rs
@@ -321,14 +321,14 @@
     }
 }
 
-/// Questions of 1,500 tokens come one after the other, each read in 75 ms beside twenty answers whose
-/// events may be 150 ms apart. One such read harms nobody. A second one behind it makes one pause of
-/// 150 ms, so it goes to an engine that reads nothing, though that one is further away.
+/// Questions of 900 tokens come one after the other, each read in 40 ms beside twenty answers whose
+/// events may be 150 ms apart. One such read harms nobody. A third one behind two makes one pause with
+/// them that is too long, so it goes to an engine that reads nothing, though that one is further away.
 #[test]
 fn reads_are_not_piled_into_one_long_pause() {
     let pace = Pace::default();
     let ask = Ask {
-        prompt_tokens: 1_500.0,
+        prompt_tokens: 900.0,
         place_ms: 250.0,
         gap_goal_ms: 150.0,
         event_tokens: 11.0,
@@ -340,7 +340,7 @@
         ..EngineView::default()
     };
     let reading = EngineView {
-        queued_tokens: 1_500.0,
+        queued_tokens: 1_800.0,
         distance_ms: 0.2,
         ..quiet
     };
