--- a/crates/relay/tests/followed.rs
+++ b/crates/relay/tests/followed.rs
@@ -66,12 +66,12 @@
         log.write(now_ms, changes);
         for who in 0..INSTANCES {
             let most_ms = list_age_ms(BOUND_MS, reads_for_others(who, INSTANCES));
-            let looks = (now_ms as usize / 10 + who) % 5 == 0;
+            let looks = (now_ms as usize / 10 + who).is_multiple_of(5);
             if looks && all[who].is_due(now_ms, most_ms) {
                 log.read_by(&mut all[who], now_ms);
                 reads += 1;
             }
-            if (now_ms as usize / 10 + 3 * who) % 10 == 0
+            if (now_ms as usize / 10 + 3 * who).is_multiple_of(10)
                 && let Some(mark) = all[who].mark(now_ms)
             {
                 for to in 1..=8 {
