Decide on late starts apart from input and output; give orders in a module of its own

Cause: the bounds of a start were constants among calls, with no replay of the load that they answer; orders had grown to two jobs. Ruled out: nothing.

--- /dev/null
+++ b/crates/relay/src/orders/giving.rs
@@ -0,0 +1,172 @@
+//! One order on its way to an engine.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use lease::Ticket;
+use tick::since_boot_ms;
+
+use super::{Order, Wish};
+use crate::dialect::EngineReport;
+use crate::pool::{Pool, exchange};
+use crate::relay::Relay;
+use crate::upstream::{Stage, Upstream};
+
+/// Time for one call to an engine about its role, in ms: hundreds of round trips.
+const CALL_MS: u64 = 500;
+
+/// Time in which other instances are told of an order before its engine is, in ms: two tellings.
+const TELL_MS: u64 = 200;
+
+/// Time for which an ordered engine gets no work of its old kind, in ms, unless its list entry
+/// changes before: it ends what it has and is away for some seconds.
+const TURNING_MS: u64 = 6_000;
+
+/// Gives an order that stands in the log.
+///
+/// It is sent once. Whether one without an answer was taken shows in the list of upstreams, and it
+/// is wished for again if it was not.
+pub async fn give(relay: &Rc<Relay>, wish: &Wish, ticket: Ticket) {
+    let engine = &wish.engine;
+    let now_ms = relay.now_ms();
+    relay
+        .orders
+        .given
+        .borrow_mut()
+        .insert(engine.id.clone(), now_ms);
+    if let Some(asked) = relay.orders.asked.borrow_mut().get_mut(&wish.service) {
+        asked.plan.ordered(now_ms, wish.turn);
+    }
+    // Told to the others before the engine is: what they send there in ignorance is rejected unrun.
+    engine.turns_to(now_ms, wish.stage, TURNING_MS, true);
+    actix_rt::time::sleep(Duration::from_millis(TELL_MS)).await;
+    let outcome = send(relay, wish, ticket).await;
+    // One without an answer may have been taken.
+    let may_turn = match &outcome {
+        Ok(status) => status.is_success(),
+        Err(unsent) => unsent.may_have_been_taken,
+    };
+    if !may_turn {
+        engine.stays();
+    }
+    let label = match &outcome {
+        Ok(status) if status.is_success() => "taken",
+        Ok(_) => "refused",
+        Err(_) => "unanswered",
+    };
+    relay.metrics.orders.with_label_values(&[label]).inc();
+    let result = match outcome {
+        Ok(status) => status.as_u16().to_string(),
+        Err(unsent) => unsent.why,
+    };
+    log::info!(
+        engine = engine.id, stage:? = wish.stage, fence = ticket.fence, result,
+        reading = wish.demand.reading, making = wish.demand.making,
+        readers = wish.split.readers, makers = wish.split.makers, away = wish.split.away;
+        "role ordered"
+    );
+}
+
+/// Why an order has no answer.
+struct Unsent {
+    why: String,
+    may_have_been_taken: bool,
+}
+
+impl Unsent {
+    fn before(why: &impl ToString) -> Self {
+        Self {
+            why: why.to_string(),
+            may_have_been_taken: false,
+        }
+    }
+}
+
+/// Asks the engine where it stands, and sends it the order if that still holds.
+async fn send(relay: &Relay, wish: &Wish, ticket: Ticket) -> Result<StatusCode, Unsent> {
+    let engine = &wish.engine;
+    let report = report(relay, engine).await?;
+    if report.is_busy || report.stage == wish.stage {
+        return Err(Unsent::before(&"its report says otherwise"));
+    }
+    let holder = relay.settings.borrow().name.clone();
+    let (path, body) = relay.dialect.order(&Order {
+        holder: &holder,
+        fence: ticket.fence,
+        after: report.orders,
+        reads: wish.stage == Stage::Prefill,
+    });
+    let request = request(relay, engine, Method::POST, &path, body)?;
+    if !ticket.is_valid(since_boot_ms()) {
+        return Err(Unsent::before(&"too late to send it"));
+    }
+    let sent = call(relay, engine, request).await;
+    let (status, _) = sent.map_err(|why| Unsent {
+        why,
+        may_have_been_taken: true,
+    })?;
+    Ok(status)
+}
+
+async fn report(relay: &Relay, engine: &Upstream) -> Result<EngineReport, Unsent> {
+    let request = request(
+        relay,
+        engine,
+        Method::GET,
+        relay.dialect.report_path(),
+        Vec::new(),
+    )?;
+    let (status, body) = call(relay, engine, request)
+        .await
+        .map_err(|why| Unsent::before(&why))?;
+    if status != StatusCode::OK {
+        return Err(Unsent::before(&format!("report: status {status}")));
+    }
+    let report = relay.dialect.reported(&body);
+    report.ok_or_else(|| Unsent::before(&"report not understood"))
+}
+
+fn request(
+    relay: &Relay,
+    engine: &Upstream,
+    method: Method,
+    path: &str,
+    body: Vec<u8>,
+) -> Result<Request<Full<Bytes>>, Unsent> {
+    let mut headers = HeaderMap::new();
+    relay.dialect.expect(&mut headers, &engine.id);
+    let built = Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, engine.address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body.into()));
+    let mut request = built.map_err(|error| Unsent::before(&error))?;
+    request.headers_mut().extend(headers);
+    Ok(request)
+}
+
+/// One call over a connection of its own, which ends with it: what the kernel still holds of an
+/// order that was given up must not leave over a connection that lives on.
+async fn call(
+    relay: &Relay,
+    engine: &Upstream,
+    request: Request<Full<Bytes>>,
+) -> Result<(StatusCode, Bytes), String> {
+    let answer = async {
+        let pool = Pool::new(engine.address, relay.clock);
+        let (response, _lease) = exchange(&pool, 1, request)
+            .await
+            .map_err(|fault| fault.to_string())?;
+        let status = response.status();
+        let collected = response.into_body().collect().await;
+        let body = collected.map_err(|error| error.to_string())?.to_bytes();
+        Ok((status, body))
+    };
+    let wait = Duration::from_millis(CALL_MS);
+    let answered = actix_rt::time::timeout(wait, answer).await;
+    answered.unwrap_or_else(|_| Err(format!("nothing within {CALL_MS} ms")))
+}
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use plan::{Ask, Predicted, Verdict, least, work_tokens};
+use plan::{Ask, LatestStart, Predicted, Verdict, Waiting, least, work_tokens};
 
 use crate::answer::{Reason, Refused};
 use crate::call::Call;
@@ -35,16 +35,6 @@
 /// home, so that instances which see its first requests at once choose the same engine.
 const AWAY: f64 = 0.3;
 
-/// Objectives after which a start is refused.
-const LATEST_START: f64 = 3.0;
-
-/// Objectives after which the start of a request that came back is refused: a little later, so
-/// that few are refused twice. Without any such bound a third more of the long prompts were late.
-const LATEST_RETURN: f64 = 4.0;
-
-/// Wait, as a share of the objective, that a request bears which is late by its own length.
-const LONGEST_WAIT: f64 = 0.5;
-
 /// Share of the time left that a prediction may use up.
 const LEFT_SHARE: f64 = 0.8;
 
@@ -55,10 +45,6 @@
 /// Bounds of the time after which a refused caller is asked back, in ms.
 const RETRY_MS: (f64, f64) = (80.0, 900.0);
 
-/// Time that a caller has waited before an attempt from which on it was refused before, in ms: less
-/// than the shortest time after which callers are asked back.
-const CAME_BACK_MS: f64 = 60.0;
-
 /// Where a generation goes first.
 #[derive(Clone)]
 pub enum Placement {
@@ -180,13 +166,12 @@
         return Ok(placement);
     }
     let (placement, first) = best(relay, call, prompt, tried, Urgency::Late)?;
-    let own_ms = first.own_ms + goal_ms * LONGEST_WAIT;
-    let left_ms = call.left_ms(relay.now_ms()) as f64 * LEFT_SHARE;
-    let latest_ms = if waited_ms >= CAME_BACK_MS {
-        (goal_ms * LATEST_RETURN).max(own_ms).min(left_ms)
-    } else {
-        (goal_ms * LATEST_START).max(own_ms).min(left_ms)
-    };
+    let latest_ms = LatestStart::default().wait_ms(&Waiting {
+        goal_ms,
+        own_ms: first.own_ms,
+        waited_ms,
+        left_ms: call.left_ms(relay.now_ms()) as f64 * LEFT_SHARE,
+    });
     if first.total_ms() > latest_ms {
         if relay.failed_lines.take(relay.now_ms()) {
             log::info!(
