--- a/crates/plan/tests/lateness.rs
+++ b/crates/plan/tests/lateness.rs
@@ -25,7 +25,7 @@
     let (mut on_time, mut late) = (Vec::new(), Vec::new());
     let (mut now_ms, mut free_ms) = (0.0_f64, 0.0_f64);
     while now_ms < 20_000.0 {
-        let a_second = if (now_ms / 1_400.0) as u64 % 2 == 0 {
+        let a_second = if ((now_ms / 1_400.0) as u64).is_multiple_of(2) {
             32.0
         } else {
             8.0
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -127,11 +127,8 @@
 pub fn look(relay: &Relay) -> Option<Wish> {
     let now_ms = relay.now_ms();
     let orders = &relay.orders;
-    let passed_ms = now_ms
-        - orders
-            .looked_ms
-            .replace(now_ms)
-            .max(now_ms.saturating_sub(LOOK_MS));
+    let looked_ms = orders.looked_ms.replace(now_ms);
+    let passed_ms = now_ms.saturating_sub(looked_ms).min(LOOK_MS);
     let is_first = is_first(relay);
     let mut all = orders.asked.borrow_mut();
     all.iter_mut().find_map(|(service, asked)| {
--- a/crates/relay/src/orders/giving.rs
+++ b/crates/relay/src/orders/giving.rs
@@ -92,6 +92,9 @@
     if report.is_busy || report.stage == wish.stage {
         return Err(Unsent::before(&"its report says otherwise"));
     }
+    if !engine.is_ready() {
+        return Err(Unsent::before(&"it is leaving"));
+    }
     let holder = relay.settings.borrow().name.clone();
     let (path, body) = relay.dialect.order(&Order {
         holder: &holder,
