Leave an engine alone that rejects what is new, for a moment

Each rejection counts as a repeat against the bound that all share. Ruled out: handles that had lapsed (the sends were whole ones), full engines (14 of 64 places).

--- a/crates/relay/src/orders/giving.rs
+++ b/crates/relay/src/orders/giving.rs
@@ -21,9 +21,10 @@
 /// Time in which other instances are told of an order before its engine is, in ms: two tellings.
 const TELL_MS: u64 = 200;
 
-/// Time for which an ordered engine gets no work of its old kind, in ms, unless its list entry
-/// changes before: it ends what it has and is away for some seconds.
-const TURNING_MS: u64 = 6_000;
+/// Time for which an ordered engine gets no work, in ms, unless its list entry changes before: it ends
+/// what it has, which takes as long as callers wait at most, and is away for some seconds. At half of
+/// that, one engine rejected 143 requests in the third of a second that it still took.
+const TURNING_MS: u64 = 12_000;
 
 /// Gives an order that stands in the log.
 ///
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -219,6 +219,9 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         note_misdirected(relay, reader, answered.instance.as_deref(), Step::Prefill);
     }
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        reader.rejected_generation(relay.now_ms());
+    }
     if status != StatusCode::OK {
         if relay.failed_lines.take(relay.now_ms()) {
             log::info!(upstream = reader.id, status = status.as_u16(); "prompt rejected");
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -94,6 +94,11 @@
         Sent::NotRun(status) => {
             // It is certain that this send did not run.
             call.sends.set(call.sends.get() - 1);
+            // With a cache to fetch it may be the cache that is missing, and not room.
+            let is_full = *status == StatusCode::SERVICE_UNAVAILABLE && sending.kv.is_none();
+            if is_full && upstream.stage() != Stage::Whole {
+                upstream.rejected_generation(relay.now_ms());
+            }
             if relay.failed_lines.take(relay.now_ms()) {
                 log::info!(
                     request = call.id(), upstream = upstream.id, status = status.as_u16();
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -39,6 +39,11 @@
 /// Least time without any answer after which an upstream counts as silent, in ms.
 const SILENT_MS: u64 = 250;
 
+/// Time for which an engine that rejected a request as having no room gets no other one, in ms: long
+/// enough that rejections, each of which counts as a repeat, stay a few a second; places come free in
+/// less.
+const REJECTING_MS: u64 = 500;
+
 /// Time without any answer after which an engine counts as silent, in ms: longer than it reads
 /// the longest prompt.
 const SILENT_ENGINE_MS: u64 = 1_500;
@@ -87,6 +92,7 @@
     clock: Clock,
     joined_ms: u64,
     turning: Cell<Option<Turning>>,
+    rejecting_until_ms: Cell<u64>,
     standing: Cell<Standing>,
     stage: Cell<Stage>,
     seq: Cell<u64>,
@@ -116,6 +122,7 @@
             pool: Pool::new(entry.address, clock),
             joined_ms: clock.now_ms(),
             turning: Cell::default(),
+            rejecting_until_ms: Cell::default(),
             clock,
             standing: Cell::new(entry.standing),
             stage: Cell::new(entry.stage),
@@ -184,6 +191,14 @@
         turning.map_or_else(|| self.stage(), |turning| turning.stage)
     }
 
+    /// It rejected a generation as having no room.
+    ///
+    /// One that is turning rejects all that is new, and may do so for longer than was expected, or
+    /// though nobody has told of its order.
+    pub fn rejected_generation(&self, now_ms: u64) {
+        self.rejecting_until_ms.set(now_ms + REJECTING_MS);
+    }
+
     /// It rejected a step of a generation as not its own, so it does the other one by now.
     ///
     /// The list tells a change of stage only once its store can be read again; until then each
@@ -317,7 +332,7 @@
 
     /// Whether it is fit for work.
     pub fn verdict(&self, now_ms: u64) -> Verdict {
-        if self.is_silent(now_ms) {
+        if self.is_silent(now_ms) || now_ms < self.rejecting_until_ms.get() {
             return Verdict::Ejected;
         }
         self.health.borrow().verdict(now_ms)
