Say what the constants of the split rest on

Cause: a comment claimed of a share what trials said of the code before, and four constants gave no source. Ruled out: nothing. Conclusion: comments only.

--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -18,29 +18,33 @@
 const READING_SHARE: f64 = 0.66;
 
 /// Share of its places that an engine for output may fill: the rest is for clumps, for the engine
-/// beside it that fails, and because a fuller batch makes each token later.
+/// beside it that fails, and because a fuller batch makes each token later. At 0.4 engines went to
+/// output in each lull between two rushes of prompts.
 const MAKING_SHARE: f64 = 0.6;
 
-/// Pressure below which no engine changes, however uneven the split: nobody waits.
+/// Pressure, in what a side should bear, below which no engine changes however uneven the split is:
+/// nobody waits.
 const PRESSED: f64 = 0.8;
 
 /// Least share of a service's engines that make output. Fewer hold more streams each, all of which
-/// the end of one engine cuts off; with 0.35 of them left, trials on three fleets lost more by that
-/// and by full batches than reading gained.
+/// the end of one engine cuts off. Without any bound a fleet of nine was left with one or two when
+/// engines were withdrawn, and served half as much; 0.4 gained 0.015 less than 0.35 on one of three
+/// fleets and as much on the others.
 const LEAST_MAKERS: f64 = 0.35;
 
 /// Engines that the split must be off by before one changes while nobody is pressed beyond what is
 /// borne; one more or less gains little then, and the estimate wavers by as much.
 const OFF_BY: usize = 2;
 
-/// Time for which the same side must be short before an engine changes, in ms.
+/// Time for which the same side must be short before an engine changes, in ms: some looks in a row.
 const SETTLE_MS: u64 = 1_500;
 
 /// The same after a change in the other direction, in ms: several times what a change takes, so that
 /// swings do not move engines to and fro.
 const RETURN_MS: u64 = 12_000;
 
-/// Share of a service's engines that may be away for a change at once.
+/// Share of a service's engines that may be away for a change at once: three of eighteen, the loss of
+/// which the others bear for some seconds.
 const AWAY_SHARE: f64 = 0.17;
 
 /// Average of what is asked in a ms, over the last seconds.
--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -24,7 +24,8 @@
 const FULL_STEP: f64 = 0.7;
 
 /// Pauses that a read counts as at the least and at the most: one that is shorter than a pause makes
-/// one, and beyond a few the same answers are late already.
+/// one, and beyond a few the same answers are late already. With pauses weighed as nothing the worth of
+/// three fleets fell from 0.674 to 0.491, 0.674 to 0.627 and 0.618 to 0.542 (12 days each).
 const FEWEST_PAUSES: f64 = 1.0;
 const MOST_PAUSES: f64 = 3.0;
 
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -24,11 +24,12 @@
 /// Time between two looks at the split, in ms.
 pub const LOOK_MS: u64 = 250;
 
-/// Time for which traffic must have been seen before anything is ordered, in ms.
+/// Time for which traffic must have been seen before anything is ordered, in ms: some dozens of
+/// requests an instance at the usual load.
 const SEEN_MS: u64 = 1_500;
 
-/// Requests that this instance must have in a look's average before it acts on it: one that callers
-/// do not reach would believe that nothing is asked for.
+/// Requests a second that this instance must have to act on what it sees: one that callers do not
+/// reach would believe that nothing is asked for.
 const LEAST_REQUESTS_A_S: f64 = 3.0;
 
 /// Age from which an upstream may be ordered, in ms; one that is newly back may go again.
