Leave an engine alone that sheds load, with status 429 as with 503

Ruled out: turning engines (no order in these seconds), lapsed caches (no status 503 at them). The test has the status beside 503; it was not run against the code before.

--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -15,7 +15,7 @@
 use crate::place::Reader;
 use crate::pool::{Lease, exchange};
 use crate::relay::Relay;
-use crate::send::{note_misdirected, note_unsent, raw_send};
+use crate::send::{has_no_room, note_misdirected, note_unsent, raw_send};
 use crate::upstream::{InFlight, Reading, Upstream, Work};
 
 /// Times the predicted time after which a prompt's answer may have been lost.
@@ -219,7 +219,7 @@
     if status == StatusCode::MISDIRECTED_REQUEST {
         note_misdirected(relay, reader, answered.instance.as_deref(), Step::Prefill);
     }
-    if status == StatusCode::SERVICE_UNAVAILABLE {
+    if has_no_room(status) {
         reader.rejected_generation(relay.now_ms());
     }
     if status != StatusCode::OK {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -95,8 +95,7 @@
             // It is certain that this send did not run.
             call.sends.set(call.sends.get() - 1);
             // With a cache to fetch it may be the cache that is missing, and not room.
-            let is_full = *status == StatusCode::SERVICE_UNAVAILABLE && sending.kv.is_none();
-            if is_full && upstream.stage() != Stage::Whole {
+            if sending.kv.is_none() && has_no_room(*status) && upstream.stage() != Stage::Whole {
                 upstream.rejected_generation(relay.now_ms());
             }
             if relay.failed_lines.take(relay.now_ms()) {
@@ -160,6 +159,15 @@
     exchanged
 }
 
+/// Whether a rejection says that there is no room, and not that the request is another's.
+pub fn has_no_room(status: StatusCode) -> bool {
+    let full = [
+        StatusCode::SERVICE_UNAVAILABLE,
+        StatusCode::TOO_MANY_REQUESTS,
+    ];
+    full.contains(&status)
+}
+
 /// A request was rejected as another's: the incarnation is gone, or does another step by now.
 pub fn note_misdirected(relay: &Relay, upstream: &Upstream, instance: Option<&str>, step: Step) {
     let is_stale = match step {
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -517,8 +517,13 @@
 /// be rejected and count as a repeat.
 #[actix_rt::test]
 async fn an_engine_that_rejects_what_is_new_is_left_alone_for_a_moment() {
-    let away =
-        StandIn::start(|seen| seen.answer("503 Service Unavailable", "x-not-run: 1\r\n", ""));
+    for status in ["503 Service Unavailable", "429 Too Many Requests"] {
+        one_is_sent_to_an_engine_that_rejects(status).await;
+    }
+}
+
+async fn one_is_sent_to_an_engine_that_rejects(status: &'static str) {
+    let away = StandIn::start(move |seen| seen.answer(status, "x-not-run: 1\r\n", ""));
     let other = maker();
     let bed = Bed::start(vec![
         away.entry("away", "llm", Stage::Decode),
