--- a/crates/relay/src/members.rs
+++ b/crates/relay/src/members.rs
@@ -14,9 +14,10 @@
 /// more of them it takes as many times longer as there are groups that it tells in turn.
 const TELLS_MS: u64 = 800;
 
-/// Readings after a process's start that follow each other fast, and their pause, in ms: instances
-/// that start together see each other within a second.
+/// Readings after a process's start that follow each other fast, since instances that start together
+/// are not in the list yet that each reads first.
 const FIRST_READS: u32 = 3;
+/// Pause between those, in ms: instances start within some tenths of a second of each other.
 const FIRST_REST_MS: u64 = 500;
 
 /// Heartbeats that may be missed before an instance is no longer handed out.
