--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -36,5 +36,5 @@
 pub use rollout::moves_over;
 pub use route::{Choice, Request, RouteSettings, Router};
 pub use shape::{RANKS, Shape, rank_index};
-pub use split::{Demand, Peak, Rate, Split, SplitPlan, Turn, readers_wanted};
+pub use split::{Demand, Peak, Rate, Split, SplitPlan, Turn, readers_wanted, turns_at_once};
 pub use staged::{Ask, EngineView, Predicted, least, work_tokens};
--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -183,8 +183,7 @@
             Some((last, at_ms)) if last != turn && now_ms < at_ms + RETURN_MS => RETURN_MS,
             _ => SETTLE_MS,
         };
-        let most_away = ((engines as f64 * AWAY_SHARE) as usize).max(1);
-        let may = now_ms >= since_ms + settle_ms && split.away < most_away;
+        let may = now_ms >= since_ms + settle_ms && split.away < most_away(engines);
         may.then_some(turn)
     }
 
@@ -194,6 +193,28 @@
     }
 }
 
+/// Engines that may change at once, where one is worth its price: as many as the split is off by and as may
+/// be away.
+///
+/// Load pattern: a third of two hundred engines read and half should. One change after the other takes
+/// a minute, and the rush is over.
+pub fn turns_at_once(turn: Turn, demand: &Demand, split: &Split) -> usize {
+    let engines = split.readers + split.makers;
+    let wanted = readers_wanted(demand, engines);
+    let off_by = match turn {
+        Turn::ToReading => wanted.saturating_sub(split.readers),
+        Turn::ToMaking => split.readers.saturating_sub(wanted),
+    };
+    off_by
+        .min(most_away(engines).saturating_sub(split.away))
+        .max(1)
+}
+
+/// Engines of a service that may be away for a change at once.
+fn most_away(engines: usize) -> usize {
+    ((engines as f64 * AWAY_SHARE) as usize).max(1)
+}
+
 /// The change that would better the split, however long it has been wrong; the last engine of a
 /// kind stays what it is.
 fn wished(demand: &Demand, split: &Split) -> Option<Turn> {
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use crate::members::Member;
+use view::Member;
 
 /// Instances in the caller's availability zone below which all are named: a caller that knows
 /// only one has nowhere to go when that one stops.
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -20,7 +20,6 @@
 use crate::call::{Call, host};
 use crate::config::Limits;
 use crate::forward::forward;
-use crate::gossip::FANOUT;
 use crate::relay::{Phase, Relay};
 
 /// Connections that may wait to be accepted, so that a wave of new ones is not turned away.
@@ -170,9 +169,8 @@
         .caller_zone(request.uri().query().unwrap_or(""));
     let own = relay.heartbeat_view();
     let members = relay.members.borrow();
-    let groups = members.count().div_ceil(FANOUT) as u64;
-    let reachable = members.reachable(relay.now_ms(), groups);
-    let addresses = crate::directory::addresses(reachable.into_iter(), &own, zone.as_deref());
+    let reachable = members.reachable();
+    let addresses = crate::directory::addresses(reachable, &own, zone.as_deref());
     if addresses.is_empty() {
         return status(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 
 use http::{Response, StatusCode};
+use view::PartRead;
 
 use crate::answer::{AnswerBody, Refused};
 use crate::call::Call;
@@ -13,7 +14,6 @@
 use crate::relay::Relay;
 use crate::send::{Sent, note_sign, send};
 use crate::stream::Streaming;
-use crate::telling::Read;
 use crate::upstream::{InFlight, LEAST_TOKENS, Reading, Upstream, Work};
 use crate::urgency::Urgency;
 
@@ -178,8 +178,8 @@
         let tokens = f64::from(part.tokens);
         engine.keeps(part.id, tokens, reading, kv_tokens as f64);
         if is_news {
-            relay.reads.borrow_mut().add(Read {
-                upstream: engine.id.clone(),
+            relay.reads.borrow_mut().push(PartRead {
+                upstream: engine.key,
                 part: part.id,
                 tokens: part.tokens,
                 reading,
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -1,9 +1,9 @@
 //! Changes of engines' roles: which are wished for, and how one is ordered.
 //!
-//! Every instance measures what it is asked; the first by name among those that are ready acts on it.
-//! That only keeps instances from asking for the same change at once: what makes an order safe is
-//! `lease::Turns`, whoever believes to be the first. Without any of them requests are served as
-//! before. See docs/design/orders.md.
+//! Every instance measures what it is asked and knows the sum of what all are; of the hubs that
+//! reach the store, the one that gave the last order acts on it. That only keeps instances from asking for
+//! the same change at once: what makes an order safe is `lease::Turns`, whoever believes to be the one.
+//! Without any of them requests are served as before. See docs/design/orders.md.
 
 mod giving;
 
@@ -12,14 +12,16 @@
 use std::rc::Rc;
 
 use lease::Turns;
-use plan::{Demand, Peak, Rate, Split, SplitPlan, Turn, Verdict};
+use plan::{Demand, Peak, Rate, Split, SplitPlan, Turn, Verdict, turns_at_once};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
+use view::cadence::Duty;
+use view::{InstanceKey, ServiceDemand};
 
 use crate::relay::Relay;
 use crate::upstream::{Stage, Upstream};
 
-pub use giving::give;
+pub use giving::{begin, give};
 
 /// Time between two looks at the split, in ms.
 pub const LOOK_MS: u64 = 250;
@@ -28,10 +30,18 @@
 /// requests an instance at the usual load.
 const SEEN_MS: u64 = 1_500;
 
-/// Requests a second that this instance must have to act on what it sees: one that callers do not
-/// reach would believe that nothing is asked for.
+/// Requests a second that all instances must have for the split to be changed: with fewer nobody waits, and
+/// one that hears nobody and is reached by no caller would believe that nothing is asked for.
 const LEAST_REQUESTS_A_S: f64 = 3.0;
 
+/// Engines of a service for each order that one look may give: with four looks a second, a fleet
+/// of two hundred has as many on their way as may be away within two seconds.
+const ENGINES_AN_ORDER: usize = 48;
+
+/// Time between two looks of an instance that gives no orders at whether another one does, in ms: a
+/// third of the quiet time that it would else have to wait before its first.
+pub const WATCH_MS: u64 = 3_000;
+
 /// Age from which an upstream may be ordered, in ms; one that is newly back may go again.
 const SETTLED_MS: u64 = 1_000;
 
@@ -93,6 +103,8 @@
     asked: RefCell<HashMap<String, Asked>>,
     given: RefCell<HashMap<String, u64>>,
     looked_ms: Cell<u64>,
+    last_fence: Cell<u64>,
+    lost_store: Cell<bool>,
 }
 
 impl Orders {
@@ -103,9 +115,28 @@
             asked: RefCell::default(),
             given: RefCell::default(),
             looked_ms: Cell::default(),
+            last_fence: Cell::default(),
+            lost_store: Cell::default(),
         }
     }
 
+    /// A call to the store was answered, or was not.
+    pub fn called_store(&self, was_answered: bool) {
+        self.lost_store.set(!was_answered);
+    }
+
+    /// What callers ask of this instance, to be told to others.
+    pub fn demand(&self, now_ms: u64) -> Vec<ServiceDemand> {
+        let all = self.asked.borrow();
+        let told = all.iter().map(|(service, asked)| ServiceDemand {
+            service: service.clone(),
+            reading: asked.reading.a_ms(now_ms) as f32,
+            making: asked.making.a_ms(now_ms) as f32,
+            requests_a_s: (asked.requests.a_ms(now_ms) * 1_000.0) as f32,
+        });
+        told.collect()
+    }
+
     /// What this instance knows of the log of orders.
     pub fn turns(&self) -> &RefCell<Turns> {
         &self.turns
@@ -124,15 +155,36 @@
     }
 }
 
-/// Measures what is asked, and gives the change that this instance should order now.
-pub fn look(relay: &Relay) -> Option<Wish> {
+/// Fencing token of the last order that this instance gave, if it may give the next: it is a hub, so that
+/// it hears what all are asked, and has not lost the store.
+pub fn gives_after(relay: &Relay, duty: Duty) -> Option<u64> {
+    let may = relay.is_ready() && duty <= Duty::Hub && !relay.orders.lost_store.get();
+    may.then(|| relay.orders.last_fence.get())
+}
+
+/// Whether this instance gives the orders now: the one that gave the last, so that no time passes in
+/// which two must be apart, or else the first by key.
+fn is_giver(relay: &Relay) -> bool {
+    let Some(fence) = gives_after(relay, relay.duty()) else {
+        return false;
+    };
+    let own = InstanceKey::of(&relay.settings.borrow().name);
+    let goes_before =
+        |(key, theirs)| (theirs, std::cmp::Reverse(key)) > (fence, std::cmp::Reverse(own));
+    !relay.shared.borrow().givers().any(goes_before)
+}
+
+/// Measures what is asked, and gives the changes that this instance should order now.
+pub fn look(relay: &Relay) -> Vec<Rc<Wish>> {
     let now_ms = relay.now_ms();
     let orders = &relay.orders;
     let looked_ms = orders.looked_ms.replace(now_ms);
     let passed_ms = now_ms.saturating_sub(looked_ms).min(LOOK_MS);
-    let is_first = is_first(relay);
+    let is_giver = is_giver(relay);
+    let others = relay.shared.borrow().demand();
     let mut all = orders.asked.borrow_mut();
-    all.iter_mut().find_map(|(service, asked)| {
+    let mut wishes = Vec::new();
+    for (service, asked) in all.iter_mut() {
         let engines = engines(relay, service, now_ms);
         let places: f64 = engines
             .iter()
@@ -140,17 +192,30 @@
             .map(|each| f64::from(each.making()) / f64::from(each.slots))
             .sum();
         asked.making.add(now_ms, places * passed_ms as f64);
-        is_first
-            .then(|| wish(relay, service, asked, &engines))
-            .flatten()
-    })
+        let others = others.iter().find(|each| each.service == *service);
+        // Noted by all, so that whoever gives the next orders knows the rushes of before.
+        let demand = asked.demand(now_ms, others);
+        if is_giver && let Some(demand) = demand {
+            wishes.extend(wished(relay, service, asked, &engines, &demand));
+        }
+    }
+    wishes
 }
 
-/// Whether this instance's name is the first among the ready ones.
-fn is_first(relay: &Relay) -> bool {
-    let own = relay.settings.borrow().name.clone();
-    let members = relay.members.borrow();
-    relay.is_ready() && members.ready().all(|member| member.name >= own)
+impl Asked {
+    /// The most that all instances were asked of late; nothing while too little is seen.
+    fn demand(&mut self, now_ms: u64, others: Option<&ServiceDemand>) -> Option<Demand> {
+        let others = others.cloned().unwrap_or_default();
+        let requests_a_s = self.requests.a_ms(now_ms) * 1_000.0 + f64::from(others.requests_a_s);
+        if self.requests.seen_ms(now_ms) < SEEN_MS || requests_a_s < LEAST_REQUESTS_A_S {
+            return None;
+        }
+        let now = Demand {
+            reading: self.reading.a_ms(now_ms) + f64::from(others.reading),
+            making: self.making.a_ms(now_ms) + f64::from(others.making),
+        };
+        Some(self.peak.note(now_ms, &now))
+    }
 }
 
 /// Engines of a service that split the two steps of a generation.
@@ -162,21 +227,14 @@
         .collect()
 }
 
-fn wish(relay: &Relay, service: &str, asked: &mut Asked, engines: &[Rc<Upstream>]) -> Option<Wish> {
+fn wished(
+    relay: &Relay,
+    service: &str,
+    asked: &mut Asked,
+    engines: &[Rc<Upstream>],
+    demand: &Demand,
+) -> Vec<Rc<Wish>> {
     let now_ms = relay.now_ms();
-    let requests_a_s = asked.requests.a_ms(now_ms) * 1_000.0;
-    if asked.requests.seen_ms(now_ms) < SEEN_MS || requests_a_s < LEAST_REQUESTS_A_S {
-        return None;
-    }
-    // Callers spread evenly, so this instance's own part tells the whole.
-    let instances = relay.instances() as f64;
-    let demand = asked.peak.note(
-        now_ms,
-        &Demand {
-            reading: asked.reading.a_ms(now_ms) * instances,
-            making: asked.making.a_ms(now_ms) * instances,
-        },
-    );
     let away = |each: &&Rc<Upstream>| each.is_turning(now_ms);
     let reads = |each: &&Rc<Upstream>| each.stage_wanted(now_ms) == Stage::Prefill;
     let split = Split {
@@ -184,46 +242,67 @@
         makers: engines.iter().filter(|each| !reads(each)).count(),
         away: engines.iter().filter(away).count(),
     };
-    let turn = asked.plan.next(now_ms, &demand, &split)?;
+    let Some(turn) = asked.plan.next(now_ms, demand, &split) else {
+        return Vec::new();
+    };
     let stage = match turn {
         Turn::ToReading => Stage::Prefill,
         Turn::ToMaking => Stage::Decode,
     };
-    let engine = chosen(relay, engines, stage)?;
-    Some(Wish {
-        engine,
-        stage,
-        service: service.to_owned(),
-        turn,
-        demand,
-        split,
-    })
+    let most = engines.len().div_ceil(ENGINES_AN_ORDER);
+    let count = most.min(turns_at_once(turn, demand, &split));
+    let chosen = chosen(relay, engines, stage, count);
+    let wish = |engine| {
+        Rc::new(Wish {
+            engine,
+            stage,
+            service: service.to_owned(),
+            turn,
+            demand: *demand,
+            split,
+        })
+    };
+    chosen.into_iter().map(wish).collect()
 }
 
-/// The engine that is to change: of the zone with the fewest of the new kind, the one with the least
-/// to do.
-fn chosen(relay: &Relay, engines: &[Rc<Upstream>], stage: Stage) -> Option<Rc<Upstream>> {
+/// The engines that are to change: each of the zone with the fewest of the new kind, the one there with
+/// the least to do.
+fn chosen(
+    relay: &Relay,
+    engines: &[Rc<Upstream>],
+    stage: Stage,
+    count: usize,
+) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
     let given = relay.orders.given.borrow();
     let rests = |each: &Upstream| {
         let at_ms = given.get(&each.id);
         at_ms.is_some_and(|at_ms| now_ms < at_ms + REST_MS)
     };
-    let there = |zone: &str| {
-        let of_zone = engines.iter().filter(|each| each.zone == zone);
-        of_zone
-            .filter(|each| each.stage_wanted(now_ms) == stage)
-            .count()
-    };
-    engines
+    let mut there: HashMap<&str, usize> = HashMap::new();
+    for each in engines {
+        let is_there = each.stage_wanted(now_ms) == stage;
+        *there.entry(&each.zone).or_default() += usize::from(is_there);
+    }
+    let mut free: Vec<&Rc<Upstream>> = engines
         .iter()
         .filter(|each| each.stage() != stage && !each.is_turning(now_ms) && !rests(each))
         .filter(|each| each.verdict(now_ms) == Verdict::Fit && each.age_ms(now_ms) >= SETTLED_MS)
-        .min_by(|a, b| {
-            let by_zone = there(&a.zone).cmp(&there(&b.zone));
+        .collect();
+    let mut chosen = Vec::new();
+    while chosen.len() < count {
+        let least = free.iter().enumerate().min_by(|(_, a), (_, b)| {
+            let by_zone = there[a.zone.as_str()].cmp(&there[b.zone.as_str()]);
             by_zone.then(a.load(now_ms).total_cmp(&b.load(now_ms)))
-        })
-        .cloned()
+        });
+        let Some((at, _)) = least else {
+            break;
+        };
+        let engine = free.swap_remove(at);
+        *there.entry(&engine.zone).or_default() += 1;
+        chosen.push(Rc::clone(engine));
+    }
+    chosen
 }
 
 /// The record of an order that is wished for.
--- a/crates/relay/src/orders/giving.rs
+++ b/crates/relay/src/orders/giving.rs
@@ -1,6 +1,5 @@
 //! One order on its way to an engine.
 
-use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -18,21 +17,20 @@
 /// Time for one call to an engine about its role, in ms: hundreds of round trips.
 const CALL_MS: u64 = 500;
 
-/// Time in which other instances are told of an order before its engine is, in ms: two tellings.
-const TELL_MS: u64 = 200;
+/// Time in which other instances are told of an order before its engine is, in ms: by way of two hubs,
+/// and one datagram more.
+const TELL_MS: u64 = 400;
 
 /// Time for which an ordered engine gets no work, in ms, unless its list entry changes before: it ends
 /// what it has, which takes as long as callers wait at most, and is away for some seconds. At half of
 /// that, one engine rejected 143 requests in the third of a second that it still took.
 const TURNING_MS: u64 = 12_000;
 
-/// Gives an order that stands in the log.
-///
-/// It is sent once. Whether one without an answer was taken shows in the list of upstreams, and it
-/// is wished for again if it was not.
-pub async fn give(relay: &Rc<Relay>, wish: &Wish, ticket: Ticket) {
+/// Notes that an order stands in the log, before it is given.
+pub fn begin(relay: &Relay, wish: &Wish, ticket: Ticket) {
     let engine = &wish.engine;
     let now_ms = relay.now_ms();
+    relay.orders.last_fence.set(ticket.fence);
     relay
         .orders
         .given
@@ -43,6 +41,14 @@
     }
     // Told to the others before the engine is: what they send there in ignorance is rejected unrun.
     engine.turns_to(now_ms, wish.stage, TURNING_MS, true);
+}
+
+/// Gives an order that stands in the log.
+///
+/// It is sent once. Whether one without an answer was taken shows in the list of upstreams, and it
+/// is wished for again if it was not.
+pub async fn give(relay: &Relay, wish: &Wish, ticket: Ticket) {
+    let engine = &wish.engine;
     actix_rt::time::sleep(Duration::from_millis(TELL_MS)).await;
     let outcome = send(relay, wish, ticket).await;
     // One without an answer may have been taken.
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -5,6 +5,8 @@
 use std::rc::Rc;
 
 use plan::{Ask, LatestStart, Predicted, Verdict, Waiting, least, work_tokens};
+use view::InstanceKey;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::answer::{Reason, Refused};
 use crate::call::Call;
@@ -12,6 +14,7 @@
 use crate::prefix::{Holders, Start, home};
 use crate::relay::Relay;
 use crate::upstream::{Stage, Upstream};
+
 use crate::urgency::Urgency;
 
 /// Prompts with fewer tokens to read are not worth reading apart and moving, in tokens: moving
@@ -88,6 +91,25 @@
     pub urgency: Urgency,
 }
 
+/// Engines of one stage among which an instance chooses.
+///
+/// Load pattern: eighty instances see the same idle engine for as long as news of it takes, and all send
+/// there what comes in that time; its streams pause for all that is read beside them. With a few engines
+/// of its own each, an engine is chosen by a few instances, and each of them keeps connections to fewer.
+const NEAR_ENGINES: usize = 16;
+
+/// The engines of an instance: always the same while they are there, and others for each instance.
+fn near(relay: &Relay, all: &[Rc<Upstream>]) -> Vec<Rc<Upstream>> {
+    if all.len() <= NEAR_ENGINES {
+        return all.to_vec();
+    }
+    let own = u64::from(InstanceKey::of(&relay.settings.borrow().name).0);
+    let mut near = all.to_vec();
+    near.sort_by_cached_key(|engine| xxh3_64_with_seed(engine.id.as_bytes(), own));
+    near.truncate(NEAR_ENGINES);
+    near
+}
+
 /// Upstreams of a service that may be tried, the fit ones if there are any.
 fn candidates(relay: &Relay, call: &Call, tried: &[String], stages: &[Stage]) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
@@ -269,7 +291,10 @@
     let now_ms = relay.now_ms();
     let tokens = f64::from(prompt.input_tokens);
     let pace = relay.learned.pace(&call.service);
-    let makers = candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]);
+    let makers = near(
+        relay,
+        &candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]),
+    );
     let ask = Ask {
         prompt_tokens: tokens,
         place_ms: PLACE_MS,
@@ -317,6 +342,15 @@
     let home = home(&all, prompt).map(|each| each.id.clone());
     let holders = Holders::of(relay, call, prompt);
     let rank = call.rank(urgency);
+    let mut readers = near(relay, &all);
+    let is_near = |each: &Rc<Upstream>| readers.iter().any(|near| near.id == each.id);
+    let holds = |each: &&Rc<Upstream>| {
+        Some(&each.id) == home.as_ref() || crate::prefix::holds(each, prompt)
+    };
+    let others = all.iter().filter(holds).filter(|each| !is_near(each));
+    let others: Vec<Rc<Upstream>> = others.cloned().collect();
+    readers.extend(others);
+    let all = readers;
     let predicted = |each: &Rc<Upstream>| {
         let start = holders.start_at(each, prompt);
         let mut read = pace.prefill_ms(&start.view(each, now_ms, rank), tokens);
--- a/crates/relay/src/prefix.rs
+++ b/crates/relay/src/prefix.rs
@@ -112,6 +112,11 @@
         .max_by_key(|engine| xxh3_64_with_seed(engine.id.as_bytes(), part.id))
 }
 
+/// Whether an engine holds or is reading the start of a prompt.
+pub fn holds(engine: &Upstream, prompt: &Prompt) -> bool {
+    held_tokens(prompt, |id| engine.kept(id)) > 0.0
+}
+
 /// Tokens at the start of a prompt, part by part up to the first that is not held.
 fn held_tokens(prompt: &Prompt, tokens_of: impl Fn(u64) -> f64) -> f64 {
     let held = prompt.parts.iter().map(|part| tokens_of(part.id));
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,23 +2,23 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::SystemTime;
 
 use plan::{RepeatTerms, Repeats};
 use tick::{Clock, since_boot_ms};
+use view::cadence::{Duty, duty};
+use view::shared::{Heard, Own, Shared};
+use view::{Followed, InstanceKey, Member, Members, News, PartRead, Said, Told, hubs};
 
 use crate::audit::{LineBudget, lines_left_out};
-use crate::cadence::reads_for_others;
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
-use crate::followed::{Followed, Said};
-use crate::gossip::Reads;
 use crate::learned::Learned;
-use crate::members::{Member, Members};
 use crate::metrics::Metrics;
-use crate::orders::Orders;
+use crate::orders::{self, Orders};
 use crate::state::{Asked, State};
-use crate::telling::Telling;
 use crate::upstreams::{Change, Effect, Upstreams};
 
 /// Lines in a second on requests that went well: two or three for each at the usual load.
@@ -46,6 +46,8 @@
     pub addresses_ttl_ms: u64,
     /// Time by which orders of two instances to one engine must be apart, in ms.
     pub lease_ms: u64,
+    /// Speed of its link.
+    pub link_mbps: u32,
 }
 
 /// How far a process has come on its way out.
@@ -77,7 +79,9 @@
     /// Requests whose answers are not out yet.
     pub busy: Rc<Cell<usize>>,
     /// Prompt parts to be told to other instances.
-    pub reads: RefCell<Reads>,
+    pub reads: RefCell<Vec<PartRead>>,
+    /// What others told, and what goes on to them.
+    pub shared: RefCell<Shared>,
     /// When other instances were last asked.
     pub asked: Asked,
     /// Lines on requests that went well.
@@ -106,6 +110,7 @@
         let metrics = Metrics::new(&settings.name, &settings.zone);
         let upstreams = Upstreams::new(&settings.zone, clock);
         let orders = Orders::new(settings.lease_ms);
+        let own = InstanceKey::of(&settings.name);
         Rc::new(Self {
             settings: RefCell::new(settings),
             dialect,
@@ -114,6 +119,7 @@
             upstreams: RefCell::new(upstreams),
             members: RefCell::default(),
             reads: RefCell::default(),
+            shared: RefCell::default(),
             asked: Asked::default(),
             served_lines: LineBudget::new("served", SERVED_LINES),
             failed_lines: LineBudget::new("failed", FAILED_LINES),
@@ -124,9 +130,9 @@
             repeats: RefCell::default(),
             learned: Learned::default(),
             orders,
-            list: RefCell::default(),
+            list: RefCell::new(Followed::new(own)),
             said: RefCell::default(),
-            configs: RefCell::default(),
+            configs: RefCell::new(Followed::new(own)),
         })
     }
 
@@ -250,7 +256,10 @@
                 .iter()
                 .map(|each| each.entry())
                 .collect(),
-            list_age_ms: self.list_age_ms(),
+            list_age_ms: known_age_ms(&self.list.borrow()),
+            list_next: self.list.borrow().next(),
+            config_age_ms: known_age_ms(&self.configs.borrow()),
+            config_next: self.configs.borrow().next(),
             members: self.members.borrow().all(),
         }
     }
@@ -262,17 +271,41 @@
         }
     }
 
-    /// Whether this instance reads the store's logs for others.
-    pub fn reads_for_others(&self) -> bool {
-        let name = &self.settings.borrow().name;
+    /// How this instance follows the store's logs.
+    pub fn duty(&self) -> Duty {
+        let own = &self.settings.borrow().name;
         let members = self.members.borrow();
-        !members.is_known() || reads_for_others(members.rank(name), members.count())
+        if !members.is_known() {
+            return Duty::Reader;
+        }
+        let all = hubs::order(members.reachable());
+        let rank = all.iter().position(|member| member.name == *own);
+        duty(rank.unwrap_or(all.len()), all.len(), hubs::count(all.len()))
     }
 
-    /// The heartbeat to be written now.
+    /// The heartbeat to be written now, which other instances are told of too.
     pub fn heartbeat(&self) -> Member {
-        self.beat.set(self.beat.get() + 1);
-        self.heartbeat_view()
+        // A process that starts anew must not seem older than it was before, or its word would be
+        // passed over; the time of day may have been set back meanwhile.
+        let own = self.settings.borrow().name.clone();
+        let before = self.members.borrow().beat_of(&own).unwrap_or_default();
+        let beat = unix_ms().max(before + 1).max(self.beat.get() + 1);
+        self.beat.set(beat);
+        let member = self.heartbeat_view();
+        let now_ms = self.now_ms();
+        self.shared.borrow_mut().joined(now_ms, member.clone());
+        member
+    }
+
+    /// A heartbeat of this instance stands in the store.
+    ///
+    /// It does not count as knowing the instances: one that has read nobody else's yet would take itself
+    /// for the only one.
+    pub fn wrote(&self, member: Member) {
+        let mut members = self.members.borrow_mut();
+        if members.is_known() {
+            members.heard(self.now_ms(), member);
+        }
     }
 
     /// What the instance would say of itself now.
@@ -285,52 +318,62 @@
             zone: settings.zone.clone(),
             ready: self.is_ready(),
             beat: self.beat.get(),
+            link_mbps: settings.link_mbps,
+        }
+    }
+
+    /// What other instances are to be told now, and where they are.
+    pub fn told_now(&self) -> Vec<(SocketAddr, Told)> {
+        let now_ms = self.now_ms();
+        let expired = self.shared.borrow_mut().expire(now_ms);
+        self.take_loads(&expired);
+        let own = self.own();
+        let key = InstanceKey::of(&own.member.name);
+        if own.member.ready && self.members.borrow().is_known() {
+            self.members.borrow_mut().lives(now_ms, key);
         }
+        let members = self.members.borrow();
+        self.shared.borrow_mut().tick(now_ms, own, &members)
     }
 
-    /// What other instances are to be told now.
-    pub fn telling(&self) -> Telling {
+    fn own(&self) -> Own {
+        let now_ms = self.now_ms();
+        let since_boot_ms = since_boot_ms();
+        let duty = self.duty();
+        let reads_for_others = duty == Duty::Reader;
         let upstreams = self.upstreams.borrow();
-        Telling {
-            from: self.settings.borrow().name.clone(),
-            outstanding: upstreams
-                .iter()
-                .filter_map(|each| each.outstanding())
-                .collect(),
-            reads: self.reads.borrow_mut().take(),
+        let mark = |log: &RefCell<Followed>| log.borrow().mark(since_boot_ms, reads_for_others);
+        Own {
+            member: self.heartbeat_view(),
+            loads: upstreams.iter().filter_map(|it| it.outstanding()).collect(),
+            reads: self.reads.take(),
             turning: upstreams
                 .iter()
-                .filter_map(|each| each.turning_told(self.now_ms()))
+                .filter_map(|each| each.turning_told(now_ms))
                 .collect(),
-            list: self.list.borrow().mark(since_boot_ms()),
-            config: self.configs.borrow().mark(since_boot_ms()),
+            demand: self.orders.demand(now_ms),
+            gives_after: orders::gives_after(self, duty),
+            list: mark(&self.list),
+            doubt_ms: upstreams.doubt_ms(now_ms) as u32,
+            config: mark(&self.configs),
         }
     }
 
     /// Another instance told something.
-    pub fn heard(&self, telling: &Telling) {
+    pub fn heard(&self, told: &Told, peer: SocketAddr) {
         let now_ms = self.now_ms();
-        self.members.borrow_mut().told(now_ms, &telling.from);
+        self.take_members(now_ms, told);
+        let heard = self.shared.borrow_mut().heard(now_ms, told, peer);
+        self.take_loads(&heard);
+        self.take_news(now_ms, told);
         let upstreams = self.upstreams.borrow();
-        for upstream in upstreams.iter() {
-            let id = upstream.id.as_str();
-            let told = telling.outstanding.iter().find(|each| each.upstream == id);
-            upstream.peer_has(now_ms, &telling.from, told);
-        }
-        let since_boot_ms = since_boot_ms();
-        if let Some(mark) = &telling.list {
-            self.list.borrow_mut().heard(since_boot_ms, mark);
-        }
-        if let Some(mark) = &telling.config {
-            self.configs.borrow_mut().heard(since_boot_ms, mark);
-        }
-        for turning in &telling.turning {
-            if let Some(upstream) = upstreams.get(&turning.upstream) {
+        for turning in &told.turning {
+            if let Some(upstream) = upstreams.get_by_key(turning.upstream) {
                 upstream.turns_to(now_ms, turning.stage, turning.left_ms.into(), false);
             }
         }
-        for read in &telling.reads {
-            if let Some(upstream) = upstreams.get(&read.upstream) {
+        for read in &told.reads {
+            if let Some(upstream) = upstreams.get_by_key(read.upstream) {
                 let kv_tokens = self.engine_limits(&upstream.service).kv_tokens;
                 let tokens = f64::from(read.tokens);
                 upstream.keeps(read.part, tokens, read.reading, kv_tokens as f64);
@@ -338,6 +381,72 @@
         }
     }
 
+    fn take_members(&self, now_ms: u64, told: &Told) {
+        let mut members = self.members.borrow_mut();
+        for member in &told.members {
+            if members.heard_from_another(now_ms, member) {
+                self.shared.borrow_mut().joined(now_ms, member.clone());
+            }
+        }
+        for key in &told.alive {
+            members.told(now_ms, *key);
+        }
+    }
+
+    fn take_loads(&self, heard: &Heard) {
+        let shared = self.shared.borrow();
+        let upstreams = self.upstreams.borrow();
+        if !shared.hears() {
+            upstreams.iter().for_each(|each| each.others_have(None));
+            return;
+        }
+        for upstream in heard
+            .loads
+            .iter()
+            .filter_map(|key| upstreams.get_by_key(*key))
+        {
+            upstream.others_have(Some(shared.load(upstream.key)));
+        }
+    }
+
+    fn take_news(&self, now_ms: u64, told: &Told) {
+        let since_boot_ms = since_boot_ms();
+        let doubt_ms = u64::from(told.doubt_ms);
+        self.upstreams
+            .borrow_mut()
+            .doubted_by_another(now_ms, doubt_ms);
+        for news in &told.news {
+            if self.list.borrow_mut().heard_news(news) {
+                self.said.borrow_mut().is_news(&news.change);
+                self.apply(news.change.clone());
+                self.shared.borrow_mut().add_news(now_ms, news.clone());
+            }
+        }
+        if let Some(mark) = &told.list {
+            self.list.borrow_mut().heard(since_boot_ms, mark);
+        }
+        if let Some(mark) = &told.config {
+            self.configs.borrow_mut().heard(since_boot_ms, mark);
+        }
+    }
+
+    /// Takes in a change of the list of upstreams that was read at an offset, `before` being the one
+    /// after the last change before it; gives the offset after it if it says something new.
+    pub fn read_change(&self, before: u64, offset: u64, change: Change) -> Option<u64> {
+        let is_news = self.said.borrow_mut().is_news(&change);
+        self.apply(change.clone());
+        let after = offset + 1;
+        let news = News {
+            before,
+            after,
+            change,
+        };
+        is_news.then(|| {
+            self.shared.borrow_mut().add_news(self.now_ms(), news);
+            after
+        })
+    }
+
     /// Limits of a service's engines; nothing is known of what is not configured.
     pub fn engine_limits(&self, service: &str) -> EngineLimits {
         let config = self.config.borrow();
@@ -392,6 +501,17 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+/// Age of what this instance could tell another one, if it has taken in all that it knows of.
+fn known_age_ms(followed: &Followed) -> Option<u64> {
+    let is_behind = followed.is_behind();
+    age_ms(followed).filter(|_| !is_behind)
+}
+
 fn age_ms(followed: &Followed) -> Option<u64> {
     followed.next().map(|_| followed.age_ms(since_boot_ms()))
 }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -15,18 +15,18 @@
 use http_body_util::{BodyExt, Full};
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
+use tick::since_boot_ms;
+use view::{Entry, Member};
 
 use crate::config::{Config, Limits, Route, Service};
-use crate::members::Member;
 use crate::pool::{Pool, exchange};
 use crate::relay::Relay;
-use crate::upstream::Entry;
 
 /// Path at which instances tell each other their state.
 pub const PATH: &str = "/state";
 
-/// Least time between two questions, in ms.
-const ASK_MS: u64 = 1_000;
+/// Least time between two questions, in ms: one that was not answered is given up by then.
+const ASK_MS: u64 = 500;
 
 /// Time for an answer, in ms: many round trips, and the time that a busy instance takes.
 const ANSWER_MS: u64 = 500;
@@ -68,8 +68,18 @@
     pub config: Option<ConfigState>,
     /// Upstreams.
     pub upstreams: Vec<Entry>,
-    /// Time since the list of upstreams was read from the store.
+    /// Time since the list of upstreams stood so in the store, if the instance has taken in all that it
+    /// knows of.
     pub list_age_ms: Option<u64>,
+    /// Offset up to which its changes were taken in.
+    #[serde(default)]
+    pub list_next: Option<u64>,
+    /// Time since the configuration stood so in the store, on the same terms.
+    #[serde(default)]
+    pub config_age_ms: Option<u64>,
+    /// Offset up to which its changes were taken in.
+    #[serde(default)]
+    pub config_next: Option<u64>,
     /// Instances.
     pub members: Vec<Member>,
 }
@@ -92,12 +102,16 @@
         return;
     };
     match ask(relay, peer).await {
-        Ok(state) => take(relay, state, peer),
+        Ok(state) => take(relay, &state, peer),
         Err(why) => log::info!(peer:%, why; "another instance could not be asked"),
     }
 }
 
+/// One that told of what this instance lacks, or else any.
 fn somebody(relay: &Relay) -> Option<SocketAddr> {
+    if let Some(peer) = relay.shared.borrow().informed() {
+        return Some(peer);
+    }
     let settings = relay.settings.borrow();
     let members = relay.members.borrow();
     let known = members.ready().filter_map(|member| member.peer);
@@ -129,29 +143,53 @@
 }
 
 /// Takes over what another instance knows and this one does not.
-pub fn take(relay: &Relay, state: State, peer: SocketAddr) {
+pub fn take(relay: &Relay, state: &State, peer: SocketAddr) {
     let version = state.config.as_ref().map_or(0, |config| config.version);
     log::info!(
         peer:%, version, upstreams = state.upstreams.len(),
         list_age_ms = state.list_age_ms.unwrap_or(u64::MAX);
         "asked another instance"
     );
-    if let Some(config) = state.config {
-        relay.configure(config.into());
-    }
-    // Our own list may be the newer one, where only another read has failed.
-    let own_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
-    let is_newer = |age_ms: u64| age_ms < FRESH_MS && age_ms < own_age_ms;
-    if state.list_age_ms.is_some_and(is_newer) {
-        relay.replace(state.upstreams);
-    } else {
-        for entry in state.upstreams {
-            relay.apply(crate::upstreams::Change::Put(entry));
-        }
-    }
+    take_config(relay, state);
+    take_list(relay, state);
     let now_ms = relay.now_ms();
     let mut members = relay.members.borrow_mut();
-    for member in state.members {
+    for member in &state.members {
         members.heard_from_another(now_ms, member);
     }
 }
+
+fn take_config(relay: &Relay, state: &State) {
+    let Some(config) = &state.config else {
+        return;
+    };
+    relay.configure(config.clone().into());
+    let mut configs = relay.configs.borrow_mut();
+    if let (Some(age_ms), Some(next)) = (state.config_age_ms, state.config_next)
+        && configs.next() < Some(next)
+    {
+        configs.read_whole(since_boot_ms().saturating_sub(age_ms), next);
+    }
+}
+
+/// Takes over the list where it goes further than the own one, which may be the newer one if only another
+/// read has failed.
+fn take_list(relay: &Relay, state: &State) {
+    let own_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
+    let own_next = relay.list.borrow().next();
+    let age_ms = state.list_age_ms.filter(|age_ms| *age_ms < FRESH_MS);
+    match (age_ms, state.list_next) {
+        (Some(age_ms), Some(next)) if own_next < Some(next) => {
+            relay.said.borrow_mut().replace(&state.upstreams);
+            relay.replace(state.upstreams.clone());
+            let as_of_ms = since_boot_ms().saturating_sub(age_ms);
+            relay.list.borrow_mut().read_whole(as_of_ms, next);
+        }
+        (Some(age_ms), None) if age_ms < own_age_ms => relay.replace(state.upstreams.clone()),
+        _ => {
+            for entry in &state.upstreams {
+                relay.apply(crate::upstreams::Change::Put(entry.clone()));
+            }
+        }
+    }
+}
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,12 +1,9 @@
 //! One incarnation of an upstream, and what this instance has seen of it.
 
-mod entry;
 mod kept;
-mod queue;
 mod work;
 
 use std::cell::{Cell, RefCell};
-use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -15,21 +12,15 @@
 
 use crate::dialect::ToldLoad;
 use crate::pool::Pool;
-use crate::telling::{self, Outstanding};
 
-pub use entry::{Entry, Stage, Standing};
-pub use kept::{KeptParts, LEAST_TOKENS, Reading};
-pub use queue::{Queue, RANKS};
+pub use kept::{KeptParts, LEAST_TOKENS};
+pub use view::{Entry, Load, Queue, RANKS, Reading, Stage, Standing, UpstreamKey};
 pub use work::{InFlight, Work};
 
 /// Time over which what an upstream told of the load that others put on it fades, in ms: a few
 /// times the length of a short answer, after which it describes other requests.
 const TOLD_FADES_MS: f64 = 400.0;
 
-/// Age at which what another instance said of its load is no longer counted, in ms: several
-/// tellings, so that single lost ones do not show.
-const PEER_STALE_MS: u64 = 600;
-
 /// Weight of one answer in the moving average of an upstream's answers.
 const ANSWER_SMOOTHING: f64 = 0.2;
 
@@ -62,21 +53,14 @@
     is_own: bool,
 }
 
-/// What another instance has outstanding here.
-#[derive(Debug, Clone, Copy, Default)]
-struct PeerLoad {
-    requests: f64,
-    queue: Queue,
-    context: f64,
-    at_ms: u64,
-}
-
 /// An upstream with its connections and what was seen of it.
 pub struct Upstream {
     /// Its id, which a restart may keep.
     pub id: String,
     /// When the incarnation started, by its own clock.
     pub born_ms: u64,
+    /// Its short name among instances.
+    pub key: UpstreamKey,
     /// Service that it runs.
     pub service: String,
     /// Where it listens.
@@ -105,7 +89,7 @@
     told: Cell<Told>,
     health: RefCell<Health>,
     kept: RefCell<KeptParts>,
-    peers: RefCell<HashMap<String, PeerLoad>>,
+    others: Cell<Option<Load>>,
 }
 
 impl Upstream {
@@ -114,6 +98,7 @@
         Self {
             id: entry.id.clone(),
             born_ms: entry.born_ms,
+            key: UpstreamKey::of(&entry.id, entry.born_ms),
             service: entry.service.clone(),
             address: entry.address,
             zone: entry.zone.clone(),
@@ -136,7 +121,7 @@
             told: Cell::default(),
             health: RefCell::default(),
             kept: RefCell::default(),
-            peers: RefCell::default(),
+            others: Cell::default(),
         }
     }
 
@@ -166,10 +151,10 @@
     }
 
     /// Where it was ordered to by this instance, to be told to others.
-    pub fn turning_told(&self, now_ms: u64) -> Option<telling::Turning> {
+    pub fn turning_told(&self, now_ms: u64) -> Option<view::Turning> {
         let turning = self.turning(now_ms)?;
-        turning.is_own.then(|| telling::Turning {
-            upstream: self.id.clone(),
+        turning.is_own.then(|| view::Turning {
+            upstream: self.key,
             stage: turning.stage,
             left_ms: (turning.until_ms - now_ms) as u32,
         })
@@ -269,51 +254,29 @@
     }
 
     /// What this instance has outstanding here, to be told to others.
-    pub fn outstanding(&self) -> Option<Outstanding> {
-        (self.in_flight.get() > 0).then(|| Outstanding {
-            upstream: self.id.clone(),
+    pub fn outstanding(&self) -> Option<(UpstreamKey, Load)> {
+        let load = || Load {
             requests: self.in_flight.get(),
-            queue: *self.queue.borrow(),
+            queue: self.queue.borrow().whole(),
             context: self.context_tokens.get() as u32,
-        })
+        };
+        (self.in_flight.get() > 0).then(|| (self.key, load()))
     }
 
-    /// Another instance told what it has outstanding here.
-    pub fn peer_has(&self, now_ms: u64, peer: &str, told: Option<&Outstanding>) {
-        let load = PeerLoad {
-            requests: told.map_or(0.0, |told| f64::from(told.requests)),
-            queue: told.map_or_else(Queue::default, |told| told.queue),
-            context: told.map_or(0.0, |told| f64::from(told.context)),
-            at_ms: now_ms,
-        };
-        let mut peers = self.peers.borrow_mut();
-        if let Some(known) = peers.get_mut(peer) {
-            *known = load;
-        } else if told.is_some() {
-            peers.insert(peer.to_owned(), load);
-        }
+    /// What others have outstanding here, by their word; nothing if nobody speaks for them.
+    pub fn others_have(&self, load: Option<Load>) {
+        self.others.set(load);
     }
 
-    fn peers(&self, now_ms: u64) -> Option<PeerLoad> {
-        let peers = self.peers.borrow();
-        let fresh = |load: &&PeerLoad| load.at_ms + PEER_STALE_MS > now_ms;
-        peers
-            .values()
-            .filter(fresh)
-            .copied()
-            .reduce(|sum, load| PeerLoad {
-                requests: sum.requests + load.requests,
-                queue: sum.queue.and(&load.queue),
-                context: sum.context + load.context,
-                at_ms: now_ms,
-            })
+    fn others(&self) -> Load {
+        self.others.get().unwrap_or_default()
     }
 
     /// Requests that it has: ours exactly, those of others as they told, or, without word from
     /// them, as it told itself with an answer.
     pub fn load(&self, now_ms: u64) -> f64 {
-        if let Some(peers) = self.peers(now_ms) {
-            return f64::from(self.in_flight.get()) + peers.requests;
+        if let Some(others) = self.others.get() {
+            return f64::from(self.in_flight.get() + others.requests);
         }
         let told = self.told.get();
         let age_ms = now_ms.saturating_sub(told.at_ms) as f64;
@@ -393,15 +356,12 @@
 
     /// Work of reading prompts that it has, whoever sent it.
     pub fn queued_tokens(&self) -> f64 {
-        let peers = self.peers(self.clock.now_ms()).unwrap_or_default();
-        self.queue.borrow().and(&peers.queue).total()
+        self.queue.borrow().and(&self.others().queue).total()
     }
 
     /// It has read, or been sent, a prompt part, where its memory has room for `room_tokens`.
     pub fn keeps(&self, part: u64, tokens: f64, reading: Reading, room_tokens: f64) {
-        let now_ms = self.clock.now_ms();
-        let peers = self.peers(now_ms).unwrap_or_default();
-        let running = self.context_tokens.get() + peers.context;
+        let running = self.context_tokens.get() + f64::from(self.others().context);
         let mut kept = self.kept.borrow_mut();
         kept.add(part, tokens, reading, room_tokens - running);
     }
@@ -418,12 +378,12 @@
 
     /// The upstream as a placement of a prompt sees it that would wait there at a rank.
     pub fn view(&self, now_ms: u64, cached_tokens: f64, rank: u8) -> EngineView {
-        let peers = self.peers(now_ms).unwrap_or_default();
-        let queue = self.queue.borrow().and(&peers.queue);
+        let others = self.others();
+        let queue = self.queue.borrow().and(&others.queue);
         EngineView {
             queued_tokens: queue.before(rank),
             later_tokens: queue.after(rank),
-            context_tokens: self.context_tokens.get() + peers.context,
+            context_tokens: self.context_tokens.get() + f64::from(others.context),
             cached_tokens,
             copy_ms: 0.0,
             new_tokens: 0.0,
--- a/crates/relay/src/upstream/kept.rs
+++ b/crates/relay/src/upstream/kept.rs
@@ -1,5 +1,7 @@
 //! Prompt parts that an engine is believed to hold.
 
+use view::Reading;
+
 /// Share of an engine's free memory that a belief about cached parts counts on; the rest goes to
 /// short prompts and output, of which nothing is noted. A belief of 1.1 did no better, one of 1.4 had
 /// half as much again read twice, since copies were asked for that were gone.
@@ -8,15 +10,6 @@
 /// Parts shorter than this are read again sooner than remembered, in tokens.
 pub const LEAST_TOKENS: u32 = 500;
 
-/// How far an engine has come with a part.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Reading {
-    /// It was asked to read it.
-    Begun,
-    /// It has read it.
-    Done,
-}
-
 #[derive(Debug, Clone, Copy)]
 struct Kept {
     part: u64,
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -4,8 +4,9 @@
 use std::rc::Rc;
 
 use tick::Clock;
+pub use view::Change;
 
-use crate::upstream::{Entry, Upstream};
+use crate::upstream::{Entry, Upstream, UpstreamKey};
 
 /// Time after the last failed read of the list for which an entry that goes is taken to have
 /// lapsed with the list's store, in ms.
@@ -20,15 +21,6 @@
 /// Incarnations that are remembered after they left.
 const REMEMBERED: usize = 512;
 
-/// A change of the list.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Change {
-    /// An upstream is there, as described.
-    Put(Entry),
-    /// An upstream's entry was taken away.
-    Gone(String),
-}
-
 /// What came of a change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -77,6 +69,7 @@
     zone: String,
     distances: Distances,
     by_id: HashMap<String, Rc<Upstream>>,
+    by_key: HashMap<UpstreamKey, Rc<Upstream>>,
     by_service: HashMap<String, Vec<Rc<Upstream>>>,
     doubted: HashMap<String, u64>,
     left: VecDeque<Left>,
@@ -167,6 +160,26 @@
         self.by_id.get(id)
     }
 
+    /// An incarnation by its short name.
+    pub fn get_by_key(&self, key: UpstreamKey) -> Option<&Rc<Upstream>> {
+        self.by_key.get(&key)
+    }
+
+    /// Time for which the list's store may still have lost entries of upstreams that live, in ms.
+    pub fn doubt_ms(&self, now_ms: u64) -> u64 {
+        self.unreachable_until_ms.saturating_sub(now_ms)
+    }
+
+    /// Another instance could not read the list, and doubts it for `doubt_ms` from now.
+    ///
+    /// Who hears changes from it must not take an entry that lapsed with the store for one that left.
+    pub fn doubted_by_another(&mut self, now_ms: u64, doubt_ms: u64) {
+        let until_ms = now_ms + doubt_ms.min(LAPSE_MS);
+        if doubt_ms > 0 {
+            self.unreachable_until_ms = self.unreachable_until_ms.max(until_ms);
+        }
+    }
+
     /// All of them.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Upstream>> {
         self.by_id.values()
@@ -216,6 +229,7 @@
         };
         let upstream = Rc::new(Upstream::new(entry, distance_ms, self.clock));
         self.by_id.insert(entry.id.clone(), Rc::clone(&upstream));
+        self.by_key.insert(upstream.key, Rc::clone(&upstream));
         self.by_service
             .entry(entry.service.clone())
             .or_default()
@@ -241,6 +255,7 @@
         let Some(known) = self.by_id.remove(id) else {
             return;
         };
+        self.by_key.remove(&known.key);
         if let Some(all) = self.by_service.get_mut(&known.service) {
             all.retain(|each| each.id != id);
         }
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -6,13 +6,13 @@
 
 use common::{Wire, config, settings};
 use relay::Relay;
-use relay::cadence::beat_ms;
 use relay::config::{Config, Kind, Limits, Route, Target};
 use relay::directory::addresses;
 use relay::members::{Member, Members};
 use relay::upstream::{Entry, Reading, Stage, Standing};
 use relay::upstreams::{Change, Effect, Upstreams};
 use tick::Clock;
+use view::InstanceKey;
 
 fn entry(id: &str, seq: u64, standing: Standing) -> Entry {
     Entry {
@@ -140,22 +140,25 @@
         zone: zone.to_owned(),
         ready,
         beat: 1,
+        link_mbps: 20,
     }
 }
 
-/// Callers are not sent to an instance that has fallen silent; while heartbeats cannot be read
-/// at all, the silence says nothing and all stay.
+/// Callers are not sent to an instance whose heartbeats stay away, also by one that nobody tells
+/// anything; while heartbeats cannot be read at all, the silence says nothing and all stay.
 #[test]
 fn silent_instances_are_not_handed_out() {
     let mut members = Members::default();
     members.read(0);
     members.heard(0, member("a", "here", true));
     members.heard(0, member("b", "here", true));
-    assert_eq!(members.count(), 2);
-    members.read(4 * beat_ms(1));
-    members.heard(4 * beat_ms(1), member("a", "here", true));
+    let later_ms = 4 * members.beat_ms();
+    assert_eq!(members.count(), 2, "nothing was read since");
+    members.read(later_ms);
+    members.heard(later_ms, member("a", "here", true));
     let names: Vec<&str> = members.ready().map(|each| each.name.as_str()).collect();
     assert_eq!(names, ["a"]);
+    assert_eq!(members.count(), 1);
 }
 
 /// A caller hears of two instances at least: with only one, it has nowhere to go when it stops.
@@ -207,32 +210,67 @@
     assert_eq!(to_y, 900);
 }
 
-/// One of three instances is killed. It tells nothing any more, and callers are not sent there
-/// a second later, before its heartbeats are missed. When all fall silent at once, it is this
-/// instance that cannot hear, and all stay.
+/// One of three instances is killed. Nobody tells of it any more, and callers are not sent there
+/// a second later, before its heartbeats are missed.
 #[test]
-fn an_instance_that_tells_nothing_is_not_handed_out() {
+fn an_instance_of_which_nobody_tells_is_not_handed_out() {
     let mut members = Members::default();
     for name in ["a", "b", "c"] {
         members.heard(0, member(name, "here", true));
-        members.told(0, name);
+        members.told(0, InstanceKey::of(name));
     }
     for name in ["a", "b"] {
-        members.told(1_000, name);
+        members.told(1_000, InstanceKey::of(name));
     }
-    let mut names: Vec<&str> = members
-        .reachable(1_000, 1)
-        .iter()
-        .map(|each| each.name.as_str())
-        .collect();
+    let mut names: Vec<&str> = members.reachable().map(|each| each.name.as_str()).collect();
     names.sort_unstable();
     assert_eq!(names, ["a", "b"]);
-    assert_eq!(
-        members.reachable(1_000, 2).len(),
-        3,
-        "told in turn, it is not overdue"
-    );
-    assert_eq!(members.reachable(5_000, 1).len(), 3);
+}
+
+/// This instance hears nobody any more, though its callers still reach it. It is not the others that
+/// are gone, and all that lived when it last heard are handed out.
+#[test]
+fn an_instance_that_hears_nobody_leaves_nobody_out() {
+    let mut members = Members::default();
+    for name in ["a", "b", "c"] {
+        members.heard(0, member(name, "here", true));
+        members.told(1_000, InstanceKey::of(name));
+    }
+    members.lives(60_000, InstanceKey::of("a"));
+    assert!(members.is_deaf(60_000));
+    assert_eq!(members.reachable().count(), 3);
+}
+
+/// An instance is killed for good, and its record stays in the store. One that starts later reads the
+/// record, hears of all others but of that one, and does not hand it out for long.
+#[test]
+fn the_record_of_one_that_is_gone_is_not_believed_for_long() {
+    let mut members = Members::default();
+    members.read(0);
+    for name in ["a", "gone"] {
+        members.heard(0, member(name, "here", true));
+    }
+    for now_ms in (100..=2_000).step_by(100) {
+        members.told(now_ms, InstanceKey::of("a"));
+    }
+    let names: Vec<&str> = members.reachable().map(|each| each.name.as_str()).collect();
+    assert_eq!(names, ["a"]);
+}
+
+/// An instance says that it leaves, and what it said before is still on its way through the others. It
+/// is not handed out again by the older word, whichever comes last and over whichever way.
+#[test]
+fn an_older_word_of_an_instance_changes_nothing() {
+    let mut members = Members::default();
+    let says = |beat, ready| Member {
+        beat,
+        ..member("a", "here", ready)
+    };
+    assert!(members.heard_from_another(0, &says(7, true)));
+    assert!(members.heard_from_another(10, &says(8, false)));
+    assert!(!members.heard_from_another(20, &says(7, true)));
+    members.heard(30, says(7, true));
+    assert_eq!(members.reachable().count(), 0);
 }
 
 /// All instances are restarted at once while upstreams fail. None knows the others yet, and if
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -26,6 +26,7 @@
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
+use view::Member;
 
 /// Names on the wire of these tests.
 pub struct Wire;
@@ -385,6 +386,7 @@
         },
         addresses_ttl_ms: 2_000,
         lease_ms: 3_000,
+        link_mbps: 20,
     }
 }
 
@@ -459,3 +461,22 @@
     }
     false
 }
+
+/// Lets one relay tell another one all that it has to tell now.
+pub fn tell(from: &Relay, to: &Relay) {
+    let address: SocketAddr = "127.0.0.1:2".parse().expect("an address");
+    let other = Member {
+        name: "told".to_owned(),
+        address,
+        peer: Some(address),
+        zone: "here".to_owned(),
+        ready: true,
+        beat: 1,
+        link_mbps: 20,
+    };
+    from.members.borrow_mut().heard(from.now_ms(), other);
+    from.wrote(from.heartbeat());
+    for (_, told) in from.told_now() {
+        to.heard(&told, address);
+    }
+}
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -9,10 +9,10 @@
 use http::{HeaderValue, Method, Request};
 use http_body_util::{BodyExt, Full};
 use relay::patience::Patience;
-use relay::telling::{Telling, Turning};
 use relay::upstream::{Entry, InFlight, KeptParts, Queue, Reading, Stage, Standing, Work};
 use relay::upstreams::Change;
 use relay::urgency::{Urgency, UsualLength};
+use view::{InstanceKey, Kind, Told, Turning, UpstreamKey};
 
 /// A prompt of 13,000 shared tokens and 4,000 of its own.
 const LONG: &str = "7:13000,8:4000";
@@ -311,7 +311,7 @@
     let (status, _) = bed.get(generation("/once/x", LONG)).await;
     assert_eq!(status, 200);
     let other = Bed::start(vec![engine.entry("one", "llm", Stage::Decode)]);
-    other.relay.heard(&bed.relay.telling());
+    common::tell(&bed.relay, &other.relay);
     let upstreams = other.relay.upstreams.borrow();
     let known = upstreams.get("one").unwrap();
     assert!((known.copyable(7) - 13_000.0).abs() < 1.0);
@@ -455,10 +455,8 @@
             ..other.entry("other", "llm", Stage::Decode)
         },
     ]);
-    bed.relay
-        .members
-        .borrow_mut()
-        .heard(0, bed.relay.heartbeat());
+    let own = bed.relay.heartbeat();
+    bed.relay.members.borrow_mut().heard(0, own);
     for _ in 0..3 {
         let answer = bed.ask(generation("/grades/x", LONG)).await.unwrap();
         assert_eq!(answer.status().as_u16(), 200);
@@ -486,15 +484,15 @@
             ..other.entry("other", "llm", Stage::Decode)
         },
     ]);
-    bed.relay.heard(&Telling {
-        from: "b".to_owned(),
+    let told = Told {
         turning: vec![Turning {
-            upstream: "turning".to_owned(),
+            upstream: UpstreamKey::of("turning", 0),
             stage: Stage::Prefill,
             left_ms: 60_000,
         }],
-        ..Telling::default()
-    });
+        ..Told::new(InstanceKey::of("b"), Kind::Sum)
+    };
+    bed.relay.heard(&told, "127.0.0.1:2".parse().unwrap());
     let answer = bed.ask(generation("/grades/x", SHORT)).await.unwrap();
     assert_eq!(answer.status().as_u16(), 200);
     assert_eq!((turning.count(), other.count()), (0, 1));
--- a/crates/relay/tests/metrics.rs
+++ b/crates/relay/tests/metrics.rs
@@ -7,6 +7,7 @@
 use relay::members::Member;
 use relay::upstream::Stage;
 use tick::since_boot_ms;
+use view::InstanceKey;
 
 /// The lines of one metric, without the instance's own labels.
 fn lines(bed: &Bed, name: &str) -> Vec<String> {
@@ -82,10 +83,12 @@
         zone: "here".to_owned(),
         ready: true,
         beat: 1,
+        link_mbps: 20,
     };
     let now_ms = bed.relay.now_ms();
     bed.relay.members.borrow_mut().heard(now_ms, other);
-    bed.relay.members.borrow_mut().told(now_ms, "b");
+    let key = InstanceKey::of("b");
+    bed.relay.members.borrow_mut().told(now_ms, key);
     bed.relay
         .configs
         .borrow_mut()
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -6,13 +6,11 @@
 
 use common::{Bed, StandIn, Wire, request, settings, until};
 use http::Method;
-use relay::followed::Mark;
 use relay::front::{Duty, bind, serve};
 use relay::gossip;
 use relay::members::Member;
 use relay::state::catch_up;
-use relay::telling::{Outstanding, Read, Telling, Turning, decode, encode};
-use relay::upstream::{InFlight, Reading, Stage, Work};
+use relay::upstream::{InFlight, Stage, Work};
 use relay::{Phase, Relay};
 use tick::{Clock, since_boot_ms};
 use tokio::sync::watch;
@@ -66,6 +64,7 @@
             zone: "here".to_owned(),
             ready: true,
             beat: 1,
+            link_mbps: 20,
         };
         relay.members.borrow_mut().heard(relay.now_ms(), member);
     }
@@ -91,85 +90,6 @@
     assert!(until(|| seen(&two) < 1.0).await);
 }
 
-/// A telling comes back as it was sent, and is a fifth of what it was as text.
-#[test]
-fn a_telling_comes_back_as_it_was() {
-    let outstanding = (0..9_u8).map(|each| Outstanding {
-        upstream: format!("i-520360d7d{each}"),
-        requests: 3,
-        queue: [(1, 5_400), (5, 31_000)].into_iter().collect(),
-        context: 51_000,
-    });
-    let reads = (0..9_u8).map(|each| Read {
-        upstream: format!("i-520360d7d{each}"),
-        part: 0x5c1e_07a2,
-        tokens: 13_300,
-        reading: if each % 2 == 0 {
-            Reading::Done
-        } else {
-            Reading::Begun
-        },
-    });
-    let telling = Telling {
-        from: "front-salt-lake-1".to_owned(),
-        outstanding: outstanding.collect(),
-        reads: reads.collect(),
-        turning: vec![Turning {
-            upstream: "i-520360d7d0".to_owned(),
-            stage: Stage::Prefill,
-            left_ms: 5_900,
-        }],
-        list: Some(mark(840_123, 240)),
-        config: Some(mark(17, 612)),
-    };
-    let bytes = encode(&telling).unwrap();
-    assert_eq!(decode(&bytes).unwrap(), telling);
-    assert!(bytes.len() < 450, "{}", bytes.len());
-}
-
-fn mark(end: u64, age_ms: u32) -> Mark {
-    Mark {
-        end,
-        changed: end - 9,
-        age_ms,
-    }
-}
-
-/// A datagram of another version of the program, one that was cut short, one that names what it
-/// does not have, and one that is nothing of the kind are passed over, and said to be.
-#[test]
-fn what_is_no_telling_is_refused() {
-    let telling = Telling {
-        from: "a".to_owned(),
-        ..Telling::default()
-    };
-    let bytes = encode(&telling).unwrap();
-    let mut newer = bytes.clone();
-    newer[0] += 1;
-    let cut = &bytes[..bytes.len() - 1];
-    // An outstanding entry of upstream 7 with an empty table.
-    let unnamed = [3, 1, b'a', 0, 1, 7, 0, 0, 0, 0, 0, 0, 0];
-    for (bytes, why) in [
-        (&newer[..], "form Some(4) is not known"),
-        (&[][..], "form None is not known"),
-        (cut, "Hit the end of buffer, expected more data"),
-        (&unnamed[..], "no upstream 7 in its table"),
-    ] {
-        assert_eq!(decode(bytes).unwrap_err().to_string(), why);
-    }
-}
-
-proptest::proptest! {
-    /// Whatever comes from the network, reading it ends with a telling or an error.
-    #[test]
-    fn any_datagram_is_read_or_refused(bytes in proptest::collection::vec(proptest::prelude::any::<u8>(), 0..200)) {
-        let mut formed = vec![2];
-        formed.extend(&bytes);
-        let _ = decode(&bytes);
-        let _ = decode(&formed);
-    }
-}
-
 /// One read of this instance fails while its list of upstreams is up to date; the instance that it
 /// asks has an older list, without the upstream that has just joined. It must stay in use.
 #[actix_rt::test]
@@ -182,6 +102,6 @@
     let mut told = relay.state();
     told.upstreams.clear();
     told.list_age_ms = Some(1_000);
-    relay::state::take(&relay, told, "127.0.0.1:1".parse().unwrap());
+    relay::state::take(&relay, &told, "127.0.0.1:1".parse().unwrap());
     assert_eq!(relay.upstreams.borrow().len(), 1);
 }
--- a/crates/relay/src/upstream/entry.rs
+++ b/crates/view/src/entry.rs
@@ -50,3 +50,12 @@
     /// Grows with each entry that the incarnation writes.
     pub seq: u64,
 }
+
+/// A change of the list of upstreams.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Change {
+    /// An upstream is there, as described.
+    Put(Entry),
+    /// An upstream's entry was taken away.
+    Gone(String),
+}
--- /dev/null
+++ b/crates/view/src/followed.rs
@@ -0,0 +1,303 @@
+//! How far a log of the store was taken in, by reading it or from what other instances told.
+//!
+//! Load pattern: hundreds of instances follow one list of upstreams that is written to all the time and
+//! says something new once in a while. Were each to read it for itself within the bound on leaving
+//! upstreams, their calls would be most of what the store gets; were each to read it whenever
+//! something changed, calls would still grow with instances times changes. So a few read, and tell
+//! where the log ended, where its last change stands, how long ago that was, and what changed
+//! ([`crate::News`]). Who has taken in that change knows as much as they do; who missed some asks another
+//! instance; who hears nothing reads in time for itself.
+//!
+//! All times are since boot: an instance that was suspended must not tell an old reading as a new one.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Change, Entry, InstanceKey, News};
+
+/// Time for which an instance that missed a change asks others before it reads the store, in ms: two
+/// questions with their answers.
+const ASKS_MS: u64 = 1_200;
+
+/// Time after a reading of the whole in which another instance usually tells where the last change
+/// stands, in ms: four tellings. Longer, and all instances that start together read twice.
+const UNSURE_MS: u64 = 400;
+
+/// Time by which a reading must be older than the latest of the same reader to be that of a machine which
+/// was started anew, in ms: no datagram is on its way for as long.
+const RESTARTED_MS: u64 = 5_000;
+
+/// A reading of the store, by which knowledge is known again however often it is told on.
+///
+/// Each way from one instance to another makes a mark seem younger by the time that it takes. Were
+/// one that comes back taken for a new one, instances would keep each other's knowledge fresh for good
+/// though nobody reads any more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Source {
+    /// Who read.
+    pub reader: InstanceKey,
+    /// When, by that one's clock since boot.
+    pub at_ms: u64,
+}
+
+/// Where a log stood at a reading, as one instance tells others.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Mark {
+    /// The reading that shows it.
+    pub source: Source,
+    /// Offset after the last record.
+    pub end: u64,
+    /// Offset after the last record that changed anything.
+    pub changed: u64,
+    /// Time since the reading, in ms.
+    pub age_ms: u32,
+}
+
+/// What an instance is to do to know what a log says.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Need {
+    /// It knows.
+    Nothing,
+    /// Ask another instance, which knows of a change that this one missed.
+    Ask,
+    /// Read the store.
+    Read,
+}
+
+/// One log as this instance follows it.
+#[derive(Debug, Clone, Default)]
+pub struct Followed {
+    own: InstanceKey,
+    /// Offset up to which all changes were taken in.
+    next: Option<u64>,
+    /// Offset after the last change that was taken in.
+    taken: u64,
+    /// Offset after the last change that anybody has told of or that it read.
+    changed: u64,
+    /// Offset after the last record that anybody has told of or that it read.
+    end: u64,
+    /// Time as of which all changes up to `changed` are all there are.
+    as_of_ms: u64,
+    /// The reading that shows that.
+    source: Source,
+    /// The latest reading heard of from each other reader.
+    heard: Vec<Source>,
+    /// When the whole was read, while nobody has told yet where the last change stands.
+    unsure_since_ms: Option<u64>,
+    /// When the first change was told that is not taken in.
+    behind_since_ms: Option<u64>,
+}
+
+impl Followed {
+    /// A log that an instance knows nothing of.
+    pub fn new(own: InstanceKey) -> Self {
+        Self {
+            own,
+            ..Self::default()
+        }
+    }
+
+    /// Where the next reading begins; nothing if the whole has to be read.
+    pub fn next(&self) -> Option<u64> {
+        self.next
+    }
+
+    /// Offset after the last change that was taken in.
+    pub fn taken(&self) -> u64 {
+        self.taken
+    }
+
+    /// The log was read up to `next`, and stood so at `as_of_ms`; `changed` is the offset after the
+    /// last change among what was read, if there was one.
+    pub fn read(&mut self, as_of_ms: u64, next: u64, changed: Option<u64>) {
+        self.next = Some(self.next.unwrap_or_default().max(next));
+        self.end = self.end.max(next);
+        if let Some(changed) = changed {
+            self.changed = self.changed.max(changed);
+            self.taken = self.taken.max(changed);
+        }
+        // What others told of may be beyond this reading, which then proves less than theirs.
+        if next >= self.changed {
+            self.know(as_of_ms, self.own_source(as_of_ms));
+        }
+        self.settle();
+    }
+
+    /// The whole was read, or taken over from another instance, up to `next`. It holds no history, so
+    /// where its last change stands is not known.
+    ///
+    /// Were the end told as a change, all others would seem to have missed one whenever an instance
+    /// starts.
+    pub fn read_whole(&mut self, as_of_ms: u64, next: u64) {
+        self.read(as_of_ms, next, None);
+        self.taken = self.taken.max(next);
+        self.unsure_since_ms = Some(as_of_ms);
+    }
+
+    /// The next reading begins anew: records were dropped before they were read.
+    pub fn lost(&mut self) {
+        self.next = None;
+    }
+
+    /// Another instance told where the log stands.
+    pub fn heard(&mut self, since_boot_ms: u64, mark: &Mark) {
+        let as_of_ms = since_boot_ms.saturating_sub(mark.age_ms.into());
+        self.changed = self.changed.max(mark.changed);
+        self.end = self.end.max(mark.end);
+        if self.is_behind() {
+            self.behind_since_ms.get_or_insert(since_boot_ms);
+        }
+        if !self.is_new(mark.source) {
+            return;
+        }
+        if self.unsure_since_ms.is_some_and(|at_ms| at_ms <= as_of_ms) {
+            self.unsure_since_ms = None;
+        }
+        self.know(as_of_ms, mark.source);
+    }
+
+    fn own_source(&self, at_ms: u64) -> Source {
+        Source {
+            reader: self.own,
+            at_ms,
+        }
+    }
+
+    fn know(&mut self, as_of_ms: u64, source: Source) {
+        if as_of_ms > self.as_of_ms {
+            self.as_of_ms = as_of_ms;
+            self.source = source;
+        }
+    }
+
+    /// Whether a reading was not heard of before, which is noted.
+    fn is_new(&mut self, source: Source) -> bool {
+        if source.reader == self.own {
+            return false;
+        }
+        let known = self
+            .heard
+            .iter_mut()
+            .find(|known| known.reader == source.reader);
+        match known {
+            Some(known) if (source.at_ms..source.at_ms + RESTARTED_MS).contains(&known.at_ms) => {
+                false
+            }
+            Some(known) => {
+                known.at_ms = source.at_ms;
+                true
+            }
+            None => {
+                self.heard.push(source);
+                true
+            }
+        }
+    }
+
+    /// Another instance told a change; gives whether it is to be taken in now, which it is if nothing
+    /// before it was missed.
+    pub fn heard_news(&mut self, news: &News) -> bool {
+        let Some(next) = self.next else {
+            return false;
+        };
+        if next >= news.after || next < news.before {
+            return false;
+        }
+        self.next = Some(news.after);
+        self.taken = news.after;
+        self.changed = self.changed.max(news.after);
+        self.end = self.end.max(news.after);
+        self.settle();
+        true
+    }
+
+    /// Whether somebody knows of a change that this instance has not taken in.
+    pub fn is_behind(&self) -> bool {
+        self.next.is_none_or(|next| next < self.changed)
+    }
+
+    fn settle(&mut self) {
+        if !self.is_behind() {
+            self.behind_since_ms = None;
+        }
+    }
+
+    /// Time for which changes may have gone unnoticed.
+    pub fn age_ms(&self, since_boot_ms: u64) -> u64 {
+        since_boot_ms.saturating_sub(self.as_of_ms)
+    }
+
+    /// What this instance is to do now, where it bears an age of `most_ms`.
+    pub fn need(&self, since_boot_ms: u64, most_ms: u64, reads_for_others: bool) -> Need {
+        if self.next.is_none() || self.age_ms(since_boot_ms) >= most_ms {
+            return Need::Read;
+        }
+        if !self.is_behind() {
+            return Need::Nothing;
+        }
+        let asked_ms = since_boot_ms.saturating_sub(self.behind_since_ms.unwrap_or(since_boot_ms));
+        if reads_for_others || asked_ms >= ASKS_MS {
+            Need::Read
+        } else {
+            Need::Ask
+        }
+    }
+
+    /// What others are to be told: nothing by one that has not taken in all that it knows of, or that
+    /// does not know where the last change stands.
+    pub fn mark(&self, since_boot_ms: u64, reads_for_others: bool) -> Option<Mark> {
+        if self.is_behind() {
+            return None;
+        }
+        let changed = match self.unsure_since_ms {
+            None => self.changed,
+            // With nobody else to tell it, a reader takes the end of what it has read.
+            Some(at_ms) if reads_for_others && since_boot_ms >= at_ms + UNSURE_MS => self.taken,
+            Some(_) => return None,
+        };
+        Some(Mark {
+            source: self.source,
+            end: self.end,
+            changed,
+            age_ms: self.age_ms(since_boot_ms).min(u32::MAX.into()) as u32,
+        })
+    }
+}
+
+/// What the list of upstreams last said of each, apart from what this instance found out itself.
+///
+/// Whether a record says something new must not depend on its reader: one that already knows that an
+/// upstream is gone would hold back from others the record by which they learn it.
+#[derive(Debug, Default)]
+pub struct Said {
+    entries: HashMap<String, Entry>,
+}
+
+impl Said {
+    /// Takes in a change; gives whether it said anything but that the upstream lives.
+    pub fn is_news(&mut self, change: &Change) -> bool {
+        match change {
+            Change::Gone(id) => {
+                self.entries.remove(id);
+                true
+            }
+            Change::Put(entry) => {
+                let entry = Entry {
+                    seq: 0,
+                    ..entry.clone()
+                };
+                let said = self.entries.insert(entry.id.clone(), entry.clone());
+                said.as_ref() != Some(&entry)
+            }
+        }
+    }
+
+    /// Takes in the whole list.
+    pub fn replace(&mut self, entries: &[Entry]) {
+        self.entries.clear();
+        for entry in entries {
+            self.is_news(&Change::Put(entry.clone()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/view/src/news.rs
@@ -0,0 +1,55 @@
+//! Changes of the list of upstreams on their way through the instances.
+//!
+//! Load pattern: half of two hundred upstreams are replaced within half a minute. If each of three
+//! hundred instances read each change from the store, their calls would cost more than all else. So a
+//! change travels with the place where it stands in the log and the place of the one before it. Who
+//! knows all up to the one before takes it in and knows as much as its reader; who missed one
+//! asks another instance for the whole list.
+
+use std::collections::VecDeque;
+
+use serde::{Deserialize, Serialize};
+
+use crate::Change;
+
+/// Time for which a change is told on, in ms: ten tellings, so that lost ones do not show.
+const TOLD_MS: u64 = 1_000;
+
+/// Most changes that are told in one datagram; who lacks more asks for the whole list.
+const MOST: usize = 64;
+
+/// A change, and where it stands in the log.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct News {
+    /// Offset after the last change before it.
+    pub before: u64,
+    /// Offset after it.
+    pub after: u64,
+    /// What it says.
+    pub change: Change,
+}
+
+/// Changes that were learned lately, oldest first.
+#[derive(Debug, Default)]
+pub struct RecentNews {
+    recent: VecDeque<(u64, News)>,
+}
+
+impl RecentNews {
+    /// A change was read or heard of.
+    pub fn add(&mut self, now_ms: u64, news: News) {
+        self.recent.push_back((now_ms, news));
+        if self.recent.len() > MOST {
+            self.recent.pop_front();
+        }
+    }
+
+    /// What is to be told now.
+    pub fn told(&mut self, now_ms: u64) -> Vec<News> {
+        let is_old = |at_ms: u64| now_ms >= at_ms + TOLD_MS;
+        while self.recent.front().is_some_and(|(at_ms, _)| is_old(*at_ms)) {
+            self.recent.pop_front();
+        }
+        self.recent.iter().map(|(_, news)| news.clone()).collect()
+    }
+}
--- a/crates/relay/src/upstream/queue.rs
+++ b/crates/view/src/queue.rs
@@ -26,6 +26,21 @@
         self
     }
 
+    /// Takes away what was added before.
+    #[must_use]
+    pub fn without(mut self, other: &Self) -> Self {
+        for (own, others) in self.0.iter_mut().zip(&other.0) {
+            *own = (*own - others).max(0.0);
+        }
+        self
+    }
+
+    /// The same in whole tokens, as it goes over the wire.
+    #[must_use]
+    pub fn whole(&self) -> Self {
+        Self(self.0.map(f64::round))
+    }
+
     /// Tokens at one rank.
     pub fn at(&self, rank: u8) -> f64 {
         self.0[index(rank)]
--- /dev/null
+++ b/crates/view/tests/common/mod.rs
@@ -0,0 +1,215 @@
+//! A fleet of instances that tell each other what they have, in virtual time.
+
+#![allow(dead_code, reason = "each test file uses a part of this")]
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use view::shared::{Own, PERIOD_MS, Shared};
+use view::{
+    InstanceKey, Load, Mark, Member, Members, News, Queue, Told, UpstreamKey, decode, encode,
+};
+
+/// Time of a datagram on its way, in ms.
+const TRANSIT_MS: u64 = 2;
+
+/// Time of one step, in ms.
+pub const STEP_MS: u64 = 10;
+
+/// Zones of the fleet.
+const ZONES: usize = 5;
+
+/// An instance.
+pub struct Instance {
+    pub member: Member,
+    pub members: Members,
+    pub shared: Shared,
+    pub own: Vec<(UpstreamKey, Load)>,
+    pub list: Option<Mark>,
+    pub marks: Vec<Mark>,
+    pub news: Vec<News>,
+    pub runs: bool,
+    pub sent: usize,
+    pub sent_bytes: usize,
+}
+
+/// A fleet whose datagrams take some ms, and get lost as a test says.
+pub struct Fleet {
+    pub now_ms: u64,
+    pub all: Vec<Instance>,
+    at: HashMap<SocketAddr, usize>,
+    under_way: Vec<(u64, usize, usize, Vec<u8>)>,
+}
+
+/// Address of an instance.
+pub fn address(index: usize) -> SocketAddr {
+    let (high, low) = (index / 200, index % 200);
+    format!("10.0.{high}.{low}:9000").parse().unwrap()
+}
+
+fn member(index: usize) -> Member {
+    Member {
+        name: format!("entry-{index}"),
+        address: address(index),
+        peer: Some(address(index)),
+        zone: format!("zone-{}", index % ZONES),
+        ready: true,
+        beat: 1,
+        link_mbps: if index.is_multiple_of(20) { 200 } else { 20 },
+    }
+}
+
+impl Fleet {
+    /// A fleet in which all know all, and have told nothing yet.
+    pub fn new(instances: usize) -> Self {
+        let members: Vec<Member> = (0..instances).map(member).collect();
+        let all = members.iter().map(|own| {
+            let mut known = Members::default();
+            for each in &members {
+                known.heard(0, each.clone());
+            }
+            Instance {
+                member: own.clone(),
+                members: known,
+                shared: Shared::default(),
+                own: Vec::new(),
+                list: None,
+                marks: Vec::new(),
+                news: Vec::new(),
+                runs: true,
+                sent: 0,
+                sent_bytes: 0,
+            }
+        });
+        Self {
+            now_ms: 0,
+            all: all.collect(),
+            at: (0..instances)
+                .map(|index| (address(index), index))
+                .collect(),
+            under_way: Vec::new(),
+        }
+    }
+
+    /// Lets some time pass; `is_lost` says of each datagram whether it gets lost, by its sender and
+    /// receiver.
+    pub fn run(&mut self, for_ms: u64, mut is_lost: impl FnMut(usize, usize) -> bool) {
+        let until_ms = self.now_ms + for_ms;
+        while self.now_ms < until_ms {
+            self.now_ms += STEP_MS;
+            self.deliver();
+            for index in 0..self.all.len() {
+                let phase_ms = index as u64 * 7 * STEP_MS;
+                if (self.now_ms + phase_ms).is_multiple_of(PERIOD_MS) && self.all[index].runs {
+                    self.tell(index, &mut is_lost);
+                }
+            }
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now_ms = self.now_ms;
+        let (due, rest) = std::mem::take(&mut self.under_way)
+            .into_iter()
+            .partition(|(at_ms, ..)| *at_ms <= now_ms);
+        self.under_way = rest;
+        let due: Vec<(u64, usize, usize, Vec<u8>)> = due;
+        for (_, from, to, bytes) in due {
+            let told = decode(&bytes).unwrap();
+            if self.all[to].runs {
+                self.all[to].hears(now_ms, &told, address(from));
+            }
+        }
+    }
+
+    fn tell(&mut self, index: usize, is_lost: &mut impl FnMut(usize, usize) -> bool) {
+        let now_ms = self.now_ms;
+        let instances = self.all.len();
+        let each = &mut self.all[index];
+        let own = Own {
+            member: each.member.clone(),
+            loads: each.own.clone(),
+            reads: Vec::new(),
+            turning: Vec::new(),
+            demand: Vec::new(),
+            gives_after: None,
+            list: each.list,
+            doubt_ms: 0,
+            config: None,
+        };
+        each.members
+            .lives(now_ms, InstanceKey::of(&each.member.name));
+        if each.members.misses_somebody(now_ms) {
+            // It asks another instance, which knows all.
+            for other in (0..instances).map(member) {
+                each.members.heard_from_another(now_ms, &other);
+            }
+        }
+        each.shared.expire(now_ms);
+        for (to, told) in each.shared.tick(now_ms, own, &each.members) {
+            let bytes = encode(told).unwrap();
+            each.sent += 1;
+            each.sent_bytes += bytes.len();
+            let to = self.at[&to];
+            if !is_lost(index, to) {
+                self.under_way.push((now_ms + TRANSIT_MS, index, to, bytes));
+            }
+        }
+    }
+
+    /// Instances that run.
+    pub fn running(&self) -> impl Iterator<Item = &Instance> {
+        self.all.iter().filter(|each| each.runs)
+    }
+
+    /// What all that run have at an upstream.
+    pub fn truth(&self, upstream: UpstreamKey) -> u32 {
+        let own = self.running().flat_map(|each| &each.own);
+        let there = own.filter(|(key, _)| *key == upstream);
+        there.map(|(_, load)| load.requests).sum()
+    }
+}
+
+impl Instance {
+    fn hears(&mut self, now_ms: u64, told: &Told, from: SocketAddr) {
+        for member in &told.members {
+            if self.members.heard_from_another(now_ms, member) {
+                self.shared.joined(now_ms, member.clone());
+            }
+        }
+        for key in &told.alive {
+            self.members.told(now_ms, *key);
+        }
+        self.shared.heard(now_ms, told, from);
+        self.news.extend(told.news.iter().cloned());
+        self.marks.extend(told.list);
+    }
+
+    /// What it believes that all have at an upstream.
+    pub fn believes(&self, upstream: UpstreamKey) -> u32 {
+        let own = self.own.iter().filter(|(key, _)| *key == upstream);
+        let own: u32 = own.map(|(_, load)| load.requests).sum();
+        own + self.shared.load(upstream).requests
+    }
+
+    /// Whether it hands out another one.
+    pub fn names(&self, other: &str) -> bool {
+        self.members.reachable().any(|each| each.name == other)
+    }
+}
+
+/// An upstream.
+pub fn upstream(index: usize) -> UpstreamKey {
+    UpstreamKey::of(&format!("i-{index}"), 0)
+}
+
+/// Requests and a prompt's work at an upstream.
+pub fn load(requests: u32) -> Load {
+    let mut queue = Queue::default();
+    queue.add(1, f64::from(requests) * 4_000.0);
+    Load {
+        requests,
+        queue,
+        context: requests * 900,
+    }
+}
--- /dev/null
+++ b/crates/view/tests/followed.rs
@@ -0,0 +1,465 @@
+//! Instances that follow one log through the readings of a few.
+
+mod common;
+
+use common::{Fleet, STEP_MS};
+use proptest::prelude::*;
+use view::cadence::{Duty, LOOK_MS, duty, list_age_ms};
+use view::followed::Need;
+use view::{Change, Entry, Followed, InstanceKey, Mark, News, Said, Source, Stage, Standing, hubs};
+
+/// Bound on new work for a leaving upstream, in ms.
+const BOUND_MS: u64 = 2_000;
+
+fn source(at_ms: u64) -> Source {
+    Source {
+        reader: InstanceKey::of("another"),
+        at_ms,
+    }
+}
+
+fn entry(id: &str, seq: u64) -> Entry {
+    Entry {
+        id: id.to_owned(),
+        born_ms: 0,
+        service: "desk".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "here".to_owned(),
+        slots: 4,
+        standing: Standing::Ready,
+        stage: Stage::Whole,
+        seq,
+    }
+}
+
+/// A log that is written to all the time and changes at some offsets.
+#[derive(Default)]
+struct Log {
+    end: u64,
+    changes: Vec<(u64, u64)>,
+}
+
+impl Log {
+    fn write(&mut self, now_ms: u64, changes: bool) {
+        self.end += 1;
+        if changes {
+            self.changes.push((self.end, now_ms));
+        }
+    }
+
+    fn read_by(&self, followed: &mut Followed, now_ms: u64) {
+        let from = followed.next();
+        let changed = match from {
+            None => Some(self.end),
+            Some(from) => self
+                .changes
+                .iter()
+                .map(|(after, _)| *after)
+                .rfind(|after| *after > from),
+        };
+        followed.read(now_ms, self.end, changed);
+    }
+}
+
+fn of(index: usize) -> Followed {
+    Followed::new(InstanceKey::of(&format!("entry-{index}")))
+}
+
+/// What the instances of a fleet do to know what a log says.
+struct Followers {
+    fleet: Fleet,
+    log: Log,
+    all: Vec<Followed>,
+    reads: usize,
+    asked: usize,
+}
+
+impl Followers {
+    fn new(instances: usize) -> Self {
+        Self {
+            fleet: Fleet::new(instances),
+            log: Log::default(),
+            all: (0..instances).map(of).collect(),
+            reads: 0,
+            asked: 0,
+        }
+    }
+
+    fn step(&mut self, is_lost: impl FnMut(usize, usize) -> bool) {
+        self.fleet.run(STEP_MS, is_lost);
+        let now_ms = self.fleet.now_ms;
+        for who in 0..self.all.len() {
+            let duty = self.duty(who);
+            self.hear(who);
+            if (now_ms / STEP_MS + who as u64).is_multiple_of(LOOK_MS / STEP_MS) {
+                let most_ms = list_age_ms(BOUND_MS, duty);
+                match self.all[who].need(now_ms, most_ms, duty == Duty::Reader) {
+                    Need::Nothing => {}
+                    Need::Ask => self.ask(who),
+                    Need::Read => self.read(who),
+                }
+            }
+            self.fleet.all[who].list = self.all[who].mark(now_ms, duty == Duty::Reader);
+        }
+    }
+
+    fn duty(&self, who: usize) -> Duty {
+        let order = hubs::order(self.fleet.all[who].members.reachable());
+        let own = &self.fleet.all[who].member.name;
+        let rank = order.iter().position(|each| each.name == *own);
+        duty(
+            rank.unwrap_or(order.len()),
+            order.len(),
+            hubs::count(order.len()),
+        )
+    }
+
+    fn hear(&mut self, who: usize) {
+        let now_ms = self.fleet.now_ms;
+        let instance = &mut self.fleet.all[who];
+        for news in std::mem::take(&mut instance.news) {
+            if self.all[who].heard_news(&news) {
+                instance.shared.add_news(now_ms, news);
+            }
+        }
+        for mark in std::mem::take(&mut instance.marks) {
+            self.all[who].heard(now_ms, &mark);
+        }
+    }
+
+    fn read(&mut self, who: usize) {
+        let now_ms = self.fleet.now_ms;
+        let followed = &mut self.all[who];
+        self.reads += 1;
+        let Some(from) = followed.next() else {
+            followed.read_whole(now_ms, self.log.end);
+            return;
+        };
+        let mut before = followed.taken();
+        let unread = self.log.changes.iter().filter(|(after, _)| *after > from);
+        for (after, _) in unread {
+            let news = News {
+                before,
+                after: *after,
+                change: Change::Gone(after.to_string()),
+            };
+            self.fleet.all[who].shared.add_news(now_ms, news);
+            before = *after;
+        }
+        self.log.read_by(followed, now_ms);
+    }
+
+    fn ask(&mut self, who: usize) {
+        let now_ms = self.fleet.now_ms;
+        let informed = self
+            .all
+            .iter()
+            .find(|each| !each.is_behind() && each.next() > self.all[who].next());
+        if let Some(informed) = informed.cloned() {
+            let as_of_ms = now_ms - informed.age_ms(now_ms);
+            self.all[who].read_whole(as_of_ms, informed.next().unwrap());
+            self.asked += 1;
+        }
+    }
+
+    /// The first change that somebody has not taken in, of those that are `age_ms` old.
+    fn missed(&self, age_ms: u64) -> Option<(u64, u64)> {
+        let now_ms = self.fleet.now_ms;
+        let old = self
+            .log
+            .changes
+            .iter()
+            .filter(|(_, at_ms)| now_ms >= at_ms + age_ms);
+        let mut old = old.copied();
+        old.find(|(after, _)| self.all.iter().any(|each| each.next() < Some(*after)))
+    }
+}
+
+/// Instances follow a list to which something is written every 10 ms and that says something new every
+/// 200 ms, as when half of the upstreams are replaced. Every change is taken in by all within half of
+/// the bound, and calls to the store grow neither with instances times changes nor with instances times
+/// seconds: beside two readings of each at the start they are those of four readers.
+#[test]
+fn a_few_read_for_all() {
+    const SECONDS: u64 = 20;
+    for instances in [7, 40, 295] {
+        let mut followers = Followers::new(instances);
+        for now_ms in (0..SECONDS * 1_000).step_by(STEP_MS as usize) {
+            let changes = now_ms % 200 == 100 && now_ms > 3_000;
+            followers.log.write(now_ms, changes);
+            followers.step(|_, _| false);
+            let missed = followers.missed(BOUND_MS / 2);
+            assert!(missed.is_none(), "{instances}, {now_ms}: {missed:?}");
+        }
+        let period_ms = list_age_ms(BOUND_MS, Duty::Reader);
+        let readers = instances.div_ceil(16).min(4) as u64;
+        // Those that take each other's place at the start read a second time.
+        let most = 2 * instances as u64 + readers * SECONDS * 1_000 / period_ms;
+        assert!(
+            followers.reads as u64 <= most,
+            "{instances}: {} of {most}",
+            followers.reads
+        );
+        assert!(
+            followers.asked <= 2 * instances,
+            "{instances}: {}",
+            followers.asked
+        );
+    }
+}
+
+/// The readers are cut off from all others, but not from the store. The hubs read instead, and after
+/// them who still hears nothing; every change is known to all within the bound.
+#[test]
+fn the_readers_are_cut_off() {
+    const INSTANCES: usize = 80;
+    let mut followers = Followers::new(INSTANCES);
+    let members: Vec<_> = followers
+        .fleet
+        .all
+        .iter()
+        .map(|it| it.member.clone())
+        .collect();
+    let readers: Vec<String> = hubs::order(members.iter())[..4]
+        .iter()
+        .map(|it| it.name.clone())
+        .collect();
+    let reads: Vec<bool> = members
+        .iter()
+        .map(|it| readers.contains(&it.name))
+        .collect();
+    for now_ms in (0..15_000).step_by(STEP_MS as usize) {
+        followers.log.write(now_ms, now_ms % 700 == 100);
+        let is_cut = (5_000..10_000).contains(&now_ms);
+        followers.step(|from, to| is_cut && (reads[from] != reads[to]));
+        let missed = followers.missed(BOUND_MS);
+        assert!(missed.is_none(), "{now_ms}: {missed:?}");
+    }
+}
+
+/// One in five datagrams gets lost while the list changes. Who missed a change asks another instance, and
+/// nobody is later than the bound.
+#[test]
+fn changes_come_through_lost_datagrams() {
+    let mut followers = Followers::new(80);
+    let mut draw = 1_u64;
+    for now_ms in (0..15_000).step_by(STEP_MS as usize) {
+        followers
+            .log
+            .write(now_ms, now_ms % 300 == 100 && now_ms > 2_000);
+        followers.step(|_, _| {
+            draw = draw.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            (draw >> 33).is_multiple_of(5)
+        });
+        let missed = followers.missed(BOUND_MS);
+        assert!(missed.is_none(), "{now_ms}: {missed:?}");
+    }
+}
+
+/// The instance that reads for others is cut off from them. Those that hear nothing read for
+/// themselves before the bound on changes is half over.
+#[test]
+fn who_hears_nothing_reads_for_itself() {
+    let mut log = Log::default();
+    log.write(0, true);
+    let mut alone = Followed::default();
+    log.read_by(&mut alone, 1_000);
+    let most_ms = list_age_ms(BOUND_MS, Duty::Other);
+    assert_eq!(alone.need(1_100, most_ms, false), Need::Nothing);
+    assert_eq!(alone.need(1_000 + BOUND_MS / 2, most_ms, false), Need::Read);
+}
+
+/// A reader is suspended for five seconds with a telling half written. What it tells on waking is as
+/// old as that, since its clock counts the suspension, and nobody takes it for news.
+#[test]
+fn an_old_reading_is_told_as_old() {
+    let mut log = Log::default();
+    log.write(0, true);
+    let (mut reader, mut other) = (of(1), of(2));
+    log.read_by(&mut reader, 1_000);
+    log.read_by(&mut other, 1_000);
+    let mark = reader
+        .mark(6_000, true)
+        .expect("it has read all that it knows of");
+    other.heard(6_010, &mark);
+    assert!(other.age_ms(6_010) >= 5_000);
+    let most_ms = list_age_ms(BOUND_MS, Duty::Other);
+    assert_eq!(other.need(6_010, most_ms, false), Need::Read);
+}
+
+/// A change is told that this instance has not taken in. One that reads for others reads at once, another
+/// one asks, and reads if it has no answer; neither tells anybody that it knows all before it does.
+#[test]
+fn a_change_that_was_told_is_taken_in_at_once() {
+    let mut log = Log::default();
+    log.write(0, true);
+    let (mut reader, mut other) = (of(1), of(2));
+    log.read_by(&mut reader, 1_000);
+    log.read_by(&mut other, 1_000);
+    log.write(1_100, true);
+    log.read_by(&mut reader, 1_200);
+    other.heard(1_210, &reader.mark(1_210, true).expect("all is read"));
+    assert_eq!(other.need(1_210, u64::MAX, true), Need::Read);
+    assert_eq!(other.need(1_210, u64::MAX, false), Need::Ask);
+    assert_eq!(other.need(2_500, u64::MAX, false), Need::Read);
+    assert_eq!(other.mark(1_210, true), None);
+    log.read_by(&mut other, 1_220);
+    assert_eq!(other.need(1_220, 100, true), Need::Nothing);
+}
+
+/// Nobody reads the store any more, and two instances go on telling each other what was read last. Each
+/// way takes 10 ms and makes it seem as much younger; they must not keep each other from reading.
+#[test]
+fn what_comes_back_is_not_new() {
+    let (mut one, mut other) = (of(1), of(2));
+    let mark = Mark {
+        source: source(1_000),
+        end: 9,
+        changed: 9,
+        age_ms: 0,
+    };
+    one.read_whole(900, 9);
+    other.read_whole(900, 9);
+    one.heard(1_000, &mark);
+    for now_ms in (1_000..3_000).step_by(20) {
+        other.heard(now_ms + 10, &one.mark(now_ms, false).unwrap());
+        one.heard(now_ms + 20, &other.mark(now_ms + 10, false).unwrap());
+    }
+    assert!(one.age_ms(3_000) >= 1_980, "{}", one.age_ms(3_000));
+    assert!(other.age_ms(3_000) >= 1_980, "{}", other.age_ms(3_000));
+}
+
+/// A reader's machine is started anew, and its clock since boot with it. Its readings are believed again;
+/// taken for old ones, all others would read for themselves for as long as it had run before.
+#[test]
+fn a_reader_that_starts_anew_is_believed() {
+    let mut followed = of(1);
+    followed.read_whole(0, 9);
+    let mark = |at_ms| Mark {
+        source: source(at_ms),
+        end: 9,
+        changed: 9,
+        age_ms: 0,
+    };
+    followed.heard(1_000, &mark(50_000));
+    followed.heard(4_000, &mark(300));
+    followed.heard(5_000, &mark(900));
+    assert_eq!(followed.age_ms(5_000), 0);
+}
+
+/// A change comes whose predecessor got lost. It is not taken in: the list would lack one for good while
+/// seeming complete.
+#[test]
+fn a_change_after_a_missed_one_waits() {
+    let mut followed = Followed::default();
+    followed.read_whole(0, 10);
+    let news = |before, after| News {
+        before,
+        after,
+        change: Change::Gone("a".to_owned()),
+    };
+    assert!(!followed.heard_news(&news(14, 17)));
+    assert!(followed.heard_news(&news(9, 14)));
+    assert!(!followed.heard_news(&news(9, 14)), "twice");
+    assert!(followed.heard_news(&news(14, 17)));
+    assert_eq!(followed.next(), Some(17));
+}
+
+/// An instance starts and reads the whole list, which has no history. Were it to tell the end as a
+/// change, all others would seem to have missed one at each start; it tells nothing until it has heard
+/// where the last change stands.
+#[test]
+fn a_start_makes_nobody_read() {
+    let mut started = Followed::default();
+    started.read_whole(1_000, 90);
+    assert_eq!(started.mark(1_100, true), None);
+    let mark = Mark {
+        source: source(1),
+        end: 95,
+        changed: 40,
+        age_ms: 10,
+    };
+    started.heard(1_200, &mark);
+    assert_eq!(started.mark(1_200, true).map(|mark| mark.changed), Some(40));
+    let mut first = Followed::default();
+    first.read_whole(1_000, 90);
+    assert_eq!(first.mark(2_100, false), None);
+    assert_eq!(first.mark(1_500, true).map(|mark| mark.changed), Some(90));
+}
+
+/// One instance has found an upstream gone before the list says so. The record by which the others
+/// learn it is news to them, whatever this one knows.
+#[test]
+fn news_does_not_depend_on_what_a_reader_found_out() {
+    let mut said = Said::default();
+    said.replace(&[entry("a", 1), entry("b", 1)]);
+    assert!(!said.is_news(&Change::Put(entry("a", 2))));
+    assert!(said.is_news(&Change::Gone("a".to_owned())));
+    assert!(said.is_news(&Change::Gone("unknown".to_owned())));
+    assert!(said.is_news(&Change::Put(entry("a", 3))));
+    let leaving = Entry {
+        standing: Standing::Leaving,
+        ..entry("b", 2)
+    };
+    assert!(said.is_news(&Change::Put(leaving)));
+}
+
+proptest! {
+    /// Whoever reads, tells, hears late, or loses its place: an instance that believes to know all
+    /// changes as of a time has read every change up to then.
+    #[test]
+    fn what_is_believed_is_true(
+        steps in prop::collection::vec((0_usize..4, 0_usize..4, 0_u8..8, 0_u64..300), 1..300)
+    ) {
+        let mut log = Log::default();
+        let mut all = [of(0), of(1), of(2), of(3)];
+        let mut late: Vec<(usize, Mark, u64)> = Vec::new();
+        let mut now_ms = 1_000;
+        for (who, other, step, passed_ms) in steps {
+            now_ms += passed_ms;
+            match step {
+                0 => log.write(now_ms, false),
+                1 => log.write(now_ms, true),
+                2 => log.read_by(&mut all[who], now_ms),
+                3 => {
+                    if let Some(mark) = all[who].mark(now_ms, true) {
+                        all[other].heard(now_ms, &mark);
+                    }
+                }
+                4 => {
+                    // A telling that is written now and heard later looks younger than it is by as
+                    // much as the network holds it up.
+                    late.extend(all[who].mark(now_ms, true).map(|mark| (other, mark, now_ms)));
+                }
+                5 => all[who].lost(),
+                6 => all[who].read_whole(now_ms, log.end),
+                _ => {
+                    let last = log.changes.iter().rev();
+                    let mut last = last.map(|(after, _)| *after);
+                    if let Some(after) = last.next() {
+                        let before = last.next().unwrap_or_default();
+                        let news = News { before, after, change: Change::Gone(String::new()) };
+                        all[who].heard_news(&news);
+                    }
+                }
+            }
+            for (to, mark, sent_ms) in std::mem::take(&mut late) {
+                if now_ms > sent_ms {
+                    let held_up = now_ms - sent_ms;
+                    let mark = Mark { age_ms: mark.age_ms + held_up as u32, ..mark };
+                    all[to].heard(now_ms, &mark);
+                } else {
+                    late.push((to, mark, sent_ms));
+                }
+            }
+            for each in &all {
+                if each.is_behind() {
+                    continue;
+                }
+                let as_of_ms = now_ms - each.age_ms(now_ms);
+                let unread = log.changes.iter().find(|(after, _)| each.next() < Some(*after));
+                prop_assert!(unread.is_none_or(|(_, at_ms)| *at_ms >= as_of_ms), "{unread:?} {each:?}");
+            }
+        }
+    }
+}
