--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -38,6 +38,10 @@
 /// home, so that instances which see its first requests at once choose the same engine.
 const AWAY: f64 = 0.3;
 
+/// What a new connection weighs where engines are else alike, in ms: its set-up and what it costs the
+/// upstream.
+const CONNECT_MS: f64 = 5.0;
+
 /// Share of the time left that a prediction may use up.
 const LEFT_SHARE: f64 = 0.8;
 
@@ -310,8 +314,11 @@
             holders.start_at(each, prompt)
         }
     };
-    let predicted =
-        |each: &Rc<Upstream>| pace.decode_ms(&start(each).view(each, now_ms, rank), &ask);
+    let predicted = |each: &Rc<Upstream>| {
+        let mut first = pace.decode_ms(&start(each).view(each, now_ms, rank), &ask);
+        first.harm_ms += connecting_ms(each);
+        first
+    };
     let Some((at, first)) = least(makers.iter().map(predicted)) else {
         return Err(refuse(call, Reason::NoUpstream, NO_UPSTREAM_MS));
     };
@@ -327,6 +334,15 @@
     })
 }
 
+/// What opening a connection costs the upstream and the callers, who pay for it.
+fn connecting_ms(upstream: &Upstream) -> f64 {
+    if upstream.pool.has_idle() {
+        0.0
+    } else {
+        CONNECT_MS
+    }
+}
+
 /// Chooses the engine that reads a prompt apart.
 fn reader(
     relay: &Relay,
@@ -354,6 +370,7 @@
     let predicted = |each: &Rc<Upstream>| {
         let start = holders.start_at(each, prompt);
         let mut read = pace.prefill_ms(&start.view(each, now_ms, rank), tokens);
+        read.harm_ms += connecting_ms(each);
         if start.tokens == 0.0 && Some(&each.id) != home.as_ref() {
             read.harm_ms += read.own_ms * AWAY;
         }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -107,6 +107,15 @@
         self.open.get()
     }
 
+    /// Whether a request can be sent now without opening a connection.
+    pub fn has_idle(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let usable = |connection: &Connection| {
+            connection.idle_until_ms > now_ms && connection.sender.is_ready()
+        };
+        self.idle.borrow().iter().any(usable)
+    }
+
     fn take_idle(&self) -> Option<Connection> {
         let now_ms = self.clock.now_ms();
         loop {
