A reader's doubt travels with what it read; shared parts from 200 tokens on are told

Now the doubt is that of whoever read the change, and travels with it; the own doubt of one that hears it does not count. what_a_reader_saw_go_is_gone_for_one_that_is_cut_off was seen failing.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -196,10 +196,7 @@
 
     /// Takes in a change of the list of upstreams.
     pub fn apply(&self, change: Change) {
-        let id = match &change {
-            Change::Put(entry) => entry.id.clone(),
-            Change::Gone(id) => id.clone(),
-        };
+        let id = changed_id(&change);
         let effect = self.upstreams.borrow_mut().apply(self.now_ms(), change);
         note(&id, effect);
     }
@@ -375,7 +372,6 @@
             demand: self.orders.demand(now_ms),
             gives_after: orders::gives_after(self, duty),
             list: mark(&self.list),
-            doubt_ms: upstreams.doubt_ms(now_ms) as u32,
             config: mark(&self.configs),
         }
     }
@@ -432,14 +428,16 @@
 
     fn take_news(&self, now_ms: u64, told: &Told) {
         let since_boot_ms = since_boot_ms();
-        let doubt_ms = u64::from(told.doubt_ms);
-        self.upstreams
-            .borrow_mut()
-            .doubted_by_another(now_ms, doubt_ms);
         for news in &told.news {
             if self.list.borrow_mut().heard_news(news) {
                 self.said.borrow_mut().is_news(&news.change);
-                self.apply(news.change.clone());
+                let (change, doubt_ms) = (news.change.clone(), news.doubt_ms.into());
+                let id = changed_id(&change);
+                let effect = self
+                    .upstreams
+                    .borrow_mut()
+                    .apply_told(now_ms, change, doubt_ms);
+                note(&id, effect);
                 self.shared.borrow_mut().add_news(now_ms, news.clone());
             }
         }
@@ -455,12 +453,14 @@
     /// after the last change before it; gives the offset after it if it says something new.
     pub fn read_change(&self, before: u64, offset: u64, change: Change) -> Option<u64> {
         let is_news = self.said.borrow_mut().is_news(&change);
+        let doubt_ms = self.upstreams.borrow().doubt_ms(self.now_ms());
         self.apply(change.clone());
         let after = offset + 1;
         let news = News {
             before,
             after,
             change,
+            doubt_ms: doubt_ms as u32,
         };
         is_news.then(|| {
             self.shared.borrow_mut().add_news(self.now_ms(), news);
@@ -537,6 +537,13 @@
     followed.next().map(|_| followed.age_ms(since_boot_ms()))
 }
 
+fn changed_id(change: &Change) -> String {
+    match change {
+        Change::Put(entry) => entry.id.clone(),
+        Change::Gone(id) => id.clone(),
+    }
+}
+
 fn note(id: &str, effect: Effect) {
     match effect {
         Effect::Same => {}
--- a/crates/relay/src/upstream/kept.rs
+++ b/crates/relay/src/upstream/kept.rs
@@ -8,7 +8,7 @@
 const CACHE_SHARE: f64 = 0.85;
 
 /// Parts shorter than this are read again sooner than remembered, in tokens.
-pub const LEAST_TOKENS: u32 = 500;
+pub const LEAST_TOKENS: u32 = 200;
 
 #[derive(Debug, Clone, Copy)]
 struct Kept {
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -95,7 +95,7 @@
     pub fn apply(&mut self, now_ms: u64, change: Change) -> Effect {
         match change {
             Change::Put(entry) => self.put(&entry),
-            Change::Gone(id) => self.gone(now_ms, &id),
+            Change::Gone(id) => self.gone(now_ms, &id, self.unreachable_until_ms),
         }
     }
 
@@ -114,7 +114,7 @@
             effects.push((id, self.put(&entry)));
         }
         for id in missing {
-            let effect = self.gone(now_ms, &id);
+            let effect = self.gone(now_ms, &id, self.unreachable_until_ms);
             effects.push((id, effect));
         }
         effects
@@ -170,13 +170,15 @@
         self.unreachable_until_ms.saturating_sub(now_ms)
     }
 
-    /// Another instance could not read the list, and doubts it for `doubt_ms` from now.
+    /// Takes in a change that another instance read, which doubts for `doubt_ms` that an entry which goes
+    /// has left.
     ///
-    /// Who hears changes from it must not take an entry that lapsed with the store for one that left.
-    pub fn doubted_by_another(&mut self, now_ms: u64, doubt_ms: u64) {
-        let until_ms = now_ms + doubt_ms.min(LAPSE_MS);
-        if doubt_ms > 0 {
-            self.unreachable_until_ms = self.unreachable_until_ms.max(until_ms);
+    /// Its doubt counts and not that of this instance: one that is cut off from the store itself would go
+    /// on using an upstream of which the other knows that it has left.
+    pub fn apply_told(&mut self, now_ms: u64, change: Change, doubt_ms: u64) -> Effect {
+        match change {
+            Change::Put(entry) => self.put(&entry),
+            Change::Gone(id) => self.gone(now_ms, &id, now_ms + doubt_ms.min(LAPSE_MS)),
         }
     }
 
@@ -237,12 +239,11 @@
         Effect::Joined
     }
 
-    fn gone(&mut self, now_ms: u64, id: &str) -> Effect {
+    fn gone(&mut self, now_ms: u64, id: &str, until_ms: u64) -> Effect {
         let Some(known) = self.by_id.get(id) else {
             return Effect::Same;
         };
-        if now_ms < self.unreachable_until_ms && known.is_ready() {
-            let until_ms = self.unreachable_until_ms;
+        if now_ms < until_ms && known.is_ready() {
             self.doubted.entry(id.to_owned()).or_insert(until_ms);
             return Effect::Doubted;
         }
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -14,6 +14,7 @@
 use relay::{Phase, Relay};
 use tick::{Clock, since_boot_ms};
 use tokio::sync::watch;
+use view::{Change, InstanceKey, Kind, News, Told};
 
 /// Callers of an instance that starts while the store is away are served: it asks one that has
 /// been running, and takes over its configuration and upstreams. Before, it refused them all
@@ -105,3 +106,53 @@
     relay::state::take(&relay, &told, "127.0.0.1:1".parse().unwrap());
     assert_eq!(relay.upstreams.borrow().len(), 1);
 }
+
+fn told(sender: &str, change: Change, doubt_ms: u32) -> Told {
+    let news = News {
+        before: 1,
+        after: 2,
+        change,
+        doubt_ms,
+    };
+    Told {
+        news: vec![news],
+        ..Told::new(InstanceKey::of(sender), Kind::Sum)
+    }
+}
+
+fn ready(relay: &Relay) -> usize {
+    let now_ms = relay.now_ms();
+    relay.upstreams.borrow().ready("llm", now_ms).count()
+}
+
+/// This instance is cut off from the store while another one reads there that an upstream has gone. It was
+/// told so by one that reaches the store, where nothing lapsed, and sends nothing there any more; by its
+/// own doubt it would go on for seconds.
+#[actix_rt::test]
+async fn what_a_reader_saw_go_is_gone_for_one_that_is_cut_off() {
+    let engine = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
+    let relay = relay("a");
+    let entry = engine.entry("one", "llm", Stage::Prefill);
+    relay.apply(Change::Put(entry));
+    relay.list.borrow_mut().read(since_boot_ms(), 1, Some(1));
+    let now_ms = relay.now_ms();
+    relay.upstreams.borrow_mut().unreachable(now_ms);
+    let gone = Change::Gone("one".to_owned());
+    relay.heard(&told("b", gone, 0), "127.0.0.1:1".parse().unwrap());
+    assert_eq!(ready(&relay), 0);
+}
+
+/// The store was away for the reader, and entries lapsed with it. Who hears of it from the reader doubts
+/// with it and keeps the upstream for a while: it has read nothing itself, and else would be left without
+/// any.
+#[actix_rt::test]
+async fn what_may_have_lapsed_for_a_reader_is_kept_by_all() {
+    let engine = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
+    let relay = relay("a");
+    let entry = engine.entry("one", "llm", Stage::Prefill);
+    relay.apply(Change::Put(entry));
+    relay.list.borrow_mut().read(since_boot_ms(), 1, Some(1));
+    let gone = Change::Gone("one".to_owned());
+    relay.heard(&told("b", gone, 2_000), "127.0.0.1:1".parse().unwrap());
+    assert_eq!(ready(&relay), 1);
+}
--- a/crates/view/src/news.rs
+++ b/crates/view/src/news.rs
@@ -27,6 +27,9 @@
     pub after: u64,
     /// What it says.
     pub change: Change,
+    /// Time for which its reader, which could not reach the store shortly before, took an entry that goes for
+    /// one that lapsed with the store, in ms.
+    pub doubt_ms: u32,
 }
 
 /// Changes that were learned lately, oldest first.
--- a/crates/view/src/shared.rs
+++ b/crates/view/src/shared.rs
@@ -59,8 +59,6 @@
     pub gives_after: Option<u64>,
     /// Where the list of upstreams stands.
     pub list: Option<Mark>,
-    /// Time for which it takes an entry that goes for one that lapsed with the store, in ms.
-    pub doubt_ms: u32,
     /// Where the configuration stands.
     pub config: Option<Mark>,
 }
@@ -297,7 +295,7 @@
         let is_told = self.senders.values().any(|it| it.kind != Kind::Digest);
         if ranks.is_hub() || is_told {
             self.hub = None;
-            self.gather(now_ms, own, ranks, tells)
+            self.gather(now_ms, &own, ranks, tells)
         } else {
             self.report(now_ms, own, ranks, tells)
         }
@@ -360,7 +358,7 @@
     fn gather(
         &mut self,
         now_ms: u64,
-        own: Own,
+        own: &Own,
         ranks: &Ranks,
         tells: bool,
     ) -> Vec<(SocketAddr, Told)> {
@@ -397,7 +395,7 @@
 
     /// What this instance and those that report to it have, for the other hubs, and what all have, from
     /// which the part of each receiver is still to be taken.
-    fn sum_and_digest(&mut self, now_ms: u64, own: Own, key: InstanceKey) -> (Told, Told) {
+    fn sum_and_digest(&mut self, now_ms: u64, own: &Own, key: InstanceKey) -> (Told, Told) {
         let is_whole = self.ticks.is_multiple_of(WHOLE_PERIODS);
         let mut loads: Loads = own.loads.iter().copied().collect();
         let mut all = self.totals.clone();
@@ -410,7 +408,6 @@
             members: self.members_told(),
             gives_after: own.gives_after,
             list: own.list,
-            doubt_ms: own.doubt_ms,
             config: own.config,
             news: self.news.told(now_ms),
             ..Told::new(key, Kind::Sum)
@@ -428,9 +425,9 @@
             turning: taken(&mut self.down_turning, &sum.turning),
             ..told
         };
-        let (alive, demand) = self.alive(&own, Kind::Report);
+        let (alive, demand) = self.alive(own, Kind::Report);
         if is_whole {
-            (digest.alive, digest.demand) = self.alive(&own, Kind::Sum);
+            (digest.alive, digest.demand) = self.alive(own, Kind::Sum);
             digest.alive.extend(&alive);
             demand::add(&mut digest.demand, &demand);
             demand::take(&mut digest.demand, &own.demand);
--- a/crates/view/src/told.rs
+++ b/crates/view/src/told.rs
@@ -83,8 +83,6 @@
     pub gives_after: Option<u64>,
     /// Where the list of upstreams stands.
     pub list: Option<Mark>,
-    /// Time for which the sender takes an entry that goes for one that lapsed with the store, in ms.
-    pub doubt_ms: u32,
     /// Where the configuration stands.
     pub config: Option<Mark>,
     /// Changes of the list of upstreams.
@@ -106,7 +104,6 @@
             members: Vec::new(),
             gives_after: None,
             list: None,
-            doubt_ms: 0,
             config: None,
             news: Vec::new(),
         }
@@ -148,7 +145,6 @@
     members: Vec<Member>,
     gives_after: Option<u64>,
     list: Option<Mark>,
-    doubt_ms: u32,
     config: Option<Mark>,
     news: Vec<News>,
 }
@@ -188,7 +184,6 @@
             members: told.members,
             gives_after: told.gives_after,
             list: told.list,
-            doubt_ms: told.doubt_ms,
             config: told.config,
             news: told.news,
         }
@@ -217,7 +212,6 @@
             members: wire.members,
             gives_after: wire.gives_after,
             list: wire.list,
-            doubt_ms: wire.doubt_ms,
             config: wire.config,
             news: wire.news,
         }
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -135,7 +135,6 @@
             demand: Vec::new(),
             gives_after: None,
             list: each.list,
-            doubt_ms: 0,
             config: None,
         };
         each.members
--- a/crates/view/tests/followed.rs
+++ b/crates/view/tests/followed.rs
@@ -147,6 +147,7 @@
                 before,
                 after: *after,
                 change: Change::Gone(after.to_string()),
+                doubt_ms: 0,
             };
             self.fleet.all[who].shared.add_news(now_ms, news);
             before = *after;
@@ -361,6 +362,7 @@
         before,
         after,
         change: Change::Gone("a".to_owned()),
+        doubt_ms: 0,
     };
     assert!(!followed.heard_news(&news(14, 17)));
     assert!(followed.heard_news(&news(9, 14)));
@@ -442,7 +444,7 @@
                     let mut last = last.map(|(after, _)| *after);
                     if let Some(after) = last.next() {
                         let before = last.next().unwrap_or_default();
-                        let news = News { before, after, change: Change::Gone(String::new()) };
+                        let news = News { before, after, change: Change::Gone(String::new()), doubt_ms: 0, };
                         all[who].heard_news(&news);
                     }
                 }
--- a/crates/view/tests/told.rs
+++ b/crates/view/tests/told.rs
@@ -42,7 +42,6 @@
         alive: vec![InstanceKey::of("front-salt-lake-1")],
         gives_after: Some(7),
         list: Some(mark(840_123, 240)),
-        doubt_ms: 2_600,
         config: Some(mark(17, 612)),
         ..Told::new(InstanceKey::of("front-salt-lake-1"), Kind::Sum)
     }
@@ -75,6 +74,7 @@
         before: 4,
         after: 9,
         change: Change::Gone("i-1".to_owned()),
+        doubt_ms: 0,
     };
     let member = Member {
         name: "front-1".to_owned(),
