--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,24 +1,23 @@
 //! What one instance knows, and who may change it.
 
+mod others;
+
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::SystemTime;
 
 use plan::{RepeatTerms, Repeats};
 use tick::{Clock, since_boot_ms};
-use view::cadence::{Duty, duty};
 use view::hubs::Ranks;
-use view::shared::{Heard, Own, Shared};
-use view::{Followed, InstanceKey, Member, Members, News, PartRead, Said, Told};
+use view::shared::Shared;
+use view::{Followed, InstanceKey, Members, PartRead, Said};
 
 use crate::audit::{LineBudget, lines_left_out};
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
 use crate::learned::Learned;
 use crate::metrics::Metrics;
-use crate::orders::{self, Orders};
+use crate::orders::Orders;
 use crate::state::{Asked, State};
 use crate::upstreams::{Change, Effect, Upstreams};
 
@@ -28,10 +27,6 @@
 /// Lines in a second on requests that did not; all of them but in a storm.
 const FAILED_LINES: u32 = 200;
 
-/// Time after which the order of instances is looked at again without a new record, in ms: a fraction of
-/// the time in which one counts as silent.
-const RANKS_MS: u64 = 200;
-
 /// What an instance is told of itself.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -277,197 +272,6 @@
         }
     }
 
-    /// How this instance follows the store's logs.
-    pub fn duty(&self) -> Duty {
-        // One that knows nobody yet has read everything itself just now, and soon hears from others.
-        if !self.members.borrow().is_known() {
-            return Duty::Other;
-        }
-        self.look_at_ranks();
-        let ranks = self.ranks.borrow();
-        duty(ranks.rank, ranks.instances, ranks.hubs.len())
-    }
-
-    /// Sees to it that the ranks are those of the moment.
-    fn look_at_ranks(&self) {
-        let members = self.members.borrow();
-        let now_ms = self.now_ms();
-        let seen = (members.version(), now_ms / RANKS_MS);
-        if self.ranks_seen.replace(seen) != seen {
-            let own = &self.settings.borrow().name;
-            *self.ranks.borrow_mut() = Ranks::of(own, &members);
-        }
-    }
-
-    /// The heartbeat to be written now, which other instances are told of too.
-    pub fn heartbeat(&self) -> Member {
-        // A process that starts anew must not seem older than it was before, or its word would be
-        // passed over; the time of day may have been set back meanwhile.
-        let own = self.settings.borrow().name.clone();
-        let before = self.members.borrow().beat_of(&own).unwrap_or_default();
-        let beat = unix_ms().max(before + 1).max(self.beat.get() + 1);
-        self.beat.set(beat);
-        let member = self.heartbeat_view();
-        let now_ms = self.now_ms();
-        self.shared.borrow_mut().joined(now_ms, member.clone());
-        member
-    }
-
-    /// A heartbeat of this instance stands in the store.
-    ///
-    /// It does not count as knowing the instances: one that has read nobody else's yet would take itself
-    /// for the only one.
-    pub fn wrote(&self, member: Member) {
-        let mut members = self.members.borrow_mut();
-        if members.is_known() {
-            members.heard(self.now_ms(), member);
-        }
-    }
-
-    /// What the instance would say of itself now.
-    pub fn heartbeat_view(&self) -> Member {
-        let settings = self.settings.borrow();
-        Member {
-            name: settings.name.clone(),
-            address: settings.address,
-            peer: settings.peer,
-            zone: settings.zone.clone(),
-            ready: self.is_ready(),
-            beat: self.beat.get(),
-            link_mbps: settings.link_mbps,
-        }
-    }
-
-    /// What other instances are to be told now, and where they are.
-    pub fn told_now(&self) -> Vec<(SocketAddr, Told)> {
-        let now_ms = self.now_ms();
-        let expired = self.shared.borrow_mut().expire(now_ms);
-        self.take_loads(&expired);
-        let own = self.own();
-        let key = InstanceKey::of(&own.member.name);
-        if own.member.ready && self.members.borrow().is_known() {
-            self.members.borrow_mut().lives(now_ms, key);
-        }
-        self.look_at_ranks();
-        self.shared
-            .borrow_mut()
-            .tick(now_ms, own, &self.ranks.borrow())
-    }
-
-    fn own(&self) -> Own {
-        let now_ms = self.now_ms();
-        let since_boot_ms = since_boot_ms();
-        let duty = self.duty();
-        let reads_for_others = duty.is_reader();
-        let upstreams = self.upstreams.borrow();
-        let mark = |log: &RefCell<Followed>| log.borrow().mark(since_boot_ms, reads_for_others);
-        Own {
-            member: self.heartbeat_view(),
-            loads: upstreams.iter().filter_map(|it| it.outstanding()).collect(),
-            reads: self.reads.take(),
-            turning: upstreams
-                .iter()
-                .filter_map(|each| each.turning_told(now_ms))
-                .collect(),
-            demand: self.orders.demand(now_ms),
-            gives_after: orders::gives_after(self, duty),
-            list: mark(&self.list),
-            config: mark(&self.configs),
-        }
-    }
-
-    /// Another instance told something.
-    pub fn heard(&self, told: &Told, peer: SocketAddr) {
-        let now_ms = self.now_ms();
-        self.take_members(now_ms, told);
-        let heard = self.shared.borrow_mut().heard(now_ms, told, peer);
-        self.take_loads(&heard);
-        self.take_news(now_ms, told);
-        let upstreams = self.upstreams.borrow();
-        for turning in &told.turning {
-            if let Some(upstream) = upstreams.get_by_key(turning.upstream) {
-                upstream.turns_to(now_ms, turning.stage, turning.left_ms.into(), false);
-            }
-        }
-        for read in &told.reads {
-            if let Some(upstream) = upstreams.get_by_key(read.upstream) {
-                let kv_tokens = self.engine_limits(&upstream.service).kv_tokens;
-                let tokens = f64::from(read.tokens);
-                upstream.keeps(read.part, tokens, read.reading, kv_tokens as f64);
-            }
-        }
-    }
-
-    fn take_members(&self, now_ms: u64, told: &Told) {
-        let mut members = self.members.borrow_mut();
-        for member in &told.members {
-            if members.heard_from_another(now_ms, member) {
-                self.shared.borrow_mut().joined(now_ms, member.clone());
-            }
-        }
-        for key in &told.alive {
-            members.told(now_ms, *key);
-        }
-    }
-
-    fn take_loads(&self, heard: &Heard) {
-        let shared = self.shared.borrow();
-        let upstreams = self.upstreams.borrow();
-        if !shared.hears() {
-            upstreams.iter().for_each(|each| each.others_have(None));
-            return;
-        }
-        for upstream in heard
-            .loads
-            .iter()
-            .filter_map(|key| upstreams.get_by_key(*key))
-        {
-            upstream.others_have(Some(shared.load(upstream.key)));
-        }
-    }
-
-    fn take_news(&self, now_ms: u64, told: &Told) {
-        let since_boot_ms = since_boot_ms();
-        for news in &told.news {
-            if self.list.borrow_mut().heard_news(news) {
-                self.said.borrow_mut().is_news(&news.change);
-                let (change, doubt_ms) = (news.change.clone(), news.doubt_ms.into());
-                let id = changed_id(&change);
-                let effect = self
-                    .upstreams
-                    .borrow_mut()
-                    .apply_told(now_ms, change, doubt_ms);
-                note(&id, effect);
-                self.shared.borrow_mut().add_news(now_ms, news.clone());
-            }
-        }
-        if let Some(mark) = &told.list {
-            self.list.borrow_mut().heard(since_boot_ms, mark);
-        }
-        if let Some(mark) = &told.config {
-            self.configs.borrow_mut().heard(since_boot_ms, mark);
-        }
-    }
-
-    /// Takes in a change of the list of upstreams that was read at an offset, `before` being the one
-    /// after the last change before it; gives the offset after it if it says something new.
-    pub fn read_change(&self, before: u64, offset: u64, change: Change) -> Option<u64> {
-        let is_news = self.said.borrow_mut().is_news(&change);
-        let doubt_ms = self.upstreams.borrow().doubt_ms(self.now_ms());
-        self.apply(change.clone());
-        let after = offset + 1;
-        let news = News {
-            before,
-            after,
-            change,
-            doubt_ms: doubt_ms as u32,
-        };
-        is_news.then(|| {
-            self.shared.borrow_mut().add_news(self.now_ms(), news);
-            after
-        })
-    }
-
     /// Limits of a service's engines; nothing is known of what is not configured.
     pub fn engine_limits(&self, service: &str) -> EngineLimits {
         let config = self.config.borrow();
@@ -522,11 +326,6 @@
     }
 }
 
-fn unix_ms() -> u64 {
-    let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
-    since.map_or(0, |since| since.as_millis() as u64)
-}
-
 /// Age of what this instance could tell another one, if it has taken in all that it knows of.
 fn known_age_ms(followed: &Followed) -> Option<u64> {
     let is_behind = followed.is_behind();
--- a/crates/view/src/followed.rs
+++ b/crates/view/src/followed.rs
@@ -21,7 +21,7 @@
 const ASKS_MS: u64 = 1_200;
 
 /// Time after a reading of the whole in which another instance usually tells where the last change
-/// stands, in ms: four tellings. Longer, and all instances that start together read twice.
+/// stands, in ms: several datagrams. Longer, and all instances that start together read twice.
 const UNSURE_MS: u64 = 400;
 
 /// Time by which a reading must be older than the latest of the same reader to be that of a machine which
