--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -173,12 +173,16 @@
     /// Takes in a change that another instance read, which doubts for `doubt_ms` that an entry which goes
     /// has left.
     ///
-    /// Its doubt counts and not that of this instance: one that is cut off from the store itself would go
-    /// on using an upstream of which the other knows that it has left.
+    /// An entry lapses with the store only when nobody reaches it, and then both doubt. If only this
+    /// instance was turned away, the other knows that the upstream has left; if only the other was, this
+    /// one knows that nothing can have lapsed. Either doubt alone kept leaving upstreams in use.
     pub fn apply_told(&mut self, now_ms: u64, change: Change, doubt_ms: u64) -> Effect {
         match change {
             Change::Put(entry) => self.put(&entry),
-            Change::Gone(id) => self.gone(now_ms, &id, now_ms + doubt_ms.min(LAPSE_MS)),
+            Change::Gone(id) => {
+                let until_ms = self.unreachable_until_ms.min(now_ms + doubt_ms);
+                self.gone(now_ms, &id, until_ms)
+            }
         }
     }
 
