Lines on lost answers name the request beside the attempt

Cause: each attempt of a request has an id of its own, so lines cannot tell whether the same request was there each time that an engine ended, which is what tells the hypotheses of docs/incidents/poison-request.md apart. Now 'answer lost', 'answer broke off', 'stream broke off', 'stream not finished', 'prompt not read' and 'request not served' have key, a hash of host, method, path and body. No decision reads it yet. Ruled out: the parts of a prompt as a name (plain calls have none), the caller's address (one caller comes from several).

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -8,6 +8,7 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
+use view::RequestKey;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::config::Route;
@@ -34,7 +35,9 @@
     pub service: String,
     /// What its head says.
     pub asked: Asked,
-    /// Number drawn from its id, the same wherever the request is seen.
+    /// What it asks, the same for all attempts of one request.
+    pub key: RequestKey,
+    /// Number drawn from its id, the same wherever the attempt is seen.
     pub draw: u64,
     /// When its head had come, on the instance's clock.
     pub arrived_ms: u64,
@@ -85,6 +88,7 @@
                 .yields_to_longer(&route.name, f64::from(prompt.input_tokens))
         });
         let target = parts.uri.path_and_query().cloned()?;
+        let key = RequestKey::of(&route.host, parts.method.as_str(), target.as_str(), &body);
         let mut headers = parts.headers;
         strip_hop_by_hop(&mut headers, |name| dialect.is_end_to_end(name));
         headers.remove(header::CONTENT_LENGTH);
@@ -94,6 +98,7 @@
             route,
             service,
             asked,
+            key,
             draw,
             arrived_ms,
             yields,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -44,7 +44,8 @@
     let took_ms = relay.now_ms() - call.arrived_ms;
     if relay.failed_lines.take(relay.now_ms()) {
         log::info!(
-            request = call.id(), route = call.route.name, reason = refused.reason, took_ms,
+            request = call.id(), key:% = call.key, route = call.route.name,
+            reason = refused.reason, took_ms,
             sends = call.sends.get(), retry_after_ms = refused.retry_after_ms.unwrap_or(0),
             version = relay.config().map_or(0, |config| config.version),
             list_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
@@ -172,7 +173,10 @@
         let Ok(collected) = collected else {
             upstream.failed(relay.now_ms());
             if relay.failed_lines.take(relay.now_ms()) {
-                log::info!(request = call.id(), upstream = upstream.id; "answer broke off");
+                log::info!(
+                    request = call.id(), key:% = call.key, upstream = upstream.id;
+                    "answer broke off"
+                );
             }
             return Err(Refused::plain(Reason::Lost));
         };
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -187,7 +187,10 @@
 
 fn note_unread(relay: &Relay, call: &Call, reader: &Upstream, why: &str) {
     if relay.failed_lines.take(relay.now_ms()) {
-        log::info!(request = call.id(), upstream = reader.id, why; "prompt not read");
+        log::info!(
+            request = call.id(), key:% = call.key, upstream = reader.id, why;
+            "prompt not read"
+        );
     }
 }
 
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -108,7 +108,10 @@
         Sent::Lost(why) => {
             upstream.failed(relay.now_ms());
             if relay.failed_lines.take(relay.now_ms()) {
-                log::info!(request = call.id(), upstream = upstream.id, why; "answer lost");
+                log::info!(
+                    request = call.id(), key:% = call.key, upstream = upstream.id, why;
+                    "answer lost"
+                );
             }
         }
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -192,8 +192,8 @@
             source.guard.upstream().failed(self.relay.now_ms());
             if self.relay.failed_lines.take(self.relay.now_ms()) {
                 log::info!(
-                    request = self.call.id(), upstream = source.guard.upstream().id, why,
-                    last_event = self.last_event.unwrap_or(0);
+                    request = self.call.id(), key:% = self.call.key,
+                    upstream = source.guard.upstream().id, why, last_event = self.last_event.unwrap_or(0);
                     "stream broke off"
                 );
             }
@@ -281,7 +281,7 @@
         self.call.is_over.set(true);
         if self.relay.failed_lines.take(self.relay.now_ms()) {
             log::info!(
-                request = self.call.id(), route = self.call.route.name, why,
+                request = self.call.id(), key:% = self.call.key, route = self.call.route.name, why,
                 took_ms = self.relay.now_ms() - self.call.arrived_ms;
                 "stream not finished"
             );
@@ -332,7 +332,10 @@
         };
         if state.relay.failed_lines.take(state.relay.now_ms()) {
             let upstream = state.guard.upstream();
-            log::info!(request = state.call.id(), upstream = upstream.id, why; "answer broke off");
+            log::info!(
+                request = state.call.id(), key:% = state.call.key, upstream = upstream.id, why;
+                "answer broke off"
+            );
         }
         Some((Err(BrokenOff { why }), None))
     });
--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -1,7 +1,9 @@
 //! Short names on the wire.
 
+use std::fmt::{self, Display, Formatter};
+
 use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
+use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
 
 /// An incarnation of an upstream, by a hash of its id and start.
 ///
@@ -29,3 +31,30 @@
         Self(xxh3_64(name.as_bytes()) as u32)
     }
 }
+
+/// What a request asks, by a hash of its host, method, path and body.
+///
+/// Each attempt of a caller has an id of its own; this is what attempts of one request have in common,
+/// wherever they come in.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct RequestKey(#[serde(with = "postcard::fixint::le")] pub u64);
+
+impl RequestKey {
+    /// Of a request.
+    pub fn of(host: &str, method: &str, target: &str, body: &[u8]) -> Self {
+        let mut hash = Xxh3::new();
+        // A zero byte ends each part: none of the first three can hold one.
+        for part in [host, method, target] {
+            hash.update(part.as_bytes());
+            hash.update(&[0]);
+        }
+        hash.update(body);
+        Self(hash.digest())
+    }
+}
+
+impl Display for RequestKey {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:016x}", self.0)
+    }
+}
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -23,7 +23,7 @@
 pub use demand::ServiceDemand;
 pub use entry::{Change, Entry, Stage, Standing};
 pub use followed::{Followed, Mark, Said, Source};
-pub use key::{InstanceKey, UpstreamKey};
+pub use key::{InstanceKey, RequestKey, UpstreamKey};
 pub use load::Load;
 pub use members::{Member, Members};
 pub use news::{News, RecentNews};
