--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -166,6 +166,8 @@
     Wait(u64),
     /// Closes the connection.
     Close,
+    /// Ends the process: all connections close, and no new one is accepted.
+    Crash,
 }
 
 /// A request as a stand-in saw it.
@@ -210,6 +212,7 @@
     pub seen: Rc<RefCell<Vec<Seen>>>,
     /// Connections that their other end closed while an answer was being made.
     pub left: Rc<RefCell<usize>>,
+    crashed: watch::Sender<bool>,
 }
 
 impl StandIn {
@@ -220,19 +223,39 @@
             address: listener.local_addr().expect("an address"),
             seen: Rc::default(),
             left: Rc::default(),
+            crashed: watch::Sender::new(false),
         };
         let answer = Rc::new(answer);
         let shared = standin.clone();
+        let mut crashed = standin.crashed.subscribe();
         actix_rt::spawn(async move {
-            while let Ok((stream, _)) = listener.accept().await {
+            loop {
+                let accepted = tokio::select! {
+                    accepted = listener.accept() => accepted,
+                    _ = crashed.wait_for(|crashed| *crashed) => return,
+                };
+                let Ok((stream, _)) = accepted else {
+                    return;
+                };
                 let standin = shared.clone();
                 let answer = Rc::clone(&answer);
-                actix_rt::spawn(async move { standin.converse(stream, &*answer).await });
+                actix_rt::spawn(async move {
+                    let mut crashed = standin.crashed.subscribe();
+                    tokio::select! {
+                        () = standin.converse(stream, &*answer) => {}
+                        _ = crashed.wait_for(|crashed| *crashed) => {}
+                    }
+                });
             }
         });
         standin
     }
 
+    /// Whether it has ended.
+    pub fn has_crashed(&self) -> bool {
+        *self.crashed.borrow()
+    }
+
     async fn converse(&self, mut stream: TcpStream, answer: &dyn Fn(&Seen) -> Vec<Act>) {
         while let Some(seen) = read(&mut stream).await {
             self.seen.borrow_mut().push(seen.clone());
@@ -256,6 +279,10 @@
                         }
                     }
                     Act::Close => return,
+                    Act::Crash => {
+                        self.crashed.send_replace(true);
+                        return;
+                    }
                 }
             }
         }
