Refuse requests under which upstreams end

Cause: a loss was held against the upstream alone (plan::Health) and within one attempt (maxAttempts, tried). What the request asks was no part of any belief, nothing outlived the attempt, and nothing reached another instance, so one request that ends engines was sent on to the next one by each attempt, caller's return and instance. Class: failure state kept by the wrong key and scope (retry of a poison request). Now losses are also held against what a request asks (host, method, path, body): two upstreams that ended or three that broke off, and it is refused before each send with 503. Whether one ended is found out at once by another connection. An answer clears it. Instances tell each other by way of the hubs, whoever was away learns by the next whole datagram, and the store keeps it for a start after all were killed. Ruled out: a bound on attempts (held, two each), the shared budget of repeats (held), engines that end of themselves.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -137,6 +137,9 @@
     /// An upstream rejected it without running it.
     #[display("an upstream rejected it unrun")]
     Rejected,
+    /// Upstreams end under it.
+    #[display("upstreams end under this request")]
+    Poisonous,
     /// It was sent and no whole answer came.
     #[display("the upstream's answer was lost")]
     Lost,
@@ -163,6 +166,7 @@
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
             Self::Rejected => "rejected",
+            Self::Poisonous => "poisonous",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -179,9 +183,11 @@
     /// Status of the answer; 503 says that the request has not run and will not.
     pub fn status(self) -> StatusCode {
         match self {
-            Self::NoConfig | Self::NoUpstream | Self::TooLate | Self::Rejected => {
-                StatusCode::SERVICE_UNAVAILABLE
-            }
+            Self::NoConfig
+            | Self::NoUpstream
+            | Self::TooLate
+            | Self::Rejected
+            | Self::Poisonous => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::Unread => StatusCode::REQUEST_TIMEOUT,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -9,6 +9,7 @@
 
 use crate::again::{Facts, Next, Outcome, next, truthful};
 use crate::answer::{AnswerBody, Reason, Refused};
+use crate::blame::note_lost;
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::Kind;
 use crate::dialect::Sending;
@@ -72,6 +73,7 @@
     let mut tried = Vec::new();
     let mut unreached = 0;
     loop {
+        relay.admit(call)?;
         let upstream = place::plain(relay, call, &tried)?;
         tried.push(upstream.id.clone());
         let guard = InFlight::enter(&upstream, relay.now_ms(), Work::default());
@@ -124,7 +126,9 @@
 
 /// Whether the request may be sent to one more upstream, within its route and the budget.
 pub fn may_repeat(relay: &Relay, call: &Call) -> bool {
-    call.attempts.get() < call.route.max_attempts && relay.may_repeat(&call.service)
+    call.attempts.get() < call.route.max_attempts
+        && relay.admit(call).is_ok()
+        && relay.may_repeat(&call.service)
 }
 
 /// Sends a request that another upstream could still answer, for a part of the time left.
@@ -172,6 +176,7 @@
         let collected = body.collect().await;
         let Ok(collected) = collected else {
             upstream.failed(relay.now_ms());
+            note_lost(relay, call, &upstream);
             if relay.failed_lines.take(relay.now_ms()) {
                 log::info!(
                     request = call.id(), key:% = call.key, upstream = upstream.id;
@@ -183,6 +188,7 @@
         head.headers.remove(header::CONTENT_LENGTH);
         checked.lease.give_back();
         drop(guard);
+        relay.answered(call);
         AnswerBody::whole(collected.to_bytes())
     };
     let end = head.status.as_u16().to_string();
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -27,6 +27,7 @@
     let mut unreached = 0;
     let mut read = None;
     loop {
+        relay.admit(call)?;
         let (maker, kv) = match read.take() {
             // An engine that rejected the cache left it where it was; reading the prompt once more
             // would cost a second time and count as a repeat.
@@ -36,6 +37,7 @@
             ),
             None => place(relay, call, prompt, &tried).await?,
         };
+        relay.admit(call)?;
         let (sent, guard, is_handed) = make(relay, call, prompt, &maker, kv.as_ref()).await;
         tried.push(maker.engine.id.clone());
         let outcome = match sent {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod again;
 pub mod answer;
 pub mod audit;
+pub mod blame;
 pub mod call;
 pub mod config;
 pub mod dialect;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,8 @@
     pub upstreams: IntGauge,
     /// Instances that are known and ready.
     pub instances: IntGauge,
+    /// Requests that are refused since upstreams end under them.
+    pub poisonous: IntGauge,
     /// Requests whose answers are not out yet.
     pub in_flight: IntGauge,
     /// Calls to the store, by call and outcome.
@@ -110,6 +112,10 @@
             list_age_ms: gauge("list_age_ms", "Age of the list of upstreams."),
             upstreams: gauge("upstreams", "Upstreams known."),
             instances: gauge("instances", "Instances ready."),
+            poisonous: gauge(
+                "poisonous",
+                "Requests refused, as upstreams end under them.",
+            ),
             in_flight: gauge("in_flight", "Requests in flight."),
             config_version: gauge("config_version", "Version in force."),
             store_calls: counter("store_calls_total", "Calls.", &["call", "outcome"]),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -102,6 +102,18 @@
         self.open.set(self.open.get() - closed.len());
     }
 
+    /// Opens a connection for the next request.
+    pub async fn warm_up(self: &Rc<Self>, most: usize) -> Result<(), Fault> {
+        let connection = open(self, most).await?;
+        let lease = Lease {
+            connection: Some(connection),
+            pool: Rc::clone(self),
+            idle_ms: IDLE_MS,
+        };
+        lease.give_back();
+        Ok(())
+    }
+
     /// Connections that are open.
     pub fn open(&self) -> usize {
         self.open.get()
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use plan::Seen;
 
+use crate::blame::note_lost;
 use crate::call::Call;
 use crate::dialect::{KvHandle, Prompt, Sending, Step};
 use crate::generate::keep_parts;
@@ -214,6 +215,7 @@
     let body = match response.into_body().collect().await {
         Ok(collected) => collected.to_bytes(),
         Err(error) => {
+            note_lost(relay, call, reader);
             note_unread(relay, call, reader, &error.to_string());
             return None;
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,6 +1,9 @@
 //! What one instance knows, and who may change it.
 
 mod others;
+mod suspects;
+
+pub use suspects::PoisonRecord;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -10,7 +13,7 @@
 use tick::{Clock, since_boot_ms};
 use view::hubs::Ranks;
 use view::shared::Shared;
-use view::{Followed, InstanceKey, Members, PartRead, Said};
+use view::{Followed, InstanceKey, Members, PartRead, Said, Suspects};
 
 use crate::audit::{LineBudget, lines_left_out};
 use crate::config::{Config, EngineLimits};
@@ -96,6 +99,7 @@
     repeats: RefCell<HashMap<String, Repeats>>,
     /// What answers and requests have taught.
     pub learned: Learned,
+    suspects: RefCell<Suspects>,
     /// Orders to engines.
     pub orders: Orders,
     /// How far the list of upstreams was read.
@@ -133,6 +137,7 @@
             config: RefCell::default(),
             repeats: RefCell::default(),
             learned: Learned::default(),
+            suspects: RefCell::default(),
             orders,
             list: RefCell::new(Followed::new(own)),
             said: RefCell::default(),
@@ -218,6 +223,9 @@
         metrics.upstreams.set(upstreams.cast_signed() as i64);
         metrics.instances.set(self.instances().cast_signed() as i64);
         metrics.in_flight.set(self.busy.get().cast_signed() as i64);
+        metrics
+            .poisonous
+            .set(self.poisonous().len().cast_signed() as i64);
         let terms = self.settings.borrow().repeats;
         let instances = self.instances();
         for (service, repeats) in self.repeats.borrow_mut().iter_mut() {
@@ -262,6 +270,7 @@
             config_age_ms: known_age_ms(&self.configs.borrow()),
             config_next: self.configs.borrow().next(),
             members: self.members.borrow().all(),
+            poisonous: self.poisonous(),
         }
     }
 
--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -84,6 +84,7 @@
         let now_ms = self.now_ms();
         let expired = self.shared.borrow_mut().expire(now_ms);
         self.take_loads(&expired);
+        self.note_poisonous();
         let own = self.own();
         let key = InstanceKey::of(&own.member.name);
         if own.member.ready && self.members.borrow().is_known() {
@@ -114,6 +115,7 @@
             gives_after: orders::gives_after(self, duty),
             list: mark(&self.list),
             config: mark(&self.configs),
+            poisonous: self.poisonous(),
         }
     }
 
@@ -124,6 +126,7 @@
         let heard = self.shared.borrow_mut().heard(now_ms, told, peer);
         self.take_loads(&heard);
         self.take_news(now_ms, told);
+        self.take_fates(now_ms, told);
         let upstreams = self.upstreams.borrow();
         for turning in &told.turning {
             if let Some(upstream) = upstreams.get_by_key(turning.upstream) {
@@ -223,7 +226,7 @@
 
 /// Time of day; a clock set before 1970 counts as 0, and the caller goes by what it knows of its own
 /// earlier records instead.
-fn unix_ms() -> u64 {
+pub(super) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
 }
--- /dev/null
+++ b/crates/relay/src/relay/suspects.rs
@@ -0,0 +1,110 @@
+//! Requests that end the upstreams that run them, as far as this instance knows.
+
+use serde::{Deserialize, Serialize};
+use view::suspects::REMEMBERED_MS;
+use view::{Fate, RequestKey, Told};
+
+use super::Relay;
+use super::others::unix_ms;
+use crate::answer::{Reason, Refused};
+use crate::call::Call;
+
+/// What the store is told of a request under which upstreams end.
+///
+/// Were all instances killed at once, each would otherwise have to lose upstreams again to find it out.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+pub struct PoisonRecord {
+    /// Time of day at which it was found out, in ms.
+    pub found_unix_ms: u64,
+}
+
+impl Relay {
+    /// Refuses a request under which upstreams end.
+    ///
+    /// Asked before each send, since a prompt may wait for seconds between two of them, in which other
+    /// instances learn what it is.
+    pub fn admit(&self, call: &Call) -> Result<(), Refused> {
+        let now_ms = self.now_ms();
+        let mut suspects = self.suspects.borrow_mut();
+        if !suspects.is_poisonous(now_ms, call.key) {
+            return Ok(());
+        }
+        suspects.refused(now_ms, call.key);
+        Err(Refused::plain(Reason::Poisonous))
+    }
+
+    /// Something was seen that tells whether a request or its upstream is to blame.
+    pub fn saw(&self, fate: Fate) {
+        let now_ms = self.now_ms();
+        if self.suspects.borrow_mut().saw(now_ms, fate) {
+            self.shared.borrow_mut().add_fate(fate);
+        }
+    }
+
+    /// A request was answered whole by an upstream.
+    pub fn answered(&self, call: &Call) {
+        let is_suspected = self.suspects.borrow().is_suspected(call.key);
+        if is_suspected {
+            self.saw(Fate::Answered(call.key));
+        }
+    }
+
+    /// The requests under which upstreams end, those that came last.
+    pub fn poisonous(&self) -> Vec<RequestKey> {
+        self.suspects.borrow().poisonous(self.now_ms())
+    }
+
+    /// Another instance, or the store, says that upstreams end under these requests.
+    pub fn told_poisonous(&self, requests: &[RequestKey]) {
+        let now_ms = self.now_ms();
+        let mut suspects = self.suspects.borrow_mut();
+        for request in requests {
+            suspects.told(now_ms, *request);
+        }
+    }
+
+    /// Requests that were found out here and of which the store does not know yet.
+    pub fn poisonous_unkept(&self) -> Vec<RequestKey> {
+        self.suspects.borrow().unkept(self.now_ms())
+    }
+
+    /// What the store is told of such a request.
+    pub fn poison_record(&self) -> PoisonRecord {
+        PoisonRecord {
+            found_unix_ms: unix_ms(),
+        }
+    }
+
+    /// The store says that upstreams ended under a request.
+    pub fn take_poison_record(&self, request: RequestKey, record: PoisonRecord) {
+        if unix_ms() < record.found_unix_ms.saturating_add(REMEMBERED_MS) {
+            self.told_poisonous(&[request]);
+            self.kept_poisonous(request);
+        }
+    }
+
+    /// The store knows of such a request.
+    pub fn kept_poisonous(&self, request: RequestKey) {
+        self.suspects.borrow_mut().kept(request);
+    }
+
+    /// Writes a line on each request that is refused from now on.
+    pub(super) fn note_poisonous(&self) {
+        let found = self.suspects.borrow_mut().newly_poisonous(self.now_ms());
+        for (request, upstreams_lost) in found {
+            log::warn!(key:% = request, upstreams_lost; "request refused from now on: upstreams end under it");
+        }
+    }
+
+    pub(super) fn take_fates(&self, now_ms: u64, told: &Told) {
+        let mut suspects = self.suspects.borrow_mut();
+        for fate in &told.fates {
+            if suspects.heard(now_ms, *fate) {
+                self.shared.borrow_mut().pass_on_fate(*fate, told.kind);
+            }
+        }
+        for request in &told.poisonous {
+            suspects.told(now_ms, *request);
+        }
+    }
+}
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::again::Outcome;
+use crate::blame::note_lost;
 use crate::call::Call;
 use crate::config::Kind;
 use crate::dialect::{Answered, Sending, Step};
@@ -142,26 +143,34 @@
     upstream: &Rc<Upstream>,
     request: http::Request<http_body_util::Full<Bytes>>,
 ) -> Result<Exchanged, Fault> {
-    let config = relay.config();
-    let service = config
-        .as_ref()
-        .and_then(|config| config.service(&call.service));
-    let most = service.map_or(usize::MAX, |service| service.max_connections);
-    let most = (most as f64 * CONNECTION_SHARE / relay.instances() as f64) as usize;
+    let most = most_connections(relay, &call.service);
     let began_ms = relay.now_ms();
     let seconds = |from_ms: u64| (relay.now_ms() - from_ms) as f64 / 1_000.0;
     if !call.is_sent.replace(true) {
         let own = relay.metrics.own_s.with_label_values(&[&call.route.name]);
         own.observe(seconds(call.arrived_ms));
     }
-    let exchanged = exchange(&upstream.pool, most.max(LEAST_CONNECTIONS), request).await;
-    if exchanged.is_ok() {
-        let at_upstream = relay.metrics.upstream_s.with_label_values(&[&call.service]);
-        at_upstream.observe(seconds(began_ms));
+    let exchanged = exchange(&upstream.pool, most, request).await;
+    match &exchanged {
+        Ok(_) => {
+            let at_upstream = relay.metrics.upstream_s.with_label_values(&[&call.service]);
+            at_upstream.observe(seconds(began_ms));
+        }
+        Err(Fault::Lost { .. }) => note_lost(relay, call, upstream),
+        Err(Fault::Connect { .. } | Fault::Crowded { .. }) => {}
     }
     exchanged
 }
 
+/// Connections that this instance may open to an upstream of a service.
+pub fn most_connections(relay: &Relay, service: &str) -> usize {
+    let config = relay.config();
+    let service = config.as_ref().and_then(|config| config.service(service));
+    let most = service.map_or(usize::MAX, |service| service.max_connections);
+    let most = (most as f64 * CONNECTION_SHARE / relay.instances() as f64) as usize;
+    most.max(LEAST_CONNECTIONS)
+}
+
 /// Whether a rejection says that there is no room, and not that the request is another's.
 pub fn has_no_room(status: StatusCode) -> bool {
     let full = [
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tick::since_boot_ms;
-use view::{Entry, Member};
+use view::{Entry, Member, RequestKey};
 
 use crate::config::{Config, Limits, Route, Service};
 use crate::pool::{Pool, exchange};
@@ -82,6 +82,9 @@
     pub config_next: Option<u64>,
     /// Instances.
     pub members: Vec<Member>,
+    /// Requests under which upstreams end.
+    #[serde(default)]
+    pub poisonous: Vec<RequestKey>,
 }
 
 /// When other instances were last asked.
@@ -152,6 +155,7 @@
     );
     take_config(relay, state);
     take_list(relay, state);
+    relay.told_poisonous(&state.poisonous);
     let now_ms = relay.now_ms();
     let mut members = relay.members.borrow_mut();
     for member in &state.members {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -11,6 +11,7 @@
 use hyper::body::Incoming;
 
 use crate::answer::{AnswerBody, BrokenOff};
+use crate::blame::note_lost;
 use crate::call::{Call, strip_hop_by_hop};
 use crate::dialect::Sending;
 use crate::events::Splitter;
@@ -54,6 +55,7 @@
     Data(Bytes),
     End,
     Broken(String),
+    Silent(String),
     OutOfTime,
 }
 
@@ -122,11 +124,18 @@
                     return None;
                 }
                 Next::End => {
+                    self.note_lost();
                     if let Err(broken) = self.go_on("it ended within an event").await {
                         return Some(Err(broken));
                     }
                 }
                 Next::Broken(why) => {
+                    self.note_lost();
+                    if let Err(broken) = self.go_on(&why).await {
+                        return Some(Err(broken));
+                    }
+                }
+                Next::Silent(why) => {
                     if let Err(broken) = self.go_on(&why).await {
                         return Some(Err(broken));
                     }
@@ -167,7 +176,7 @@
         let waited = actix_rt::time::timeout(Duration::from_millis(wait_ms), frame).await;
         match waited {
             Err(_) if wait_ms == left_ms => Next::OutOfTime,
-            Err(_) => Next::Broken(format!("silent for {wait_ms} ms")),
+            Err(_) => Next::Silent(format!("silent for {wait_ms} ms")),
             Ok(None) => Next::End,
             Ok(Some(Err(error))) => Next::Broken(error.to_string()),
             Ok(Some(Ok(frame))) => {
@@ -186,6 +195,12 @@
         }
     }
 
+    fn note_lost(&self) {
+        if let Some(source) = &self.source {
+            note_lost(&self.relay, &self.call, source.guard.upstream());
+        }
+    }
+
     /// Goes on with the stream at another engine, after the last whole event.
     async fn go_on(&mut self, why: &str) -> Result<(), BrokenOff> {
         if let Some(source) = self.source.take() {
@@ -265,6 +280,7 @@
         let first_ms = self.call.waited_ms + self.first_ms;
         let in_time = first_ms <= route.goal_ms && self.longest_gap_ms <= route.gap_goal_ms;
         note_answer(&self.relay, &self.call, in_time);
+        self.relay.answered(&self.call);
         if let Some(source) = self.source.take() {
             if self.relay.served_lines.take(self.relay.now_ms()) {
                 log::info!(
@@ -325,9 +341,13 @@
             }
             Ok(None) => {
                 state.lease.give_back();
+                state.relay.answered(&state.call);
                 return None;
             }
-            Ok(Some(Err(error))) => error.to_string(),
+            Ok(Some(Err(error))) => {
+                note_lost(&state.relay, &state.call, state.guard.upstream());
+                error.to_string()
+            }
             Err(_) => "out of time".to_owned(),
         };
         if state.relay.failed_lines.take(state.relay.now_ms()) {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -73,6 +73,8 @@
     pub slots: u32,
     /// Its connections.
     pub pool: Rc<Pool>,
+    /// Whether it is being found out if it has ended.
+    pub is_looked_at: Cell<bool>,
     clock: Clock,
     joined_ms: u64,
     turning: Cell<Option<Turning>>,
@@ -105,6 +107,7 @@
             distance_ms,
             slots: entry.slots.max(1),
             pool: Pool::new(entry.address, clock),
+            is_looked_at: Cell::default(),
             joined_ms: clock.now_ms(),
             turning: Cell::default(),
             rejecting_until_ms: Cell::default(),
--- a/crates/relay/tests/poison.rs
+++ b/crates/relay/tests/poison.rs
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 
 use bytes::Bytes;
-use common::{Act, Bed, Seen, StandIn, request, tell};
+use common::{Act, Bed, Seen, StandIn, request, tell, until};
 use http::{HeaderValue, Method, Request};
 use http_body_util::Full;
 use relay::upstream::Stage;
@@ -53,6 +53,15 @@
     fleet.iter().enumerate().map(entry).collect()
 }
 
+/// Waits until it is found out of each upstream whose connection ended whether it has ended.
+async fn looked(bed: &Bed) {
+    let is_over = || {
+        let upstreams = bed.relay.upstreams.borrow();
+        upstreams.iter().all(|each| !each.is_looked_at.get())
+    };
+    assert!(until(is_over).await);
+}
+
 fn crashed(fleet: &[StandIn]) -> usize {
     fleet.iter().filter(|each| each.has_crashed()).count()
 }
@@ -105,3 +114,101 @@
     }
     assert!(crashed(&fleet) <= MOST_ENDED, "{} ended", crashed(&fleet));
 }
+
+/// A claim runs once at the most, so it is sent to one upstream an attempt. Its caller comes back by itself, and
+/// is told by then that the claim was not run, which is true of that attempt.
+#[actix_rt::test]
+async fn a_claim_that_ends_services_is_refused_as_unrun() {
+    let fleet = fleet(8);
+    let bed = Bed::start(entries(&fleet, "desk", Stage::Whole));
+    let mut statuses = Vec::new();
+    for attempt in 0..5 {
+        statuses.push(bed.get(poison("/claims/1", attempt)).await.0);
+        looked(&bed).await;
+    }
+    assert_eq!(crashed(&fleet), 2);
+    assert_eq!(statuses, [502, 502, 503, 503, 503]);
+}
+
+/// An engine ends while it reads the prompt, before any output is asked of another one. The prompt is then sent
+/// whole to an engine for output, which ends too. Both count, whatever they were doing.
+#[actix_rt::test]
+async fn a_prompt_that_ends_its_readers_is_known() {
+    let readers: Vec<StandIn> = (0..6)
+        .map(|_| StandIn::start(|_| vec![Act::Crash]))
+        .collect();
+    let makers = fleet(6);
+    let mut all = entries(&readers, "llm", Stage::Prefill);
+    let named = |(at, each): (usize, &StandIn)| each.entry(&format!("m{at}"), "llm", Stage::Decode);
+    all.extend(makers.iter().enumerate().map(named));
+    let bed = Bed::start(all);
+    for attempt in 0..6 {
+        let mut asked = poisoned_question(attempt);
+        let prompt = HeaderValue::from_static("7:13000,8:4000");
+        asked.headers_mut().insert("x-prompt", prompt);
+        bed.get(asked).await;
+    }
+    let ended = crashed(&readers) + crashed(&makers);
+    assert!(ended <= MOST_ENDED, "{ended} ended");
+}
+
+/// An engine ends with four questions in hand, one of which is to blame. The others are gone on with elsewhere
+/// and answered; having met one end they are refused nowhere.
+#[actix_rt::test]
+async fn those_that_were_there_are_answered() {
+    let fleet = fleet(3);
+    let bed = Bed::start(entries(&fleet, "llm", Stage::Decode));
+    bed.get(poisoned_question(0)).await;
+    for attempt in 1..5 {
+        let mut asked = request(Method::POST, "/grades/3", &attempt.to_string());
+        let prompt = HeaderValue::from_static("7:50,8:40");
+        asked.headers_mut().insert("x-prompt", prompt);
+        let (status, body) = bed.get(asked).await;
+        assert_eq!((status, body.is_some()), (200, true));
+    }
+}
+
+/// An instance starts, or comes back from a partition, when the fleet knows already. It asks another one what it
+/// knows, for its configuration, and refuses the request without having lost an engine.
+#[actix_rt::test]
+async fn one_that_starts_is_told() {
+    let fleet = fleet(8);
+    let all = entries(&fleet, "llm", Stage::Decode);
+    let old = Bed::start(all.clone());
+    for attempt in 0..4 {
+        old.get(poisoned_question(attempt)).await;
+        looked(&old).await;
+    }
+    let ended = crashed(&fleet);
+    let new = Bed::start(all);
+    let peer = "127.0.0.1:1".parse().expect("an address");
+    relay::state::take(&new.relay, &old.relay.state(), peer);
+    assert_eq!(new.get(poisoned_question(9)).await.0, 503);
+    assert_eq!(crashed(&fleet), ended);
+}
+
+/// Connections are reset under one read, again and again, by upstreams that live and answer all others. They are not
+/// taken for ended, so two do not count against the read; a third one does, and the fourth is spared.
+#[actix_rt::test]
+async fn a_reset_connection_is_not_an_end() {
+    let resets = || {
+        StandIn::start(|seen| match seen.body.as_str() {
+            POISON => vec![Act::Close],
+            _ => seen.answer("200 OK", "", "ok"),
+        })
+    };
+    let fleet: Vec<StandIn> = (0..4).map(|_| resets()).collect();
+    let bed = Bed::start(entries(&fleet, "desk", Stage::Whole));
+    for attempt in 0..12 {
+        bed.get(poison("/reads/1", attempt)).await;
+        looked(&bed).await;
+    }
+    let met = fleet.iter().filter(|each| each.count() > 0).count();
+    assert_eq!(
+        met, MOST_ENDED,
+        "two that live are not held against it, three are"
+    );
+    for path in ["/reads/2", "/reads/3"] {
+        assert_eq!(bed.get(request(Method::POST, path, path)).await.0, 200);
+    }
+}
--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -1,6 +1,8 @@
 //! Short names on the wire.
 
 use std::fmt::{self, Display, Formatter};
+use std::num::ParseIntError;
+use std::str::FromStr;
 
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::{Xxh3, xxh3_64, xxh3_64_with_seed};
@@ -53,6 +55,14 @@
     }
 }
 
+impl FromStr for RequestKey {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
+
 impl Display for RequestKey {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         write!(formatter, "{:016x}", self.0)
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod news;
 pub mod queue;
 pub mod shared;
+pub mod suspects;
 pub mod told;
 
 pub use demand::ServiceDemand;
@@ -29,4 +30,5 @@
 pub use news::{News, RecentNews};
 pub use queue::{Queue, RANKS};
 pub use shared::{Heard, Own, Shared};
+pub use suspects::{Fate, Suspects};
 pub use told::{Kind, PartRead, Reading, Told, Turning, decode, encode};
--- a/crates/view/src/shared.rs
+++ b/crates/view/src/shared.rs
@@ -6,13 +6,15 @@
 //! [`STALE_MS`], so an instance that goes takes its share along. See docs/design/views.md.
 
 mod outgoing;
+mod repeated;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+use self::repeated::Repeated;
 use crate::{
-    InstanceKey, Kind, Load, Mark, Member, News, PartRead, RecentNews, ServiceDemand, Told,
-    Turning, UpstreamKey, demand,
+    Fate, InstanceKey, Kind, Load, Mark, Member, News, PartRead, RecentNews, RequestKey,
+    ServiceDemand, Told, Turning, UpstreamKey, demand,
 };
 
 /// Time between two datagrams to one receiver, in ms: what one instance has is known to all within three,
@@ -41,6 +43,8 @@
     pub list: Option<Mark>,
     /// Where the configuration stands.
     pub config: Option<Mark>,
+    /// Requests that no upstream is to get any more.
+    pub poisonous: Vec<RequestKey>,
 }
 
 /// What a datagram changed.
@@ -85,6 +89,10 @@
     down: Vec<PartRead>,
     up_turning: Vec<Turning>,
     down_turning: Vec<Turning>,
+    /// Fates that were seen here or by those that report here, for all.
+    up_fates: Repeated<Fate>,
+    /// Those that other hubs told of, for those that report here.
+    down_fates: Repeated<Fate>,
     joined: Vec<(u64, Member)>,
     news: RecentNews,
     hub: Option<Hub>,
@@ -262,6 +270,21 @@
         self.news.add(now_ms, news);
     }
 
+    /// Something became of a request here, which the others do not know.
+    pub fn add_fate(&mut self, fate: Fate) {
+        self.up_fates.add(fate);
+    }
+
+    /// Something became of a request elsewhere that was not known here, and goes on to whom the sender's kind
+    /// does not reach.
+    pub fn pass_on_fate(&mut self, fate: Fate, told_by: Kind) {
+        match told_by {
+            Kind::Report => self.up_fates.add(fate),
+            Kind::Sum => self.down_fates.add(fate),
+            Kind::Digest => {}
+        }
+    }
+
     /// An instance has come or changed.
     pub fn joined(&mut self, now_ms: u64, member: Member) {
         self.joined.retain(|(_, known)| known.name != member.name);
--- a/crates/view/src/shared/outgoing.rs
+++ b/crates/view/src/shared/outgoing.rs
@@ -5,7 +5,9 @@
 
 use super::{Hub, Loads, Own, Shared};
 use crate::hubs::Ranks;
-use crate::{InstanceKey, Kind, Load, Member, ServiceDemand, Told, UpstreamKey, demand, hubs};
+use crate::{
+    InstanceKey, Kind, Load, Member, RequestKey, ServiceDemand, Told, UpstreamKey, demand, hubs,
+};
 
 /// Periods for each datagram that says all there is, who lives and what is asked; the others say what
 /// changed, and an instance to which nothing happens sends none. So a lost one shows for a fifth of a
@@ -36,6 +38,7 @@
         // that it lives.
         let is_news =
             own.loads != self.last_own || !own.reads.is_empty() || !own.turning.is_empty();
+        let is_news = is_news || !self.up_fates.is_empty() || !self.down_fates.is_empty();
         let tells = is_news || self.ticks.is_multiple_of(WHOLE_PERIODS);
         self.last_own.clone_from(&own.loads);
         self.joined.retain(|(at_ms, _)| now_ms < at_ms + JOINED_MS);
@@ -62,6 +65,7 @@
         self.down.clear();
         self.up_turning.clear();
         self.down_turning.clear();
+        self.down_fates.clear();
         let is_new = self.hub.is_some_and(|hub| hub.since_ms == now_ms);
         if !tells && !is_new {
             return Vec::new();
@@ -74,6 +78,8 @@
             turning: own.turning,
             demand: own.demand,
             gives_after: own.gives_after,
+            fates: self.up_fates.told(),
+            poisonous: self.poisonous_told(&own.poisonous),
             ..Told::new(InstanceKey::of(&own.member.name), Kind::Report)
         };
         vec![(hub, told)]
@@ -151,6 +157,8 @@
             list: own.list,
             config: own.config,
             news: self.news.told(now_ms),
+            fates: self.up_fates.told(),
+            poisonous: self.poisonous_told(&own.poisonous),
             ..Told::new(key, Kind::Sum)
         };
         let mut sum = Told {
@@ -166,6 +174,7 @@
             turning: taken(&mut self.down_turning, &sum.turning),
             ..told
         };
+        digest.fates.extend(self.down_fates.told());
         let (alive, demand) = self.alive(own, Kind::Report);
         if is_whole {
             (digest.alive, digest.demand) = self.alive(own, Kind::Sum);
@@ -217,6 +226,12 @@
         told
     }
 
+    /// Poisonous requests, with the datagrams that say all there is.
+    fn poisonous_told(&self, own: &[RequestKey]) -> Vec<RequestKey> {
+        let is_told = self.ticks.is_multiple_of(WHOLE_PERIODS);
+        own.iter().filter(|_| is_told).copied().collect()
+    }
+
     fn members_told(&self) -> Vec<Member> {
         self.joined
             .iter()
--- a/crates/view/src/told.rs
+++ b/crates/view/src/told.rs
@@ -8,11 +8,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    InstanceKey, Load, Mark, Member, News, Queue, RANKS, ServiceDemand, Stage, UpstreamKey,
+    Fate, InstanceKey, Load, Mark, Member, News, Queue, RANKS, RequestKey, ServiceDemand, Stage,
+    UpstreamKey,
 };
 
 /// First byte of a datagram; another form has another one.
-const FORM: u8 = 4;
+const FORM: u8 = 5;
 
 /// What a datagram speaks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -87,6 +88,10 @@
     pub config: Option<Mark>,
     /// Changes of the list of upstreams.
     pub news: Vec<News>,
+    /// What became of requests whose upstreams broke off.
+    pub fates: Vec<Fate>,
+    /// Requests that no upstream is to get any more.
+    pub poisonous: Vec<RequestKey>,
 }
 
 impl Told {
@@ -106,6 +111,8 @@
             list: None,
             config: None,
             news: Vec::new(),
+            fates: Vec::new(),
+            poisonous: Vec::new(),
         }
     }
 }
@@ -147,6 +154,8 @@
     list: Option<Mark>,
     config: Option<Mark>,
     news: Vec<News>,
+    fates: Vec<Fate>,
+    poisonous: Vec<RequestKey>,
 }
 
 /// Writes a datagram.
@@ -186,6 +195,8 @@
             list: told.list,
             config: told.config,
             news: told.news,
+            fates: told.fates,
+            poisonous: told.poisonous,
         }
     }
 }
@@ -214,6 +225,8 @@
             list: wire.list,
             config: wire.config,
             news: wire.news,
+            fates: wire.fates,
+            poisonous: wire.poisonous,
         }
     }
 }
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -8,7 +8,8 @@
 use view::hubs::Ranks;
 use view::shared::{Own, PERIOD_MS, Shared};
 use view::{
-    InstanceKey, Load, Mark, Member, Members, News, Queue, Told, UpstreamKey, decode, encode,
+    Fate, InstanceKey, Load, Mark, Member, Members, News, Queue, Suspects, Told, UpstreamKey,
+    decode, encode,
 };
 
 /// Time of a datagram on its way, in ms.
@@ -29,6 +30,7 @@
     pub list: Option<Mark>,
     pub marks: Vec<Mark>,
     pub news: Vec<News>,
+    pub suspects: Suspects,
     pub runs: bool,
     pub sent: usize,
     pub sent_bytes: usize,
@@ -77,6 +79,7 @@
                 list: None,
                 marks: Vec::new(),
                 news: Vec::new(),
+                suspects: Suspects::default(),
                 runs: true,
                 sent: 0,
                 sent_bytes: 0,
@@ -136,6 +139,7 @@
             gives_after: None,
             list: each.list,
             config: None,
+            poisonous: each.suspects.poisonous(now_ms),
         };
         each.members
             .lives(now_ms, InstanceKey::of(&each.member.name));
@@ -182,10 +186,25 @@
             self.members.told(now_ms, *key);
         }
         self.shared.heard(now_ms, told, from);
+        for fate in &told.fates {
+            if self.suspects.heard(now_ms, *fate) {
+                self.shared.pass_on_fate(*fate, told.kind);
+            }
+        }
+        for request in &told.poisonous {
+            self.suspects.told(now_ms, *request);
+        }
         self.news.extend(told.news.iter().cloned());
         self.marks.extend(told.list);
     }
 
+    /// It saw something of a request.
+    pub fn saw(&mut self, now_ms: u64, fate: Fate) {
+        if self.suspects.saw(now_ms, fate) {
+            self.shared.add_fate(fate);
+        }
+    }
+
     /// What it believes that all have at an upstream.
     pub fn believes(&self, upstream: UpstreamKey) -> u32 {
         let own = self.own.iter().filter(|(key, _)| *key == upstream);
--- a/crates/view/tests/key.rs
+++ b/crates/view/tests/key.rs
@@ -8,6 +8,7 @@
 fn a_request_has_one_name_whichever_attempt_it_is() {
     let key = RequestKey::of("host.test", "POST", "/a/1", b"body");
     assert_eq!(key, RequestKey::of("host.test", "POST", "/a/1", b"body"));
+    assert_eq!(key.to_string().parse(), Ok(key));
     let others = [
         RequestKey::of("other.test", "POST", "/a/1", b"body"),
         RequestKey::of("host.test", "GET", "/a/1", b"body"),
--- a/crates/view/tests/told.rs
+++ b/crates/view/tests/told.rs
@@ -102,7 +102,7 @@
     newer[0] += 1;
     let cut = &bytes[..bytes.len() - 1];
     for (bytes, why) in [
-        (&newer[..], "form Some(5) is not known"),
+        (&newer[..], "form Some(6) is not known"),
         (&[][..], "form None is not known"),
         (cut, "Hit the end of buffer, expected more data"),
     ] {
@@ -114,7 +114,7 @@
     /// Whatever comes from the network, reading it ends with a datagram or an error.
     #[test]
     fn any_datagram_is_read_or_refused(bytes in proptest::collection::vec(proptest::prelude::any::<u8>(), 0..200)) {
-        let mut formed = vec![4];
+        let mut formed = vec![5];
         formed.extend(&bytes);
         let _ = decode(&bytes);
         let _ = decode(&formed);
