Test of a prompt under which engines end, at the trial's own edge, failing

Cause: the same as on the platform, found by looking for it elsewhere: entry::pump holds a loss against the engine alone and sends the prompt on, within a budget of retries and no bound of attempts. Five engines of five end, and other callers get 502.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -4,7 +4,7 @@
 mod orders;
 mod streams;
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
 use std::io;
 use std::rc::Rc;
@@ -24,6 +24,9 @@
 /// Time between two snapshots that reports are taken from.
 const SNAPSHOT_MS: u64 = 50;
 
+/// What makes a prompt poisonous to an engine whose switch says so.
+pub const POISON: &str = "poison";
+
 /// Switches of an engine.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -38,6 +41,19 @@
     pub cross_ids: bool,
     /// Refuses new work with 503.
     pub refuse: bool,
+    /// What a prompt that has [`POISON`] in it does to it.
+    pub at_poison: AtPoison,
+}
+
+/// What becomes of an engine that begins with a poisonous prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum AtPoison {
+    /// It answers.
+    #[default]
+    Survives,
+    /// It is killed.
+    Ends,
 }
 
 impl Default for EngineFaults {
@@ -48,6 +64,7 @@
             cut_after: 0,
             cross_ids: false,
             refuse: false,
+            at_poison: AtPoison::Survives,
         }
     }
 }
@@ -121,6 +138,7 @@
     inner: Rc<RefCell<Inner>>,
     work: Rc<Notify>,
     server: Rc<RefCell<Option<Server>>>,
+    is_killed: Rc<Cell<bool>>,
 }
 
 impl EngineStandin {
@@ -139,6 +157,7 @@
             })),
             work: Rc::default(),
             server: Rc::default(),
+            is_killed: Rc::default(),
         };
         let listener = web::bind(address).await?;
         let handler = engine.clone();
@@ -184,8 +203,14 @@
         inner.streams.fail_all();
     }
 
+    /// Whether it has not been killed.
+    pub fn is_listening(&self) -> bool {
+        !self.is_killed.get()
+    }
+
     /// Cuts all connections and stops listening.
     pub fn kill(&self) {
+        self.is_killed.set(true);
         self.crash();
         if let Some(server) = self.server.borrow().as_ref() {
             server.kill();
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -12,7 +12,7 @@
 
 use super::orders::Taken;
 use super::streams::{NewStream, Stream};
-use super::{EngineFaults, EngineStandin};
+use super::{AtPoison, EngineFaults, EngineStandin, POISON};
 use crate::prompt_tokens;
 
 /// Largest body, in bytes.
@@ -86,6 +86,7 @@
         if inner.faults.refuse || inner.orders.is_away() || !loaded {
             return web::empty(StatusCode::SERVICE_UNAVAILABLE);
         }
+        let ends = inner.faults.at_poison == AtPoison::Ends && completion.prompt.contains(POISON);
         let tokens = prompt_tokens(&completion.prompt);
         let new = NewStream {
             name: completion.request_id,
@@ -102,6 +103,9 @@
         inner.batch.push(job);
         drop(inner);
         self.work.notify_one();
+        if ends {
+            self.kill();
+        }
         self.read(job.id, 0)
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,7 +11,7 @@
 mod text;
 mod weights;
 
-pub use engine::{EngineFaults, EngineOptions, EngineStandin};
+pub use engine::{AtPoison, EngineFaults, EngineOptions, EngineStandin, POISON};
 pub use instances::{InstanceList, Listed, Standing, register};
 pub use log::{LogFaults, LogStandin};
 
--- a/tests/failure/engines.rs
+++ b/tests/failure/engines.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use chicoryrack::standin::{EngineFaults, expected_text};
+use chicoryrack::standin::{AtPoison, EngineFaults, POISON, expected_text};
 use serde_json::json;
 
 use crate::common::{MEMBER_KEY, Platform, admin, bundle, send, serve, until};
@@ -156,3 +156,29 @@
         );
     }
 }
+
+#[actix_rt::test]
+async fn a_prompt_that_ends_engines_does_not_end_the_fleet() {
+    // A caller's prompt ends the engine that begins with it. The instance lets another engine go on, which
+    // ends too, and the caller comes back with the same prompt, five times. Held against the engines alone,
+    // each loss hands it to the next one, until nobody is left for other callers.
+    let platform = Platform::start(5).await;
+    let daemon = serve(&platform).await;
+    for engine in &platform.engines {
+        engine.set_faults(EngineFaults {
+            at_poison: AtPoison::Ends,
+            ..EngineFaults::default()
+        });
+    }
+    for _ in 0..5 {
+        let reply = ask(&daemon.caller_address, POISON, 8).await;
+        assert_ne!(reply.status, 200, "{}", reply.text());
+    }
+    let reply = ask(&daemon.caller_address, "another", 8).await;
+    assert_eq!(reply.status, 200, "{}", reply.text());
+    let alive = platform
+        .engines
+        .iter()
+        .filter(|engine| engine.is_listening());
+    assert!(alive.count() >= 2, "three ended under one prompt");
+}
