Hold ends of engines against the prompt at the trial's own edge too

Cause: the test before this commit: entry::pump sent a prompt on to all five engines. Now it asks view::suspects before each attempt and tells it of each end, by what this instance sees; a resumed stream that finds no connection is the look at whether the engine has ended. Ruled out: sharing between its instances, which needs a message of theirs and is not what this path is kept for.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -15,6 +15,7 @@
 use rand_pcg::Pcg64;
 use tick::{Clock, Timers};
 use tokio::sync::{Notify, oneshot, watch};
+use view::Suspects;
 use wire::{Body, Condition};
 
 use crate::control::Control;
@@ -52,6 +53,7 @@
     pub(crate) forecast: RefCell<Forecast>,
     pub(crate) retries: RefCell<RetryBudget>,
     pub(crate) workspaces: RefCell<Workspaces>,
+    pub(crate) suspects: RefCell<Suspects>,
     pub(crate) home: RefCell<Home>,
     pub(crate) witness: RefCell<Witness>,
     pub(crate) call_ended: watch::Sender<u64>,
@@ -114,6 +116,7 @@
             forecast: RefCell::default(),
             retries: RefCell::default(),
             workspaces: RefCell::default(),
+            suspects: RefCell::default(),
             condition: Cell::default(),
             closed: Cell::new(false),
             log_up: Cell::new(false),
--- a/crates/entry/src/caller.rs
+++ b/crates/entry/src/caller.rs
@@ -5,6 +5,7 @@
 use actix_http::Request;
 use conf::{BundleIndex, Tenant};
 use plan::rank_index;
+use view::RequestKey;
 
 use crate::app::App;
 use crate::auth::{header, number, tenant};
@@ -85,6 +86,7 @@
         share: asked.tenant.share,
         class: asked.class.clone(),
         rank: asked.rank,
+        key: RequestKey::of(&asked.tenant.workspace, "", &model.name, prompt.as_bytes()),
         model: model.name.clone(),
         loaded: crate::upstreams::serving(app, model),
         prompt_tokens: (prompt.len() as f64 / TOKEN_BYTES).max(1.0),
--- a/crates/entry/src/pump.rs
+++ b/crates/entry/src/pump.rs
@@ -1,11 +1,13 @@
 //! Carries one completion from engines to its caller, whole and once.
 
+mod blame;
 mod stream;
 
 use std::rc::Rc;
 
 use plan::{AttemptBudget, Choice, Presence, Request};
 use tokio::sync::mpsc;
+use view::RequestKey;
 
 use crate::app::App;
 use crate::booking::Booking;
@@ -20,6 +22,8 @@
 #[derive(Clone)]
 pub(crate) struct Work {
     pub(crate) id: String,
+    /// What is asked, the same whenever the caller asks it.
+    pub(crate) key: RequestKey,
     pub(crate) member: String,
     pub(crate) share: u32,
     pub(crate) class: String,
@@ -86,12 +90,13 @@
     pub(crate) async fn run(mut self) {
         self.app.retries.borrow_mut().earn();
         loop {
-            let choice = match self.choose() {
+            let choice = match self.admit().and_then(|()| self.choose()) {
                 Ok(choice) => choice,
                 Err(refusal) => return self.fail(refusal).await,
             };
             match self.attempt(&choice).await {
                 Ended::Whole(usage) => {
+                    self.note_answered();
                     let _ = self.sender.send(Event::End(usage)).await;
                     return;
                 }
--- a/crates/entry/src/pump/stream.rs
+++ b/crates/entry/src/pump/stream.rs
@@ -70,7 +70,10 @@
             );
             parts = match timed(attempt.budget.spend_ms, again).await {
                 Ok(parts) => parts,
-                Err(_) => return self.blame(attempt, "resume"),
+                Err(error) => {
+                    self.note_end(attempt, &error);
+                    return self.blame(attempt, "resume");
+                }
             };
         }
     }
@@ -113,7 +116,12 @@
                     .inc();
                 self.blame(attempt, "crossed")
             }
-            EngineError::Broken { .. } | EngineError::Silent { .. } | EngineError::Hopeless => {
+            EngineError::Broken { .. } => {
+                self.touched = true;
+                self.look(attempt).await;
+                self.blame(attempt, "open")
+            }
+            EngineError::Silent { .. } | EngineError::Hopeless => {
                 self.touched = true;
                 self.blame(attempt, "open")
             }
--- a/tests/failure/engines.rs
+++ b/tests/failure/engines.rs
@@ -174,11 +174,9 @@
         let reply = ask(&daemon.caller_address, POISON, 8).await;
         assert_ne!(reply.status, 200, "{}", reply.text());
     }
+    let alive = platform.engines.iter().filter(|it| it.is_listening());
+    let alive = alive.count();
+    assert!(alive >= 2, "{alive} left");
     let reply = ask(&daemon.caller_address, "another", 8).await;
     assert_eq!(reply.status, 200, "{}", reply.text());
-    let alive = platform
-        .engines
-        .iter()
-        .filter(|engine| engine.is_listening());
-    assert!(alive.count() >= 2, "three ended under one prompt");
 }
