--- /dev/null
+++ b/crates/relay/tests/common/wire.rs
@@ -0,0 +1,139 @@
+//! Names on the wire of these tests.
+
+use std::net::SocketAddr;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use relay::dialect::{
+    Answered, Asked, Dialect, EngineReport, KvHandle, Part, Prompt, Sending, Step, ToldLoad,
+};
+use relay::orders::Order;
+
+/// Names on the wire of these tests.
+pub struct Wire;
+
+fn text<'a>(headers: &'a HeaderMap, name: &str) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
+
+fn number(headers: &HeaderMap, name: &str) -> Option<u64> {
+    text(headers, name)?.parse().ok()
+}
+
+fn prompt(value: &str) -> Prompt {
+    let parts: Vec<Part> = value
+        .split(',')
+        .filter_map(|part| {
+            let (id, tokens) = part.split_once(':')?;
+            Some(Part {
+                id: id.parse().ok()?,
+                tokens: tokens.parse().ok()?,
+            })
+        })
+        .collect();
+    Prompt {
+        input_tokens: parts.iter().map(|part| part.tokens).sum(),
+        output_tokens: 16,
+        output_hint_tokens: None,
+        parts,
+    }
+}
+
+impl Dialect for Wire {
+    fn asked(&self, headers: &HeaderMap) -> Asked {
+        Asked {
+            attempt: headers.get("x-attempt").cloned(),
+            deadline_ms: number(headers, "x-left-ms"),
+            prompt: text(headers, "x-prompt").map(prompt),
+            last_event: number(headers, "last-event-id"),
+        }
+    }
+
+    fn strip(&self, headers: &mut HeaderMap) {
+        for name in ["x-instance", "x-step", "x-kv", "x-copy", "x-rank"] {
+            headers.remove(name);
+        }
+    }
+
+    fn is_end_to_end(&self, name: &HeaderName) -> bool {
+        name.as_str().starts_with("x-")
+    }
+
+    fn send(&self, headers: &mut HeaderMap, sending: &Sending) {
+        let mut put = |name: &'static str, value: String| {
+            headers.insert(name, HeaderValue::from_str(&value).expect("a valid value"));
+        };
+        put("x-instance", sending.instance.to_owned());
+        put("x-left-ms", sending.deadline_ms.to_string());
+        if sending.step == Step::Prefill {
+            put("x-step", "prefill".to_owned());
+        }
+        if let Some(kv) = sending.kv {
+            put("x-kv", kv.id.clone());
+        }
+        if let Some(holder) = sending.copy_from {
+            put("x-copy", holder.to_string());
+        }
+        if let Some(last) = sending.last_event {
+            put("last-event-id", last.to_string());
+        }
+    }
+
+    fn answered(&self, headers: &HeaderMap) -> Answered {
+        let load = number(headers, "x-load").map(|running| ToldLoad {
+            running: running as u32,
+            waiting: 0,
+        });
+        Answered {
+            attempt: headers.get("x-attempt").cloned(),
+            is_signed: headers.contains_key("x-signature"),
+            not_run: headers.contains_key("x-not-run"),
+            instance: text(headers, "x-instance").map(str::to_owned),
+            load,
+        }
+    }
+
+    fn prefilled(&self, body: &[u8]) -> Option<String> {
+        std::str::from_utf8(body).ok().map(str::to_owned)
+    }
+
+    fn free(&self, handle: &KvHandle) -> (Method, String) {
+        (Method::DELETE, format!("/kv/{}", handle.id))
+    }
+
+    fn report_path(&self) -> &'static str {
+        "/report"
+    }
+
+    fn reported(&self, _body: &[u8]) -> Option<EngineReport> {
+        None
+    }
+
+    fn order(&self, order: &Order) -> (String, Vec<u8>) {
+        ("/order".to_owned(), order.fence.to_string().into_bytes())
+    }
+
+    fn expect(&self, headers: &mut HeaderMap, instance: &str) {
+        let id = HeaderValue::from_str(instance).expect("a valid value");
+        headers.insert("x-instance", id);
+    }
+
+    fn ready_path(&self) -> &'static str {
+        "/ready"
+    }
+
+    fn resolve_path(&self) -> &'static str {
+        "/resolve"
+    }
+
+    fn addresses(&self, addresses: &[SocketAddr], _ttl_ms: u64) -> Vec<u8> {
+        format!("{addresses:?}").into_bytes()
+    }
+
+    fn caller_zone(&self, query: &str) -> Option<String> {
+        query.strip_prefix("zone=").map(str::to_owned)
+    }
+
+    fn error(&self, reason: &str) -> Vec<u8> {
+        reason.as_bytes().to_vec()
+    }
+}
