--- a/crates/relay/src/blame.rs
+++ b/crates/relay/src/blame.rs
@@ -39,14 +39,14 @@
         upstream: upstream.key,
     });
     // An engine ends with dozens of answers; one look is enough for all.
-    if upstream.is_looked_at.replace(true) {
+    if !upstream.begin_look() {
         return;
     }
     let most = most_connections(relay, &call.service);
     let (relay, upstream) = (Rc::clone(relay), Rc::clone(upstream));
     actix_rt::spawn(async move {
         look(&relay, &upstream, most).await;
-        upstream.is_looked_at.set(false);
+        upstream.end_look();
     });
 }
 
--- a/crates/relay/src/relay/suspects.rs
+++ b/crates/relay/src/relay/suspects.rs
@@ -24,9 +24,7 @@
         let deciding = self.suspects.borrow().deciding(call.key);
         let upstreams = self.upstreams.borrow();
         let known = deciding.iter().filter_map(|key| upstreams.get_by_key(*key));
-        known
-            .into_iter()
-            .any(|upstream| upstream.is_looked_at.get())
+        known.into_iter().any(|upstream| upstream.is_looked_at())
     }
 
     /// Refuses a request under which upstreams end, as far as is known now; see [`crate::blame::admitted`].
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -73,8 +73,7 @@
     pub slots: u32,
     /// Its connections.
     pub pool: Rc<Pool>,
-    /// Whether it is being found out if it has ended.
-    pub is_looked_at: Cell<bool>,
+    is_looked_at: Cell<bool>,
     clock: Clock,
     joined_ms: u64,
     turning: Cell<Option<Turning>>,
@@ -128,6 +127,21 @@
         }
     }
 
+    /// It is to be found out whether it has ended; gives whether that was not under way already.
+    pub fn begin_look(&self) -> bool {
+        !self.is_looked_at.replace(true)
+    }
+
+    /// It was found out.
+    pub fn end_look(&self) {
+        self.is_looked_at.set(false);
+    }
+
+    /// Whether it is being found out if it has ended.
+    pub fn is_looked_at(&self) -> bool {
+        self.is_looked_at.get()
+    }
+
     /// Whether it gets new work.
     pub fn is_ready(&self) -> bool {
         self.standing.get() == Standing::Ready
