Lines tell how each instance learned that an upstream leaves

Cause looked for: an instance chose an engine three seconds after the list said that it leaves, and no line says whether it missed the record, or how it came to pass over it. Before and after: lines and one accessor, no decision changed. Tests of view, relay and platform pass.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -36,5 +36,5 @@
 pub mod urgency;
 
 pub use plan::RepeatTerms;
-pub use relay::{Phase, Relay, Settings};
+pub use relay::{Origin, Phase, Relay, Settings};
 pub use view::{cadence, followed, members};
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -65,6 +65,21 @@
     Closing,
 }
 
+/// Where a change of the list of upstreams came from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// A record of the log that this instance read.
+    Read,
+    /// The whole list, read at once.
+    Whole,
+    /// A record that another instance read, and told.
+    Told,
+    /// The list of another instance that was asked.
+    Asked,
+    /// An entry that lapsed with the store and did not come back in time.
+    Lapse,
+}
+
 /// The state of one instance.
 pub struct Relay {
     /// Settings.
@@ -195,17 +210,17 @@
     }
 
     /// Takes in a change of the list of upstreams.
-    pub fn apply(&self, change: Change) {
+    pub fn apply(&self, change: Change, origin: Origin) {
         let id = changed_id(&change);
         let effect = self.upstreams.borrow_mut().apply(self.now_ms(), change);
-        self.note_effect(&id, effect);
+        self.note_effect(&id, effect, origin);
     }
 
     /// Takes in the whole list of upstreams.
-    pub fn replace(&self, entries: Vec<crate::upstream::Entry>) {
+    pub fn replace(&self, entries: Vec<crate::upstream::Entry>, origin: Origin) {
         let effects = self.upstreams.borrow_mut().replace(self.now_ms(), entries);
         for (id, effect) in effects {
-            self.note_effect(&id, effect);
+            self.note_effect(&id, effect, origin);
         }
     }
 
@@ -278,7 +293,7 @@
     pub fn settle(&self) {
         let left = self.upstreams.borrow_mut().settle(self.now_ms());
         for id in left {
-            self.note_effect(&id, Effect::Left);
+            self.note_effect(&id, Effect::Left, Origin::Lapse);
         }
     }
 
@@ -329,23 +344,39 @@
         repeats.forced(self.now_ms(), &terms);
     }
 
-    fn note_effect(&self, id: &str, effect: Effect) {
-        match effect {
-            Effect::Same => {}
-            Effect::Joined => {
-                log::info!(upstream = id; "upstream joined");
-                // Under the id of one that has ended, if it was kept through a restart.
-                self.note_left(id);
-            }
-            Effect::Changed => log::info!(upstream = id; "upstream changed"),
-            Effect::Left => {
-                log::info!(upstream = id; "upstream left");
-                self.note_left(id);
-            }
-            Effect::Doubted => log::info!(upstream = id; "upstream's entry lapsed with the store"),
+    fn note_effect(&self, id: &str, effect: Effect, origin: Origin) {
+        let what = match effect {
+            Effect::Same => return,
+            Effect::Joined => "upstream joined",
+            Effect::Changed => "upstream changed",
+            Effect::Left => "upstream left",
+            Effect::Doubted => "upstream's entry lapsed with the store",
+        };
+        self.line_on_upstream(id, what, origin);
+        // One that joins may do so under the id of one that has ended, if it was kept through a restart.
+        if matches!(effect, Effect::Joined | Effect::Left) {
+            self.note_left(id);
         }
     }
 
+    /// Writes what became of an upstream, and what that rests on: where the change came from, how far the
+    /// list was taken in before it, and as of when.
+    fn line_on_upstream(&self, id: &str, what: &str, origin: Origin) {
+        let upstreams = self.upstreams.borrow();
+        let entry = upstreams.get(id).map(|upstream| upstream.entry());
+        let list = self.list.borrow();
+        log::info!(
+            upstream = id, origin:? = origin,
+            standing:? = entry.as_ref().map(|entry| entry.standing),
+            stage:? = entry.as_ref().map(|entry| entry.stage),
+            seq = entry.as_ref().map_or(0, |entry| entry.seq),
+            list_next = list.next().unwrap_or_default(),
+            list_taken = list.taken(),
+            list_age_ms = age_ms(&list).unwrap_or(u64::MAX);
+            "{what}"
+        );
+    }
+
     /// Another incarnation answered at an upstream's address, so the one known is gone.
     pub fn found_gone(&self, upstream: &crate::upstream::Upstream) {
         self.upstreams.borrow_mut().found_gone(&upstream.id);
--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -8,9 +8,9 @@
 use view::cadence::{Bounds, Duty, duty};
 use view::hubs::Ranks;
 use view::shared::{Heard, Own};
-use view::{Change, Followed, InstanceKey, Member, News, Told};
+use view::{Change, Followed, InstanceKey, Mark, Member, News, Told};
 
-use super::{Relay, changed_id};
+use super::{Origin, Relay, changed_id};
 use crate::orders;
 
 /// Time after which the order of instances is looked at again without a new record, in ms: a fraction of
@@ -181,18 +181,31 @@
                     .upstreams
                     .borrow_mut()
                     .apply_told(now_ms, change, doubt_ms);
-                self.note_effect(&id, effect);
+                self.note_effect(&id, effect, Origin::Told);
                 self.shared.borrow_mut().add_news(now_ms, news.clone());
             }
         }
         if let Some(mark) = &told.list {
-            self.list.borrow_mut().heard(since_boot_ms, mark);
+            self.take_mark(since_boot_ms, mark);
         }
         if let Some(mark) = &told.config {
             self.configs.borrow_mut().heard(since_boot_ms, mark);
         }
     }
 
+    fn take_mark(&self, since_boot_ms: u64, mark: &Mark) {
+        let mut list = self.list.borrow_mut();
+        let was_sure = list.is_sure();
+        list.heard(since_boot_ms, mark);
+        if !was_sure && list.is_sure() {
+            log::info!(
+                changed = mark.changed, taken = list.taken(), mark_age_ms = mark.age_ms,
+                reader:? = mark.source.reader;
+                "last change of the list heard of"
+            );
+        }
+    }
+
     /// The list of upstreams could not be read.
     ///
     /// While others vouch for it, the store is there and only turns this instance away: nothing can have
@@ -209,7 +222,7 @@
     pub fn read_change(&self, before: u64, offset: u64, change: Change) -> Option<u64> {
         let is_news = self.said.borrow_mut().is_news(&change);
         let doubt_ms = self.upstreams.borrow().doubt_ms(self.now_ms());
-        self.apply(change.clone());
+        self.apply(change.clone(), Origin::Read);
         let after = offset + 1;
         let news = News {
             before,
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -20,7 +20,7 @@
 
 use crate::config::{Config, Limits, Route, Service};
 use crate::pool::{Pool, exchange};
-use crate::relay::Relay;
+use crate::relay::{Origin, Relay};
 
 /// Path at which instances tell each other their state.
 pub const PATH: &str = "/state";
@@ -185,14 +185,16 @@
     match (age_ms, state.list_next) {
         (Some(age_ms), Some(next)) if own_next < Some(next) => {
             relay.said.borrow_mut().replace(&state.upstreams);
-            relay.replace(state.upstreams.clone());
+            relay.replace(state.upstreams.clone(), Origin::Asked);
             let as_of_ms = since_boot_ms().saturating_sub(age_ms);
             relay.list.borrow_mut().read_whole(as_of_ms, next);
         }
-        (Some(age_ms), None) if age_ms < own_age_ms => relay.replace(state.upstreams.clone()),
+        (Some(age_ms), None) if age_ms < own_age_ms => {
+            relay.replace(state.upstreams.clone(), Origin::Asked);
+        }
         _ => {
             for entry in &state.upstreams {
-                relay.apply(crate::upstreams::Change::Put(entry.clone()));
+                relay.apply(crate::upstreams::Change::Put(entry.clone()), Origin::Asked);
             }
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -119,7 +119,7 @@
         let now_ms = bed.relay.now_ms();
         bed.relay.members.borrow_mut().heard(now_ms, own);
         for entry in entries {
-            bed.relay.apply(Change::Put(entry));
+            bed.relay.apply(Change::Put(entry), relay::Origin::Read);
         }
         bed
     }
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -93,7 +93,7 @@
     let seen = Rc::clone(&reader.seen);
     actix_rt::spawn(async move {
         until(|| !seen.borrow().is_empty()).await;
-        relay.apply(leaving(near_entry));
+        relay.apply(leaving(near_entry), relay::Origin::Read);
     });
     let (status, body) = bed.get(asked).await;
     assert_eq!((status, body), (200, Some(events(1, 3))));
@@ -496,10 +496,13 @@
     let answer = bed.ask(generation("/grades/x", SHORT)).await.unwrap();
     assert_eq!(answer.status().as_u16(), 200);
     assert_eq!((turning.count(), other.count()), (0, 1));
-    bed.relay.apply(Change::Put(Entry {
-        seq: 2,
-        ..turning.entry("turning", "llm", Stage::Prefill)
-    }));
+    bed.relay.apply(
+        Change::Put(Entry {
+            seq: 2,
+            ..turning.entry("turning", "llm", Stage::Prefill)
+        }),
+        relay::Origin::Read,
+    );
     let upstreams = bed.relay.upstreams.borrow();
     assert!(
         !upstreams
--- a/crates/relay/tests/metrics.rs
+++ b/crates/relay/tests/metrics.rs
@@ -40,7 +40,7 @@
         let (status, _) = bed.get(request(Method::GET, path, id)).await;
         assert_eq!(status, 200);
     }
-    bed.relay.replace(Vec::new());
+    bed.relay.replace(Vec::new(), relay::Origin::Whole);
     let (status, _) = bed.get(request(Method::GET, "/reads/x", "3")).await;
     assert_eq!(status, 503);
     let (status, _) = bed.get(request(Method::GET, "/nowhere/x", "4")).await;
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -57,7 +57,7 @@
     ];
     for relay in [&one, &two] {
         let entry = engine.entry("one", "llm", Stage::Prefill);
-        relay.apply(relay::upstreams::Change::Put(entry));
+        relay.apply(relay::upstreams::Change::Put(entry), relay::Origin::Read);
         let member = Member {
             name: "b".to_owned(),
             address: "127.0.0.1:2".parse().unwrap(),
@@ -98,7 +98,7 @@
     let engine = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
     let relay = relay("a");
     let entry = engine.entry("one", "llm", Stage::Prefill);
-    relay.apply(relay::upstreams::Change::Put(entry));
+    relay.apply(relay::upstreams::Change::Put(entry), relay::Origin::Read);
     relay.list.borrow_mut().read(since_boot_ms(), 1, Some(1));
     let mut told = relay.state();
     told.upstreams.clear();
@@ -124,7 +124,10 @@
 fn knowing_one() -> (StandIn, Rc<Relay>) {
     let engine = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
     let relay = relay("a");
-    relay.apply(Change::Put(engine.entry("one", "llm", Stage::Prefill)));
+    relay.apply(
+        Change::Put(engine.entry("one", "llm", Stage::Prefill)),
+        relay::Origin::Read,
+    );
     relay.list.borrow_mut().read(since_boot_ms(), 1, Some(1));
     (engine, relay)
 }
--- a/crates/relay/tests/poison.rs
+++ b/crates/relay/tests/poison.rs
@@ -230,7 +230,8 @@
     for attempt in 0..4 {
         statuses.push(bed.get(poison("/claims/1", attempt)).await.0);
         looked(&bed).await;
-        bed.relay.apply(Change::Put(entry(1 + attempt as u64)));
+        bed.relay
+            .apply(Change::Put(entry(1 + attempt as u64)), relay::Origin::Read);
     }
     assert_eq!(statuses, [502, 502, 503, 503]);
 }
--- a/crates/view/src/followed.rs
+++ b/crates/view/src/followed.rs
@@ -140,6 +140,11 @@
         self.next = None;
     }
 
+    /// Whether it is known where the last change stands, after the whole was read.
+    pub fn is_sure(&self) -> bool {
+        self.unsure_since_ms.is_none()
+    }
+
     /// Another instance told where the log stands.
     pub fn heard(&mut self, since_boot_ms: u64, mark: &Mark) {
         let as_of_ms = since_boot_ms.saturating_sub(mark.age_ms.into());
