Tests of engines that keep getting work after their entry went, failing

Symptom: callers' questions reach an engine three seconds after its entry went, at instances that had been cut off from the store together and then asked each other. Ruled out by lines: changes that were jumped over (every instance has its line on the entry), waits on silent connections (calls follow each other), datagrams that waited (no freeze). Conclusion: an answer to who asks says nothing of what its sender doubts.

--- /dev/null
+++ b/crates/relay/tests/leaving.rs
@@ -0,0 +1,115 @@
+//! Upstreams whose entries go while instances that are cut off from the store ask each other.
+
+mod common;
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use common::{Wire, settings};
+use relay::upstream::{Entry, Stage, Standing};
+use relay::{Origin, Relay};
+use tick::{Clock, since_boot_ms};
+use view::{Change, InstanceKey, Kind, News, Told};
+
+/// Doubt of the reader that tells of an entry that went, in ms.
+const DOUBT_MS: u32 = 150;
+
+fn peer() -> SocketAddr {
+    "127.0.0.1:1".parse().unwrap()
+}
+
+fn relay(name: &str) -> Rc<Relay> {
+    let mut told = settings();
+    name.clone_into(&mut told.name);
+    Relay::new(told, Rc::new(Wire), Clock::default())
+}
+
+fn entry(seq: u64) -> Entry {
+    Entry {
+        id: "one".to_owned(),
+        born_ms: 0,
+        service: "llm".to_owned(),
+        address: "127.0.0.1:9".parse().unwrap(),
+        zone: "here".to_owned(),
+        slots: 4,
+        standing: Standing::Ready,
+        stage: Stage::Prefill,
+        seq,
+    }
+}
+
+/// A relay that has read a list with one engine, whose entry stands at offset 0.
+fn knowing_one(name: &str) -> Rc<Relay> {
+    let relay = relay(name);
+    relay.apply(Change::Put(entry(1)), Origin::Read);
+    relay.list.borrow_mut().read(since_boot_ms(), 1, Some(1));
+    relay
+}
+
+/// The engine's entry goes; its reader could not reach the store shortly before, and neither could `relay`.
+fn lapses(relay: &Relay) {
+    relay.upstreams.borrow_mut().unreachable(relay.now_ms());
+    hears_that_it_went(relay, DOUBT_MS);
+}
+
+fn hears_that_it_went(relay: &Relay, doubt_ms: u32) {
+    let news = News {
+        before: 1,
+        after: 2,
+        change: Change::Gone("one".to_owned()),
+        doubt_ms,
+    };
+    let told = Told {
+        news: vec![news],
+        ..Told::new(InstanceKey::of("reader"), Kind::Sum)
+    };
+    relay.heard(&told, peer());
+}
+
+async fn doubt_ends() {
+    actix_rt::time::sleep(Duration::from_millis(u64::from(DOUBT_MS) + 30)).await;
+}
+
+fn ready(relay: &Relay) -> usize {
+    let now_ms = relay.now_ms();
+    relay.upstreams.borrow().ready("llm", now_ms).count()
+}
+
+/// Callers' questions reach an engine three seconds after it left. Two instances were cut off together, and an
+/// engine's entry goes in that time: both doubt for a while that it has left. Then one asks the other, which
+/// still names the engine, and takes that for an entry that is back. Nothing is left then that would end the doubt.
+#[actix_rt::test]
+async fn an_answer_of_one_that_doubts_does_not_end_the_doubt() {
+    let (asking, asked) = (knowing_one("a"), knowing_one("b"));
+    lapses(&asking);
+    lapses(&asked);
+    relay::state::take(&asking, &asked.state(), peer());
+    assert_eq!(ready(&asking), 1, "it may have lapsed with the store");
+    doubt_ends().await;
+    assert_eq!(ready(&asking), 0);
+}
+
+/// An instance starts, or missed a change, and takes the whole list of one that doubts an entry. It has no
+/// record left to read that says that the engine went, and must end the doubt when the other one does.
+#[actix_rt::test]
+async fn a_doubt_is_handed_on_with_the_list() {
+    let (asking, asked) = (relay("a"), knowing_one("b"));
+    lapses(&asked);
+    relay::state::take(&asking, &asked.state(), peer());
+    assert_eq!(ready(&asking), 1, "it may have lapsed with the store");
+    doubt_ends().await;
+    assert_eq!(ready(&asking), 0);
+}
+
+/// The doubt is over, and nobody has read the store since at the instance that is asked: others read for it. It
+/// sends the engine nothing any more, and must not name it to those that ask.
+#[actix_rt::test]
+async fn an_entry_that_lapsed_is_not_handed_on() {
+    let (asking, asked) = (relay("a"), knowing_one("b"));
+    lapses(&asked);
+    doubt_ends().await;
+    assert_eq!(ready(&asked), 0);
+    relay::state::take(&asking, &asked.state(), peer());
+    assert_eq!(ready(&asking), 0);
+}
