A doubt about an entry is handed on with the list

Callers saw: questions that went to an engine three seconds after it had left the list, at instances that had been cut off. Cause: an instance that doubts whether an entry that went has only lapsed with the store still named it, as any other, to those that asked. They took that for an entry that is there: their own doubt ended, or they had none, and no record was left that would ever end the use of the engine. One that does not read for others also never settled a doubt that was over, and kept handing the entry on. Class: a belief is passed on without the condition under which it holds. Ruled out: a wrong length of the doubt (it ended in time where nobody asked), a doubt shared with those that have none (apply_told is as it was). Mend: the answer names what is doubted and for how long; what is doubted adds nothing to what the receiver knows, and comes along as doubted with a whole list; what has lapsed is not named; doubts are settled with each telling. So no way is left on which a doubt becomes a certainty.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::orders::Orders;
 use crate::state::{Asked, State};
-use crate::upstreams::{Change, Effect, Upstreams};
+use crate::upstreams::{Change, Doubt, Effect, Upstreams};
 
 /// Lines in a second on requests that went well: two or three for each at the usual load.
 const SERVED_LINES: u32 = 60;
@@ -224,6 +224,11 @@
         }
     }
 
+    /// Takes over what another instance doubts of the list that it told.
+    pub fn doubt(&self, doubts: &[Doubt]) {
+        self.upstreams.borrow_mut().doubt(self.now_ms(), doubts);
+    }
+
     /// All metrics as text, those of the moment included.
     pub fn metrics_text(&self) -> Vec<u8> {
         let metrics = &self.metrics;
@@ -274,12 +279,8 @@
     pub fn state(&self) -> State {
         State {
             config: self.config().map(|config| (&*config).into()),
-            upstreams: self
-                .upstreams
-                .borrow()
-                .iter()
-                .map(|each| each.entry())
-                .collect(),
+            upstreams: self.upstreams.borrow().entries(self.now_ms()),
+            doubted: self.upstreams.borrow().doubts(self.now_ms()),
             list_age_ms: known_age_ms(&self.list.borrow()),
             list_next: self.list.borrow().next(),
             config_age_ms: known_age_ms(&self.configs.borrow()),
--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -84,6 +84,7 @@
         let now_ms = self.now_ms();
         let expired = self.shared.borrow_mut().expire(now_ms);
         self.take_loads(&expired);
+        self.settle();
         self.note_poisonous();
         let own = self.own();
         let key = InstanceKey::of(&own.member.name);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -21,6 +21,7 @@
 use crate::config::{Config, Limits, Route, Service};
 use crate::pool::{Pool, exchange};
 use crate::relay::{Origin, Relay};
+use crate::upstreams::{Change, Doubt};
 
 /// Path at which instances tell each other their state.
 pub const PATH: &str = "/state";
@@ -68,6 +69,9 @@
     pub config: Option<ConfigState>,
     /// Upstreams.
     pub upstreams: Vec<Entry>,
+    /// Those among them whose entries went, by the last record that was taken in.
+    #[serde(default)]
+    pub doubted: Vec<Doubt>,
     /// Time since the list of upstreams stood so in the store, if the instance has taken in all that it
     /// knows of.
     pub list_age_ms: Option<u64>,
@@ -178,23 +182,31 @@
 
 /// Takes over the list where it goes further than the own one, which may be the newer one if only another
 /// read has failed.
+///
+/// An entry that the other instance doubts has gone, by the last record that it took in. Taken for one that is
+/// there, it would end the doubt of this instance, or never be doubted here, and the upstream would get work for as
+/// long as it answers; so the doubt comes along with the list, and what is doubted adds nothing.
 fn take_list(relay: &Relay, state: &State) {
     let own_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
     let own_next = relay.list.borrow().next();
     let age_ms = state.list_age_ms.filter(|age_ms| *age_ms < FRESH_MS);
+    let is_doubted = |entry: &Entry| state.doubted.iter().any(|doubt| doubt.id == entry.id);
+    let all = state.upstreams.iter();
+    let certain: Vec<Entry> = all.filter(|entry| !is_doubted(entry)).cloned().collect();
     match (age_ms, state.list_next) {
         (Some(age_ms), Some(next)) if own_next < Some(next) => {
-            relay.said.borrow_mut().replace(&state.upstreams);
+            relay.said.borrow_mut().replace(&certain);
             relay.replace(state.upstreams.clone(), Origin::Asked);
+            relay.doubt(&state.doubted);
             let as_of_ms = since_boot_ms().saturating_sub(age_ms);
             relay.list.borrow_mut().read_whole(as_of_ms, next);
         }
         (Some(age_ms), None) if age_ms < own_age_ms => {
-            relay.replace(state.upstreams.clone(), Origin::Asked);
+            relay.replace(certain, Origin::Asked);
         }
         _ => {
-            for entry in &state.upstreams {
-                relay.apply(crate::upstreams::Change::Put(entry.clone()), Origin::Asked);
+            for entry in certain {
+                relay.apply(Change::Put(entry), Origin::Asked);
             }
         }
     }
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
+use serde::{Deserialize, Serialize};
 use tick::Clock;
 pub use view::Change;
 
@@ -36,6 +37,15 @@
     Same,
 }
 
+/// An entry that went, and whose upstream is used on since it may have lapsed with the store.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Doubt {
+    /// The upstream's id.
+    pub id: String,
+    /// Time for which it is used on, in ms.
+    pub left_ms: u64,
+}
+
 /// How far apart two places are, in ms one way.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Distances {
@@ -192,6 +202,34 @@
         }
     }
 
+    /// The entries that are in use, those that are doubted included.
+    pub fn entries(&self, now_ms: u64) -> Vec<Entry> {
+        let has_lapsed = |id: &str| self.doubted.get(id).is_some_and(|&until| until <= now_ms);
+        let used = self.by_id.values().filter(|each| !has_lapsed(&each.id));
+        used.map(|each| each.entry()).collect()
+    }
+
+    /// The entries that went and may have lapsed with the store.
+    pub fn doubts(&self, now_ms: u64) -> Vec<Doubt> {
+        let doubted = self
+            .doubted
+            .iter()
+            .filter(|(_, until_ms)| **until_ms > now_ms);
+        doubted
+            .map(|(id, until_ms)| Doubt {
+                id: id.clone(),
+                left_ms: until_ms - now_ms,
+            })
+            .collect()
+    }
+
+    /// Takes over what another instance doubts of the list that it told.
+    pub fn doubt(&mut self, now_ms: u64, doubts: &[Doubt]) {
+        for doubt in doubts {
+            self.gone(now_ms, &doubt.id, now_ms + doubt.left_ms);
+        }
+    }
+
     /// All of them.
     pub fn iter(&self) -> impl Iterator<Item = &Rc<Upstream>> {
         self.by_id.values()
