Tests of older answers that bring back an engine that went, failing

Symptom: an engine gets questions although its entry has gone and this instance knew it, after an answer from before has come in: of another instance that was asked, or of the store.

--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -113,3 +113,28 @@
     relay::state::take(&asking, &asked.state(), peer());
     assert_eq!(ready(&asking), 0);
 }
+
+/// A call of an instance fails, and it asks another one, which has not yet taken in that an engine went. Its answer
+/// comes after this one has, and names the engine with a later entry than this one was ever told of. Taken
+/// for one that is back, the engine would get questions for as long as it answers.
+#[actix_rt::test]
+async fn an_older_answer_does_not_bring_back_what_went() {
+    let (asking, asked) = (knowing_one("a"), knowing_one("b"));
+    asked.apply(Change::Put(entry(7)), Origin::Read);
+    let answer = asked.state();
+    hears_that_it_went(&asking, 0);
+    relay::state::take(&asking, &answer, peer());
+    assert_eq!(ready(&asking), 0);
+}
+
+/// The same, while this instance doubts whether the entry has only lapsed with the store: an answer from before says
+/// nothing of that, and must not end the doubt.
+#[actix_rt::test]
+async fn an_older_answer_does_not_end_a_doubt() {
+    let (asking, asked) = (knowing_one("a"), knowing_one("b"));
+    let answer = asked.state();
+    lapses(&asking);
+    relay::state::take(&asking, &answer, peer());
+    doubt_ends().await;
+    assert_eq!(ready(&asking), 0);
+}
