What is read or asked of the list counts only beyond what was taken in

Callers saw: questions at an engine whose entry had gone, from an instance that knew it and then took in an older answer. Cause: three ways lead into the list of upstreams (records read, records told, lists asked for), and each was applied on arrival. Only the sequence number of an entry said what is older; an instance that is told of changes alone does not know the numbers of an upstream's heartbeats, so an older entry with a higher number passed for one that is back. The record that takes it away had been passed already and is never read again. Class: answers that overtake each other, applied in the order of arrival. Ruled out: an order by sequence number with numbers of all heartbeats told (a telling for each heartbeat, at 295 instances); refusing entries of an upstream that left for a while (one that lapses and is back would stay out). Mend: whatever is taken in has its place in the log, and only what lies beyond the own place counts: records below it are passed over, a whole list or an answer that ends below it is left out. An answer without a place is taken only by an instance that knows no upstream. The store's own whole list is taken whenever the own place is lost.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -3,6 +3,7 @@
 mod others;
 mod suspects;
 
+pub use others::ChangesRead;
 pub use suspects::PoisonRecord;
 
 use std::cell::{Cell, RefCell};
@@ -120,7 +121,7 @@
     /// How far the list of upstreams was read.
     pub list: RefCell<Followed>,
     /// What the list last said.
-    pub said: RefCell<Said>,
+    pub(crate) said: RefCell<Said>,
     /// How far the configuration was read.
     pub configs: RefCell<Followed>,
 }
--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -8,7 +8,7 @@
 use view::cadence::{Bounds, Duty, duty};
 use view::hubs::Ranks;
 use view::shared::{Heard, Own};
-use view::{Change, Followed, InstanceKey, Mark, Member, News, Told};
+use view::{Change, Entry, Followed, InstanceKey, Mark, Member, News, Told};
 
 use super::{Origin, Relay, changed_id};
 use crate::orders;
@@ -218,9 +218,47 @@
         }
     }
 
-    /// Takes in a change of the list of upstreams that was read at an offset, `before` being the one
-    /// after the last change before it; gives the offset after it if it says something new.
-    pub fn read_change(&self, before: u64, offset: u64, change: Change) -> Option<u64> {
+    /// The whole list was read, as it stood at `as_of_ms` up to the offset `next`.
+    ///
+    /// Another instance may have told more while the answer was on its way. The entries in it are older
+    /// then, and would bring back an upstream whose entry went; the record that says so would not be read again.
+    pub fn read_whole_list(&self, as_of_ms: u64, next: u64, entries: Vec<Entry>) {
+        let is_older = self.list.borrow().next().is_some_and(|own| own >= next);
+        if is_older {
+            return;
+        }
+        self.said.borrow_mut().replace(&entries);
+        self.replace(entries, Origin::Whole);
+        self.list.borrow_mut().read_whole(as_of_ms, next);
+    }
+
+    /// Records of the list were read, as it stood at `as_of_ms`. What another instance told while they were on
+    /// their way is passed over, as with the whole list.
+    pub fn read_changes(&self, as_of_ms: u64, read: ChangesRead) {
+        let (from, mut before) = {
+            let list = self.list.borrow();
+            (list.next().unwrap_or_default(), list.taken())
+        };
+        let mut changed = None;
+        for (offset, change) in read.changes {
+            if offset < from {
+                continue;
+            }
+            if let Some(after) = self.read_change(before, offset, change) {
+                changed = Some(after);
+                before = after;
+            }
+        }
+        // What one answer could not bring may hold news, and is read at once.
+        if read.next < read.end {
+            changed = Some(read.end);
+        }
+        self.list.borrow_mut().read(as_of_ms, read.next, changed);
+    }
+
+    /// Takes in a change that was read at an offset, `before` being the one after the last change before it;
+    /// gives the offset after it if it says something new.
+    fn read_change(&self, before: u64, offset: u64, change: Change) -> Option<u64> {
         let is_news = self.said.borrow_mut().is_news(&change);
         let doubt_ms = self.upstreams.borrow().doubt_ms(self.now_ms());
         self.apply(change.clone(), Origin::Read);
@@ -238,6 +276,17 @@
     }
 }
 
+/// What a read of the list brought.
+#[derive(Debug, Clone)]
+pub struct ChangesRead {
+    /// Changes, each with the offset of its record.
+    pub changes: Vec<(u64, Change)>,
+    /// Offset after the last record.
+    pub next: u64,
+    /// Offset at which the log ended; beyond `next` if one answer could not bring all.
+    pub end: u64,
+}
+
 /// Time of day; a clock set before 1970 counts as 0, and the caller goes by what it knows of its own
 /// earlier records instead.
 pub(super) fn unix_ms() -> u64 {
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -21,7 +21,7 @@
 use crate::config::{Config, Limits, Route, Service};
 use crate::pool::{Pool, exchange};
 use crate::relay::{Origin, Relay};
-use crate::upstreams::{Change, Doubt};
+use crate::upstreams::Doubt;
 
 /// Path at which instances tell each other their state.
 pub const PATH: &str = "/state";
@@ -32,10 +32,6 @@
 /// Time for an answer, in ms: many round trips, and the time that a busy instance takes.
 const ANSWER_MS: u64 = 500;
 
-/// Age up to which another instance's list of upstreams is taken for the whole list, in ms;
-/// an older one can only add to what is known.
-const FRESH_MS: u64 = 1_500;
-
 /// A configuration as instances tell it to each other.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct ConfigState {
@@ -174,40 +170,42 @@
     relay.configure(config.clone().into());
     let mut configs = relay.configs.borrow_mut();
     if let (Some(age_ms), Some(next)) = (state.config_age_ms, state.config_next)
-        && configs.next() < Some(next)
+        && configs.is_short_of(next)
     {
-        configs.read_whole(since_boot_ms().saturating_sub(age_ms), next);
+        configs.read_whole(as_of_ms(Some(age_ms)), next);
     }
 }
 
-/// Takes over the list where it goes further than the own one, which may be the newer one if only another
-/// read has failed.
+/// Takes over the list where it goes further than the own one.
+///
+/// The answer may be older than what this instance knows, since it was on its way or since the other one has
+/// missed a change: an upstream whose entry went would be back with it, and nothing would take it away again.
 ///
 /// An entry that the other instance doubts has gone, by the last record that it took in. Taken for one that is
-/// there, it would end the doubt of this instance, or never be doubted here, and the upstream would get work for as
-/// long as it answers; so the doubt comes along with the list, and what is doubted adds nothing.
+/// there, it would never be doubted here, and the upstream would get work for as long as it answers; so the
+/// doubt comes along with the list.
 fn take_list(relay: &Relay, state: &State) {
-    let own_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
-    let own_next = relay.list.borrow().next();
-    let age_ms = state.list_age_ms.filter(|age_ms| *age_ms < FRESH_MS);
-    let is_doubted = |entry: &Entry| state.doubted.iter().any(|doubt| doubt.id == entry.id);
+    let is_doubted = |entry: &&Entry| state.doubted.iter().any(|doubt| doubt.id == entry.id);
     let all = state.upstreams.iter();
     let certain: Vec<Entry> = all.filter(|entry| !is_doubted(entry)).cloned().collect();
-    match (age_ms, state.list_next) {
-        (Some(age_ms), Some(next)) if own_next < Some(next) => {
-            relay.said.borrow_mut().replace(&certain);
-            relay.replace(state.upstreams.clone(), Origin::Asked);
-            relay.doubt(&state.doubted);
-            let as_of_ms = since_boot_ms().saturating_sub(age_ms);
-            relay.list.borrow_mut().read_whole(as_of_ms, next);
-        }
-        (Some(age_ms), None) if age_ms < own_age_ms => {
+    let Some(next) = state.list_next else {
+        // Without a place in the log it is better than nothing, and no more.
+        if relay.upstreams.borrow().is_empty() {
             relay.replace(certain, Origin::Asked);
         }
-        _ => {
-            for entry in certain {
-                relay.apply(Change::Put(entry), Origin::Asked);
-            }
-        }
+        return;
+    };
+    if !relay.list.borrow().is_short_of(next) {
+        return;
     }
+    relay.said.borrow_mut().replace(&certain);
+    relay.replace(state.upstreams.clone(), Origin::Asked);
+    relay.doubt(&state.doubted);
+    let as_of_ms = as_of_ms(state.list_age_ms);
+    relay.list.borrow_mut().read_whole(as_of_ms, next);
+}
+
+/// The time as of which something is known that is so old; before all others if nobody knows.
+fn as_of_ms(age_ms: Option<u64>) -> u64 {
+    age_ms.map_or(0, |age_ms| since_boot_ms().saturating_sub(age_ms))
 }
--- a/crates/view/src/followed.rs
+++ b/crates/view/src/followed.rs
@@ -140,6 +140,16 @@
         self.next = None;
     }
 
+    /// Whether the log as far as `next` holds something that was not taken in here.
+    ///
+    /// Answers overtake each other, and one from before a change must not undo it.
+    pub fn is_short_of(&self, next: u64) -> bool {
+        match self.next {
+            Some(own) => own < next,
+            None => self.taken <= next,
+        }
+    }
+
     /// Whether it is known where the last change stands, after the whole was read.
     pub fn is_sure(&self) -> bool {
         self.unsure_since_ms.is_none()
