Test of a change that a start jumps over, failing

Looked for: the cause of the incident elsewhere, where something told is taken without its place in the log. An instance that has read the whole list takes the place of the last change from the first word that seems younger than its reading, and ages of what is told leave out the way and the wait in a socket.

--- a/crates/view/tests/followed.rs
+++ b/crates/view/tests/followed.rs
@@ -393,6 +393,28 @@
     assert_eq!(first.mark(1_500, true).map(|mark| mark.changed), Some(90));
 }
 
+/// A reader reads, an upstream leaves, and an instance starts and reads the whole list, all within some ms. The reader's
+/// word waited in the new one's socket, and seems to be younger than the whole list. Were it to say where the last
+/// change stands, the new one would tell all that nothing has changed, and nobody would read the record.
+#[test]
+fn an_older_word_that_waited_does_not_hide_a_change() {
+    let mut log = Log::default();
+    log.write(0, true);
+    let (mut reader, mut started, mut other) = (of(1), of(2), of(3));
+    for each in [&mut reader, &mut other] {
+        log.read_by(each, 1_000);
+    }
+    let waited = reader.mark(1_001, true).expect("it has read all");
+    log.write(1_010, true);
+    started.read_whole(1_020, log.end);
+    started.heard(1_060, &waited);
+    if let Some(mark) = started.mark(1_070, true) {
+        other.heard(1_070, &mark);
+    }
+    let believes = !other.is_behind() && other.age_ms(1_100) < 90;
+    assert!(!believes, "{other:?}");
+}
+
 /// One instance has found an upstream gone before the list says so. The record by which the others
 /// learn it is news to them, whatever this one knows.
 #[test]
