The place of the last change comes from a reading that goes as far as the whole one

Callers would see: questions at an engine that left, from all instances that do not read for themselves, until something else changes. Cause: an instance that read the whole list took the place of its last change from the first word that seemed younger than its reading. What is told is aged by its sender alone: the way and the wait in a receiver's socket make it seem younger, so a reading from before a change could pass for one after it. Its place was told on as that of the last change, as of now, and who had read that far read nothing more. Class: an order by times that leave something out, where the log has an order of its own. Ruled out: a margin on the times (a socket may hold a word for as long as its process stands still). Mend: the word must rest on a reading that ended at least where the whole one did; offsets say so whatever the wait. It holds for the list and the configuration. Before and after: the test failed and passes; a new property (words wait up to 100 ms uncounted, some read the whole, one reads nothing) fails on the code before within 2,000 cases and holds now.

--- a/crates/view/src/followed.rs
+++ b/crates/view/src/followed.rs
@@ -65,6 +65,13 @@
     Read,
 }
 
+/// A reading of the whole, which holds no history.
+#[derive(Debug, Clone, Copy)]
+struct WholeRead {
+    as_of_ms: u64,
+    next: u64,
+}
+
 /// One log as this instance follows it.
 #[derive(Debug, Clone, Default)]
 pub struct Followed {
@@ -83,8 +90,8 @@
     source: Source,
     /// The latest reading heard of from each other reader.
     heard: Vec<Source>,
-    /// When the whole was read, while nobody has told yet where the last change stands.
-    unsure_since_ms: Option<u64>,
+    /// The reading of the whole, while nobody has told yet where its last change stands.
+    unsure: Option<WholeRead>,
     /// When the first change was told that is not taken in.
     behind_since_ms: Option<u64>,
 }
@@ -132,7 +139,7 @@
     pub fn read_whole(&mut self, as_of_ms: u64, next: u64) {
         self.read(as_of_ms, next, None);
         self.taken = self.taken.max(next);
-        self.unsure_since_ms = Some(as_of_ms);
+        self.unsure = Some(WholeRead { as_of_ms, next });
     }
 
     /// The next reading begins anew: records were dropped before they were read.
@@ -152,7 +159,7 @@
 
     /// Whether it is known where the last change stands, after the whole was read.
     pub fn is_sure(&self) -> bool {
-        self.unsure_since_ms.is_none()
+        self.unsure.is_none()
     }
 
     /// Another instance told where the log stands.
@@ -160,15 +167,18 @@
         let as_of_ms = since_boot_ms.saturating_sub(mark.age_ms.into());
         self.changed = self.changed.max(mark.changed);
         self.end = self.end.max(mark.end);
+        // Only a reading that went as far as the whole one knows the last change in it. By time an older one may
+        // seem younger, since its age leaves out the way here; told on, its place would hide from all
+        // others what changed between the two.
+        if self.unsure.is_some_and(|whole| whole.next <= mark.end) {
+            self.unsure = None;
+        }
         if self.is_behind() {
             self.behind_since_ms.get_or_insert(since_boot_ms);
         }
         if !self.is_new(mark.source) {
             return;
         }
-        if self.unsure_since_ms.is_some_and(|at_ms| at_ms <= as_of_ms) {
-            self.unsure_since_ms = None;
-        }
         self.know(as_of_ms, mark.source);
     }
 
@@ -265,10 +275,12 @@
         if self.is_behind() {
             return None;
         }
-        let changed = match self.unsure_since_ms {
+        let changed = match self.unsure {
             None => self.changed,
             // With nobody else to tell it, a reader takes the end of what it has read.
-            Some(at_ms) if reads_for_others && since_boot_ms >= at_ms + UNSURE_MS => self.taken,
+            Some(whole) if reads_for_others && since_boot_ms >= whole.as_of_ms + UNSURE_MS => {
+                self.taken
+            }
             Some(_) => return None,
         };
         Some(Mark {
--- a/crates/view/tests/followed.rs
+++ b/crates/view/tests/followed.rs
@@ -432,6 +432,56 @@
     assert!(said.is_news(&Change::Put(leaving)));
 }
 
+/// Longest time that a word waits on its way in the property below, in ms.
+const WAIT_MS: u64 = 100;
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(2_000))]
+
+    /// Words wait on their way and in sockets, and their ages do not tell it. An instance may think its knowledge younger by
+    /// as much, once for each instance that passed it on, and never by more: no change is hidden for good.
+    #[test]
+    fn what_waits_hides_nothing_for_long(
+        steps in prop::collection::vec((0_usize..3, 0_usize..3, 0_u8..24, 0_u64..WAIT_MS, 0_u64..WAIT_MS), 1..600)
+    ) {
+        let mut log = Log::default();
+        let mut all = [of(0), of(1), of(2)];
+        // The last one reads nothing any more, as where others read for it.
+        for each in &mut all {
+            log.read_by(each, 1_000);
+        }
+        let mut waiting: Vec<(u64, usize, Mark)> = Vec::new();
+        let mut now_ms = 1_000;
+        for (who, other, step, passed_ms, wait_ms) in steps {
+            now_ms += passed_ms / 8;
+            match step {
+                0 => log.write(now_ms, false),
+                1 => log.write(now_ms, true),
+                2..=4 if who < 2 => log.read_by(&mut all[who], now_ms),
+                                5 if who < 2 => all[who].read_whole(now_ms, log.end),
+                _ => {
+                    let mark = all[who].mark(now_ms, true);
+                    waiting.extend(mark.map(|mark| (now_ms + wait_ms, other, mark)));
+                }
+            }
+            waiting.retain(|(at_ms, to, mark)| {
+                let is_there = *at_ms <= now_ms;
+                if is_there {
+                    all[*to].heard(now_ms, mark);
+                }
+                !is_there
+            });
+            let most_ms = WAIT_MS * all.len() as u64;
+            for each in all.iter().filter(|each| !each.is_behind()) {
+                let as_of_ms = now_ms - each.age_ms(now_ms);
+                let unread = log.changes.iter().find(|(after, _)| each.next() < Some(*after));
+                let is_recent = |(_, at_ms): &(u64, u64)| at_ms + most_ms >= as_of_ms;
+                prop_assert!(unread.is_none_or(is_recent), "{unread:?} {each:?}");
+            }
+        }
+    }
+}
+
 proptest! {
     /// Whoever reads, tells, hears late, or loses its place: an instance that believes to know all
     /// changes as of a time has read every change up to then.
