What an instance holds is what the list said at its place, whatever overtakes what

Looked for: the incident's cause in all orders of reads, answers, datagrams (late, lost), cuts, dropped histories and restarts. A property over whole instances replays them with answers that are made at one moment and taken in at a later one, and compares what each holds with the list at its place. It fails with each of these safeguards taken out: records below the own place passed over, an older whole list left out, an older answer left out, doubts handed on, changes in a row. Found by it: an answer without a place, of an instance whose place the store had dropped, was added to a list that was empty or whose reading was on its way. Mend: what is held has its place also while the next reading has to begin anew; an answer without a place no longer exists. The test of an instance that starts without the store has the one that it asks read its list, as real ones have.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -283,9 +283,9 @@
             upstreams: self.upstreams.borrow().entries(self.now_ms()),
             doubted: self.upstreams.borrow().doubts(self.now_ms()),
             list_age_ms: known_age_ms(&self.list.borrow()),
-            list_next: self.list.borrow().next(),
+            list_next: self.list.borrow().held(),
             config_age_ms: known_age_ms(&self.configs.borrow()),
-            config_next: self.configs.borrow().next(),
+            config_next: self.configs.borrow().held(),
             members: self.members.borrow().all(),
             poisonous: self.poisonous(),
         }
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -188,16 +188,10 @@
     let is_doubted = |entry: &&Entry| state.doubted.iter().any(|doubt| doubt.id == entry.id);
     let all = state.upstreams.iter();
     let certain: Vec<Entry> = all.filter(|entry| !is_doubted(entry)).cloned().collect();
-    let Some(next) = state.list_next else {
-        // Without a place in the log it is better than nothing, and no more.
-        if relay.upstreams.borrow().is_empty() {
-            relay.replace(certain, Origin::Asked);
-        }
+    let is_further = |next: &u64| relay.list.borrow().is_short_of(*next);
+    let Some(next) = state.list_next.filter(is_further) else {
         return;
     };
-    if !relay.list.borrow().is_short_of(next) {
-        return;
-    }
     relay.said.borrow_mut().replace(&certain);
     relay.replace(state.upstreams.clone(), Origin::Asked);
     relay.doubt(&state.doubted);
--- a/crates/relay/tests/peers.rs
+++ b/crates/relay/tests/peers.rs
@@ -23,6 +23,7 @@
 async fn an_instance_that_starts_without_the_store_asks_another() {
     let desk = StandIn::start(|seen| seen.answer("200 OK", "", "ok"));
     let old = Bed::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    old.relay.list.borrow_mut().read_whole(since_boot_ms(), 1);
     let listener = bind("127.0.0.1:0".parse().unwrap()).unwrap();
     let peer = listener.local_addr().unwrap();
     let (_phase, phases) = watch::channel(Phase::Serving);
--- a/crates/view/src/followed.rs
+++ b/crates/view/src/followed.rs
@@ -76,8 +76,10 @@
 #[derive(Debug, Clone, Default)]
 pub struct Followed {
     own: InstanceKey,
-    /// Offset up to which all changes were taken in.
+    /// Offset up to which all changes were taken in, from which the next reading goes on.
     next: Option<u64>,
+    /// The same, which is still known where the next reading has to begin anew.
+    held: Option<u64>,
     /// Offset after the last change that was taken in.
     taken: u64,
     /// Offset after the last change that anybody has told of or that it read.
@@ -110,6 +112,11 @@
         self.next
     }
 
+    /// Offset up to which what is held was taken in; nothing if nothing is held.
+    pub fn held(&self) -> Option<u64> {
+        self.held
+    }
+
     /// Offset after the last change that was taken in.
     pub fn taken(&self) -> u64 {
         self.taken
@@ -118,7 +125,7 @@
     /// The log was read up to `next`, and stood so at `as_of_ms`; `changed` is the offset after the
     /// last change among what was read, if there was one.
     pub fn read(&mut self, as_of_ms: u64, next: u64, changed: Option<u64>) {
-        self.next = Some(self.next.unwrap_or_default().max(next));
+        self.take_in(self.next.unwrap_or_default().max(next));
         self.end = self.end.max(next);
         if let Some(changed) = changed {
             self.changed = self.changed.max(changed);
@@ -142,6 +149,11 @@
         self.unsure = Some(WholeRead { as_of_ms, next });
     }
 
+    fn take_in(&mut self, next: u64) {
+        self.next = Some(next);
+        self.held = Some(next);
+    }
+
     /// The next reading begins anew: records were dropped before they were read.
     pub fn lost(&mut self) {
         self.next = None;
@@ -151,10 +163,7 @@
     ///
     /// Answers overtake each other, and one from before a change must not undo it.
     pub fn is_short_of(&self, next: u64) -> bool {
-        match self.next {
-            Some(own) => own < next,
-            None => self.taken <= next,
-        }
+        self.held.is_none_or(|held| held < next)
     }
 
     /// Whether it is known where the last change stands, after the whole was read.
@@ -229,7 +238,7 @@
         if next >= news.after || next < news.before {
             return false;
         }
-        self.next = Some(news.after);
+        self.take_in(news.after);
         self.taken = news.after;
         self.changed = self.changed.max(news.after);
         self.end = self.end.max(news.after);
--- a/crates/view/tests/followed.rs
+++ b/crates/view/tests/followed.rs
@@ -436,7 +436,11 @@
 const WAIT_MS: u64 = 100;
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #![proptest_config(ProptestConfig {
+        cases: 2_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
+        ..ProptestConfig::default()
+    })]
 
     /// Words wait on their way and in sockets, and their ages do not tell it. An instance may think its knowledge younger by
     /// as much, once for each instance that passed it on, and never by more: no change is hidden for good.
