--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -218,6 +218,14 @@
         }
     }
 
+    /// The store holds an older copy of the list, and what upstreams wrote lately is written again.
+    ///
+    /// An upstream that came lately is missing in the copy though it lives. Dropped at once, it would be out of
+    /// use until its next heartbeat.
+    pub fn list_lacks_the_latest(&self) {
+        self.upstreams.borrow_mut().unreachable(self.now_ms());
+    }
+
     /// The whole list was read, as it stood at `as_of_ms` up to the offset `next`.
     ///
     /// Another instance may have told more while the answer was on its way. The entries in it are older
--- a/crates/relay/src/relay/suspects.rs
+++ b/crates/relay/src/relay/suspects.rs
@@ -101,6 +101,11 @@
         }
     }
 
+    /// The store may have lost what it knew, and is to be told again.
+    pub fn poisonous_may_be_lost(&self) {
+        self.suspects.borrow_mut().may_be_lost();
+    }
+
     /// The store knows of such a request.
     pub fn kept_poisonous(&self, request: RequestKey) {
         self.suspects.borrow_mut().kept(request);
--- a/crates/view/src/suspects.rs
+++ b/crates/view/src/suspects.rs
@@ -254,6 +254,15 @@
         }
     }
 
+    /// What was told to the store may be lost there.
+    pub fn may_be_lost(&mut self) {
+        for suspect in self.requests.values_mut() {
+            if suspect.record == Record::Kept {
+                suspect.record = Record::Own;
+            }
+        }
+    }
+
     /// Drops what is old, and what came longest ago where there is too much; those that are poisonous last.
     fn forget(&mut self, now_ms: u64) {
         if self.requests.len() <= MOST {
