The list of upstreams in a module of its own

What leads into the list stood in two files beside what it has nothing to do with. It stands in relay/list.rs now, moved without a change of logic (the taking in of one told change became a function). Ruled out: a type of its own around list, said and upstreams, which are read in many places.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,9 +1,10 @@
 //! What one instance knows, and who may change it.
 
+mod list;
 mod others;
 mod suspects;
 
-pub use others::ChangesRead;
+pub use list::{ChangesRead, Origin};
 pub use suspects::PoisonRecord;
 
 use std::cell::{Cell, RefCell};
@@ -23,7 +24,7 @@
 use crate::metrics::Metrics;
 use crate::orders::Orders;
 use crate::state::{Asked, State};
-use crate::upstreams::{Change, Doubt, Effect, Upstreams};
+use crate::upstreams::Upstreams;
 
 /// Lines in a second on requests that went well: two or three for each at the usual load.
 const SERVED_LINES: u32 = 60;
@@ -66,21 +67,6 @@
     Closing,
 }
 
-/// Where a change of the list of upstreams came from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Origin {
-    /// A record of the log that this instance read.
-    Read,
-    /// The whole list, read at once.
-    Whole,
-    /// A record that another instance read, and told.
-    Told,
-    /// The list of another instance that was asked.
-    Asked,
-    /// An entry that lapsed with the store and did not come back in time.
-    Lapse,
-}
-
 /// The state of one instance.
 pub struct Relay {
     /// Settings.
@@ -210,26 +196,6 @@
         true
     }
 
-    /// Takes in a change of the list of upstreams.
-    pub fn apply(&self, change: Change, origin: Origin) {
-        let id = changed_id(&change);
-        let effect = self.upstreams.borrow_mut().apply(self.now_ms(), change);
-        self.note_effect(&id, effect, origin);
-    }
-
-    /// Takes in the whole list of upstreams.
-    pub fn replace(&self, entries: Vec<crate::upstream::Entry>, origin: Origin) {
-        let effects = self.upstreams.borrow_mut().replace(self.now_ms(), entries);
-        for (id, effect) in effects {
-            self.note_effect(&id, effect, origin);
-        }
-    }
-
-    /// Takes over what another instance doubts of the list that it told.
-    pub fn doubt(&self, doubts: &[Doubt]) {
-        self.upstreams.borrow_mut().doubt(self.now_ms(), doubts);
-    }
-
     /// All metrics as text, those of the moment included.
     pub fn metrics_text(&self) -> Vec<u8> {
         let metrics = &self.metrics;
@@ -270,12 +236,6 @@
         metrics.text()
     }
 
-    /// Time for which a change of the list of upstreams may have gone unnoticed; nothing if the list
-    /// was never read.
-    pub fn list_age_ms(&self) -> Option<u64> {
-        age_ms(&self.list.borrow())
-    }
-
     /// What this instance knows, for another one.
     pub fn state(&self) -> State {
         State {
@@ -291,14 +251,6 @@
         }
     }
 
-    /// Drops what lapsed from the list and did not come back.
-    pub fn settle(&self) {
-        let left = self.upstreams.borrow_mut().settle(self.now_ms());
-        for id in left {
-            self.note_effect(&id, Effect::Left, Origin::Lapse);
-        }
-    }
-
     /// Limits of a service's engines; nothing is known of what is not configured.
     pub fn engine_limits(&self, service: &str) -> EngineLimits {
         let config = self.config.borrow();
@@ -345,46 +297,6 @@
         let repeats = all.entry(service.to_owned()).or_default();
         repeats.forced(self.now_ms(), &terms);
     }
-
-    fn note_effect(&self, id: &str, effect: Effect, origin: Origin) {
-        let what = match effect {
-            Effect::Same => return,
-            Effect::Joined => "upstream joined",
-            Effect::Changed => "upstream changed",
-            Effect::Left => "upstream left",
-            Effect::Doubted => "upstream's entry lapsed with the store",
-        };
-        self.line_on_upstream(id, what, origin);
-        // One that joins may do so under the id of one that has ended, if it was kept through a restart.
-        if matches!(effect, Effect::Joined | Effect::Left) {
-            self.note_left(id);
-        }
-    }
-
-    /// Writes what became of an upstream, and what that rests on: where the change came from, how far the
-    /// list was taken in before it, and as of when.
-    fn line_on_upstream(&self, id: &str, what: &str, origin: Origin) {
-        let upstreams = self.upstreams.borrow();
-        let entry = upstreams.get(id).map(|upstream| upstream.entry());
-        let list = self.list.borrow();
-        log::info!(
-            upstream = id, origin:? = origin,
-            standing:? = entry.as_ref().map(|entry| entry.standing),
-            stage:? = entry.as_ref().map(|entry| entry.stage),
-            seq = entry.as_ref().map_or(0, |entry| entry.seq),
-            list_next = list.next().unwrap_or_default(),
-            list_taken = list.taken(),
-            list_age_ms = age_ms(&list).unwrap_or(u64::MAX);
-            "{what}"
-        );
-    }
-
-    /// Another incarnation answered at an upstream's address, so the one known is gone.
-    pub fn found_gone(&self, upstream: &crate::upstream::Upstream) {
-        self.upstreams.borrow_mut().found_gone(&upstream.id);
-        self.note_left(&upstream.id);
-        log::info!(upstream = upstream.id; "upstream replaced by another incarnation");
-    }
 }
 
 /// Age of what this instance could tell another one, if it has taken in all that it knows of.
@@ -396,10 +308,3 @@
 fn age_ms(followed: &Followed) -> Option<u64> {
     followed.next().map(|_| followed.age_ms(since_boot_ms()))
 }
-
-fn changed_id(change: &Change) -> String {
-    match change {
-        Change::Put(entry) => entry.id.clone(),
-        Change::Gone(id) => id.clone(),
-    }
-}
--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -5,12 +5,12 @@
 use std::time::SystemTime;
 
 use tick::since_boot_ms;
-use view::cadence::{Bounds, Duty, duty};
+use view::cadence::{Duty, duty};
 use view::hubs::Ranks;
 use view::shared::{Heard, Own};
-use view::{Change, Entry, Followed, InstanceKey, Mark, Member, News, Told};
+use view::{Followed, InstanceKey, Member, Told};
 
-use super::{Origin, Relay, changed_id};
+use super::Relay;
 use crate::orders;
 
 /// Time after which the order of instances is looked at again without a new record, in ms: a fraction of
@@ -174,17 +174,7 @@
     fn take_news(&self, now_ms: u64, told: &Told) {
         let since_boot_ms = since_boot_ms();
         for news in &told.news {
-            if self.list.borrow_mut().heard_news(news) {
-                self.said.borrow_mut().is_news(&news.change);
-                let (change, doubt_ms) = (news.change.clone(), news.doubt_ms.into());
-                let id = changed_id(&change);
-                let effect = self
-                    .upstreams
-                    .borrow_mut()
-                    .apply_told(now_ms, change, doubt_ms);
-                self.note_effect(&id, effect, Origin::Told);
-                self.shared.borrow_mut().add_news(now_ms, news.clone());
-            }
+            self.take_change(now_ms, news);
         }
         if let Some(mark) = &told.list {
             self.take_mark(since_boot_ms, mark);
@@ -193,106 +183,6 @@
             self.configs.borrow_mut().heard(since_boot_ms, mark);
         }
     }
-
-    fn take_mark(&self, since_boot_ms: u64, mark: &Mark) {
-        let mut list = self.list.borrow_mut();
-        let was_sure = list.is_sure();
-        list.heard(since_boot_ms, mark);
-        if !was_sure && list.is_sure() {
-            log::info!(
-                changed = mark.changed, taken = list.taken(), mark_age_ms = mark.age_ms,
-                reader:? = mark.source.reader;
-                "last change of the list heard of"
-            );
-        }
-    }
-
-    /// The list of upstreams could not be read.
-    ///
-    /// While others vouch for it, the store is there and only turns this instance away: nothing can have
-    /// lapsed with it, and doubting that entries have left would keep leaving upstreams in use.
-    pub fn could_not_read_list(&self, bounds: &Bounds) {
-        let most_ms = bounds.list_age_ms(Duty::Other);
-        if self.list_age_ms().is_none_or(|age_ms| age_ms >= most_ms) {
-            self.upstreams.borrow_mut().unreachable(self.now_ms());
-        }
-    }
-
-    /// The store holds an older copy of the list, and what upstreams wrote lately is written again.
-    ///
-    /// An upstream that came lately is missing in the copy though it lives. Dropped at once, it would be out of
-    /// use until its next heartbeat.
-    pub fn list_lacks_the_latest(&self) {
-        self.upstreams.borrow_mut().unreachable(self.now_ms());
-    }
-
-    /// The whole list was read, as it stood at `as_of_ms` up to the offset `next`.
-    ///
-    /// Another instance may have told more while the answer was on its way. The entries in it are older
-    /// then, and would bring back an upstream whose entry went; the record that says so would not be read again.
-    pub fn read_whole_list(&self, as_of_ms: u64, next: u64, entries: Vec<Entry>) {
-        let is_older = self.list.borrow().next().is_some_and(|own| own >= next);
-        if is_older {
-            return;
-        }
-        self.said.borrow_mut().replace(&entries);
-        self.replace(entries, Origin::Whole);
-        self.list.borrow_mut().read_whole(as_of_ms, next);
-    }
-
-    /// Records of the list were read, as it stood at `as_of_ms`. What another instance told while they were on
-    /// their way is passed over, as with the whole list.
-    pub fn read_changes(&self, as_of_ms: u64, read: ChangesRead) {
-        let (from, mut before) = {
-            let list = self.list.borrow();
-            (list.next().unwrap_or_default(), list.taken())
-        };
-        let mut changed = None;
-        for (offset, change) in read.changes {
-            if offset < from {
-                continue;
-            }
-            if let Some(after) = self.read_change(before, offset, change) {
-                changed = Some(after);
-                before = after;
-            }
-        }
-        // What one answer could not bring may hold news, and is read at once.
-        if read.next < read.end {
-            changed = Some(read.end);
-        }
-        self.list.borrow_mut().read(as_of_ms, read.next, changed);
-    }
-
-    /// Takes in a change that was read at an offset, `before` being the one after the last change before it;
-    /// gives the offset after it if it says something new.
-    fn read_change(&self, before: u64, offset: u64, change: Change) -> Option<u64> {
-        let is_news = self.said.borrow_mut().is_news(&change);
-        let doubt_ms = self.upstreams.borrow().doubt_ms(self.now_ms());
-        self.apply(change.clone(), Origin::Read);
-        let after = offset + 1;
-        let news = News {
-            before,
-            after,
-            change,
-            doubt_ms: doubt_ms as u32,
-        };
-        is_news.then(|| {
-            self.shared.borrow_mut().add_news(self.now_ms(), news);
-            after
-        })
-    }
-}
-
-/// What a read of the list brought.
-#[derive(Debug, Clone)]
-pub struct ChangesRead {
-    /// Changes, each with the offset of its record.
-    pub changes: Vec<(u64, Change)>,
-    /// Offset after the last record.
-    pub next: u64,
-    /// Offset at which the log ended; beyond `next` if one answer could not bring all.
-    pub end: u64,
 }
 
 /// Time of day; a clock set before 1970 counts as 0, and the caller goes by what it knows of its own
