Connections that are given up are reset

Callers' requests reached an engine seconds after it had said that it leaves, although their callers had left before. Cause: a request that is given up closes its connection, and the kernel goes on sending what a cut held up, for as long as the peer may come back. Class: work that is cancelled here and still under way below. Ruled out: a shorter bound on unacknowledged bytes (it would end requests that a lossy link is late with). Mend: connections to peers are reset when they are dropped; what was not delivered is discarded with them, and nobody waits for an answer on one that is dropped.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -232,6 +232,15 @@
     socket.set_tcp_keepalive(&keepalive)
 }
 
+/// Has the connection reset when it is dropped, which discards what was not delivered.
+///
+/// While the way to a peer is cut, a closed connection goes on sending what it was given: a request whose caller left
+/// would reach the peer seconds later, when that may be leaving. One is dropped with something on it only when nobody
+/// waits for the answer any more, so nothing is lost that counts.
+fn reset_when_dropped(stream: &TcpStream) -> std::io::Result<()> {
+    SockRef::from(stream).set_linger(Some(Duration::ZERO))
+}
+
 async fn open(pool: &Rc<Pool>, most: usize) -> Result<Connection, Fault> {
     let peer = pool.peer;
     if pool.open.get() >= most {
@@ -244,6 +253,7 @@
         .map_err(|_| failed(format!("nothing within {CONNECT_MS} ms")))?
         .map_err(|error| failed(error.to_string()))?;
     tune(&stream).map_err(|error| failed(error.to_string()))?;
+    reset_when_dropped(&stream).map_err(|error| failed(error.to_string()))?;
     let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
         .await
         .map_err(|error| failed(error.to_string()))?;
