--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -67,6 +67,14 @@
     relay.heard(&told, peer());
 }
 
+/// One asks the other, uses the engine as long as that one doubts, and no longer.
+async fn asks_and_doubts(asking: &Relay, asked: &Relay) {
+    relay::state::take(asking, &asked.state(), peer());
+    assert_eq!(ready(asking), 1, "it may have lapsed with the store");
+    doubt_ends().await;
+    assert_eq!(ready(asking), 0);
+}
+
 async fn doubt_ends() {
     actix_rt::time::sleep(Duration::from_millis(u64::from(DOUBT_MS) + 30)).await;
 }
@@ -92,10 +100,7 @@
     let (asking, asked) = (knowing_one("a"), knowing_one("b"));
     lapses(&asking);
     lapses(&asked);
-    relay::state::take(&asking, &asked.state(), peer());
-    assert_eq!(ready(&asking), 1, "it may have lapsed with the store");
-    doubt_ends().await;
-    assert_eq!(ready(&asking), 0);
+    asks_and_doubts(&asking, &asked).await;
 }
 
 /// An instance starts, or missed a change, and takes the whole list of one that doubts an entry. It has no
@@ -104,10 +109,7 @@
 async fn a_doubt_is_handed_on_with_the_list() {
     let (asking, asked) = (relay("a"), knowing_one("b"));
     lapses(&asked);
-    relay::state::take(&asking, &asked.state(), peer());
-    assert_eq!(ready(&asking), 1, "it may have lapsed with the store");
-    doubt_ends().await;
-    assert_eq!(ready(&asking), 0);
+    asks_and_doubts(&asking, &asked).await;
 }
 
 /// The doubt is over, and nobody has read the store since at the instance that is asked: others read for it. It
