A question of the trial on crossed answers goes to the faulty engine first, by load and not by luck

Cause: engines::an_answer_of_another_request_is_dropped asks six questions of two engines that are alike. Ruled out: a fault of the instance (six answers, none lost; no code of the edge had changed); asking until the faulty one is met, since nothing bounds that. Change: the sound engine first gets eight long answers while the other is drained, so the next question is placed at the faulty one by its load. What is asserted is the same, and the eight answers are asserted too.

--- a/tests/failure/engines.rs
+++ b/tests/failure/engines.rs
@@ -2,10 +2,11 @@
 
 use std::time::Duration;
 
-use chicoryrack::standin::{AtPoison, EngineFaults, POISON, expected_text};
+use actix_rt::task::JoinHandle;
+use chicoryrack::standin::{AtPoison, EngineFaults, EngineStandin, POISON, expected_text};
 use serde_json::json;
 
-use crate::common::{MEMBER_KEY, Platform, admin, bundle, send, serve, until};
+use crate::common::{MEMBER_KEY, Platform, Reply, admin, bundle, send, serve, until};
 use crate::helpers::{ask, completion};
 
 #[actix_rt::test]
@@ -27,13 +28,15 @@
 #[actix_rt::test]
 async fn an_answer_of_another_request_is_dropped() {
     // One engine names another request in its answers. The instance drops them, counts them and
-    // asks the other engine; the caller sees its own answer.
+    // asks the other engine; the caller sees its own answer. The sound engine has long answers
+    // under way, so that the questions go to the faulty one first.
     let platform = Platform::start(2).await;
     let daemon = serve(&platform).await;
     platform.engines[0].set_faults(EngineFaults {
         cross_ids: true,
         ..EngineFaults::default()
     });
+    let busy = keep_busy(&daemon.caller_address, &platform.engines[1], "engine-1").await;
     for number in 0..6 {
         let prompt = format!("question {number}");
         let reply = ask(&daemon.caller_address, &prompt, 6).await;
@@ -49,6 +52,31 @@
         .lines()
         .any(|line| line.contains("strays_total") && line.contains("crossed"));
     assert!(counted, "{metrics}");
+    for answer in busy {
+        let reply = answer.await.expect("the task ends");
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+}
+
+/// Gives one engine long answers to make, while the other one is drained, and takes the other back.
+async fn keep_busy(address: &str, engine: &EngineStandin, other: &str) -> Vec<JoinHandle<Reply>> {
+    const ANSWERS: usize = 8;
+    const TOKENS: u32 = 400;
+    let drained = admin(address, "POST", &format!("engines/{other}/drain"), "").await;
+    assert_eq!(drained.status, 200, "{}", drained.text());
+    let asked = (0..ANSWERS).map(|number| {
+        let address = address.to_owned();
+        let prompt = format!("long answer {number}");
+        actix_rt::spawn(async move { ask(&address, &prompt, TOKENS).await })
+    });
+    let asked: Vec<_> = asked.collect();
+    until("the engine makes all of them", || async {
+        engine.held() == ANSWERS
+    })
+    .await;
+    let back = admin(address, "POST", &format!("engines/{other}/undrain"), "").await;
+    assert_eq!(back.status, 200, "{}", back.text());
+    asked
 }
 
 #[actix_rt::test]
