Callers are admitted by the keys of workspaces; upstreams learn the workspace and never the key

Ruled out: a check at the directory (callers keep addresses), a check per connection (keys go within a connection's life), the key itself in tables (a dump or a told state would let others in): keys are hashed where they are read, in crates/keys, which the older edge uses as well, and who may ask is part of the configuration, so it travels, ages and never goes back as it does. A state told by a version that knows of no keys is not understood rather than believed. Decided: an unknown, empty, doubled or missing key is 401 at once; without a configuration 503; a public route asks for none, takes a known one for whose it is and passes no name on else; what is under way when its key goes is finished, a stream that goes on elsewhere too, since its request was admitted. A workspace's priority goes before its route's.

--- a/crates/conf/src/index.rs
+++ b/crates/conf/src/index.rs
@@ -3,6 +3,8 @@
 use std::collections::HashMap;
 use std::fmt::Write;
 
+use keys::{KeyHash, Keyring};
+
 use crate::{Bundle, Class, Model, Role, Service};
 
 /// Who a request is for.
@@ -25,7 +27,7 @@
 pub struct BundleIndex {
     bundle: Bundle,
     digest: String,
-    tenants: HashMap<String, Tenant>,
+    tenants: Keyring<Tenant>,
     roles: HashMap<String, Vec<Role>>,
 }
 
@@ -33,7 +35,7 @@
     /// Arranges a checked bundle.
     pub fn new(bundle: Bundle, digest: String) -> Self {
         let last = last_class(&bundle).to_owned();
-        let mut tenants = HashMap::new();
+        let mut tenants = Keyring::default();
         for member in &bundle.members {
             for workspace in &member.workspaces {
                 let class = match workspace.class.as_str() {
@@ -47,7 +49,10 @@
                     class,
                     in_flight: workspace.in_flight,
                 };
-                tenants.insert(workspace.key_sha256.to_ascii_lowercase(), tenant);
+                // A checked bundle holds hashes only.
+                if let Ok(key) = workspace.key_sha256.parse() {
+                    tenants.add(key, tenant);
+                }
             }
         }
         let roles = bundle
@@ -73,9 +78,9 @@
         &self.digest
     }
 
-    /// The tenant whose API key has this hexadecimal SHA-256.
-    pub fn tenant(&self, key_sha256: &str) -> Option<&Tenant> {
-        self.tenants.get(key_sha256)
+    /// The tenant whose API key has this hash.
+    pub fn tenant(&self, key: &KeyHash) -> Option<&Tenant> {
+        self.tenants.owner(key)
     }
 
     /// A class by name.
--- a/crates/entry/src/auth.rs
+++ b/crates/entry/src/auth.rs
@@ -1,8 +1,8 @@
 //! Who a request is for.
 
 use actix_http::{HttpMessage, Request};
-use conf::{BundleIndex, Tenant, hex_sha256};
-use sha2::{Digest, Sha256};
+use conf::{BundleIndex, Tenant};
+use keys::KeyHash;
 
 use crate::app::App;
 use crate::refusal::{Code, Refusal};
@@ -12,10 +12,10 @@
     value.strip_prefix("Bearer ").map(str::trim)
 }
 
-fn bearer_sha256(request: &Request) -> Result<String, Refusal> {
+fn bearer_hash(request: &Request) -> Result<KeyHash, Refusal> {
     let key = bearer(request)
         .ok_or_else(|| Refusal::new(Code::Unauthorized, "authorization: Bearer key expected"))?;
-    Ok(hex_sha256(&Sha256::digest(key.as_bytes())))
+    Ok(KeyHash::of(key.as_bytes()))
 }
 
 /// The tenant whose API key the request carries.
@@ -23,7 +23,7 @@
     bundle: &'a BundleIndex,
     request: &Request,
 ) -> Result<&'a Tenant, Refusal> {
-    let hash = bearer_sha256(request)?;
+    let hash = bearer_hash(request)?;
     let unknown = || Refusal::new(Code::Unauthorized, "authorization: unknown key");
     bundle.tenant(&hash).ok_or_else(unknown)
 }
@@ -32,9 +32,9 @@
 ///
 /// Keys are compared by their SHA-256, so the time of the comparison says nothing of the key.
 pub(crate) fn operator(app: &App, request: &Request) -> Result<String, Refusal> {
-    let hash = bearer_sha256(request)?;
+    let hash = bearer_hash(request)?;
     let mut operators = app.settings.operator_key_sha256.iter();
-    let known = operators.find(|known| known.sha256.eq_ignore_ascii_case(&hash));
+    let known = operators.find(|known| known.sha256.parse() == Ok(hash));
     known
         .map(|known| known.operator.clone())
         .ok_or_else(|| Refusal::new(Code::Unauthorized, "authorization: unknown operator key"))
--- a/crates/perf/src/slopes.rs
+++ b/crates/perf/src/slopes.rs
@@ -9,6 +9,7 @@
 
 use conf::BundleIndex;
 use feed::State;
+use keys::KeyHash;
 use once::{Epochs, Home, Key, KeyPlace, Witness};
 use peer::{Known, Members};
 use plan::{Engine, Fleet, Outstanding, Request, Router, Shape};
@@ -384,8 +385,8 @@
 
 fn tenant_us(workspaces: usize) -> f64 {
     let index = index(&bundle(workspaces));
-    let hashes: Vec<String> = (0..100)
-        .map(|number| conf::digest(&number.to_string()))
+    let hashes: Vec<KeyHash> = (0..100)
+        .map(|number| KeyHash::of(number.to_string().as_bytes()))
         .collect();
     time_us(5_000, |number| {
         let found = index
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -119,6 +119,9 @@
     /// No route matches.
     #[display("no such route")]
     NoRoute,
+    /// The caller has no key of a workspace.
+    #[display("no valid key")]
+    NoKey,
     /// The request cannot be read.
     #[display("the request is malformed")]
     Malformed,
@@ -160,6 +163,7 @@
         match self {
             Self::NoConfig => "no_config",
             Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
             Self::Malformed => "malformed",
             Self::Unread => "unread",
             Self::TooLong => "too_long",
@@ -189,6 +193,7 @@
             | Self::Rejected
             | Self::Poisonous => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
+            Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::Unread => StatusCode::REQUEST_TIMEOUT,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -11,7 +11,8 @@
 use view::RequestKey;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::config::Route;
+use crate::access::Admitted;
+use crate::config::{Route, Workspace};
 use crate::dialect::{Asked, Dialect, Sending};
 use crate::relay::Relay;
 use crate::urgency::Urgency;
@@ -31,6 +32,8 @@
 pub struct Call {
     /// Its route.
     pub route: Rc<Route>,
+    /// Workspace that it is for, if its caller named one by a key.
+    pub workspace: Option<Rc<Workspace>>,
     /// Service that is to run it.
     pub service: String,
     /// What its head says.
@@ -68,12 +71,13 @@
     /// Takes a request over; gives nothing if its route has no service.
     pub fn new(
         relay: &Rc<Relay>,
-        route: Rc<Route>,
+        admitted: Admitted,
         asked: Asked,
         arrived_ms: u64,
         parts: Parts,
         body: Bytes,
     ) -> Option<Self> {
+        let Admitted { route, workspace } = admitted;
         let dialect = &*relay.dialect;
         let draw = asked
             .attempt
@@ -94,8 +98,12 @@
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
         dialect.strip(&mut headers);
+        if let Some(workspace) = &workspace {
+            dialect.send_workspace(&mut headers, &workspace.name);
+        }
         Some(Self {
             route,
+            workspace,
             service,
             asked,
             key,
@@ -124,7 +132,21 @@
 
     /// Rank at an engine, 0 first.
     pub fn rank(&self, urgency: Urgency) -> u8 {
-        urgency.rank(&self.route, self.yields)
+        urgency.rank(self.priority(), self.yields)
+    }
+
+    /// Its priority, 0 first: its workspace's goes before its route's.
+    pub fn priority(&self) -> u8 {
+        let workspace = self.workspace.as_ref();
+        let own = workspace.and_then(|workspace| workspace.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Name of its workspace, for logs.
+    pub fn workspace_name(&self) -> &str {
+        self.workspace
+            .as_ref()
+            .map_or("-", |workspace| &workspace.name)
     }
 
     /// The caller's id for the attempt, for logs.
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use keys::{KeyHash, Keyring};
 use serde::{Deserialize, Serialize};
 
 /// What may be repeated of the requests on a route.
@@ -51,6 +52,8 @@
     pub resumable: bool,
     /// Longest pause between two events of a stream that is still on time.
     pub gap_goal_ms: u64,
+    /// Whether it serves callers without a key.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -108,6 +111,84 @@
     pub event_tokens: u32,
 }
 
+/// A workspace, for which callers that have one of its keys ask.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Workspace {
+    /// Name.
+    pub name: String,
+    /// Rank of its requests, 0 first; where it is set it goes before that of the route.
+    pub priority: Option<u8>,
+    /// Its keys.
+    pub keys: Vec<KeyHash>,
+}
+
+/// Who may ask.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+#[serde(from = "WorkspacesState", into = "WorkspacesState")]
+pub enum Access {
+    /// Everybody.
+    #[default]
+    Open,
+    /// Callers who have a key of a workspace.
+    Keyed {
+        /// All workspaces.
+        workspaces: Vec<Rc<Workspace>>,
+        /// Whose the keys are.
+        ring: Keyring<Rc<Workspace>>,
+    },
+}
+
+/// [`Access`] as it is written: nothing, or all workspaces.
+#[derive(Serialize, Deserialize)]
+struct WorkspacesState(Option<Vec<Workspace>>);
+
+impl Access {
+    /// Only for callers of these workspaces, of which there may be none.
+    pub fn keyed(workspaces: Vec<Workspace>) -> Self {
+        let workspaces: Vec<Rc<Workspace>> = workspaces.into_iter().map(Rc::new).collect();
+        let mut ring = Keyring::default();
+        for workspace in &workspaces {
+            for key in &workspace.keys {
+                ring.add(*key, Rc::clone(workspace));
+            }
+        }
+        Self::Keyed { workspaces, ring }
+    }
+
+    /// All workspaces.
+    pub fn workspaces(&self) -> &[Rc<Workspace>] {
+        match self {
+            Self::Open => &[],
+            Self::Keyed { workspaces, .. } => workspaces,
+        }
+    }
+
+    /// How many keys let callers in.
+    pub fn keys(&self) -> usize {
+        match self {
+            Self::Open => 0,
+            Self::Keyed { ring, .. } => ring.len(),
+        }
+    }
+}
+
+impl From<WorkspacesState> for Access {
+    fn from(state: WorkspacesState) -> Self {
+        state.0.map_or(Self::Open, Self::keyed)
+    }
+}
+
+impl From<Access> for WorkspacesState {
+    fn from(access: Access) -> Self {
+        Self(match access {
+            Access::Open => None,
+            Access::Keyed { workspaces, .. } => {
+                Some(workspaces.iter().map(|it| (**it).clone()).collect())
+            }
+        })
+    }
+}
+
 /// Bounds on what callers send.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
@@ -139,6 +220,8 @@
     pub version: u64,
     /// Bounds on callers.
     pub limits: Limits,
+    /// Who may ask.
+    pub access: Access,
     services: HashMap<String, Service>,
     routes: HashMap<String, Vec<Rc<Route>>>,
 }
@@ -162,11 +245,17 @@
         Self {
             version,
             limits,
+            access: Access::Open,
             services,
             routes: by_host,
         }
     }
 
+    /// The same for those who may ask.
+    pub fn with_access(self, access: Access) -> Self {
+        Self { access, ..self }
+    }
+
     /// The route of a request: the longest prefix of its path among those of its host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Rc<Route>> {
         let routes = self.routes.get(host)?;
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -4,6 +4,7 @@
 //! headers and bodies of one deployment. It decides nothing.
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use keys::KeyHash;
 
 use crate::orders::Order;
 use crate::upstream::Stage;
@@ -41,6 +42,20 @@
     pub prompt: Option<Prompt>,
     /// Last event that the caller has of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// The key that it presents.
+    pub key: Presented,
+}
+
+/// The key that a caller presents, of which only the hash is kept.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum Presented {
+    /// None.
+    #[default]
+    Nothing,
+    /// One.
+    Key(KeyHash),
+    /// More than one, and it is not told which counts.
+    Several,
 }
 
 /// Where an engine finds the KV cache of a prompt that another has read.
@@ -126,6 +141,8 @@
     fn is_end_to_end(&self, name: &HeaderName) -> bool;
     /// Writes what the relay sets.
     fn send(&self, headers: &mut HeaderMap, sending: &Sending);
+    /// Names the workspace that a request is for.
+    fn send_workspace(&self, headers: &mut HeaderMap, name: &str);
     /// Reads an answer's head.
     fn answered(&self, headers: &HeaderMap) -> Answered;
     /// Reads the name that an engine gave to the KV cache of a prompt that it read.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -45,7 +45,7 @@
     let took_ms = relay.now_ms() - call.arrived_ms;
     if relay.failed_lines.take(relay.now_ms()) {
         log::info!(
-            request = call.id(), key:% = call.key, route = call.route.name,
+            request = call.id(), key:% = call.key, route = call.route.name, workspace = call.workspace_name(),
             reason = refused.reason, took_ms,
             sends = call.sends.get(), retry_after_ms = refused.retry_after_ms.unwrap_or(0),
             version = relay.config().map_or(0, |config| config.version),
--- a/crates/relay/src/front.rs
+++ b/crates/relay/src/front.rs
@@ -16,6 +16,7 @@
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
+use crate::access::admit;
 use crate::answer::{AnswerBody, Busy, Reason, Refused};
 use crate::call::{Call, host};
 use crate::config::Limits;
@@ -211,17 +212,20 @@
     let Some(host) = host(&parts.uri, &parts.headers) else {
         return refuse(relay, Refused::plain(Reason::Malformed));
     };
-    let Some(route) = config.route(&host, parts.uri.path()).cloned() else {
-        if relay.failed_lines.take(relay.now_ms()) {
-            log::info!(
-                request = asked.attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-"),
-                version = config.version;
-                "no such route"
-            );
+    let admitted = match admit(&config, &host, parts.uri.path(), asked.key) {
+        Ok(admitted) => admitted,
+        Err(denied) => {
+            if relay.failed_lines.take(relay.now_ms()) {
+                log::info!(
+                    request = asked.attempt.as_ref().and_then(|id| id.to_str().ok()).unwrap_or("-"),
+                    route = denied.route, version = config.version, reason = denied.reason;
+                    "request not admitted"
+                );
+            }
+            return refuse(relay, Refused::plain(denied.reason));
         }
-        return refuse(relay, Refused::plain(Reason::NoRoute));
     };
-    let call = Call::new(relay, route, asked, arrived_ms, parts, body);
+    let call = Call::new(relay, admitted, asked, arrived_ms, parts, body);
     let Some(call) = call else {
         return refuse(relay, Refused::plain(Reason::NoUpstream));
     };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! to it, and it places each request, sends it, and passes the answer on. The names that a
 //! deployment uses on the wire come from a [`dialect::Dialect`]. See docs/design/platform.md.
 
+pub mod access;
 pub mod again;
 pub mod answer;
 pub mod audit;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -188,7 +188,11 @@
         {
             return false;
         }
-        log::info!(version = config.version, routes = config.routes(); "configuration taken");
+        log::info!(
+            version = config.version, routes = config.routes(), keys = config.access.keys(),
+            workspaces = config.access.workspaces().len();
+            "configuration taken"
+        );
         self.metrics
             .config_version
             .set(config.version.cast_signed());
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -18,7 +18,7 @@
 use tick::since_boot_ms;
 use view::{Entry, Member, RequestKey};
 
-use crate::config::{Config, Limits, Route, Service};
+use crate::config::{Access, Config, Limits, Route, Service};
 use crate::pool::{Pool, exchange};
 use crate::relay::{Origin, Relay};
 use crate::upstreams::Doubt;
@@ -39,6 +39,8 @@
     routes: Vec<Route>,
     services: HashMap<String, Service>,
     limits: Limits,
+    // An instance that tells none is of a version that would let everybody in: its state is not understood.
+    access: Access,
 }
 
 impl From<&Config> for ConfigState {
@@ -48,6 +50,7 @@
             routes: config.all_routes().cloned().collect(),
             services: config.services().clone(),
             limits: config.limits,
+            access: config.access.clone(),
         }
     }
 }
@@ -55,6 +58,7 @@
 impl From<ConfigState> for Config {
     fn from(state: ConfigState) -> Self {
         Self::new(state.version, state.routes, state.services, state.limits)
+            .with_access(state.access)
     }
 }
 
--- a/crates/relay/src/urgency.rs
+++ b/crates/relay/src/urgency.rs
@@ -5,8 +5,6 @@
 //! Among those that can be on time they go first; the others, which need a fraction of their
 //! time, mostly still fit behind them.
 
-use crate::config::Route;
-
 /// First rank of what will be late. Engines know ten ranks; the six before it hold two for each of
 /// three priorities, so that no prompt goes behind one of a less urgent route.
 const LATE_RANK: u8 = 6;
@@ -37,18 +35,15 @@
 }
 
 impl Urgency {
-    /// Rank at an engine of a request of this route, 0 first; one that yields lets longer prompts
+    /// Rank at an engine of a request of this priority, 0 first; one that yields lets longer prompts
     /// of its route go before it.
-    pub fn rank(self, route: &Route, yields: bool) -> u8 {
+    pub fn rank(self, priority: u8, yields: bool) -> u8 {
         match self {
             Self::OnTime => {
-                let rank = route
-                    .priority
-                    .saturating_mul(2)
-                    .saturating_add(yields.into());
+                let rank = priority.saturating_mul(2).saturating_add(yields.into());
                 rank.min(LATE_RANK - 1)
             }
-            Self::Late => route.priority.saturating_add(LATE_RANK).min(LAST_RANK),
+            Self::Late => priority.saturating_add(LATE_RANK).min(LAST_RANK),
         }
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -59,6 +59,7 @@
         max_attempts: if kind == Kind::Unsafe { 1 } else { 2 },
         resumable: kind == Kind::Stream,
         gap_goal_ms: 300,
+        is_public: false,
     }
 }
 
--- a/crates/relay/tests/common/wire.rs
+++ b/crates/relay/tests/common/wire.rs
@@ -3,8 +3,10 @@
 use std::net::SocketAddr;
 
 use http::{HeaderMap, HeaderName, HeaderValue, Method};
+use keys::KeyHash;
 use relay::dialect::{
-    Answered, Asked, Dialect, EngineReport, KvHandle, Part, Prompt, Sending, Step, ToldLoad,
+    Answered, Asked, Dialect, EngineReport, KvHandle, Part, Presented, Prompt, Sending, Step,
+    ToldLoad,
 };
 use relay::orders::Order;
 
@@ -38,6 +40,15 @@
     }
 }
 
+fn key(headers: &HeaderMap) -> Presented {
+    let keys: Vec<_> = headers.get_all("x-key").iter().collect();
+    match keys[..] {
+        [] => Presented::Nothing,
+        [key] => Presented::Key(KeyHash::of(key.as_bytes())),
+        _ => Presented::Several,
+    }
+}
+
 impl Dialect for Wire {
     fn asked(&self, headers: &HeaderMap) -> Asked {
         Asked {
@@ -45,11 +56,20 @@
             deadline_ms: number(headers, "x-left-ms"),
             prompt: text(headers, "x-prompt").map(prompt),
             last_event: number(headers, "last-event-id"),
+            key: key(headers),
         }
     }
 
     fn strip(&self, headers: &mut HeaderMap) {
-        for name in ["x-instance", "x-step", "x-kv", "x-copy", "x-rank"] {
+        for name in [
+            "x-instance",
+            "x-step",
+            "x-kv",
+            "x-copy",
+            "x-rank",
+            "x-key",
+            "x-workspace",
+        ] {
             headers.remove(name);
         }
     }
@@ -64,6 +84,9 @@
         };
         put("x-instance", sending.instance.to_owned());
         put("x-left-ms", sending.deadline_ms.to_string());
+        if let Some(rank) = sending.priority {
+            put("x-rank", rank.to_string());
+        }
         if sending.step == Step::Prefill {
             put("x-step", "prefill".to_owned());
         }
@@ -78,6 +101,11 @@
         }
     }
 
+    fn send_workspace(&self, headers: &mut HeaderMap, name: &str) {
+        let name = HeaderValue::from_str(name).expect("a valid value");
+        headers.insert("x-workspace", name);
+    }
+
     fn answered(&self, headers: &HeaderMap) -> Answered {
         let load = number(headers, "x-load").map(|running| ToldLoad {
             running: running as u32,
--- a/crates/relay/tests/engines.rs
+++ b/crates/relay/tests/engines.rs
@@ -402,13 +402,13 @@
     let mut ranks = Vec::new();
     for priority in [0, 1, 2, 3, 255] {
         route.priority = priority;
-        ranks.push(Urgency::OnTime.rank(&route, false));
-        ranks.push(Urgency::OnTime.rank(&route, true));
+        ranks.push(Urgency::OnTime.rank(route.priority, false));
+        ranks.push(Urgency::OnTime.rank(route.priority, true));
     }
     assert_eq!(ranks, [0, 1, 2, 3, 4, 5, 5, 5, 5, 5]);
     let late = [0, 1, 255].map(|priority| {
         route.priority = priority;
-        Urgency::Late.rank(&route, false)
+        Urgency::Late.rank(route.priority, false)
     });
     assert_eq!(late, [6, 7, 9]);
 }
