--- /dev/null
+++ b/crates/duty/src/lib.rs
@@ -0,0 +1,14 @@
+//! What one instance does for the whole fleet.
+//!
+//! Every instance counts what runs for whom, and what it has counted reaches a few others soon ([`Ledger`]). Of these
+//! one reports each window of time once ([`Reports`]) and orders engines ([`scale`]). Who that is, and that no two are
+//! heard at a time, rests on `lease::Turns`. Nothing here does input or output. See docs/design/duties.md.
+
+mod ledger;
+mod reports;
+pub mod scale;
+mod windows;
+
+pub use ledger::Ledger;
+pub use reports::{Due, Report, Reports};
+pub use windows::Windows;
--- /dev/null
+++ b/crates/duty/src/scale.rs
@@ -0,0 +1,258 @@
+//! How many engines of a service each zone has, and of which kind.
+//!
+//! Load pattern: a fleet is paid for by the second, and engines that may be taken back cost a fraction of the others. A
+//! zone's are all taken back at once, within seconds, and for a while no others are to be had there. So the fleet
+//! consists of these, spread over the zones, and what one zone loses is ordered where there are more; engines on demand
+//! are kept until the others serve, and come back where none of these can be had. See docs/design/duties.md.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+/// Time after an order until the same is given again, in ms: the API refused it or was not heard.
+const RETRY_MS: u64 = 1_500;
+
+/// Time after which a zone that had none to give, or took its own back, is asked again, in ms.
+const DRY_MS: u64 = 8_000;
+
+/// Part of a zone's engines that leave together when they are taken back; single ones that leave are replaced, drained
+/// or reported so by their own.
+const TAKEN_BACK_SHARE: f64 = 0.5;
+
+/// Time for which a number of engines must have stood before it counts as the fleet's, in ms: after a start the list
+/// of upstreams fills up within this.
+const SETTLED_MS: u64 = 1_000;
+
+/// How an engine is paid for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Kind {
+    /// It stays until it is given back.
+    OnDemand,
+    /// It costs less, and may be taken back.
+    Spot,
+}
+
+/// Bounds on a service's engines, as the operators set them.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+pub struct Terms {
+    /// Least engines of a zone, of both kinds together.
+    pub least: usize,
+    /// Most engines of a zone, of both kinds together.
+    pub most: usize,
+    /// Time from an order until an engine serves, in ms.
+    pub boot_ms: u64,
+    /// Price of an engine that may be taken back, as a part of that of another one.
+    pub spot_price: f64,
+    /// Price of an engine in each zone, relative to the others.
+    pub zone_prices: HashMap<String, f64>,
+}
+
+/// Engines of a zone now.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Zone {
+    /// Its name.
+    pub name: String,
+    /// Those on demand that serve.
+    pub on_demand: usize,
+    /// Those that may be taken back and serve.
+    pub spot: usize,
+    /// Those that were taken back and leave.
+    pub spot_leaving: usize,
+}
+
+/// An order that is wished for: a zone is to have so many engines of a kind.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Wish {
+    /// The zone.
+    pub zone: String,
+    /// The kind.
+    pub kind: Kind,
+    /// Engines that it is to have.
+    pub desired: usize,
+}
+
+/// What came of an order.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Outcome {
+    /// It was taken.
+    Taken,
+    /// There are none to be had.
+    Dry,
+    /// It was refused for another reason, or not answered.
+    Failed,
+}
+
+#[derive(Debug, Clone, Copy, Default)]
+struct Ordered {
+    /// What the platform was last told to have; nothing while it was told nothing.
+    desired: Option<usize>,
+    tried_ms: Option<u64>,
+}
+
+/// Plans the engines of one service.
+#[derive(Debug, Clone, Default)]
+pub struct Scaling {
+    /// Engines that the service is to have in all zones.
+    wanted: usize,
+    seen: Option<(usize, u64)>,
+    ordered: HashMap<(String, Kind), Ordered>,
+    dry_until_ms: HashMap<String, u64>,
+}
+
+impl Scaling {
+    /// Engines that the service is to have; nothing while that is not known.
+    pub fn wanted(&self) -> Option<usize> {
+        (self.wanted > 0).then_some(self.wanted)
+    }
+
+    /// Another instance has ordered so that the service is to have so many engines.
+    pub fn adopt(&mut self, wanted: usize, wish: &Wish) {
+        self.wanted = wanted;
+        self.order(wish).desired = Some(wish.desired);
+    }
+
+    /// An order was given.
+    pub fn ordered(&mut self, now_ms: u64, wish: &Wish, outcome: Outcome) {
+        self.order(wish).tried_ms = Some(now_ms);
+        match outcome {
+            Outcome::Taken => self.order(wish).desired = Some(wish.desired),
+            Outcome::Dry => {
+                self.dry_until_ms.insert(wish.zone.clone(), now_ms + DRY_MS);
+            }
+            Outcome::Failed => {}
+        }
+    }
+
+    fn order(&mut self, wish: &Wish) -> &mut Ordered {
+        let key = (wish.zone.clone(), wish.kind);
+        self.ordered.entry(key).or_default()
+    }
+
+    fn desired(&self, zone: &str, kind: Kind) -> Option<usize> {
+        self.ordered.get(&(zone.to_owned(), kind))?.desired
+    }
+
+    /// The orders that should be given now.
+    pub fn next(&mut self, now_ms: u64, terms: &Terms, zones: &[Zone]) -> Vec<Wish> {
+        self.note_size(now_ms, zones);
+        self.note_taken_back(now_ms, zones);
+        if self.wanted == 0 {
+            return Vec::new();
+        }
+        let spot = self.spot_wished(now_ms, terms, zones);
+        let on_demand = self.on_demand_wished(now_ms, terms, zones, &spot);
+        let all = spot.into_iter().chain(on_demand);
+        all.filter(|wish| self.is_due(now_ms, wish, zones))
+            .collect()
+    }
+
+    /// The fleet that the operators set up is the size that is wanted.
+    fn note_size(&mut self, now_ms: u64, zones: &[Zone]) {
+        if self.wanted > 0 {
+            return;
+        }
+        let size = zones.iter().map(|zone| zone.on_demand + zone.spot).sum();
+        match self.seen {
+            Some((seen, since_ms)) if seen == size => {
+                if size > 0 && now_ms >= since_ms + SETTLED_MS {
+                    self.wanted = size;
+                }
+            }
+            _ => self.seen = Some((size, now_ms)),
+        }
+    }
+
+    fn note_taken_back(&mut self, now_ms: u64, zones: &[Zone]) {
+        for zone in zones {
+            let had = zone.spot + zone.spot_leaving;
+            if had > 0 && zone.spot_leaving as f64 > had as f64 * TAKEN_BACK_SHARE {
+                self.dry_until_ms.insert(zone.name.clone(), now_ms + DRY_MS);
+            }
+        }
+    }
+
+    fn is_dry(&self, now_ms: u64, zone: &str) -> bool {
+        self.dry_until_ms
+            .get(zone)
+            .is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
+    /// As many as are wanted, in the zones that give them: what is there stays, and what is lacking comes where there
+    /// are fewest, so that the loss of a zone takes the least along.
+    fn spot_wished(&self, now_ms: u64, terms: &Terms, zones: &[Zone]) -> Vec<Wish> {
+        let mut wished: Vec<(usize, bool)> = zones
+            .iter()
+            .map(|zone| {
+                let is_dry = self.is_dry(now_ms, &zone.name);
+                let told = self.desired(&zone.name, Kind::Spot).unwrap_or_default();
+                (if is_dry { zone.spot.min(told) } else { told }, is_dry)
+            })
+            .collect();
+        loop {
+            let total: usize = wished.iter().map(|(count, _)| count).sum();
+            let least = wished
+                .iter_mut()
+                .filter(|(count, is_dry)| !is_dry && *count < terms.most)
+                .min_by_key(|(count, _)| *count);
+            match least {
+                Some((count, _)) if total < self.wanted => *count += 1,
+                _ => break,
+            }
+        }
+        let all = zones.iter().zip(wished);
+        all.map(|(zone, (desired, _))| Wish {
+            zone: zone.name.clone(),
+            kind: Kind::Spot,
+            desired,
+        })
+        .collect()
+    }
+
+    /// What those that may be taken back leave open: what is there stays until they serve, and more come only where
+    /// none of these are to be had.
+    fn on_demand_wished(
+        &self,
+        now_ms: u64,
+        terms: &Terms,
+        zones: &[Zone],
+        spot: &[Wish],
+    ) -> Vec<Wish> {
+        let serving: usize = zones.iter().map(|zone| zone.spot).sum();
+        let to_come: usize = spot.iter().map(|wish| wish.desired).sum();
+        let there: usize = zones.iter().map(|zone| zone.on_demand).sum();
+        let open = self.wanted.saturating_sub(serving);
+        let lacking = self.wanted.saturating_sub(to_come);
+        let total = open.min(there.max(lacking));
+        let count = zones.len();
+        let wish = |(at, zone): (usize, &Zone)| {
+            let even = total / count + usize::from(at < total % count);
+            let spot = spot[at].desired;
+            let is_dry = self.is_dry(now_ms, &zone.name);
+            let least = if is_dry || spot < terms.least {
+                terms.least
+            } else {
+                0
+            };
+            Wish {
+                zone: zone.name.clone(),
+                kind: Kind::OnDemand,
+                desired: even.clamp(least, terms.most.saturating_sub(spot).max(least)),
+            }
+        };
+        zones.iter().enumerate().map(wish).collect()
+    }
+
+    fn is_due(&self, now_ms: u64, wish: &Wish, zones: &[Zone]) -> bool {
+        let ordered = self.ordered.get(&(wish.zone.clone(), wish.kind));
+        let ordered = ordered.copied().unwrap_or_default();
+        let rests = ordered
+            .tried_ms
+            .is_some_and(|tried_ms| now_ms < tried_ms + RETRY_MS);
+        let there = zones.iter().find(|zone| zone.name == wish.zone);
+        let as_it_is = there.map_or(0, |zone| match wish.kind {
+            Kind::OnDemand => zone.on_demand,
+            Kind::Spot => zone.spot,
+        });
+        !rests && ordered.desired.unwrap_or(as_it_is) != wish.desired
+    }
+}
--- /dev/null
+++ b/crates/duty/tests/scale.rs
@@ -0,0 +1,209 @@
+//! Engines that are ordered, taken back, not to be had, or late.
+
+use duty::scale::{Kind, Outcome, Scaling, Terms, Wish, Zone};
+
+fn terms() -> Terms {
+    let prices = [("a", 1.0), ("b", 0.8), ("c", 1.25)];
+    Terms {
+        least: 1,
+        most: 76,
+        boot_ms: 4_000,
+        spot_price: 0.22,
+        zone_prices: prices.map(|(name, price)| (name.to_owned(), price)).into(),
+    }
+}
+
+/// A platform that gives what is ordered after the boot time, unless a zone is dry.
+struct Platform {
+    now_ms: u64,
+    scaling: Scaling,
+    zones: Vec<Zone>,
+    coming: Vec<(u64, Wish)>,
+    dry: Vec<&'static str>,
+    least: usize,
+    orders: usize,
+}
+
+impl Platform {
+    fn with(engines: usize) -> Self {
+        let zone = |name: &str| Zone {
+            name: name.to_owned(),
+            on_demand: engines / 3,
+            ..Zone::default()
+        };
+        Self {
+            now_ms: 0,
+            scaling: Scaling::default(),
+            zones: ["a", "b", "c"].map(zone).into(),
+            coming: Vec::new(),
+            dry: Vec::new(),
+            least: usize::MAX,
+            orders: 0,
+        }
+    }
+
+    fn run(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while self.now_ms < until_ms {
+            self.now_ms += 250;
+            let due = self
+                .coming
+                .extract_if(.., |(at_ms, _)| *at_ms <= self.now_ms);
+            for (_, wish) in due {
+                let zone = self
+                    .zones
+                    .iter_mut()
+                    .find(|zone| zone.name == wish.zone)
+                    .unwrap();
+                match wish.kind {
+                    Kind::OnDemand => zone.on_demand = wish.desired,
+                    Kind::Spot => zone.spot = wish.desired,
+                }
+            }
+            let wishes = self.scaling.next(self.now_ms, &terms(), &self.zones);
+            for wish in wishes {
+                self.order(&wish);
+            }
+            let serving = self
+                .zones
+                .iter()
+                .map(|zone| zone.on_demand + zone.spot)
+                .sum();
+            self.least = self.least.min(serving);
+        }
+    }
+
+    fn order(&mut self, wish: &Wish) {
+        self.orders += 1;
+        let zone = self
+            .zones
+            .iter()
+            .find(|zone| zone.name == wish.zone)
+            .unwrap();
+        let there = match wish.kind {
+            Kind::OnDemand => zone.on_demand,
+            Kind::Spot => zone.spot,
+        };
+        let is_dry = wish.kind == Kind::Spot && self.dry.contains(&wish.zone.as_str());
+        let outcome = if is_dry && wish.desired > there {
+            Outcome::Dry
+        } else {
+            let wait_ms = if wish.desired > there { 4_000 } else { 0 };
+            self.coming.push((self.now_ms + wait_ms, wish.clone()));
+            Outcome::Taken
+        };
+        self.scaling.ordered(self.now_ms, wish, outcome);
+    }
+
+    fn take_back(&mut self, name: &str) {
+        let zone = self
+            .zones
+            .iter_mut()
+            .find(|zone| zone.name == name)
+            .unwrap();
+        zone.spot_leaving = std::mem::take(&mut zone.spot);
+    }
+
+    fn counts(&self) -> Vec<(usize, usize)> {
+        self.zones
+            .iter()
+            .map(|zone| (zone.on_demand, zone.spot))
+            .collect()
+    }
+}
+
+/// Load: a fleet of engines on demand. The others cost a fifth, so all of them are replaced, and at no moment fewer serve
+/// than the operators set up.
+#[test]
+fn the_fleet_becomes_one_that_costs_less_and_never_shrinks() {
+    let mut platform = Platform::with(111);
+    platform.run(12_000);
+    assert_eq!(platform.counts(), [(0, 37), (0, 37), (0, 37)]);
+    assert_eq!(platform.least, 111);
+    let orders = platform.orders;
+    platform.run(60_000);
+    assert_eq!(platform.orders, orders, "orders without a cause");
+}
+
+/// Load: a zone's engines are all taken back and none are to be had there. The other zones give as many within the boot
+/// time, nothing more is asked of the dry one than it must have, and no zone goes beyond its bound.
+#[test]
+fn what_a_zone_takes_back_comes_from_the_others() {
+    let mut platform = Platform::with(111);
+    platform.run(12_000);
+    platform.dry = vec!["b"];
+    platform.take_back("b");
+    platform.run(5_000);
+    let counts = platform.counts();
+    let spot: usize = counts.iter().map(|(_, spot)| spot).sum();
+    assert_eq!((spot, counts[1]), (111, (1, 0)));
+    assert!(
+        counts
+            .iter()
+            .all(|(on_demand, spot)| on_demand + spot <= 76)
+    );
+}
+
+/// Load: no zone has any of the cheap ones left. Those on demand come back until it has.
+#[test]
+fn where_none_are_to_be_had_engines_on_demand_come_back() {
+    let mut platform = Platform::with(111);
+    platform.run(12_000);
+    platform.dry = vec!["a", "b", "c"];
+    for zone in ["a", "b", "c"] {
+        platform.take_back(zone);
+    }
+    platform.run(10_000);
+    assert_eq!(platform.counts(), [(37, 0), (37, 0), (37, 0)]);
+    platform.dry = Vec::new();
+    platform
+        .zones
+        .iter_mut()
+        .for_each(|zone| zone.spot_leaving = 0);
+    platform.run(20_000);
+    assert_eq!(platform.counts(), [(0, 37), (0, 37), (0, 37)]);
+}
+
+/// Guards against an order that is given again at each look while the API does not answer.
+#[test]
+fn an_order_without_an_answer_rests_before_it_is_given_again() {
+    let mut scaling = Scaling::default();
+    let zone = |name: &str| Zone {
+        name: name.to_owned(),
+        on_demand: 4,
+        ..Zone::default()
+    };
+    let zones = ["a", "b", "c"].map(zone);
+    scaling.next(0, &terms(), &zones);
+    let wishes = scaling.next(1_000, &terms(), &zones);
+    assert_eq!(wishes.len(), 3);
+    for wish in &wishes {
+        scaling.ordered(1_000, wish, Outcome::Failed);
+    }
+    assert!(scaling.next(2_400, &terms(), &zones).is_empty());
+    assert_eq!(scaling.next(2_500, &terms(), &zones), wishes);
+}
+
+/// Guards against a successor that takes the half of a fleet which is left for the size that is wanted.
+#[test]
+fn a_successor_goes_on_with_the_size_that_was_wanted() {
+    let mut scaling = Scaling::default();
+    let wish = Wish {
+        zone: "a".to_owned(),
+        kind: Kind::Spot,
+        desired: 37,
+    };
+    scaling.adopt(111, &wish);
+    let zone = |name: &str| Zone {
+        name: name.to_owned(),
+        spot: if name == "a" { 37 } else { 0 },
+        ..Zone::default()
+    };
+    let wishes = scaling.next(0, &terms(), &["a", "b", "c"].map(zone));
+    let spot: usize = wishes
+        .iter()
+        .filter(|wish| wish.kind == Kind::Spot)
+        .map(|wish| wish.desired)
+        .sum();
+    assert_eq!((scaling.wanted(), spot), (Some(111), 74));
+}
--- a/crates/lease/src/lib.rs
+++ b/crates/lease/src/lib.rs
@@ -12,7 +12,7 @@
 pub use desk::{Desk, EngineReport, Move, Send, Wish};
 pub use elector::{Action, Authority, Elector, Identity, Times};
 pub use guard::{Guard, HELD_BACK_MS, Watch};
-pub use turns::{Ticket, Turns};
+pub use turns::{Ticket, TurnTimes, Turns};
 
 /// Bound on how much faster one instance's monotonic clock may run than another's.
 ///
--- a/crates/lease/src/turns.rs
+++ b/crates/lease/src/turns.rs
@@ -5,13 +5,44 @@
 //! Whoever has read another holder's order stays quiet for as long as that order could still be on
 //! its way, and for the time in which engines must not hear two holders. See docs/design/orders.md.
 
-/// Time from before an order is appended in which it may be sent, in ms: a store's slow answer, and
-/// a question to the engine.
-const SEND_MS: u64 = 1_500;
+/// How long what a holder was allowed may take, in ms.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct TurnTimes {
+    /// From before an append is asked for, the time in which what it allows may be sent.
+    pub send_ms: u64,
+    /// Time after which nothing that was sent is still on its way.
+    pub underway_ms: u64,
+    /// Time by which what two holders send must be apart.
+    pub lease_ms: u64,
+}
 
-/// Time after which nothing that was sent is still on its way, in ms: the kernel drops a connection
-/// whose bytes stay unacknowledged for 4 s, and a packet lives for far less in one region.
-const UNDERWAY_MS: u64 = 5_000;
+impl TurnTimes {
+    /// Of orders to engines: a store's slow answer and a question to the engine come before the send, and the kernel
+    /// drops a connection whose bytes stay unacknowledged for 4 s.
+    pub fn of_orders(lease_ms: u64) -> Self {
+        Self {
+            send_ms: 1_500,
+            underway_ms: 5_000,
+            lease_ms,
+        }
+    }
+
+    /// Of calls to the platform's API: each has a connection of its own, which is reset when its answer does not come,
+    /// and with it the bytes that wait for a link. What then still arrives does so at the moment at which a link heals
+    /// or a sender wakes, and is not held against anybody.
+    pub fn of_calls(lease_ms: u64) -> Self {
+        Self {
+            send_ms: 1_000,
+            underway_ms: 1_000,
+            lease_ms,
+        }
+    }
+
+    /// Time for which a holder is quiet after it has read of another one.
+    fn quiet_ms(&self) -> u64 {
+        self.send_ms + self.underway_ms + self.lease_ms
+    }
+}
 
 /// The right to send one order.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -38,17 +69,17 @@
 #[derive(Debug, Clone)]
 pub struct Turns {
     holder: u64,
-    lease_ms: u64,
+    times: TurnTimes,
     end: Option<u64>,
     other_ms: Option<u64>,
 }
 
 impl Turns {
-    /// For a holder that has read nothing, where orders of two holders must be `lease_ms` apart.
-    pub fn new(holder: u64, lease_ms: u64) -> Self {
+    /// For a holder that has read nothing.
+    pub fn new(holder: u64, times: TurnTimes) -> Self {
         Self {
             holder,
-            lease_ms,
+            times,
             end: None,
             other_ms: None,
         }
@@ -85,7 +116,7 @@
 
     /// Offset at which the log must end for this holder's order to be appended now.
     pub fn may_append(&self, since_boot_ms: u64) -> Option<u64> {
-        let quiet_ms = SEND_MS + UNDERWAY_MS + self.lease_ms;
+        let quiet_ms = self.times.quiet_ms();
         let is_quiet = |other_ms: u64| since_boot_ms >= other_ms + quiet_ms;
         self.end.filter(|_| self.other_ms.is_none_or(is_quiet))
     }
@@ -95,7 +126,7 @@
         self.end = Some(offset + 1);
         Ticket {
             fence: offset + 1,
-            until_ms: asked_ms + SEND_MS,
+            until_ms: asked_ms + self.times.send_ms,
         }
     }
 }
--- a/crates/lease/tests/turns.rs
+++ b/crates/lease/tests/turns.rs
@@ -2,7 +2,7 @@
 
 use std::collections::HashMap;
 
-use lease::{Ticket, Turns};
+use lease::{Ticket, TurnTimes, Turns};
 use proptest::prelude::*;
 
 /// Time by which orders of two holders to one engine must be apart, in ms.
@@ -11,6 +11,9 @@
 /// Longest time for which the kernel repeats bytes that are not acknowledged, in ms.
 const UNDERWAY_MS: u64 = 4_000;
 
+/// Longest time after which a call without an answer has its connection reset, in ms.
+const CALL_MS: u64 = 700;
+
 /// A log that appends under a condition.
 #[derive(Default)]
 struct Log {
@@ -45,7 +48,10 @@
 #[test]
 fn a_successor_waits_and_has_a_greater_token() {
     let mut log = Log::default();
-    let (mut first, mut second) = (Turns::new(1, LEASE_MS), Turns::new(2, LEASE_MS));
+    let (mut first, mut second) = (
+        Turns::new(1, TurnTimes::of_orders(LEASE_MS)),
+        Turns::new(2, TurnTimes::of_orders(LEASE_MS)),
+    );
     log.read_by(&mut first, 0);
     let given = order(&mut log, &mut first, 10).expect("nobody else has ordered");
     log.read_by(&mut second, 20);
@@ -62,7 +68,10 @@
 #[test]
 fn of_two_at_once_one_gets_the_right() {
     let mut log = Log::default();
-    let (mut first, mut second) = (Turns::new(1, LEASE_MS), Turns::new(2, LEASE_MS));
+    let (mut first, mut second) = (
+        Turns::new(1, TurnTimes::of_orders(LEASE_MS)),
+        Turns::new(2, TurnTimes::of_orders(LEASE_MS)),
+    );
     log.read_by(&mut first, 0);
     log.read_by(&mut second, 0);
     assert!(order(&mut log, &mut first, 10).is_some());
@@ -74,7 +83,7 @@
 #[test]
 fn a_right_lapses_while_its_holder_is_suspended() {
     let mut log = Log::default();
-    let mut turns = Turns::new(1, LEASE_MS);
+    let mut turns = Turns::new(1, TurnTimes::of_orders(LEASE_MS));
     log.read_by(&mut turns, 0);
     let ticket = order(&mut log, &mut turns, 100).expect("nobody else has ordered");
     assert!(ticket.is_valid(1_000));
@@ -86,7 +95,7 @@
 #[test]
 fn what_was_not_read_is_not_built_on() {
     let log = Log::default();
-    let mut turns = Turns::new(1, LEASE_MS);
+    let mut turns = Turns::new(1, TurnTimes::of_orders(LEASE_MS));
     log.read_by(&mut turns, 0);
     turns.lost_end();
     assert_eq!(turns.may_append(100), None);
@@ -138,61 +147,81 @@
     /// no token is less than one that was sent before by another holder, none is sent twice, and sends
     /// of two holders are apart by the lease even if the first was under way for as long as can be.
     #[test]
-    fn no_engine_hears_two_holders(
-        steps in prop::collection::vec((0_usize..3, step(), passed_ms()), 1..250)
-    ) {
-        let mut log = Log::default();
-        let mut lives = 3;
-        let mut all: Vec<Turns> = (1..=3).map(|holder| Turns::new(holder, LEASE_MS)).collect();
-        let mut rights: HashMap<u64, (Ticket, u64)> = HashMap::new();
-        let mut sent: Vec<(u64, u64, u64)> = Vec::new();
-        let mut now_ms = 10_000;
-        for (who, step, passed_ms) in steps {
-            now_ms += passed_ms;
-            let turns = &mut all[who];
-            let holder = turns.holder();
-            match step {
-                Step::Read => log.read_by(turns, now_ms),
-                Step::Append => {
-                    if let Some(ticket) = order(&mut log, turns, now_ms) {
-                        rights.insert(holder, (ticket, holder));
-                    } else {
-                        turns.lost_end();
-                    }
-                }
-                Step::AppendUnheard => {
-                    if let Some(end) = turns.may_append(now_ms) {
-                        log.append_at(holder, end);
-                    }
+    fn no_engine_hears_two_holders(steps in steps()) {
+        hear_one_holder_at_a_time(TurnTimes::of_orders(LEASE_MS), UNDERWAY_MS, steps)?;
+    }
+
+    /// The same for calls, whose connections are reset when their time is up.
+    #[test]
+    fn no_call_is_heard_from_two_holders(steps in steps()) {
+        hear_one_holder_at_a_time(TurnTimes::of_calls(LEASE_MS), CALL_MS, steps)?;
+    }
+}
+
+fn steps() -> impl Strategy<Value = Vec<(usize, Step, u64)>> {
+    prop::collection::vec((0_usize..3, step(), passed_ms()), 1..250)
+}
+
+fn hear_one_holder_at_a_time(
+    times: TurnTimes,
+    underway_ms: u64,
+    steps: Vec<(usize, Step, u64)>,
+) -> Result<(), TestCaseError> {
+    let mut log = Log::default();
+    let mut lives = 3;
+    let mut all: Vec<Turns> = (1..=3).map(|holder| Turns::new(holder, times)).collect();
+    let mut rights: HashMap<u64, (Ticket, u64)> = HashMap::new();
+    let mut sent: Vec<(u64, u64, u64)> = Vec::new();
+    let mut now_ms = 10_000;
+    for (who, step, passed_ms) in steps {
+        now_ms += passed_ms;
+        let turns = &mut all[who];
+        let holder = turns.holder();
+        match step {
+            Step::Read => log.read_by(turns, now_ms),
+            Step::Append => {
+                if let Some(ticket) = order(&mut log, turns, now_ms) {
+                    rights.insert(holder, (ticket, holder));
+                } else {
                     turns.lost_end();
                 }
-                Step::AppendLate(late_ms) => {
-                    let asked_ms = now_ms - late_ms;
-                    if let Some(offset) = turns.may_append(asked_ms).and_then(|end| log.append_at(holder, end)) {
-                        let ticket = turns.appended(asked_ms, offset);
-                        rights.insert(holder, (ticket, holder));
-                    }
+            }
+            Step::AppendUnheard => {
+                if let Some(end) = turns.may_append(now_ms) {
+                    log.append_at(holder, end);
                 }
-                Step::Send => {
-                    if let Some((ticket, holder)) = rights.remove(&holder)
-                        && ticket.is_valid(now_ms)
-                    {
-                        sent.push((now_ms, holder, ticket.fence));
-                    }
+                turns.lost_end();
+            }
+            Step::AppendLate(late_ms) => {
+                let asked_ms = now_ms - late_ms;
+                if let Some(offset) = turns
+                    .may_append(asked_ms)
+                    .and_then(|end| log.append_at(holder, end))
+                {
+                    let ticket = turns.appended(asked_ms, offset);
+                    rights.insert(holder, (ticket, holder));
                 }
-                Step::Restart => {
-                    lives += 1;
-                    rights.remove(&holder);
-                    *turns = Turns::new(lives, LEASE_MS);
+            }
+            Step::Send => {
+                if let Some((ticket, holder)) = rights.remove(&holder)
+                    && ticket.is_valid(now_ms)
+                {
+                    sent.push((now_ms, holder, ticket.fence));
                 }
             }
-        }
-        for pair in sent.windows(2) {
-            let ((at_ms, holder, fence), (next_ms, next_holder, next_fence)) = (pair[0], pair[1]);
-            prop_assert!(next_fence > fence, "{pair:?}");
-            if holder != next_holder {
-                prop_assert!(next_ms >= at_ms + UNDERWAY_MS + LEASE_MS, "{pair:?}");
+            Step::Restart => {
+                lives += 1;
+                rights.remove(&holder);
+                *turns = Turns::new(lives, times);
             }
         }
     }
+    for pair in sent.windows(2) {
+        let ((at_ms, holder, fence), (next_ms, next_holder, next_fence)) = (pair[0], pair[1]);
+        prop_assert!(next_fence > fence, "{pair:?}");
+        if holder != next_holder {
+            prop_assert!(next_ms >= at_ms + underway_ms + LEASE_MS, "{pair:?}");
+        }
+    }
+    Ok(())
 }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -54,6 +54,8 @@
     pub sends: Cell<u32>,
     /// Upstreams that it was sent to, those that rejected it included.
     pub attempts: Cell<u32>,
+    /// Whether an upstream has begun with it, as far as is known.
+    pub has_begun: Cell<bool>,
     /// Whether its answer has ended, well or not.
     pub is_over: Cell<bool>,
     /// Whether it has been sent to an upstream, run there or not.
@@ -114,6 +116,7 @@
             due_ms: arrived_ms.saturating_add(wait_ms),
             sends: Cell::default(),
             attempts: Cell::default(),
+            has_begun: Cell::default(),
             is_over: Cell::default(),
             is_sent: Cell::default(),
             at: RefCell::default(),
@@ -169,6 +172,8 @@
 
 impl Drop for Call {
     fn drop(&mut self) {
+        let terms = self.relay.settings.borrow().duties;
+        self.relay.duties.ended_unanswered(terms, self);
         if self.is_over.get() {
             return;
         }
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use duty::scale;
 use keys::{KeyHash, Keyring};
 use serde::{Deserialize, Serialize};
 
@@ -85,12 +86,15 @@
 }
 
 /// What is known of a service beside its upstreams.
-#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Service {
     /// Connections that one upstream accepts from all instances together.
     pub max_connections: usize,
     /// Set for services of model engines.
     pub engine: Option<EngineLimits>,
+    /// Set for services whose upstreams are ordered.
+    #[serde(default)]
+    pub scale: Option<scale::Terms>,
 }
 
 /// Limits of a service's engines.
@@ -252,6 +256,7 @@
     }
 
     /// The same for those who may ask.
+    #[must_use]
     pub fn with_access(self, access: Access) -> Self {
         Self { access, ..self }
     }
--- /dev/null
+++ b/crates/relay/src/duties.rs
@@ -0,0 +1,233 @@
+//! What this instance does for the whole fleet, or leaves to the one that does.
+//!
+//! Every instance counts what runs for whom and passes it on. A few, the keepers, gather all of it; one of them reports
+//! usage and orders engines. Which one that is only keeps keepers from acting at once: that no two are heard rests on
+//! `lease::Turns`. See docs/design/duties.md.
+
+mod acts;
+mod fleet;
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use duty::scale::Scaling;
+use duty::{Ledger, Reports, Windows};
+use lease::{TurnTimes, Turns};
+use rand::Rng;
+use tick::since_boot_ms;
+use view::{FleetClock, InstanceKey, Kind, Told, WorkspaceKey};
+
+use crate::call::Call;
+use crate::config::{Access, Kind as RouteKind};
+use crate::relay::Relay;
+use crate::relay::unix_ms;
+
+pub use acts::{
+    Act, DutyRecord, Outcome, ScaleOrder, begin, done, log_was_lost, record, take_record,
+};
+pub use fleet::look;
+
+/// Time between two looks at what is due, in ms.
+pub const LOOK_MS: u64 = 250;
+
+/// Time between two looks of a keeper that does not act at what the one that acts has fixed, in ms: it then need not
+/// wait before it takes over.
+pub const WATCH_MS: u64 = 6_000;
+
+/// Instances that gather what all have counted: two more than the one that acts, so that two may end at once.
+pub const KEEPERS: usize = 3;
+
+/// Time after its start for which an instance does not act, in ms: until it has heard of the others, it would take itself
+/// for the first of them.
+const START_MS: u64 = 1_500;
+
+/// Time for which a new keeper leaves acting to those that gathered before, in ms: by then it has heard the whole of a
+/// window that is to be reported.
+const NEW_MS: u64 = 8_000;
+
+/// Time between two datagrams with tallies of this instance, and of a hub with those of many, in ms: what is lost with
+/// an instance is what it counted in between.
+const TELL_MS: u64 = 200;
+const TELL_MANY_MS: u64 = 400;
+
+/// Calls in a row without success after which another keeper may act, and for how long, in ms.
+const FAILED_CALLS: u32 = 2;
+const YIELD_MS: u64 = 10_000;
+
+/// Which duties there are, as the operators set them.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Terms {
+    /// Windows for which usage is reported.
+    pub usage: Option<Windows>,
+    /// Whether engines are ordered.
+    pub scales: bool,
+}
+
+impl Terms {
+    /// Whether there is any duty.
+    pub fn any(&self) -> bool {
+        self.usage.is_some() || self.scales
+    }
+}
+
+/// Duties of one instance.
+pub struct Duties {
+    turns: RefCell<Turns>,
+    ledger: RefCell<Ledger>,
+    reports: RefCell<Option<Reports>>,
+    scaling: RefCell<HashMap<String, Scaling>>,
+    names: RefCell<HashMap<WorkspaceKey, String>>,
+    clock: RefCell<FleetClock>,
+    last_fence: Cell<u64>,
+    keeper_since_ms: Cell<Option<u64>>,
+    failed_calls: Cell<u32>,
+    yields_until_ms: Cell<u64>,
+    told_ms: Cell<u64>,
+    told_to: Cell<Option<SocketAddr>>,
+    holds: Cell<bool>,
+}
+
+impl Duties {
+    /// Of an instance that has done nothing yet, where calls of two holders must be `lease_ms` apart.
+    pub fn new(lease_ms: u64) -> Self {
+        let mut rng = rand::rng();
+        Self {
+            turns: RefCell::new(Turns::new(rng.random(), TurnTimes::of_calls(lease_ms))),
+            ledger: RefCell::new(Ledger::new(rng.random())),
+            reports: RefCell::default(),
+            scaling: RefCell::default(),
+            names: RefCell::default(),
+            clock: RefCell::default(),
+            last_fence: Cell::default(),
+            keeper_since_ms: Cell::default(),
+            failed_calls: Cell::default(),
+            yields_until_ms: Cell::default(),
+            told_ms: Cell::default(),
+            told_to: Cell::default(),
+            holds: Cell::default(),
+        }
+    }
+
+    /// What this instance knows of the log of duties.
+    pub fn turns(&self) -> &RefCell<Turns> {
+        &self.turns
+    }
+
+    /// Time of day that the fleet goes by, in ms since 1970.
+    pub fn fleet_ms(&self) -> u64 {
+        self.clock.borrow_mut().now_ms(since_boot_ms(), unix_ms())
+    }
+
+    /// Learns the names of workspaces; those of earlier versions are still to be reported.
+    pub fn learn_names(&self, access: &Access) {
+        let mut names = self.names.borrow_mut();
+        for workspace in access.workspaces() {
+            let key = WorkspaceKey::of(&workspace.name);
+            let known = names.entry(key).or_insert_with(|| workspace.name.clone());
+            if *known != workspace.name {
+                log::error!(workspace = workspace.name, other = known.as_str(); "two workspaces have one short name");
+            }
+        }
+    }
+
+    /// A request was begun at an upstream, as far as its answer or the want of one tells.
+    pub fn began(&self, terms: Terms, call: &Call) {
+        let (Some(windows), Some(workspace)) = (terms.usage, &call.workspace) else {
+            return;
+        };
+        if call.has_begun.replace(true) {
+            return;
+        }
+        let window = windows.at(self.fleet_ms());
+        let key = WorkspaceKey::of(&workspace.name);
+        self.ledger.borrow_mut().began(window, key);
+    }
+
+    /// A request is over that no answer came to. A plain service begins at once with what reaches it, an engine with
+    /// its first token, which would have come here.
+    pub fn ended_unanswered(&self, terms: Terms, call: &Call) {
+        if call.route.kind != RouteKind::Stream && call.sends.get() > 0 {
+            self.began(terms, call);
+        }
+    }
+
+    /// Takes in what another instance told.
+    pub fn heard(&self, terms: Terms, told: &Told) {
+        self.clock.borrow_mut().heard(since_boot_ms(), told);
+        let Some(windows) = terms.usage.filter(|_| !told.tallies.is_empty()) else {
+            return;
+        };
+        let now = windows.at(self.fleet_ms());
+        let mut ledger = self.ledger.borrow_mut();
+        for tally in &told.tallies {
+            ledger.heard(now, tally, told.kind == Kind::Report);
+        }
+    }
+
+    /// Adds tallies to what goes out: to the own hub, or from a hub to the keepers.
+    pub fn tell(&self, now_ms: u64, out: &mut [(SocketAddr, Told)], keepers: &[SocketAddr]) {
+        let gathers = out.iter().any(|(_, told)| told.kind == Kind::Sum);
+        let period_ms = if gathers { TELL_MANY_MS } else { TELL_MS };
+        if out.is_empty() || now_ms < self.told_ms.get() + period_ms {
+            return;
+        }
+        self.told_ms.set(now_ms);
+        let hub = (!gathers).then(|| out[0].0);
+        let mut ledger = self.ledger.borrow_mut();
+        if self.told_to.replace(hub) != hub {
+            ledger.tell_again();
+        }
+        let tallies = ledger.told();
+        for (peer, told) in out {
+            let is_meant = match told.kind {
+                Kind::Report => true,
+                Kind::Sum => keepers.contains(peer),
+                Kind::Digest => false,
+            };
+            if is_meant {
+                told.tallies.clone_from(&tallies);
+            }
+        }
+    }
+}
+
+/// Fencing token of the last call that this instance made for the fleet, if it may make the next.
+pub fn holds_after(relay: &Relay) -> Option<u64> {
+    let duties = &relay.duties;
+    let now_ms = relay.now_ms();
+    if !relay.settings.borrow().duties.any() {
+        return None;
+    }
+    let is_alone = !relay.members.borrow().is_known();
+    let is_keeper = is_alone || relay.rank() < KEEPERS;
+    if !is_keeper {
+        duties.keeper_since_ms.set(None);
+        return None;
+    }
+    let since_ms = duties.keeper_since_ms.get().unwrap_or(now_ms);
+    duties.keeper_since_ms.set(Some(since_ms));
+    let has_others = relay.shared.borrow().holders().next().is_some();
+    let is_new = now_ms < since_ms + NEW_MS && has_others;
+    let yields = now_ms < duties.yields_until_ms.get();
+    let has_begun = now_ms >= START_MS;
+    let may = relay.is_ready() && has_begun && !is_new && !yields && !relay.orders.has_lost_store();
+    may.then(|| duties.last_fence.get())
+}
+
+/// Whether this instance acts now: the one that acted last, or else the first by key.
+fn is_holder(relay: &Relay) -> bool {
+    let mine = holds_after(relay);
+    let holds = mine.is_some_and(|fence| {
+        let own = InstanceKey::of(&relay.settings.borrow().name);
+        crate::orders::goes_first((own, fence), relay.shared.borrow().holders())
+    });
+    if relay.duties.holds.replace(holds) != holds {
+        log::info!(
+            holds, fence = relay.duties.last_fence.get(), may = mine.is_some(), rank = relay.rank(),
+            lost_store = relay.orders.has_lost_store();
+            "duties held"
+        );
+    }
+    holds
+}
--- /dev/null
+++ b/crates/relay/src/duties/fleet.rs
@@ -0,0 +1,108 @@
+//! What is due now, as far as this instance knows the fleet.
+
+use std::collections::{BTreeMap, HashMap};
+
+use duty::scale::{self, Zone};
+use duty::{Due, Report, Reports, Windows};
+
+use super::{Act, ScaleOrder, is_holder};
+use crate::relay::Relay;
+
+/// The calls that this instance should make now, the most urgent first.
+pub fn look(relay: &Relay) -> Vec<Act> {
+    let terms = relay.settings.borrow().duties;
+    let is_holder = is_holder(relay);
+    let usage = terms.usage.and_then(|windows| usage_due(relay, windows));
+    let scale = if terms.scales {
+        scale_due(relay)
+    } else {
+        Vec::new()
+    };
+    if !is_holder {
+        return Vec::new();
+    }
+    usage.into_iter().chain(scale).collect()
+}
+
+fn usage_due(relay: &Relay, windows: Windows) -> Option<Act> {
+    let duties = &relay.duties;
+    let now_ms = duties.fleet_ms();
+    let mut reports = duties.reports.borrow_mut();
+    let reports = reports.get_or_insert_with(|| Reports::new(windows, now_ms));
+    let has_counts = |window| duties.ledger.borrow().sum(window).is_some();
+    let report = match reports.due(now_ms, has_counts)? {
+        Due::Send(report) => report,
+        Due::Fix(window) => Report {
+            window,
+            counts: counts(relay, window),
+        },
+    };
+    Some(Act::Usage(report))
+}
+
+/// What ran in a window, by names of workspaces.
+fn counts(relay: &Relay, window: u64) -> BTreeMap<String, u64> {
+    let names = relay.duties.names.borrow();
+    let sum = relay.duties.ledger.borrow().sum(window).unwrap_or_default();
+    let mut counts = BTreeMap::new();
+    for (key, count) in sum {
+        match names.get(&key) {
+            Some(name) => {
+                counts.insert(name.clone(), count);
+            }
+            None => {
+                log::error!(window, count, key:?; "usage of a workspace without a name is not reported");
+            }
+        }
+    }
+    counts
+}
+
+fn scale_due(relay: &Relay) -> Vec<Act> {
+    let Some(config) = relay.config() else {
+        return Vec::new();
+    };
+    let now_ms = relay.now_ms();
+    let mut acts = Vec::new();
+    for (service, terms) in config
+        .services()
+        .iter()
+        .filter_map(|(name, it)| Some((name, it.scale.as_ref()?)))
+    {
+        let zones = zones(relay, service, terms);
+        let mut all = relay.duties.scaling.borrow_mut();
+        let scaling = all.entry(service.clone()).or_default();
+        let wishes = scaling.next(now_ms, terms, &zones);
+        let wanted = scaling.wanted().unwrap_or_default();
+        acts.extend(wishes.into_iter().map(|wish| {
+            Act::Scale(ScaleOrder {
+                service: service.clone(),
+                wanted,
+                wish,
+            })
+        }));
+    }
+    acts
+}
+
+/// Engines of a service in each zone that may have some.
+fn zones(relay: &Relay, service: &str, terms: &scale::Terms) -> Vec<Zone> {
+    let mut names: Vec<&String> = terms.zone_prices.keys().collect();
+    names.sort_unstable();
+    let mut zones: HashMap<&str, Zone> = HashMap::new();
+    let upstreams = relay.upstreams.borrow();
+    for upstream in upstreams.iter().filter(|each| each.service == service) {
+        let zone = zones.entry(&upstream.zone).or_default();
+        match (upstream.is_spot, upstream.is_ready()) {
+            (true, true) => zone.spot += 1,
+            (true, false) => zone.spot_leaving += 1,
+            (false, true) => zone.on_demand += 1,
+            (false, false) => {}
+        }
+    }
+    let all = names.into_iter().map(|name| Zone {
+        name: name.clone(),
+        ..zones.remove(name.as_str()).unwrap_or_default()
+    });
+    all.collect()
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod config;
 pub mod dialect;
 pub mod directory;
+pub mod duties;
 pub mod events;
 pub mod forward;
 pub mod front;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -53,6 +53,8 @@
     pub poisonous: IntGauge,
     /// Requests whose answers are not out yet.
     pub in_flight: IntGauge,
+    /// Calls for the whole fleet, by call and outcome.
+    pub duties: IntCounterVec,
     /// Calls to the store, by call and outcome.
     pub store_calls: IntCounterVec,
 }
@@ -93,6 +95,7 @@
             answers: counter("answers_total", "Whole answers.", &["route", "in_time"]),
             refusals: counter("refusals_total", "Not served.", &["route", "reason"]),
             placed: counter("placed_total", "Prompts.", &["service", "read", "held"]),
+            duties: counter("duties_total", "Calls for the fleet.", &["call", "outcome"]),
             orders: counter("orders_total", "Orders to engines.", &["outcome"]),
             own_s: histogram("own_seconds", "Time to the first send.", &["route"]),
             wait_s: histogram("wait_seconds", "Predicted wait.", &["service"]),
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -11,7 +11,7 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
-use lease::Turns;
+use lease::{TurnTimes, Turns};
 use plan::{Demand, Peak, Rate, Split, SplitPlan, Turn, Verdict, turns_at_once};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -111,7 +111,10 @@
     /// An instance that has given none, where holders must be `lease_ms` apart.
     pub fn new(lease_ms: u64) -> Self {
         Self {
-            turns: RefCell::new(Turns::new(rand::rng().random(), lease_ms)),
+            turns: RefCell::new(Turns::new(
+                rand::rng().random(),
+                TurnTimes::of_orders(lease_ms),
+            )),
             asked: RefCell::default(),
             given: RefCell::default(),
             looked_ms: Cell::default(),
@@ -125,6 +128,11 @@
         self.lost_store.set(!was_answered);
     }
 
+    /// Whether the last call to the store was not answered.
+    pub fn has_lost_store(&self) -> bool {
+        self.lost_store.get()
+    }
+
     /// What callers ask of this instance, to be told to others.
     pub fn demand(&self, now_ms: u64) -> Vec<ServiceDemand> {
         let all = self.asked.borrow();
@@ -171,9 +179,18 @@
         return false;
     };
     let own = InstanceKey::of(&relay.settings.borrow().name);
+    goes_first((own, fence), relay.shared.borrow().givers())
+}
+
+/// Whether one instance goes before the others, each with the token of what it did last: the one that acted last, or
+/// else the first by key.
+pub fn goes_first(
+    (own, fence): (InstanceKey, u64),
+    mut others: impl Iterator<Item = (InstanceKey, u64)>,
+) -> bool {
     let goes_before =
         |(key, theirs)| (theirs, std::cmp::Reverse(key)) > (fence, std::cmp::Reverse(own));
-    !relay.shared.borrow().givers().any(goes_before)
+    !others.any(goes_before)
 }
 
 /// Measures what is asked, and gives the changes that this instance should order now.
--- a/crates/relay/src/orders/giving.rs
+++ b/crates/relay/src/orders/giving.rs
@@ -4,13 +4,13 @@
 
 use bytes::Bytes;
 use http::{HeaderMap, Method, Request, StatusCode, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use lease::Ticket;
 use tick::since_boot_ms;
 
 use super::{Order, Wish};
 use crate::dialect::EngineReport;
-use crate::pool::{Pool, exchange};
+use crate::pool::call_alone;
 use crate::relay::Relay;
 use crate::upstream::{Stage, Upstream};
 
@@ -159,24 +159,11 @@
     Ok(request)
 }
 
-/// One call over a connection of its own, which ends with it: what the kernel still holds of an
-/// order that was given up must not leave over a connection that lives on.
 async fn call(
     relay: &Relay,
     engine: &Upstream,
     request: Request<Full<Bytes>>,
 ) -> Result<(StatusCode, Bytes), String> {
-    let answer = async {
-        let pool = Pool::new(engine.address, relay.clock);
-        let (response, _lease) = exchange(&pool, 1, request)
-            .await
-            .map_err(|fault| fault.to_string())?;
-        let status = response.status();
-        let collected = response.into_body().collect().await;
-        let body = collected.map_err(|error| error.to_string())?.to_bytes();
-        Ok((status, body))
-    };
     let wait = Duration::from_millis(CALL_MS);
-    let answered = actix_rt::time::timeout(wait, answer).await;
-    answered.unwrap_or_else(|_| Err(format!("nothing within {CALL_MS} ms")))
+    call_alone(engine.address, relay.clock, request, wait).await
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,8 +8,8 @@
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use derive_more::Display;
-use http::{Request, Response};
-use http_body_util::Full;
+use http::{Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
@@ -300,3 +300,25 @@
         None => IDLE_MS,
     }
 }
+
+/// One call over a connection of its own, which ends with it: what the kernel still holds of a call that was given up
+/// does not leave over a connection that lives on.
+pub async fn call_alone(
+    peer: SocketAddr,
+    clock: Clock,
+    request: Request<Full<Bytes>>,
+    wait: Duration,
+) -> Result<(StatusCode, Bytes), String> {
+    let answer = async {
+        let pool = Pool::new(peer, clock);
+        let (response, _lease) = exchange(&pool, 1, request)
+            .await
+            .map_err(|fault| fault.to_string())?;
+        let status = response.status();
+        let collected = response.into_body().collect().await;
+        let body = collected.map_err(|error| error.to_string())?.to_bytes();
+        Ok((status, body))
+    };
+    let answered = actix_rt::time::timeout(wait, answer).await;
+    answered.unwrap_or_else(|_| Err(format!("nothing within {} ms", wait.as_millis())))
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -5,6 +5,7 @@
 mod suspects;
 
 pub use list::{ChangesRead, Origin};
+pub(crate) use others::unix_ms;
 pub use suspects::PoisonRecord;
 
 use std::cell::{Cell, RefCell};
@@ -20,6 +21,7 @@
 use crate::audit::{LineBudget, lines_left_out};
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
+use crate::duties::{self, Duties};
 use crate::learned::Learned;
 use crate::metrics::Metrics;
 use crate::orders::Orders;
@@ -53,6 +55,8 @@
     pub lease_ms: u64,
     /// Speed of its link.
     pub link_mbps: u32,
+    /// What one instance does for all.
+    pub duties: duties::Terms,
 }
 
 /// How far a process has come on its way out.
@@ -104,6 +108,8 @@
     suspects: RefCell<Suspects>,
     /// Orders to engines.
     pub orders: Orders,
+    /// What one instance does for all.
+    pub duties: Duties,
     /// How far the list of upstreams was read.
     pub list: RefCell<Followed>,
     /// What the list last said.
@@ -118,6 +124,7 @@
         let metrics = Metrics::new(&settings.name, &settings.zone);
         let upstreams = Upstreams::new(&settings.zone, clock);
         let orders = Orders::new(settings.lease_ms);
+        let duties = Duties::new(settings.lease_ms);
         let own = InstanceKey::of(&settings.name);
         Rc::new(Self {
             settings: RefCell::new(settings),
@@ -141,6 +148,7 @@
             learned: Learned::default(),
             suspects: RefCell::default(),
             orders,
+            duties,
             list: RefCell::new(Followed::new(own)),
             said: RefCell::default(),
             configs: RefCell::new(Followed::new(own)),
@@ -196,6 +204,7 @@
         self.metrics
             .config_version
             .set(config.version.cast_signed());
+        self.duties.learn_names(&config.access);
         *current = Some(Rc::new(config));
         true
     }
--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -11,7 +11,7 @@
 use view::{Followed, InstanceKey, Member, Told};
 
 use super::Relay;
-use crate::orders;
+use crate::{duties, orders};
 
 /// Time after which the order of instances is looked at again without a new record, in ms: a fraction of
 /// the time in which one counts as silent.
@@ -92,9 +92,18 @@
             self.members.borrow_mut().lives(now_ms, key);
         }
         self.look_at_ranks();
-        self.shared
-            .borrow_mut()
-            .tick(now_ms, own, &self.ranks.borrow())
+        let ranks = self.ranks.borrow();
+        let mut out = self.shared.borrow_mut().tick(now_ms, own, &ranks);
+        let keepers = ranks.hubs.iter().take(duties::KEEPERS);
+        let keepers: Vec<SocketAddr> = keepers.filter_map(|keeper| keeper.peer).collect();
+        self.duties.tell(now_ms, &mut out, &keepers);
+        out
+    }
+
+    /// Instances before this one in the order in which they take parts for the others.
+    pub fn rank(&self) -> usize {
+        self.look_at_ranks();
+        self.ranks.borrow().rank
     }
 
     fn own(&self) -> Own {
@@ -114,6 +123,9 @@
                 .collect(),
             demand: self.orders.demand(now_ms),
             gives_after: orders::gives_after(self, duty),
+            holds_after: duties::holds_after(self),
+            clock_ms: unix_ms(),
+            fleet_ms: self.duties.fleet_ms(),
             list: mark(&self.list),
             config: mark(&self.configs),
             poisonous: self.poisonous(),
@@ -128,6 +140,7 @@
         self.take_loads(&heard);
         self.take_news(now_ms, told);
         self.take_fates(now_ms, told);
+        self.duties.heard(self.settings.borrow().duties, told);
         let upstreams = self.upstreams.borrow();
         for turning in &told.turning {
             if let Some(upstream) = upstreams.get_by_key(turning.upstream) {
@@ -187,7 +200,7 @@
 
 /// Time of day; a clock set before 1970 counts as 0, and the caller goes by what it knows of its own
 /// earlier records instead.
-pub(super) fn unix_ms() -> u64 {
+pub(crate) fn unix_ms() -> u64 {
     let since = SystemTime::now().duration_since(SystemTime::UNIX_EPOCH);
     since.map_or(0, |since| since.as_millis() as u64)
 }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -76,6 +76,8 @@
     };
     match &sent {
         Sent::Answer(checked) => {
+            let terms = relay.settings.borrow().duties;
+            relay.duties.began(terms, call);
             let took_ms = (relay.now_ms() - began_ms) as f64;
             if call.route.kind != Kind::Stream && checked.response.status().is_success() {
                 let usual_ms = upstream.answer_ms().max(PLAIN_MS);
--- a/crates/relay/src/state.rs
+++ b/crates/relay/src/state.rs
@@ -12,14 +12,14 @@
 use std::time::Duration;
 
 use http::{Request, header};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tick::since_boot_ms;
 use view::{Entry, Member, RequestKey};
 
 use crate::config::{Access, Config, Limits, Route, Service};
-use crate::pool::{Pool, exchange};
+use crate::pool::call_alone;
 use crate::relay::{Origin, Relay};
 use crate::upstreams::Doubt;
 
@@ -135,18 +135,9 @@
         .header(header::HOST, peer.to_string())
         .body(Full::default())
         .map_err(|error| error.to_string())?;
-    let answer = async {
-        let pool = Pool::new(peer, relay.clock);
-        let (response, _lease) = exchange(&pool, 1, request)
-            .await
-            .map_err(|fault| fault.to_string())?;
-        let collected = response.into_body().collect().await;
-        let body = collected.map_err(|error| error.to_string())?.to_bytes();
-        serde_json::from_slice(&body).map_err(|error| error.to_string())
-    };
     let wait = Duration::from_millis(ANSWER_MS);
-    let answered = actix_rt::time::timeout(wait, answer).await;
-    answered.unwrap_or_else(|_| Err(format!("nothing within {ANSWER_MS} ms")))
+    let (_, body) = call_alone(peer, relay.clock, request, wait).await?;
+    serde_json::from_slice(&body).map_err(|error| error.to_string())
 }
 
 /// Takes over what another instance knows and this one does not.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -71,6 +71,8 @@
     pub distance_ms: f64,
     /// Requests that it runs at once.
     pub slots: u32,
+    /// Whether it may be taken back at short notice.
+    pub is_spot: bool,
     /// Its connections.
     pub pool: Rc<Pool>,
     is_looked_at: Cell<bool>,
@@ -105,6 +107,7 @@
             zone: entry.zone.clone(),
             distance_ms,
             slots: entry.slots.max(1),
+            is_spot: entry.is_spot,
             pool: Pool::new(entry.address, clock),
             is_looked_at: Cell::default(),
             joined_ms: clock.now_ms(),
@@ -246,6 +249,7 @@
             standing: self.standing.get(),
             stage: self.stage.get(),
             seq: self.seq.get(),
+            is_spot: self.is_spot,
         }
     }
 
--- a/crates/relay/tests/access.rs
+++ b/crates/relay/tests/access.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::fmt::Write;
+
 use common::{Act, Bed, Seen, StandIn, config, request};
 use http::{HeaderValue, Method, Request};
 use keys::KeyHash;
@@ -9,6 +11,9 @@
 use relay::state::State;
 use relay::upstream::Stage;
 
+/// Headers that a caller adds.
+type Headers = &'static [(&'static str, &'static str)];
+
 /// A prompt long enough to be read apart.
 const LONG: &str = "7:13000,8:4000";
 
@@ -107,7 +112,7 @@
 async fn a_public_route_needs_no_key_and_passes_no_name_on() {
     let desk = desk();
     let bed = bed(&desk);
-    let all: [(&[(&str, &str)], Option<&str>); 4] = [
+    let all: [(Headers, Option<&str>); 4] = [
         (&[], None),
         (&[("x-workspace", "other")], None),
         (&[("x-key", "nobody's"), ("x-workspace", "one")], None),
@@ -214,7 +219,7 @@
     for key in ["key-one", "key-unknown"] {
         let asked = with(request(Method::POST, "/claims/x", "1"), &[("x-key", key)]);
         let response = bed.ask(asked).await.unwrap();
-        said += &format!("{:?}", response.headers());
+        write!(said, "{:?}", response.headers()).unwrap();
     }
     let state = serde_json::to_string(&bed.relay.state()).unwrap();
     let metrics = String::from_utf8(bed.relay.metrics_text()).unwrap();
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -24,6 +24,7 @@
         standing,
         stage: Stage::Whole,
         seq,
+        is_spot: false,
         born_ms: 0,
     }
 }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -83,10 +83,12 @@
             link_mbps: 300_000,
             event_tokens: 7,
         }),
+        scale: None,
     };
     let desk = Service {
         max_connections: 60,
         engine: None,
+        scale: None,
     };
     let services = [("llm".to_owned(), engine), ("desk".to_owned(), desk)].into();
     Config::new(version, routes, services, Limits::default())
@@ -108,6 +110,7 @@
         addresses_ttl_ms: 2_000,
         lease_ms: 3_000,
         link_mbps: 20,
+        duties: relay::duties::Terms::default(),
     }
 }
 
--- a/crates/relay/tests/common/standin.rs
+++ b/crates/relay/tests/common/standin.rs
@@ -157,6 +157,7 @@
             standing: Standing::Ready,
             stage,
             seq: 1,
+            is_spot: false,
             born_ms: 0,
         }
     }
--- a/crates/relay/tests/leaving.rs
+++ b/crates/relay/tests/leaving.rs
@@ -36,6 +36,7 @@
         standing: Standing::Ready,
         stage: Stage::Prefill,
         seq,
+        is_spot: false,
     }
 }
 
--- a/crates/relay/tests/places.rs
+++ b/crates/relay/tests/places.rs
@@ -110,6 +110,7 @@
         standing,
         stage: Stage::Prefill,
         seq,
+        is_spot: false,
     }
 }
 
--- a/crates/view/src/entry.rs
+++ b/crates/view/src/entry.rs
@@ -49,6 +49,9 @@
     pub stage: Stage,
     /// Grows with each entry that the incarnation writes.
     pub seq: u64,
+    /// Whether it may be taken back at short notice, and costs less for it.
+    #[serde(default)]
+    pub is_spot: bool,
 }
 
 /// A change of the list of upstreams.
--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -34,6 +34,19 @@
     }
 }
 
+/// A workspace, by a hash of its name.
+///
+/// Two of 12,000 share a key once in sixty fleets, and then what ran for both is told as one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct WorkspaceKey(#[serde(with = "postcard::fixint::le")] pub u32);
+
+impl WorkspaceKey {
+    /// Of a name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
 /// What a request asks, by a hash of its host, method, path and body.
 ///
 /// Each attempt of a caller has an id of its own; this is what attempts of one request have in common,
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod beats;
 pub mod cadence;
+mod clock;
 pub mod demand;
 pub mod entry;
 pub mod followed;
@@ -21,14 +22,15 @@
 pub mod suspects;
 pub mod told;
 
+pub use clock::FleetClock;
 pub use demand::ServiceDemand;
 pub use entry::{Change, Entry, Stage, Standing};
 pub use followed::{Followed, Mark, Said, Source};
-pub use key::{InstanceKey, RequestKey, UpstreamKey};
+pub use key::{InstanceKey, RequestKey, UpstreamKey, WorkspaceKey};
 pub use load::Load;
 pub use members::{Member, Members};
 pub use news::{News, RecentNews};
 pub use queue::{Queue, RANKS};
 pub use shared::{Heard, Own, Shared};
 pub use suspects::{Fate, Suspects};
-pub use told::{Kind, PartRead, Reading, Told, Turning, decode, encode};
+pub use told::{Kind, PartRead, Reading, Tally, Told, Turning, decode, encode};
--- a/crates/view/src/shared.rs
+++ b/crates/view/src/shared.rs
@@ -39,6 +39,12 @@
     pub demand: Vec<ServiceDemand>,
     /// Fencing token of the last order that it gave, if it could give one now.
     pub gives_after: Option<u64>,
+    /// Fencing token of its last call for the fleet, if it could make one now.
+    pub holds_after: Option<u64>,
+    /// Time of day by its own clock, in ms since 1970.
+    pub clock_ms: u64,
+    /// Time of day that it takes for the fleet's, in ms since 1970.
+    pub fleet_ms: u64,
     /// Where the list of upstreams stands.
     pub list: Option<Mark>,
     /// Where the configuration stands.
@@ -67,6 +73,7 @@
     demand: Vec<ServiceDemand>,
     alive: Vec<InstanceKey>,
     gives_after: Option<u64>,
+    holds_after: Option<u64>,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -130,6 +137,7 @@
             kind: told.kind,
             is_greeted: before.as_ref().is_some_and(|before| before.is_greeted),
             gives_after: told.gives_after,
+            holds_after: told.holds_after,
             loads: Loads::new(),
             demand: Vec::new(),
             alive: Vec::new(),
@@ -254,6 +262,13 @@
             .filter_map(|(key, sender)| Some((*key, sender.gives_after?)))
     }
 
+    /// Other instances that could make calls for the fleet now, each with the token of its last.
+    pub fn holders(&self) -> impl Iterator<Item = (InstanceKey, u64)> {
+        self.senders
+            .iter()
+            .filter_map(|(key, sender)| Some((*key, sender.holds_after?)))
+    }
+
     /// Where an instance is that knows what the others tell: the own hub, or another one.
     pub fn informed(&self) -> Option<SocketAddr> {
         let hub = self.hub.and_then(|hub| self.senders.get(&hub.key));
--- a/crates/view/src/shared/outgoing.rs
+++ b/crates/view/src/shared/outgoing.rs
@@ -78,6 +78,7 @@
             turning: own.turning,
             demand: own.demand,
             gives_after: own.gives_after,
+            clock_ms: own.clock_ms,
             fates: self.up_fates.told(),
             poisonous: self.poisonous_told(&own.poisonous),
             ..Told::new(InstanceKey::of(&own.member.name), Kind::Report)
@@ -154,6 +155,8 @@
             is_whole,
             members: self.members_told(),
             gives_after: own.gives_after,
+            holds_after: own.holds_after,
+            clock_ms: own.clock_ms,
             list: own.list,
             config: own.config,
             news: self.news.told(now_ms),
@@ -169,6 +172,8 @@
         };
         let mut digest = Told {
             kind: Kind::Digest,
+            clock_ms: own.fleet_ms,
+            holds_after: None,
             loads: changes(&all, &mut self.last_all, is_whole),
             reads: taken(&mut self.down, &sum.reads),
             turning: taken(&mut self.down_turning, &sum.turning),
--- a/crates/view/src/told.rs
+++ b/crates/view/src/told.rs
@@ -9,11 +9,11 @@
 
 use crate::{
     Fate, InstanceKey, Load, Mark, Member, News, Queue, RANKS, RequestKey, ServiceDemand, Stage,
-    UpstreamKey,
+    UpstreamKey, WorkspaceKey,
 };
 
 /// First byte of a datagram; another form has another one.
-const FORM: u8 = 5;
+const FORM: u8 = 6;
 
 /// What a datagram speaks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +59,19 @@
     pub left_ms: u32,
 }
 
+/// Requests of workspaces that began to run in one window of time, as one instance has counted them so far.
+///
+/// It only grows, so the greatest that was heard counts, however many datagrams were lost or came twice.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Tally {
+    /// Life of the instance: a restarted one counts anew.
+    pub origin: u32,
+    /// Number of the window.
+    pub window: u64,
+    /// Requests by workspace.
+    pub counts: Vec<(WorkspaceKey, u32)>,
+}
+
 /// One datagram.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Told {
@@ -92,6 +105,12 @@
     pub fates: Vec<Fate>,
     /// Requests that no upstream is to get any more.
     pub poisonous: Vec<RequestKey>,
+    /// Time of day: the sender's own, or in a digest what its hub takes for the fleet's, in ms since 1970.
+    pub clock_ms: u64,
+    /// Fencing token of the sender's last call for the fleet, if it could make one now.
+    pub holds_after: Option<u64>,
+    /// What ran for whom.
+    pub tallies: Vec<Tally>,
 }
 
 impl Told {
@@ -113,6 +132,9 @@
             news: Vec::new(),
             fates: Vec::new(),
             poisonous: Vec::new(),
+            clock_ms: 0,
+            holds_after: None,
+            tallies: Vec::new(),
         }
     }
 }
@@ -156,6 +178,9 @@
     news: Vec<News>,
     fates: Vec<Fate>,
     poisonous: Vec<RequestKey>,
+    clock_ms: u64,
+    holds_after: Option<u64>,
+    tallies: Vec<Tally>,
 }
 
 /// Writes a datagram.
@@ -197,6 +222,9 @@
             news: told.news,
             fates: told.fates,
             poisonous: told.poisonous,
+            clock_ms: told.clock_ms,
+            holds_after: told.holds_after,
+            tallies: told.tallies,
         }
     }
 }
@@ -227,6 +255,9 @@
             news: wire.news,
             fates: wire.fates,
             poisonous: wire.poisonous,
+            clock_ms: wire.clock_ms,
+            holds_after: wire.holds_after,
+            tallies: wire.tallies,
         }
     }
 }
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -131,6 +131,9 @@
         let instances = self.all.len();
         let each = &mut self.all[index];
         let own = Own {
+            holds_after: None,
+            clock_ms: 0,
+            fleet_ms: 0,
             member: each.member.clone(),
             loads: each.own.clone(),
             reads: Vec::new(),
--- a/crates/view/tests/followed.rs
+++ b/crates/view/tests/followed.rs
@@ -34,6 +34,7 @@
         standing: Standing::Ready,
         stage: Stage::Whole,
         seq,
+        is_spot: false,
     }
 }
 
