As many cheaper engines as bear the loss of a zone, replaced as they come into the list

Cause: a zone takes all its cheaper engines back within 2.5 s of a word. At a start the fleet was replaced only after its list had stood for a second, at 6 s.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -5,6 +5,7 @@
 //! consists of these, spread over the zones, and what one zone loses is ordered where there are more; engines on demand
 //! are kept until the others serve, and come back where none of these can be had. See docs/design/duties.md.
 
+use std::cmp::Ordering;
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
@@ -19,9 +20,11 @@
 /// or reported so by their own.
 const TAKEN_BACK_SHARE: f64 = 0.5;
 
-/// Time for which a number of engines must have stood before it counts as the fleet's, in ms: after a start the list
-/// of upstreams fills up within this.
-const SETTLED_MS: u64 = 1_000;
+/// Time after the first engine was seen in which the fleet that the operators set up comes into the list, in ms.
+const GROWING_MS: u64 = 6_000;
+
+/// Time between two orders for more of a kind in a zone, in ms: a list that fills up needs no order an entry.
+const MORE_MS: u64 = 1_000;
 
 /// How an engine is paid for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -86,7 +89,8 @@
 struct Ordered {
     /// What the platform was last told to have; nothing while it was told nothing.
     desired: Option<usize>,
-    tried_ms: Option<u64>,
+    /// What was ordered last, whatever came of it, and when.
+    tried: Option<(usize, u64)>,
 }
 
 /// Plans the engines of one service.
@@ -94,9 +98,11 @@
 pub struct Scaling {
     /// Engines that the service is to have in all zones.
     wanted: usize,
-    seen: Option<(usize, u64)>,
+    seen_since_ms: Option<u64>,
+    is_adopted: bool,
     ordered: HashMap<(String, Kind), Ordered>,
     dry_until_ms: HashMap<String, u64>,
+    taken_back_until_ms: HashMap<String, u64>,
 }
 
 impl Scaling {
@@ -108,12 +114,13 @@
     /// Another instance has ordered so that the service is to have so many engines.
     pub fn adopt(&mut self, wanted: usize, wish: &Wish) {
         self.wanted = wanted;
+        self.is_adopted = true;
         self.order(wish).desired = Some(wish.desired);
     }
 
     /// An order was given.
     pub fn ordered(&mut self, now_ms: u64, wish: &Wish, outcome: Outcome) {
-        self.order(wish).tried_ms = Some(now_ms);
+        self.order(wish).tried = Some((wish.desired, now_ms));
         match outcome {
             Outcome::Taken => self.order(wish).desired = Some(wish.desired),
             Outcome::Dry => {
@@ -146,56 +153,87 @@
             .collect()
     }
 
-    /// The fleet that the operators set up is the size that is wanted.
+    /// The fleet that the operators set up is the size that is wanted. Its engines come into the list one after the other,
+    /// and each that is there can be replaced already.
     fn note_size(&mut self, now_ms: u64, zones: &[Zone]) {
-        if self.wanted > 0 {
+        let size = zones.iter().map(|zone| zone.on_demand + zone.spot).sum();
+        if size == 0 {
             return;
         }
-        let size = zones.iter().map(|zone| zone.on_demand + zone.spot).sum();
-        match self.seen {
-            Some((seen, since_ms)) if seen == size => {
-                if size > 0 && now_ms >= since_ms + SETTLED_MS {
-                    self.wanted = size;
-                }
-            }
-            _ => self.seen = Some((size, now_ms)),
+        let since_ms = *self.seen_since_ms.get_or_insert(now_ms);
+        let is_adopted = self.is_adopted && self.wanted > 0;
+        if !is_adopted && now_ms < since_ms + GROWING_MS {
+            let on_demand = zones.iter().map(|zone| zone.on_demand).sum();
+            self.wanted = self
+                .wanted
+                .max(if self.wanted == 0 { size } else { on_demand });
         }
     }
 
+    fn is_growing(&self, now_ms: u64) -> bool {
+        self.seen_since_ms
+            .is_some_and(|since_ms| now_ms < since_ms + GROWING_MS)
+    }
+
     fn note_taken_back(&mut self, now_ms: u64, zones: &[Zone]) {
         for zone in zones {
             let had = zone.spot + zone.spot_leaving;
             if had > 0 && zone.spot_leaving as f64 > had as f64 * TAKEN_BACK_SHARE {
-                self.dry_until_ms.insert(zone.name.clone(), now_ms + DRY_MS);
+                let until_ms = now_ms + DRY_MS;
+                self.dry_until_ms.insert(zone.name.clone(), until_ms);
+                self.taken_back_until_ms.insert(zone.name.clone(), until_ms);
             }
         }
     }
 
+    /// Whether those that still serve in a zone are on their way out: their notices come one after the other.
+    fn is_taken_back(&self, now_ms: u64, zone: &str) -> bool {
+        let until_ms = self.taken_back_until_ms.get(zone);
+        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
+    }
+
     fn is_dry(&self, now_ms: u64, zone: &str) -> bool {
         self.dry_until_ms
             .get(zone)
             .is_some_and(|until_ms| now_ms < *until_ms)
     }
 
+    /// Engines of the cheaper kind that are to be had: as many as leave what is wanted when all of a zone are taken back
+    /// at once. New ones take seconds to come, and longer until they hold what those that went had read.
+    fn spot_wanted(&self, zones: usize) -> usize {
+        if zones < 2 {
+            return self.wanted;
+        }
+        (self.wanted * zones).div_ceil(zones - 1)
+    }
+
     /// As many as are wanted, in the zones that give them: what is there stays, and what is lacking comes where there
     /// are fewest, so that the loss of a zone takes the least along.
     fn spot_wished(&self, now_ms: u64, terms: &Terms, zones: &[Zone]) -> Vec<Wish> {
-        let mut wished: Vec<(usize, bool)> = zones
+        let mut wished: Vec<(usize, usize)> = zones
             .iter()
             .map(|zone| {
                 let is_dry = self.is_dry(now_ms, &zone.name);
                 let told = self.desired(&zone.name, Kind::Spot).unwrap_or_default();
-                (if is_dry { zone.spot.min(told) } else { told }, is_dry)
+                let count = match (is_dry, self.is_taken_back(now_ms, &zone.name)) {
+                    (_, true) => 0,
+                    (true, false) => zone.spot.min(told),
+                    (false, false) => told,
+                };
+                // Both kinds together keep within the bound, those on demand that are still to go included.
+                let room = terms.most.saturating_sub(zone.on_demand);
+                (count, if is_dry { 0 } else { room })
             })
             .collect();
+        let enough = self.spot_wanted(zones.len());
         loop {
             let total: usize = wished.iter().map(|(count, _)| count).sum();
             let least = wished
                 .iter_mut()
-                .filter(|(count, is_dry)| !is_dry && *count < terms.most)
+                .filter(|(count, room)| count < room)
                 .min_by_key(|(count, _)| *count);
             match least {
-                Some((count, _)) if total < self.wanted => *count += 1,
+                Some((count, _)) if total < enough => *count += 1,
                 _ => break,
             }
         }
@@ -217,37 +255,55 @@
         zones: &[Zone],
         spot: &[Wish],
     ) -> Vec<Wish> {
+        let there = |zone: &Zone| {
+            let told = self.desired(&zone.name, Kind::OnDemand);
+            told.unwrap_or(zone.on_demand)
+        };
+        let mut wished: Vec<usize> = zones.iter().map(there).collect();
         let serving: usize = zones.iter().map(|zone| zone.spot).sum();
         let to_come: usize = spot.iter().map(|wish| wish.desired).sum();
-        let there: usize = zones.iter().map(|zone| zone.on_demand).sum();
         let open = self.wanted.saturating_sub(serving);
         let lacking = self.wanted.saturating_sub(to_come);
-        let total = open.min(there.max(lacking));
-        let count = zones.len();
-        let wish = |(at, zone): (usize, &Zone)| {
-            let even = total / count + usize::from(at < total % count);
-            let spot = spot[at].desired;
-            let is_dry = self.is_dry(now_ms, &zone.name);
-            let least = if is_dry || spot < terms.least {
-                terms.least
-            } else {
-                0
-            };
+        let mut total: usize = wished.iter().sum();
+        let meant = open.min(total.max(lacking));
+        while total > meant {
+            if let Some(most) = wished.iter_mut().max() {
+                *most -= 1;
+            }
+            total -= 1;
+        }
+        while total < meant {
+            if let Some(least) = wished.iter_mut().min() {
+                *least += 1;
+            }
+            total += 1;
+        }
+        let all = zones.iter().zip(spot).zip(wished);
+        all.map(|((zone, spot), desired)| {
+            let is_bare = spot.desired < terms.least || self.is_dry(now_ms, &zone.name);
+            let least = if is_bare { terms.least } else { 0 };
+            let most = terms.most.saturating_sub(spot.desired).max(least);
             Wish {
                 zone: zone.name.clone(),
                 kind: Kind::OnDemand,
-                desired: even.clamp(least, terms.most.saturating_sub(spot).max(least)),
+                desired: desired.clamp(least, most),
             }
-        };
-        zones.iter().enumerate().map(wish).collect()
+        })
+        .collect()
     }
 
     fn is_due(&self, now_ms: u64, wish: &Wish, zones: &[Zone]) -> bool {
         let ordered = self.ordered.get(&(wish.zone.clone(), wish.kind));
         let ordered = ordered.copied().unwrap_or_default();
-        let rests = ordered
-            .tried_ms
-            .is_some_and(|tried_ms| now_ms < tried_ms + RETRY_MS);
+        let rests = ordered.tried.is_some_and(|(desired, tried_ms)| {
+            let wait_ms = match wish.desired.cmp(&desired) {
+                Ordering::Less => 0,
+                Ordering::Equal => RETRY_MS,
+                Ordering::Greater if self.is_growing(now_ms) => MORE_MS,
+                Ordering::Greater => 0,
+            };
+            now_ms < tried_ms + wait_ms
+        });
         let there = zones.iter().find(|zone| zone.name == wish.zone);
         let as_it_is = there.map_or(0, |zone| match wish.kind {
             Kind::OnDemand => zone.on_demand,
--- a/crates/duty/tests/scale.rs
+++ b/crates/duty/tests/scale.rs
@@ -21,6 +21,7 @@
     coming: Vec<(u64, Wish)>,
     dry: Vec<&'static str>,
     least: usize,
+    most_of_a_zone: usize,
     orders: usize,
 }
 
@@ -38,6 +39,7 @@
             coming: Vec::new(),
             dry: Vec::new(),
             least: usize::MAX,
+            most_of_a_zone: 0,
             orders: 0,
         }
     }
@@ -70,6 +72,8 @@
                 .map(|zone| zone.on_demand + zone.spot)
                 .sum();
             self.least = self.least.min(serving);
+            let sizes = self.zones.iter().map(|zone| zone.on_demand + zone.spot);
+            self.most_of_a_zone = sizes.fold(self.most_of_a_zone, usize::max);
         }
     }
 
@@ -112,21 +116,22 @@
     }
 }
 
-/// Load: a fleet of engines on demand. The others cost a fifth, so all of them are replaced, and at no moment fewer serve
-/// than the operators set up.
+/// Load: a fleet of engines on demand. The others cost a fifth, so all of them are replaced, by as many as leave the size
+/// that the operators set up when a zone is lost; at no moment fewer serve, and no zone goes beyond its bound.
 #[test]
 fn the_fleet_becomes_one_that_costs_less_and_never_shrinks() {
     let mut platform = Platform::with(111);
     platform.run(12_000);
-    assert_eq!(platform.counts(), [(0, 37), (0, 37), (0, 37)]);
+    assert_eq!(platform.counts(), [(0, 56), (0, 56), (0, 55)]);
     assert_eq!(platform.least, 111);
+    assert!(platform.most_of_a_zone <= 76);
     let orders = platform.orders;
     platform.run(60_000);
     assert_eq!(platform.orders, orders, "orders without a cause");
 }
 
-/// Load: a zone's engines are all taken back and none are to be had there. The other zones give as many within the boot
-/// time, nothing more is asked of the dry one than it must have, and no zone goes beyond its bound.
+/// Load: a zone's engines are all taken back and none are to be had there. Those that are left are as many as were set up,
+/// the other zones give what they may within the boot time, and nothing more is asked of the dry one than it must have.
 #[test]
 fn what_a_zone_takes_back_comes_from_the_others() {
     let mut platform = Platform::with(111);
@@ -134,14 +139,8 @@
     platform.dry = vec!["b"];
     platform.take_back("b");
     platform.run(5_000);
-    let counts = platform.counts();
-    let spot: usize = counts.iter().map(|(_, spot)| spot).sum();
-    assert_eq!((spot, counts[1]), (111, (1, 0)));
-    assert!(
-        counts
-            .iter()
-            .all(|(on_demand, spot)| on_demand + spot <= 76)
-    );
+    assert_eq!(platform.counts(), [(0, 76), (1, 0), (0, 76)]);
+    assert_eq!(platform.least, 111);
 }
 
 /// Load: no zone has any of the cheap ones left. Those on demand come back until it has.
@@ -161,7 +160,7 @@
         .iter_mut()
         .for_each(|zone| zone.spot_leaving = 0);
     platform.run(20_000);
-    assert_eq!(platform.counts(), [(0, 37), (0, 37), (0, 37)]);
+    assert_eq!(platform.counts(), [(0, 56), (0, 56), (0, 55)]);
 }
 
 /// Guards against an order that is given again at each look while the API does not answer.
@@ -205,5 +204,5 @@
         .filter(|wish| wish.kind == Kind::Spot)
         .map(|wish| wish.desired)
         .sum();
-    assert_eq!((scaling.wanted(), spot), (Some(111), 74));
+    assert_eq!((scaling.wanted(), spot), (Some(111), 167));
 }
