Who acts for the fleet goes by the log of duties, and a successor counts from when it heard of a record

The store serves a part of its topics from 31 s on; each keeper judged it by its last call, lost it and had it back several times a second, and the one that acted last went before the others each time. Turns::heard: what a holder tells of its token says that all up to it stands in the log, so the quiet time begins then. Both properties of Turns now hear as well.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -297,10 +297,9 @@
         let ordered = ordered.copied().unwrap_or_default();
         let rests = ordered.tried.is_some_and(|(desired, tried_ms)| {
             let wait_ms = match wish.desired.cmp(&desired) {
-                Ordering::Less => 0,
                 Ordering::Equal => RETRY_MS,
                 Ordering::Greater if self.is_growing(now_ms) => MORE_MS,
-                Ordering::Greater => 0,
+                Ordering::Less | Ordering::Greater => 0,
             };
             now_ms < tried_ms + wait_ms
         });
--- a/crates/lease/src/turns.rs
+++ b/crates/lease/src/turns.rs
@@ -72,6 +72,7 @@
     times: TurnTimes,
     end: Option<u64>,
     other_ms: Option<u64>,
+    heard: Option<(u64, u64)>,
 }
 
 impl Turns {
@@ -82,6 +83,7 @@
             times,
             end: None,
             other_ms: None,
+            heard: None,
         }
     }
 
@@ -95,11 +97,20 @@
         self.end
     }
 
+    /// Another holder told that it acted under this token: all up to it stood in the log by now.
+    pub fn heard(&mut self, since_boot_ms: u64, fence: u64) {
+        if self.heard.is_none_or(|(known, _)| known < fence) {
+            self.heard = Some((fence, since_boot_ms));
+        }
+    }
+
     /// The log was read up to `end`; these holders' orders were in it.
     pub fn read(&mut self, since_boot_ms: u64, holders: impl IntoIterator<Item = u64>, end: u64) {
         self.end = Some(end);
         if holders.into_iter().any(|holder| holder != self.holder) {
-            self.other_ms = Some(since_boot_ms);
+            let known_ms = self.heard.filter(|(fence, _)| end <= *fence);
+            let appended_ms = known_ms.map_or(since_boot_ms, |(_, at_ms)| at_ms);
+            self.other_ms = self.other_ms.max(Some(appended_ms));
         }
     }
 
--- a/crates/lease/tests/turns.rs
+++ b/crates/lease/tests/turns.rs
@@ -107,6 +107,26 @@
     assert_eq!(turns.may_append(400 + 1_500 + 5_000 + LEASE_MS), Some(0));
 }
 
+/// Guards against a successor that waits anew at each record though it had heard when it was made, and against one that counts
+/// from what it heard though more was appended since.
+#[test]
+fn a_successor_counts_from_when_it_heard_of_a_record() {
+    let times = TurnTimes::of_calls(LEASE_MS);
+    let quiet_ms = times.send_ms + times.underway_ms + times.lease_ms;
+    let mut log = Log::default();
+    let (mut first, mut second) = (Turns::new(1, times), Turns::new(2, times));
+    log.read_by(&mut first, 0);
+    let given = order(&mut log, &mut first, 10).expect("nobody else has acted");
+    second.heard(20, given.fence);
+    second.heard(900, given.fence);
+    log.read_by(&mut second, 4_000);
+    assert_eq!(second.may_append(20 + quiet_ms - 1), None);
+    assert_eq!(second.may_append(20 + quiet_ms), Some(1));
+    order(&mut log, &mut first, 4_100).expect("it goes on");
+    log.read_by(&mut second, 4_200);
+    assert_eq!(second.may_append(4_200 + quiet_ms - 1), None);
+}
+
 /// What one of three instances does next.
 #[derive(Debug, Clone, Copy)]
 enum Step {
@@ -120,6 +140,8 @@
     AppendLate(u64),
     /// It sends what it has a right to.
     Send,
+    /// It hears of the last record, whoever appended it.
+    Hear,
     /// Its process is killed and another one starts on the same machine.
     Restart,
 }
@@ -131,6 +153,7 @@
         1 => Just(Step::AppendUnheard),
         1 => (1_u64..6_000).prop_map(Step::AppendLate),
         4 => Just(Step::Send),
+        2 => Just(Step::Hear),
         1 => Just(Step::Restart),
     ]
 }
@@ -179,6 +202,7 @@
         let holder = turns.holder();
         match step {
             Step::Read => log.read_by(turns, now_ms),
+            Step::Hear => turns.heard(now_ms, log.end()),
             Step::Append => {
                 if let Some(ticket) = order(&mut log, turns, now_ms) {
                     rights.insert(holder, (ticket, holder));
--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -6,6 +6,7 @@
 
 mod acts;
 mod fleet;
+mod store_sight;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -27,6 +28,7 @@
     Act, DutyRecord, Outcome, ScaleOrder, begin, done, log_was_lost, record, take_record,
 };
 pub use fleet::look;
+pub use store_sight::StoreSight;
 
 /// Time between two looks at what is due, in ms.
 pub const LOOK_MS: u64 = 250;
@@ -86,6 +88,8 @@
     told_ms: Cell<u64>,
     told_to: Cell<Option<SocketAddr>>,
     holds: Cell<bool>,
+    /// Whether the store, and the log of duties in it, can be reached.
+    pub store: StoreSight,
 }
 
 impl Duties {
@@ -106,6 +110,7 @@
             told_ms: Cell::default(),
             told_to: Cell::default(),
             holds: Cell::default(),
+            store: StoreSight::default(),
         }
     }
 
@@ -155,6 +160,9 @@
     /// Takes in what another instance told.
     pub fn heard(&self, terms: Terms, told: &Told) {
         self.clock.borrow_mut().heard(since_boot_ms(), told);
+        if let Some(fence) = told.holds_after {
+            self.turns.borrow_mut().heard(since_boot_ms(), fence);
+        }
         let Some(windows) = terms.usage.filter(|_| !told.tallies.is_empty()) else {
             return;
         };
@@ -211,7 +219,7 @@
     let is_new = now_ms < since_ms + NEW_MS && has_others;
     let yields = now_ms < duties.yields_until_ms.get();
     let has_begun = now_ms >= START_MS;
-    let may = relay.is_ready() && has_begun && !is_new && !yields && !relay.orders.has_lost_store();
+    let may = relay.is_ready() && has_begun && !is_new && !yields && !duties.store.is_lost(now_ms);
     may.then(|| duties.last_fence.get())
 }
 
@@ -225,7 +233,7 @@
     if relay.duties.holds.replace(holds) != holds {
         log::info!(
             holds, fence = relay.duties.last_fence.get(), may = mine.is_some(), rank = relay.rank(),
-            lost_store = relay.orders.has_lost_store();
+            lost_store = relay.duties.store.is_lost(relay.now_ms());
             "duties held"
         );
     }
--- a/crates/relay/src/orders.rs
+++ b/crates/relay/src/orders.rs
@@ -128,11 +128,6 @@
         self.lost_store.set(!was_answered);
     }
 
-    /// Whether the last call to the store was not answered.
-    pub fn has_lost_store(&self) -> bool {
-        self.lost_store.get()
-    }
-
     /// What callers ask of this instance, to be told to others.
     pub fn demand(&self, now_ms: u64) -> Vec<ServiceDemand> {
         let all = self.asked.borrow();
