Engines are replaced only where that costs less, and a restart does not make the fleet grow

Cause, by reading: the price of the cheaper kind was read and not used, so a service without that kind, or with a dear one, would have been given orders every 1.5 s for ever; an order that the API refuses was given again as often; a fleet that restarts whole and has lost its log would take its cheaper engines for the size that was set up, and have half more at each restart. Ruled out: a bound on orders alone (the wish would still be wrong). Change: none of the cheaper kind unless as many as bear the loss of a zone cost less than what was set up; a refused order rests 8 s; engines that may be taken back count for two thirds (with three zones) of the size that they were ordered for. Among zones with as few, the cheaper one. Tests: three in crates/duty/tests/scale.rs, written with the change.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -13,7 +13,8 @@
 /// Time after an order until the same is given again, in ms: the API refused it or was not heard.
 const RETRY_MS: u64 = 1_500;
 
-/// Time after which a zone that had none to give, or took its own back, is asked again, in ms.
+/// Time after which a zone that had none to give, or took its own back, is asked again, and an order that was refused
+/// given again, in ms.
 const DRY_MS: u64 = 8_000;
 
 /// Part of a zone's engines that leave together when they are taken back; single ones that leave are replaced, drained
@@ -42,9 +43,7 @@
     pub least: usize,
     /// Most engines of a zone, of both kinds together.
     pub most: usize,
-    /// Time from an order until an engine serves, in ms.
-    pub boot_ms: u64,
-    /// Price of an engine that may be taken back, as a part of that of another one.
+    /// Price of an engine that may be taken back, as a part of that of another one; 0 where there are none.
     pub spot_price: f64,
     /// Price of an engine in each zone, relative to the others.
     pub zone_prices: HashMap<String, f64>,
@@ -81,16 +80,25 @@
     Taken,
     /// There are none to be had.
     Dry,
-    /// It was refused for another reason, or not answered.
-    Failed,
+    /// It was refused for another reason.
+    Refused,
+    /// It was not answered.
+    Unanswered,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
 struct Ordered {
     /// What the platform was last told to have; nothing while it was told nothing.
     desired: Option<usize>,
-    /// What was ordered last, whatever came of it, and when.
-    tried: Option<(usize, u64)>,
+    /// What was ordered last, whatever came of it, and until when the same rests.
+    tried: Option<Tried>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Tried {
+    desired: usize,
+    at_ms: u64,
+    rest_ms: u64,
 }
 
 /// Plans the engines of one service.
@@ -120,13 +128,22 @@
 
     /// An order was given.
     pub fn ordered(&mut self, now_ms: u64, wish: &Wish, outcome: Outcome) {
-        self.order(wish).tried = Some((wish.desired, now_ms));
+        let rest_ms = match outcome {
+            Outcome::Taken | Outcome::Dry | Outcome::Unanswered => RETRY_MS,
+            Outcome::Refused => DRY_MS,
+        };
+        let order = self.order(wish);
+        order.tried = Some(Tried {
+            desired: wish.desired,
+            at_ms: now_ms,
+            rest_ms,
+        });
         match outcome {
-            Outcome::Taken => self.order(wish).desired = Some(wish.desired),
+            Outcome::Taken => order.desired = Some(wish.desired),
             Outcome::Dry => {
                 self.dry_until_ms.insert(wish.zone.clone(), now_ms + DRY_MS);
             }
-            Outcome::Failed => {}
+            Outcome::Refused | Outcome::Unanswered => {}
         }
     }
 
@@ -156,18 +173,23 @@
     /// The fleet that the operators set up is the size that is wanted. Its engines come into the list one after the other,
     /// and each that is there can be replaced already.
     fn note_size(&mut self, now_ms: u64, zones: &[Zone]) {
-        let size = zones.iter().map(|zone| zone.on_demand + zone.spot).sum();
-        if size == 0 {
+        let on_demand: usize = zones.iter().map(|zone| zone.on_demand).sum();
+        let spot: usize = zones.iter().map(|zone| zone.spot).sum();
+        if on_demand + spot == 0 {
             return;
         }
+        let is_first = self.seen_since_ms.is_none();
         let since_ms = *self.seen_since_ms.get_or_insert(now_ms);
-        let is_adopted = self.is_adopted && self.wanted > 0;
-        if !is_adopted && now_ms < since_ms + GROWING_MS {
-            let on_demand = zones.iter().map(|zone| zone.on_demand).sum();
-            self.wanted = self
-                .wanted
-                .max(if self.wanted == 0 { size } else { on_demand });
+        if self.is_adopted || now_ms >= since_ms + GROWING_MS {
+            return;
         }
+        // Those that are there already were ordered so that a zone can be lost.
+        let kept = if is_first {
+            spot * zones.len().saturating_sub(1) / zones.len()
+        } else {
+            0
+        };
+        self.wanted = self.wanted.max(on_demand + kept);
     }
 
     fn is_growing(&self, now_ms: u64) -> bool {
@@ -199,18 +221,25 @@
     }
 
     /// Engines of the cheaper kind that are to be had: as many as leave what is wanted when all of a zone are taken back
-    /// at once. New ones take seconds to come, and longer until they hold what those that went had read.
-    fn spot_wanted(&self, zones: usize) -> usize {
-        if zones < 2 {
-            return self.wanted;
+    /// at once. New ones take seconds to come, and longer until they hold what those that went had read. None where so
+    /// many cost more than those on demand.
+    fn spot_wanted(&self, terms: &Terms, zones: usize) -> usize {
+        let wanted = match zones {
+            0 | 1 => self.wanted,
+            _ => (self.wanted * zones).div_ceil(zones - 1),
+        };
+        let is_cheaper = wanted as f64 * terms.spot_price < self.wanted as f64;
+        if terms.spot_price > 0.0 && is_cheaper {
+            wanted
+        } else {
+            0
         }
-        (self.wanted * zones).div_ceil(zones - 1)
     }
 
     /// As many as are wanted, in the zones that give them: what is there stays, and what is lacking comes where there
-    /// are fewest, so that the loss of a zone takes the least along.
+    /// are fewest, so that the loss of a zone takes the least along, and of these where they cost least.
     fn spot_wished(&self, now_ms: u64, terms: &Terms, zones: &[Zone]) -> Vec<Wish> {
-        let mut wished: Vec<(usize, usize)> = zones
+        let mut wished: Vec<(usize, usize, f64)> = zones
             .iter()
             .map(|zone| {
                 let is_dry = self.is_dry(now_ms, &zone.name);
@@ -222,23 +251,24 @@
                 };
                 // Both kinds together keep within the bound, those on demand that are still to go included.
                 let room = terms.most.saturating_sub(zone.on_demand);
-                (count, if is_dry { 0 } else { room })
+                let price = terms.zone_prices.get(&zone.name).copied();
+                (count, if is_dry { 0 } else { room }, price.unwrap_or(1.0))
             })
             .collect();
-        let enough = self.spot_wanted(zones.len());
+        let enough = self.spot_wanted(terms, zones.len());
         loop {
-            let total: usize = wished.iter().map(|(count, _)| count).sum();
+            let total: usize = wished.iter().map(|(count, ..)| count).sum();
             let least = wished
                 .iter_mut()
-                .filter(|(count, room)| count < room)
-                .min_by_key(|(count, _)| *count);
+                .filter(|(count, room, _)| count < room)
+                .min_by(|(a, _, one), (b, _, other)| a.cmp(b).then(one.total_cmp(other)));
             match least {
-                Some((count, _)) if total < enough => *count += 1,
+                Some((count, ..)) if total < enough => *count += 1,
                 _ => break,
             }
         }
         let all = zones.iter().zip(wished);
-        all.map(|(zone, (desired, _))| Wish {
+        all.map(|(zone, (desired, ..))| Wish {
             zone: zone.name.clone(),
             kind: Kind::Spot,
             desired,
@@ -295,13 +325,13 @@
     fn is_due(&self, now_ms: u64, wish: &Wish, zones: &[Zone]) -> bool {
         let ordered = self.ordered.get(&(wish.zone.clone(), wish.kind));
         let ordered = ordered.copied().unwrap_or_default();
-        let rests = ordered.tried.is_some_and(|(desired, tried_ms)| {
-            let wait_ms = match wish.desired.cmp(&desired) {
-                Ordering::Equal => RETRY_MS,
+        let rests = ordered.tried.is_some_and(|tried| {
+            let wait_ms = match wish.desired.cmp(&tried.desired) {
+                Ordering::Equal => tried.rest_ms,
                 Ordering::Greater if self.is_growing(now_ms) => MORE_MS,
                 Ordering::Less | Ordering::Greater => 0,
             };
-            now_ms < tried_ms + wait_ms
+            now_ms < tried.at_ms + wait_ms
         });
         let there = zones.iter().find(|zone| zone.name == wish.zone);
         let as_it_is = there.map_or(0, |zone| match wish.kind {
--- a/crates/duty/tests/scale.rs
+++ b/crates/duty/tests/scale.rs
@@ -7,7 +7,6 @@
     Terms {
         least: 1,
         most: 76,
-        boot_ms: 4_000,
         spot_price: 0.22,
         zone_prices: prices.map(|(name, price)| (name.to_owned(), price)).into(),
     }
@@ -177,7 +176,7 @@
     let wishes = scaling.next(1_000, &terms(), &zones);
     assert_eq!(wishes.len(), 3);
     for wish in &wishes {
-        scaling.ordered(1_000, wish, Outcome::Failed);
+        scaling.ordered(1_000, wish, Outcome::Unanswered);
     }
     assert!(scaling.next(2_400, &terms(), &zones).is_empty());
     assert_eq!(scaling.next(2_500, &terms(), &zones), wishes);
@@ -206,3 +205,48 @@
         .sum();
     assert_eq!((scaling.wanted(), spot), (Some(111), 167));
 }
+
+fn fleet(on_demand: usize, spot: usize) -> [Zone; 3] {
+    ["a", "b", "c"].map(|name| Zone {
+        name: name.to_owned(),
+        on_demand,
+        spot,
+        ..Zone::default()
+    })
+}
+
+/// Guards against orders for a kind that there is not, or that would cost more than what it replaces.
+#[test]
+fn nothing_is_replaced_where_it_would_not_cost_less() {
+    for spot_price in [0.0, 0.7, 1.0] {
+        let terms = Terms {
+            spot_price,
+            ..terms()
+        };
+        let mut scaling = Scaling::default();
+        assert!(
+            scaling.next(0, &terms, &fleet(10, 0)).is_empty(),
+            "{spot_price}"
+        );
+    }
+}
+
+/// Guards against a fleet that grows by half with each restart of all instances, when the log has lost what was wanted.
+#[test]
+fn a_fleet_that_was_replaced_before_keeps_its_size() {
+    let mut scaling = Scaling::default();
+    assert!(scaling.next(0, &terms(), &fleet(0, 56)).is_empty());
+    assert_eq!(scaling.wanted(), Some(112));
+}
+
+/// Guards against an order that the API refuses for good and that is given again every other second.
+#[test]
+fn an_order_that_was_refused_rests_for_long() {
+    let mut scaling = Scaling::default();
+    let wishes = scaling.next(0, &terms(), &fleet(4, 0));
+    for wish in &wishes {
+        scaling.ordered(0, wish, Outcome::Refused);
+    }
+    assert!(scaling.next(7_999, &terms(), &fleet(4, 0)).is_empty());
+    assert_eq!(scaling.next(8_000, &terms(), &fleet(4, 0)), wishes);
+}
--- a/crates/relay/src/duties/acts.rs
+++ b/crates/relay/src/duties/acts.rs
@@ -156,7 +156,8 @@
     let came = match outcome {
         Outcome::Accepted => scale::Outcome::Taken,
         Outcome::NoneToBeHad => scale::Outcome::Dry,
-        Outcome::Refused { .. } | Outcome::Unanswered { .. } => scale::Outcome::Failed,
+        Outcome::Refused { .. } => scale::Outcome::Refused,
+        Outcome::Unanswered { .. } => scale::Outcome::Unanswered,
     };
     let mut all = relay.duties.scaling.borrow_mut();
     if let Some(scaling) = all.get_mut(&order.service) {
