--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -183,7 +183,8 @@
         self.relay.metrics.requests.with_label_values(&labels).inc();
         if self.relay.failed_lines.take(now_ms) {
             log::info!(
-                request = self.id(), route = self.route.name, upstream = self.at.borrow().as_str(),
+                request = self.id(), route = self.route.name, workspace = self.workspace_name(),
+                upstream = self.at.borrow().as_str(),
                 took_ms = now_ms - self.arrived_ms, sends = self.sends.get();
                 "caller left"
             );
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -200,8 +200,8 @@
     }
     if relay.served_lines.take(now_ms) {
         log::info!(
-            request = call.id(), route = call.route.name, upstream = upstream.id,
-            status = head.status.as_u16(), took_ms = now_ms - call.arrived_ms,
+            request = call.id(), route = call.route.name, workspace = call.workspace_name(),
+            upstream = upstream.id, status = head.status.as_u16(), took_ms = now_ms - call.arrived_ms,
             load = upstream.load(now_ms), sends = call.sends.get();
             "answer passed on"
         );
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -287,7 +287,8 @@
         if let Some(source) = self.source.take() {
             if self.relay.served_lines.take(self.relay.now_ms()) {
                 log::info!(
-                    request = self.call.id(), route = route.name, upstream = source.guard.upstream().id,
+                    request = self.call.id(), route = route.name, workspace = self.call.workspace_name(),
+                    upstream = source.guard.upstream().id,
                     first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time;
                     "stream finished"
                 );
@@ -300,8 +301,8 @@
         self.call.is_over.set(true);
         if self.relay.failed_lines.take(self.relay.now_ms()) {
             log::info!(
-                request = self.call.id(), key:% = self.call.key, route = self.call.route.name, why,
-                took_ms = self.relay.now_ms() - self.call.arrived_ms;
+                request = self.call.id(), key:% = self.call.key, route = self.call.route.name,
+                workspace = self.call.workspace_name(), why, took_ms = self.relay.now_ms() - self.call.arrived_ms;
                 "stream not finished"
             );
         }
