--- a/crates/relay/src/duties/fleet.rs
+++ b/crates/relay/src/duties/fleet.rs
@@ -51,7 +51,7 @@
                 counts.insert(name.clone(), count);
             }
             None => {
-                log::error!(window, count, key:?; "usage of a workspace without a name is not reported");
+                log::error!(window, count, workspace:? = key; "usage of a workspace without a name is not reported");
             }
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -186,10 +186,10 @@
     false
 }
 
-/// Lets one relay tell another one all that it has to tell now.
-pub fn tell(from: &Relay, to: &Relay) {
+/// Another instance, to be told things.
+pub fn listener() -> Member {
     let address: SocketAddr = "127.0.0.1:2".parse().expect("an address");
-    let other = Member {
+    Member {
         name: "told".to_owned(),
         address,
         peer: Some(address),
@@ -197,7 +197,13 @@
         ready: true,
         beat: 1,
         link_mbps: 20,
-    };
+    }
+}
+
+/// Lets one relay tell another one all that it has to tell now.
+pub fn tell(from: &Relay, to: &Relay) {
+    let other = listener();
+    let address = other.address;
     from.members.borrow_mut().heard(from.now_ms(), other);
     from.wrote(from.heartbeat());
     for (_, told) in from.told_now() {
--- a/crates/relay/tests/usage.rs
+++ b/crates/relay/tests/usage.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 use bytes::Bytes;
-use common::{Act, Bed, StandIn, config, request, settings};
+use common::{Act, Bed, StandIn, config, listener, request, settings};
 use duty::Windows;
 use http::{HeaderValue, Method, Request};
 use http_body_util::Full;
@@ -14,7 +14,7 @@
 use relay::duties::Terms;
 use relay::upstream::{Entry, Stage};
 use relay::{Origin, Settings};
-use view::{Change, Member, WorkspaceKey};
+use view::{Change, WorkspaceKey};
 
 fn bed(entries: Vec<Entry>) -> Bed {
     let bed = Bed::knowing_nothing(Settings {
@@ -53,18 +53,8 @@
 
 /// What another instance is told of what ran, by workspace.
 async fn counted(bed: &Bed) -> BTreeMap<&'static str, u32> {
-    let address = "127.0.0.1:2".parse().unwrap();
-    let other = Member {
-        name: "told".to_owned(),
-        address,
-        peer: Some(address),
-        zone: "here".to_owned(),
-        ready: true,
-        beat: 1,
-        link_mbps: 20,
-    };
     let relay = &bed.relay;
-    relay.members.borrow_mut().heard(relay.now_ms(), other);
+    relay.members.borrow_mut().heard(relay.now_ms(), listener());
     relay.wrote(relay.heartbeat());
     let mut counts = BTreeMap::new();
     for _ in 0..20 {
