--- a/crates/relay/src/duties.rs
+++ b/crates/relay/src/duties.rs
@@ -48,13 +48,16 @@
 /// window that is to be reported.
 const NEW_MS: u64 = 8_000;
 
-/// Time between two datagrams with tallies of this instance, and of a hub with those of many, in ms: what is lost with
-/// an instance is what it counted in between.
+/// Time between two datagrams with this instance's tallies, in ms: what it counted in between is lost with it.
 const TELL_MS: u64 = 200;
+
+/// The same for a hub with those of many, in ms: they are longer, and go across zones.
 const TELL_MANY_MS: u64 = 400;
 
-/// Calls in a row without success after which another keeper may act, and for how long, in ms.
+/// Calls to the API in a row without an answer after which another keeper may act.
 const FAILED_CALLS: u32 = 2;
+
+/// Time for which it may then, in ms: two windows' reports at the usual length.
 const YIELD_MS: u64 = 10_000;
 
 /// Which duties there are, as the operators set them.
