Each repeat leaves a line with the counts that decided it, and forced ones are counted

Cause: lines could not tell which kind of repeat passes the bound: `prompt rejected` named no request, a forced repeat left neither line nor number. No decision changes.

--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -131,7 +131,7 @@
         match sent {
             Sent::Answer(_) | Sent::Lost(_) => handed.taken(),
             Sent::NotRun(StatusCode::SERVICE_UNAVAILABLE)
-                if relay.admit(call).is_ok() && relay.may_repeat(&call.service) =>
+                if relay.admit(call).is_ok() && relay.may_repeat_call(call) =>
             {
                 // The handle lapsed or could not be fetched. The same engine can still read the
                 // prompt itself.
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -168,7 +168,7 @@
         histogram.observe(took_ms / 1_000.0);
     } else {
         // A rejected call counts as a repeat, whether or not it was wanted.
-        relay.forced_repeat(&call.service);
+        relay.forced_repeat(call);
     }
     handed
 }
@@ -229,7 +229,10 @@
     }
     if status != StatusCode::OK {
         if relay.failed_lines.take(relay.now_ms()) {
-            log::info!(upstream = reader.id, status = status.as_u16(); "prompt rejected");
+            log::info!(
+                request = call.id(), upstream = reader.id, status = status.as_u16();
+                "prompt rejected"
+            );
         }
         return None;
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod list;
 mod others;
+mod repeats;
 mod suspects;
 
 pub use list::{ChangesRead, Origin};
@@ -277,39 +278,6 @@
     pub fn instances(&self) -> usize {
         self.members.borrow().count()
     }
-
-    /// Counts a first send to a service.
-    pub fn sent_first(&self, service: &str) {
-        let terms = self.settings.borrow().repeats;
-        let mut all = self.repeats.borrow_mut();
-        let repeats = all.entry(service.to_owned()).or_default();
-        repeats.first(self.now_ms(), &terms);
-    }
-
-    /// Takes one repeat from the budget of a service.
-    pub fn may_repeat(&self, service: &str) -> bool {
-        // An instance that has just started does not know among how many the budget is split;
-        // were all to take it whole, a restart of many during a failure would break the bound.
-        if !self.members.borrow().is_known() {
-            return false;
-        }
-        let terms = self.settings.borrow().repeats;
-        let instances = self.instances();
-        let mut all = self.repeats.borrow_mut();
-        let repeats = all.entry(service.to_owned()).or_default();
-        let may = repeats.take(self.now_ms(), &terms, instances);
-        let outcome = if may { "taken" } else { "refused" };
-        self.metrics.repeats.with_label_values(&[outcome]).inc();
-        may
-    }
-
-    /// Counts a repeat that had been sent before it was known to be one.
-    pub fn forced_repeat(&self, service: &str) {
-        let terms = self.settings.borrow().repeats;
-        let mut all = self.repeats.borrow_mut();
-        let repeats = all.entry(service.to_owned()).or_default();
-        repeats.forced(self.now_ms(), &terms);
-    }
 }
 
 /// Age of what this instance could tell another one, if it has taken in all that it knows of.
