Failing tests: prompts read apart pass the bound on repeats

Three tests against stand-in engines, counted as the engines count it: each arrival beyond the first of its request, but for the first accepted read of a prompt. On the current code 60 requests, one after the other, with a bound of a fifth and five (17):

- readers reject every prompt: 60 arrivals beyond the first (each request is sent on, whatever is left);
- readers' connections end under every prompt: 60;
- prompts are read, the output's connection ends, and the prompt is read again: 26 for 13 repeats taken.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -117,7 +117,12 @@
 impl Bed {
     /// Starts a relay with these upstreams.
     pub fn start(entries: Vec<Entry>) -> Self {
-        let bed = Self::knowing_nothing(settings());
+        Self::start_with(settings(), entries)
+    }
+
+    /// Starts a relay with these settings and upstreams.
+    pub fn start_with(settings: Settings, entries: Vec<Entry>) -> Self {
+        let bed = Self::knowing_nothing(settings);
         bed.relay.configure(config(1));
         let own = bed.relay.heartbeat();
         let now_ms = bed.relay.now_ms();
--- /dev/null
+++ b/crates/relay/tests/repeats.rs
@@ -0,0 +1,150 @@
+//! What reaches upstreams a second time, counted as they count it: each arrival beyond the first of its
+//! request, whether it was rejected, broken off or run, but for the first read of a prompt that was accepted.
+
+mod common;
+
+use std::collections::HashMap;
+
+use common::{Act, Bed, Seen, StandIn, request, settings};
+use http::{HeaderValue, Method, Request};
+use http_body_util::Full;
+use plan::RepeatTerms;
+use relay::upstream::Stage;
+
+/// Bound on repeats of these tests: a fifth of the requests and five.
+const TERMS: RepeatTerms = RepeatTerms {
+    ratio: 0.2,
+    window_ms: 10_000,
+    slack: 5.0,
+};
+
+/// Requests of a test; all are over within one window.
+const REQUESTS: usize = 60;
+
+/// Parts of a prompt.
+const PARTS: usize = 100;
+
+const EVENTS: &str = "id: 1\ndata: 1\n\n";
+
+fn generation(path: &str, id: usize) -> Request<Full<bytes::Bytes>> {
+    let mut asked = request(Method::POST, path, &id.to_string());
+    // Worth reading apart, and of parts so short that nobody counts on their being held anywhere.
+    let parts: Vec<String> = (0..PARTS)
+        .map(|part| format!("{}:100", id * PARTS + part))
+        .collect();
+    let prompt = HeaderValue::from_str(&parts.join(",")).expect("a valid value");
+    asked.headers_mut().insert("x-prompt", prompt);
+    asked
+}
+
+fn is_read(seen: &Seen) -> bool {
+    seen.header("x-step") == Some("prefill")
+}
+
+fn rejects(seen: &Seen) -> Vec<Act> {
+    seen.answer("503 Service Unavailable", "x-not-run: 1\r\n", "")
+}
+
+fn makes(seen: &Seen) -> Vec<Act> {
+    seen.answer("200 OK", "content-type: text/event-stream\r\n", EVENTS)
+}
+
+/// An engine that answers reads of prompts and requests for output as told.
+fn engine(reads: fn(&Seen) -> Vec<Act>, makes: fn(&Seen) -> Vec<Act>) -> StandIn {
+    StandIn::start(move |seen| {
+        if seen.line.starts_with("DELETE") {
+            return seen.answer("200 OK", "", "");
+        }
+        if is_read(seen) {
+            reads(seen)
+        } else {
+            makes(seen)
+        }
+    })
+}
+
+fn bed(readers: &[StandIn], makers: &[StandIn]) -> Bed {
+    let entries = |all: &[StandIn], name: &str, stage| -> Vec<_> {
+        let entry =
+            |(at, each): (usize, &StandIn)| each.entry(&format!("{name}{at}"), "llm", stage);
+        all.iter().enumerate().map(entry).collect()
+    };
+    let mut all = entries(readers, "reader", Stage::Prefill);
+    all.extend(entries(makers, "maker", Stage::Decode));
+    let settings = relay::Settings {
+        repeats: TERMS,
+        ..settings()
+    };
+    Bed::start_with(settings, all)
+}
+
+/// Arrivals beyond the first of each request; `accepts` tells whether reads of prompts were accepted.
+fn again(engines: &[&[StandIn]], accepts: bool) -> usize {
+    let mut arrivals: HashMap<String, usize> = HashMap::new();
+    let mut free: HashMap<String, usize> = HashMap::new();
+    for engine in engines.iter().copied().flatten() {
+        for seen in engine.seen.borrow().iter() {
+            let Some(id) = seen.header("x-attempt") else {
+                continue;
+            };
+            if accepts && is_read(seen) && free.insert(id.to_owned(), 1).is_none() {
+                continue;
+            }
+            *arrivals.entry(id.to_owned()).or_default() += 1;
+        }
+    }
+    arrivals.values().map(|count| count - 1).sum()
+}
+
+/// Asks one after the other, and gives how many were served.
+async fn ask_all(bed: &Bed, path: &str) -> usize {
+    let mut served = 0;
+    for id in 0..REQUESTS {
+        let (status, _) = bed.get(generation(path, id)).await;
+        assert!([200, 502, 503].contains(&status), "{status}");
+        served += usize::from(status == 200);
+    }
+    served
+}
+
+fn bound() -> usize {
+    (TERMS.ratio * REQUESTS as f64 + TERMS.slack) as usize
+}
+
+/// Guards against repeats without a bound where engines reject the prompts that they are to read.
+#[actix_rt::test]
+async fn prompts_that_readers_reject_are_sent_on_within_the_bound() {
+    let readers = [engine(rejects, makes), engine(rejects, makes)];
+    let makers = [engine(rejects, makes)];
+    let bed = bed(&readers, &makers);
+    let served = ask_all(&bed, "/once/x").await;
+    let again = again(&[&readers, &makers], false);
+    assert!(again <= bound(), "{again} of {} allowed", bound());
+    assert!(served > 0, "what the bound allows is served");
+}
+
+/// Guards against repeats without a bound where the connections of readers end under prompts.
+#[actix_rt::test]
+async fn prompts_that_readers_lose_are_sent_on_within_the_bound() {
+    let closes: fn(&Seen) -> Vec<Act> = |_| vec![Act::Close];
+    let readers = [engine(closes, makes), engine(closes, makes)];
+    let makers = [engine(closes, makes)];
+    let bed = bed(&readers, &makers);
+    let served = ask_all(&bed, "/once/x").await;
+    let again = again(&[&readers, &makers], false);
+    assert!(again <= bound(), "{again} of {} allowed", bound());
+    assert!(served > 0, "what the bound allows is served");
+}
+
+/// Guards against a repeat that is counted once and arrives twice, as its prompt is read again.
+#[actix_rt::test]
+async fn a_prompt_read_again_is_within_the_bound() {
+    let reads: fn(&Seen) -> Vec<Act> = |seen| seen.answer("200 OK", "", "kv-1");
+    let closes: fn(&Seen) -> Vec<Act> = |_| vec![Act::Close];
+    let readers = [engine(reads, makes)];
+    let makers = [engine(reads, closes), engine(reads, closes)];
+    let bed = bed(&readers, &makers);
+    ask_all(&bed, "/grades/x").await;
+    let again = again(&[&readers, &makers], true);
+    assert!(again <= bound(), "{again} of {} allowed", bound());
+}
