A prompt that its reader rejects or loses is a repeat within the bound

Callers' engines saw up to twice the arrivals that requests account for while engines rejected part of what they got. A prompt read apart that came to nothing was counted as a repeat afterwards and the request sent on whatever was left of the bound, so such repeats came as fast as requests did. Class: a limit that is checked on one way and only recorded on another.

Now a request carries how many arrivals at its service are covered (the first always is), each send is checked against it whatever the one before was meant to be, and one that is not covered is refused as not run, which is true: reading a prompt runs nothing. A read that reached nobody counts no longer.

Ruled out: holding the repeat back until the window has room (nothing would be refused at once then).

--- a/crates/plan/src/repeats.rs
+++ b/crates/plan/src/repeats.rs
@@ -71,11 +71,6 @@
         true
     }
 
-    /// A repeat that could not be helped was sent, such as one that an upstream rejected.
-    pub fn forced(&mut self, now_ms: u64, terms: &RepeatTerms) {
-        self.slot(now_ms, terms).again += 1;
-    }
-
     /// First and repeated sends in the window.
     pub fn counts(&mut self, now_ms: u64, terms: &RepeatTerms) -> (u32, u32) {
         self.slot(now_ms, terms);
--- a/crates/relay/src/again.rs
+++ b/crates/relay/src/again.rs
@@ -69,6 +69,11 @@
     }
 }
 
+/// Refuses a request that upstreams rejected, where no further repeat is allowed.
+pub fn rejected() -> Refused {
+    Refused::later(Reason::Rejected, REJECTED_RETRY_MS)
+}
+
 fn refuse(reason: Reason, may_have_run: bool) -> Next {
     let refused = Refused::later(reason, REJECTED_RETRY_MS);
     Next::Refuse(truthful(refused, may_have_run))
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -54,6 +54,10 @@
     pub sends: Cell<u32>,
     /// Upstreams that it was sent to, those that rejected it included.
     pub attempts: Cell<u32>,
+    /// Reads of its prompt apart that reached an engine and were not accepted.
+    pub(crate) failed_reads: Cell<u32>,
+    /// Arrivals of it at its service that the bound on repeats allows; the first always is.
+    pub(crate) covered: Cell<u32>,
     /// Whether an upstream has begun with it, as far as is known.
     pub has_begun: Cell<bool>,
     /// Whether its answer has ended, well or not.
@@ -116,6 +120,8 @@
             due_ms: arrived_ms.saturating_add(wait_ms),
             sends: Cell::default(),
             attempts: Cell::default(),
+            failed_reads: Cell::default(),
+            covered: Cell::new(1),
             has_begun: Cell::default(),
             is_over: Cell::default(),
             is_sent: Cell::default(),
@@ -133,6 +139,12 @@
         self.due_ms.saturating_sub(now_ms)
     }
 
+    /// Times that it has reached its service, as the bound on repeats counts them: rejected or not, but for
+    /// reads of its prompt that were accepted.
+    pub(crate) fn arrivals(&self) -> u32 {
+        self.attempts.get() + self.failed_reads.get()
+    }
+
     /// Rank at an engine, 0 first.
     pub fn rank(&self, urgency: Urgency) -> u8 {
         urgency.rank(self.priority(), self.yields)
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -126,7 +126,7 @@
 
 /// Whether the request may be sent to one more upstream, within its route and the budget.
 pub fn may_repeat(relay: &Relay, call: &Call) -> bool {
-    call.attempts.get() < call.route.max_attempts && relay.may_repeat_call(call)
+    call.attempts.get() < call.route.max_attempts && relay.may_arrive(call)
 }
 
 /// Sends a request that another upstream could still answer, for a part of the time left.
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -5,6 +5,7 @@
 use http::{Response, StatusCode};
 use view::PartRead;
 
+use crate::again::rejected;
 use crate::answer::{AnswerBody, Refused};
 use crate::blame::admitted;
 use crate::call::Call;
@@ -39,6 +40,10 @@
             None => place(relay, call, prompt, &tried).await?,
         };
         admitted(relay, call).await?;
+        // Nothing has run: a prompt that was to be read apart, and was not, has reached its service all the same.
+        if !relay.may_arrive(call) {
+            return Err(rejected());
+        }
         let (sent, guard, is_handed) = make(relay, call, prompt, &maker, kv.as_ref()).await;
         tried.push(maker.engine.id.clone());
         let outcome = match sent {
@@ -131,7 +136,7 @@
         match sent {
             Sent::Answer(_) | Sent::Lost(_) => handed.taken(),
             Sent::NotRun(StatusCode::SERVICE_UNAVAILABLE)
-                if relay.admit(call).is_ok() && relay.may_repeat_call(call) =>
+                if relay.admit(call).is_ok() && relay.may_arrive(call) =>
             {
                 // The handle lapsed or could not be fetched. The same engine can still read the
                 // prompt itself.
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -14,7 +14,7 @@
 use crate::dialect::{KvHandle, Prompt, Sending, Step};
 use crate::generate::keep_parts;
 use crate::place::Reader;
-use crate::pool::{Lease, exchange};
+use crate::pool::{Fault, Lease, exchange};
 use crate::relay::Relay;
 use crate::send::{has_no_room, note_misdirected, note_unsent, raw_send};
 use crate::upstream::{InFlight, Reading, Upstream, Work};
@@ -123,6 +123,7 @@
     };
     let began_ms = relay.now_ms();
     let request = call.request(&*relay.dialect, &sending);
+    call.failed_reads.set(call.failed_reads.get() + 1);
     let reading = async {
         match raw_send(relay, call, reader, request).await {
             Ok((response, lease)) => {
@@ -130,6 +131,9 @@
                 prefilled(relay, call, reader, response, lease).await
             }
             Err(fault) => {
+                if !matches!(fault, Fault::Lost { .. }) {
+                    call.failed_reads.set(call.failed_reads.get() - 1);
+                }
                 note_unsent(relay, reader, &fault);
                 note_unread(relay, call, reader, &fault.to_string());
                 None
@@ -145,6 +149,7 @@
     };
     drop(guard);
     if handed.is_some() {
+        call.failed_reads.set(call.failed_reads.get() - 1);
         keep_parts(relay, call, prompt, reader, Reading::Done);
         let took_ms = (relay.now_ms() - began_ms) as f64;
         if relay.served_lines.take(relay.now_ms()) {
@@ -166,9 +171,6 @@
         let labels = [call.service.as_str()];
         let histogram = relay.metrics.prefill_s.with_label_values(&labels);
         histogram.observe(took_ms / 1_000.0);
-    } else {
-        // A rejected call counts as a repeat, whether or not it was wanted.
-        relay.forced_repeat(call);
     }
     handed
 }
--- a/crates/relay/src/relay/repeats.rs
+++ b/crates/relay/src/relay/repeats.rs
@@ -10,8 +10,6 @@
     Taken,
     /// The budget has none left.
     Refused,
-    /// It had been sent before it was known to be one.
-    Forced,
 }
 
 impl Outcome {
@@ -19,7 +17,6 @@
         match self {
             Self::Taken => "taken",
             Self::Refused => "refused",
-            Self::Forced => "forced",
         }
     }
 }
@@ -54,9 +51,18 @@
         may
     }
 
-    /// Takes one repeat of a request, with a line on what decided it.
-    pub fn may_repeat_call(&self, call: &Call) -> bool {
+    /// Whether a request may reach its service once more, which takes a repeat from the budget unless this is
+    /// the first time.
+    ///
+    /// Asked before each send. What became of the one before counts, whether or not it was meant to be a repeat: a
+    /// prompt that its reader rejects is one more arrival, and engines that reject all prompts would get
+    /// every request twice.
+    pub fn may_arrive(&self, call: &Call) -> bool {
+        if call.arrivals() < call.covered.get() {
+            return true;
+        }
         let may = self.may_repeat(&call.service);
+        call.covered.set(call.covered.get() + u32::from(may));
         let outcome = if may {
             Outcome::Taken
         } else {
@@ -66,17 +72,6 @@
         may
     }
 
-    /// Counts a repeat that had been sent before it was known to be one.
-    pub fn forced_repeat(&self, call: &Call) {
-        let terms = self.settings.borrow().repeats;
-        let mut all = self.repeats.borrow_mut();
-        let repeats = all.entry(call.service.clone()).or_default();
-        repeats.forced(self.now_ms(), &terms);
-        drop(all);
-        self.count_repeat(Outcome::Forced);
-        self.note_repeat(call, Outcome::Forced);
-    }
-
     fn count_repeat(&self, outcome: Outcome) {
         let labels = [outcome.label()];
         self.metrics.repeats.with_label_values(&labels).inc();
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -65,6 +65,10 @@
     sending: &Sending<'_>,
 ) -> Sent {
     let request = call.request(&*relay.dialect, sending);
+    debug_assert!(
+        call.arrivals() < call.covered.get(),
+        "a send beyond the bound"
+    );
     call.attempts.set(call.attempts.get() + 1);
     call.sends.set(call.sends.get() + 1);
     call.at.borrow_mut().clone_from(&upstream.id);
