A prompt that is read a second time is two arrivals, and takes two repeats

An engine's connection ends under the output, and the request is sent on: its prompt is read apart again and its output is made, which are two arrivals more for the one repeat that was taken. Only the first accepted read of a request's prompt is free. Class: a charge made once for a step that has two parts.

Now the second read counts as well; it is made only where both are covered, and the output's engine reads the prompt itself otherwise.

Ruled out: reading the prompt again at no charge where the cache is still there: that is kept and was already used.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -54,8 +54,10 @@
     pub sends: Cell<u32>,
     /// Upstreams that it was sent to, those that rejected it included.
     pub attempts: Cell<u32>,
-    /// Reads of its prompt apart that reached an engine and were not accepted.
-    pub(crate) failed_reads: Cell<u32>,
+    /// Reads of its prompt apart that reached an engine, but for the first that was accepted.
+    pub(crate) reads: Cell<u32>,
+    /// Whether a read of its prompt apart has been accepted.
+    pub(crate) has_read: Cell<bool>,
     /// Arrivals of it at its service that the bound on repeats allows; the first always is.
     pub(crate) covered: Cell<u32>,
     /// Whether an upstream has begun with it, as far as is known.
@@ -120,7 +122,8 @@
             due_ms: arrived_ms.saturating_add(wait_ms),
             sends: Cell::default(),
             attempts: Cell::default(),
-            failed_reads: Cell::default(),
+            reads: Cell::default(),
+            has_read: Cell::default(),
             covered: Cell::new(1),
             has_begun: Cell::default(),
             is_over: Cell::default(),
@@ -140,9 +143,26 @@
     }
 
     /// Times that it has reached its service, as the bound on repeats counts them: rejected or not, but for
-    /// reads of its prompt that were accepted.
+    /// the first read of its prompt that was accepted.
     pub(crate) fn arrivals(&self) -> u32 {
-        self.attempts.get() + self.failed_reads.get()
+        self.attempts.get() + self.reads.get()
+    }
+
+    /// Its prompt is sent to be read apart.
+    pub(crate) fn begins_read(&self) {
+        self.reads.set(self.reads.get() + 1);
+    }
+
+    /// That read has reached nobody.
+    pub(crate) fn read_is_unsent(&self) {
+        self.reads.set(self.reads.get() - 1);
+    }
+
+    /// That read was accepted.
+    pub(crate) fn read_is_accepted(&self) {
+        if !self.has_read.replace(true) {
+            self.reads.set(self.reads.get() - 1);
+        }
     }
 
     /// Rank at an engine, 0 first.
--- a/crates/relay/src/generate.rs
+++ b/crates/relay/src/generate.rs
@@ -76,6 +76,10 @@
 ) -> Result<(Maker, Option<Handed>), Refused> {
     match place::generation(relay, call, prompt, tried)? {
         Placement::Whole(maker) => Ok((maker, None)),
+        Placement::Apart(reader) if !relay.may_read_apart(call) => {
+            let maker = after(relay, call, prompt, tried, None, reader.urgency)?;
+            Ok((maker, None))
+        }
         Placement::Apart(reader) => {
             let kv = read_apart(relay, call, prompt, &reader).await;
             let maker = after(relay, call, prompt, tried, kv.as_ref(), reader.urgency)?;
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -123,7 +123,7 @@
     };
     let began_ms = relay.now_ms();
     let request = call.request(&*relay.dialect, &sending);
-    call.failed_reads.set(call.failed_reads.get() + 1);
+    call.begins_read();
     let reading = async {
         match raw_send(relay, call, reader, request).await {
             Ok((response, lease)) => {
@@ -132,7 +132,7 @@
             }
             Err(fault) => {
                 if !matches!(fault, Fault::Lost { .. }) {
-                    call.failed_reads.set(call.failed_reads.get() - 1);
+                    call.read_is_unsent();
                 }
                 note_unsent(relay, reader, &fault);
                 note_unread(relay, call, reader, &fault.to_string());
@@ -149,7 +149,7 @@
     };
     drop(guard);
     if handed.is_some() {
-        call.failed_reads.set(call.failed_reads.get() - 1);
+        call.read_is_accepted();
         keep_parts(relay, call, prompt, reader, Reading::Done);
         let took_ms = (relay.now_ms() - began_ms) as f64;
         if relay.served_lines.take(relay.now_ms()) {
--- a/crates/relay/src/relay/repeats.rs
+++ b/crates/relay/src/relay/repeats.rs
@@ -3,24 +3,6 @@
 use super::Relay;
 use crate::call::Call;
 
-/// What became of a repeat.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Outcome {
-    /// It was taken from the budget.
-    Taken,
-    /// The budget has none left.
-    Refused,
-}
-
-impl Outcome {
-    fn label(self) -> &'static str {
-        match self {
-            Self::Taken => "taken",
-            Self::Refused => "refused",
-        }
-    }
-}
-
 impl Relay {
     /// Counts a first send to a service.
     pub fn sent_first(&self, service: &str) {
@@ -42,12 +24,8 @@
         let mut all = self.repeats.borrow_mut();
         let repeats = all.entry(service.to_owned()).or_default();
         let may = repeats.take(self.now_ms(), &terms, instances);
-        let outcome = if may {
-            Outcome::Taken
-        } else {
-            Outcome::Refused
-        };
-        self.count_repeat(outcome);
+        let labels = [outcome_of(may)];
+        self.metrics.repeats.with_label_values(&labels).inc();
         may
     }
 
@@ -58,26 +36,32 @@
     /// prompt that its reader rejects is one more arrival, and engines that reject all prompts would get
     /// every request twice.
     pub fn may_arrive(&self, call: &Call) -> bool {
-        if call.arrivals() < call.covered.get() {
+        self.may_arrive_times(call, 1)
+    }
+
+    /// Whether a request may have its prompt read apart and then reach its service for its output.
+    ///
+    /// Only the first read is free, so one that follows takes a repeat beside that of the output.
+    pub fn may_read_apart(&self, call: &Call) -> bool {
+        !call.has_read.get() || self.may_arrive_times(call, 2)
+    }
+
+    fn may_arrive_times(&self, call: &Call, times: u32) -> bool {
+        (0..times).all(|earlier| self.covers(call, call.arrivals() + earlier))
+    }
+
+    /// Whether the arrival after `arrivals` of a request is covered, or can be by one more repeat.
+    fn covers(&self, call: &Call, arrivals: u32) -> bool {
+        if arrivals < call.covered.get() {
             return true;
         }
         let may = self.may_repeat(&call.service);
         call.covered.set(call.covered.get() + u32::from(may));
-        let outcome = if may {
-            Outcome::Taken
-        } else {
-            Outcome::Refused
-        };
-        self.note_repeat(call, outcome);
+        self.note_repeat(call, may);
         may
     }
 
-    fn count_repeat(&self, outcome: Outcome) {
-        let labels = [outcome.label()];
-        self.metrics.repeats.with_label_values(&labels).inc();
-    }
-
-    fn note_repeat(&self, call: &Call, outcome: Outcome) {
+    fn note_repeat(&self, call: &Call, may: bool) {
         let now_ms = self.now_ms();
         if !self.failed_lines.take(now_ms) {
             return;
@@ -87,9 +71,14 @@
         let repeats = all.entry(call.service.clone()).or_default();
         let (first, again) = repeats.counts(now_ms, &terms);
         log::info!(
-            request = call.id(), service = call.service, outcome = outcome.label(), first, again,
+            request = call.id(), service = call.service, outcome = outcome_of(may), first, again,
             instances = self.instances();
             "repeat"
         );
     }
 }
+
+/// What became of a repeat, for lines and metrics.
+fn outcome_of(may: bool) -> &'static str {
+    if may { "taken" } else { "refused" }
+}
