The window in which repeats are counted slides and is as long as it says

Repeats were counted in ten slots, of which the first counted as soon as it began: a burst at the end of a slot was forgotten after 9 s, and its allowance was there a second time in the same 10 s.

Now a repeat is within the bound only if it is in every window that it would fall into, slots that a window cuts at either end and the time until it arrives included; requests of the window, of the one before or of the one half a window earlier pay for it, as those do who count it.

Ruled out: a token bucket (rate by requests, no window): strict under any sum, but it holds back bursts after a crash to the fixed part, 6 in place of 46 for an instance with 25 requests a second.

Tests (each seen failing on the code before): a_burst_of_repeats_is_remembered_for_a_whole_window, 30 too many; no_window_has_more_than_allowed, 1,000 loads in bursts with late arrivals, 1 too many in the smallest.

--- a/crates/plan/src/repeats.rs
+++ b/crates/plan/src/repeats.rs
@@ -6,13 +6,18 @@
 //! between them; nothing is exchanged, so it holds while they cannot reach each other.
 
 use std::collections::VecDeque;
+use std::ops::RangeInclusive;
 
-/// Part of the whole allowance that is used, so that windows which do not line up with those of
-/// a reader still hold.
+/// Part of the whole allowance that is used, so that the bound still holds where callers go over to other instances,
+/// which count their requests anew.
 const USED_SHARE: f64 = 0.8;
 
 /// Slots that a window is counted in.
-const SLOTS: u64 = 10;
+const SLOTS: u64 = 20;
+
+/// Slots that a window may touch beyond its own: one that it cuts at either end, and one for repeats that take some time
+/// to arrive.
+const MARGIN: u64 = 2;
 
 /// Terms of the bound.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -42,7 +47,8 @@
     again: u32,
 }
 
-/// First and repeated sends of one instance to one service, in a sliding window.
+/// First and repeated sends of one instance to one service, in two sliding windows: the requests of one window may
+/// pay for repeats in the next.
 #[derive(Debug, Clone, Default)]
 pub struct Repeats {
     slots: VecDeque<Slot>,
@@ -54,12 +60,36 @@
         self.slot(now_ms, terms).first += 1;
     }
 
-    /// Repeats that are left of this instance's part.
+    /// Repeats that are left of this instance's part: the least that any window has left which one now would be in.
     pub fn left(&mut self, now_ms: u64, terms: &RepeatTerms, instances: usize) -> f64 {
-        let (first, again) = self.counts(now_ms, terms);
+        let now = self.slot(now_ms, terms).number;
         let part = terms.slack / instances.max(1) as f64;
-        let most = USED_SHARE * (terms.ratio * f64::from(first) + part);
-        (most - f64::from(again)).max(0.0)
+        let left = |start: u64| {
+            let most = USED_SHARE * (terms.ratio * self.paying(start) + part);
+            most - self.sum(start..=now, |slot| slot.again)
+        };
+        let starts = now.saturating_sub(SLOTS + MARGIN)..=now;
+        starts.map(left).fold(f64::MAX, f64::min).max(0.0)
+    }
+
+    /// First sends that pay for repeats in the window which begins at a slot: its own, those of the window before it or
+    /// of the one that lies half a window earlier, whichever are most.
+    fn paying(&self, start: u64) -> f64 {
+        let windows = [0, SLOTS / 2, SLOTS].map(|earlier| {
+            let end = (start + SLOTS).saturating_sub(earlier);
+            self.sum(end.saturating_sub(SLOTS)..=end.saturating_sub(1), |slot| {
+                slot.first
+            })
+        });
+        windows.into_iter().fold(0.0, f64::max)
+    }
+
+    fn sum(&self, slots: RangeInclusive<u64>, count: impl Fn(&Slot) -> u32) -> f64 {
+        let within = self
+            .slots
+            .iter()
+            .filter(|slot| slots.contains(&slot.number));
+        f64::from(within.map(count).sum::<u32>())
     }
 
     /// Whether one more repeat is within this instance's part, and counts it if so.
@@ -73,10 +103,10 @@
 
     /// First and repeated sends in the window.
     pub fn counts(&mut self, now_ms: u64, terms: &RepeatTerms) -> (u32, u32) {
-        self.slot(now_ms, terms);
-        let first = self.slots.iter().map(|slot| slot.first).sum();
-        let again = self.slots.iter().map(|slot| slot.again).sum();
-        (first, again)
+        let now = self.slot(now_ms, terms).number;
+        let window = (now + 1).saturating_sub(SLOTS)..=now;
+        let first = self.sum(window.clone(), |slot| slot.first);
+        (first as u32, self.sum(window, |slot| slot.again) as u32)
     }
 
     fn slot(&mut self, now_ms: u64, terms: &RepeatTerms) -> &mut Slot {
@@ -84,7 +114,7 @@
         while self
             .slots
             .front()
-            .is_some_and(|slot| slot.number + SLOTS <= number)
+            .is_some_and(|slot| slot.number + 2 * SLOTS + MARGIN < number)
         {
             self.slots.pop_front();
         }
