A process that has just started has no part in the fixed allowance of repeats

A process that is killed forgets what it sent, which still counts for a window, and the one after it began with a whole part: an instance killed three times within a window had four parts. Class: a limit over time that is kept in memory only.

Now the fixed allowance is split among processes that have been running for a window; until then repeats are paid for by requests alone, which the process counts itself.

Ruled out: taking the own record in the store for the sign of an earlier process (a copy may lack it, and it is read after the first requests).

Tests of repeats run on the clock of a process that has been running for a minute (Clock::of_age): with a young one they would now ask for a repeat that no longer is there; no assertion changed. The share is one argument (plan::Share) in place of the number of instances.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -31,7 +31,7 @@
 pub use lateness::{LatestStart, Waiting};
 pub use pace::{Pace, Seen};
 pub use prefixes::Prefixes;
-pub use repeats::{RepeatTerms, Repeats};
+pub use repeats::{RepeatTerms, Repeats, Share};
 pub use roles::{Assignment, RoleChange, RolePlanner, RoleSettings};
 pub use rollout::moves_over;
 pub use route::{Choice, Request, RouteSettings, Router};
--- a/crates/plan/src/repeats.rs
+++ b/crates/plan/src/repeats.rs
@@ -40,6 +40,28 @@
     }
 }
 
+/// How an instance has a share in the fixed allowance.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Share {
+    /// Instances among which it is split.
+    pub instances: usize,
+    /// Time for which the process has been running.
+    pub age_ms: u64,
+}
+
+impl Share {
+    /// Its part of the allowance.
+    ///
+    /// A process does not know what the one before it sent, which still counts for a window. Were each to begin with
+    /// a whole part, an instance that is killed some times in a window would use as many.
+    fn part(&self, terms: &RepeatTerms) -> f64 {
+        if self.age_ms < terms.window_ms {
+            return 0.0;
+        }
+        terms.slack / self.instances.max(1) as f64
+    }
+}
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Slot {
     number: u64,
@@ -61,9 +83,9 @@
     }
 
     /// Repeats that are left of this instance's part: the least that any window has left which one now would be in.
-    pub fn left(&mut self, now_ms: u64, terms: &RepeatTerms, instances: usize) -> f64 {
+    pub fn left(&mut self, now_ms: u64, terms: &RepeatTerms, share: &Share) -> f64 {
         let now = self.slot(now_ms, terms).number;
-        let part = terms.slack / instances.max(1) as f64;
+        let part = share.part(terms);
         let left = |start: u64| {
             let most = USED_SHARE * (terms.ratio * self.paying(start) + part);
             most - self.sum(start..=now, |slot| slot.again)
@@ -93,8 +115,8 @@
     }
 
     /// Whether one more repeat is within this instance's part, and counts it if so.
-    pub fn take(&mut self, now_ms: u64, terms: &RepeatTerms, instances: usize) -> bool {
-        if self.left(now_ms, terms, instances) < 1.0 {
+    pub fn take(&mut self, now_ms: u64, terms: &RepeatTerms, share: &Share) -> bool {
+        if self.left(now_ms, terms, share) < 1.0 {
             return false;
         }
         self.slot(now_ms, terms).again += 1;
--- a/crates/plan/tests/repeats.rs
+++ b/crates/plan/tests/repeats.rs
@@ -1,6 +1,6 @@
 //! The bound on repeats as whoever counts arrivals sees it: in windows that slide, and some time after they were allowed.
 
-use plan::{RepeatTerms, Repeats};
+use plan::{RepeatTerms, Repeats, Share};
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
 
@@ -10,6 +10,12 @@
     slack: 50.0,
 };
 
+/// One instance that has the whole allowance.
+const ALONE: Share = Share {
+    instances: 1,
+    age_ms: TERMS.window_ms,
+};
+
 /// Longest time from leave to send a repeat to its arrival in these tests, in ms: opening a connection.
 const LAG_MS: u64 = 350;
 
@@ -50,7 +56,7 @@
     let mut repeats = Repeats::default();
     let mut sent = Sent::default();
     for now_ms in [999, 10_000] {
-        while repeats.take(now_ms, &TERMS, 1) {
+        while repeats.take(now_ms, &TERMS, &ALONE) {
             sent.again.push(now_ms);
         }
     }
@@ -80,7 +86,7 @@
                 sent.first.push(now_ms);
             }
             for _ in 0..again {
-                if repeats.take(now_ms, &TERMS, 1) {
+                if repeats.take(now_ms, &TERMS, &ALONE) {
                     sent.again.push(now_ms + lag_ms);
                 }
             }
--- a/crates/plan/tests/staged.rs
+++ b/crates/plan/tests/staged.rs
@@ -1,7 +1,7 @@
 //! Loads that the decisions on reading, repeating and leaving alone answer.
 
 use plan::{
-    Ask, EngineView, Health, Pace, RepeatTerms, Repeats, Seen, Verdict, least, work_tokens,
+    Ask, EngineView, Health, Pace, RepeatTerms, Repeats, Seen, Share, Verdict, least, work_tokens,
 };
 use proptest::prelude::*;
 
@@ -11,6 +11,14 @@
     slack: 52.0,
 };
 
+/// The share of one of so many instances that have been running for long.
+fn among(instances: usize) -> Share {
+    Share {
+        instances,
+        age_ms: 60_000,
+    }
+}
+
 /// A rush: an upstream fails everything it gets for a minute, at 20 requests a second and
 /// instance. Six instances that know nothing of each other stay within the bound of all.
 #[test]
@@ -21,7 +29,7 @@
         let mut again = 0;
         for repeats in &mut all {
             repeats.first(now_ms, &TERMS);
-            again += u32::from(repeats.take(now_ms, &TERMS, 6));
+            again += u32::from(repeats.take(now_ms, &TERMS, &among(6)));
         }
         log.push((now_ms, 6, again));
     }
@@ -55,7 +63,7 @@
         for gap_ms in gaps_ms {
             now_ms += gap_ms;
             repeats.first(now_ms, &TERMS);
-            log.push((now_ms, repeats.take(now_ms, &TERMS, 1)));
+            log.push((now_ms, repeats.take(now_ms, &TERMS, &among(1))));
         }
         for start in 0..log.len() {
             let window = log[start..].iter().take_while(|each| each.0 < log[start].0 + 10_000);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -78,7 +78,7 @@
     pub settings: RefCell<Settings>,
     /// Names on the wire.
     pub dialect: Rc<dyn Dialect>,
-    /// Clock that all times go by.
+    /// Clock that all times go by, begun with the process.
     pub clock: Clock,
     /// Metrics.
     pub metrics: Metrics,
@@ -228,9 +228,9 @@
             .poisonous
             .set(self.poisonous().len().cast_signed() as i64);
         let terms = self.settings.borrow().repeats;
-        let instances = self.instances();
+        let share = self.share();
         for (service, repeats) in self.repeats.borrow_mut().iter_mut() {
-            let left = repeats.left(now_ms, &terms, instances);
+            let left = repeats.left(now_ms, &terms, &share);
             metrics
                 .repeats_left
                 .with_label_values(&[service])
--- a/crates/relay/src/relay/repeats.rs
+++ b/crates/relay/src/relay/repeats.rs
@@ -1,5 +1,7 @@
 //! The bound on requests that reach a service more than once, as this instance keeps its part of it.
 
+use plan::Share;
+
 use super::Relay;
 use crate::call::Call;
 
@@ -20,15 +22,23 @@
             return false;
         }
         let terms = self.settings.borrow().repeats;
-        let instances = self.instances();
+        let share = self.share();
         let mut all = self.repeats.borrow_mut();
         let repeats = all.entry(service.to_owned()).or_default();
-        let may = repeats.take(self.now_ms(), &terms, instances);
+        let may = repeats.take(self.now_ms(), &terms, &share);
         let labels = [outcome_of(may)];
         self.metrics.repeats.with_label_values(&labels).inc();
         may
     }
 
+    /// Its share in the fixed allowance.
+    pub(super) fn share(&self) -> Share {
+        Share {
+            instances: self.instances(),
+            age_ms: self.now_ms(),
+        }
+    }
+
     /// Whether a request may reach its service once more, which takes a repeat from the budget unless this is
     /// the first time.
     ///
@@ -72,7 +82,7 @@
         let (first, again) = repeats.counts(now_ms, &terms);
         log::info!(
             request = call.id(), service = call.service, outcome = outcome_of(may), first, again,
-            instances = self.instances();
+            instances = self.share().instances;
             "repeat"
         );
     }
--- a/crates/relay/tests/beliefs.rs
+++ b/crates/relay/tests/beliefs.rs
@@ -4,7 +4,7 @@
 
 use std::rc::Rc;
 
-use common::{Wire, config, settings};
+use common::{AGE, Wire, config, settings};
 use relay::Relay;
 use relay::config::{Config, Kind, Limits, Route, Target};
 use relay::directory::addresses;
@@ -278,7 +278,7 @@
 /// each took the whole budget of repeats they would send six times what is allowed.
 #[test]
 fn an_instance_that_knows_nobody_repeats_nothing() {
-    let relay = Relay::new(settings(), Rc::new(Wire), Clock::default());
+    let relay = Relay::new(settings(), Rc::new(Wire), Clock::of_age(AGE));
     relay.sent_first("desk");
     assert!(!relay.may_repeat("desk"));
     let own = relay.heartbeat();
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -31,6 +31,9 @@
 pub use standin::{Act, Seen, StandIn};
 pub use wire::Wire;
 
+/// Time for which the process of a relay has been running: longer than any of its windows.
+pub const AGE: Duration = Duration::from_secs(60);
+
 /// A relay that listens on loopback.
 pub struct Bed {
     /// The relay.
@@ -135,7 +138,7 @@
 
     /// Starts a relay that has no configuration and no upstreams.
     pub fn knowing_nothing(settings: Settings) -> Self {
-        let clock = Clock::default();
+        let clock = Clock::of_age(AGE);
         let relay = Relay::new(settings, Rc::new(Wire), clock);
         let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
         let address = listener.local_addr().expect("an address");
--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -4,12 +4,17 @@
 mod common;
 
 use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::Duration;
 
-use common::{Act, Bed, Seen, StandIn, request, settings};
+use common::{AGE, Act, Bed, Seen, StandIn, Wire, request, settings};
 use http::{HeaderValue, Method, Request};
 use http_body_util::Full;
 use plan::RepeatTerms;
+use relay::Relay;
 use relay::upstream::Stage;
+use tick::Clock;
+use view::Member;
 
 /// Bound on repeats of these tests: a fifth of the requests and five.
 const TERMS: RepeatTerms = RepeatTerms {
@@ -96,6 +101,43 @@
     arrivals.values().map(|count| count - 1).sum()
 }
 
+/// One of seven instances, which has been running for `age`.
+fn one_of_seven(age: Duration) -> Rc<Relay> {
+    let relay = Relay::new(settings(), Rc::new(Wire), Clock::of_age(age));
+    let own = relay.heartbeat();
+    let names = ["b", "c", "d", "e", "f", "g"];
+    let others = names.map(|name| Member {
+        name: name.to_owned(),
+        ready: true,
+        ..own.clone()
+    });
+    let mut members = relay.members.borrow_mut();
+    let own = Member { ready: true, ..own };
+    for member in others.into_iter().chain([own]) {
+        members.heard(relay.now_ms(), member);
+    }
+    drop(members);
+    relay
+}
+
+/// Repeats that an instance may make without a request to pay for them.
+fn unpaid(relay: &Relay) -> usize {
+    (0..100).filter(|_| relay.may_repeat("desk")).count()
+}
+
+/// Guards against a part of the allowance that is there anew each time a process is killed and starts again.
+#[test]
+fn a_process_that_starts_again_takes_no_second_part() {
+    let part = settings().repeats.slack / 7.0;
+    let before = unpaid(&one_of_seven(AGE));
+    let after = unpaid(&one_of_seven(Duration::ZERO));
+    assert!(before > 0);
+    assert!(
+        (before + after) as f64 <= part,
+        "{before} and {after} of {part}"
+    );
+}
+
 /// Asks one after the other, and gives how many were served.
 async fn ask_all(bed: &Bed, path: &str) -> usize {
     let mut served = 0;
--- a/crates/tick/src/lib.rs
+++ b/crates/tick/src/lib.rs
@@ -15,25 +15,39 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Clock {
     start: Instant,
+    before: Duration,
 }
 
 impl Default for Clock {
     fn default() -> Self {
         Self {
             start: Instant::now(),
+            before: Duration::ZERO,
         }
     }
 }
 
 impl Clock {
+    /// The clock of a process that has been running for `age`, for tests.
+    pub fn of_age(age: Duration) -> Self {
+        Self {
+            start: Instant::now(),
+            before: age,
+        }
+    }
+
     /// Time since the clock was made, in ms.
     pub fn now_ms(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64
+        self.elapsed().as_millis() as u64
     }
 
     /// Time since the clock was made, in µs, for spans too short for ms.
     pub fn now_us(&self) -> u64 {
-        self.start.elapsed().as_micros() as u64
+        self.elapsed().as_micros() as u64
+    }
+
+    fn elapsed(&self) -> Duration {
+        self.before + self.start.elapsed()
     }
 }
 
