The allowance of repeats is split among all instances that are remembered

Whoever fell silent or was not ready yet left its part to the others: two sides of a cut used it twice, and of seven instances that start again one after the other the first had all of it. Class: a limit of all that is split among those who happen to be seen.

Now all that are remembered have their part, as long as their records are: what they sent counts for a window, and one that is cut off may go on.

Ruled out: only those heard of within a window: a cut that lasts longer gives both sides the whole.

Tests (seen failing before): instances_that_fall_silent_leave_their_parts_to_nobody 20 of 7.1, instances_that_are_not_ready_leave_their_parts_to_nobody 40 of 7.1; both within 7.1 now.

--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -274,7 +274,7 @@
             .unwrap_or_default()
     }
 
-    /// Instances among which shared bounds are split.
+    /// Instances that serve now, among which connections are split.
     pub fn instances(&self) -> usize {
         self.members.borrow().count()
     }
--- a/crates/relay/src/relay/repeats.rs
+++ b/crates/relay/src/relay/repeats.rs
@@ -34,7 +34,7 @@
     /// Its share in the fixed allowance.
     pub(super) fn share(&self) -> Share {
         Share {
-            instances: self.instances(),
+            instances: self.members.borrow().sharing(),
             age_ms: self.now_ms(),
         }
     }
--- a/crates/relay/tests/repeats.rs
+++ b/crates/relay/tests/repeats.rs
@@ -14,7 +14,7 @@
 use relay::Relay;
 use relay::upstream::Stage;
 use tick::Clock;
-use view::Member;
+use view::{InstanceKey, Member};
 
 /// Bound on repeats of these tests: a fifth of the requests and five.
 const TERMS: RepeatTerms = RepeatTerms {
@@ -138,6 +138,41 @@
     );
 }
 
+/// Guards against parts that grow as instances fall silent, which may only be cut off and go on with theirs.
+#[test]
+fn instances_that_fall_silent_leave_their_parts_to_nobody() {
+    let relay = one_of_seven(AGE);
+    let silent_ms = relay.now_ms() + 3_000;
+    let mut members = relay.members.borrow_mut();
+    for name in ["b", "c"] {
+        members.told(silent_ms, InstanceKey::of(name));
+    }
+    assert!(members.count() < 7, "silence is noticed");
+    drop(members);
+    let part = settings().repeats.slack / 7.0;
+    let taken = unpaid(&relay);
+    assert!(taken > 0 && taken as f64 <= part, "{taken} of {part}");
+}
+
+/// Guards against parts that grow while others start again: they are not ready yet, and will be within a window.
+#[test]
+fn instances_that_are_not_ready_leave_their_parts_to_nobody() {
+    let relay = one_of_seven(AGE);
+    let now_ms = relay.now_ms();
+    let own = relay.heartbeat();
+    for name in ["b", "c", "d", "e", "f", "g"] {
+        let starting = Member {
+            name: name.to_owned(),
+            ready: false,
+            ..own.clone()
+        };
+        relay.members.borrow_mut().heard(now_ms, starting);
+    }
+    let part = settings().repeats.slack / 7.0;
+    let taken = unpaid(&relay);
+    assert!(taken > 0 && taken as f64 <= part, "{taken} of {part}");
+}
+
 /// Asks one after the other, and gives how many were served.
 async fn ask_all(bed: &Bed, path: &str) -> usize {
     let mut served = 0;
--- a/crates/view/src/members.rs
+++ b/crates/view/src/members.rs
@@ -218,11 +218,19 @@
         !self.known.is_empty()
     }
 
-    /// Number of instances among which shared bounds are split; one at least.
+    /// Number of instances that serve now, as far as is known; one at least.
     pub fn count(&self) -> usize {
         self.reachable().count().max(1)
     }
 
+    /// Number of instances among which an allowance is split that none may exceed; one at least.
+    ///
+    /// All that are remembered have their part, whether they speak or not: one that is cut off from the others may still reach
+    /// callers and upstreams, and one that was killed has used its part a moment ago.
+    pub fn sharing(&self) -> usize {
+        self.known.len().max(1)
+    }
+
     /// Forgets instances that have been silent for long.
     pub fn forget_silent(&mut self) {
         let oldest_ms = self.read_ms.saturating_sub(self.beat_ms() * FORGOTTEN);
