An upstream's limit is read and leaves a line and a number

The header in which an upstream names how many requests a second it takes was read by nobody, so neither lines nor metrics told that one did. What an upstream says of itself is now taken in at one place for both kinds of answers, and not from an answer of another incarnation. No decision uses it yet.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -118,6 +118,8 @@
     pub instance: Option<String>,
     /// The upstream's load.
     pub load: Option<ToldLoad>,
+    /// Requests a second that the upstream takes from all instances together, if it names a limit.
+    pub limit_per_s: Option<f64>,
 }
 
 /// What an engine says of itself.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -35,6 +35,8 @@
     pub config_age_ms: IntGauge,
     /// Time since the load of the instance that was silent for longest was told, in ms.
     pub load_age_ms: IntGauge,
+    /// Upstreams that name a limit.
+    pub limited: IntGauge,
     /// Repeats asked of the budget.
     pub repeats: IntCounterVec,
     /// Time to an answer's head, by route.
@@ -113,6 +115,7 @@
             head_s: histogram("head_seconds", "Time to an answer's head.", &["route"]),
             prefill_s: histogram("prefill_seconds", "Time to read a prompt.", &["service"]),
             list_age_ms: gauge("list_age_ms", "Age of the list of upstreams."),
+            limited: gauge("limited_upstreams", "Upstreams that name a limit."),
             upstreams: gauge("upstreams", "Upstreams known."),
             instances: gauge("instances", "Instances ready."),
             poisonous: gauge(
--- a/crates/relay/src/reading.rs
+++ b/crates/relay/src/reading.rs
@@ -16,7 +16,7 @@
 use crate::place::Reader;
 use crate::pool::{Fault, Lease, exchange};
 use crate::relay::Relay;
-use crate::send::{has_no_room, note_misdirected, note_unsent, raw_send};
+use crate::send::{has_no_room, note_misdirected, note_told, note_unsent, raw_send};
 use crate::upstream::{InFlight, Reading, Upstream, Work};
 
 /// Times the predicted time after which a prompt's answer may have been lost.
@@ -206,9 +206,7 @@
 ) -> Option<Handed> {
     let status = response.status();
     let answered = relay.dialect.answered(response.headers());
-    if let Some(load) = answered.load {
-        reader.told(relay.now_ms(), load);
-    }
+    note_told(relay, reader, &answered);
     // A late answer to an earlier request on the connection would lead to another prompt's cache.
     if answered.attempt != call.asked.attempt {
         note_unread(relay, call, reader, "the answer is another request's");
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -222,6 +222,7 @@
         metrics.list_age_ms.set(age(self.list_age_ms()));
         metrics.load_age_ms.set(age(load_age_ms));
         metrics.upstreams.set(upstreams.cast_signed() as i64);
+        metrics.limited.set(self.limited().cast_signed() as i64);
         metrics.instances.set(self.instances().cast_signed() as i64);
         metrics.in_flight.set(self.busy.get().cast_signed() as i64);
         metrics
@@ -250,6 +251,13 @@
         metrics.text()
     }
 
+    /// Upstreams that name a limit.
+    fn limited(&self) -> usize {
+        let upstreams = self.upstreams.borrow();
+        let limited = upstreams.iter().filter(|each| each.limit_per_s().is_some());
+        limited.count()
+    }
+
     /// What this instance knows, for another one.
     pub fn state(&self) -> State {
         State {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -202,6 +202,23 @@
     }
 }
 
+/// Takes in what an upstream says of itself in an answer's head, whichever request it answers.
+pub fn note_told(relay: &Relay, upstream: &Upstream, answered: &Answered) {
+    let is_another = |id: &String| *id != upstream.id;
+    if answered.instance.as_ref().is_some_and(is_another) {
+        return;
+    }
+    if let Some(load) = answered.load {
+        upstream.told(relay.now_ms(), load);
+    }
+    if upstream.names_limit(answered.limit_per_s) {
+        log::info!(
+            upstream = upstream.id, limit_per_s = answered.limit_per_s.unwrap_or(f64::INFINITY);
+            "upstream's limit changed"
+        );
+    }
+}
+
 fn check(
     relay: &Rc<Relay>,
     call: &Call,
@@ -211,9 +228,7 @@
     lease: Lease,
 ) -> Sent {
     let answered = relay.dialect.answered(response.headers());
-    if let Some(load) = answered.load {
-        upstream.told(relay.now_ms(), load);
-    }
+    note_told(relay, upstream, &answered);
     let status = response.status();
     // An answer that came late to an earlier request on the connection names another attempt. It
     // says nothing of this one, not even that it has not run.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -93,6 +93,7 @@
     health: RefCell<Health>,
     kept: RefCell<KeptParts>,
     others: Cell<Option<Load>>,
+    limit_per_s: Cell<Option<f64>>,
 }
 
 impl Upstream {
@@ -127,6 +128,7 @@
             health: RefCell::default(),
             kept: RefCell::default(),
             others: Cell::default(),
+            limit_per_s: Cell::default(),
         }
     }
 
@@ -314,6 +316,16 @@
         });
     }
 
+    /// It named a limit in an answer, or none; gives whether that is news.
+    pub fn names_limit(&self, limit_per_s: Option<f64>) -> bool {
+        self.limit_per_s.replace(limit_per_s) != limit_per_s
+    }
+
+    /// Requests a second that it takes from all instances together, if it has named a limit.
+    pub fn limit_per_s(&self) -> Option<f64> {
+        self.limit_per_s.get()
+    }
+
     /// Whether it is fit for work.
     pub fn verdict(&self, now_ms: u64) -> Verdict {
         if self.is_silent(now_ms) || now_ms < self.rejecting_until_ms.get() {
--- a/crates/relay/tests/common/wire.rs
+++ b/crates/relay/tests/common/wire.rs
@@ -117,6 +117,7 @@
             not_run: headers.contains_key("x-not-run"),
             instance: text(headers, "x-instance").map(str::to_owned),
             load,
+            limit_per_s: text(headers, "x-limit").and_then(|limit| limit.parse().ok()),
         }
     }
 
