--- /dev/null
+++ b/crates/relay/tests/limits.rs
@@ -0,0 +1,105 @@
+//! Upstreams that name how many requests a second they take from all instances together.
+
+mod common;
+
+use common::{Bed, Seen, StandIn, request, tell};
+use http::{HeaderValue, Method, Request};
+use http_body_util::Full;
+use relay::upstream::{Entry, Stage};
+
+/// So few requests a second that no test lasts until the next one.
+const HARDLY_ANY: &str = "x-limit: 0.001\r\n";
+
+/// Requests of a test.
+const REQUESTS: usize = 40;
+
+/// Those that may have reached a limited upstream: the one that learned of it.
+const LEARNED_BY: usize = 1;
+
+const EVENTS: &str = "id: 1\ndata: 1\n\n";
+
+/// Whether a prompt is to be read apart.
+fn is_read(seen: &Seen) -> bool {
+    seen.header("x-step") == Some("prefill")
+}
+
+fn answers(headers: &'static str) -> StandIn {
+    StandIn::start(move |seen| {
+        let body = if is_read(seen) { "kv-1" } else { EVENTS };
+        seen.answer("200 OK", headers, body)
+    })
+}
+
+/// Two upstreams of a service, of which the first is nearer and limited.
+fn limited_and_free(service: &str, stage: Stage) -> (StandIn, StandIn, Vec<Entry>) {
+    let (limited, free) = (answers(HARDLY_ANY), answers(""));
+    let near = limited.entry("limited", service, stage);
+    let far = Entry {
+        zone: "there".to_owned(),
+        ..free.entry("free", service, stage)
+    };
+    (limited, free, vec![near, far])
+}
+
+fn read(id: usize) -> Request<Full<bytes::Bytes>> {
+    request(Method::GET, "/reads/x", &id.to_string())
+}
+
+fn generation(id: usize, tokens: usize) -> Request<Full<bytes::Bytes>> {
+    let mut asked = request(Method::POST, "/once/x", &id.to_string());
+    let prompt = HeaderValue::from_str(&format!("{id}:{tokens}")).expect("a valid value");
+    asked.headers_mut().insert("x-prompt", prompt);
+    asked
+}
+
+/// Asks one after the other, and gives how many were served.
+async fn ask_all(bed: &Bed, asked: impl Fn(usize) -> Request<Full<bytes::Bytes>>) -> usize {
+    let mut served = 0;
+    for id in 0..REQUESTS {
+        let (status, _) = bed.get(asked(id)).await;
+        assert!([200, 503].contains(&status), "{status}");
+        served += usize::from(status == 200);
+    }
+    served
+}
+
+/// Guards against calls beyond what a service takes that names a limit.
+#[actix_rt::test]
+async fn a_service_that_names_a_limit_gets_no_more_calls() {
+    let (limited, free, entries) = limited_and_free("desk", Stage::Whole);
+    let bed = Bed::start(entries);
+    assert_eq!(ask_all(&bed, read).await, REQUESTS);
+    assert_eq!(limited.count(), LEARNED_BY);
+    assert_eq!(free.count(), REQUESTS - LEARNED_BY);
+}
+
+/// Guards against prompts that are read at an engine beyond the limit that it names.
+#[actix_rt::test]
+async fn an_engine_that_names_a_limit_reads_no_more_prompts() {
+    let (limited, free, mut entries) = limited_and_free("llm", Stage::Prefill);
+    let maker = answers("");
+    entries.push(maker.entry("maker", "llm", Stage::Decode));
+    let bed = Bed::start(entries);
+    assert_eq!(ask_all(&bed, |id| generation(id, 17_000)).await, REQUESTS);
+    let read_there = limited
+        .seen
+        .borrow()
+        .iter()
+        .filter(|seen| is_read(seen))
+        .count();
+    assert_eq!(read_there, LEARNED_BY);
+    assert!(free.count() > 0, "prompts are still read apart");
+}
+
+/// Guards against a limit that each instance finds out and keeps for itself.
+#[actix_rt::test]
+async fn a_limit_that_one_instance_was_told_binds_the_others() {
+    let (limited, _free, entries) = limited_and_free("llm", Stage::Decode);
+    let one = Bed::start(entries.clone());
+    assert_eq!(ask_all(&one, |id| generation(id, 50)).await, REQUESTS);
+    let before = limited.count();
+    let other = Bed::start(entries);
+    tell(&one.relay, &other.relay);
+    assert_eq!(ask_all(&other, |id| generation(id, 50)).await, REQUESTS);
+    assert_eq!((before, limited.count()), (LEARNED_BY, LEARNED_BY));
+}
