A limit that an upstream names is kept by all instances together

Engines in need named how many requests a second they take, and got two to three times as many: nobody read it. Class: a bound of another party that no way to it asks.

Whatever is sent for a caller (first sends, repeats, prompts read apart, streams that go on) takes its place at the upstream in one function before it is sent, and placement passes over upstreams at which this instance has none left; where all have none, a request is refused at once, as not run. The word is told to all instances through the hubs within three periods and again every half second while it is named, the latest counts; an answer that names none lifts it once it was not named for 1.5 s. A few instances use an upstream's limit (one for each two requests a second), each by a token bucket that is empty when it gets a part; who they are follows from the order of instances that all know, so nothing else is exchanged and no cost grows with all pairs.

Ruled out: each instance the same part (300 instances save up one request each, and send them at once: 55 too many at 90); each the whole limit (25 too many at 6); lifting at the first answer without it (a stream's head begun before may come later).

The form of datagrams is 7: its test names the next one, 8, as unknown.

--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -108,7 +108,7 @@
     let all: Vec<Rc<Upstream>> = upstreams
         .ready(&call.service, now_ms)
         .filter(|each| stages.contains(&each.stage()) && !tried.contains(&each.id))
-        .filter(|each| !each.is_turning(now_ms))
+        .filter(|each| !each.is_turning(now_ms) && relay.has_room(each))
         .cloned()
         .collect();
     // A probe may meet a failing upstream, so only what can be repeated is spent on it.
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -52,6 +52,12 @@
         /// Where to.
         peer: SocketAddr,
     },
+    /// The peer names a limit, of which nothing is left for this instance; nothing was sent.
+    #[display("{peer} takes no more for now")]
+    Limited {
+        /// Where to.
+        peer: SocketAddr,
+    },
     /// The request was sent, wholly or in part, and may have run.
     #[display("answer of {peer}: {why}")]
     Lost {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,5 +1,6 @@
 //! What one instance knows, and who may change it.
 
+mod limits;
 mod list;
 mod others;
 mod repeats;
@@ -251,13 +252,6 @@
         metrics.text()
     }
 
-    /// Upstreams that name a limit.
-    fn limited(&self) -> usize {
-        let upstreams = self.upstreams.borrow();
-        let limited = upstreams.iter().filter(|each| each.limit_per_s().is_some());
-        limited.count()
-    }
-
     /// What this instance knows, for another one.
     pub fn state(&self) -> State {
         State {
--- a/crates/relay/src/relay/others.rs
+++ b/crates/relay/src/relay/others.rs
@@ -30,7 +30,7 @@
     }
 
     /// Sees to it that the ranks are those of the moment.
-    fn look_at_ranks(&self) {
+    pub(super) fn look_at_ranks(&self) {
         let members = self.members.borrow();
         let now_ms = self.now_ms();
         let seen = (members.version(), now_ms / RANKS_MS);
@@ -140,6 +140,7 @@
         self.take_loads(&heard);
         self.take_news(now_ms, told);
         self.take_fates(now_ms, told);
+        self.take_limits(now_ms, told);
         self.duties.heard(self.settings.borrow().duties, told);
         let upstreams = self.upstreams.borrow();
         for turning in &told.turning {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -133,12 +133,12 @@
     }
 }
 
-/// Counts a fault against its upstream, unless the fault is our own want of connections.
+/// Counts a fault against its upstream, unless it is that this instance may send nothing there now.
 pub fn note_unsent(relay: &Relay, upstream: &Upstream, fault: &Fault) {
     match fault {
         Fault::Connect { .. } => upstream.unreachable(relay.now_ms()),
         Fault::Lost { .. } => upstream.failed(relay.now_ms()),
-        Fault::Crowded { .. } => {}
+        Fault::Crowded { .. } | Fault::Limited { .. } => {}
     }
 }
 
@@ -149,6 +149,11 @@
     upstream: &Rc<Upstream>,
     request: http::Request<http_body_util::Full<Bytes>>,
 ) -> Result<Exchanged, Fault> {
+    if !relay.take_room(upstream) {
+        return Err(Fault::Limited {
+            peer: upstream.address,
+        });
+    }
     let most = most_connections(relay, &call.service);
     let began_ms = relay.now_ms();
     let seconds = |from_ms: u64| (relay.now_ms() - from_ms) as f64 / 1_000.0;
@@ -163,7 +168,7 @@
             at_upstream.observe(seconds(began_ms));
         }
         Err(Fault::Lost { .. }) => note_lost(relay, call, upstream),
-        Err(Fault::Connect { .. } | Fault::Crowded { .. }) => {}
+        Err(Fault::Connect { .. } | Fault::Crowded { .. } | Fault::Limited { .. }) => {}
     }
     exchanged
 }
@@ -211,12 +216,7 @@
     if let Some(load) = answered.load {
         upstream.told(relay.now_ms(), load);
     }
-    if upstream.names_limit(answered.limit_per_s) {
-        log::info!(
-            upstream = upstream.id, limit_per_s = answered.limit_per_s.unwrap_or(f64::INFINITY);
-            "upstream's limit changed"
-        );
-    }
+    relay.named_limit(upstream, answered.limit_per_s);
 }
 
 fn check(
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,9 +1,10 @@
 //! One incarnation of an upstream, and what this instance has seen of it.
 
 mod kept;
+mod limit;
 mod work;
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -14,6 +15,7 @@
 use crate::pool::Pool;
 
 pub use kept::{KeptParts, LEAST_TOKENS};
+pub use limit::RateLimit;
 pub use view::{Entry, Load, Queue, RANKS, Reading, Stage, Standing, UpstreamKey};
 pub use work::{InFlight, Work};
 
@@ -93,7 +95,7 @@
     health: RefCell<Health>,
     kept: RefCell<KeptParts>,
     others: Cell<Option<Load>>,
-    limit_per_s: Cell<Option<f64>>,
+    limit: RefCell<RateLimit>,
 }
 
 impl Upstream {
@@ -128,7 +130,7 @@
             health: RefCell::default(),
             kept: RefCell::default(),
             others: Cell::default(),
-            limit_per_s: Cell::default(),
+            limit: RefCell::default(),
         }
     }
 
@@ -316,14 +318,9 @@
         });
     }
 
-    /// It named a limit in an answer, or none; gives whether that is news.
-    pub fn names_limit(&self, limit_per_s: Option<f64>) -> bool {
-        self.limit_per_s.replace(limit_per_s) != limit_per_s
-    }
-
-    /// Requests a second that it takes from all instances together, if it has named a limit.
-    pub fn limit_per_s(&self) -> Option<f64> {
-        self.limit_per_s.get()
+    /// What is known of how many requests it takes.
+    pub fn limit(&self) -> RefMut<'_, RateLimit> {
+        self.limit.borrow_mut()
     }
 
     /// Whether it is fit for work.
--- a/crates/relay/tests/limits.rs
+++ b/crates/relay/tests/limits.rs
@@ -5,7 +5,7 @@
 use common::{Bed, Seen, StandIn, request, tell};
 use http::{HeaderValue, Method, Request};
 use http_body_util::Full;
-use relay::upstream::{Entry, Stage};
+use relay::upstream::{Entry, RateLimit, Stage};
 
 /// So few requests a second that no test lasts until the next one.
 const HARDLY_ANY: &str = "x-limit: 0.001\r\n";
@@ -103,3 +103,59 @@
     assert_eq!(ask_all(&other, |id| generation(id, 50)).await, REQUESTS);
     assert_eq!((before, limited.count()), (LEARNED_BY, LEARNED_BY));
 }
+
+/// Guards against callers who wait where all upstreams of a service have as much as they take.
+#[actix_rt::test]
+async fn what_no_upstream_takes_is_refused_at_once_and_unrun() {
+    let limited = answers(HARDLY_ANY);
+    let bed = Bed::start(vec![limited.entry("limited", "desk", Stage::Whole)]);
+    assert_eq!(bed.get(read(0)).await.0, 200);
+    let refused = bed.ask(read(1)).await.expect("an answer");
+    assert_eq!(refused.status(), 503);
+    assert!(refused.headers().contains_key("retry-after"));
+    assert_eq!(limited.count(), LEARNED_BY);
+}
+
+/// Guards against a request that goes to a limited upstream a second time, after another one failed it.
+#[actix_rt::test]
+async fn a_repeat_goes_to_no_limited_upstream() {
+    let (limited, _, entries) = limited_and_free("desk", Stage::Whole);
+    let fails = StandIn::start(|seen| seen.answer("500 Internal Server Error", "", ""));
+    let failing = Entry {
+        zone: "there".to_owned(),
+        ..fails.entry("failing", "desk", Stage::Whole)
+    };
+    let bed = Bed::start(vec![entries[0].clone(), failing]);
+    for id in 0..REQUESTS {
+        bed.get(read(id)).await;
+    }
+    assert!(fails.count() > 0);
+    assert_eq!(limited.count(), LEARNED_BY);
+}
+
+/// Guards against a limit that is taken for lifted, since an answer that was begun before it was named comes late.
+#[test]
+fn an_answer_without_a_limit_lifts_one_that_was_not_named_just_now() {
+    let mut limit = RateLimit::default();
+    assert!(limit.named(1_000, 50_000, Some(4.0)).is_changed);
+    assert!(!limit.named(1_400, 50_400, None).is_changed);
+    assert_eq!(limit.per_s(1_400), Some(4.0));
+    assert!(limit.named(2_600, 51_600, None).is_changed);
+    assert_eq!(limit.per_s(2_600), None);
+}
+
+/// Guards against a limit that comes back by an older word of another instance, and against one that stays for good as
+/// nobody sends there any more.
+#[test]
+fn the_latest_word_on_a_limit_counts_and_is_forgotten_in_time() {
+    let mut limit = RateLimit::default();
+    assert!(limit.heard(1_000, 50_000, Some(4.0)));
+    assert!(limit.heard(1_100, 50_200, None));
+    assert!(!limit.heard(1_200, 50_100, Some(4.0)));
+    assert_eq!(limit.per_s(1_200), None);
+    // Its own eyes go before a time of day that is ahead of its own.
+    let own = limit.named(1_300, 40_000, Some(3.0));
+    assert_eq!(own.tell_as_of_ms, Some(50_201));
+    assert_eq!(limit.per_s(1_300), Some(3.0));
+    assert_eq!(limit.per_s(60_000), None);
+}
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -33,4 +33,4 @@
 pub use queue::{Queue, RANKS};
 pub use shared::{Heard, Own, Shared};
 pub use suspects::{Fate, Suspects};
-pub use told::{Kind, PartRead, Reading, Tally, Told, Turning, decode, encode};
+pub use told::{Kind, LimitTold, PartRead, Reading, Tally, Told, Turning, decode, encode};
--- a/crates/view/src/shared.rs
+++ b/crates/view/src/shared.rs
@@ -13,7 +13,7 @@
 
 use self::repeated::Repeated;
 use crate::{
-    Fate, InstanceKey, Kind, Load, Mark, Member, News, PartRead, RecentNews, RequestKey,
+    Fate, InstanceKey, Kind, LimitTold, Load, Mark, Member, News, PartRead, RecentNews, RequestKey,
     ServiceDemand, Told, Turning, UpstreamKey, demand,
 };
 
@@ -100,6 +100,10 @@
     up_fates: Repeated<Fate>,
     /// Those that other hubs told of, for those that report here.
     down_fates: Repeated<Fate>,
+    /// Limits of upstreams that were named here or to those that report here, for all.
+    up_limits: Repeated<LimitTold>,
+    /// Those that other hubs told of, for those that report here.
+    down_limits: Repeated<LimitTold>,
     joined: Vec<(u64, Member)>,
     news: RecentNews,
     hub: Option<Hub>,
@@ -300,6 +304,20 @@
         }
     }
 
+    /// An upstream named its limit here, or names none any more.
+    pub fn add_limit(&mut self, limit: LimitTold) {
+        self.up_limits.add(limit);
+    }
+
+    /// A limit was told that was not known here, and goes on to whom the sender's kind does not reach.
+    pub fn pass_on_limit(&mut self, limit: LimitTold, told_by: Kind) {
+        match told_by {
+            Kind::Report => self.up_limits.add(limit),
+            Kind::Sum => self.down_limits.add(limit),
+            Kind::Digest => {}
+        }
+    }
+
     /// An instance has come or changed.
     pub fn joined(&mut self, now_ms: u64, member: Member) {
         self.joined.retain(|(_, known)| known.name != member.name);
--- a/crates/view/src/shared/outgoing.rs
+++ b/crates/view/src/shared/outgoing.rs
@@ -39,6 +39,7 @@
         let is_news =
             own.loads != self.last_own || !own.reads.is_empty() || !own.turning.is_empty();
         let is_news = is_news || !self.up_fates.is_empty() || !self.down_fates.is_empty();
+        let is_news = is_news || !self.up_limits.is_empty() || !self.down_limits.is_empty();
         let tells = is_news || self.ticks.is_multiple_of(WHOLE_PERIODS);
         self.last_own.clone_from(&own.loads);
         self.joined.retain(|(at_ms, _)| now_ms < at_ms + JOINED_MS);
@@ -66,6 +67,7 @@
         self.up_turning.clear();
         self.down_turning.clear();
         self.down_fates.clear();
+        self.down_limits.clear();
         let is_new = self.hub.is_some_and(|hub| hub.since_ms == now_ms);
         if !tells && !is_new {
             return Vec::new();
@@ -80,6 +82,7 @@
             gives_after: own.gives_after,
             clock_ms: own.clock_ms,
             fates: self.up_fates.told(),
+            limits: self.up_limits.told(),
             poisonous: self.poisonous_told(&own.poisonous),
             ..Told::new(InstanceKey::of(&own.member.name), Kind::Report)
         };
@@ -161,6 +164,7 @@
             config: own.config,
             news: self.news.told(now_ms),
             fates: self.up_fates.told(),
+            limits: self.up_limits.told(),
             poisonous: self.poisonous_told(&own.poisonous),
             ..Told::new(key, Kind::Sum)
         };
@@ -180,6 +184,7 @@
             ..told
         };
         digest.fates.extend(self.down_fates.told());
+        digest.limits.extend(self.down_limits.told());
         let (alive, demand) = self.alive(own, Kind::Report);
         if is_whole {
             (digest.alive, digest.demand) = self.alive(own, Kind::Sum);
--- a/crates/view/src/told.rs
+++ b/crates/view/src/told.rs
@@ -13,7 +13,7 @@
 };
 
 /// First byte of a datagram; another form has another one.
-const FORM: u8 = 6;
+const FORM: u8 = 7;
 
 /// What a datagram speaks for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -59,6 +59,17 @@
     pub left_ms: u32,
 }
 
+/// How many requests a second an upstream takes from all instances together.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct LimitTold {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// Requests a second; nothing if it names no limit any more.
+    pub per_s: Option<f64>,
+    /// When it said so, in ms since 1970; the latest word counts.
+    pub at_ms: u64,
+}
+
 /// Requests of workspaces that began to run in one window of time, as one instance has counted them so far.
 ///
 /// It only grows, so the greatest that was heard counts, however many datagrams were lost or came twice.
@@ -105,6 +116,8 @@
     pub fates: Vec<Fate>,
     /// Requests that no upstream is to get any more.
     pub poisonous: Vec<RequestKey>,
+    /// Limits that upstreams named lately, or name no more.
+    pub limits: Vec<LimitTold>,
     /// Time of day: the sender's own, or in a digest what its hub takes for the fleet's, in ms since 1970.
     pub clock_ms: u64,
     /// Fencing token of the sender's last call for the fleet, if it could make one now.
@@ -132,6 +145,7 @@
             news: Vec::new(),
             fates: Vec::new(),
             poisonous: Vec::new(),
+            limits: Vec::new(),
             clock_ms: 0,
             holds_after: None,
             tallies: Vec::new(),
@@ -178,6 +192,7 @@
     news: Vec<News>,
     fates: Vec<Fate>,
     poisonous: Vec<RequestKey>,
+    limits: Vec<LimitTold>,
     clock_ms: u64,
     holds_after: Option<u64>,
     tallies: Vec<Tally>,
@@ -222,6 +237,7 @@
             news: told.news,
             fates: told.fates,
             poisonous: told.poisonous,
+            limits: told.limits,
             clock_ms: told.clock_ms,
             holds_after: told.holds_after,
             tallies: told.tallies,
@@ -255,6 +271,7 @@
             news: wire.news,
             fates: wire.fates,
             poisonous: wire.poisonous,
+            limits: wire.limits,
             clock_ms: wire.clock_ms,
             holds_after: wire.holds_after,
             tallies: wire.tallies,
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -8,8 +8,8 @@
 use view::hubs::Ranks;
 use view::shared::{Own, PERIOD_MS, Shared};
 use view::{
-    Fate, InstanceKey, Load, Mark, Member, Members, News, Queue, Suspects, Told, UpstreamKey,
-    decode, encode,
+    Fate, InstanceKey, LimitTold, Load, Mark, Member, Members, News, Queue, Suspects, Told,
+    UpstreamKey, decode, encode,
 };
 
 /// Time of a datagram on its way, in ms.
@@ -31,6 +31,7 @@
     pub marks: Vec<Mark>,
     pub news: Vec<News>,
     pub suspects: Suspects,
+    pub limits: HashMap<UpstreamKey, LimitTold>,
     pub runs: bool,
     pub sent: usize,
     pub sent_bytes: usize,
@@ -80,6 +81,7 @@
                 marks: Vec::new(),
                 news: Vec::new(),
                 suspects: Suspects::default(),
+                limits: HashMap::new(),
                 runs: true,
                 sent: 0,
                 sent_bytes: 0,
@@ -197,6 +199,11 @@
         for request in &told.poisonous {
             self.suspects.told(now_ms, *request);
         }
+        for limit in &told.limits {
+            if self.takes(*limit) {
+                self.shared.pass_on_limit(*limit, told.kind);
+            }
+        }
         self.news.extend(told.news.iter().cloned());
         self.marks.extend(told.list);
     }
@@ -208,6 +215,22 @@
         }
     }
 
+    /// An upstream named its limit to it.
+    pub fn is_told(&mut self, limit: LimitTold) {
+        if self.takes(limit) {
+            self.shared.add_limit(limit);
+        }
+    }
+
+    fn takes(&mut self, limit: LimitTold) -> bool {
+        let known = self.limits.get(&limit.upstream);
+        let is_news = known.is_none_or(|known| known.at_ms < limit.at_ms);
+        if is_news {
+            self.limits.insert(limit.upstream, limit);
+        }
+        is_news
+    }
+
     /// What it believes that all have at an upstream.
     pub fn believes(&self, upstream: UpstreamKey) -> u32 {
         let own = self.own.iter().filter(|(key, _)| *key == upstream);
--- a/crates/view/tests/told.rs
+++ b/crates/view/tests/told.rs
@@ -102,7 +102,7 @@
     newer[0] += 1;
     let cut = &bytes[..bytes.len() - 1];
     for (bytes, why) in [
-        (&newer[..], "form Some(7) is not known"),
+        (&newer[..], "form Some(8) is not known"),
         (&[][..], "form None is not known"),
         (cut, "Hit the end of buffer, expected more data"),
     ] {
