--- a/crates/plan/src/lateness.rs
+++ b/crates/plan/src/lateness.rs
@@ -23,8 +23,7 @@
 }
 
 impl Default for LatestStart {
-    /// Three and four objectives. On 12 days each of three fleets the worth was 0.637, 0.616 and 0.658 at
-    /// 2 and 2.5, 0.659, 0.617 and 0.642 at 3 and 4, and 0.656, 0.618 and 0.645 at 4 and 5.
+    /// Three and four objectives: one that has come back has lost its first by then.
     fn default() -> Self {
         Self {
             new: 3.0,
--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -18,8 +18,8 @@
 const READING_SHARE: f64 = 0.66;
 
 /// Share of its places that an engine for output may fill: the rest is for clumps, for the engine
-/// beside it that fails, and because a fuller batch makes each token later. At 0.4 engines went to
-/// output in each lull between two rushes of prompts.
+/// beside it that fails, and because a fuller batch makes each token later. A much smaller one
+/// sends engines to output in each lull between two rushes of prompts.
 const MAKING_SHARE: f64 = 0.6;
 
 /// Pressure, in what a side should bear, below which no engine changes however uneven the split is:
@@ -27,9 +27,7 @@
 const PRESSED: f64 = 0.8;
 
 /// Least share of a service's engines that make output. Fewer hold more streams each, all of which
-/// the end of one engine cuts off. Without any bound a fleet of nine was left with one or two when
-/// engines were withdrawn, and served half as much; 0.4 gained 0.015 less than 0.35 on one of three
-/// fleets and as much on the others.
+/// the end of one engine cuts off, and a small fleet from which engines are withdrawn is left with one.
 const LEAST_MAKERS: f64 = 0.35;
 
 /// Engines that the split must be off by before one changes while nobody is pressed beyond what is
--- a/crates/plan/src/staged.rs
+++ b/crates/plan/src/staged.rs
@@ -24,8 +24,7 @@
 const FULL_STEP: f64 = 0.7;
 
 /// Pauses that a read counts as at the least and at the most: one that is shorter than a pause makes
-/// one, and beyond a few the same answers are late already. With pauses weighed as nothing the worth of
-/// three fleets fell from 0.674 to 0.491, 0.674 to 0.627 and 0.618 to 0.542 (12 days each).
+/// one, and beyond a few the same answers are late already.
 const FEWEST_PAUSES: f64 = 1.0;
 const MOST_PAUSES: f64 = 3.0;
 
@@ -33,8 +32,7 @@
 /// which it reads when it does nothing else, as the users' sheets have it.
 const PIECE_TOKENS: f64 = 512.0;
 
-/// Share of the objective for pauses that output takes where nothing is read: a fifth and two
-/// fifths of it for two fleets.
+/// Share of the objective for pauses that output takes where nothing is read.
 const USUAL_GAP: f64 = 0.3;
 
 /// Pauses, in objectives, at which a read begins to make others late and at which it surely does.
@@ -42,15 +40,13 @@
 
 /// What a token of a shared part costs that takes memory at one more engine, in ms: four times
 /// the time to read it. What yields to it is read again, often in a rush, when others wait for
-/// that engine. Of two fleets' long prompts 0.68 and 0.59 were in time without this cost, 0.69 and
-/// 0.61 at 0.003, 0.70 and 0.64 at 0.03. Twice that, tried later, kept them there and had fewer read again.
+/// that engine.
 const DISPLACED_MS: f64 = 0.06;
 
 /// Part of a place's time by which a batch slows its answers on the way to being full.
 const FILLING: f64 = 0.25;
 
-/// Work of one prompt that will be late, in tokens: such prompts took 0.4 to 1.3 s by themselves, at 60
-/// to 90 tokens a ms.
+/// Work of one prompt that will be late, in tokens: the longer prompts are, the likelier they are late.
 const LATE_TOKENS: f64 = 40_000.0;
 
 /// Part of a prompt that is left to be read when another one comes, on average.
--- a/crates/relay/src/nearby.rs
+++ b/crates/relay/src/nearby.rs
@@ -7,10 +7,8 @@
 use view::InstanceKey;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Engines of one stage among which an instance chooses, beside those that hold the prompt. One day each of
-/// 77 instances before 140 engines, two kinds: worth 0.591 and 0.661 among all, 0.641 and 0.700 among 16. Later
-/// code: 0.675 and 0.658 among 16, 0.679 and 0.666 among 12, 0.683 and 0.666 among 8, which is fewer than the
-/// engines of the smallest fleets.
+/// Engines of one stage among which an instance chooses, beside those that hold the prompt: more than the
+/// smallest fleets have.
 const NEAR_ENGINES: usize = 12;
 
 /// The engines of an instance by their ids: always the same while they are there, and others for each
--- a/crates/relay/src/place.rs
+++ b/crates/relay/src/place.rs
@@ -38,8 +38,7 @@
 const AWAY: f64 = 0.3;
 
 /// What a new connection weighs where engines are else alike, in ms: a round trip across zones and its
-/// set-up at the upstream, which is priced. One day of 77 instances: 16,639 new connections without it,
-/// 14,088 with it.
+/// set-up at the upstream, which is priced.
 const CONNECT_MS: f64 = 5.0;
 
 /// Share of the time left that a prediction may use up.
@@ -249,7 +248,7 @@
         .flatten();
     let after = maker(relay, call, prompt, tried, true, urgency)?.first;
     // What a part displaces at the engine that reads apart decides among such engines only. Counted
-    // here it sent more reads beside output, and 8 instead of 5 in 100 short answers were late.
+    // here it would send more reads beside output, where they make short answers late.
     let first_of = |reader: &Reader| Predicted {
         wait_ms: reader.read.wait_ms + after.wait_ms,
         own_ms: reader.read.own_ms + after.own_ms,
--- a/crates/relay/src/urgency.rs
+++ b/crates/relay/src/urgency.rs
@@ -17,8 +17,7 @@
 const ORDERED_TOKENS: f64 = 2_000.0;
 
 /// Length from which a prompt goes first, in usual lengths of its route: about the largest fifth
-/// of those that were seen. Over 36 days the worst served
-/// class, which is theirs, got 0.549 of its worth (0.528 before) and 0.433 (0.420).
+/// of those that were seen.
 const LONG: f64 = 1.5;
 
 /// Weight of one prompt in the usual length of its route.
--- a/crates/view/src/cadence.rs
+++ b/crates/view/src/cadence.rs
@@ -4,8 +4,7 @@
 //! read that was sent before and waits would be given up seconds later. Every call has a price
 //! and a rate that all instances share. So a few instances read for all and tell the others what a log
 //! says ([`crate::followed`]): reads that wait where changes are rare, reads at intervals where something is
-//! written all the time. Measured with 7 instances before 21 upstreams: 3.5 calls a second and
-//! instance where each read for itself.
+//! written all the time.
 
 /// Part of the time in which a version must be in force for which a read of the configuration waits at the
 /// store: changes come at once, and the others hear in time that none came.
--- a/crates/view/src/hubs.rs
+++ b/crates/view/src/hubs.rs
@@ -4,7 +4,7 @@
 //! all have outstanding. All to all would be 90,000 datagrams a period; each to a few at random leaves
 //! each with a few hundredths of the truth. With a hub for each square root of instances, a hub hears
 //! as many instances as there are hubs, and all cost grows with that root. Up to [`DIRECT`] instances
-//! all are hubs, and each tells each. Measured at 295 before 192 engines: see docs/LOAD.md.
+//! all are hubs, and each tells each. See docs/LOAD.md.
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
--- a/crates/view/src/members.rs
+++ b/crates/view/src/members.rs
@@ -24,8 +24,7 @@
 const MISSING_MS: u64 = 1_000;
 
 /// Time between two records of an instance among few, in ms; who falls silent shows earlier in what
-/// instances tell each other, and who comes or leaves writes at once. Every 2,500 ms they
-/// would be some 300 calls a minute of seven instances, written and read.
+/// instances tell each other, and who comes or leaves writes at once.
 const BEAT_MS: u64 = 10_000;
 
 /// Instances that write records at that pace; more of them write as many a second together.
--- a/crates/view/src/suspects.rs
+++ b/crates/view/src/suspects.rs
@@ -2,8 +2,8 @@
 //!
 //! Load pattern: one request crashes each engine that begins to answer it, with all that the engine has in
 //! hand. It is sent on, its caller comes back with it, at any instance, each time under a new attempt's id.
-//! Held against the engine alone, each loss seems another engine's fault, and one request took all five
-//! engines for output down nine times in a minute; 158 of 531 other questions were in time meanwhile.
+//! Held against the engine alone, each loss seems another engine's fault, and one request takes all engines for output down
+//! again and again.
 //!
 //! So losses are held against the request as well, by what it asks and not by its attempt, and what one
 //! instance sees all know. Whoever is served whole is no longer suspected. See docs/design/retries.md.
