Properties run with fixed seeds; what instances believe of a log has a test file of its own

The property on foreign datagrams gave them the first byte of a form that is no longer read, so all of them were refused before anything was read: it takes the byte from a datagram that is written now. crates/view/tests/followed.rs (548 lines) is split: the log that both files use, the fleet's tests, the properties with their seeds of earlier failures. No assertion changed.

Checks: tests of plan, view, relay, lease, duty; Clippy.

--- a/crates/duty/tests/ledger.rs
+++ b/crates/duty/tests/ledger.rs
@@ -4,6 +4,7 @@
 
 use duty::Ledger;
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use view::{Tally, WorkspaceKey};
 
 const ONE: WorkspaceKey = WorkspaceKey(1);
@@ -90,6 +91,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20),
+        ..ProptestConfig::with_cases(1_000)
+    })]
+
     /// Whatever is lost, doubled or overtaken: once each instance has told its last tally, all counts are right.
     #[test]
     fn all_that_began_is_counted_in_the_end(
--- a/crates/lease/tests/turns.rs
+++ b/crates/lease/tests/turns.rs
@@ -4,6 +4,7 @@
 
 use lease::{Ticket, TurnTimes, Turns};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// Time by which orders of two holders to one engine must be apart, in ms.
 const LEASE_MS: u64 = 3_000;
@@ -164,7 +165,10 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig::with_cases(2_000))]
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20),
+        ..ProptestConfig::with_cases(2_000)
+    })]
 
     /// Whatever is lost, late, suspended or restarted, and whoever believes to be the one to order:
     /// no token is less than one that was sent before by another holder, none is sent twice, and sends
--- a/crates/plan/tests/split.rs
+++ b/crates/plan/tests/split.rs
@@ -2,6 +2,7 @@
 
 use plan::{Demand, Peak, Rate, Split, SplitPlan, Turn, readers_wanted};
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 /// Time between two looks, in ms.
 const LOOK_MS: u64 = 250;
@@ -156,6 +157,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20),
+        ..ProptestConfig::with_cases(1_000)
+    })]
+
     /// Whatever is asked, an engine of each kind is left, at most a sixth of the engines (one at
     /// least) are away at once, and no engine is turned back within ten seconds unless output has too
     /// few.
--- a/crates/plan/tests/staged.rs
+++ b/crates/plan/tests/staged.rs
@@ -4,6 +4,7 @@
     Ask, EngineView, Health, Pace, RepeatTerms, Repeats, Seen, Share, Verdict, least, work_tokens,
 };
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 
 const TERMS: RepeatTerms = RepeatTerms {
     ratio: 0.2,
@@ -54,6 +55,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20),
+        ..ProptestConfig::with_cases(1_000)
+    })]
+
     /// Whatever comes, one instance alone keeps the bound in every window.
     #[test]
     fn one_instance_keeps_the_bound(gaps_ms in prop::collection::vec(0_u64..400, 1..400)) {
--- a/crates/relay/tests/events.rs
+++ b/crates/relay/tests/events.rs
@@ -1,6 +1,7 @@
 //! Streams cut at the ends of their events, however the bytes come.
 
 use proptest::prelude::*;
+use proptest::test_runner::RngSeed;
 use relay::events::{Event, Splitter};
 
 /// Gives the whole events, and whether bytes of another are left.
@@ -17,6 +18,11 @@
 }
 
 proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: RngSeed::Fixed(20),
+        ..ProptestConfig::with_cases(1_000)
+    })]
+
     /// The network cuts a stream anywhere. The same events come out, byte for byte.
     #[test]
     fn events_do_not_depend_on_how_bytes_come(
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
+pub mod log;
+
 use std::collections::HashMap;
 use std::net::SocketAddr;
 
--- a/crates/view/tests/followed.rs
+++ b/crates/view/tests/followed.rs
@@ -2,8 +2,8 @@
 
 mod common;
 
+use common::log::{Log, of};
 use common::{Fleet, STEP_MS};
-use proptest::prelude::*;
 use view::cadence::{Bounds, Duty, LOOK_MS, duty};
 use view::followed::Need;
 use view::{Change, Entry, Followed, InstanceKey, Mark, News, Said, Source, Stage, Standing, hubs};
@@ -38,39 +38,6 @@
     }
 }
 
-/// A log that is written to all the time and changes at some offsets.
-#[derive(Default)]
-struct Log {
-    end: u64,
-    changes: Vec<(u64, u64)>,
-}
-
-impl Log {
-    fn write(&mut self, now_ms: u64, changes: bool) {
-        self.end += 1;
-        if changes {
-            self.changes.push((self.end, now_ms));
-        }
-    }
-
-    fn read_by(&self, followed: &mut Followed, now_ms: u64) {
-        let from = followed.next();
-        let changed = match from {
-            None => Some(self.end),
-            Some(from) => self
-                .changes
-                .iter()
-                .map(|(after, _)| *after)
-                .rfind(|after| *after > from),
-        };
-        followed.read(now_ms, self.end, changed);
-    }
-}
-
-fn of(index: usize) -> Followed {
-    Followed::new(InstanceKey::of(&format!("entry-{index}")))
-}
-
 /// What the instances of a fleet do to know what a log says.
 struct Followers {
     fleet: Fleet,
@@ -432,117 +399,3 @@
     };
     assert!(said.is_news(&Change::Put(leaving)));
 }
-
-/// Longest time that a word waits on its way in the property below, in ms.
-const WAIT_MS: u64 = 100;
-
-proptest! {
-    #![proptest_config(ProptestConfig {
-        cases: 2_000,
-        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
-        ..ProptestConfig::default()
-    })]
-
-    /// Words wait on their way and in sockets, and their ages do not tell it. An instance may think its knowledge younger by
-    /// as much, once for each instance that passed it on, and never by more: no change is hidden for good.
-    #[test]
-    fn what_waits_hides_nothing_for_long(
-        steps in prop::collection::vec((0_usize..3, 0_usize..3, 0_u8..24, 0_u64..WAIT_MS, 0_u64..WAIT_MS), 1..600)
-    ) {
-        let mut log = Log::default();
-        let mut all = [of(0), of(1), of(2)];
-        // The last one reads nothing any more, as where others read for it.
-        for each in &mut all {
-            log.read_by(each, 1_000);
-        }
-        let mut waiting: Vec<(u64, usize, Mark)> = Vec::new();
-        let mut now_ms = 1_000;
-        for (who, other, step, passed_ms, wait_ms) in steps {
-            now_ms += passed_ms / 8;
-            match step {
-                0 => log.write(now_ms, false),
-                1 => log.write(now_ms, true),
-                2..=4 if who < 2 => log.read_by(&mut all[who], now_ms),
-                                5 if who < 2 => all[who].read_whole(now_ms, log.end),
-                _ => {
-                    let mark = all[who].mark(now_ms, true);
-                    waiting.extend(mark.map(|mark| (now_ms + wait_ms, other, mark)));
-                }
-            }
-            waiting.retain(|(at_ms, to, mark)| {
-                let is_there = *at_ms <= now_ms;
-                if is_there {
-                    all[*to].heard(now_ms, mark);
-                }
-                !is_there
-            });
-            let most_ms = WAIT_MS * all.len() as u64;
-            for each in all.iter().filter(|each| !each.is_behind()) {
-                let as_of_ms = now_ms - each.age_ms(now_ms);
-                let unread = log.changes.iter().find(|(after, _)| each.next() < Some(*after));
-                let is_recent = |(_, at_ms): &(u64, u64)| at_ms + most_ms >= as_of_ms;
-                prop_assert!(unread.is_none_or(is_recent), "{unread:?} {each:?}");
-            }
-        }
-    }
-}
-
-proptest! {
-    /// Whoever reads, tells, hears late, or loses its place: an instance that believes to know all
-    /// changes as of a time has read every change up to then.
-    #[test]
-    fn what_is_believed_is_true(
-        steps in prop::collection::vec((0_usize..4, 0_usize..4, 0_u8..8, 0_u64..300), 1..300)
-    ) {
-        let mut log = Log::default();
-        let mut all = [of(0), of(1), of(2), of(3)];
-        let mut late: Vec<(usize, Mark, u64)> = Vec::new();
-        let mut now_ms = 1_000;
-        for (who, other, step, passed_ms) in steps {
-            now_ms += passed_ms;
-            match step {
-                0 => log.write(now_ms, false),
-                1 => log.write(now_ms, true),
-                2 => log.read_by(&mut all[who], now_ms),
-                3 => {
-                    if let Some(mark) = all[who].mark(now_ms, true) {
-                        all[other].heard(now_ms, &mark);
-                    }
-                }
-                4 => {
-                    // A telling that is written now and heard later looks younger than it is by as
-                    // much as the network holds it up.
-                    late.extend(all[who].mark(now_ms, true).map(|mark| (other, mark, now_ms)));
-                }
-                5 => all[who].lost(),
-                6 => all[who].read_whole(now_ms, log.end),
-                _ => {
-                    let last = log.changes.iter().rev();
-                    let mut last = last.map(|(after, _)| *after);
-                    if let Some(after) = last.next() {
-                        let before = last.next().unwrap_or_default();
-                        let news = News { before, after, change: Change::Gone(String::new()), doubt_ms: 0, };
-                        all[who].heard_news(&news);
-                    }
-                }
-            }
-            for (to, mark, sent_ms) in std::mem::take(&mut late) {
-                if now_ms > sent_ms {
-                    let held_up = now_ms - sent_ms;
-                    let mark = Mark { age_ms: mark.age_ms + held_up as u32, ..mark };
-                    all[to].heard(now_ms, &mark);
-                } else {
-                    late.push((to, mark, sent_ms));
-                }
-            }
-            for each in &all {
-                if each.is_behind() {
-                    continue;
-                }
-                let as_of_ms = now_ms - each.age_ms(now_ms);
-                let unread = log.changes.iter().find(|(after, _)| each.next() < Some(*after));
-                prop_assert!(unread.is_none_or(|(_, at_ms)| *at_ms >= as_of_ms), "{unread:?} {each:?}");
-            }
-        }
-    }
-}
--- a/crates/view/tests/told.rs
+++ b/crates/view/tests/told.rs
@@ -111,10 +111,16 @@
 }
 
 proptest::proptest! {
+    #![proptest_config(proptest::prelude::ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
+        ..proptest::prelude::ProptestConfig::with_cases(1_000)
+    })]
+
     /// Whatever comes from the network, reading it ends with a datagram or an error.
     #[test]
     fn any_datagram_is_read_or_refused(bytes in proptest::collection::vec(proptest::prelude::any::<u8>(), 0..200)) {
-        let mut formed = vec![5];
+        let mut formed = encode(told()).unwrap();
+        formed.truncate(1);
         formed.extend(&bytes);
         let _ = decode(&bytes);
         let _ = decode(&formed);
