What is known of an upstream's limit is changed inside relay only; one look-up of this instance's part

Cause: read again as a newcomer, the limit of an upstream could be changed by anybody who holds it, and the look-up of this instance's part stood twice. Behaviour and assertions stay. Checks: Clippy and all tests of relay.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -55,7 +55,7 @@
     /// Upstreams that it was sent to, those that rejected it included.
     pub attempts: Cell<u32>,
     /// Reads of its prompt apart that reached an engine, but for the first that was accepted.
-    pub(crate) reads: Cell<u32>,
+    reads: Cell<u32>,
     /// Whether a read of its prompt apart has been accepted.
     pub(crate) has_read: Cell<bool>,
     /// Arrivals of it at its service that the bound on repeats allows; the first always is.
--- a/crates/relay/src/relay/limits.rs
+++ b/crates/relay/src/relay/limits.rs
@@ -54,11 +54,8 @@
     /// Whether a request may go to an upstream now, within the limit that it names.
     pub fn has_room(&self, upstream: &Upstream) -> bool {
         let now_ms = self.now_ms();
-        let mut limit = upstream.limit();
-        let Some(per_s) = limit.per_s(now_ms) else {
-            return true;
-        };
-        limit.has_room(now_ms, self.part_per_s(upstream, per_s))
+        let part_per_s = self.part_per_s(now_ms, upstream);
+        part_per_s.is_none_or(|part| upstream.limit().has_room(now_ms, part))
     }
 
     /// Takes the place of one request at an upstream, within the limit that it names.
@@ -66,15 +63,14 @@
     /// Whatever is sent for a caller passes here, first or again, to be read or to be run: an upstream counts them alike.
     pub fn take_room(&self, upstream: &Upstream) -> bool {
         let now_ms = self.now_ms();
-        let mut limit = upstream.limit();
-        let Some(per_s) = limit.per_s(now_ms) else {
-            return true;
-        };
-        limit.take(now_ms, self.part_per_s(upstream, per_s))
+        let part_per_s = self.part_per_s(now_ms, upstream);
+        part_per_s.is_none_or(|part| upstream.limit().take(now_ms, part))
     }
 
-    fn part_per_s(&self, upstream: &Upstream, per_s: f64) -> f64 {
-        self.position().part_per_s(per_s, upstream.key.0.into())
+    /// This instance's part of an upstream's limit, if that names one.
+    fn part_per_s(&self, now_ms: u64, upstream: &Upstream) -> Option<f64> {
+        let per_s = upstream.limit().per_s(now_ms)?;
+        Some(self.position().part_per_s(per_s, upstream.key.0.into()))
     }
 
     fn position(&self) -> Position {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -319,7 +319,7 @@
     }
 
     /// What is known of how many requests it takes.
-    pub fn limit(&self) -> RefMut<'_, RateLimit> {
+    pub(crate) fn limit(&self) -> RefMut<'_, RateLimit> {
         self.limit.borrow_mut()
     }
 
