Relay: show that an answer announces its upstream's leaving

Cause: that an upstream says in an answer that it leaves is in no line and no number, so the hypotheses of the incident (not read; read and undone) look alike. Now the head of every answer of an upstream is looked through, to requests, separate prefills, the freeing of caches, reports and orders; a line and a counter show the word. An answer that may be another incarnation's (misdirected or late) counts only if it names this one. No decision changes; calls on a connection of their own give the whole answer for that.

--- /dev/null
+++ b/crates/relay/src/announcement.rs
@@ -0,0 +1,63 @@
+//! What an upstream announces about itself in the heads of its answers.
+
+use http::StatusCode;
+
+use crate::dialect::ResponseHead;
+use crate::relay::Relay;
+use crate::upstream::Upstream;
+
+/// The call whose answer carries an announcement, for logs.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum AnswerTo {
+    /// A caller's request, or the decode of a generation.
+    Request,
+    /// A separate prefill.
+    Prefill,
+    /// The call that frees an unused KV cache.
+    FreeKv,
+    /// The query for an engine's report.
+    Report,
+    /// A role order.
+    Order,
+}
+
+/// An answer as far as its announcements are concerned.
+#[derive(Debug, Clone, Copy)]
+pub struct AnnouncingAnswer<'a> {
+    /// The call that was answered.
+    pub to: AnswerTo,
+    /// Id of the caller's attempt for logs; `-` if there is none.
+    pub request: &'a str,
+    /// Status of the answer.
+    pub status: StatusCode,
+    /// Its parsed head.
+    pub head: &'a ResponseHead,
+    /// Whether it answers the call that was just sent, and not an earlier one on the same connection.
+    pub is_expected: bool,
+}
+
+impl AnnouncingAnswer<'_> {
+    /// Whether the answer certainly comes from this incarnation.
+    ///
+    /// Another incarnation at the address rejects requests as misdirected, and a late answer may be such a
+    /// rejection. Unless these name the incarnation, believing them would take a sound upstream out of use.
+    fn is_from(&self, upstream: &Upstream) -> bool {
+        match &self.head.instance {
+            Some(id) => *id == upstream.id,
+            None => self.is_expected && self.status != StatusCode::MISDIRECTED_REQUEST,
+        }
+    }
+}
+
+/// Records what an answer announces about the incarnation that it comes from.
+pub fn note_announcements(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer) {
+    if answer.head.is_leaving && answer.is_from(upstream) && upstream.announce_leaving() {
+        relay.metrics.announced_leaving.inc();
+        log::info!(
+            upstream = upstream.id, service = upstream.service, answer_to:? = answer.to, answered = answer.request,
+            status = answer.status.as_u16(), is_expected = answer.is_expected,
+            list_age_ms = relay.list_age_ms().unwrap_or(u64::MAX);
+            "upstream announces that it is leaving"
+        );
+    }
+}
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -120,6 +120,8 @@
     pub load: Option<ReportedLoad>,
     /// Rate limit that the upstream names, in requests per second from all instances together.
     pub limit_per_s: Option<f64>,
+    /// Whether the upstream announces that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// State that an engine reports about itself.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`dialect::Dialect`] supplies the header and path names of a deployment. See docs/design/platform.md.
 
 pub mod access;
+pub mod announcement;
 pub mod answer;
 pub mod attribution;
 pub mod call;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,8 +1,8 @@
 //! Prometheus metrics of an instance; docs/OPERATIONS.md lists them.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounterVec, IntGauge, IntGaugeVec, Opts, Registry,
-    TextEncoder,
+    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
+    Registry, TextEncoder,
 };
 
 /// Histogram buckets for times, in seconds.
@@ -37,6 +37,8 @@
     pub load_age_ms: IntGauge,
     /// Upstreams that announce a rate limit.
     pub limited_upstreams: IntGauge,
+    /// Upstreams that announced in an answer that they are leaving.
+    pub announced_leaving: IntCounter,
     /// Retries requested from the budget by outcome.
     pub retries: IntCounterVec,
     /// Time from a request's arrival to the head of a streamed answer, by route, in seconds.
@@ -79,6 +81,13 @@
                 .expect("one each");
             metric
         };
+        let plain_counter = |name: &str, help: &str| {
+            let metric = IntCounter::new(name, help).expect("a valid name");
+            registry
+                .register(Box::new(metric.clone()))
+                .expect("one each");
+            metric
+        };
         let histogram = |name: &str, help: &str, labels: &[&str]| {
             let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
             let metric = HistogramVec::new(options, labels).expect("a valid name");
@@ -136,6 +145,10 @@
             ),
             list_age_ms: gauge("list_age_ms", "Age of the list of upstreams."),
             limited_upstreams: gauge("limited_upstreams", "Upstreams that announce a rate limit."),
+            announced_leaving: plain_counter(
+                "announced_leaving_total",
+                "Upstreams that announced in an answer that they are leaving.",
+            ),
             upstreams: gauge("upstreams", "Upstreams in use."),
             instances: gauge("instances", "Instances ready."),
             poison_requests: gauge("poisonous", "Known poison requests."),
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -8,7 +8,7 @@
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use derive_more::Display;
-use http::{Request, Response, StatusCode};
+use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -320,16 +320,16 @@
     clock: Clock,
     request: Request<Full<Bytes>>,
     wait: Duration,
-) -> Result<(StatusCode, Bytes), String> {
+) -> Result<Response<Bytes>, String> {
     let answer = async {
         let pool = Pool::new(peer, clock);
         let (response, _pooled) = exchange(&pool, 1, request)
             .await
             .map_err(|error| error.to_string())?;
-        let status = response.status();
-        let collected = response.into_body().collect().await;
+        let (head, body) = response.into_parts();
+        let collected = body.collect().await;
         let body = collected.map_err(|error| error.to_string())?.to_bytes();
-        Ok((status, body))
+        Ok(Response::from_parts(head, body))
     };
     let answered = actix_rt::time::timeout(wait, answer).await;
     answered.unwrap_or_else(|_| Err(format!("nothing within {} ms", wait.as_millis())))
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -9,6 +9,7 @@
 use hyper::body::Incoming;
 use plan::PrefillSample;
 
+use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
 use crate::attribution::note_lost_answer;
 use crate::call::Call;
 use crate::dialect::{KvHandle, Prompt, SendOptions, Step};
@@ -80,6 +81,15 @@
     };
     match exchange(&engine.pool, usize::MAX, request).await {
         Ok((response, connection)) => {
+            let head = relay.dialect.parse_response_head(response.headers());
+            let answer = AnnouncingAnswer {
+                to: AnswerTo::FreeKv,
+                request: "-",
+                status: response.status(),
+                head: &head,
+                is_expected: true,
+            };
+            note_announcements(relay, engine, &answer);
             if response.into_body().collect().await.is_ok() {
                 connection.release();
             }
@@ -210,9 +220,17 @@
 ) -> Option<PrefilledKv> {
     let status = response.status();
     let answered = relay.dialect.parse_response_head(response.headers());
-    note_response_head(relay, engine, &answered);
+    let is_expected = answered.attempt == call.head.attempt;
+    let answer = AnnouncingAnswer {
+        to: AnswerTo::Prefill,
+        request: call.id(),
+        status,
+        head: &answered,
+        is_expected,
+    };
+    note_response_head(relay, engine, &answer);
     // A late answer to an earlier request on this connection would name another prompt's cache.
-    if answered.attempt != call.head.attempt {
+    if !is_expected {
         log_not_prefilled(relay, call, engine, "the answer belongs to another request");
         return None;
     }
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -3,12 +3,13 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, StatusCode, header};
+use http::{HeaderMap, Method, Request, Response, StatusCode, header};
 use http_body_util::Full;
 use lease::SendPermit;
 use tick::since_boot_ms;
 
 use super::{PlannedChange, RoleOrder};
+use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
 use crate::dialect::EngineReport;
 use crate::pool::call_on_new_connection;
 use crate::relay::Relay;
@@ -128,12 +129,12 @@
             &"the time to send the order is over",
         ));
     }
-    let sent = call(relay, engine, request).await;
-    let (status, _) = sent.map_err(|why| OrderError {
+    let sent = call(relay, engine, AnswerTo::Order, request).await;
+    let response = sent.map_err(|why| OrderError {
         why,
         may_have_been_accepted: true,
     })?;
-    Ok(status)
+    Ok(response.status())
 }
 
 async fn report(relay: &Relay, engine: &Upstream) -> Result<EngineReport, OrderError> {
@@ -144,15 +145,16 @@
         relay.dialect.report_path(),
         Vec::new(),
     )?;
-    let (status, body) = call(relay, engine, request)
+    let response = call(relay, engine, AnswerTo::Report, request)
         .await
         .map_err(|why| OrderError::before_send(&why))?;
-    if status != StatusCode::OK {
+    if response.status() != StatusCode::OK {
         return Err(OrderError::before_send(&format!(
-            "engine report: status {status}"
+            "engine report: status {}",
+            response.status()
         )));
     }
-    let report = relay.dialect.parse_engine_report(&body);
+    let report = relay.dialect.parse_engine_report(response.body());
     report.ok_or_else(|| OrderError::before_send(&"engine report could not be decoded"))
 }
 
@@ -178,11 +180,23 @@
     Ok(request)
 }
 
+/// Makes a call to an engine on a new connection, and records what the answer announces.
 async fn call(
     relay: &Relay,
     engine: &Upstream,
+    to: AnswerTo,
     request: Request<Full<Bytes>>,
-) -> Result<(StatusCode, Bytes), String> {
+) -> Result<Response<Bytes>, String> {
     let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
-    call_on_new_connection(engine.address, relay.clock, request, timeout).await
+    let response = call_on_new_connection(engine.address, relay.clock, request, timeout).await?;
+    let head = relay.dialect.parse_response_head(response.headers());
+    let answer = AnnouncingAnswer {
+        to,
+        request: "-",
+        status: response.status(),
+        head: &head,
+        is_expected: true,
+    };
+    note_announcements(relay, engine, &answer);
+    Ok(response)
 }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -6,6 +6,7 @@
 use http::{Response, StatusCode, header};
 use hyper::body::Incoming;
 
+use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
 use crate::attribution::note_lost_answer;
 use crate::call::Call;
 use crate::config::RouteKind;
@@ -223,9 +224,11 @@
     }
 }
 
-/// Records the load and rate limit that an upstream reports in an answer, even if the answer belongs to
-/// another request.
-pub fn note_response_head(relay: &Relay, upstream: &Upstream, head: &ResponseHead) {
+/// Records the load, the rate limit and the announcements of an upstream in an answer, even if the answer
+/// belongs to another request.
+pub fn note_response_head(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer) {
+    let head = answer.head;
+    note_announcements(relay, upstream, answer);
     let is_another = |id: &String| *id != upstream.id;
     if head.instance.as_ref().is_some_and(is_another) {
         return;
@@ -246,11 +249,19 @@
     connection: PooledConnection,
 ) -> SendResult {
     let head = relay.dialect.parse_response_head(response.headers());
-    note_response_head(relay, upstream, &head);
     let status = response.status();
+    let is_expected = head.attempt == call.head.attempt;
+    let answer = AnnouncingAnswer {
+        to: AnswerTo::Request,
+        request: call.id(),
+        status,
+        head: &head,
+        is_expected,
+    };
+    note_response_head(relay, upstream, &answer);
     // A late answer to an earlier request on this connection names another attempt. It says nothing
     // about this request, not even that it has not run.
-    if head.attempt != call.head.attempt {
+    if !is_expected {
         return SendResult::Lost("the answer belongs to another request".to_owned());
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -140,8 +140,8 @@
         .body(Full::default())
         .map_err(|error| error.to_string())?;
     let timeout = Duration::from_millis(QUERY_TIMEOUT_MS);
-    let (_, body) = call_on_new_connection(peer, relay.clock, request, timeout).await?;
-    serde_json::from_slice(&body).map_err(|error| error.to_string())
+    let response = call_on_new_connection(peer, relay.clock, request, timeout).await?;
+    serde_json::from_slice(response.body()).map_err(|error| error.to_string())
 }
 
 /// Merges a peer's snapshot; its configuration and list are applied only if they are newer than those of this
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -88,6 +88,7 @@
     role_change: Cell<Option<RoleChange>>,
     no_capacity_until_ms: Cell<u64>,
     state: Cell<UpstreamState>,
+    has_announced_leaving: Cell<bool>,
     stage: Cell<Stage>,
     seq: Cell<u64>,
     unanswered: Cell<u32>,
@@ -123,6 +124,7 @@
             no_capacity_until_ms: Cell::default(),
             clock,
             state: Cell::new(entry.state),
+            has_announced_leaving: Cell::default(),
             stage: Cell::new(entry.stage),
             seq: Cell::new(entry.seq),
             unanswered: Cell::default(),
@@ -264,6 +266,11 @@
         }
     }
 
+    /// Records that one of its answers announced that it is leaving; true the first time.
+    pub fn announce_leaving(&self) -> bool {
+        !self.has_announced_leaving.replace(true)
+    }
+
     /// Stops new requests to it and closes its connections as they become idle.
     pub fn leave(&self) {
         self.state.set(UpstreamState::Leaving);
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -118,6 +118,7 @@
             instance: header_text(headers, "x-instance").map(str::to_owned),
             load,
             limit_per_s: header_text(headers, "x-limit").and_then(|limit| limit.parse().ok()),
+            is_leaving: headers.contains_key("x-leaving"),
         }
     }
 
