Relay: an upstream that announces its leaving in an answer gets no more requests

What callers saw: requests went on to an engine 2.2 to 2.6 s after an answer of it, passed on by the same instance, had said that it leaves; the engine could have ended under them.

Cause: what an instance knew of a leaving came from the list alone. The list is in the store, the store was away, and nobody read the word in the answers. Class: what another party says in an answer and nobody reads. Ruled out: a word read and undone (no pause in the sends), requests placed before the word (5 ms from the caller to the engine).

The mend: whichever answer announces it (success, rejection, stream head, prefill, freed cache, report, order; also the state in a report's body), the incarnation leaves for good. Placement passes over it; the pool asks again right before a request is written, since one may have waited for its connection; a request that was not sent goes elsewhere, and a stream that is resumed tries up to three engines that nothing reached. An incarnation whose entry goes and comes back is still known to leave. Late and misdirected answers count only if they name the incarnation.

--- a/crates/relay/src/announcement.rs
+++ b/crates/relay/src/announcement.rs
@@ -1,4 +1,7 @@
 //! What an upstream announces about itself in the heads of its answers.
+//!
+//! The list of upstreams may be out of reach when an upstream begins to leave; its answers still tell. See
+//! docs/design/announcements.md.
 
 use http::StatusCode;
 
@@ -51,7 +54,10 @@
 
 /// Records what an answer announces about the incarnation that it comes from.
 pub fn note_announcements(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer) {
-    if answer.head.is_leaving && answer.is_from(upstream) && upstream.announce_leaving() {
+    if !answer.head.is_leaving || !answer.is_from(upstream) {
+        return;
+    }
+    if relay.upstreams.borrow_mut().announce_leaving(upstream) {
         relay.metrics.announced_leaving.inc();
         log::info!(
             upstream = upstream.id, service = upstream.service, answer_to:? = answer.to, answered = answer.request,
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -133,6 +133,8 @@
     pub is_busy: bool,
     /// Number of orders that it has accepted since its start.
     pub orders: u64,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
 }
 
 /// Parses and writes the headers, paths and small bodies of one deployment.
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -152,7 +152,9 @@
         match sent {
             SendResult::Answer(_) | SendResult::Lost(_) => kv.mark_taken(),
             SendResult::NotRun(StatusCode::SERVICE_UNAVAILABLE)
-                if relay.check_poison(call).is_ok() && relay.may_send(call) =>
+                if engine.is_ready()
+                    && relay.check_poison(call).is_ok()
+                    && relay.may_send(call) =>
             {
                 // The KV cache expired or could not be fetched. The same engine can still do the
                 // prefill itself.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -39,6 +39,8 @@
     pub limited_upstreams: IntGauge,
     /// Upstreams that announced in an answer that they are leaving.
     pub announced_leaving: IntCounter,
+    /// Requests that were placed and not sent, by what their upstream had announced meanwhile.
+    pub sends_withheld: IntCounterVec,
     /// Retries requested from the budget by outcome.
     pub retries: IntCounterVec,
     /// Time from a request's arrival to the head of a streamed answer, by route, in seconds.
@@ -145,6 +147,11 @@
             ),
             list_age_ms: gauge("list_age_ms", "Age of the list of upstreams."),
             limited_upstreams: gauge("limited_upstreams", "Upstreams that announce a rate limit."),
+            sends_withheld: counter(
+                "withheld_total",
+                "Requests placed and not sent.",
+                &["reason"],
+            ),
             announced_leaving: plain_counter(
                 "announced_leaving_total",
                 "Upstreams that announced in an answer that they are leaving.",
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -59,6 +59,12 @@
         /// Address of the peer.
         peer: SocketAddr,
     },
+    /// The peer is leaving and gets no new requests; nothing was sent.
+    #[display("{peer} is leaving")]
+    Leaving {
+        /// Address of the peer.
+        peer: SocketAddr,
+    },
     /// The request was sent, at least in part, and may have run.
     #[display("answer of {peer}: {why}")]
     Lost {
@@ -103,13 +109,22 @@
         })
     }
 
-    /// Closes the idle connections now, and each other one as soon as its answer is complete.
+    /// Sends no more requests, closes the idle connections now, and each other one as soon as its answer is
+    /// complete.
     pub fn close(&self) {
         self.is_closing.set(true);
         let closed = std::mem::take(&mut *self.idle.borrow_mut());
         self.open.set(self.open.get() - closed.len());
     }
 
+    /// Returns an error if the peer gets no new requests.
+    fn check_open(&self) -> Result<(), ExchangeError> {
+        if self.is_closing.get() {
+            return Err(ExchangeError::Leaving { peer: self.peer });
+        }
+        Ok(())
+    }
+
     /// Opens an idle connection for the next request.
     pub async fn warm_up(self: &Rc<Self>, max_open: usize) -> Result<(), ExchangeError> {
         let connection = open(self, max_open).await?;
@@ -188,8 +203,9 @@
 
 /// Sends a request and waits for the head of its answer.
 ///
-/// An idle connection that closed before anything was written is replaced. Once a byte was written,
-/// the request counts as sent. Dropping the future closes the connection.
+/// Every request to an upstream passes here, so that none is sent to one that is leaving. An idle
+/// connection that closed before anything was written is replaced. Once a byte was written, the request
+/// counts as sent. Dropping the future closes the connection.
 pub async fn exchange(
     pool: &Rc<Pool>,
     max_open: usize,
@@ -197,6 +213,7 @@
 ) -> Result<Exchanged, ExchangeError> {
     let peer = pool.peer;
     loop {
+        pool.check_open()?;
         let (connection, is_new) = match pool.take_idle() {
             Some(connection) => (connection, false),
             None => (open(pool, max_open).await?, true),
@@ -209,6 +226,8 @@
         let Some(connection) = pooled.connection.as_mut() else {
             continue;
         };
+        // The peer may have begun to leave while the connection was opened.
+        pool.check_open()?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 pooled.idle_ms = idle_ms(&response);
--- a/crates/relay/src/retry.rs
+++ b/crates/relay/src/retry.rs
@@ -8,7 +8,7 @@
 
 /// Number of unreachable upstreams after which a request is refused. Nothing was sent to them, so
 /// these attempts cost only time and need no retry budget.
-const MAX_UNREACHABLE: u32 = 3;
+pub const MAX_UNREACHABLE: u32 = 3;
 
 /// Retry delay sent to a caller whose request upstreams rejected or did not receive, in ms: a few
 /// times the duration of a short request, after which a slot may be free.
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -107,15 +107,17 @@
     permit: SendPermit,
 ) -> Result<StatusCode, OrderError> {
     let engine = &planned.engine;
+    check_staying(engine)?;
     let report = report(relay, engine).await?;
+    if report.is_leaving {
+        relay.upstreams.borrow_mut().announce_leaving(engine);
+    }
+    check_staying(engine)?;
     if report.is_busy || report.stage == planned.stage {
         return Err(OrderError::before_send(
             &"the engine is busy or has the role already",
         ));
     }
-    if !engine.is_ready() {
-        return Err(OrderError::before_send(&"the engine is leaving"));
-    }
     let holder = relay.settings.borrow().name.clone();
     let (path, body) = relay.dialect.order_request(&RoleOrder {
         holder: &holder,
@@ -137,6 +139,13 @@
     Ok(response.status())
 }
 
+fn check_staying(engine: &Upstream) -> Result<(), OrderError> {
+    if engine.is_ready() {
+        return Ok(());
+    }
+    Err(OrderError::before_send(&"the engine is leaving"))
+}
+
 async fn report(relay: &Relay, engine: &Upstream) -> Result<EngineReport, OrderError> {
     let request = request(
         relay,
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -144,7 +144,9 @@
     match error {
         ExchangeError::Connect { .. } => upstream.note_unreachable(relay.now_ms()),
         ExchangeError::Lost { .. } => upstream.note_failure(relay.now_ms()),
-        ExchangeError::PoolExhausted { .. } | ExchangeError::RateLimited { .. } => {}
+        ExchangeError::PoolExhausted { .. }
+        | ExchangeError::RateLimited { .. }
+        | ExchangeError::Leaving { .. } => {}
     }
 }
 
@@ -180,6 +182,10 @@
             histogram.observe(seconds(began_ms));
         }
         Err(ExchangeError::Lost { .. }) => note_lost_answer(relay, call, upstream),
+        Err(ExchangeError::Leaving { .. }) => {
+            let withheld = &relay.metrics.sends_withheld;
+            withheld.with_label_values(&["leaving"]).inc();
+        }
         Err(
             ExchangeError::Connect { .. }
             | ExchangeError::PoolExhausted { .. }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -13,11 +13,12 @@
 use crate::answer::{AnswerBody, TruncatedAnswer};
 use crate::attribution::{ensure_not_poison, note_lost_answer};
 use crate::call::{Call, strip_hop_by_hop};
-use crate::dialect::SendOptions;
+use crate::dialect::{Prompt, SendOptions};
 use crate::forward::{count_answer, may_retry};
 use crate::placement;
 use crate::pool::PooledConnection;
 use crate::relay::Relay;
+use crate::retry::MAX_UNREACHABLE;
 use crate::send::{CheckedAnswer, SendResult, send};
 use crate::sse::EventSplitter;
 use crate::upstream::{InFlight, Work};
@@ -51,6 +52,14 @@
     guard: InFlight,
 }
 
+/// Result of resuming a stream at another engine.
+enum Resumed {
+    Streaming(EngineStream),
+    /// Nothing reached the engine.
+    Unsent,
+    Failed,
+}
+
 /// Result of waiting for the engine.
 enum Received {
     Data(Bytes),
@@ -231,15 +240,31 @@
         if !may_retry(&self.relay, &call) {
             return Err(self.fail(why));
         }
+        // An engine that was not reached, or began to leave before the request was sent, costs no attempt.
+        for _ in 0..MAX_UNREACHABLE {
+            match self.resume_at_best(&call, prompt).await {
+                Resumed::Streaming(source) => {
+                    self.source = Some(source);
+                    return Ok(());
+                }
+                Resumed::Unsent => {}
+                Resumed::Failed => break,
+            }
+        }
+        Err(self.fail(why))
+    }
+
+    /// Sends the request for the rest of the stream to the best engine that was not tried yet.
+    async fn resume_at_best(&mut self, call: &Rc<Call>, prompt: &Prompt) -> Resumed {
         let Ok(placement) = placement::choose_decode_engine(
             &self.relay,
-            &call,
+            call,
             prompt,
             &self.tried,
             false,
             Urgency::OnTime,
         ) else {
-            return Err(self.fail(why));
+            return Resumed::Failed;
         };
         let copy_from = placement.copy_from.map(|holder| holder.address);
         let engine = placement.engine;
@@ -262,7 +287,7 @@
             ..SendOptions::default()
         };
         let left = Duration::from_millis(call.left_ms(self.relay.now_ms()));
-        let sent = actix_rt::time::timeout(left, send(&self.relay, &call, &engine, &options)).await;
+        let sent = actix_rt::time::timeout(left, send(&self.relay, call, &engine, &options)).await;
         match sent {
             Ok(SendResult::Answer(checked)) if checked.response.status() == StatusCode::OK => {
                 guard.note_prefilled();
@@ -270,14 +295,14 @@
                 if self.relay.failure_log_limit.take(self.relay.now_ms()) {
                     log::info!(request = call.id(), upstream = engine.id; "stream resumed at another engine");
                 }
-                self.source = Some(EngineStream {
+                Resumed::Streaming(EngineStream {
                     body: checked.response.into_body(),
                     connection: checked.connection,
                     guard,
-                });
-                Ok(())
+                })
             }
-            _ => Err(self.fail(why)),
+            Ok(SendResult::Unsent(_)) => Resumed::Unsent,
+            _ => Resumed::Failed,
         }
     }
 
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -88,7 +88,6 @@
     role_change: Cell<Option<RoleChange>>,
     no_capacity_until_ms: Cell<u64>,
     state: Cell<UpstreamState>,
-    has_announced_leaving: Cell<bool>,
     stage: Cell<Stage>,
     seq: Cell<u64>,
     unanswered: Cell<u32>,
@@ -124,7 +123,6 @@
             no_capacity_until_ms: Cell::default(),
             clock,
             state: Cell::new(entry.state),
-            has_announced_leaving: Cell::default(),
             stage: Cell::new(entry.stage),
             seq: Cell::new(entry.seq),
             unanswered: Cell::default(),
@@ -156,7 +154,7 @@
         self.is_health_check_running.get()
     }
 
-    /// Whether it accepts new requests according to the list.
+    /// Whether it accepts new requests according to the list and its own answers.
     pub fn is_ready(&self) -> bool {
         self.state.get() == UpstreamState::Ready
     }
@@ -266,12 +264,8 @@
         }
     }
 
-    /// Records that one of its answers announced that it is leaving; true the first time.
-    pub fn announce_leaving(&self) -> bool {
-        !self.has_announced_leaving.replace(true)
-    }
-
-    /// Stops new requests to it and closes its connections as they become idle.
+    /// Stops new requests to it, including those that wait for a connection, and closes its connections as
+    /// they become idle.
     pub fn leave(&self) {
         self.state.set(UpstreamState::Leaving);
         self.pool.close();
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -69,6 +69,14 @@
     id: String,
     started_ms: u64,
     seq: u64,
+    /// Whether it was leaving, and did not just drop out of the list.
+    is_leaving: bool,
+}
+
+impl Removed {
+    fn is_incarnation(&self, id: &str, started_ms: u64) -> bool {
+        self.id == id && self.started_ms == started_ms
+    }
 }
 
 /// All upstreams in use, confirmed or not.
@@ -161,6 +169,26 @@
         })
     }
 
+    /// Takes an incarnation out of use that announced in an answer that it is leaving; false if that was known.
+    ///
+    /// Its entry may have been removed since the request was sent, and may even be back. Unless all of these
+    /// know, a later entry that still says ready would bring it new requests.
+    pub fn announce_leaving(&mut self, upstream: &Upstream) -> bool {
+        let mut is_news = upstream.is_ready();
+        upstream.leave();
+        if let Some(listed) = self.by_key.get(&upstream.key) {
+            is_news |= listed.is_ready();
+            listed.leave();
+        }
+        for removed in &mut self.removed {
+            if removed.is_incarnation(&upstream.id, upstream.started_ms) {
+                is_news |= !removed.is_leaving;
+                removed.is_leaving = true;
+            }
+        }
+        is_news
+    }
+
     /// Removes an upstream whose incarnation was replaced, before the list shows it.
     pub fn remove_replaced(&mut self, id: &str) {
         self.remove(id);
@@ -293,6 +321,12 @@
             self.zone_delays.between_zones_ms
         };
         let upstream = Rc::new(Upstream::new(entry, one_way_delay_ms, self.clock));
+        let was_leaving = |removed: &Removed| {
+            removed.is_leaving && removed.is_incarnation(&entry.id, entry.started_ms)
+        };
+        if self.removed.iter().any(was_leaving) {
+            upstream.leave();
+        }
         self.by_id.insert(entry.id.clone(), Rc::clone(&upstream));
         self.by_key.insert(upstream.key, Rc::clone(&upstream));
         self.by_service
@@ -327,6 +361,7 @@
             id: id.to_owned(),
             started_ms: known.started_ms,
             seq: known.seq(),
+            is_leaving: !known.is_ready(),
         });
         if self.removed.len() > MAX_REMOVED {
             self.removed.pop_front();
