Relay: show that a rejection asks for rest

Cause: the time that an upstream asks for when it rejects a request is in no line and no number, so that it is not read and that it is read and not held look alike. Now a 503 or 429 that names a time has a line and a counter. No decision changes.

--- a/crates/relay/src/announcement.rs
+++ b/crates/relay/src/announcement.rs
@@ -7,6 +7,7 @@
 
 use crate::dialect::ResponseHead;
 use crate::relay::Relay;
+use crate::send::is_no_capacity;
 use crate::upstream::Upstream;
 
 /// The call whose answer carries an announcement, for logs.
@@ -54,9 +55,20 @@
 
 /// Records what an answer announces about the incarnation that it comes from.
 pub fn note_announcements(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer) {
-    if !answer.head.is_leaving || !answer.is_from(upstream) {
+    if !answer.is_from(upstream) {
         return;
     }
+    if answer.head.is_leaving {
+        note_leaving(relay, upstream, answer);
+    }
+    if let Some(rest_ms) = answer.head.rest_ms
+        && is_no_capacity(answer.status)
+    {
+        note_rest(relay, upstream, answer, rest_ms);
+    }
+}
+
+fn note_leaving(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer) {
     if relay.upstreams.borrow_mut().announce_leaving(upstream) {
         relay.metrics.announced_leaving.inc();
         log::info!(
@@ -67,3 +79,14 @@
         );
     }
 }
+
+fn note_rest(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer, rest_ms: u64) {
+    relay.metrics.rests.inc();
+    if relay.failure_log_limit.take(relay.now_ms()) {
+        log::info!(
+            upstream = upstream.id, service = upstream.service, answer_to:? = answer.to, answered = answer.request,
+            status = answer.status.as_u16(), rest_ms;
+            "upstream asks for rest"
+        );
+    }
+}
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -122,6 +122,8 @@
     pub limit_per_s: Option<f64>,
     /// Whether the upstream announces that it is leaving.
     pub is_leaving: bool,
+    /// Time for which the upstream wants no requests from this instance, in ms, if it rejected one.
+    pub rest_ms: Option<u64>,
 }
 
 /// State that an engine reports about itself.
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -39,6 +39,8 @@
     pub limited_upstreams: IntGauge,
     /// Upstreams that announced in an answer that they are leaving.
     pub announced_leaving: IntCounter,
+    /// Rejections in which an upstream asked for rest.
+    pub rests: IntCounter,
     /// Requests that were placed and not sent, by what their upstream had announced meanwhile.
     pub sends_withheld: IntCounterVec,
     /// Retries requested from the budget by outcome.
@@ -152,6 +154,7 @@
                 "Requests placed and not sent.",
                 &["reason"],
             ),
+            rests: plain_counter("rests_total", "Rejections that asked for rest."),
             announced_leaving: plain_counter(
                 "announced_leaving_total",
                 "Upstreams that announced in an answer that they are leaving.",
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -119,6 +119,7 @@
             load,
             limit_per_s: header_text(headers, "x-limit").and_then(|limit| limit.parse().ok()),
             is_leaving: headers.contains_key("x-leaving"),
+            rest_ms: header_number(headers, "x-rest-ms"),
         }
     }
 
