Relay: an upstream that asks for rest gets no requests in that time

What callers saw: two of five engines rejected everything for seconds and asked for 3 s of rest; each instance came again every 0.52 s, and 7 to 12 requests a second were refused after two sends that could only fail, with 120 ms as the time to come back.

Cause: the time in the answer was not read; an engine that rejected got nothing for a fixed 500 ms, plain services not even that, and if no upstream was left all were tried. Besides, an engine that rejected a transferred cache was at once asked to prefill the prompt itself. Class: what another party says in an answer and nobody reads, and a bound that not every way asks. Ruled out: a word that is read and not held (there was no reader).

The mend: placement passes over a resting upstream, and the rule that a poor upstream is better than none does not apply to it; the pool asks again right before a request is written; no second send with a transferred cache, which goes to another engine; no report, order or freeing of a cache. If all that could answer rest, the caller is refused at once, as not run, with the time that is left. It is asked of one instance and told to nobody.

The trace command shows announcements that hold.

--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -5,7 +5,9 @@
 /// Formats the lines about a request in order of time, with their fields.
 ///
 /// Lines that name no request but one of the request's upstreams are included, since what an
-/// instance knew about an upstream explains where it sent the request. Lines without a JSON object
+/// instance knew about an upstream explains where it sent the request. So are announcements of any
+/// upstream of the request's service that still hold, since a request that passed over an upstream
+/// or was refused names none. Lines without a JSON object
 /// are skipped, as a captured log may hold other output.
 pub fn request_timeline(request: &str, logs: &[(String, String)]) -> String {
     let mut lines: Vec<Line> = logs
@@ -24,23 +26,32 @@
         .iter()
         .filter_map(|line| line.field("upstream"))
         .collect();
-    let in_window =
-        |line: &&Line| line.wall_ms + LOOKBACK_MS >= first.wall_ms && line.wall_ms <= last.wall_ms;
+    let services: Vec<&str> = of_request
+        .iter()
+        .filter_map(|line| line.field("service"))
+        .collect();
+    let names = |line: &Line, field: &str, all: &[&str]| {
+        line.field(field).is_some_and(|value| all.contains(&value))
+    };
     let is_relevant = |line: &&Line| {
-        line.field("request") == Some(request)
-            || line.field("request").is_none()
-                && line
-                    .field("upstream")
-                    .is_some_and(|id| upstreams.contains(&id))
+        let is_of_request = line.field("request") == Some(request);
+        let is_of_upstream = line.field("request").is_none()
+            && names(line, "upstream", &upstreams)
+            && line.wall_ms + LOOKBACK_MS >= first.wall_ms;
+        let is_announced = names(line, "service", &services) && line.holds_at(first.wall_ms);
+        line.wall_ms <= last.wall_ms && (is_of_request || is_of_upstream || is_announced)
     };
     let mut timeline = String::new();
-    for line in lines.iter().filter(in_window).filter(is_relevant) {
+    for line in lines.iter().filter(is_relevant) {
         timeline.push_str(&line.format(first.wall_ms));
         timeline.push('\n');
     }
     timeline
 }
 
+/// Message on an upstream that is leaving, which holds for the rest of its life.
+const LEAVING_MESSAGE: &str = "upstream announces that it is leaving";
+
 /// Lines about the request's upstreams are included from this time before its first line.
 const LOOKBACK_MS: i64 = 5_000;
 
@@ -71,6 +82,13 @@
         self.fields.get(name)?.as_str()
     }
 
+    /// Whether the line is on an announcement of an upstream that is in force at a time.
+    fn holds_at(&self, wall_ms: i64) -> bool {
+        let rest_ms = self.fields.get("rest_left_ms").and_then(Value::as_i64);
+        let is_leaving = self.field("message") == Some(LEAVING_MESSAGE);
+        is_leaving || rest_ms.is_some_and(|rest_ms| self.wall_ms + rest_ms >= wall_ms)
+    }
+
     fn format(&self, first_ms: i64) -> String {
         let elapsed_ms = self.wall_ms - first_ms;
         let message = self.field("message").unwrap_or("-");
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -28,3 +28,19 @@
     let logs = [("a".to_owned(), ONE.to_owned())];
     assert!(request_timeline("zz", &logs).contains("no line on zz"));
 }
+
+/// Guards against a refusal whose cause is not shown, since the request was sent to no upstream: one upstream of
+/// its service announced long before that it leaves, one rests, and one has rested.
+#[test]
+fn announcements_that_hold_are_gathered() {
+    let log = r#"{"wall_ms":1000,"message":"upstream announces that it is leaving","upstream":"i-1","service":"desk"}
+{"wall_ms":2000,"message":"upstream asks for rest","upstream":"i-2","service":"desk","rest_left_ms":30000}
+{"wall_ms":2000,"message":"upstream asks for rest","upstream":"i-3","service":"desk","rest_left_ms":3000}
+{"wall_ms":2000,"message":"upstream asks for rest","upstream":"i-4","service":"llm","rest_left_ms":30000}
+{"wall_ms":20000,"message":"request not served","request":"ab","service":"desk","reason":"all upstreams asked for rest"}
+"#;
+    let logs = [("a".to_owned(), log.to_owned())];
+    let timeline = request_timeline("ab", &logs);
+    let is_shown = ["i-1", "i-2", "i-3", "i-4"].map(|id| timeline.contains(id));
+    assert_eq!(is_shown, [true, true, false, false], "{timeline}");
+}
--- a/crates/relay/src/announcement.rs
+++ b/crates/relay/src/announcement.rs
@@ -82,10 +82,15 @@
 
 fn note_rest(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer, rest_ms: u64) {
     relay.metrics.rests.inc();
-    if relay.failure_log_limit.take(relay.now_ms()) {
+    let now_ms = relay.now_ms();
+    let is_longer = relay
+        .upstreams
+        .borrow_mut()
+        .ask_for_rest(now_ms, upstream, rest_ms);
+    if is_longer && relay.failure_log_limit.take(now_ms) {
         log::info!(
             upstream = upstream.id, service = upstream.service, answer_to:? = answer.to, answered = answer.request,
-            status = answer.status.as_u16(), rest_ms;
+            status = answer.status.as_u16(), rest_ms, rest_left_ms = upstream.rest_left_ms(now_ms);
             "upstream asks for rest"
         );
     }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -138,6 +138,9 @@
     /// The answer would come too late.
     #[display("no upstream would answer in time")]
     TooLate,
+    /// All upstreams that could take the request asked this instance for rest.
+    #[display("all upstreams asked for rest")]
+    Resting,
     /// Upstreams rejected the request without running it.
     #[display("an upstream rejected it unrun")]
     Rejected,
@@ -170,6 +173,7 @@
             Self::TooLong => "too_long",
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
+            Self::Resting => "resting",
             Self::Rejected => "rejected",
             Self::PoisonRequest => "poisonous",
             Self::Lost => "lost",
@@ -191,6 +195,7 @@
             Self::NoConfig
             | Self::NoUpstream
             | Self::TooLate
+            | Self::Resting
             | Self::Rejected
             | Self::PoisonRequest => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -36,6 +36,7 @@
     };
     outcome.unwrap_or_else(|refusal| {
         call.is_finished.set(true);
+        let refusal = placement::refusal_with_rest(relay, &call, refusal);
         let refusal = without_false_not_run(refusal, call.possible_runs.get() > 0);
         refusal_response(relay, &call, refusal)
     })
@@ -46,7 +47,7 @@
     let took_ms = relay.now_ms() - call.arrived_ms;
     if relay.failure_log_limit.take(relay.now_ms()) {
         log::info!(
-            request = call.id(), key:% = call.key, route = call.route.name, workspace = call.workspace_name(),
+            request = call.id(), key:% = call.key, route = call.route.name, service = call.service, workspace = call.workspace_name(),
             reason = refusal.reason, took_ms,
             sends = call.possible_runs.get(), retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
             version = relay.config().map_or(0, |config| config.version),
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -152,7 +152,7 @@
         match sent {
             SendResult::Answer(_) | SendResult::Lost(_) => kv.mark_taken(),
             SendResult::NotRun(StatusCode::SERVICE_UNAVAILABLE)
-                if engine.is_ready()
+                if engine.accepts_requests(relay.now_ms())
                     && relay.check_poison(call).is_ok()
                     && relay.may_send(call) =>
             {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -39,6 +39,8 @@
     pub limited_upstreams: IntGauge,
     /// Upstreams that announced in an answer that they are leaving.
     pub announced_leaving: IntCounter,
+    /// Upstreams that rest now.
+    pub resting_upstreams: IntGauge,
     /// Rejections in which an upstream asked for rest.
     pub rests: IntCounter,
     /// Requests that were placed and not sent, by what their upstream had announced meanwhile.
@@ -154,6 +156,7 @@
                 "Requests placed and not sent.",
                 &["reason"],
             ),
+            resting_upstreams: gauge("resting_upstreams", "Upstreams that rest."),
             rests: plain_counter("rests_total", "Rejections that asked for rest."),
             announced_leaving: plain_counter(
                 "announced_leaving_total",
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -5,7 +5,8 @@
 use std::rc::Rc;
 
 use plan::{
-    DecodeRequest, HealthStatus, LateRequest, LatestStart, Prediction, cheapest, work_tokens,
+    DecodeRequest, HealthStatus, LateRequest, LatestStart, Prediction, cheapest, common_rest_ms,
+    work_tokens,
 };
 use view::InstanceKey;
 
@@ -111,7 +112,8 @@
     let all: Vec<Rc<Upstream>> = upstreams
         .ready(&call.service, now_ms)
         .filter(|each| stages.contains(&each.stage()) && !tried.contains(&each.id))
-        .filter(|each| !each.is_changing_role(now_ms) && relay.has_rate_capacity(each))
+        .filter(|each| !each.is_changing_role(now_ms) && each.rest_left_ms(now_ms) == 0)
+        .filter(|each| relay.has_rate_capacity(each))
         .cloned()
         .collect();
     // A probe may hit an upstream that still fails, so only repeatable requests are used as probes.
@@ -399,12 +401,33 @@
     })
 }
 
-/// Builds a refusal with a retry delay of about `wait_ms`, after which capacity is expected.
+/// Replaces a refusal for lack of an upstream by one that names the time that is left, if all upstreams that
+/// could answer the request asked for rest.
 ///
-/// The delay is lengthened by up to half, by the hash of the attempt's id, so that callers that were
-/// refused together do not retry together.
+/// A caller that is told to come back sooner only comes to be refused again.
+pub fn refusal_with_rest(relay: &Relay, call: &Call, refusal: Refusal) -> Refusal {
+    if !matches!(refusal.reason, Reason::NoUpstream | Reason::Rejected) {
+        return refusal;
+    }
+    let now_ms = relay.now_ms();
+    let upstreams = relay.upstreams.borrow();
+    let may_answer = |each: &&Rc<Upstream>| each.stage() != Stage::Prefill;
+    let ready = upstreams.ready(&call.service, now_ms).filter(may_answer);
+    let Some(rest_ms) = common_rest_ms(ready.map(|each| each.rest_left_ms(now_ms))) else {
+        return refusal;
+    };
+    let jitter_ms = (rest_ms as f64).min(RETRY_AFTER_BOUNDS_MS.1) * (jitter(call) - 1.0);
+    Refusal::with_retry_after(Reason::Resting, rest_ms + jitter_ms as u64)
+}
+
+/// Factor from 1 to 1.5, by the hash of the attempt's id, so that callers that were refused together do not
+/// retry together.
+fn jitter(call: &Call) -> f64 {
+    1.0 + (call.id_hash % 512) as f64 / 1_024.0
+}
+
+/// Builds a refusal with a retry delay of about `wait_ms`, after which capacity is expected.
 fn refuse(call: &Call, reason: Reason, wait_ms: f64) -> Refusal {
-    let spread = 1.0 + (call.id_hash % 512) as f64 / 1_024.0;
-    let wait_ms = wait_ms.clamp(RETRY_AFTER_BOUNDS_MS.0, RETRY_AFTER_BOUNDS_MS.1) * spread;
+    let wait_ms = wait_ms.clamp(RETRY_AFTER_BOUNDS_MS.0, RETRY_AFTER_BOUNDS_MS.1) * jitter(call);
     Refusal::with_retry_after(reason, wait_ms as u64)
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -13,6 +13,7 @@
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
+use plan::Rest;
 use socket2::{SockRef, TcpKeepalive};
 use tick::Clock;
 use tokio::net::TcpStream;
@@ -65,6 +66,12 @@
         /// Address of the peer.
         peer: SocketAddr,
     },
+    /// The peer asked this instance for rest; nothing was sent.
+    #[display("{peer} asked for rest")]
+    Resting {
+        /// Address of the peer.
+        peer: SocketAddr,
+    },
     /// The request was sent, at least in part, and may have run.
     #[display("answer of {peer}: {why}")]
     Lost {
@@ -95,6 +102,7 @@
     idle: RefCell<Vec<Connection>>,
     open: Cell<usize>,
     is_closing: Cell<bool>,
+    rest: Cell<Rest>,
 }
 
 impl Pool {
@@ -106,6 +114,7 @@
             idle: RefCell::default(),
             open: Cell::default(),
             is_closing: Cell::default(),
+            rest: Cell::default(),
         })
     }
 
@@ -117,10 +126,24 @@
         self.open.set(self.open.get() - closed.len());
     }
 
-    /// Returns an error if the peer gets no new requests.
-    fn check_open(&self) -> Result<(), ExchangeError> {
+    /// Time for which the peer gets no requests.
+    pub fn rest(&self) -> Rest {
+        self.rest.get()
+    }
+
+    /// Sets the time for which the peer gets no requests; its connections stay open.
+    pub fn set_rest(&self, rest: Rest) {
+        self.rest.set(rest);
+    }
+
+    /// Returns an error if the peer gets no requests now.
+    fn check_accepts(&self) -> Result<(), ExchangeError> {
+        let peer = self.peer;
         if self.is_closing.get() {
-            return Err(ExchangeError::Leaving { peer: self.peer });
+            return Err(ExchangeError::Leaving { peer });
+        }
+        if self.rest.get().left_ms(self.clock.now_ms()) > 0 {
+            return Err(ExchangeError::Resting { peer });
         }
         Ok(())
     }
@@ -203,8 +226,8 @@
 
 /// Sends a request and waits for the head of its answer.
 ///
-/// Every request to an upstream passes here, so that none is sent to one that is leaving. An idle
-/// connection that closed before anything was written is replaced. Once a byte was written, the request
+/// Every request of a caller to an upstream passes here, so that none is sent to one that is leaving or
+/// resting. An idle connection that closed before anything was written is replaced. Once a byte was written, the request
 /// counts as sent. Dropping the future closes the connection.
 pub async fn exchange(
     pool: &Rc<Pool>,
@@ -213,7 +236,7 @@
 ) -> Result<Exchanged, ExchangeError> {
     let peer = pool.peer;
     loop {
-        pool.check_open()?;
+        pool.check_accepts()?;
         let (connection, is_new) = match pool.take_idle() {
             Some(connection) => (connection, false),
             None => (open(pool, max_open).await?, true),
@@ -226,8 +249,8 @@
         let Some(connection) = pooled.connection.as_mut() else {
             continue;
         };
-        // The peer may have begun to leave while the connection was opened.
-        pool.check_open()?;
+        // The peer may have announced a leaving or a rest while the connection was opened.
+        pool.check_accepts()?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 pooled.idle_ms = idle_ms(&response);
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -70,6 +70,10 @@
 }
 
 async fn free_kv(relay: &Relay, engine: &Rc<Upstream>, handle: &KvHandle) {
+    let rest_ms = engine.rest_left_ms(relay.now_ms());
+    if rest_ms > 0 {
+        actix_rt::time::sleep(Duration::from_millis(rest_ms)).await;
+    }
     let (method, path) = relay.dialect.free_kv_request(handle);
     let request = http::Request::builder()
         .method(method)
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -225,6 +225,14 @@
         metrics.list_age_ms.set(age(self.list_age_ms()));
         metrics.load_age_ms.set(age(load_age_ms));
         metrics.upstreams.set(upstreams.cast_signed() as i64);
+        let upstreams = self.upstreams.borrow();
+        let resting = upstreams
+            .iter()
+            .filter(|each| each.rest_left_ms(now_ms) > 0);
+        metrics
+            .resting_upstreams
+            .set(resting.count().cast_signed() as i64);
+        drop(upstreams);
         metrics
             .limited_upstreams
             .set(self.limited_upstreams().cast_signed() as i64);
--- a/crates/relay/src/role_orders.rs
+++ b/crates/relay/src/role_orders.rs
@@ -311,6 +311,7 @@
         .filter(|each| each.stage() != stage && !each.is_changing_role(now_ms) && !is_paused(each))
         .filter(|each| {
             each.health_status(now_ms) == HealthStatus::Healthy
+                && each.accepts_requests(now_ms)
                 && each.age_ms(now_ms) >= MIN_ENGINE_AGE_MS
         })
         .collect();
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -107,12 +107,12 @@
     permit: SendPermit,
 ) -> Result<StatusCode, OrderError> {
     let engine = &planned.engine;
-    check_staying(engine)?;
+    check_accepts(relay, engine)?;
     let report = report(relay, engine).await?;
     if report.is_leaving {
         relay.upstreams.borrow_mut().announce_leaving(engine);
     }
-    check_staying(engine)?;
+    check_accepts(relay, engine)?;
     if report.is_busy || report.stage == planned.stage {
         return Err(OrderError::before_send(
             &"the engine is busy or has the role already",
@@ -139,11 +139,11 @@
     Ok(response.status())
 }
 
-fn check_staying(engine: &Upstream) -> Result<(), OrderError> {
-    if engine.is_ready() {
+fn check_accepts(relay: &Relay, engine: &Upstream) -> Result<(), OrderError> {
+    if engine.accepts_requests(relay.now_ms()) {
         return Ok(());
     }
-    Err(OrderError::before_send(&"the engine is leaving"))
+    Err(OrderError::before_send(&"the engine is leaving or resting"))
 }
 
 async fn report(relay: &Relay, engine: &Upstream) -> Result<EngineReport, OrderError> {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -146,7 +146,8 @@
         ExchangeError::Lost { .. } => upstream.note_failure(relay.now_ms()),
         ExchangeError::PoolExhausted { .. }
         | ExchangeError::RateLimited { .. }
-        | ExchangeError::Leaving { .. } => {}
+        | ExchangeError::Leaving { .. }
+        | ExchangeError::Resting { .. } => {}
     }
 }
 
@@ -182,10 +183,8 @@
             histogram.observe(seconds(began_ms));
         }
         Err(ExchangeError::Lost { .. }) => note_lost_answer(relay, call, upstream),
-        Err(ExchangeError::Leaving { .. }) => {
-            let withheld = &relay.metrics.sends_withheld;
-            withheld.with_label_values(&["leaving"]).inc();
-        }
+        Err(ExchangeError::Leaving { .. }) => note_withheld(relay, "leaving"),
+        Err(ExchangeError::Resting { .. }) => note_withheld(relay, "resting"),
         Err(
             ExchangeError::Connect { .. }
             | ExchangeError::PoolExhausted { .. }
@@ -195,6 +194,11 @@
     exchanged
 }
 
+fn note_withheld(relay: &Relay, reason: &str) {
+    let withheld = &relay.metrics.sends_withheld;
+    withheld.with_label_values(&[reason]).inc();
+}
+
 /// Maximum number of connections that this instance may open to an upstream of a service.
 pub fn max_connections_to(relay: &Relay, service: &str) -> usize {
     let config = relay.config();
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -271,6 +271,24 @@
         self.pool.close();
     }
 
+    /// Time that is left of the rest that it asked this instance for, in ms.
+    pub fn rest_left_ms(&self, now_ms: u64) -> u64 {
+        self.pool.rest().left_ms(now_ms)
+    }
+
+    /// Grants it rest; returns whether that became longer.
+    pub fn extend_rest(&self, now_ms: u64, rest_ms: u64) -> bool {
+        let mut rest = self.pool.rest();
+        let is_longer = rest.extend(now_ms, rest_ms);
+        self.pool.set_rest(rest);
+        is_longer
+    }
+
+    /// Whether it may get requests now: it is not leaving and does not rest.
+    pub fn accepts_requests(&self, now_ms: u64) -> bool {
+        self.is_ready() && self.rest_left_ms(now_ms) == 0
+    }
+
     /// Sequence number of the latest entry that was applied.
     pub fn seq(&self) -> u64 {
         self.seq.get()
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, VecDeque};
 use std::rc::Rc;
 
+use plan::Rest;
 use serde::{Deserialize, Serialize};
 use tick::Clock;
 pub use view::ListChange;
@@ -71,6 +72,8 @@
     seq: u64,
     /// Whether it was leaving, and did not just drop out of the list.
     is_leaving: bool,
+    /// Rest that it had asked for.
+    rest: Rest,
 }
 
 impl Removed {
@@ -189,6 +192,22 @@
         is_news
     }
 
+    /// Grants an incarnation the rest that it asked for in an answer; returns whether that became longer.
+    ///
+    /// As a leaving, it holds although the entry may have been removed since the request was sent, or be back.
+    pub fn ask_for_rest(&mut self, now_ms: u64, upstream: &Upstream, rest_ms: u64) -> bool {
+        let is_longer = upstream.extend_rest(now_ms, rest_ms);
+        if let Some(listed) = self.by_key.get(&upstream.key) {
+            listed.extend_rest(now_ms, rest_ms);
+        }
+        for removed in &mut self.removed {
+            if removed.is_incarnation(&upstream.id, upstream.started_ms) {
+                removed.rest.extend(now_ms, rest_ms);
+            }
+        }
+        is_longer
+    }
+
     /// Removes an upstream whose incarnation was replaced, before the list shows it.
     pub fn remove_replaced(&mut self, id: &str) {
         self.remove(id);
@@ -321,12 +340,7 @@
             self.zone_delays.between_zones_ms
         };
         let upstream = Rc::new(Upstream::new(entry, one_way_delay_ms, self.clock));
-        let was_leaving = |removed: &Removed| {
-            removed.is_leaving && removed.is_incarnation(&entry.id, entry.started_ms)
-        };
-        if self.removed.iter().any(was_leaving) {
-            upstream.leave();
-        }
+        self.restore_announcements(&upstream);
         self.by_id.insert(entry.id.clone(), Rc::clone(&upstream));
         self.by_key.insert(upstream.key, Rc::clone(&upstream));
         self.by_service
@@ -336,6 +350,21 @@
         Effect::Joined
     }
 
+    /// Applies what an incarnation announced before its entry was removed.
+    fn restore_announcements(&self, upstream: &Upstream) {
+        let before = self
+            .removed
+            .iter()
+            .filter(|removed| removed.is_incarnation(&upstream.id, upstream.started_ms));
+        for removed in before {
+            if removed.is_leaving {
+                upstream.leave();
+            }
+            // The last removal has the longest rest, as a rest is only ever extended.
+            upstream.pool.set_rest(removed.rest);
+        }
+    }
+
     fn entry_removed(&mut self, now_ms: u64, id: &str, until_ms: u64) -> Effect {
         let Some(known) = self.by_id.get(id) else {
             return Effect::Unchanged;
@@ -362,6 +391,7 @@
             started_ms: known.started_ms,
             seq: known.seq(),
             is_leaving: !known.is_ready(),
+            rest: known.pool.rest(),
         });
         if self.removed.len() > MAX_REMOVED {
             self.removed.pop_front();
