--- a/crates/relay/tests/pool.rs
+++ b/crates/relay/tests/pool.rs
@@ -1,9 +1,12 @@
-//! Connections to upstreams whose exchange is abandoned.
+//! Connections to upstreams: which are kept, and what happens to abandoned ones.
+
+mod common;
 
 use std::time::Duration;
 
 use bytes::Bytes;
 use http::Request;
+use http_body_util::BodyExt;
 use http_body_util::Full;
 use relay::pool::{Pool, exchange};
 use tick::Clock;
@@ -31,3 +34,24 @@
         .map_err(|error| error.kind());
     assert_eq!(end, Err(std::io::ErrorKind::ConnectionReset));
 }
+
+/// Guards against a request on a connection that its upstream has just closed: it may be lost there, and a claim
+/// may not be sent again.
+#[actix_rt::test]
+async fn a_connection_is_kept_as_long_as_its_upstream_says() {
+    for (headers, is_kept) in [
+        ("", true),
+        ("keep-alive: timeout=5\r\n", true),
+        ("keep-alive: timeout=1\r\n", false),
+        ("connection: close\r\n", false),
+    ] {
+        let upstream =
+            common::StubUpstream::start(move |received| received.response("200 OK", headers, ""));
+        let pool = Pool::new(upstream.address, Clock::default());
+        let request = common::request(http::Method::GET, "/", "1");
+        let (response, connection) = exchange(&pool, 1, request).await.unwrap();
+        response.into_body().collect().await.unwrap();
+        connection.release();
+        assert_eq!(pool.open() == 1, is_kept, "{headers:?}");
+    }
+}
--- a/crates/relay/tests/services.rs
+++ b/crates/relay/tests/services.rs
@@ -254,3 +254,16 @@
     let answer = instance.fetch(request(Method::GET, "/reads/x", "1")).await;
     assert_eq!(answer, (500, Some("oops".to_owned())));
 }
+
+/// Guards against a body that was encoded on the way and reaches the caller as the upstream's own.
+#[actix_rt::test]
+async fn an_encoded_success_is_not_passed_on() {
+    let encoding = StubUpstream::start(|received| {
+        received.response("200 OK", "content-encoding: gzip\r\n", "x")
+    });
+    let instance = TestInstance::start(vec![encoding.entry("one", "desk", Stage::Whole)]);
+    let (status, _) = instance
+        .fetch(request(Method::POST, "/claims/x", "1"))
+        .await;
+    assert_eq!(status, 502);
+}
