Relay: modules for role changes and removed incarnations; one way to describe an announcing answer

What is remembered of removed incarnations has a type of its own, role changes a file; an answer's announcements are described by one of two constructors instead of four literals.

--- a/crates/relay/src/announcement.rs
+++ b/crates/relay/src/announcement.rs
@@ -5,6 +5,7 @@
 
 use http::StatusCode;
 
+use crate::call::Call;
 use crate::dialect::ResponseHead;
 use crate::relay::Relay;
 use crate::send::is_no_capacity;
@@ -40,7 +41,34 @@
     pub is_expected: bool,
 }
 
-impl AnnouncingAnswer<'_> {
+impl<'a> AnnouncingAnswer<'a> {
+    /// The answer to a caller's attempt.
+    pub fn to_attempt(
+        to: AnswerTo,
+        call: &'a Call,
+        status: StatusCode,
+        head: &'a ResponseHead,
+    ) -> Self {
+        Self {
+            to,
+            request: call.id(),
+            status,
+            head,
+            is_expected: head.attempt == call.head.attempt,
+        }
+    }
+
+    /// The answer to a call of this instance's own, on a connection on which no other answer is due.
+    pub fn to_own_call(to: AnswerTo, status: StatusCode, head: &'a ResponseHead) -> Self {
+        Self {
+            to,
+            request: "-",
+            status,
+            head,
+            is_expected: true,
+        }
+    }
+
     /// Whether the answer certainly comes from this incarnation.
     ///
     /// Another incarnation at the address rejects requests as misdirected, and a late answer may be such a
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -86,13 +86,8 @@
     match exchange(&engine.pool, usize::MAX, request).await {
         Ok((response, connection)) => {
             let head = relay.dialect.parse_response_head(response.headers());
-            let answer = AnnouncingAnswer {
-                to: AnswerTo::FreeKv,
-                request: "-",
-                status: response.status(),
-                head: &head,
-                is_expected: true,
-            };
+            let status = response.status();
+            let answer = AnnouncingAnswer::to_own_call(AnswerTo::FreeKv, status, &head);
             note_announcements(relay, engine, &answer);
             if response.into_body().collect().await.is_ok() {
                 connection.release();
@@ -224,17 +219,10 @@
 ) -> Option<PrefilledKv> {
     let status = response.status();
     let answered = relay.dialect.parse_response_head(response.headers());
-    let is_expected = answered.attempt == call.head.attempt;
-    let answer = AnnouncingAnswer {
-        to: AnswerTo::Prefill,
-        request: call.id(),
-        status,
-        head: &answered,
-        is_expected,
-    };
+    let answer = AnnouncingAnswer::to_attempt(AnswerTo::Prefill, call, status, &answered);
     note_response_head(relay, engine, &answer);
     // A late answer to an earlier request on this connection would name another prompt's cache.
-    if !is_expected {
+    if !answer.is_expected {
         log_not_prefilled(relay, call, engine, "the answer belongs to another request");
         return None;
     }
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -199,13 +199,7 @@
     let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
     let response = call_on_new_connection(engine.address, relay.clock, request, timeout).await?;
     let head = relay.dialect.parse_response_head(response.headers());
-    let answer = AnnouncingAnswer {
-        to,
-        request: "-",
-        status: response.status(),
-        head: &head,
-        is_expected: true,
-    };
+    let answer = AnnouncingAnswer::to_own_call(to, response.status(), &head);
     note_announcements(relay, engine, &answer);
     Ok(response)
 }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -260,18 +260,11 @@
 ) -> SendResult {
     let head = relay.dialect.parse_response_head(response.headers());
     let status = response.status();
-    let is_expected = head.attempt == call.head.attempt;
-    let answer = AnnouncingAnswer {
-        to: AnswerTo::Request,
-        request: call.id(),
-        status,
-        head: &head,
-        is_expected,
-    };
+    let answer = AnnouncingAnswer::to_attempt(AnswerTo::Request, call, status, &head);
     note_response_head(relay, upstream, &answer);
     // A late answer to an earlier request on this connection names another attempt. It says nothing
     // about this request, not even that it has not run.
-    if !is_expected {
+    if !answer.is_expected {
         return SendResult::Lost("the answer belongs to another request".to_owned());
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -4,6 +4,7 @@
 mod in_flight;
 mod prompt_cache;
 mod rate_limit;
+mod role_change;
 
 use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 pub use in_flight::{InFlight, Work};
 pub use prompt_cache::{CachedParts, MIN_CACHED_TOKENS};
 pub use rate_limit::RateLimit;
+use role_change::RoleChange;
 pub use view::{
     Load, PrefillProgress, PrefillQueue, RANKS, Stage, UpstreamEntry, UpstreamKey, UpstreamState,
 };
@@ -52,14 +54,6 @@
     at_ms: u64,
 }
 
-/// A role change that was ordered and that the list of upstreams does not show yet.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct RoleChange {
-    stage: Stage,
-    until_ms: u64,
-    is_own: bool,
-}
-
 /// One incarnation of an upstream.
 pub struct Upstream {
     /// Its id. A restarted upstream may come back under the same one.
@@ -164,48 +158,6 @@
         self.stage.get()
     }
 
-    /// Records that a role change to `stage` was ordered, by this instance if `is_own`.
-    ///
-    /// The upstream gets no requests until the list shows the new stage or `for_ms` have passed.
-    pub fn begin_role_change(&self, now_ms: u64, stage: Stage, for_ms: u64, is_own: bool) {
-        self.role_change.set(Some(RoleChange {
-            stage,
-            until_ms: now_ms + for_ms,
-            is_own,
-        }));
-    }
-
-    /// Clears the pending role change because the engine did not get or accept the order.
-    pub fn cancel_role_change(&self) {
-        self.role_change.set(None);
-    }
-
-    /// The pending role change that this instance ordered, for gossip.
-    pub fn own_role_change(&self, now_ms: u64) -> Option<view::PendingRoleChange> {
-        let role_change = self.role_change(now_ms)?;
-        role_change.is_own.then(|| view::PendingRoleChange {
-            upstream: self.key,
-            stage: role_change.stage,
-            remaining_ms: (role_change.until_ms - now_ms) as u32,
-        })
-    }
-
-    fn role_change(&self, now_ms: u64) -> Option<RoleChange> {
-        let role_change = self.role_change.get()?;
-        (role_change.stage != self.stage() && now_ms < role_change.until_ms).then_some(role_change)
-    }
-
-    /// Whether a role change is pending.
-    pub fn is_changing_role(&self, now_ms: u64) -> bool {
-        self.role_change(now_ms).is_some()
-    }
-
-    /// The stage after the pending role change, or the current stage if none is pending.
-    pub fn target_stage(&self, now_ms: u64) -> Stage {
-        let role_change = self.role_change(now_ms);
-        role_change.map_or_else(|| self.stage(), |role_change| role_change.stage)
-    }
-
     /// Records that it rejected a generation for lack of capacity, and ejects it for a short time.
     ///
     /// An engine also rejects all new requests during a role change. That may take longer than
@@ -215,18 +167,6 @@
             .set(now_ms + NO_CAPACITY_BACKOFF_MS);
     }
 
-    /// Switches between prefill and decode after the engine rejected a request that is not for its stage.
-    ///
-    /// While the store is unavailable the list does not show the role change. Without this, each
-    /// request sent there would be rejected and count against the retry budget.
-    pub fn assume_other_stage(&self) {
-        self.stage.set(match self.stage.get() {
-            Stage::Prefill => Stage::Decode,
-            Stage::Decode => Stage::Prefill,
-            Stage::Whole => Stage::Whole,
-        });
-    }
-
     /// Time since this instance first saw it, in ms.
     pub fn age_ms(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.joined_ms)
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -1,14 +1,16 @@
 //! The upstreams in use, by id, key and service.
 
-use std::collections::{HashMap, VecDeque};
+mod removed;
+
+use std::collections::HashMap;
 use std::rc::Rc;
 
-use plan::Rest;
 use serde::{Deserialize, Serialize};
 use tick::Clock;
 pub use view::ListChange;
 
 use crate::upstream::{Upstream, UpstreamEntry, UpstreamKey};
+use removed::RemovedUpstreams;
 
 /// Time after the last failed read of the list in which a removed entry counts as unconfirmed, in ms.
 ///
@@ -19,9 +21,6 @@
 /// return belongs to an upstream that left, which may get new requests only for a short time.
 const LAPSE_MS: u64 = 2_600;
 
-/// Removed incarnations that are remembered, so that their late entries are ignored.
-const MAX_REMOVED: usize = 512;
-
 /// Effect of a change to the list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Effect {
@@ -64,24 +63,6 @@
     }
 }
 
-/// A removed incarnation, with the sequence number of its last applied entry.
-#[derive(Debug, Clone)]
-struct Removed {
-    id: String,
-    started_ms: u64,
-    seq: u64,
-    /// Whether it was leaving, and did not just drop out of the list.
-    is_leaving: bool,
-    /// Rest that it had asked for.
-    rest: Rest,
-}
-
-impl Removed {
-    fn is_incarnation(&self, id: &str, started_ms: u64) -> bool {
-        self.id == id && self.started_ms == started_ms
-    }
-}
-
 /// All upstreams in use, confirmed or not.
 #[derive(Default)]
 pub struct Upstreams {
@@ -93,7 +74,7 @@
     by_service: HashMap<String, Vec<Rc<Upstream>>>,
     /// Time until which each unconfirmed upstream stays in use.
     unconfirmed: HashMap<String, u64>,
-    removed: VecDeque<Removed>,
+    removed: RemovedUpstreams,
     may_have_lapsed_until_ms: u64,
 }
 
@@ -183,12 +164,7 @@
             is_news |= listed.is_ready();
             listed.leave();
         }
-        for removed in &mut self.removed {
-            if removed.is_incarnation(&upstream.id, upstream.started_ms) {
-                is_news |= !removed.is_leaving;
-                removed.is_leaving = true;
-            }
-        }
+        is_news |= self.removed.announce_leaving(upstream);
         is_news
     }
 
@@ -200,11 +176,7 @@
         if let Some(listed) = self.by_key.get(&upstream.key) {
             listed.extend_rest(now_ms, rest_ms);
         }
-        for removed in &mut self.removed {
-            if removed.is_incarnation(&upstream.id, upstream.started_ms) {
-                removed.rest.extend(now_ms, rest_ms);
-            }
-        }
+        self.removed.extend_rest(upstream, now_ms, rest_ms);
         is_longer
     }
 
@@ -220,8 +192,7 @@
 
     /// Key of the last removed incarnation of an id.
     pub fn last_removed(&self, id: &str) -> Option<UpstreamKey> {
-        let removed = self.removed.iter().rev().find(|each| each.id == id)?;
-        Some(UpstreamKey::of(&removed.id, removed.started_ms))
+        self.removed.last(id)
     }
 
     /// The upstream with this key.
@@ -306,12 +277,7 @@
     }
 
     fn put(&mut self, entry: &UpstreamEntry) -> Effect {
-        // An entry that was written before the incarnation was removed may arrive afterwards.
-        let is_old = |removed: &Removed| {
-            removed.id == entry.id
-                && (entry.started_ms, entry.seq) <= (removed.started_ms, removed.seq)
-        };
-        if self.removed.iter().any(is_old) {
+        if self.removed.is_outdated(entry) {
             return Effect::Unchanged;
         }
         self.unconfirmed.remove(&entry.id);
@@ -340,7 +306,7 @@
             self.zone_delays.between_zones_ms
         };
         let upstream = Rc::new(Upstream::new(entry, one_way_delay_ms, self.clock));
-        self.restore_announcements(&upstream);
+        self.removed.restore_announcements(&upstream);
         self.by_id.insert(entry.id.clone(), Rc::clone(&upstream));
         self.by_key.insert(upstream.key, Rc::clone(&upstream));
         self.by_service
@@ -350,21 +316,6 @@
         Effect::Joined
     }
 
-    /// Applies what an incarnation announced before its entry was removed.
-    fn restore_announcements(&self, upstream: &Upstream) {
-        let before = self
-            .removed
-            .iter()
-            .filter(|removed| removed.is_incarnation(&upstream.id, upstream.started_ms));
-        for removed in before {
-            if removed.is_leaving {
-                upstream.leave();
-            }
-            // The last removal has the longest rest, as a rest is only ever extended.
-            upstream.pool.set_rest(removed.rest);
-        }
-    }
-
     fn entry_removed(&mut self, now_ms: u64, id: &str, until_ms: u64) -> Effect {
         let Some(known) = self.by_id.get(id) else {
             return Effect::Unchanged;
@@ -386,16 +337,7 @@
         if let Some(all) = self.by_service.get_mut(&known.service) {
             all.retain(|each| each.id != id);
         }
-        self.removed.push_back(Removed {
-            id: id.to_owned(),
-            started_ms: known.started_ms,
-            seq: known.seq(),
-            is_leaving: !known.is_ready(),
-            rest: known.pool.rest(),
-        });
-        if self.removed.len() > MAX_REMOVED {
-            self.removed.pop_front();
-        }
+        self.removed.record(&known);
         known.leave();
     }
 }
