--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -7,6 +7,7 @@
 )]
 
 mod dialect;
+mod requests;
 mod stub;
 
 use std::net::SocketAddr;
@@ -29,6 +30,7 @@
 use view::Member;
 
 pub use dialect::TestDialect;
+pub use requests::{EVENTS, generation_request, is_prefill, read_request};
 pub use stub::{Action, ReceivedRequest, StubUpstream};
 
 /// How long the process of an instance seems to have been running: longer than any of its time
@@ -200,6 +202,14 @@
         .expect("a request")
 }
 
+/// The entry of an upstream in another zone than that of the instance, which prefers those in its own.
+pub fn in_other_zone(entry: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry {
+        zone: "there".to_owned(),
+        ..entry
+    }
+}
+
 /// Polls until `holds` is true; false if it isn't after five seconds.
 pub async fn wait_until(holds: impl Fn() -> bool) -> bool {
     for _ in 0..500 {
--- a/crates/relay/tests/leaving_upstreams.rs
+++ b/crates/relay/tests/leaving_upstreams.rs
@@ -4,9 +4,12 @@
 
 use std::rc::Rc;
 
-use common::{Action, ReceivedRequest, StubUpstream, TestInstance, config, peer_member, request};
+use common::{
+    Action, EVENTS, ReceivedRequest, StubUpstream, TestInstance, config, generation_request,
+    in_other_zone, is_prefill, peer_member, read_request,
+};
 use futures_util::FutureExt;
-use http::{HeaderValue, Method, Request};
+use http::Request;
 use http_body_util::Full;
 use relay::pool::{ExchangeError, Pool, exchange};
 use relay::snapshot::{self, Snapshot};
@@ -17,18 +20,12 @@
 
 const LEAVING: &str = "x-leaving: 1\r\n";
 
-const EVENTS: &str = "id: 1\ndata: 1\n\n";
-
 /// Requests that a test sends.
 const REQUESTS: usize = 20;
 
 /// Requests that may reach a leaving upstream: the one whose answer announces it.
 const REQUESTS_TO_LEARN: usize = 1;
 
-fn is_prefill(received: &ReceivedRequest) -> bool {
-    received.header("x-step") == Some("prefill")
-}
-
 fn upstream_with_headers(headers: &'static str) -> StubUpstream {
     StubUpstream::start(move |received| {
         let body = if is_prefill(received) { "kv-1" } else { EVENTS };
@@ -36,13 +33,6 @@
     })
 }
 
-fn in_other_zone(entry: UpstreamEntry) -> UpstreamEntry {
-    UpstreamEntry {
-        zone: "there".to_owned(),
-        ..entry
-    }
-}
-
 /// Two upstreams of a service, of which the nearer one is leaving.
 fn leaving_and_staying(
     service: &str,
@@ -54,17 +44,6 @@
     (leaving, staying, vec![near, far])
 }
 
-fn read_request(id: usize) -> Request<Full<bytes::Bytes>> {
-    request(Method::GET, "/reads/x", &id.to_string())
-}
-
-fn generation_request(path: &str, id: usize, tokens: usize) -> Request<Full<bytes::Bytes>> {
-    let mut req = request(Method::POST, path, &id.to_string());
-    let prompt = HeaderValue::from_str(&format!("{id}:{tokens}")).expect("a valid value");
-    req.headers_mut().insert("x-prompt", prompt);
-    req
-}
-
 /// Sends the requests one after the other; all must be served.
 async fn send_all(
     instance: &TestInstance,
--- a/crates/relay/tests/rate_limits.rs
+++ b/crates/relay/tests/rate_limits.rs
@@ -2,8 +2,11 @@
 
 mod common;
 
-use common::{ReceivedRequest, StubUpstream, TestInstance, deliver_gossip, request};
-use http::{HeaderValue, Method, Request};
+use common::{
+    EVENTS, StubUpstream, TestInstance, deliver_gossip, generation_request, in_other_zone,
+    is_prefill, read_request,
+};
+use http::Request;
 use http_body_util::Full;
 use relay::upstream::{RateLimit, Stage, UpstreamEntry};
 
@@ -16,12 +19,6 @@
 /// Requests that may reach a limited upstream: the one whose response announces the limit.
 const REQUESTS_TO_LEARN: usize = 1;
 
-const EVENTS: &str = "id: 1\ndata: 1\n\n";
-
-fn is_prefill(received: &ReceivedRequest) -> bool {
-    received.header("x-step") == Some("prefill")
-}
-
 fn upstream_with_headers(headers: &'static str) -> StubUpstream {
     StubUpstream::start(move |received| {
         let body = if is_prefill(received) { "kv-1" } else { EVENTS };
@@ -39,24 +36,10 @@
         upstream_with_headers(""),
     );
     let near = limited.entry("limited", service, stage);
-    let far = UpstreamEntry {
-        zone: "there".to_owned(),
-        ..free.entry("free", service, stage)
-    };
+    let far = in_other_zone(free.entry("free", service, stage));
     (limited, free, vec![near, far])
 }
 
-fn read_request(id: usize) -> Request<Full<bytes::Bytes>> {
-    request(Method::GET, "/reads/x", &id.to_string())
-}
-
-fn generation_request(id: usize, tokens: usize) -> Request<Full<bytes::Bytes>> {
-    let mut req = request(Method::POST, "/once/x", &id.to_string());
-    let prompt = HeaderValue::from_str(&format!("{id}:{tokens}")).expect("a valid value");
-    req.headers_mut().insert("x-prompt", prompt);
-    req
-}
-
 /// Sends the requests one after the other and returns how many were served.
 async fn send_all(
     instance: &TestInstance,
@@ -89,7 +72,7 @@
     entries.push(decode_engine.entry("decode", "llm", Stage::Decode));
     let instance = TestInstance::start(entries);
     assert_eq!(
-        send_all(&instance, |id| generation_request(id, 17_000)).await,
+        send_all(&instance, |id| generation_request("/once/x", id, 17_000)).await,
         REQUESTS
     );
     let prefills_at_limited = limited
@@ -108,14 +91,14 @@
     let (limited, _free, entries) = limited_and_free("llm", Stage::Decode);
     let one = TestInstance::start(entries.clone());
     assert_eq!(
-        send_all(&one, |id| generation_request(id, 50)).await,
+        send_all(&one, |id| generation_request("/once/x", id, 50)).await,
         REQUESTS
     );
     let before = limited.count();
     let other = TestInstance::start(entries);
     deliver_gossip(&one.relay, &other.relay);
     assert_eq!(
-        send_all(&other, |id| generation_request(id, 50)).await,
+        send_all(&other, |id| generation_request("/once/x", id, 50)).await,
         REQUESTS
     );
     assert_eq!(
@@ -142,10 +125,7 @@
     let (limited, _, entries) = limited_and_free("desk", Stage::Whole);
     let fails =
         StubUpstream::start(|received| received.response("500 Internal Server Error", "", ""));
-    let failing = UpstreamEntry {
-        zone: "there".to_owned(),
-        ..fails.entry("failing", "desk", Stage::Whole)
-    };
+    let failing = in_other_zone(fails.entry("failing", "desk", Stage::Whole));
     let instance = TestInstance::start(vec![entries[0].clone(), failing]);
     for id in 0..REQUESTS {
         instance.fetch(read_request(id)).await;
--- a/crates/relay/tests/resting_upstreams.rs
+++ b/crates/relay/tests/resting_upstreams.rs
@@ -4,10 +4,13 @@
 
 use std::time::Duration;
 
-use common::{Action, ReceivedRequest, StubUpstream, TestInstance, config, request, wait_until};
+use common::{
+    Action, EVENTS, ReceivedRequest, StubUpstream, TestInstance, config, generation_request,
+    in_other_zone, is_prefill, read_request, request, wait_until,
+};
 use futures_util::FutureExt;
 use futures_util::future::join_all;
-use http::{HeaderValue, Method, Request};
+use http::{Method, Request};
 use http_body_util::Full;
 use plan::Rest;
 use relay::Origin;
@@ -19,8 +22,6 @@
 /// A rejection that asks for more rest than a test takes.
 const REST: &str = "x-not-run: 1\r\nx-rest-ms: 50000\r\n";
 
-const EVENTS: &str = "id: 1\ndata: 1\n\n";
-
 /// Rounds of requests of a test, with a pause between them that is longer than the time for which an upstream
 /// that just rejected a request gets no other one anyway.
 const ROUNDS: usize = 3;
@@ -32,10 +33,6 @@
 /// Requests that may reach a resting upstream: the one whose rejection asks for rest.
 const REQUESTS_TO_LEARN: usize = 1;
 
-fn is_prefill(received: &ReceivedRequest) -> bool {
-    received.header("x-step") == Some("prefill")
-}
-
 fn serving() -> StubUpstream {
     StubUpstream::start(|received| {
         let body = if is_prefill(received) { "kv-1" } else { EVENTS };
@@ -47,24 +44,6 @@
     StubUpstream::start(|received| received.response("503 Service Unavailable", REST, ""))
 }
 
-fn in_other_zone(entry: UpstreamEntry) -> UpstreamEntry {
-    UpstreamEntry {
-        zone: "there".to_owned(),
-        ..entry
-    }
-}
-
-fn read_request(id: usize) -> Request<Full<bytes::Bytes>> {
-    request(Method::GET, "/reads/x", &id.to_string())
-}
-
-fn generation_request(path: &str, id: usize, tokens: usize) -> Request<Full<bytes::Bytes>> {
-    let mut req = request(Method::POST, path, &id.to_string());
-    let prompt = HeaderValue::from_str(&format!("{id}:{tokens}")).expect("a valid value");
-    req.headers_mut().insert("x-prompt", prompt);
-    req
-}
-
 /// Sends all rounds and returns the number of requests that were served.
 async fn send_rounds(
     instance: &TestInstance,
