Relay: a probe without an outcome is followed by another one

What callers saw: an upstream that had failed and was sound again stayed unused at an instance, until its process was replaced or no other upstream was left.

Cause: an ejected upstream is tried again by one request and counts as being tried until that succeeds or fails. One that is rejected unrun, held back because the upstream announced something, or given up by its caller does neither. Rejections that ask for rest make it likelier. Ruled out: connections that cannot be opened (they count as failures).

Before: ejected for good; now probed again. A leaving that an engine's report states has its log line as well.

--- a/crates/plan/src/ejection.rs
+++ b/crates/plan/src/ejection.rs
@@ -142,6 +142,15 @@
         HealthStatus::Probe
     }
 
+    /// Ends a probe that neither succeeded nor failed, because it was rejected, held back or given up; the next
+    /// one follows after another ejection.
+    pub fn abandon_probe(&mut self, now_ms: u64) {
+        if self.is_probing {
+            self.is_probing = false;
+            self.ejected_until_ms = now_ms + BASE_EJECTION_MS;
+        }
+    }
+
     /// Marks a probe as sent; until its outcome is recorded the upstream counts as ejected.
     pub fn start_probe(&mut self) {
         self.is_probing = true;
--- a/crates/relay/src/announcement.rs
+++ b/crates/relay/src/announcement.rs
@@ -96,7 +96,8 @@
     }
 }
 
-fn note_leaving(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer) {
+/// Takes an upstream out of use that announced in an answer that it is leaving.
+pub fn note_leaving(relay: &Relay, upstream: &Upstream, answer: &AnnouncingAnswer) {
     if relay.upstreams.borrow_mut().announce_leaving(upstream) {
         relay.metrics.announced_leaving.inc();
         log::info!(
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -227,8 +227,8 @@
 /// Sends a request and waits for the head of its answer.
 ///
 /// Every request of a caller to an upstream passes here, so that none is sent to one that is leaving or
-/// resting. An idle connection that closed before anything was written is replaced. Once a byte was written, the request
-/// counts as sent. Dropping the future closes the connection.
+/// resting. An idle connection that closed before anything was written is replaced. Once a byte was
+/// written, the request counts as sent. Dropping the future closes the connection.
 pub async fn exchange(
     pool: &Rc<Pool>,
     max_open: usize,
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -9,8 +9,8 @@
 use tick::since_boot_ms;
 
 use super::{PlannedChange, RoleOrder};
-use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
-use crate::dialect::EngineReport;
+use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements, note_leaving};
+use crate::dialect::{EngineReport, ResponseHead};
 use crate::pool::call_on_new_connection;
 use crate::relay::Relay;
 use crate::upstream::{Stage, Upstream};
@@ -109,9 +109,6 @@
     let engine = &planned.engine;
     check_accepts(relay, engine)?;
     let report = report(relay, engine).await?;
-    if report.is_leaving {
-        relay.upstreams.borrow_mut().announce_leaving(engine);
-    }
     check_accepts(relay, engine)?;
     if report.is_busy || report.stage == planned.stage {
         return Err(OrderError::before_send(
@@ -164,7 +161,14 @@
         )));
     }
     let report = relay.dialect.parse_engine_report(response.body());
-    report.ok_or_else(|| OrderError::before_send(&"engine report could not be decoded"))
+    let report =
+        report.ok_or_else(|| OrderError::before_send(&"engine report could not be decoded"))?;
+    if report.is_leaving {
+        let head = ResponseHead::default();
+        let answer = AnnouncingAnswer::to_own_call(AnswerTo::Report, response.status(), &head);
+        note_leaving(relay, engine, &answer);
+    }
+    Ok(report)
 }
 
 fn request(
--- a/crates/relay/src/upstream/in_flight.rs
+++ b/crates/relay/src/upstream/in_flight.rs
@@ -27,12 +27,14 @@
     tokens: Cell<f64>,
     work: Work,
     has_head: Cell<bool>,
+    is_probe: bool,
 }
 
 impl InFlight {
     /// Counts a request that is about to be sent.
     pub fn begin(upstream: &Rc<Upstream>, now_ms: u64, work: Work) -> Self {
-        if upstream.health_status(now_ms) == HealthStatus::Probe {
+        let is_probe = upstream.health_status(now_ms) == HealthStatus::Probe;
+        if is_probe {
             upstream.health.borrow_mut().start_probe();
         }
         upstream.in_flight.set(upstream.in_flight.get() + 1);
@@ -52,6 +54,7 @@
             tokens: Cell::new(work.prefill_tokens),
             work,
             has_head: Cell::new(false),
+            is_probe,
         }
     }
 
@@ -97,6 +100,10 @@
             let unanswered = self.upstream.unanswered.get();
             self.upstream.unanswered.set(unanswered.saturating_sub(1));
         }
+        if self.is_probe {
+            let now_ms = self.upstream.clock.now_ms();
+            self.upstream.health.borrow_mut().abandon_probe(now_ms);
+        }
         let context = self.upstream.context_tokens.get() - self.work.context_tokens;
         self.upstream.context_tokens.set(context.max(0.0));
         let count = self.upstream.in_flight.get();
