Emulator: real instances under the load of a deployment, engines whose time follows tokens

Cause: nothing of ours could show SHORT or SIZES. The soak's callers send one size, its engines' times depend on no size, and real processes were never run in the deployment's shape.

--- a/crates/conf/src/lib.rs
+++ b/crates/conf/src/lib.rs
@@ -25,5 +25,6 @@
 pub use check::{Problem, is_name};
 pub use error::{Error, Result};
 pub use index::{BundleIndex, Tenant, hex_sha256};
+pub use parse::parse as parse_commented_json;
 pub use settings::{parse_settings, read_settings};
 pub use settings_schema::{LeaseSettings, Limits, Membership, OperatorKey, Platform, Settings};
--- a/crates/conf/src/parse.rs
+++ b/crates/conf/src/parse.rs
@@ -8,7 +8,7 @@
 use crate::{Error, Result};
 
 /// Parses JSON with `//`, `#` and `/* */` comments; `file` only appears in error messages.
-pub(crate) fn parse<T: DeserializeOwned>(text: &str, file: &str) -> Result<T> {
+pub fn parse<T: DeserializeOwned>(text: &str, file: &str) -> Result<T> {
     let mut plain = String::with_capacity(text.len());
     // Comments are replaced by spaces, so errors keep the line and column of the file.
     StripComments::new(text.as_bytes())
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -5,8 +5,13 @@
 
 mod batch;
 mod prefix;
+mod serving;
 mod traffic;
 
 pub use batch::{Batch, Iteration, Job};
 pub use prefix::PrefixCache;
+pub use serving::{
+    EngineSheet, Generation, Part, Progress, QueueFull, ServingEngine, ServingIteration,
+    ServingLoad, ServingStage,
+};
 pub use traffic::{Deployment, Phase, RequestKind, RequestSizes, TrafficMix};
--- a/crates/model/src/prefix.rs
+++ b/crates/model/src/prefix.rs
@@ -48,6 +48,13 @@
         0
     }
 
+    /// Evicts the least recently used prefixes until at most this many tokens are cached.
+    pub fn shrink_to(&mut self, tokens: u64) {
+        while self.used_tokens > tokens {
+            self.evict();
+        }
+    }
+
     /// Number of cached tokens of a prefix; does not update its last use.
     pub fn cached_tokens(&self, prefix: u64) -> u32 {
         self.entries.get(&prefix).map_or(0, |entry| entry.tokens)
