Sight: which estimate a refusal rests on, learned from how many answers and how old; ends by prompt length

Cause: three hypotheses of the incident (learned times that shut out what corrects them, an instance's own lag learned as its engines', a slow start) could not be told apart: a refusal's line had the time per token alone, and nothing counted by size. Ruled out: nothing; no decision changed.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -190,6 +190,14 @@
         attempt.and_then(|id| id.to_str().ok()).unwrap_or("-")
     }
 
+    /// Counts how it ended: by a status, or by a word if there was none.
+    pub(crate) fn count_end(&self, end: &str) {
+        let prompt = self.head.prompt.as_ref();
+        let prompt_tokens = prompt.map(|prompt| prompt.input_tokens);
+        let metrics = &self.relay.metrics;
+        metrics.count_end(&self.route.name, prompt_tokens, end);
+    }
+
     /// Builds the request that is sent to an upstream.
     pub fn request(&self, dialect: &dyn Dialect, options: &SendOptions) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -211,8 +219,7 @@
         }
         // The caller closed its connection, which dropped all work on the request.
         let now_ms = self.relay.now_ms();
-        let labels = [self.route.name.as_str(), "left"];
-        self.relay.metrics.requests.with_label_values(&labels).inc();
+        self.count_end("left");
         if self.relay.failure_log_limit.take(now_ms) {
             log::info!(
                 request = self.id(), route = self.route.name, workspace = self.workspace_name(),
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -56,8 +56,7 @@
         );
     }
     let status = refusal.reason.status().as_u16().to_string();
-    let labels = [call.route.name.as_str(), &status];
-    relay.metrics.requests.with_label_values(&labels).inc();
+    call.count_end(&status);
     let labels = [call.route.name.as_str(), refusal.reason.label()];
     relay.metrics.refusals.with_label_values(&labels).inc();
     refusal.response(relay.dialect.encode_error(&refusal.reason.to_string()))
@@ -203,8 +202,7 @@
         AnswerBody::whole(collected.to_bytes())
     };
     let status = head.status.as_u16().to_string();
-    let labels = [call.route.name.as_str(), &status];
-    relay.metrics.requests.with_label_values(&labels).inc();
+    call.count_end(&status);
     let now_ms = relay.now_ms();
     call.is_finished.set(true);
     if head.status.is_success() {
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -178,9 +178,13 @@
                 load = engine.load(relay.now_ms()); "generation started"
             );
         }
-        relay
-            .estimates
-            .observe_first_event(&call.service, &first, is_transferred, took_ms);
+        relay.estimates.observe_first_event(
+            relay.now_ms(),
+            &call.service,
+            &first,
+            is_transferred,
+            took_ms,
+        );
         let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
         engine.note_answer(relay.now_ms(), predicted_ms, took_ms);
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,18 +1,41 @@
 //! Prometheus metrics of an instance; docs/OPERATIONS.md lists them.
 
 use prometheus::{
-    Encoder, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge, IntGaugeVec, Opts,
-    Registry, TextEncoder,
+    Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
+    IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
 /// Histogram buckets for times, in seconds.
 const TIME_BUCKETS: [f64; 11] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 4.0, 10.0];
 
+/// Upper bounds of the classes of prompt lengths, in tokens.
+const PROMPT_CLASSES: [(u32, &str); 5] = [
+    (256, "256"),
+    (1_024, "1024"),
+    (4_096, "4096"),
+    (16_384, "16384"),
+    (65_536, "65536"),
+];
+
+/// Label of the class that a prompt's length belongs to.
+fn prompt_class(tokens: u32) -> &'static str {
+    let class = PROMPT_CLASSES.iter().find(|(most, _)| tokens <= *most);
+    class.map_or("more", |(_, label)| label)
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
     /// Requests by route and end: a status, or `left` if the caller closed its connection.
-    pub requests: IntCounterVec,
+    requests: IntCounterVec,
+    /// Requests that generate text, by route, class of prompt lengths, and end.
+    generations: IntCounterVec,
+    /// Learned times of engines by service, in seconds.
+    pub learned_s: GaugeVec,
+    /// Answers from which they were learned.
+    pub learned_answers: IntGaugeVec,
+    /// Time since the last such answer, in ms.
+    pub learned_age_ms: IntGaugeVec,
     /// Complete answers by route and whether they were in time.
     pub answers: IntCounterVec,
     /// Refused requests by route and reason.
@@ -116,7 +139,34 @@
                 .expect("one each");
             metric
         };
+        let float_gauges = |name: &str, help: &str, labels: &[&str]| {
+            let metric = GaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
+            registry
+                .register(Box::new(metric.clone()))
+                .expect("one each");
+            metric
+        };
         Self {
+            generations: counter(
+                "generations_total",
+                "Requests that generate text, by prompt length.",
+                &["route", "prompt_tokens", "end"],
+            ),
+            learned_s: float_gauges(
+                "learned_seconds",
+                "Learned times of engines.",
+                &["service", "time"],
+            ),
+            learned_answers: gauges(
+                "learned_answers",
+                "Answers from which times were learned.",
+                &["service", "time"],
+            ),
+            learned_age_ms: gauges(
+                "learned_age_ms",
+                "Age of the last such answer.",
+                &["service", "time"],
+            ),
             answers: counter("answers_total", "Complete answers.", &["route", "in_time"]),
             refusals: counter("refusals_total", "Refused requests.", &["route", "reason"]),
             prompts_placed: counter("placed_total", "Prompts.", &["service", "read", "held"]),
@@ -172,6 +222,15 @@
         }
     }
 
+    /// Counts the end of a request; `prompt_tokens` is the length of its prompt if it generates text.
+    pub fn count_end(&self, route: &str, prompt_tokens: Option<u32>, end: &str) {
+        self.requests.with_label_values(&[route, end]).inc();
+        if let Some(tokens) = prompt_tokens {
+            let labels = [route, prompt_class(tokens), end];
+            self.generations.with_label_values(&labels).inc();
+        }
+    }
+
     /// All metrics in the Prometheus text format.
     pub fn text(&self) -> Vec<u8> {
         let mut text = Vec::new();
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -195,19 +195,51 @@
         left_ms: call.left_ms(relay.now_ms()) as f64 * USABLE_TIME_FRACTION,
     });
     if first.total_ms() > latest_ms {
-        if relay.failure_log_limit.take(relay.now_ms()) {
-            log::info!(
-                request = call.id(), wait_ms = first.wait_ms, own_ms = first.processing_ms, latest_ms,
-                prompt_tokens = prompt.input_tokens, token_ms = relay.estimates.latency_model(&call.service).token_ms();
-                "request refused: it would start too late"
-            );
-        }
+        log_too_late(relay, call, prompt, &placement, &first, latest_ms);
         return Err(refuse(call, Reason::TooLate, first.total_ms() - latest_ms));
     }
     record_placement(relay, call, &placement, &first);
     Ok(placement)
 }
 
+/// Logs a refusal with the estimates that it rests on, from how many answers they were learned and how old the
+/// latest of these is: an estimate that only admitted requests correct shows by its age.
+fn log_too_late(
+    relay: &Relay,
+    call: &Call,
+    prompt: &Prompt,
+    placement: &Placement,
+    first: &Prediction,
+    latest_ms: f64,
+) {
+    let now_ms = relay.now_ms();
+    if !relay.failure_log_limit.take(now_ms) {
+        return;
+    }
+    let latency = relay.estimates.latency(&call.service);
+    let model = &latency.model;
+    let (estimate, fixed_ms, learned) = match placement {
+        Placement::Disaggregated(_) => (
+            "apart",
+            model.prefill_base_ms() + model.kv_transfer_ms(),
+            [latency.prefill, latency.kv_transfer],
+        ),
+        Placement::Colocated(_) => (
+            "whole",
+            model.decode_base_ms(),
+            [latency.prefill, latency.decode_prefill],
+        ),
+    };
+    let answers = learned.iter().map(|it| it.answers).min().unwrap_or(0);
+    let ages_ms = learned.map(|it| it.age_ms(now_ms).unwrap_or(u64::MAX));
+    let answer_age_ms = ages_ms.into_iter().max().unwrap_or(u64::MAX);
+    log::info!(
+        request = call.id(), wait_ms = first.wait_ms, own_ms = first.processing_ms, latest_ms,
+        prompt_tokens = prompt.input_tokens, token_ms = model.token_ms(), estimate, fixed_ms, answers, answer_age_ms;
+        "request refused: it would start too late"
+    );
+}
+
 /// Records the prefill demand of a request, whether or not it will be served.
 ///
 /// Shared parts are left out: while caches are cold every engine prefills them, and a role split
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -177,7 +177,9 @@
             queued_tokens: (queued_before - own_tokens).max(0.0),
             elapsed_ms: took_ms,
         };
-        relay.estimates.observe_prefill(&call.service, &sample);
+        relay
+            .estimates
+            .observe_prefill(relay.now_ms(), &call.service, &sample);
         engine.note_answer(relay.now_ms(), read_ms, took_ms);
         let labels = [call.service.as_str()];
         let histogram = relay.metrics.prefill_s.with_label_values(&labels);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -254,6 +254,7 @@
                 .with_label_values(&[service])
                 .set(left as i64);
         }
+        self.set_learned_gauges(now_ms);
         let limits = [&self.success_log_limit, &self.failure_log_limit];
         let dropped = limits.map(|limit| (limit.kind(), limit.dropped()));
         for (kind, lines) in dropped
@@ -268,6 +269,40 @@
         metrics.text()
     }
 
+    /// Sets the gauges of what was learned of engines.
+    fn set_learned_gauges(&self, now_ms: u64) {
+        let metrics = &self.metrics;
+        for (service, latency) in self.estimates.latencies() {
+            let model = &latency.model;
+            let times = [
+                ("token", model.token_ms(), latency.prefill),
+                ("prefill", model.prefill_base_ms(), latency.prefill),
+                (
+                    "decode_prefill",
+                    model.decode_base_ms(),
+                    latency.decode_prefill,
+                ),
+                ("kv_transfer", model.kv_transfer_ms(), latency.kv_transfer),
+            ];
+            for (time, value_ms, provenance) in times {
+                let labels = [service.as_str(), time];
+                let age_ms = provenance.age_ms(now_ms).unwrap_or(0);
+                metrics
+                    .learned_s
+                    .with_label_values(&labels)
+                    .set(value_ms / 1_000.0);
+                metrics
+                    .learned_answers
+                    .with_label_values(&labels)
+                    .set(provenance.answers.cast_signed());
+                metrics
+                    .learned_age_ms
+                    .with_label_values(&labels)
+                    .set(age_ms.cast_signed());
+            }
+        }
+    }
+
     /// The snapshot for a peer that asks.
     pub fn snapshot(&self) -> Snapshot {
         Snapshot {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -309,8 +309,7 @@
     /// Counts and logs a complete stream, and releases its connection.
     fn finish(&mut self, status: &str) {
         self.call.is_finished.set(true);
-        let labels = [self.call.route.name.as_str(), status];
-        self.relay.metrics.requests.with_label_values(&labels).inc();
+        self.call.count_end(status);
         let route = &self.call.route;
         let first_ms = self.call.prior_wait_ms + self.first_ms;
         let in_time = first_ms <= route.goal_ms && self.longest_gap_ms <= route.gap_goal_ms;
@@ -339,8 +338,7 @@
                 "stream ended incomplete"
             );
         }
-        let labels = [self.call.route.name.as_str(), "broken"];
-        self.relay.metrics.requests.with_label_values(&labels).inc();
+        self.call.count_end("broken");
         TruncatedAnswer {
             why: why.to_owned(),
         }
