--- a/crates/relay/src/estimates.rs
+++ b/crates/relay/src/estimates.rs
@@ -54,23 +54,25 @@
 }
 
 impl Estimates {
-    /// Latency model of a service's engines.
-    pub fn latency_model(&self, service: &str) -> LatencyModel {
-        self.latency(service).model
+    /// Latency model of a service's engines at `now_ms`.
+    pub fn latency_model(&self, now_ms: u64, service: &str) -> LatencyModel {
+        self.latency(now_ms, service).model
     }
 
-    /// What was learned of a service's engines, and from what.
-    pub fn latency(&self, service: &str) -> ServiceLatency {
+    /// What was learned of a service's engines by `now_ms`, and from what.
+    pub fn latency(&self, _now_ms: u64, service: &str) -> ServiceLatency {
         let latencies = self.latencies.borrow();
         latencies.get(service).copied().unwrap_or_default()
     }
 
-    /// What was learned, by service.
-    pub fn latencies(&self) -> Vec<(String, ServiceLatency)> {
-        let latencies = self.latencies.borrow();
-        let all = latencies.iter();
-        all.map(|(service, latency)| (service.clone(), *latency))
-            .collect()
+    /// What was learned by `now_ms`, by service.
+    pub fn latencies(&self, now_ms: u64) -> Vec<(String, ServiceLatency)> {
+        let services: Vec<String> = self.latencies.borrow().keys().cloned().collect();
+        let latency = |service: String| {
+            let latency = self.latency(now_ms, &service);
+            (service, latency)
+        };
+        services.into_iter().map(latency).collect()
     }
 
     /// Learns from a prefill at a dedicated prefill engine.
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -216,7 +216,7 @@
     if !relay.failure_log_limit.take(now_ms) {
         return;
     }
-    let latency = relay.estimates.latency(&call.service);
+    let latency = relay.estimates.latency(now_ms, &call.service);
     let model = &latency.model;
     let (estimate, fixed_ms, learned) = match placement {
         Placement::Disaggregated(_) => (
@@ -250,8 +250,12 @@
         .parts
         .last()
         .map_or(tokens, |own| f64::from(own.tokens));
+    let now_ms = relay.now_ms();
     let prefill_ms = work_tokens(tokens, tokens - unshared_tokens)
-        * relay.estimates.latency_model(&call.service).token_ms();
+        * relay
+            .estimates
+            .latency_model(now_ms, &call.service)
+            .token_ms();
     relay
         .role_orders
         .record_demand(&call.service, relay.now_ms(), prefill_ms);
@@ -330,7 +334,7 @@
 ) -> Result<DecodePlacement, Refusal> {
     let now_ms = relay.now_ms();
     let tokens = f64::from(prompt.input_tokens);
-    let model = relay.estimates.latency_model(&call.service);
+    let model = relay.estimates.latency_model(now_ms, &call.service);
     let engines = own_subset(
         relay,
         &candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]),
@@ -395,7 +399,7 @@
 ) -> Option<PrefillPlacement> {
     let now_ms = relay.now_ms();
     let tokens = f64::from(prompt.input_tokens);
-    let model = relay.estimates.latency_model(&call.service);
+    let model = relay.estimates.latency_model(now_ms, &call.service);
     let all = candidates(relay, call, tried, &[Stage::Prefill]);
     let affinity_target = affinity_target(&all, prompt).map(|each| each.id.clone());
     let holders = PrefixHolders::of(relay, call, prompt);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -272,7 +272,7 @@
     /// Sets the gauges of what was learned of engines.
     fn set_learned_gauges(&self, now_ms: u64) {
         let metrics = &self.metrics;
-        for (service, latency) in self.estimates.latencies() {
+        for (service, latency) in self.estimates.latencies(now_ms) {
             let model = &latency.model;
             let times = [
                 ("token", model.token_ms(), latency.prefill),
--- a/crates/relay/tests/estimates.rs
+++ b/crates/relay/tests/estimates.rs
@@ -3,6 +3,8 @@
 
 mod common;
 
+use plan::Prediction;
+use relay::estimates::Estimates;
 use relay::prior_wait::PriorWaitEstimator;
 use relay::upstream::{CachedParts, PrefillProgress, PrefillQueue};
 use relay::urgency::{TypicalLength, Urgency};
@@ -95,3 +97,22 @@
         assert_eq!(disagreeing.observe_deadline(deadline_ms * 7 % 5_000), 0);
     }
 }
+
+/// Guards against transfers being avoided for good after a time in which links were slow: a way that is believed
+/// to be dear is chosen no more, so no answer says that it is cheap again.
+#[test]
+fn a_transfer_time_that_no_answer_confirms_is_forgotten() {
+    let estimates = Estimates::default();
+    let assumed_ms = estimates.latency_model(0, "llm").kv_transfer_ms();
+    for _ in 0..1_000 {
+        let first = Prediction {
+            processing_ms: estimates.latency_model(0, "llm").kv_transfer_ms(),
+            ..Prediction::default()
+        };
+        estimates.observe_first_event(0, "llm", &first, true, 1_500.0);
+    }
+    let learned_ms = estimates.latency_model(0, "llm").kv_transfer_ms();
+    assert!(learned_ms > 1_000.0, "{learned_ms}");
+    let forgotten_ms = estimates.latency_model(30_000, "llm").kv_transfer_ms();
+    assert!(forgotten_ms < 2.0 * assumed_ms, "{forgotten_ms}");
+}
