Learned times: engines of any speed within some dozens of answers, and a way back by age

Cause: an answer counted for 30 ms of error at most, whatever was predicted, a tenth of it; only answers that came taught, and the time per token was taught by separate prefills alone; nothing was forgotten by time, so what seemed dear was chosen no more and stayed dear. Left: the largest tenth at eight times slower needs more than its deadline uncached.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -31,7 +31,7 @@
 pub use fleet::{Engine, Fleet, LoadReport, Outstanding, Presence};
 pub use forecast::Forecast;
 pub use kv_copy::{KvCopy, KvLink, PrefixHolder, best_copy};
-pub use latency_model::{LatencyModel, PrefillSample};
+pub use latency_model::{LatencyModel, PrefillSample, UnconfirmedFor};
 pub use lateness::{LateRequest, LatestStart};
 pub use placement::{DecodeRequest, EngineView, Prediction, cheapest, work_tokens};
 pub use prefix_index::PrefixIndex;
--- a/crates/relay/src/estimates.rs
+++ b/crates/relay/src/estimates.rs
@@ -6,11 +6,14 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
-use plan::{LatencyModel, Prediction, PrefillSample};
+use plan::{LatencyModel, Prediction, PrefillSample, UnconfirmedFor};
 
 use crate::prior_wait::PriorWaitEstimator;
 use crate::urgency::TypicalLength;
 
+/// Least work of a prompt whose answer tells the time per token, in tokens; of a shorter one most is fixed time.
+const MIN_TELLING_TOKENS: f64 = 1_000.0;
+
 /// From how many answers a time was learned, and when the last of them came.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Provenance {
@@ -21,9 +24,20 @@
 }
 
 impl Provenance {
-    fn record(&mut self, now_ms: u64) {
+    /// Records an answer if it tells something; returns for how long nothing was confirmed before, in ms.
+    fn confirm(&mut self, now_ms: u64, is_telling: bool) -> f64 {
+        if !is_telling {
+            return 0.0;
+        }
+        let unconfirmed_ms = self.unconfirmed_ms(now_ms);
         self.answers += 1;
         self.last_ms = Some(now_ms);
+        unconfirmed_ms
+    }
+
+    /// Time since the last answer, in ms; 0 before the first, when there is nothing to forget.
+    fn unconfirmed_ms(&self, now_ms: u64) -> f64 {
+        self.age_ms(now_ms).unwrap_or(0) as f64
     }
 
     /// Time since the last answer, in ms; none before the first.
@@ -37,7 +51,9 @@
 pub struct ServiceLatency {
     /// The learned times.
     pub model: LatencyModel,
-    /// Of the time per token, and of the fixed time of a prefill engine.
+    /// Of the time per token: answers to prompts that are long enough to tell it.
+    pub token: Provenance,
+    /// Of the fixed time of a prefill engine.
     pub prefill: Provenance,
     /// Of the fixed time of a decode engine that prefills.
     pub decode_prefill: Provenance,
@@ -45,6 +61,55 @@
     pub kv_transfer: Provenance,
 }
 
+impl ServiceLatency {
+    /// What is left of it at `now_ms`: times that no answer confirmed are forgotten by and by.
+    fn at(&self, now_ms: u64) -> Self {
+        let unconfirmed = UnconfirmedFor {
+            token_ms: self.token.unconfirmed_ms(now_ms),
+            prefill_ms: self.prefill.unconfirmed_ms(now_ms),
+            decode_prefill_ms: self.decode_prefill.unconfirmed_ms(now_ms),
+            kv_transfer_ms: self.kv_transfer.unconfirmed_ms(now_ms),
+        };
+        Self {
+            model: self.model.after(&unconfirmed),
+            ..*self
+        }
+    }
+
+    fn record_prefill(&mut self, now_ms: u64, sample: &PrefillSample) {
+        let is_telling = sample.own_tokens >= MIN_TELLING_TOKENS;
+        let unconfirmed = UnconfirmedFor {
+            token_ms: self.token.confirm(now_ms, is_telling),
+            prefill_ms: self.prefill.confirm(now_ms, true),
+            ..UnconfirmedFor::default()
+        };
+        self.model = self.model.after(&unconfirmed);
+        self.model.record_prefill(sample);
+    }
+
+    fn record_decode_prefill(&mut self, now_ms: u64, first: &Prediction, error_ms: f64) {
+        let prefill_ms = first.processing_ms - self.model.decode_base_ms();
+        let is_telling = prefill_ms >= MIN_TELLING_TOKENS * self.model.token_ms();
+        let unconfirmed = UnconfirmedFor {
+            token_ms: self.token.confirm(now_ms, is_telling),
+            decode_prefill_ms: self.decode_prefill.confirm(now_ms, true),
+            ..UnconfirmedFor::default()
+        };
+        self.model = self.model.after(&unconfirmed);
+        let (wait_ms, own_ms) = (first.wait_ms, first.processing_ms);
+        self.model.record_decode_prefill(error_ms, wait_ms, own_ms);
+    }
+
+    fn record_kv_transfer(&mut self, now_ms: u64, error_ms: f64) {
+        let unconfirmed = UnconfirmedFor {
+            kv_transfer_ms: self.kv_transfer.confirm(now_ms, true),
+            ..UnconfirmedFor::default()
+        };
+        self.model = self.model.after(&unconfirmed);
+        self.model.record_kv_transfer(error_ms);
+    }
+}
+
 /// Estimates by service or by route.
 #[derive(Debug, Default)]
 pub struct Estimates {
@@ -60,9 +125,12 @@
     }
 
     /// What was learned of a service's engines by `now_ms`, and from what.
-    pub fn latency(&self, _now_ms: u64, service: &str) -> ServiceLatency {
+    pub fn latency(&self, now_ms: u64, service: &str) -> ServiceLatency {
         let latencies = self.latencies.borrow();
-        latencies.get(service).copied().unwrap_or_default()
+        latencies
+            .get(service)
+            .map(|latency| latency.at(now_ms))
+            .unwrap_or_default()
     }
 
     /// What was learned by `now_ms`, by service.
@@ -77,10 +145,7 @@
 
     /// Learns from a prefill at a dedicated prefill engine.
     pub fn observe_prefill(&self, now_ms: u64, service: &str, sample: &PrefillSample) {
-        self.adjust(service, |latency| {
-            latency.model.record_prefill(sample);
-            latency.prefill.record(now_ms);
-        });
+        self.adjust(service, |latency| latency.record_prefill(now_ms, sample));
     }
 
     /// Learns from a first event after `took_ms` where `first` was predicted. `is_transferred` tells
@@ -95,17 +160,40 @@
     ) {
         let error_ms = took_ms - first.total_ms();
         self.adjust(service, |latency| {
-            let model = &mut latency.model;
             if is_transferred {
-                model.record_kv_transfer(error_ms);
-                latency.kv_transfer.record(now_ms);
+                latency.record_kv_transfer(now_ms, error_ms);
             } else {
-                model.record_decode_prefill(error_ms, first.wait_ms, first.processing_ms);
-                latency.decode_prefill.record(now_ms);
+                latency.record_decode_prefill(now_ms, first, error_ms);
             }
         });
     }
 
+    /// Learns from a prefill at a dedicated prefill engine that was given up after it took longer than predicted.
+    ///
+    /// Without it only prefills that end in time would teach, and prompts that take too long would be sent
+    /// to the same engines again and again.
+    pub fn observe_abandoned_prefill(&self, now_ms: u64, service: &str, sample: &PrefillSample) {
+        let predicted_ms = self.latency_model(now_ms, service).prefill_ms(sample);
+        if sample.elapsed_ms > predicted_ms {
+            self.observe_prefill(now_ms, service, sample);
+        }
+    }
+
+    /// Learns from a first event that did not come within `waited_ms`, longer than predicted, until the request
+    /// was given up.
+    pub fn observe_abandoned_first_event(
+        &self,
+        now_ms: u64,
+        service: &str,
+        first: &Prediction,
+        is_transferred: bool,
+        waited_ms: f64,
+    ) {
+        if waited_ms > first.total_ms() {
+            self.observe_first_event(now_ms, service, first, is_transferred, waited_ms);
+        }
+    }
+
     fn adjust(&self, service: &str, learn: impl FnOnce(&mut ServiceLatency)) {
         let mut latencies = self.latencies.borrow_mut();
         learn(latencies.entry(service.to_owned()).or_default());
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -7,6 +7,7 @@
 
 use crate::answer::{AnswerBody, Refusal};
 use crate::attribution::ensure_not_poison;
+use crate::awaited::{AwaitedAnswer, AwaitedStep};
 use crate::call::Call;
 use crate::dialect::{Prompt, PromptPart, SendOptions};
 use crate::forward::{buffer_or_stream, may_retry, retry_or_refuse};
@@ -146,8 +147,18 @@
         ..SendOptions::default()
     };
     let began_ms = relay.now_ms();
-    let mut sent = send(relay, call, engine, &options).await;
     let mut is_transferred = kv.is_some();
+    let awaited = AwaitedAnswer::begin(
+        relay,
+        call,
+        engine,
+        AwaitedStep::FirstEvent {
+            predicted: first,
+            is_transferred,
+        },
+    );
+    let mut sent = send(relay, call, engine, &options).await;
+    awaited.end();
     if let Some(kv) = kv {
         match sent {
             SendResult::Answer(_) | SendResult::Lost(_) => kv.mark_taken(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod announcement;
 pub mod answer;
 pub mod attribution;
+pub mod awaited;
 pub mod call;
 pub mod config;
 pub mod dialect;
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -11,6 +11,7 @@
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
 use crate::attribution::note_lost_answer;
+use crate::awaited::{AwaitedAnswer, AwaitedStep};
 use crate::call::Call;
 use crate::dialect::{KvHandle, Prompt, SendOptions, Step};
 use crate::generation::record_cached_parts;
@@ -135,8 +136,16 @@
     let began_ms = relay.now_ms();
     let request = call.request(&*relay.dialect, &options);
     call.note_prefill_sent();
+    let sample = PrefillSample {
+        own_tokens,
+        queued_tokens: (queued_before - own_tokens).max(0.0),
+        elapsed_ms: 0.0,
+    };
+    let awaited = AwaitedAnswer::begin(relay, call, engine, AwaitedStep::Prefill(sample));
     let prefill = async {
-        match exchange_with(relay, call, engine, request).await {
+        let exchanged = exchange_with(relay, call, engine, request).await;
+        awaited.end();
+        match exchanged {
             Ok((response, connection)) => {
                 guard.note_head(relay.now_ms());
                 read_response(relay, call, engine, response, connection).await
@@ -173,9 +182,8 @@
             );
         }
         let sample = PrefillSample {
-            own_tokens,
-            queued_tokens: (queued_before - own_tokens).max(0.0),
             elapsed_ms: took_ms,
+            ..sample
         };
         relay
             .estimates
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -275,7 +275,7 @@
         for (service, latency) in self.estimates.latencies(now_ms) {
             let model = &latency.model;
             let times = [
-                ("token", model.token_ms(), latency.prefill),
+                ("token", model.token_ms(), latency.token),
                 ("prefill", model.prefill_base_ms(), latency.prefill),
                 (
                     "decode_prefill",
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -319,6 +319,11 @@
         self.last_activity_ms.set(now_ms);
     }
 
+    /// Whether any data arrived from it after `since_ms`.
+    pub fn has_answered_since(&self, since_ms: u64) -> bool {
+        self.last_activity_ms.get() > since_ms
+    }
+
     /// Records that no connection to it could be opened.
     pub fn note_unreachable(&self, now_ms: u64) {
         self.health.borrow_mut().record_unreachable(now_ms);
