--- a/crates/plan/src/latency_model.rs
+++ b/crates/plan/src/latency_model.rs
@@ -46,6 +46,9 @@
 /// Answers until which a built-in time is the only thing that stands against a delay.
 const FIRST_ANSWERS: u32 = 6;
 
+/// Delayed answers in a row from which a decode engine tells the time per token too.
+const MIN_TELLING_DELAYS: u32 = 3;
+
 /// Largest delay that an answer counts for after many others in a row, relative to the predicted time.
 const MAX_RELATIVE_DELAY: f64 = 3.0;
 
@@ -164,7 +167,13 @@
         let prefill_ms = (own_ms - self.decode_base_ms).max(0.0);
         let step_ms =
             own_fraction(own_ms, wait_ms) * self.decode_prefills.step_ms(error_ms, own_ms);
-        let base_ms = self.decode_base_ms + self.split(step_ms, prefill_ms / self.token_ms);
+        // The output of other requests delays single prefills here by more than their tokens do.
+        let fixed_ms = if self.decode_prefills.delayed_in_a_row >= MIN_TELLING_DELAYS {
+            self.split(step_ms, prefill_ms / self.token_ms)
+        } else {
+            step_ms
+        };
+        let base_ms = self.decode_base_ms + fixed_ms;
         self.decode_base_ms = base_ms.max(0.0);
     }
 
