Learned times: only answers that took more than twice as long as predicted raise the bound on delays

Cause: bursts delay many answers in a row by some tens of ms; with the bound raised by these, predictions rose and more was refused. With that alone the learning test failed (12,000 tokens at 7 a ms: 1,316 ms predicted after 40 answers, 2,145 taken), so a single answer may count for a fifth of the prediction if that is more than 30 ms.

--- a/crates/plan/src/latency_model.rs
+++ b/crates/plan/src/latency_model.rs
@@ -21,6 +21,9 @@
 /// for the engine's own time.
 const DELAY_BOUND_MS: f64 = 30.0;
 
+/// The same relative to the predicted time, for prompts that take far longer than that.
+const RELATIVE_DELAY_BOUND: f64 = 0.2;
+
 /// Most times that the bound is doubled, once for each delayed answer in a row before this one.
 const MAX_BOUND_DOUBLINGS: u32 = 6;
 
@@ -56,7 +59,8 @@
 ///
 /// Waits that could not be predicted hit some answers and not others. Engines that are slower than believed
 /// delay all of them: then the bound on a delay is raised, since a fixed one would take minutes to learn times
-/// that are several times longer. The first answers count for more, as nothing but a built-in time stands
+/// that are several times longer. An answer counts as delayed if it took more than twice as long as predicted,
+/// since bursts delay many by less. The first answers count for more, as nothing but a built-in time stands
 /// against them.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 struct Learning {
@@ -74,9 +78,10 @@
         } else {
             self.delayed_in_a_row.min(MAX_BOUND_DOUBLINGS)
         };
-        let raised_ms = DELAY_BOUND_MS * f64::from(1_u32 << doublings);
+        let single_ms = DELAY_BOUND_MS.max(predicted_ms * RELATIVE_DELAY_BOUND);
+        let raised_ms = single_ms * f64::from(1_u32 << doublings);
         let bound_ms = raised_ms.min((predicted_ms * MAX_RELATIVE_DELAY).max(DELAY_BOUND_MS));
-        let is_delayed = error_ms > DELAY_BOUND_MS;
+        let is_delayed = error_ms > DELAY_BOUND_MS.max(predicted_ms);
         self.delayed_in_a_row = if is_delayed {
             self.delayed_in_a_row + 1
         } else {
