--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Prometheus metrics of an instance; docs/OPERATIONS.md lists them.
 
+use prometheus::core::Collector;
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
@@ -92,133 +93,131 @@
     pub store_calls: IntCounterVec,
 }
 
+/// Registers the metrics of an instance.
+struct Registrar(Registry);
+
+impl Registrar {
+    fn new(instance: &str, zone: &str) -> Self {
+        let labels = [("instance", instance), ("zone", zone)]
+            .map(|(name, value)| (name.to_owned(), value.to_owned()))
+            .into();
+        let registry = Registry::new_custom(Some("chicoryrack".to_owned()), Some(labels));
+        Self(registry.unwrap_or_default())
+    }
+
+    fn add<M: Collector + Clone + 'static>(&self, metric: prometheus::Result<M>) -> M {
+        let metric = metric.expect("a valid name");
+        self.0.register(Box::new(metric.clone())).expect("one each");
+        metric
+    }
+
+    fn counter(&self, name: &str, help: &str, labels: &[&str]) -> IntCounterVec {
+        self.add(IntCounterVec::new(Opts::new(name, help), labels))
+    }
+
+    fn plain_counter(&self, name: &str, help: &str) -> IntCounter {
+        self.add(IntCounter::new(name, help))
+    }
+
+    fn histogram(&self, name: &str, help: &str, labels: &[&str]) -> HistogramVec {
+        let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
+        self.add(HistogramVec::new(options, labels))
+    }
+
+    fn gauge(&self, name: &str, help: &str) -> IntGauge {
+        self.add(IntGauge::new(name, help))
+    }
+
+    fn gauges(&self, name: &str, help: &str, labels: &[&str]) -> IntGaugeVec {
+        self.add(IntGaugeVec::new(Opts::new(name, help), labels))
+    }
+
+    fn float_gauges(&self, name: &str, help: &str, labels: &[&str]) -> GaugeVec {
+        self.add(GaugeVec::new(Opts::new(name, help), labels))
+    }
+}
+
 impl Metrics {
     /// Registers all metrics of an instance, with its name and zone as labels.
     ///
     /// # Panics
     /// If a metric has an invalid name or two have the same one; both would fail in every test.
     pub fn new(instance: &str, zone: &str) -> Self {
-        let labels = [("instance", instance), ("zone", zone)]
-            .map(|(name, value)| (name.to_owned(), value.to_owned()))
-            .into();
-        let registry =
-            Registry::new_custom(Some("chicoryrack".to_owned()), Some(labels)).unwrap_or_default();
-        let counter = |name: &str, help: &str, labels: &[&str]| {
-            let metric = IntCounterVec::new(Opts::new(name, help), labels).expect("a valid name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("one each");
-            metric
-        };
-        let plain_counter = |name: &str, help: &str| {
-            let metric = IntCounter::new(name, help).expect("a valid name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("one each");
-            metric
-        };
-        let histogram = |name: &str, help: &str, labels: &[&str]| {
-            let options = HistogramOpts::new(name, help).buckets(TIME_BUCKETS.to_vec());
-            let metric = HistogramVec::new(options, labels).expect("a valid name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("one each");
-            metric
-        };
-        let gauge = |name: &str, help: &str| {
-            let metric = IntGauge::new(name, help).expect("a valid name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("one each");
-            metric
-        };
-        let gauges = |name: &str, help: &str, labels: &[&str]| {
-            let metric = IntGaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("one each");
-            metric
-        };
-        let float_gauges = |name: &str, help: &str, labels: &[&str]| {
-            let metric = GaugeVec::new(Opts::new(name, help), labels).expect("a valid name");
-            registry
-                .register(Box::new(metric.clone()))
-                .expect("one each");
-            metric
-        };
+        let all = Registrar::new(instance, zone);
         Self {
-            generations: counter(
+            generations: all.counter(
                 "generations_total",
                 "Requests that generate text, by prompt length.",
                 &["route", "prompt_tokens", "end"],
             ),
-            learned_s: float_gauges(
+            learned_s: all.float_gauges(
                 "learned_seconds",
                 "Learned times of engines.",
                 &["service", "time"],
             ),
-            learned_answers: gauges(
+            learned_answers: all.gauges(
                 "learned_answers",
                 "Answers from which times were learned.",
                 &["service", "time"],
             ),
-            learned_age_ms: gauges(
+            learned_age_ms: all.gauges(
                 "learned_age_ms",
                 "Age of the last such answer.",
                 &["service", "time"],
             ),
-            answers: counter("answers_total", "Complete answers.", &["route", "in_time"]),
-            refusals: counter("refusals_total", "Refused requests.", &["route", "reason"]),
-            prompts_placed: counter("placed_total", "Prompts.", &["service", "read", "held"]),
-            singleton_calls: counter(
+            answers: all.counter("answers_total", "Complete answers.", &["route", "in_time"]),
+            refusals: all.counter("refusals_total", "Refused requests.", &["route", "reason"]),
+            prompts_placed: all.counter("placed_total", "Prompts.", &["service", "read", "held"]),
+            singleton_calls: all.counter(
                 "duties_total",
                 "Calls of singleton tasks.",
                 &["call", "outcome"],
             ),
-            role_orders: counter("orders_total", "Role orders to engines.", &["outcome"]),
-            time_to_send_s: histogram("own_seconds", "Time to the first send.", &["route"]),
-            predicted_wait_s: histogram("wait_seconds", "Predicted wait.", &["service"]),
-            upstream_head_s: histogram(
+            role_orders: all.counter("orders_total", "Role orders to engines.", &["outcome"]),
+            time_to_send_s: all.histogram("own_seconds", "Time to the first send.", &["route"]),
+            predicted_wait_s: all.histogram("wait_seconds", "Predicted wait.", &["service"]),
+            upstream_head_s: all.histogram(
                 "upstream_seconds",
                 "Time from a send to the answer's head.",
                 &["service"],
             ),
-            retries_left: gauges("repeats_left", "Retries left in the window.", &["service"]),
-            lines_dropped: gauges("lines_left_out", "Log lines dropped.", &["kind"]),
-            config_age_ms: gauge("config_age_ms", "Age of the configuration's last read."),
-            load_age_ms: gauge("load_age_ms", "Age of the oldest load report."),
-            requests: counter("requests_total", "Requests.", &["route", "end"]),
-            retries: counter(
+            retries_left: all.gauges("repeats_left", "Retries left in the window.", &["service"]),
+            lines_dropped: all.gauges("lines_left_out", "Log lines dropped.", &["kind"]),
+            config_age_ms: all.gauge("config_age_ms", "Age of the configuration's last read."),
+            load_age_ms: all.gauge("load_age_ms", "Age of the oldest load report."),
+            requests: all.counter("requests_total", "Requests.", &["route", "end"]),
+            retries: all.counter(
                 "repeats_total",
                 "Retries requested from the budget.",
                 &["outcome"],
             ),
-            head_s: histogram("head_seconds", "Time to an answer's head.", &["route"]),
-            prefill_s: histogram(
+            head_s: all.histogram("head_seconds", "Time to an answer's head.", &["route"]),
+            prefill_s: all.histogram(
                 "prefill_seconds",
                 "Duration of separate prefills.",
                 &["service"],
             ),
-            list_age_ms: gauge("list_age_ms", "Age of the list of upstreams."),
-            limited_upstreams: gauge("limited_upstreams", "Upstreams that announce a rate limit."),
-            sends_withheld: counter(
+            list_age_ms: all.gauge("list_age_ms", "Age of the list of upstreams."),
+            limited_upstreams: all
+                .gauge("limited_upstreams", "Upstreams that announce a rate limit."),
+            sends_withheld: all.counter(
                 "withheld_total",
                 "Requests placed and not sent.",
                 &["reason"],
             ),
-            resting_upstreams: gauge("resting_upstreams", "Upstreams that rest."),
-            rests: plain_counter("rests_total", "Rejections that asked for rest."),
-            announced_leaving: plain_counter(
+            resting_upstreams: all.gauge("resting_upstreams", "Upstreams that rest."),
+            rests: all.plain_counter("rests_total", "Rejections that asked for rest."),
+            announced_leaving: all.plain_counter(
                 "announced_leaving_total",
                 "Upstreams that announced in an answer that they are leaving.",
             ),
-            upstreams: gauge("upstreams", "Upstreams in use."),
-            instances: gauge("instances", "Instances ready."),
-            poison_requests: gauge("poisonous", "Known poison requests."),
-            in_flight: gauge("in_flight", "Requests in flight."),
-            config_version: gauge("config_version", "Configuration version in force."),
-            store_calls: counter("store_calls_total", "Calls.", &["call", "outcome"]),
-            registry,
+            upstreams: all.gauge("upstreams", "Upstreams in use."),
+            instances: all.gauge("instances", "Instances ready."),
+            poison_requests: all.gauge("poisonous", "Known poison requests."),
+            in_flight: all.gauge("in_flight", "Requests in flight."),
+            config_version: all.gauge("config_version", "Configuration version in force."),
+            store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
+            registry: all.0,
         }
     }
 
