--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,8 +1,9 @@
 //! Pool of HTTP/1 connections to one peer.
 
 use std::cell::{Cell, RefCell};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
+use std::sync::OnceLock;
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
@@ -16,7 +17,10 @@
 use plan::Rest;
 use socket2::{SockRef, TcpKeepalive};
 use tick::Clock;
-use tokio::net::TcpStream;
+use tokio::net::{TcpSocket, TcpStream};
+
+/// Address that connections are opened from; the kernel chooses one if it is not set.
+static SOURCE_ADDRESS: OnceLock<IpAddr> = OnceLock::new();
 
 /// Timeout for opening a connection, in ms: several round trips between availability zones and the
 /// first retransmission of a lost packet.
@@ -293,6 +297,21 @@
     SockRef::from(stream).set_linger(Some(Duration::ZERO))
 }
 
+/// Opens all further connections of this process from the given address; only the first call has an effect.
+pub fn set_source_address(address: IpAddr) {
+    SOURCE_ADDRESS.get_or_init(|| address);
+}
+
+/// Connects to a peer, from the source address if one is set.
+async fn connect(peer: SocketAddr) -> std::io::Result<TcpStream> {
+    let Some(source) = SOURCE_ADDRESS.get() else {
+        return TcpStream::connect(peer).await;
+    };
+    let socket = TcpSocket::new_v4()?;
+    socket.bind(SocketAddr::new(*source, 0))?;
+    socket.connect(peer).await
+}
+
 /// Opens a connection, unless `max_open` are open already.
 async fn open(pool: &Rc<Pool>, max_open: usize) -> Result<Connection, ExchangeError> {
     let peer = pool.peer;
@@ -301,7 +320,7 @@
     }
     let failed = |why: String| ExchangeError::Connect { peer, why };
     let wait = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let connected = actix_rt::time::timeout(wait, TcpStream::connect(peer)).await;
+    let connected = actix_rt::time::timeout(wait, connect(peer)).await;
     let stream = connected
         .map_err(|_| failed(format!("nothing within {CONNECT_TIMEOUT_MS} ms")))?
         .map_err(|error| failed(error.to_string()))?;
