Relay: show that an instance reaches no upstream of a service while its peers do

A check connects to three upstreams when no connection can be opened, or an upstream is overdue and none is heard. Gossip tells who is cut off, and per service when anyone behind a hub last heard an upstream: one age a service and hub, no cost by pairs. The form of datagrams is 8. A line and a gauge tell it; nothing acts on it yet.

Ruled out: deciding alone (three upstreams that are down look alike); telling what each instance heard (grows with all instances in each datagram).

--- a/crates/plan/src/ejection.rs
+++ b/crates/plan/src/ejection.rs
@@ -39,7 +39,8 @@
     failures: u32,
     /// Consecutive ejections, which lengthen the next one.
     ejections: u32,
-    /// End of the ejection; 0 if it is not ejected.
+    /// Start and end of the ejection; the end is 0 if it is not ejected.
+    ejected_from_ms: u64,
     ejected_until_ms: u64,
     is_probing: bool,
     last_activity_ms: u64,
@@ -51,6 +52,7 @@
             latency_ratio: 1.0,
             failures: 0,
             ejections: 0,
+            ejected_from_ms: 0,
             ejected_until_ms: 0,
             is_probing: false,
             last_activity_ms: 0,
@@ -127,10 +129,22 @@
             return;
         }
         let ejection_ms = BASE_EJECTION_MS << self.ejections.min(4);
+        self.ejected_from_ms = now_ms;
         self.ejected_until_ms = now_ms + ejection_ms.min(MAX_EJECTION_MS);
         self.ejections += 1;
     }
 
+    /// Takes back failures and an ejection since `since_ms`, which were not the upstream's fault.
+    pub fn forgive_since(&mut self, since_ms: u64) {
+        self.failures = 0;
+        if self.ejected_until_ms > 0 && self.ejected_from_ms >= since_ms {
+            *self = Self {
+                last_activity_ms: self.last_activity_ms,
+                ..Self::default()
+            };
+        }
+    }
+
     /// Whether the upstream may be sent requests now.
     pub fn status(&self, now_ms: u64) -> HealthStatus {
         if self.ejected_until_ms == 0 {
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -52,11 +52,12 @@
 }
 
 /// Opens a connection; if that fails, reports to the failure attribution that the upstream has ended.
-async fn check_health(relay: &Relay, upstream: &Upstream, max_open: usize) {
+async fn check_health(relay: &Rc<Relay>, upstream: &Upstream, max_open: usize) {
+    let began_ms = relay.now_ms();
     let Err(fault) = upstream.pool.warm_up(max_open).await else {
         return;
     };
-    note_exchange_error(relay, upstream, &fault);
+    note_exchange_error(relay, upstream, &fault, began_ms);
     if let ExchangeError::Connect { .. } = fault {
         log::info!(upstream = upstream.id, fault:%; "health check failed: upstream has terminated");
         relay.record_attribution(FailureEvidence::Ended(upstream.key));
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -11,6 +11,7 @@
 use view::gossip::PERIOD_MS;
 use view::{decode, encode};
 
+use crate::reachability::check_paths;
 use crate::relay::Relay;
 
 /// Size of the receive buffer, in bytes: the largest UDP datagram.
@@ -20,6 +21,7 @@
 pub async fn send_periodically(relay: Rc<Relay>, socket: Rc<UdpSocket>) {
     loop {
         actix_rt::time::sleep(Duration::from_millis(PERIOD_MS)).await;
+        check_paths(&relay);
         for (peer, message) in relay.due_gossip() {
             match encode(message) {
                 Ok(bytes) => send(&socket, peer, &bytes).await,
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod prefill;
 pub mod prefix;
 pub mod prior_wait;
+pub mod reachability;
 pub mod relay;
 pub mod retry;
 pub mod role_orders;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -31,6 +31,8 @@
     requests: IntCounterVec,
     /// Requests that generate text, by route, class of prompt lengths, and end.
     generations: IntCounterVec,
+    /// Whether this instance is cut off from the upstreams of a service, by service.
+    pub cut_off: IntGaugeVec,
     /// Learned times of engines by service, in seconds.
     pub learned_s: GaugeVec,
     /// Answers from which they were learned.
@@ -150,6 +152,11 @@
                 "Requests that generate text, by prompt length.",
                 &["route", "prompt_tokens", "end"],
             ),
+            cut_off: all.gauges(
+                "cut_off",
+                "Whether no upstream of a service is reached while peers reach them.",
+                &["service"],
+            ),
             learned_s: all.float_gauges(
                 "learned_seconds",
                 "Learned times of engines.",
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -30,6 +30,10 @@
 /// link, shorter than the usual grace period of a shutdown.
 const UNACKED_TIMEOUT_MS: u64 = 4_000;
 
+/// Time for which a probed connection must stay open, in ms: a peer or a network that resets it does so within a
+/// round trip.
+const PROBE_HOLD_MS: u64 = 10;
+
 /// Idle time before the first TCP keepalive probe, in s.
 const KEEPALIVE_IDLE_S: u64 = 2;
 
@@ -107,6 +111,7 @@
     open: Cell<usize>,
     is_closing: Cell<bool>,
     rest: Cell<Rest>,
+    opened_ms: Cell<Option<u64>>,
 }
 
 impl Pool {
@@ -119,6 +124,7 @@
             open: Cell::default(),
             is_closing: Cell::default(),
             rest: Cell::default(),
+            opened_ms: Cell::default(),
         })
     }
 
@@ -152,6 +158,31 @@
         Ok(())
     }
 
+    /// When a connection was last opened.
+    pub fn opened_ms(&self) -> Option<u64> {
+        self.opened_ms.get()
+    }
+
+    /// Opens a connection to find out whether the peer can be reached, and keeps it for the next request.
+    pub async fn probe(self: &Rc<Self>, max_open: usize) -> Result<(), ExchangeError> {
+        let connection = open(self, max_open).await?;
+        let pooled = PooledConnection {
+            connection: Some(connection),
+            pool: Rc::clone(self),
+            idle_ms: DEFAULT_IDLE_MS,
+        };
+        actix_rt::time::sleep(Duration::from_millis(PROBE_HOLD_MS)).await;
+        if pooled.is_closed() {
+            return Err(ExchangeError::Connect {
+                peer: self.peer,
+                why: "closed at once".to_owned(),
+            });
+        }
+        self.opened_ms.set(Some(self.clock.now_ms()));
+        pooled.release();
+        Ok(())
+    }
+
     /// Opens an idle connection for the next request.
     pub async fn warm_up(self: &Rc<Self>, max_open: usize) -> Result<(), ExchangeError> {
         let connection = open(self, max_open).await?;
@@ -201,6 +232,11 @@
 }
 
 impl PooledConnection {
+    fn is_closed(&self) -> bool {
+        let connection = self.connection.as_ref();
+        connection.is_none_or(|connection| connection.sender.is_closed())
+    }
+
     /// Returns the connection to the pool after its answer was read completely.
     pub fn release(mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -257,6 +293,9 @@
         pool.check_accepts()?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
+                if is_new {
+                    pool.opened_ms.set(Some(pool.clock.now_ms()));
+                }
                 pooled.idle_ms = idle_ms(&response);
                 return Ok((response, pooled));
             }
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -154,7 +154,7 @@
                 if !matches!(error, ExchangeError::Lost { .. }) {
                     call.note_prefill_unsent();
                 }
-                note_exchange_error(relay, engine, &error);
+                note_exchange_error(relay, engine, &error, began_ms);
                 log_not_prefilled(relay, call, engine, &error.to_string());
                 None
             }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,6 +25,7 @@
 use crate::estimates::Estimates;
 use crate::logging::{LogRateLimit, lines_dropped};
 use crate::metrics::Metrics;
+use crate::reachability::Reachability;
 use crate::role_orders::RoleOrders;
 use crate::singleton_tasks::{self, SingletonTasks};
 use crate::snapshot::{LastQuery, Snapshot};
@@ -112,6 +113,8 @@
     pub role_orders: RoleOrders,
     /// Tasks that one instance performs for the fleet.
     pub singleton_tasks: SingletonTasks,
+    /// Paths to the upstreams of each service.
+    pub(crate) reachability: Reachability,
     /// Log position up to which the list of upstreams was applied.
     pub list_position: RefCell<LogFollower>,
     /// Entries of the list as last read, to distinguish real changes from heartbeats.
@@ -151,6 +154,7 @@
             poison_tracker: RefCell::default(),
             role_orders,
             singleton_tasks,
+            reachability: Reachability::default(),
             list_position: RefCell::new(LogFollower::new(own)),
             last_listed: RefCell::default(),
             config_position: RefCell::new(LogFollower::new(own)),
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -138,6 +138,8 @@
             list_position: position(&self.list_position),
             config_position: position(&self.config_position),
             poison: self.poison_requests(),
+            cut_off: self.cut_off_services(),
+            heard: self.heard_services(),
         }
     }
 
--- a/crates/relay/src/relay/poison.rs
+++ b/crates/relay/src/relay/poison.rs
@@ -90,9 +90,14 @@
         self.poison_tracker.borrow().unsaved(self.now_ms())
     }
 
+    /// Whether gossip of peers arrives.
+    pub fn has_senders(&self) -> bool {
+        self.gossip.borrow().has_senders()
+    }
+
     /// Whether there are other instances but no gossip arrives from any of them.
     pub fn receives_no_gossip(&self) -> bool {
-        !self.gossip.borrow().has_senders() && self.instance_count() > 1
+        !self.has_senders() && self.instance_count() > 1
     }
 
     /// The record for the store of a poison request detected now.
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -13,6 +13,7 @@
 use crate::dialect::{ResponseHead, SendOptions, Step};
 use crate::placement::DEFAULT_ANSWER_MS;
 use crate::pool::{ExchangeError, Exchanged, PooledConnection, exchange};
+use crate::reachability::suspect_path;
 use crate::relay::Relay;
 use crate::retry::SendFailure;
 use crate::upstream::{InFlight, Stage, Upstream};
@@ -99,7 +100,7 @@
         SendResult::Unsent(fault) => {
             call.attempts.set(call.attempts.get() - 1);
             call.possible_runs.set(call.possible_runs.get() - 1);
-            note_exchange_error(relay, upstream, fault);
+            note_exchange_error(relay, upstream, fault, began_ms);
             if relay.failure_log_limit.take(relay.now_ms()) {
                 log::info!(request = call.id(), upstream = upstream.id, fault:%; "request not sent");
             }
@@ -139,10 +140,19 @@
     }
 }
 
-/// Records an error against the upstream's health, unless the cause is a limit on this instance.
-pub fn note_exchange_error(relay: &Relay, upstream: &Upstream, error: &ExchangeError) {
+/// Records an error of an attempt that began at `began_ms` against the upstream's health, unless the cause is a limit
+/// on this instance. If no connection could be opened, the path to its service is checked.
+pub fn note_exchange_error(
+    relay: &Rc<Relay>,
+    upstream: &Upstream,
+    error: &ExchangeError,
+    began_ms: u64,
+) {
     match error {
-        ExchangeError::Connect { .. } => upstream.note_unreachable(relay.now_ms()),
+        ExchangeError::Connect { .. } => {
+            upstream.note_unreachable(relay.now_ms());
+            suspect_path(relay, &upstream.service, began_ms);
+        }
         ExchangeError::Lost { .. } => upstream.note_failure(relay.now_ms()),
         ExchangeError::PoolExhausted { .. }
         | ExchangeError::RateLimited { .. }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -86,6 +86,7 @@
     seq: Cell<u64>,
     unanswered: Cell<u32>,
     last_activity_ms: Cell<u64>,
+    heard_ms: Cell<Option<u64>>,
     in_flight: Cell<u32>,
     queue: RefCell<PrefillQueue>,
     context_tokens: Cell<f64>,
@@ -121,6 +122,7 @@
             seq: Cell::new(entry.seq),
             unanswered: Cell::default(),
             last_activity_ms: Cell::default(),
+            heard_ms: Cell::default(),
             in_flight: Cell::default(),
             queue: RefCell::default(),
             context_tokens: Cell::default(),
@@ -317,6 +319,26 @@
     /// Records that data arrived from it at `now_ms`.
     pub fn note_activity(&self, now_ms: u64) {
         self.last_activity_ms.set(now_ms);
+        self.heard_ms.set(Some(now_ms));
+    }
+
+    /// When data last arrived from it.
+    pub fn heard_ms(&self) -> Option<u64> {
+        self.heard_ms.get()
+    }
+
+    /// Time for which it has sent nothing while requests of this instance are in flight there, in ms; none if there
+    /// are none.
+    pub fn silent_ms(&self, now_ms: u64) -> Option<u64> {
+        let silent_ms = now_ms.saturating_sub(self.last_activity_ms.get());
+        (self.in_flight.get() > 0).then_some(silent_ms)
+    }
+
+    /// Takes back what was held against it since `faults_from_ms`, when this instance had no path to it.
+    pub fn forgive_since(&self, now_ms: u64, faults_from_ms: u64) {
+        self.health.borrow_mut().forgive_since(faults_from_ms);
+        // Requests that waited through the cut would still count as unanswered for too long.
+        self.last_activity_ms.set(now_ms);
     }
 
     /// Whether any data arrived from it after `since_ms`.
@@ -358,6 +380,11 @@
         self.answer_ms.get()
     }
 
+    /// Queued prefill work from this instance, in tokens.
+    pub fn own_queued_tokens(&self) -> f64 {
+        self.queue.borrow().total()
+    }
+
     /// Queued prefill work from all instances, in tokens.
     pub fn queued_tokens(&self) -> f64 {
         self.queue.borrow().plus(&self.peer_load().queue).total()
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -153,6 +153,24 @@
         })
     }
 
+    /// The upstreams of a service, also those that accept no new requests.
+    pub fn of_service<'a>(&'a self, service: &str) -> impl Iterator<Item = &'a Rc<Upstream>> {
+        let all = self.by_service.get(service).map_or(&[][..], Vec::as_slice);
+        all.iter()
+    }
+
+    /// Names of the services that have upstreams.
+    pub fn services(&self) -> Vec<String> {
+        let has_any = self.by_service.iter().filter(|(_, all)| !all.is_empty());
+        has_any.map(|(service, _)| service.clone()).collect()
+    }
+
+    /// Number of services that have upstreams.
+    pub fn service_count(&self) -> usize {
+        let has_any = |all: &&Vec<Rc<Upstream>>| !all.is_empty();
+        self.by_service.values().filter(has_any).count()
+    }
+
     /// Takes an incarnation out of use that announced in an answer that it is leaving; false if that was known.
     ///
     /// Its entry may have been removed since the request was sent, and may even be back. Unless all of these
--- a/crates/view/src/gossip.rs
+++ b/crates/view/src/gossip.rs
@@ -15,9 +15,9 @@
 
 use self::resend::ResendQueue;
 use crate::{
-    FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
+    CutOff, FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
     MessageKind, PendingRoleChange, PrefilledPart, RecentChanges, RequestKey, ServiceDemand,
-    UpstreamKey, UpstreamLimit, demand,
+    ServiceHeard, ServiceKey, UpstreamKey, UpstreamLimit, demand,
 };
 
 /// Gossip period, in ms. All instances know the load of one instance within three periods, a
@@ -54,6 +54,10 @@
     pub config_position: Option<LogPosition>,
     /// Poison requests, which must not be sent to any upstream.
     pub poison: Vec<RequestKey>,
+    /// Services from whose upstreams it is cut off.
+    pub cut_off: Vec<ServiceKey>,
+    /// When it last heard upstreams.
+    pub heard: Vec<ServiceHeard>,
 }
 
 /// The effect of a datagram, or of expiry, on the load of peers.
@@ -75,6 +79,9 @@
     loads: Loads,
     demand: Vec<ServiceDemand>,
     alive: Vec<InstanceKey>,
+    cut_off: Vec<CutOff>,
+    /// When the instances that it speaks for last heard upstreams.
+    heard_ms: HashMap<ServiceKey, u64>,
     last_order_token: Option<u64>,
     last_task_token: Option<u64>,
 }
@@ -114,6 +121,17 @@
     avoided_hubs: HashMap<InstanceKey, u64>,
     ticks: u64,
     last_own_loads: Vec<(UpstreamKey, Load)>,
+    last_own_cut_off: Vec<ServiceKey>,
+}
+
+impl Sender {
+    fn note_heard(&mut self, now_ms: u64, heard: &[ServiceHeard]) {
+        for each in heard {
+            let heard_ms = now_ms.saturating_sub(each.age_ms.into());
+            let known_ms = self.heard_ms.entry(each.service).or_default();
+            *known_ms = heard_ms.max(*known_ms);
+        }
+    }
 }
 
 impl GossipState {
@@ -160,16 +178,22 @@
             loads: Loads::new(),
             demand: Vec::new(),
             alive: Vec::new(),
+            cut_off: Vec::new(),
+            heard_ms: HashMap::new(),
         };
         if let Some(before) = before {
             sender.loads = before.loads;
             sender.demand = before.demand;
             sender.alive = before.alive;
+            sender.cut_off = before.cut_off;
+            sender.heard_ms = before.heard_ms;
         }
-        // Not every datagram has these two; the last values received stay valid until the next.
+        // Not every datagram has these; the last values received stay valid until the next.
         if !message.alive.is_empty() {
             sender.alive.clone_from(&message.alive);
             sender.demand.clone_from(&message.demand);
+            sender.cut_off.clone_from(&message.cut_off);
+            sender.note_heard(now_ms, &message.heard);
         }
         self.update_loads(&mut sender.loads, message, &mut changed);
         self.senders.insert(message.from, sender);
@@ -265,6 +289,20 @@
         self.totals.get(&upstream).copied().unwrap_or_default()
     }
 
+    /// Peers that are cut off from the upstreams of services.
+    pub fn cut_off(&self) -> impl Iterator<Item = CutOff> {
+        self.senders
+            .values()
+            .flat_map(|sender| sender.cut_off.iter().copied())
+    }
+
+    /// When a peer last heard an upstream of a service.
+    pub fn heard_ms(&self, service: ServiceKey) -> Option<u64> {
+        let senders = self.senders.values();
+        let heard = senders.filter_map(|sender| sender.heard_ms.get(&service).copied());
+        heard.max()
+    }
+
     /// Whether gossip has been received that is recent enough to count.
     pub fn has_senders(&self) -> bool {
         !self.senders.is_empty()
--- a/crates/view/src/gossip/outgoing.rs
+++ b/crates/view/src/gossip/outgoing.rs
@@ -1,13 +1,13 @@
 //! The datagrams that an instance sends, and their receivers.
 
-use std::collections::HashSet;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
 use super::{GossipState, Hub, Loads, LocalState};
 use crate::hubs::HubRanking;
 use crate::{
-    GossipMessage, InstanceKey, Load, Member, MessageKind, RequestKey, ServiceDemand, UpstreamKey,
-    demand, hubs,
+    CutOff, GossipMessage, InstanceKey, Load, Member, MessageKind, RequestKey, ServiceDemand,
+    ServiceHeard, ServiceKey, UpstreamKey, demand, hubs,
 };
 
 /// Periods per full datagram, which has all loads, the live instances and the demand. The others
@@ -50,8 +50,10 @@
         let has_changes =
             has_changes || !self.up_evidence.is_empty() || !self.down_evidence.is_empty();
         let has_changes = has_changes || !self.up_limits.is_empty() || !self.down_limits.is_empty();
+        let has_changes = has_changes || own.cut_off != self.last_own_cut_off;
         let must_send = has_changes || self.ticks.is_multiple_of(FULL_DATAGRAM_PERIODS);
         self.last_own_loads.clone_from(&own.loads);
+        self.last_own_cut_off.clone_from(&own.cut_off);
         self.recent_members
             .retain(|(at_ms, _)| now_ms < at_ms + RESEND_MEMBER_MS);
         let has_receivers = self
@@ -89,6 +91,8 @@
         let message = GossipMessage {
             members: self.members_to_send(),
             alive: ready_key(&own.member).into_iter().collect(),
+            cut_off: own_cut_off(&own).collect(),
+            heard: own.heard,
             loads: own.loads,
             prefilled_parts: own.prefilled_parts,
             role_changes: own.role_changes,
@@ -213,6 +217,8 @@
         if is_full {
             (digest.alive, digest.demand) = self.alive(own, MessageKind::Sum);
             digest.alive.extend(&alive);
+            digest.cut_off = own_cut_off(own).chain(self.cut_off()).collect();
+            digest.heard = self.heard(now_ms, own, |_| true);
             demand::add(&mut digest.demand, &demand);
             demand::subtract(&mut digest.demand, &own.demand);
         }
@@ -222,10 +228,35 @@
             let hubs = hubs.filter_map(|(_, hub)| hub.alive.first());
             sum.alive = alive.into_iter().chain(hubs.copied()).collect();
             sum.demand = demand;
+            let reporters = self.of_kind(MessageKind::Report);
+            let theirs = reporters.flat_map(|(_, sender)| sender.cut_off.iter().copied());
+            sum.cut_off = own_cut_off(own).chain(theirs).collect();
+            sum.heard = self.heard(now_ms, own, |kind| kind == MessageKind::Report);
         }
         (sum, digest)
     }
 
+    /// How long ago this instance, or senders of the kinds that count, heard upstreams of each service.
+    fn heard(
+        &self,
+        now_ms: u64,
+        own: &LocalState,
+        counts: impl Fn(MessageKind) -> bool,
+    ) -> Vec<ServiceHeard> {
+        let mut ages: HashMap<ServiceKey, u32> = HashMap::new();
+        let own_ages = own.heard.iter().map(|each| (each.service, each.age_ms));
+        let senders = self.senders.values().filter(|sender| counts(sender.kind));
+        let theirs = senders.flat_map(|sender| &sender.heard_ms);
+        let theirs =
+            theirs.map(|(service, at_ms)| (*service, now_ms.saturating_sub(*at_ms) as u32));
+        for (service, age_ms) in own_ages.chain(theirs) {
+            let least_ms = ages.entry(service).or_insert(age_ms);
+            *least_ms = age_ms.min(*least_ms);
+        }
+        let heard = |(service, age_ms)| ServiceHeard { service, age_ms };
+        ages.into_iter().map(heard).collect()
+    }
+
     /// Live instances and their demand, as senders of one kind and this instance see them.
     fn alive(&self, own: &LocalState, kind: MessageKind) -> (Vec<InstanceKey>, Vec<ServiceDemand>) {
         let mut alive: Vec<InstanceKey> = ready_key(&own.member).into_iter().collect();
@@ -304,6 +335,16 @@
     items
 }
 
+/// The services from whose upstreams this instance is cut off, as it tells them.
+fn own_cut_off(own: &LocalState) -> impl Iterator<Item = CutOff> {
+    let instance = InstanceKey::of(&own.member.name);
+    let cut_off = move |service: &ServiceKey| CutOff {
+        instance,
+        service: *service,
+    };
+    own.cut_off.iter().map(cut_off)
+}
+
 fn ready_key(member: &Member) -> Option<InstanceKey> {
     member.ready.then(|| InstanceKey::of(&member.name))
 }
--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -48,6 +48,20 @@
     }
 }
 
+/// A service, by a hash of its name.
+///
+/// Two of a dozen services share a key in about one of sixty million fleets. An instance that reaches one of them
+/// is then believed to reach both.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServiceKey(#[serde(with = "postcard::fixint::le")] pub u32);
+
+impl ServiceKey {
+    /// The key of a service's name.
+    pub fn of(name: &str) -> Self {
+        Self(xxh3_64(name.as_bytes()) as u32)
+    }
+}
+
 /// The content of a request, by a hash of its host, method, path and body.
 ///
 /// Each attempt of a caller has its own id. This key is the same for all attempts of a request, at
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -28,14 +28,14 @@
 pub use demand::ServiceDemand;
 pub use entry::{ListChange, Stage, UpstreamEntry, UpstreamState};
 pub use gossip::{ChangedLoads, GossipState, LocalState};
-pub use key::{InstanceKey, RequestKey, UpstreamKey, WorkspaceKey};
+pub use key::{InstanceKey, RequestKey, ServiceKey, UpstreamKey, WorkspaceKey};
 pub use list_changes::{GossipedChange, RecentChanges};
 pub use load::Load;
 pub use log_follower::{ListedEntries, LogFollower, LogPosition, ReadId};
 pub use members::{Member, Members};
 pub use message::{
-    GossipMessage, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart, Tally,
-    UpstreamLimit, decode, encode,
+    CutOff, GossipMessage, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart,
+    ServiceHeard, Tally, UpstreamLimit, decode, encode,
 };
 pub use poison::{FailureEvidence, PoisonTracker};
 pub use queue::{PrefillQueue, RANKS};
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -9,11 +9,11 @@
 
 use crate::{
     FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member, PrefillQueue, RANKS,
-    RequestKey, ServiceDemand, Stage, UpstreamKey, WorkspaceKey,
+    RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey, WorkspaceKey,
 };
 
 /// Version of the wire format, in the first byte of each datagram.
-const FORMAT: u8 = 7;
+const FORMAT: u8 = 8;
 
 /// Whose state a datagram describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -73,6 +73,24 @@
     pub at_ms: u64,
 }
 
+/// An instance that reaches no upstream of a service, while others do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct CutOff {
+    /// The instance.
+    pub instance: InstanceKey,
+    /// The service.
+    pub service: ServiceKey,
+}
+
+/// How long ago any of the instances that a datagram speaks for heard an upstream of a service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ServiceHeard {
+    /// The service.
+    pub service: ServiceKey,
+    /// Time since then, in ms.
+    pub age_ms: u32,
+}
+
 /// Requests of each workspace that started in one time window, as one instance has counted them so
 /// far.
 ///
@@ -108,6 +126,10 @@
     pub demand: Vec<ServiceDemand>,
     /// Ready instances that are alive, as far as the sender knows.
     pub alive: Vec<InstanceKey>,
+    /// Instances among them that are cut off from the upstreams of a service; told with `alive`.
+    pub cut_off: Vec<CutOff>,
+    /// When they last heard upstreams; told with `alive`.
+    pub heard: Vec<ServiceHeard>,
     /// Heartbeat records that may be new to the receiver.
     pub members: Vec<Member>,
     /// Fencing token of the sender's last order; `None` if it could not give one now.
@@ -146,6 +168,8 @@
             role_changes: Vec::new(),
             demand: Vec::new(),
             alive: Vec::new(),
+            cut_off: Vec::new(),
+            heard: Vec::new(),
             members: Vec::new(),
             last_order_token: None,
             list_position: None,
@@ -196,6 +220,8 @@
     role_changes: Vec<PendingRoleChange>,
     demand: Vec<ServiceDemand>,
     alive: Vec<InstanceKey>,
+    cut_off: Vec<CutOff>,
+    heard: Vec<ServiceHeard>,
     members: Vec<Member>,
     #[serde(rename = "gives_after")]
     last_order_token: Option<u64>,
@@ -248,6 +274,8 @@
             role_changes: message.role_changes,
             demand: message.demand,
             alive: message.alive,
+            cut_off: message.cut_off,
+            heard: message.heard,
             members: message.members,
             last_order_token: message.last_order_token,
             list_position: message.list_position,
@@ -282,6 +310,8 @@
             role_changes: wire.role_changes,
             demand: wire.demand,
             alive: wire.alive,
+            cut_off: wire.cut_off,
+            heard: wire.heard,
             members: wire.members,
             last_order_token: wire.last_order_token,
             list_position: wire.list_position,
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -136,6 +136,8 @@
         let instances = self.all.len();
         let each = &mut self.all[index];
         let own = LocalState {
+            cut_off: Vec::new(),
+            heard: Vec::new(),
             last_task_token: None,
             clock_ms: 0,
             fleet_clock_ms: 0,
