Failing tests: callers of an instance cut off from upstreams are not served, and it accuses their requests

What callers saw: 503 for all they send to an instance that lost its path, though its peers reach all upstreams; 503 at every instance for requests that were under way when the path was lost.

--- /dev/null
+++ b/crates/relay/tests/common/link.rs
@@ -0,0 +1,145 @@
+//! A path between an instance and an upstream that a test can cut.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use relay::listener::bind;
+use relay::upstream::UpstreamEntry;
+use socket2::{SockFilter, SockRef};
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+
+/// Instruction of a socket filter that drops the packet.
+const DROP: SockFilter = SockFilter::new(0x06, 0, 0, 0);
+
+/// What a link does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkState {
+    /// Connects the two ends.
+    Open,
+    /// Neither establishes connections nor passes data.
+    Hanging,
+    /// Has reset all connections, and refuses new ones.
+    Refusing,
+    /// Passes data on open connections, and establishes no new ones.
+    OpenOnly,
+}
+
+/// A path to one upstream.
+pub struct Link {
+    /// Address at which the instance reaches the upstream.
+    pub address: SocketAddr,
+    state: watch::Sender<LinkState>,
+}
+
+impl Link {
+    /// Opens a path to an upstream.
+    pub fn open(upstream: SocketAddr) -> Self {
+        let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let (state, states) = watch::channel(LinkState::Open);
+        actix_rt::spawn(accept(listener, upstream, states));
+        Self { address, state }
+    }
+
+    /// Cuts or heals the path.
+    pub fn set(&self, state: LinkState) {
+        self.state.send_replace(state);
+    }
+
+    /// The entry of an upstream that is reached by this path.
+    pub fn entry(&self, entry: UpstreamEntry) -> UpstreamEntry {
+        UpstreamEntry {
+            address: self.address,
+            ..entry
+        }
+    }
+}
+
+async fn accept(listener: TcpListener, to: SocketAddr, mut states: watch::Receiver<LinkState>) {
+    let address = listener.local_addr().expect("an address");
+    let mut listener = Some(listener);
+    loop {
+        let state = *states.borrow_and_update();
+        if state == LinkState::Refusing {
+            listener = None;
+        } else if listener.is_none() {
+            listener = Some(bind(address).expect("the port of before"));
+        }
+        if let Some(listener) = &listener {
+            set_filter(SockRef::from(listener), state != LinkState::Open);
+        }
+        let accepted = async {
+            match &listener {
+                Some(listener) => listener.accept().await,
+                None => std::future::pending().await,
+            }
+        };
+        tokio::select! {
+            accepted = accepted => {
+                let (near, _) = accepted.expect("a connection");
+                actix_rt::spawn(pass(near, to, states.clone()));
+            }
+            changed = states.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+fn set_filter(socket: SockRef<'_>, is_dropping: bool) {
+    if is_dropping {
+        socket.attach_filter(&[DROP]).expect("a filter");
+    } else {
+        // Without a filter there is none to take away.
+        let _ = socket.detach_filter();
+    }
+}
+
+async fn pass(near: TcpStream, to: SocketAddr, mut states: watch::Receiver<LinkState>) {
+    let Ok(far) = TcpStream::connect(to).await else {
+        return;
+    };
+    let socket = SockRef::from(&near).try_clone().expect("a socket");
+    SockRef::from(&near)
+        .set_linger(Some(Duration::ZERO))
+        .expect("an option");
+    let (near_read, near_write) = near.into_split();
+    let (far_read, far_write) = far.into_split();
+    let (up, down) = (states.clone(), states.clone());
+    let follow = async {
+        loop {
+            let state = *states.borrow_and_update();
+            if state == LinkState::Refusing {
+                return;
+            }
+            set_filter(SockRef::from(&socket), state == LinkState::Hanging);
+            if states.changed().await.is_err() {
+                std::future::pending::<()>().await;
+            }
+        }
+    };
+    tokio::select! {
+        () = follow => {}
+        () = copy(near_read, far_write, up) => {}
+        () = copy(far_read, near_write, down) => {}
+    }
+}
+
+async fn copy(
+    mut from: OwnedReadHalf,
+    mut to: OwnedWriteHalf,
+    mut states: watch::Receiver<LinkState>,
+) {
+    let mut bytes = vec![0; 16_384];
+    while let Ok(count @ 1..) = from.read(&mut bytes).await {
+        let _ = states.wait_for(|state| *state != LinkState::Hanging).await;
+        if to.write_all(&bytes[..count]).await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -7,6 +7,7 @@
 )]
 
 mod dialect;
+mod link;
 mod requests;
 mod stub;
 
@@ -30,6 +31,7 @@
 use view::Member;
 
 pub use dialect::TestDialect;
+pub use link::{Link, LinkState};
 pub use requests::{EVENTS, generation_request, is_prefill, read_request};
 pub use stub::{Action, ReceivedRequest, StubUpstream};
 
@@ -168,6 +170,31 @@
         }
     }
 
+    /// Starts an instance that gossips with others; `seconds` of it are waited for by [`meet`].
+    pub async fn start_peer(name: &str, zone: &str, entries: Vec<UpstreamEntry>) -> Self {
+        let (socket, listener) = peer_sockets().await;
+        let peer = socket.local_addr().expect("an address");
+        let named = Settings {
+            name: name.to_owned(),
+            zone: zone.to_owned(),
+            peer: Some(peer),
+            ..settings()
+        };
+        let instance = Self::start_with(named, entries);
+        let relay = &instance.relay;
+        relay.settings.borrow_mut().address = instance.address;
+        let serving = serve(
+            Rc::clone(relay),
+            ListenerKind::Peers,
+            listener,
+            instance.phase.subscribe(),
+        );
+        actix_rt::spawn(serving);
+        actix_rt::spawn(relay::gossip::receive(Rc::clone(relay), Rc::clone(&socket)));
+        actix_rt::spawn(relay::gossip::send_periodically(Rc::clone(relay), socket));
+        instance
+    }
+
     /// Sends a request and returns the head of the response; its body can still be read.
     pub async fn send(
         &self,
@@ -189,6 +216,37 @@
     }
 }
 
+/// Sockets for gossip and for requests of peers, at the same port.
+async fn peer_sockets() -> (Rc<tokio::net::UdpSocket>, tokio::net::TcpListener) {
+    loop {
+        let any = "127.0.0.1:0".parse().expect("an address");
+        let socket = relay::gossip::bind(any).await.expect("a port");
+        let address = socket.local_addr().expect("an address");
+        // Another process may have the port for connections.
+        if let Ok(listener) = bind(address) {
+            return (socket, listener);
+        }
+    }
+}
+
+/// Makes instances known to each other, and waits until each receives gossip.
+pub async fn meet(instances: &[&TestInstance]) {
+    let members: Vec<Member> = instances.iter().map(|it| it.relay.heartbeat()).collect();
+    for instance in instances {
+        let now_ms = instance.relay.now_ms();
+        let mut known = instance.relay.members.borrow_mut();
+        for member in &members {
+            known.record_heartbeat(now_ms, member.clone());
+        }
+    }
+    let all_known = || {
+        let counts = instances.iter().map(|it| it.relay.instance_count());
+        counts.min() == Some(instances.len())
+    };
+    assert!(wait_until(all_known).await, "all instances are known");
+    actix_rt::time::sleep(Duration::from_millis(300)).await;
+}
+
 /// A request to `path` at `host.test` with 3 s to its deadline, under the attempt id `id`.
 pub fn request(method: Method, path: &str, id: &str) -> Request<Full<Bytes>> {
     let body = if method == Method::POST { "body" } else { "" };
