Relay: an instance that lost its own path accuses no request of terminating upstreams

Cause: a connection that is lost and a next one that is not opened count as the end of the upstream. At a cut-off instance all connections are lost and none is opened. Class: a fault of the own path held against others.

Mend: the end is reported only once it is known that the path is not at fault (another upstream of the service is reached, or nobody hears them). Losses since the last sign of an upstream are taken back (FailureEvidence::Excused), here and at all peers.

Ruled out: forgetting the losses here alone (peers keep them); counting them as answered (it clears genuine ends too).

--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -13,6 +13,7 @@
 use crate::answer::Refusal;
 use crate::call::Call;
 use crate::pool::ExchangeError;
+use crate::reachability::settle;
 use crate::relay::Relay;
 use crate::send::{max_connections_to, note_exchange_error};
 use crate::upstream::Upstream;
@@ -23,8 +24,8 @@
 /// Refuses a poison request, which terminates the upstreams that run it.
 ///
 /// Called before each send: a prompt may wait for seconds between two sends, and other instances may have
-/// identified it meanwhile. If the connection to a second upstream was lost just now, this waits until the
-/// health check of that upstream is complete; otherwise the request could terminate a third one.
+/// identified it meanwhile. If the connection to an upstream was lost just now, this waits until the health check of
+/// that upstream is complete; otherwise the request could terminate a third one before the end of the first is known.
 pub async fn ensure_not_poison(relay: &Relay, call: &Call) -> Result<(), Refusal> {
     while relay.is_attribution_pending(call) {
         actix_rt::time::sleep(Duration::from_millis(HEALTH_CHECK_POLL_MS)).await;
@@ -34,7 +35,12 @@
 
 /// Records that a connection ended under a request before the answer was complete, and starts a
 /// health check of the upstream unless one is running.
+///
+/// While this instance is cut off from the service, the loss says nothing about either.
 pub fn note_lost_answer(relay: &Rc<Relay>, call: &Call, upstream: &Rc<Upstream>) {
+    if !relay.note_loss(call, upstream) {
+        return;
+    }
     relay.record_attribution(FailureEvidence::Lost {
         request: call.key,
         upstream: upstream.key,
@@ -52,13 +58,20 @@
 }
 
 /// Opens a connection; if that fails, reports to the failure attribution that the upstream has ended.
+///
+/// An instance that lost its own path would otherwise accuse the requests under way of ending all upstreams, and its
+/// peers would refuse them.
 async fn check_health(relay: &Rc<Relay>, upstream: &Upstream, max_open: usize) {
     let began_ms = relay.now_ms();
-    let Err(fault) = upstream.pool.warm_up(max_open).await else {
+    let Err(fault) = upstream.pool.probe(max_open).await else {
         return;
     };
     note_exchange_error(relay, upstream, &fault, began_ms);
     if let ExchangeError::Connect { .. } = fault {
+        settle(relay, &upstream.service).await;
+        if relay.is_cut_off(&upstream.service) {
+            return;
+        }
         log::info!(upstream = upstream.id, fault:%; "health check failed: upstream has terminated");
         relay.record_attribution(FailureEvidence::Ended(upstream.key));
     }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -32,7 +32,7 @@
 
 /// Time for which a probed connection must stay open, in ms: a peer or a network that resets it does so within a
 /// round trip.
-const PROBE_HOLD_MS: u64 = 10;
+const PROBE_HOLD_MS: u64 = 5;
 
 /// Idle time before the first TCP keepalive probe, in s.
 const KEEPALIVE_IDLE_S: u64 = 2;
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -1,7 +1,9 @@
 //! This instance's path to the upstreams of each service: whether it is cut off, and the checks that find out.
 //!
 //! An instance that reaches no upstream sees what it would see if all of them were down: connections that fail or
-//! hang. If peers reach them, the fault is its own path.
+//! hang. If peers reach them, the fault is its own path. It then hands its callers' requests to peers
+//! ([`crate::handover`]) and holds what failed meanwhile neither against upstreams nor against requests. See
+//! docs/design/reachability.md.
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -9,10 +11,11 @@
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use plan::{Reach, ReachState, TELLING_UPSTREAMS};
+use plan::{EVIDENCE_WAIT_MS, Reach, ReachState, TELLING_UPSTREAMS};
 use tokio::sync::Notify;
-use view::{ServiceHeard, ServiceKey};
+use view::{FailureEvidence, InstanceKey, RequestKey, ServiceHeard, ServiceKey, UpstreamKey};
 
+use crate::call::Call;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 
@@ -35,12 +38,26 @@
 /// Delay between the connections of one check, in ms; the first one usually answers the question.
 const PROBE_STAGGER_MS: u64 = 20;
 
+/// Most lost answers that are remembered to be excused.
+const MAX_LOSSES: usize = 256;
+
+/// An answer that was lost with its connection.
+#[derive(Debug, Clone, Copy)]
+struct Loss {
+    at_ms: u64,
+    request: RequestKey,
+    upstream: UpstreamKey,
+}
+
 /// The path to the upstreams of one service.
 #[derive(Debug, Default)]
 struct ServicePath {
     reach: Reach,
     is_checking: bool,
     checked_ms: u64,
+    /// From when on failures may be due to the path: the last time that an upstream was heard before.
+    faults_from_ms: u64,
+    losses: Vec<Loss>,
 }
 
 /// The paths to the upstreams of all services.
@@ -71,6 +88,15 @@
         self.reach_state(service) == ReachState::CutOff
     }
 
+    /// Whether this instance was cut off from a service at some time since `since_ms`; how long answers took then
+    /// says nothing about upstreams.
+    pub fn was_cut_off_since(&self, service: &str, since_ms: u64) -> bool {
+        let services = self.reachability.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|path| path.reach.was_cut_off_since(since_ms))
+    }
+
     /// The services from whose upstreams this instance is cut off.
     pub fn cut_off_services(&self) -> Vec<ServiceKey> {
         let services = self.reachability.services.borrow();
@@ -82,6 +108,26 @@
         keys
     }
 
+    /// The instances that are cut off from all services, as this one or its peers tell.
+    pub fn fully_cut_off(&self) -> Vec<InstanceKey> {
+        let services = self.upstreams.borrow().service_count();
+        let mut counts: HashMap<InstanceKey, Vec<ServiceKey>> = HashMap::new();
+        for each in self.gossip.borrow().cut_off() {
+            let known = counts.entry(each.instance).or_default();
+            if !known.contains(&each.service) {
+                known.push(each.service);
+            }
+        }
+        let own = InstanceKey::of(&self.settings.borrow().name);
+        counts.insert(own, self.cut_off_services());
+        let is_fully = |cut_off: &Vec<ServiceKey>| services > 0 && cut_off.len() >= services;
+        counts
+            .into_iter()
+            .filter(|(_, cut_off)| is_fully(cut_off))
+            .map(|(instance, _)| instance)
+            .collect()
+    }
+
     /// How long ago this instance heard upstreams of each service, for gossip.
     pub(crate) fn heard_services(&self) -> Vec<ServiceHeard> {
         let now_ms = self.now_ms();
@@ -96,6 +142,26 @@
         heard.collect()
     }
 
+    /// Remembers a lost answer, which is excused if this instance turns out to be cut off; false if it is known to be
+    /// cut off, so that the loss is no evidence at all.
+    pub(crate) fn note_loss(&self, call: &Call, upstream: &Upstream) -> bool {
+        let now_ms = self.now_ms();
+        let mut services = self.reachability.services.borrow_mut();
+        let path = services.entry(upstream.service.clone()).or_default();
+        if path.reach.state() == ReachState::CutOff {
+            return false;
+        }
+        if path.losses.len() >= MAX_LOSSES {
+            path.losses.remove(0);
+        }
+        path.losses.push(Loss {
+            at_ms: now_ms,
+            request: call.key,
+            upstream: upstream.key,
+        });
+        true
+    }
+
     fn contact(&self, service: &str) -> Contact {
         let upstreams = self.upstreams.borrow();
         let all = upstreams.of_service(service);
@@ -142,11 +208,15 @@
     }
 
     fn path_changed(&self, service: &str, before: ReachState, after: ReachState) {
-        let (heard_ms, anywhere_ms) = {
+        let (heard_ms, anywhere_ms, faults_from_ms) = {
             let services = self.reachability.services.borrow();
             let path = &services[service];
             let reach = path.reach;
-            (reach.heard_ms(), reach.last_heard_anywhere_ms())
+            (
+                reach.heard_ms(),
+                reach.last_heard_anywhere_ms(),
+                path.faults_from_ms,
+            )
         };
         let now_ms = self.now_ms();
         let age_ms =
@@ -157,9 +227,35 @@
         );
         let gauge = self.metrics.cut_off.with_label_values(&[service]);
         gauge.set(i64::from(after == ReachState::CutOff));
+        match after {
+            ReachState::CutOff => self.excuse_losses(service, faults_from_ms),
+            ReachState::Reached if before == ReachState::CutOff => {
+                let upstreams = self.upstreams.borrow();
+                upstreams
+                    .of_service(service)
+                    .for_each(|each| each.forgive_since(now_ms, faults_from_ms));
+            }
+            ReachState::Reached | ReachState::Suspected | ReachState::Down => {}
+        }
         self.reachability.changed.notify_waiters();
     }
 
+    /// Takes back the evidence against requests whose answers were lost with the path.
+    fn excuse_losses(&self, service: &str, faults_from_ms: u64) {
+        let losses = {
+            let mut services = self.reachability.services.borrow_mut();
+            let path = services.get_mut(service);
+            path.map(|path| std::mem::take(&mut path.losses))
+        };
+        let is_excused = |loss: &Loss| loss.at_ms >= faults_from_ms;
+        for loss in losses.into_iter().flatten().filter(is_excused) {
+            self.record_attribution(FailureEvidence::Excused {
+                request: loss.request,
+                upstream: loss.upstream,
+            });
+        }
+    }
+
     /// Whether an upstream of a service is overdue and none was heard lately.
     fn is_quiet(&self, now_ms: u64, service: &str) -> bool {
         let token_ms = self.estimates.latency_model(now_ms, service).token_ms();
@@ -220,6 +316,10 @@
     relay.update_path(service, |now_ms, path| {
         is_running = std::mem::replace(&mut path.is_checking, true);
         path.checked_ms = now_ms;
+        if path.reach.failing_since_ms().is_none() {
+            let heard_ms = path.reach.heard_ms().unwrap_or(began_ms);
+            path.faults_from_ms = heard_ms.min(began_ms);
+        }
     });
     if is_running {
         return;
@@ -279,3 +379,46 @@
     }
     false
 }
+
+/// Waits until it is known whether this instance is cut off from a service, if that is in doubt.
+pub async fn settle(relay: &Relay, service: &str) {
+    let deadline_ms = relay.now_ms() + EVIDENCE_WAIT_MS + PROBE_TIMEOUT_MS;
+    loop {
+        let changed = relay.reachability.changed.notified();
+        if !relay.has_senders() {
+            // Without peers no word can come; the check itself still runs.
+            relay.update_path(service, |now_ms, path| {
+                path.reach.decide(now_ms + EVIDENCE_WAIT_MS)
+            });
+        } else {
+            relay.update_path(service, |_, _| {});
+        }
+        let is_in_doubt = {
+            let services = relay.reachability.services.borrow();
+            services.get(service).is_some_and(|path| {
+                let state = path.reach.state();
+                let is_checked_first = path.is_checking && state == ReachState::Reached;
+                is_checked_first || state == ReachState::Suspected
+            })
+        };
+        let now_ms = relay.now_ms();
+        if !is_in_doubt || now_ms >= deadline_ms {
+            return;
+        }
+        let wait = Duration::from_millis((deadline_ms - now_ms).min(view::gossip::PERIOD_MS));
+        // Without a change the belief is looked at again after a gossip period.
+        let _ = actix_rt::time::timeout(wait, changed).await;
+    }
+}
+
+/// Completes once this instance is cut off from the service of `upstream` and has heard nothing of it since a request
+/// was sent to it at `sent_ms`.
+pub async fn cut_off_from(relay: &Relay, upstream: &Upstream, sent_ms: u64) {
+    loop {
+        let changed = relay.reachability.changed.notified();
+        if relay.is_cut_off(&upstream.service) && !upstream.has_answered_since(sent_ms) {
+            return;
+        }
+        changed.await;
+    }
+}
--- a/crates/view/src/poison.rs
+++ b/crates/view/src/poison.rs
@@ -53,6 +53,14 @@
     Ended(UpstreamKey),
     /// An upstream answered the request completely, so the request is not poison.
     Answered(RequestKey),
+    /// The connection was lost because the instance was cut off from all upstreams, which says nothing against the
+    /// request.
+    Excused {
+        /// The request that was running.
+        request: RequestKey,
+        /// The upstream to which the connection was lost.
+        upstream: UpstreamKey,
+    },
 }
 
 /// Whether this instance must write a request to the store once it counts as poison.
@@ -72,6 +80,8 @@
     lost: Vec<UpstreamKey>,
     /// Losses from before the request was answered. They are not counted when gossip repeats them.
     cleared: Vec<UpstreamKey>,
+    /// Losses that were the fault of an instance's own path. They are not counted either.
+    excused: Vec<UpstreamKey>,
     /// Whether a peer or the store has reported it as poison.
     is_known_poison: bool,
     store_record: StoreRecord,
@@ -120,7 +130,22 @@
             }
             FailureEvidence::Ended(upstream) => self.record_end(now_ms, upstream),
             FailureEvidence::Answered(request) => self.record_answer(request),
+            FailureEvidence::Excused { request, upstream } => {
+                self.record_excuse(now_ms, request, upstream)
+            }
+        }
+    }
+
+    fn record_excuse(&mut self, now_ms: u64, request: RequestKey, upstream: UpstreamKey) -> bool {
+        let suspect = self.requests.entry(request).or_default();
+        if suspect.excused.contains(&upstream) || suspect.excused.len() >= MAX_LOSSES {
+            return false;
         }
+        suspect.lost.retain(|lost| *lost != upstream);
+        suspect.excused.push(upstream);
+        suspect.at_ms = suspect.at_ms.max(now_ms);
+        self.evict(now_ms);
+        true
     }
 
     fn record_loss(&mut self, now_ms: u64, request: RequestKey, upstream: UpstreamKey) -> bool {
@@ -128,7 +153,9 @@
         if suspect.is_old(now_ms) {
             *suspect = Suspect::default();
         }
-        let is_known = suspect.lost.contains(&upstream) || suspect.cleared.contains(&upstream);
+        let is_known = suspect.lost.contains(&upstream)
+            || suspect.cleared.contains(&upstream)
+            || suspect.excused.contains(&upstream);
         if is_known || suspect.lost.len() >= MAX_LOSSES {
             return false;
         }
@@ -187,8 +214,7 @@
         suspect.is_some_and(|suspect| suspect.is_poison(now_ms, &self.ended))
     }
 
-    /// Upstreams lost under a request, if the end of one more of them would make the request
-    /// poison.
+    /// Upstreams lost under a request that are not known to have ended, unless the request is poison already.
     pub fn undecided_upstreams(&self, request: RequestKey) -> Vec<UpstreamKey> {
         let Some(suspect) = self.requests.get(&request) else {
             return Vec::new();
@@ -197,7 +223,7 @@
             .lost
             .iter()
             .partition(|upstream| self.ended.contains_key(upstream));
-        if ended.len() + 1 == ENDED_THRESHOLD {
+        if ended.len() < ENDED_THRESHOLD {
             undecided
         } else {
             Vec::new()
