Relay: an instance cut off from upstreams hands its callers' requests to peers

What callers saw: 503 or silence at an instance that lost its path to all upstreams of a service, while its peers reached all.

Cause: an instance had no way to an upstream but its own link, did not know that it was the link, and stood in all look-ups.

Mend: while cut off (plan::Reach), a request goes to a peer that is not, as its caller sent it, with the time that is left and what was spent on it (attempts, arrivals, possible runs); the peer admits, places, retries and counts it. One hop, never back. Each way out asks: plain calls, generations, prefills apart, the second send with a transferred cache, resumption of streams; a request that waits for a silent upstream is given up if it may be repeated, within the retry budget. Look-ups leave out who is cut off from all services. It leads no role orders, tells no load of what hangs, learns no times from the cut; after it each upstream is used at once again.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -12,6 +12,8 @@
 use http_body::{Body, Frame, SizeHint};
 use log::kv::ToValue;
 
+use crate::handover::TakenOver;
+
 /// Error of an answer that ends early. The caller's connection is closed, so that the answer does not
 /// look complete.
 #[derive(Debug, Display, Error)]
@@ -32,6 +34,7 @@
 pub struct AnswerBody {
     content: Content,
     active: Option<ActiveRequest>,
+    taken_over: Option<TakenOver>,
 }
 
 impl AnswerBody {
@@ -40,6 +43,7 @@
         Self {
             content: Content::Whole(bytes.into()),
             active: None,
+            taken_over: None,
         }
     }
 
@@ -48,12 +52,14 @@
         Self {
             content: Content::Streamed(Box::pin(frames)),
             active: None,
+            taken_over: None,
         }
     }
 
-    /// Keeps the request counted as active until the body has been sent.
-    pub fn track(&mut self, active: ActiveRequest) {
+    /// Keeps the request counted as active, and as taken over if it is, until the body has been sent.
+    pub fn track(&mut self, active: ActiveRequest, taken_over: Option<TakenOver>) {
         self.active = Some(active);
+        self.taken_over = taken_over;
     }
 }
 
@@ -141,6 +147,12 @@
     /// All upstreams that could take the request asked this instance for rest.
     #[display("all upstreams asked for rest")]
     Resting,
+    /// This instance is cut off from the upstreams, and no peer took the request.
+    #[display("this instance reaches no upstream")]
+    CutOff,
+    /// This instance serves as many requests of peers as it may.
+    #[display("too many requests of other instances")]
+    HelperBusy,
     /// Upstreams rejected the request without running it.
     #[display("an upstream rejected it unrun")]
     Rejected,
@@ -174,6 +186,8 @@
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
             Self::Resting => "resting",
+            Self::CutOff => "cut_off",
+            Self::HelperBusy => "helper_busy",
             Self::Rejected => "rejected",
             Self::PoisonRequest => "poisonous",
             Self::Lost => "lost",
@@ -196,6 +210,8 @@
             | Self::NoUpstream
             | Self::TooLate
             | Self::Resting
+            | Self::CutOff
+            | Self::HelperBusy
             | Self::Rejected
             | Self::PoisonRequest => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
@@ -239,6 +255,8 @@
     pub fn response(self, body: Vec<u8>) -> Response<AnswerBody> {
         let mut response = Response::new(AnswerBody::whole(body));
         *response.status_mut() = self.reason.status();
+        // A peer that handed the request over is told that this instance refused it.
+        response.extensions_mut().insert(self);
         let headers = response.headers_mut();
         headers.insert(
             http::header::CONTENT_TYPE,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -14,6 +14,7 @@
 use crate::access::Admitted;
 use crate::config::{Route, Workspace};
 use crate::dialect::{Dialect, RequestHead, SendOptions};
+use crate::handover::Spent;
 use crate::relay::Relay;
 use crate::urgency::Urgency;
 
@@ -68,10 +69,18 @@
     pub is_sent: Cell<bool>,
     /// Id of the upstream that it was last sent to; empty before the first send.
     pub current_upstream: RefCell<String>,
+    /// Whether a peer that is cut off from upstreams handed it over; it goes no further then.
+    pub is_taken_over: Cell<bool>,
+    /// Whether it was handed over to a peer, which counts it from then on.
+    pub(crate) is_handed_over: Cell<bool>,
+    /// Whether its first send was counted for the retry budget.
+    pub(crate) is_first_counted: Cell<bool>,
     relay: Rc<Relay>,
     method: Method,
     target: PathAndQuery,
     headers: HeaderMap,
+    /// The end-to-end headers as its caller sent them.
+    received_headers: HeaderMap,
     body: Bytes,
 }
 
@@ -105,6 +114,7 @@
         strip_hop_by_hop(&mut headers, |name| dialect.is_end_to_end(name));
         headers.remove(header::CONTENT_LENGTH);
         headers.remove(header::EXPECT);
+        let received_headers = headers.clone();
         dialect.strip_reserved_headers(&mut headers);
         if let Some(workspace) = &workspace {
             dialect.write_workspace(&mut headers, &workspace.name);
@@ -129,10 +139,14 @@
             is_finished: Cell::default(),
             is_sent: Cell::default(),
             current_upstream: RefCell::default(),
+            is_taken_over: Cell::default(),
+            is_handed_over: Cell::default(),
+            is_first_counted: Cell::default(),
             relay: Rc::clone(relay),
             method: parts.method,
             target,
             headers,
+            received_headers,
             body,
         })
     }
@@ -198,6 +212,47 @@
         metrics.count_end(&self.route.name, prompt_tokens, end);
     }
 
+    /// What was spent on it here so far, for a peer that goes on with it.
+    pub(crate) fn spent(&self) -> Spent {
+        Spent {
+            attempts: self.attempts.get(),
+            arrivals: self.arrivals(),
+            possible_runs: self.possible_runs.get(),
+            is_prefill_accepted: self.prefill_accepted.get(),
+            is_first_counted: self.is_first_counted.get(),
+        }
+    }
+
+    /// Goes on with a request on which a peer has spent this; the next arrival at its service is covered there.
+    pub(crate) fn take_over(&self, spent: &Spent) {
+        self.is_taken_over.set(true);
+        self.attempts.set(spent.attempts);
+        self.prefill_sends
+            .set(spent.arrivals.saturating_sub(spent.attempts));
+        self.possible_runs.set(spent.possible_runs);
+        self.prefill_accepted.set(spent.is_prefill_accepted);
+        self.is_first_counted.set(spent.is_first_counted);
+        self.allowed_arrivals.set(self.arrivals() + 1);
+    }
+
+    /// Builds the request that is sent to a peer, as its caller sent it but for the time that is left.
+    pub(crate) fn handover_request(&self, last_event: Option<u64>) -> Request<Full<Bytes>> {
+        let mut request = Request::new(Full::new(self.body.clone()));
+        *request.method_mut() = self.method.clone();
+        *request.uri_mut() = Uri::from(self.target.clone());
+        let mut headers = self.received_headers.clone();
+        let left_ms = self.left_ms(self.relay.now_ms());
+        let dialect = &self.relay.dialect;
+        dialect.write_rest(&mut headers, left_ms, last_event);
+        if !headers.contains_key(header::HOST)
+            && let Ok(host) = HeaderValue::from_str(&self.route.host)
+        {
+            headers.insert(header::HOST, host);
+        }
+        *request.headers_mut() = headers;
+        request
+    }
+
     /// Builds the request that is sent to an upstream.
     pub fn request(&self, dialect: &dyn Dialect, options: &SendOptions) -> Request<Full<Bytes>> {
         let mut request = Request::new(Full::new(self.body.clone()));
@@ -212,8 +267,10 @@
 
 impl Drop for Call {
     fn drop(&mut self) {
-        let settings = self.relay.settings.borrow().singleton_tasks;
-        self.relay.singleton_tasks.count_unanswered(settings, self);
+        if !self.is_handed_over.get() {
+            let settings = self.relay.settings.borrow().singleton_tasks;
+            self.relay.singleton_tasks.count_unanswered(settings, self);
+        }
         if self.is_finished.get() {
             return;
         }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -149,6 +149,9 @@
     fn is_end_to_end(&self, name: &HeaderName) -> bool;
     /// Writes the headers that the relay sets.
     fn write_send_options(&self, headers: &mut HeaderMap, options: &SendOptions);
+    /// Writes what is left of a request that another instance goes on with: the time until its deadline, and the event
+    /// after which a resumed stream continues.
+    fn write_rest(&self, headers: &mut HeaderMap, left_ms: u64, last_event: Option<u64>);
     /// Writes the name of the workspace that a request belongs to.
     fn write_workspace(&self, headers: &mut HeaderMap, name: &str);
     /// Parses the head of an answer.
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,15 +13,17 @@
 use crate::config::RouteKind;
 use crate::dialect::SendOptions;
 use crate::generation::generate;
+use crate::handover::{hand_over, is_handed_over, send_unless_cut_off};
 use crate::placement;
 use crate::relay::Relay;
 use crate::retry::{RetryContext, RetryDecision, SendFailure, decide, without_false_not_run};
-use crate::send::{CheckedAnswer, SendResult, note_response, send};
+use crate::send::{CheckedAnswer, SendResult, note_response};
+use crate::stream::{StreamOrigin, stream_answer};
 use crate::upstream::{InFlight, Upstream, Work};
 
 /// Longest answer that is buffered before it is forwarded, in bytes, so that the request can be
 /// retried if the answer ends early. Longer ones are streamed to save memory.
-const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
+pub const MAX_BUFFERED_BYTES: u64 = 256 * 1024;
 
 /// Serves one request and returns the head of its answer; the body may still be streamed.
 pub async fn forward(relay: &Rc<Relay>, call: Call) -> Response<AnswerBody> {
@@ -64,7 +66,12 @@
 
 /// Serves a request by the kind of its route.
 async fn serve_call(relay: &Rc<Relay>, call: &Rc<Call>) -> Result<Response<AnswerBody>, Refusal> {
-    relay.count_first_send(&call.service);
+    if is_handed_over(relay, call).await {
+        return hand_over(relay, call).await;
+    }
+    if !call.is_first_counted.replace(true) {
+        relay.count_first_send(&call.service);
+    }
     match &call.head.prompt {
         Some(prompt) if call.route.kind == RouteKind::Stream => generate(relay, call, prompt).await,
         _ => forward_plain(relay, call).await,
@@ -79,6 +86,9 @@
     let mut tried = Vec::new();
     let mut unreachable_upstreams = 0;
     loop {
+        if is_handed_over(relay, call).await {
+            return hand_over(relay, call).await;
+        }
         ensure_not_poison(relay, call).await?;
         let upstream = placement::choose_upstream(relay, call, &tried)?;
         tried.push(upstream.id.clone());
@@ -146,14 +156,19 @@
     upstream: &Rc<Upstream>,
     options: &SendOptions<'_>,
 ) -> SendResult {
-    let left_ms = call.left_ms(relay.now_ms());
+    let sent_ms = relay.now_ms();
+    let left_ms = call.left_ms(sent_ms);
     let has_other = call.route.is_retryable() && call.attempts.get() + 1 < call.route.max_attempts;
     let budget = AttemptTimeout::next(left_ms, 1).filter(|_| has_other);
+    let sending = send_unless_cut_off(relay, call, upstream, options);
     let Some(budget) = budget else {
-        return send(relay, call, upstream, options).await;
+        return sending.await;
     };
     let wait = Duration::from_millis(budget.timeout_ms);
-    let sent = actix_rt::time::timeout(wait, send(relay, call, upstream, options)).await;
+    let sent = actix_rt::time::timeout(wait, sending).await;
+    if relay.was_cut_off_since(&call.service, sent_ms) && sent.is_err() {
+        return SendResult::Lost("the path to the upstream was cut".to_owned());
+    }
     sent.unwrap_or_else(|_| {
         upstream.note_failure(relay.now_ms());
         SendResult::Lost(format!("nothing within {} ms", budget.timeout_ms))
@@ -181,7 +196,8 @@
     let upstream = Rc::clone(guard.upstream());
     let is_long = http_body::Body::size_hint(&body).lower() > MAX_BUFFERED_BYTES;
     let body = if is_long {
-        crate::stream::stream_answer(relay, call, body, checked.connection, guard)
+        let origin = StreamOrigin::Engine(guard);
+        stream_answer(relay, call, body, checked.connection, origin)
     } else {
         let collected = body.collect().await;
         let Ok(collected) = collected else {
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -11,12 +11,13 @@
 use crate::call::Call;
 use crate::dialect::{Prompt, PromptPart, SendOptions};
 use crate::forward::{buffer_or_stream, may_retry, retry_or_refuse};
+use crate::handover::{hand_over, is_handed_over, send_unless_cut_off};
 use crate::placement::{self, DecodePlacement, Placement};
 use crate::prefill::{PrefilledKv, prefill_separately};
 use crate::relay::Relay;
 use crate::retry::refuse_rejected;
-use crate::send::{SendResult, note_response, send};
-use crate::stream::StreamForwarder;
+use crate::send::{SendResult, note_response};
+use crate::stream::{StreamForwarder, StreamOrigin};
 use crate::upstream::{InFlight, MIN_CACHED_TOKENS, PrefillProgress, Upstream, Work};
 use crate::urgency::Urgency;
 
@@ -30,6 +31,9 @@
     let mut unreachable_upstreams = 0;
     let mut transferred = None;
     loop {
+        if is_handed_over(relay, call).await {
+            return hand_over(relay, call).await;
+        }
         ensure_not_poison(relay, call).await?;
         let (decode, kv) = match transferred.take() {
             // An engine that rejected the request did not fetch the KV cache, so it can be used
@@ -41,6 +45,9 @@
             None => place_and_prefill(relay, call, prompt, &tried).await?,
         };
         ensure_not_poison(relay, call).await?;
+        if is_handed_over(relay, call).await {
+            return hand_over(relay, call).await;
+        }
         // Nothing has run yet, but a failed separate prefill has reached the service and counts as a
         // send.
         if !relay.may_send(call) {
@@ -51,7 +58,11 @@
         tried.push(decode.engine.id.clone());
         let failure = match sent {
             SendResult::Answer(checked) if checked.response.status() == StatusCode::OK => {
-                return Ok(StreamForwarder::start(relay, call, *checked, guard, tried));
+                let exchanged = (checked.response, checked.connection);
+                let origin = StreamOrigin::Engine(guard);
+                return Ok(StreamForwarder::start(
+                    relay, call, exchanged, origin, tried,
+                ));
             }
             SendResult::Answer(checked) => {
                 // If no other engine can answer, the caller gets this error, which is more specific
@@ -157,7 +168,7 @@
             is_transferred,
         },
     );
-    let mut sent = send(relay, call, engine, &options).await;
+    let mut sent = send_unless_cut_off(relay, call, engine, &options).await;
     awaited.end();
     if let Some(kv) = kv {
         match sent {
@@ -172,7 +183,7 @@
                 options.kv = None;
                 is_transferred = false;
                 options.deadline_ms = call.left_ms(relay.now_ms());
-                sent = send(relay, call, engine, &options).await;
+                sent = send_unless_cut_off(relay, call, engine, &options).await;
             }
             SendResult::NotRun(_) | SendResult::Unsent(_) => {}
         }
@@ -189,15 +200,17 @@
                 load = engine.load(relay.now_ms()); "generation started"
             );
         }
-        relay.estimates.observe_first_event(
-            relay.now_ms(),
-            &call.service,
-            &first,
-            is_transferred,
-            took_ms,
-        );
-        let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
-        engine.note_answer(relay.now_ms(), predicted_ms, took_ms);
+        if !relay.was_cut_off_since(&call.service, began_ms) {
+            relay.estimates.observe_first_event(
+                relay.now_ms(),
+                &call.service,
+                &first,
+                is_transferred,
+                took_ms,
+            );
+            let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
+            engine.note_answer(relay.now_ms(), predicted_ms, took_ms);
+        }
     }
     (sent, guard, is_transferred)
 }
--- /dev/null
+++ b/crates/relay/src/handover.rs
@@ -0,0 +1,423 @@
+//! Hands requests over to peers while this instance is cut off from upstreams, and takes over those of peers.
+//!
+//! A request goes one hop at most, as its caller sent it, with the time that is left and what was spent on it. The peer
+//! admits, places, retries and counts it like one of its own callers'. See docs/design/reachability.md.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
+use http_body_util::BodyExt;
+use plan::{AttemptTimeout, ReachState};
+use view::{InstanceKey, Member, ServiceKey};
+
+use crate::answer::{AnswerBody, Reason, Refusal};
+use crate::call::{Call, strip_hop_by_hop};
+use crate::config::RouteKind;
+use crate::dialect::SendOptions;
+use crate::forward::{MAX_BUFFERED_BYTES, may_retry};
+use crate::helpers::{accepts, helpers};
+use crate::pool::{ExchangeError, Exchanged, Pool, exchange};
+use crate::reachability::{cut_off_from, settle};
+use crate::relay::{Phase, Relay};
+use crate::send::{SendResult, send};
+use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
+use crate::upstream::Upstream;
+
+/// Header with which an instance hands a request over: what was spent on it, and the instance's name.
+const HANDOVER: HeaderName = HeaderName::from_static("relay-handover");
+
+/// Header of an answer with which an instance refuses a request that was handed over to it, with the reason's label.
+const REFUSED: HeaderName = HeaderName::from_static("relay-refused");
+
+/// Peers that a request is handed over to, one after the other, until one takes it.
+const MAX_HELPERS: usize = 3;
+
+/// Connections to one peer for requests that are handed over.
+const MAX_CONNECTIONS: usize = 256;
+
+/// Retry delay sent to a caller whose request no peer took, in ms: a few gossip periods.
+const CUT_OFF_RETRY_MS: u64 = 300;
+
+/// What was spent on a request before it was handed over.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Spent {
+    /// Upstreams that it was sent to.
+    pub attempts: u32,
+    /// Its arrivals at the service, as the retry budget counts them.
+    pub arrivals: u32,
+    /// Sends that may have run.
+    pub possible_runs: u32,
+    /// Whether a separate prefill was accepted.
+    pub is_prefill_accepted: bool,
+    /// Whether its first send was counted for the retry budget.
+    pub is_first_counted: bool,
+}
+
+/// A request that a peer hands over.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Handover {
+    /// What the peer spent on it.
+    pub spent: Spent,
+    /// Name of the peer.
+    pub from: String,
+}
+
+/// Error of a handover header that cannot be parsed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
+#[display("header {HANDOVER}: malformed")]
+pub struct MalformedHandover;
+
+impl Handover {
+    /// Takes the header out of a request's head; none if the request was not handed over.
+    pub fn take(headers: &mut HeaderMap) -> Option<Result<Self, MalformedHandover>> {
+        let value = headers.remove(HANDOVER)?;
+        Some(Self::parse(&value).ok_or(MalformedHandover))
+    }
+
+    fn parse(value: &HeaderValue) -> Option<Self> {
+        let mut parts = value.to_str().ok()?.splitn(6, ',');
+        let mut number = || parts.next()?.parse::<u32>().ok();
+        let spent = Spent {
+            attempts: number()?,
+            arrivals: number()?,
+            possible_runs: number()?,
+            is_prefill_accepted: number()? > 0,
+            is_first_counted: number()? > 0,
+        };
+        let from = parts.next()?.to_owned();
+        Some(Self { spent, from })
+    }
+
+    fn header(&self) -> Option<HeaderValue> {
+        let spent = &self.spent;
+        let text = format!(
+            "{},{},{},{},{},{}",
+            spent.attempts,
+            spent.arrivals,
+            spent.possible_runs,
+            u32::from(spent.is_prefill_accepted),
+            u32::from(spent.is_first_counted),
+            self.from
+        );
+        HeaderValue::from_str(&text).ok()
+    }
+}
+
+/// Connections to peers, and the requests of peers that are served here now.
+#[derive(Default)]
+pub struct Handovers {
+    pools: RefCell<HashMap<SocketAddr, Rc<Pool>>>,
+    handed_over: RefCell<HashMap<SocketAddr, usize>>,
+    taken_over: Rc<Cell<usize>>,
+}
+
+/// Counts a request for as long as it is at a peer.
+pub struct AtPeer {
+    relay: Rc<Relay>,
+    /// Name of the peer.
+    pub name: String,
+    address: SocketAddr,
+}
+
+impl AtPeer {
+    fn begin(relay: &Rc<Relay>, peer: &Peer) -> Self {
+        let mut counts = relay.handovers.handed_over.borrow_mut();
+        *counts.entry(peer.address).or_default() += 1;
+        Self {
+            relay: Rc::clone(relay),
+            name: peer.name.clone(),
+            address: peer.address,
+        }
+    }
+}
+
+impl Drop for AtPeer {
+    fn drop(&mut self) {
+        let mut counts = self.relay.handovers.handed_over.borrow_mut();
+        let count = counts.get(&self.address).copied().unwrap_or_default();
+        if count <= 1 {
+            counts.remove(&self.address);
+        } else {
+            counts.insert(self.address, count - 1);
+        }
+    }
+}
+
+/// A peer that may take requests over.
+struct Peer {
+    name: String,
+    address: SocketAddr,
+}
+
+impl Relay {
+    /// The peer that has the fewest requests of this instance, of those that may take one over.
+    fn choose_helper(&self, service: &str, tried: &[String]) -> Option<Peer> {
+        let key = ServiceKey::of(service);
+        let cut_off = self.gossip.borrow();
+        let cut_off = cut_off.cut_off().filter(|each| each.service == key);
+        let cut_off: HashSet<InstanceKey> = cut_off.map(|each| each.instance).collect();
+        let own = self.own_member();
+        let members = self.members.borrow();
+        let counts = self.handovers.handed_over.borrow();
+        let in_use = |member: &&Member| {
+            let count = member.gossip_address.and_then(|it| counts.get(&it));
+            count.copied().unwrap_or_default()
+        };
+        let all = helpers(members.reachable(), &own, &cut_off);
+        let free = all
+            .into_iter()
+            .filter(|member| !tried.contains(&member.name));
+        let chosen = free.min_by_key(in_use)?;
+        Some(Peer {
+            name: chosen.name.clone(),
+            address: chosen.gossip_address?,
+        })
+    }
+
+    fn handover_pool(&self, address: SocketAddr) -> Rc<Pool> {
+        let mut pools = self.handovers.pools.borrow_mut();
+        let new_pool = || Pool::new(address, self.clock);
+        Rc::clone(pools.entry(address).or_insert_with(new_pool))
+    }
+
+    /// Begins to serve a request of a peer, or refuses it if this instance is stopping or serves too many.
+    pub(crate) fn begin_taken_over(&self) -> Result<TakenOver, Refusal> {
+        let taken_over = &self.handovers.taken_over;
+        let own = self.in_flight.get().saturating_sub(taken_over.get());
+        if self.phase() != Phase::Serving || !accepts(own, taken_over.get()) {
+            return Err(Refusal::new(Reason::HelperBusy));
+        }
+        taken_over.set(taken_over.get() + 1);
+        Ok(TakenOver(Rc::clone(taken_over)))
+    }
+}
+
+/// Counts a request of a peer for as long as it is served here.
+pub struct TakenOver(Rc<Cell<usize>>);
+
+impl Drop for TakenOver {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
+}
+
+/// Tells the peer that handed a request over if this instance refused it.
+pub(crate) fn mark_refusal<B>(response: &mut Response<B>) {
+    let Some(refusal) = response.extensions().get::<Refusal>() else {
+        return;
+    };
+    let label = HeaderValue::from_static(refusal.reason.label());
+    response.headers_mut().insert(REFUSED, label);
+}
+
+/// Whether a request is to be handed over, once it is known whether this instance is cut off.
+///
+/// While that is in doubt, sending it would be in vain, and one that may not be repeated would be lost.
+pub async fn is_handed_over(relay: &Relay, call: &Call) -> bool {
+    if relay.reach_state(&call.service) == ReachState::Suspected {
+        settle(relay, &call.service).await;
+    }
+    relay.is_cut_off(&call.service)
+}
+
+/// Sends a request to an upstream, and gives it up if this instance is cut off from it before anything came back and
+/// the request may be repeated.
+pub async fn send_unless_cut_off(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    upstream: &Rc<Upstream>,
+    options: &SendOptions<'_>,
+) -> SendResult {
+    let sent_ms = relay.now_ms();
+    let sent = tokio::select! {
+        sent = send(relay, call, upstream, options) => sent,
+        () = cut_off_from(relay, upstream, sent_ms), if call.route.is_retryable() => {
+            SendResult::Lost("the path to the upstream was cut".to_owned())
+        }
+    };
+    if let SendResult::Unsent(ExchangeError::Connect { .. }) = &sent {
+        settle(relay, &call.service).await;
+    }
+    sent
+}
+
+/// Result of handing a request over to one peer.
+enum Handed {
+    /// The peer answered, also with a refusal of its own that stands.
+    Answered(Box<Exchanged>),
+    /// The peer did not take the request.
+    NotTaken(String),
+    /// The request may have run, and there is no answer.
+    Lost(String),
+}
+
+/// Has a peer serve a request, or refuses it if none takes it.
+pub async fn hand_over(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    if call.is_taken_over.get() {
+        return Err(Refusal::new(Reason::CutOff));
+    }
+    let (exchanged, at_peer) = hand_over_from(relay, call, call.head.last_event).await?;
+    let (response, connection) = exchanged;
+    let refused = response.headers().contains_key(REFUSED);
+    let is_stream = call.route.kind == RouteKind::Stream && response.status().is_success();
+    if is_stream && !refused {
+        let origin = StreamOrigin::Peer(at_peer);
+        return Ok(StreamForwarder::start(
+            relay,
+            call,
+            (response, connection),
+            origin,
+            Vec::new(),
+        ));
+    }
+    pass_on(relay, call, (response, connection), at_peer).await
+}
+
+/// Hands a request over to one peer after the other until one answers; `last_event` is the last event that its caller
+/// has of a stream.
+pub async fn hand_over_from(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    last_event: Option<u64>,
+) -> Result<(Exchanged, AtPeer), Refusal> {
+    let mut tried = Vec::new();
+    while tried.len() < MAX_HELPERS {
+        let Some(peer) = relay.choose_helper(&call.service, &tried) else {
+            break;
+        };
+        tried.push(peer.name.clone());
+        let at_peer = AtPeer::begin(relay, &peer);
+        let spent = call.spent();
+        let handed = exchange_with_peer(relay, call, &peer, last_event).await;
+        match handed {
+            Handed::Answered(exchanged) => {
+                call.is_handed_over.set(true);
+                count(relay, call, "answered");
+                return Ok((*exchanged, at_peer));
+            }
+            Handed::NotTaken(why) => {
+                call.attempts.set(spent.attempts);
+                call.possible_runs.set(spent.possible_runs);
+                count(relay, call, "not_taken");
+                log_failure(relay, call, &peer, &why);
+            }
+            Handed::Lost(why) => {
+                count(relay, call, "lost");
+                log_failure(relay, call, &peer, &why);
+                if !call.route.is_retryable() || !may_retry(relay, call) {
+                    return Err(Refusal::new(Reason::Lost));
+                }
+            }
+        }
+    }
+    count(relay, call, "no_peer");
+    Err(Refusal::with_retry_after(Reason::CutOff, CUT_OFF_RETRY_MS))
+}
+
+/// Sends a request to one peer. It counts as sent until the peer says that it did not take it.
+async fn exchange_with_peer(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    peer: &Peer,
+    last_event: Option<u64>,
+) -> Handed {
+    let handover = Handover {
+        spent: call.spent(),
+        from: relay.settings.borrow().name.clone(),
+    };
+    let Some(value) = handover.header() else {
+        return Handed::NotTaken("the instance's name is no valid header value".to_owned());
+    };
+    let mut request = call.handover_request(last_event);
+    request.headers_mut().insert(HANDOVER, value);
+    call.attempts.set(call.attempts.get() + 1);
+    call.possible_runs.set(call.possible_runs.get() + 1);
+    call.current_upstream.borrow_mut().clone_from(&peer.name);
+    let pool = relay.handover_pool(peer.address);
+    let left_ms = call.left_ms(relay.now_ms());
+    let has_other = call.route.is_retryable() && call.attempts.get() < call.route.max_attempts;
+    let timeout_ms = AttemptTimeout::next(left_ms, 1)
+        .filter(|_| has_other)
+        .map_or(left_ms, |it| it.timeout_ms);
+    let exchanged = exchange(&pool, MAX_CONNECTIONS, request);
+    let timeout = Duration::from_millis(timeout_ms);
+    let exchanged = match actix_rt::time::timeout(timeout, exchanged).await {
+        Ok(Ok(exchanged)) => exchanged,
+        Ok(Err(error @ ExchangeError::Lost { .. })) => return Handed::Lost(error.to_string()),
+        Ok(Err(error)) => return Handed::NotTaken(error.to_string()),
+        Err(_) => return Handed::Lost(format!("nothing within {timeout_ms} ms")),
+    };
+    let label = exchanged.0.headers().get(REFUSED);
+    let label = label.and_then(|label| label.to_str().ok());
+    match label.filter(|label| is_refused_by_peer_alone(label)) {
+        Some(label) => Handed::NotTaken(label.to_owned()),
+        None => Handed::Answered(Box::new(exchanged)),
+    }
+}
+
+/// Whether another peer may serve a request that a peer refused for this reason.
+fn is_refused_by_peer_alone(label: &str) -> bool {
+    let alone = [
+        Reason::CutOff,
+        Reason::HelperBusy,
+        Reason::NoConfig,
+        Reason::NoRoute,
+        Reason::NoKey,
+    ];
+    alone.iter().any(|reason| reason.label() == label)
+}
+
+/// Passes on a peer's answer, whole if it is short.
+async fn pass_on(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    (response, connection): Exchanged,
+    at_peer: AtPeer,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let (mut head, body) = response.into_parts();
+    strip_hop_by_hop(&mut head.headers, |_| false);
+    let is_refusal = head.headers.remove(REFUSED).is_some();
+    let is_long = http_body::Body::size_hint(&body).lower() > MAX_BUFFERED_BYTES;
+    let body = if is_long {
+        stream_answer(relay, call, body, connection, StreamOrigin::Peer(at_peer))
+    } else {
+        let Ok(collected) = body.collect().await else {
+            return Err(Refusal::new(Reason::Lost));
+        };
+        head.headers.remove(header::CONTENT_LENGTH);
+        connection.release();
+        AnswerBody::whole(collected.to_bytes())
+    };
+    call.is_finished.set(true);
+    call.count_end("handed_over");
+    if relay.success_log_limit.take(relay.now_ms()) {
+        log::info!(
+            request = call.id(), route = call.route.name, service = call.service,
+            to = call.current_upstream.borrow().as_str(), status = head.status.as_u16(), is_refusal,
+            took_ms = relay.now_ms() - call.arrived_ms;
+            "request served by another instance: this one is cut off from upstreams"
+        );
+    }
+    Ok(Response::from_parts(head, body))
+}
+
+fn count(relay: &Relay, call: &Call, outcome: &str) {
+    let labels = [call.service.as_str(), outcome];
+    relay.metrics.handed_over.with_label_values(&labels).inc();
+}
+
+fn log_failure(relay: &Relay, call: &Call, peer: &Peer, why: &str) {
+    if relay.failure_log_limit.take(relay.now_ms()) {
+        log::info!(
+            request = call.id(), key:% = call.key, service = call.service, to = peer.name, why;
+            "request not taken over by another instance"
+        );
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,8 @@
 pub mod forward;
 pub mod generation;
 pub mod gossip;
+pub mod handover;
+pub mod helpers;
 pub mod listener;
 pub mod logging;
 pub mod metrics;
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -21,6 +21,7 @@
 use crate::call::{Call, host};
 use crate::config::Limits;
 use crate::forward::forward;
+use crate::handover::{Handover, mark_refusal};
 use crate::relay::{Phase, Relay};
 
 /// Length of the accept queue, so that a burst of new connections is not refused.
@@ -129,13 +130,13 @@
     let mut response = match kind {
         ListenerKind::Callers => {
             let active = ActiveRequest::enter(&relay.in_flight);
-            let mut response = serve_caller(relay, request).await;
-            response.body_mut().track(active);
+            let mut response = serve_request(relay, request, None).await;
+            response.body_mut().track(active, None);
             response
         }
         ListenerKind::Directory => directory_response(relay, &request),
         ListenerKind::Readiness => empty_response(ready_status(relay, request.uri().path())),
-        ListenerKind::Peers => state_response(relay, request.uri().path()),
+        ListenerKind::Peers => respond_to_peer(relay, request).await,
         ListenerKind::Metrics => full_response(relay.metrics_text(), "text/plain; version=0.0.4"),
     };
     if relay.phase() >= Phase::Leaving {
@@ -145,6 +146,32 @@
     response
 }
 
+/// Answers a peer: with the state of this instance, or to a request that the peer hands over.
+async fn respond_to_peer(
+    relay: &Rc<Relay>,
+    mut request: Request<Incoming>,
+) -> Response<AnswerBody> {
+    let handover = match Handover::take(request.headers_mut()) {
+        None => return state_response(relay, request.uri().path()),
+        Some(Ok(handover)) => handover,
+        Some(Err(error)) => {
+            log::warn!(error:%; "request of a peer could not be decoded");
+            return empty_response(StatusCode::BAD_REQUEST);
+        }
+    };
+    let active = ActiveRequest::enter(&relay.in_flight);
+    let mut response = match relay.begin_taken_over() {
+        Ok(taken_over) => {
+            let mut response = serve_request(relay, request, Some(handover)).await;
+            response.body_mut().track(active, Some(taken_over));
+            response
+        }
+        Err(refusal) => refuse(relay, refusal),
+    };
+    mark_refusal(&mut response);
+    response
+}
+
 fn state_response(relay: &Relay, path: &str) -> Response<AnswerBody> {
     if path != crate::snapshot::PATH {
         return empty_response(StatusCode::NOT_FOUND);
@@ -177,9 +204,10 @@
         .dialect
         .parse_caller_zone(request.uri().query().unwrap_or(""));
     let own = relay.own_member();
+    let cut_off = relay.fully_cut_off();
     let members = relay.members.borrow();
     let reachable = members.reachable();
-    let addresses = crate::directory::addresses(reachable, &own, zone.as_deref());
+    let addresses = crate::directory::addresses(reachable, &own, zone.as_deref(), &cut_off);
     if addresses.is_empty() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
@@ -190,8 +218,12 @@
     )
 }
 
-/// Reads and admits a caller's request, and forwards it.
-async fn serve_caller(relay: &Rc<Relay>, request: Request<Incoming>) -> Response<AnswerBody> {
+/// Reads and admits a request of a caller, which a peer may have handed over, and forwards it.
+async fn serve_request(
+    relay: &Rc<Relay>,
+    request: Request<Incoming>,
+    handover: Option<Handover>,
+) -> Response<AnswerBody> {
     let arrived_ms = relay.now_ms();
     let (parts, body) = request.into_parts();
     let head = relay.dialect.parse_request_head(&parts.headers);
@@ -241,6 +273,18 @@
     let Some(call) = call else {
         return refuse(relay, Refusal::new(Reason::NoUpstream));
     };
+    if let Some(handover) = handover {
+        call.take_over(&handover.spent);
+        let labels = [call.service.as_str()];
+        relay.metrics.taken_over.with_label_values(&labels).inc();
+        if relay.success_log_limit.take(relay.now_ms()) {
+            log::info!(
+                request = call.id(), route = call.route.name, service = call.service, from = handover.from,
+                attempts = handover.spent.attempts;
+                "request taken over from another instance: that one is cut off from upstreams"
+            );
+        }
+    }
     forward(relay, call).await
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -33,6 +33,10 @@
     generations: IntCounterVec,
     /// Whether this instance is cut off from the upstreams of a service, by service.
     pub cut_off: IntGaugeVec,
+    /// Requests handed over to peers by service and outcome.
+    pub handed_over: IntCounterVec,
+    /// Requests taken over from peers by service.
+    pub taken_over: IntCounterVec,
     /// Learned times of engines by service, in seconds.
     pub learned_s: GaugeVec,
     /// Answers from which they were learned.
@@ -157,6 +161,16 @@
                 "Whether no upstream of a service is reached while peers reach them.",
                 &["service"],
             ),
+            handed_over: all.counter(
+                "handed_over_total",
+                "Requests handed over to peers.",
+                &["service", "outcome"],
+            ),
+            taken_over: all.counter(
+                "taken_over_total",
+                "Requests taken over from peers.",
+                &["service"],
+            ),
             learned_s: all.float_gauges(
                 "learned_seconds",
                 "Learned times of engines.",
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -177,7 +177,8 @@
     prompt: &Prompt,
     tried: &[String],
 ) -> Result<Placement, Refusal> {
-    if tried.is_empty() {
+    // The demand of a request that was placed at a peer before is counted there.
+    if tried.is_empty() && !(call.is_taken_over.get() && call.is_first_counted.get()) {
         record_demand(relay, call, prompt);
     }
     let goal_ms = call.route.goal_ms as f64;
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -17,6 +17,7 @@
 use crate::generation::record_cached_parts;
 use crate::placement::PrefillPlacement;
 use crate::pool::{ExchangeError, PooledConnection, exchange};
+use crate::reachability::cut_off_from;
 use crate::relay::Relay;
 use crate::send::{
     exchange_with, is_no_capacity, note_exchange_error, note_misdirected, note_response_head,
@@ -162,6 +163,10 @@
     };
     let kv = tokio::select! {
         kv = prefill => kv,
+        () = cut_off_from(relay, engine, began_ms) => {
+            log_not_prefilled(relay, call, engine, "the path to the engine was cut");
+            None
+        }
         () = overdue(engine, &guard, read_ms) => {
             log_not_prefilled(relay, call, engine, "no answer, although the engine has no other prefill work");
             None
@@ -185,10 +190,12 @@
             elapsed_ms: took_ms,
             ..sample
         };
-        relay
-            .estimates
-            .observe_prefill(relay.now_ms(), &call.service, &sample);
-        engine.note_answer(relay.now_ms(), read_ms, took_ms);
+        if !relay.was_cut_off_since(&call.service, began_ms) {
+            relay
+                .estimates
+                .observe_prefill(relay.now_ms(), &call.service, &sample);
+            engine.note_answer(relay.now_ms(), read_ms, took_ms);
+        }
         let labels = [call.service.as_str()];
         let histogram = relay.metrics.prefill_s.with_label_values(&labels);
         histogram.observe(took_ms / 1_000.0);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -23,6 +23,7 @@
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
 use crate::estimates::Estimates;
+use crate::handover::Handovers;
 use crate::logging::{LogRateLimit, lines_dropped};
 use crate::metrics::Metrics;
 use crate::reachability::Reachability;
@@ -115,6 +116,8 @@
     pub singleton_tasks: SingletonTasks,
     /// Paths to the upstreams of each service.
     pub(crate) reachability: Reachability,
+    /// Requests handed over to peers and taken over from them.
+    pub(crate) handovers: Handovers,
     /// Log position up to which the list of upstreams was applied.
     pub list_position: RefCell<LogFollower>,
     /// Entries of the list as last read, to distinguish real changes from heartbeats.
@@ -155,6 +158,7 @@
             role_orders,
             singleton_tasks,
             reachability: Reachability::default(),
+            handovers: Handovers::default(),
             list_position: RefCell::new(LogFollower::new(own)),
             last_listed: RefCell::default(),
             config_position: RefCell::new(LogFollower::new(own)),
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -124,7 +124,12 @@
             |log: &RefCell<LogFollower>| log.borrow().position(since_boot_ms, reads_for_others);
         LocalState {
             member: self.own_member(),
-            loads: upstreams.iter().filter_map(|it| it.outstanding()).collect(),
+            loads: upstreams
+                .iter()
+                // What hangs at upstreams that this instance does not reach is no load there.
+                .filter(|it| !self.is_cut_off(&it.service))
+                .filter_map(|it| it.outstanding())
+                .collect(),
             prefilled_parts: self.unannounced_parts.take(),
             role_changes: upstreams
                 .iter()
--- a/crates/relay/src/role_orders.rs
+++ b/crates/relay/src/role_orders.rs
@@ -163,12 +163,14 @@
 }
 
 /// Fencing token of the last order that this instance gave, or 0; none if it may not give the next one. Only
-/// hubs may, since they know the demand of the whole fleet, and only while they reach the store.
+/// hubs may, since they know the demand of the whole fleet, and only while they reach the store and all services.
 pub fn leader_fence(relay: &Relay, reader_role: ReaderRole) -> Option<u64> {
     let is_alone = !relay.members.borrow().has_members();
     let knows_demand = reader_role <= ReaderRole::Hub || is_alone;
-    let may_lead =
-        relay.is_ready() && knows_demand && !relay.role_orders.last_store_call_failed.get();
+    let may_lead = relay.is_ready()
+        && knows_demand
+        && !relay.role_orders.last_store_call_failed.get()
+        && relay.cut_off_services().is_empty();
     may_lead.then(|| relay.role_orders.last_fence.get())
 }
 
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -90,7 +90,10 @@
             let settings = relay.settings.borrow().singleton_tasks;
             relay.singleton_tasks.count_started(settings, call);
             let took_ms = (relay.now_ms() - began_ms) as f64;
-            if call.route.kind != RouteKind::Stream && checked.response.status().is_success() {
+            if relay.was_cut_off_since(&call.service, began_ms) {
+                // The answer waited for the path, not for the upstream.
+            } else if call.route.kind != RouteKind::Stream && checked.response.status().is_success()
+            {
                 let usual_ms = upstream.answer_ms().max(DEFAULT_ANSWER_MS);
                 upstream.note_answer(relay.now_ms(), usual_ms, took_ms);
             } else if checked.response.status().is_server_error() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,11 +15,12 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::dialect::{Prompt, SendOptions};
 use crate::forward::{count_answer, may_retry};
+use crate::handover::{AtPeer, hand_over_from, is_handed_over};
 use crate::placement;
-use crate::pool::PooledConnection;
+use crate::pool::{Exchanged, PooledConnection};
 use crate::relay::Relay;
 use crate::retry::MAX_UNREACHABLE;
-use crate::send::{CheckedAnswer, SendResult, send};
+use crate::send::{SendResult, send};
 use crate::sse::EventSplitter;
 use crate::upstream::{InFlight, Work};
 use crate::urgency::Urgency;
@@ -35,7 +36,7 @@
 pub struct StreamForwarder {
     relay: Rc<Relay>,
     call: Rc<Call>,
-    source: Option<EngineStream>,
+    source: Option<StreamSource>,
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     last_event: Option<u64>,
@@ -45,16 +46,59 @@
     longest_gap_ms: u64,
 }
 
-/// The part of a stream that comes from one engine.
-struct EngineStream {
+/// Where a stream comes from.
+pub enum StreamOrigin {
+    /// An engine.
+    Engine(InFlight),
+    /// A peer that serves the request for this instance.
+    Peer(AtPeer),
+}
+
+impl StreamOrigin {
+    /// Name of the engine or the peer.
+    fn name(&self) -> &str {
+        match self {
+            Self::Engine(guard) => &guard.upstream().id,
+            Self::Peer(at_peer) => &at_peer.name,
+        }
+    }
+
+    fn note_activity(&self, now_ms: u64) {
+        if let Self::Engine(guard) = self {
+            guard.upstream().note_activity(now_ms);
+        }
+    }
+
+    fn note_failure(&self, now_ms: u64) {
+        if let Self::Engine(guard) = self {
+            guard.upstream().note_failure(now_ms);
+        }
+    }
+
+    /// Reports a lost connection to the failure attribution; the peer does so for its own.
+    fn note_lost_answer(&self, relay: &Rc<Relay>, call: &Call) {
+        if let Self::Engine(guard) = self {
+            note_lost_answer(relay, call, guard.upstream());
+        }
+    }
+
+    fn record_answered(&self, relay: &Relay, call: &Call) {
+        if let Self::Engine(_) = self {
+            relay.record_answered(call);
+        }
+    }
+}
+
+/// The part of a stream that comes from one engine or peer.
+struct StreamSource {
     body: Incoming,
     connection: PooledConnection,
-    guard: InFlight,
+    origin: StreamOrigin,
 }
 
 /// Result of resuming a stream at another engine.
 enum Resumed {
-    Streaming(EngineStream),
+    Streaming(StreamSource),
     /// Nothing reached the engine.
     Unsent,
     Failed,
@@ -74,11 +118,11 @@
     pub fn start(
         relay: &Rc<Relay>,
         call: &Rc<Call>,
-        checked: CheckedAnswer,
-        guard: InFlight,
+        (response, connection): Exchanged,
+        origin: StreamOrigin,
         tried: Vec<String>,
     ) -> Response<AnswerBody> {
-        let (mut head, body) = checked.response.into_parts();
+        let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers, |_| false);
         if call.route.is_retryable() {
             // The rest may come from another engine and differ in length.
@@ -94,10 +138,10 @@
         let forwarder = Self {
             relay: Rc::clone(relay),
             call: Rc::clone(call),
-            source: Some(EngineStream {
+            source: Some(StreamSource {
                 body,
-                connection: checked.connection,
-                guard,
+                connection,
+                origin,
             }),
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
@@ -206,25 +250,25 @@
         self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_ms);
         self.last_ms = now_ms;
         if let Some(source) = &self.source {
-            source.guard.upstream().note_activity(now_ms);
+            source.origin.note_activity(now_ms);
         }
     }
 
     /// Reports the lost connection to the failure attribution.
     fn note_lost_answer(&self) {
         if let Some(source) = &self.source {
-            note_lost_answer(&self.relay, &self.call, source.guard.upstream());
+            source.origin.note_lost_answer(&self.relay, &self.call);
         }
     }
 
     /// Resumes the stream at another engine, after the last complete event.
     async fn resume_elsewhere(&mut self, why: &str) -> Result<(), TruncatedAnswer> {
         if let Some(source) = self.source.take() {
-            source.guard.upstream().note_failure(self.relay.now_ms());
+            source.origin.note_failure(self.relay.now_ms());
             if self.relay.failure_log_limit.take(self.relay.now_ms()) {
                 log::info!(
                     request = self.call.id(), key:% = self.call.key,
-                    upstream = source.guard.upstream().id, why, last_event = self.last_event.unwrap_or(0);
+                    upstream = source.origin.name(), why, last_event = self.last_event.unwrap_or(0);
                     "stream interrupted"
                 );
             }
@@ -242,7 +286,12 @@
         }
         // An engine that was not reached, or began to leave before the request was sent, costs no attempt.
         for _ in 0..MAX_UNREACHABLE {
-            match self.resume_at_best(&call, prompt).await {
+            let resumed = if is_handed_over(&self.relay, &call).await {
+                self.resume_at_peer(&call).await
+            } else {
+                self.resume_at_best(&call, prompt).await
+            };
+            match resumed {
                 Resumed::Streaming(source) => {
                     self.source = Some(source);
                     return Ok(());
@@ -254,6 +303,31 @@
         Err(self.fail(why))
     }
 
+    /// Has a peer serve the rest of the stream, since this instance is cut off from the engines.
+    async fn resume_at_peer(&mut self, call: &Rc<Call>) -> Resumed {
+        if call.is_taken_over.get() {
+            return Resumed::Failed;
+        }
+        let left = Duration::from_millis(call.left_ms(self.relay.now_ms()));
+        let resumed = hand_over_from(&self.relay, call, self.last_event);
+        let Ok(Ok(((response, connection), at_peer))) =
+            actix_rt::time::timeout(left, resumed).await
+        else {
+            return Resumed::Failed;
+        };
+        if response.status() != StatusCode::OK {
+            return Resumed::Failed;
+        }
+        if self.relay.failure_log_limit.take(self.relay.now_ms()) {
+            log::info!(request = call.id(), to = at_peer.name; "stream resumed by another instance");
+        }
+        Resumed::Streaming(StreamSource {
+            body: response.into_body(),
+            connection,
+            origin: StreamOrigin::Peer(at_peer),
+        })
+    }
+
     /// Sends the request for the rest of the stream to the best engine that was not tried yet.
     async fn resume_at_best(&mut self, call: &Rc<Call>, prompt: &Prompt) -> Resumed {
         let Ok(placement) = placement::choose_decode_engine(
@@ -295,10 +369,10 @@
                 if self.relay.failure_log_limit.take(self.relay.now_ms()) {
                     log::info!(request = call.id(), upstream = engine.id; "stream resumed at another engine");
                 }
-                Resumed::Streaming(EngineStream {
+                Resumed::Streaming(StreamSource {
                     body: checked.response.into_body(),
                     connection: checked.connection,
-                    guard,
+                    origin: StreamOrigin::Engine(guard),
                 })
             }
             Ok(SendResult::Unsent(_)) => Resumed::Unsent,
@@ -309,17 +383,26 @@
     /// Counts and logs a complete stream, and releases its connection.
     fn finish(&mut self, status: &str) {
         self.call.is_finished.set(true);
-        self.call.count_end(status);
         let route = &self.call.route;
         let first_ms = self.call.prior_wait_ms + self.first_ms;
         let in_time = first_ms <= route.goal_ms && self.longest_gap_ms <= route.gap_goal_ms;
-        count_answer(&self.relay, &self.call, in_time);
-        self.relay.record_answered(&self.call);
+        let is_from_peer = matches!(
+            &self.source,
+            Some(source) if matches!(source.origin, StreamOrigin::Peer(_))
+        );
+        if is_from_peer {
+            // The peer counts the answer.
+            self.call.count_end("handed_over");
+        } else {
+            self.call.count_end(status);
+            count_answer(&self.relay, &self.call, in_time);
+        }
         if let Some(source) = self.source.take() {
+            source.origin.record_answered(&self.relay, &self.call);
             if self.relay.success_log_limit.take(self.relay.now_ms()) {
                 log::info!(
                     request = self.call.id(), route = route.name, workspace = self.call.workspace_name(),
-                    upstream = source.guard.upstream().id,
+                    upstream = source.origin.name(), is_from_peer,
                     first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time;
                     "stream finished"
                 );
@@ -351,21 +434,21 @@
     call: &Rc<Call>,
     body: Incoming,
     connection: PooledConnection,
-    guard: InFlight,
+    origin: StreamOrigin,
 ) -> AnswerBody {
     struct State {
         relay: Rc<Relay>,
         call: Rc<Call>,
         body: Incoming,
         connection: PooledConnection,
-        guard: InFlight,
+        origin: StreamOrigin,
     }
     let state = State {
         relay: Rc::clone(relay),
         call: Rc::clone(call),
         body,
         connection,
-        guard,
+        origin,
     };
     let frames = unfold(Some(state), |state| async move {
         let mut state = state?;
@@ -376,19 +459,18 @@
             }
             Ok(None) => {
                 state.connection.release();
-                state.relay.record_answered(&state.call);
+                state.origin.record_answered(&state.relay, &state.call);
                 return None;
             }
             Ok(Some(Err(error))) => {
-                note_lost_answer(&state.relay, &state.call, state.guard.upstream());
+                state.origin.note_lost_answer(&state.relay, &state.call);
                 error.to_string()
             }
             Err(_) => "out of time".to_owned(),
         };
         if state.relay.failure_log_limit.take(state.relay.now_ms()) {
-            let upstream = state.guard.upstream();
             log::info!(
-                request = state.call.id(), key:% = state.call.key, upstream = upstream.id, why;
+                request = state.call.id(), key:% = state.call.key, upstream = state.origin.name(), why;
                 "answer ended early"
             );
         }
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -101,6 +101,14 @@
         }
     }
 
+    fn write_rest(&self, headers: &mut HeaderMap, left_ms: u64, last_event: Option<u64>) {
+        let put = |value: u64| HeaderValue::from_str(&value.to_string()).expect("a valid value");
+        headers.insert("x-left-ms", put(left_ms));
+        if let Some(last_event) = last_event {
+            headers.insert("last-event-id", put(last_event));
+        }
+    }
+
     fn write_workspace(&self, headers: &mut HeaderMap, name: &str) {
         let name = HeaderValue::from_str(name).expect("a valid value");
         headers.insert("x-workspace", name);
--- a/crates/relay/tests/instance_view.rs
+++ b/crates/relay/tests/instance_view.rs
@@ -176,10 +176,10 @@
         member("d", "there", true),
     ];
     let own = member("a", "here", true);
-    let near = addresses(all.iter(), &own, Some("here"));
+    let near = addresses(all.iter(), &own, Some("here"), &[]);
     assert_eq!(near.len(), 2);
     let own = member("a", "here", false);
-    let wide = addresses(all.iter(), &own, Some("here"));
+    let wide = addresses(all.iter(), &own, Some("here"), &[]);
     assert_eq!(wide.len(), 3, "a leaving instance is not named");
 }
 
