Relay: tests of requests handed over; an answer without the mark of a hand-over is not passed on

Cause: an instance of the build before answers a request that is handed over to it with 404, which the caller would have got; and several upstreams that end at once could be taken for a path that is cut while others are still heard.

Mend: answers carry the mark, and one without it counts as not taken.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -4,7 +4,7 @@
 //! admits, places, retries and counts it like one of its own callers'. See docs/design/reachability.md.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, HashSet};
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -27,7 +27,8 @@
 use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
 use crate::upstream::Upstream;
 
-/// Header with which an instance hands a request over: what was spent on it, and the instance's name.
+/// Header with which an instance hands a request over: what was spent on it, and the instance's name. An answer repeats
+/// it empty, so that the answer of an instance that takes no requests over is not passed on.
 const HANDOVER: HeaderName = HeaderName::from_static("relay-handover");
 
 /// Header of an answer with which an instance refuses a request that was handed over to it, with the reason's label.
@@ -159,7 +160,7 @@
         let key = ServiceKey::of(service);
         let cut_off = self.gossip.borrow();
         let cut_off = cut_off.cut_off().filter(|each| each.service == key);
-        let cut_off: HashSet<InstanceKey> = cut_off.map(|each| each.instance).collect();
+        let cut_off: BTreeSet<InstanceKey> = cut_off.map(|each| each.instance).collect();
         let own = self.own_member();
         let members = self.members.borrow();
         let counts = self.handovers.handed_over.borrow();
@@ -205,8 +206,10 @@
     }
 }
 
-/// Tells the peer that handed a request over if this instance refused it.
-pub(crate) fn mark_refusal<B>(response: &mut Response<B>) {
+/// Marks an answer for the peer that handed the request over, which has to know if this instance refused it.
+pub(crate) fn mark_answer<B>(response: &mut Response<B>) {
+    let headers = response.headers_mut();
+    headers.insert(HANDOVER, HeaderValue::from_static(""));
     let Some(refusal) = response.extensions().get::<Refusal>() else {
         return;
     };
@@ -348,12 +351,15 @@
         .map_or(left_ms, |it| it.timeout_ms);
     let exchanged = exchange(&pool, MAX_CONNECTIONS, request);
     let timeout = Duration::from_millis(timeout_ms);
-    let exchanged = match actix_rt::time::timeout(timeout, exchanged).await {
+    let mut exchanged = match actix_rt::time::timeout(timeout, exchanged).await {
         Ok(Ok(exchanged)) => exchanged,
         Ok(Err(error @ ExchangeError::Lost { .. })) => return Handed::Lost(error.to_string()),
         Ok(Err(error)) => return Handed::NotTaken(error.to_string()),
         Err(_) => return Handed::Lost(format!("nothing within {timeout_ms} ms")),
     };
+    if exchanged.0.headers_mut().remove(HANDOVER).is_none() {
+        return Handed::NotTaken("it takes no requests over".to_owned());
+    }
     let label = exchanged.0.headers().get(REFUSED);
     let label = label.and_then(|label| label.to_str().ok());
     match label.filter(|label| is_refused_by_peer_alone(label)) {
--- a/crates/relay/src/helpers.rs
+++ b/crates/relay/src/helpers.rs
@@ -4,7 +4,7 @@
 //! that their callers send goes to the others. No peer may get much more of it than another, each instance uses a few
 //! peers only, and traffic between zones costs.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 
 use view::{InstanceKey, Member};
 
@@ -23,7 +23,7 @@
 pub fn helpers<'a>(
     members: impl Iterator<Item = &'a Member>,
     own: &Member,
-    cut_off: &HashSet<InstanceKey>,
+    cut_off: &BTreeSet<InstanceKey>,
 ) -> Vec<&'a Member> {
     let own_key = InstanceKey::of(&own.name);
     let others: Vec<&Member> = members.filter(|member| member.name != own.name).collect();
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -21,7 +21,7 @@
 use crate::call::{Call, host};
 use crate::config::Limits;
 use crate::forward::forward;
-use crate::handover::{Handover, mark_refusal};
+use crate::handover::{Handover, mark_answer};
 use crate::relay::{Phase, Relay};
 
 /// Length of the accept queue, so that a burst of new connections is not refused.
@@ -168,7 +168,7 @@
         }
         Err(refusal) => refuse(relay, refusal),
     };
-    mark_refusal(&mut response);
+    mark_answer(&mut response);
     response
 }
 
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -35,6 +35,9 @@
 /// Timeout of a connection that a check opens, in ms: dozens of round trips between availability zones.
 const PROBE_TIMEOUT_MS: u64 = 200;
 
+/// Upstreams that a check connects to while some upstreams are still heard.
+const TARGETS_WHILE_HEARD: usize = 2 * TELLING_UPSTREAMS;
+
 /// Delay between the connections of one check, in ms; the first one usually answers the question.
 const PROBE_STAGGER_MS: u64 = 20;
 
@@ -326,7 +329,7 @@
     }
     let (relay, service) = (Rc::clone(relay), service.to_owned());
     actix_rt::spawn(async move {
-        let targets = targets(&relay, &service);
+        let targets = targets(&relay, &service, began_ms);
         let is_reached = reaches_any(&targets).await;
         let known = relay.upstreams.borrow().of_service(&service).count();
         relay.update_path(&service, |now_ms, path| {
@@ -343,8 +346,20 @@
 }
 
 /// Upstreams that a check connects to: of different zones if there are several, others each time.
-fn targets(relay: &Relay, service: &str) -> Vec<Rc<Upstream>> {
+///
+/// While some are still heard on open connections there are more of them: several that ended at the same time could
+/// otherwise be taken for a path that is cut.
+fn targets(relay: &Relay, service: &str, began_ms: u64) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
+    let is_heard = relay
+        .contact(service)
+        .heard_ms
+        .is_some_and(|heard_ms| heard_ms + QUIET_MS >= began_ms);
+    let count = if is_heard {
+        TARGETS_WHILE_HEARD
+    } else {
+        TELLING_UPSTREAMS
+    };
     let upstreams = relay.upstreams.borrow();
     let mut all: Vec<Rc<Upstream>> = upstreams.ready(service, now_ms).cloned().collect();
     let turn = (now_ms / PROBE_INTERVAL_MS) as usize % all.len().max(1);
@@ -355,7 +370,7 @@
         *count += 1;
         *count
     });
-    all.truncate(TELLING_UPSTREAMS);
+    all.truncate(count);
     all
 }
 
@@ -385,14 +400,15 @@
     let deadline_ms = relay.now_ms() + EVIDENCE_WAIT_MS + PROBE_TIMEOUT_MS;
     loop {
         let changed = relay.reachability.changed.notified();
-        if !relay.has_senders() {
-            // Without peers no word can come; the check itself still runs.
-            relay.update_path(service, |now_ms, path| {
-                path.reach.decide(now_ms + EVIDENCE_WAIT_MS)
-            });
+        // Without peers no word can come; the check itself still runs.
+        let waited_ms = if relay.has_senders() {
+            0
         } else {
-            relay.update_path(service, |_, _| {});
-        }
+            EVIDENCE_WAIT_MS
+        };
+        relay.update_path(service, |now_ms, path| {
+            path.reach.decide(now_ms + waited_ms);
+        });
         let is_in_doubt = {
             let services = relay.reachability.services.borrow();
             services.get(service).is_some_and(|path| {
--- a/crates/relay/tests/common/link.rs
+++ b/crates/relay/tests/common/link.rs
@@ -69,7 +69,7 @@
             listener = Some(bind(address).expect("the port of before"));
         }
         if let Some(listener) = &listener {
-            set_filter(SockRef::from(listener), state != LinkState::Open);
+            set_filter(&SockRef::from(listener), state != LinkState::Open);
         }
         let accepted = async {
             match &listener {
@@ -91,7 +91,7 @@
     }
 }
 
-fn set_filter(socket: SockRef<'_>, is_dropping: bool) {
+fn set_filter(socket: &SockRef<'_>, is_dropping: bool) {
     if is_dropping {
         socket.attach_filter(&[DROP]).expect("a filter");
     } else {
@@ -117,7 +117,7 @@
             if state == LinkState::Refusing {
                 return;
             }
-            set_filter(SockRef::from(&socket), state == LinkState::Hanging);
+            set_filter(&SockRef::from(&socket), state == LinkState::Hanging);
             if states.changed().await.is_err() {
                 std::future::pending::<()>().await;
             }
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -6,11 +6,13 @@
 use std::time::Duration;
 
 use common::{
-    Action, EVENTS, Link, LinkState, StubUpstream, TestInstance, generation_request, is_prefill,
-    meet, read_request, request,
+    Action, EVENTS, Link, LinkState, ReceivedRequest, StubUpstream, TestInstance,
+    generation_request, is_prefill, meet, read_request, request, wait_until,
 };
 use futures_util::future::join_all;
-use http::Method;
+use http::{HeaderValue, Method};
+use plan::HealthStatus;
+use relay::pool::{Pool, exchange};
 use relay::upstream::{Stage, UpstreamEntry};
 
 /// Time in which an instance finds out that it is cut off, or that it no longer is, while requests come.
@@ -47,6 +49,20 @@
         self.stubs.iter().map(|(_, entry)| entry.clone()).collect()
     }
 
+    fn forget(&self) {
+        for (stub, _) in &self.stubs {
+            stub.received.borrow_mut().clear();
+        }
+    }
+
+    fn received(&self) -> Vec<ReceivedRequest> {
+        let received = self
+            .stubs
+            .iter()
+            .map(|(stub, _)| stub.received.borrow().clone());
+        received.flatten().collect()
+    }
+
     /// A path to each upstream, and the entries by which it is reached on them.
     fn links(&self) -> (Vec<Link>, Vec<UpstreamEntry>) {
         let link = |(stub, entry): &(StubUpstream, UpstreamEntry)| {
@@ -65,6 +81,13 @@
     })
 }
 
+/// Cuts or heals all paths.
+fn set_all(links: &[Link], state: LinkState) {
+    for link in links {
+        link.set(state);
+    }
+}
+
 /// Sends requests of each kind to an instance and returns how many were served.
 async fn served(instance: &TestInstance, first: usize) -> usize {
     let all = (first..first + REQUESTS).map(|id| async move {
@@ -130,7 +153,7 @@
     let (cut_off, peer, links) = start_pair(&upstreams).await;
     let peer = Rc::new(peer);
     let _busy = keep_busy(&peer);
-    links.iter().for_each(|link| link.set(state));
+    set_all(&links, state);
     press(&cut_off).await;
     served(&cut_off, 10_000).await
 }
@@ -167,7 +190,7 @@
     let lost = (0..2).map(|id| cut_off.fetch(accused(id)));
     let cut = async {
         actix_rt::time::sleep(Duration::from_millis(100)).await;
-        links.iter().for_each(|link| link.set(LinkState::Refusing));
+        set_all(&links, LinkState::Refusing);
     };
     tokio::join!(join_all(lost), cut);
     actix_rt::time::sleep(SETTLE).await;
@@ -175,3 +198,165 @@
     let (status, _) = peer.fetch(accused(3)).await;
     assert_eq!(status, 200);
 }
+
+/// Guards against an upstream that runs a request twice, gets more time than is left, loses its id or sees a key, when
+/// the request comes by way of a peer.
+#[actix_rt::test]
+async fn a_request_handed_over_runs_once_as_its_caller_sent_it() {
+    let upstreams = Upstreams::start();
+    let (cut_off, peer, links) = start_pair(&upstreams).await;
+    let peer = Rc::new(peer);
+    let busy = keep_busy(&peer);
+    set_all(&links, LinkState::Refusing);
+    press(&cut_off).await;
+    drop(busy);
+    actix_rt::time::sleep(PAUSE * 5).await;
+    upstreams.forget();
+    let mut claim = request(Method::POST, "/claims/once", "777");
+    let headers = claim.headers_mut();
+    headers.insert("x-left-ms", "900".parse().expect("a value"));
+    headers.insert("x-custom", "kept".parse().expect("a value"));
+    assert_eq!(cut_off.fetch(claim).await.0, 200);
+    let received = upstreams.received();
+    assert_eq!(received.len(), 1, "{received:?}");
+    let claim = &received[0];
+    assert!(claim.request_line.starts_with("POST /claims/once "));
+    let values = ["x-attempt", "x-custom", "relay-handover"].map(|name| claim.header(name));
+    assert_eq!(values, [Some("777"), Some("kept"), None]);
+    assert_eq!(claim.body, "body");
+    let left_ms: u64 = claim
+        .header("x-left-ms")
+        .expect("a deadline")
+        .parse()
+        .expect("a number");
+    assert!((500..=900).contains(&left_ms), "{left_ms}");
+}
+
+/// Guards against hand-overs in vain and against waiting callers while all upstreams are down: peers reach them no
+/// more than this instance does.
+#[actix_rt::test]
+async fn upstreams_that_are_down_cause_no_hand_over() {
+    let upstreams = Upstreams::start();
+    let (links, entries) = upstreams.links();
+    let instance = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let peer = TestInstance::start_peer("b", "here", entries).await;
+    meet(&[&instance, &peer]).await;
+    let peer = Rc::new(peer);
+    let _busy = keep_busy(&peer);
+    served(&instance, 1_000).await;
+    set_all(&links, LinkState::Refusing);
+    press(&instance).await;
+    assert_eq!(served(&instance, 10_000).await, 0);
+    let text = String::from_utf8(instance.relay.metrics_text()).expect("text");
+    let handed_over = text
+        .lines()
+        .filter(|line| line.contains("handed_over_total"));
+    assert_eq!(handed_over.filter(|line| !line.starts_with('#')).count(), 0);
+    assert!(!instance.relay.is_cut_off("desk") && !peer.relay.is_cut_off("desk"));
+}
+
+/// Guards against upstreams that stay ejected, and callers that stay on the longer way, after the path has healed.
+#[actix_rt::test]
+async fn a_healed_path_is_used_at_once() {
+    for state in [LinkState::Refusing, LinkState::Hanging] {
+        let upstreams = Upstreams::start();
+        let (cut_off, peer, links) = start_pair(&upstreams).await;
+        let peer = Rc::new(peer);
+        let busy = keep_busy(&peer);
+        set_all(&links, state);
+        press(&cut_off).await;
+        assert!(cut_off.relay.is_cut_off("desk") && cut_off.relay.is_cut_off("llm"));
+        set_all(&links, LinkState::Open);
+        let is_healed = || cut_off.relay.cut_off_services().is_empty();
+        assert!(wait_until(is_healed).await);
+        drop(busy);
+        assert_eq!(served(&cut_off, 20_000).await, REQUESTS);
+        let text = String::from_utf8(cut_off.relay.metrics_text()).expect("text");
+        let ejected = upstreams.entries().into_iter().filter(|entry| {
+            let upstreams = cut_off.relay.upstreams.borrow();
+            let upstream = upstreams.get(&entry.id).expect("listed");
+            upstream.health_status(cut_off.relay.now_ms()) != HealthStatus::Healthy
+        });
+        assert_eq!(ejected.count(), 0, "{state:?}");
+        assert!(text.contains("cut_off{"), "{text}");
+    }
+}
+
+/// Guards against streams that break off, or repeat events, when the path is cut under them.
+#[actix_rt::test]
+async fn a_stream_goes_on_at_a_peer_when_the_path_is_cut() {
+    let engine = || {
+        StubUpstream::start(|received| {
+            let after = received.header("last-event-id");
+            let after: u64 = after.map_or(0, |id| id.parse().expect("a number"));
+            let event = |id: u64| format!("id: {id}\ndata: {id}\n\n");
+            let rest: String = (after + 1..=10).map(event).collect();
+            let whole = received.response_text("200 OK", "", &rest);
+            let head = whole.strip_suffix(rest.as_str()).expect("a head");
+            let mut actions = vec![Action::Write(head.to_owned())];
+            for id in after + 1..=10 {
+                actions.extend([Action::Write(event(id)), Action::Wait(100)]);
+            }
+            actions
+        })
+    };
+    let stubs = [engine(), engine(), engine()];
+    let entry = |number: usize| stubs[number].entry(&format!("up-{number}"), "llm", Stage::Decode);
+    let links: Vec<Link> = stubs.iter().map(|stub| Link::open(stub.address)).collect();
+    let entries = (0..3).map(|number| links[number].entry(entry(number)));
+    let cut_off = TestInstance::start_peer("a", "here", entries.collect()).await;
+    let peer = TestInstance::start_peer("b", "here", (0..3).map(entry).collect()).await;
+    meet(&[&cut_off, &peer]).await;
+    let peer = Rc::new(peer);
+    let _busy = keep_busy(&peer);
+    for (id, state) in [LinkState::Hanging, LinkState::Refusing]
+        .into_iter()
+        .enumerate()
+    {
+        set_all(&links, LinkState::Open);
+        assert!(wait_until(|| cut_off.relay.cut_off_services().is_empty()).await);
+        let stream = cut_off.fetch(generation_request("/grades/x", 900 + id, 300));
+        let cut = async {
+            actix_rt::time::sleep(Duration::from_millis(350)).await;
+            set_all(&links, state);
+        };
+        let ((status, body), ()) = tokio::join!(stream, cut);
+        let body = body.expect("a complete stream");
+        let ids: Vec<&str> = body
+            .lines()
+            .filter_map(|line| line.strip_prefix("id: "))
+            .collect();
+        let all: Vec<String> = (1..=10).map(|id| id.to_string()).collect();
+        assert_eq!(
+            (status, ids),
+            (200, all.iter().map(String::as_str).collect())
+        );
+    }
+}
+
+/// Guards against requests in a circle: one that was handed over goes no further, and is refused as not run.
+#[actix_rt::test]
+async fn a_request_is_handed_over_once() {
+    let upstreams = Upstreams::start();
+    let (cut_off, peer, links) = start_pair(&upstreams).await;
+    let (more_links, entries) = upstreams.links();
+    let other = TestInstance::start_peer("c", "here", entries).await;
+    meet(&[&cut_off, &peer, &other]).await;
+    let peer = Rc::new(peer);
+    let _busy = keep_busy(&peer);
+    set_all(&links, LinkState::Refusing);
+    set_all(&more_links, LinkState::Refusing);
+    tokio::join!(press(&cut_off), press(&other));
+    assert!(other.relay.is_cut_off("desk"));
+    let mut handed_over = read_request(1);
+    let header = "0,0,0,0,0,a".parse().expect("a value");
+    handed_over.headers_mut().insert("relay-handover", header);
+    let pool = Pool::new(
+        other.relay.settings.borrow().peer.expect("an address"),
+        other.relay.clock,
+    );
+    let (response, _connection) = exchange(&pool, 1, handed_over).await.expect("an answer");
+    let refused = response.headers().get("relay-refused");
+    assert_eq!(response.status(), 503);
+    assert_eq!(refused.map(HeaderValue::as_bytes), Some(&b"cut_off"[..]));
+}
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -11,7 +11,8 @@
 use view::hubs::HubRanking;
 use view::{
     FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
-    Members, PoisonTracker, PrefillQueue, UpstreamKey, UpstreamLimit, decode, encode,
+    Members, PoisonTracker, PrefillQueue, ServiceHeard, ServiceKey, UpstreamKey, UpstreamLimit,
+    decode, encode,
 };
 
 /// Transit time of a datagram, in ms.
@@ -29,6 +30,9 @@
     pub members: Members,
     pub gossip: GossipState,
     pub own: Vec<(UpstreamKey, Load)>,
+    pub cut_off: Vec<ServiceKey>,
+    /// Services that it hears all the time.
+    pub hears: Vec<ServiceKey>,
     pub list: Option<LogPosition>,
     pub positions: Vec<LogPosition>,
     pub list_changes: Vec<GossipedChange>,
@@ -53,6 +57,10 @@
     format!("10.0.{high}.{low}:9000").parse().unwrap()
 }
 
+fn just_heard(service: ServiceKey) -> ServiceHeard {
+    ServiceHeard { service, age_ms: 0 }
+}
+
 fn member(index: usize) -> Member {
     Member {
         name: format!("entry-{index}"),
@@ -79,6 +87,8 @@
                 members: known,
                 gossip: GossipState::default(),
                 own: Vec::new(),
+                cut_off: Vec::new(),
+                hears: Vec::new(),
                 list: None,
                 positions: Vec::new(),
                 list_changes: Vec::new(),
@@ -136,8 +146,12 @@
         let instances = self.all.len();
         let each = &mut self.all[index];
         let own = LocalState {
-            cut_off: Vec::new(),
-            heard: Vec::new(),
+            cut_off: each.cut_off.clone(),
+            heard: each
+                .hears
+                .iter()
+                .map(|&service| just_heard(service))
+                .collect(),
             last_task_token: None,
             clock_ms: 0,
             fleet_clock_ms: 0,
--- a/crates/view/tests/gossip.rs
+++ b/crates/view/tests/gossip.rs
@@ -2,8 +2,10 @@
 
 mod common;
 
+use std::collections::HashSet;
+
 use common::{Fleet, load, upstream};
-use view::hubs;
+use view::{CutOff, InstanceKey, ServiceKey, hubs};
 
 /// Fleet sizes: two full meshes, and two with hubs.
 const SIZES: [usize; 4] = [2, 7, 80, 295];
@@ -170,3 +172,45 @@
         check_views(&fleet).unwrap_or_else(|why| panic!("{instances}: {why}"));
     }
 }
+
+/// Guards against callers sent to instances that are cut off from upstreams, and against instances that take a cut for
+/// upstreams that are down: at any fleet size all know soon who is cut off, and when upstreams were last heard.
+#[test]
+fn all_instances_know_who_is_cut_off_and_what_is_heard() {
+    let service = ServiceKey::of("llm");
+    for instances in SIZES {
+        let mut fleet = loaded_fleet(instances);
+        let cut = instances / 2;
+        for (index, each) in fleet.all.iter_mut().enumerate() {
+            if index < cut {
+                each.cut_off = vec![service];
+            } else {
+                each.hears = vec![service];
+            }
+        }
+        fleet.run(SPREAD_MS + 100, never);
+        let now_ms = fleet.now_ms;
+        for (index, each) in fleet.all.iter().enumerate() {
+            let known: HashSet<CutOff> = each.gossip.cut_off().collect();
+            // An instance does not need word of itself.
+            let others = (0..cut).filter(|other| *other != index);
+            let missing = others.filter(|other| {
+                let instance = InstanceKey::of(&fleet.all[*other].member.name);
+                !known.contains(&CutOff { instance, service })
+            });
+            assert_eq!(missing.count(), 0, "{instances}: {index}");
+            let is_only_one = instances - cut == 1 && index >= cut;
+            let heard_ms = each.gossip.heard_ms(service).unwrap_or_default();
+            assert!(
+                is_only_one || now_ms - heard_ms <= SPREAD_MS,
+                "{instances}: {index}"
+            );
+        }
+        for each in &mut fleet.all {
+            each.cut_off.clear();
+        }
+        fleet.run(SPREAD_MS + 100, never);
+        let left = fleet.all.iter().map(|each| each.gossip.cut_off().count());
+        assert_eq!(left.sum::<usize>(), 0, "{instances}: healed");
+    }
+}
--- a/crates/view/tests/poison.rs
+++ b/crates/view/tests/poison.rs
@@ -92,6 +92,27 @@
     assert!(poison.is_poison(3, REQUEST));
 }
 
+/// Guards against refusing requests for ever whose answers were lost because an instance lost its own path: the losses
+/// do not count, also if they arrive again, and later ones of other upstreams do.
+#[test]
+fn excused_losses_do_not_count() {
+    let excused = |number| FailureEvidence::Excused {
+        request: REQUEST,
+        upstream: upstream(number),
+    };
+    let mut poison = tracker_after(&[lost(1), lost(2), excused(1), excused(2)]);
+    for each in [lost(1), lost(2), excused(1)] {
+        assert!(!poison.receive(1, each), "{each:?} is not new");
+    }
+    poison.receive(1, ended(1));
+    poison.receive(1, ended(2));
+    assert!(!poison.is_poison(1, REQUEST));
+    for each in [lost(3), ended(3), lost(4), ended(4)] {
+        poison.receive(2, each);
+    }
+    assert!(poison.is_poison(2, REQUEST));
+}
+
 /// Guards against blocking a request for ever after the upstreams were fixed. It may run again when
 /// it has not arrived for a while, and stays refused while it keeps arriving.
 #[test]
