Relay: what an upstream announces to a helping peer holds here too; peers find out whether a service is reached when asked

Cause: an instance passes on an answer that a peer got, with the upstream's announcement of its leaving, and did not read it: once its path has healed it would send there. And where a service has few requests nobody has heard it lately, so an instance that is cut off took the upstreams for down and refused.

Mend: the answer to a request handed over names its upstream; the leaving is taken over.

Ruled out: all peers finding out (300 connections for each cut).

--- a/crates/relay/src/announcement.rs
+++ b/crates/relay/src/announcement.rs
@@ -24,6 +24,8 @@
     Report,
     /// A role order.
     Order,
+    /// A request that a peer served for this instance.
+    HandedOver,
 }
 
 /// An answer as far as its announcements are concerned.
--- a/crates/relay/src/directory.rs
+++ b/crates/relay/src/directory.rs
@@ -20,13 +20,13 @@
     members: impl Iterator<Item = &'a Member>,
     own: &Member,
     zone: Option<&str>,
-    cut_off: &[InstanceKey],
+    unreached: &[InstanceKey],
 ) -> Vec<SocketAddr> {
     let mut all: Vec<&Member> = members.filter(|member| member.name != own.name).collect();
     if own.ready {
         all.push(own);
     }
-    let reaches_upstreams = |member: &&&Member| !cut_off.contains(&InstanceKey::of(&member.name));
+    let reaches_upstreams = |member: &&&Member| !unreached.contains(&InstanceKey::of(&member.name));
     if all.iter().any(|member| reaches_upstreams(&member)) {
         all.retain(|member| reaches_upstreams(&member));
     }
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::config::RouteKind;
 use crate::dialect::SendOptions;
 use crate::generation::generate;
-use crate::handover::{hand_over, is_handed_over, send_unless_cut_off};
+use crate::handover::{ServedBy, hand_over, is_handed_over, send_unless_cut_off};
 use crate::placement;
 use crate::relay::Relay;
 use crate::retry::{RetryContext, RetryDecision, SendFailure, decide, without_false_not_run};
@@ -194,6 +194,7 @@
     let (mut head, body) = checked.response.into_parts();
     strip_hop_by_hop(&mut head.headers, |_| false);
     let upstream = Rc::clone(guard.upstream());
+    head.extensions.insert(ServedBy(upstream.id.clone()));
     let is_long = http_body::Body::size_hint(&body).lower() > MAX_BUFFERED_BYTES;
     let body = if is_long {
         let origin = StreamOrigin::Engine(guard);
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -11,9 +11,11 @@
 
 use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
 use http_body_util::BodyExt;
+use hyper::body::Incoming;
 use plan::{AttemptTimeout, ReachState};
 use view::{InstanceKey, Member, ServiceKey};
 
+use crate::announcement::{AnnouncingAnswer, AnswerTo, note_leaving};
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
@@ -27,8 +29,9 @@
 use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
 use crate::upstream::Upstream;
 
-/// Header with which an instance hands a request over: what was spent on it, and the instance's name. An answer repeats
-/// it empty, so that the answer of an instance that takes no requests over is not passed on.
+/// Header with which an instance hands a request over: what was spent on it, and the instance's name. An answer carries
+/// it too, with the id of the upstream that it comes from: the answer of an instance that takes no requests over is not
+/// passed on, and what an upstream announces in one holds here as well.
 const HANDOVER: HeaderName = HeaderName::from_static("relay-handover");
 
 /// Header of an answer with which an instance refuses a request that was handed over to it, with the reason's label.
@@ -158,9 +161,9 @@
     /// The peer that has the fewest requests of this instance, of those that may take one over.
     fn choose_helper(&self, service: &str, tried: &[String]) -> Option<Peer> {
         let key = ServiceKey::of(service);
-        let cut_off = self.gossip.borrow();
-        let cut_off = cut_off.cut_off().filter(|each| each.service == key);
-        let cut_off: BTreeSet<InstanceKey> = cut_off.map(|each| each.instance).collect();
+        let gossip = self.gossip.borrow();
+        let unreached = gossip.unreached().filter(|each| each.service == key);
+        let unreached: BTreeSet<InstanceKey> = unreached.map(|each| each.instance).collect();
         let own = self.own_member();
         let members = self.members.borrow();
         let counts = self.handovers.handed_over.borrow();
@@ -168,7 +171,7 @@
             let count = member.gossip_address.and_then(|it| counts.get(&it));
             count.copied().unwrap_or_default()
         };
-        let all = helpers(members.reachable(), &own, &cut_off);
+        let all = helpers(members.reachable(), &own, &unreached);
         let free = all
             .into_iter()
             .filter(|member| !tried.contains(&member.name));
@@ -197,6 +200,10 @@
     }
 }
 
+/// Id of the upstream that an answer comes from, for a peer that handed the request over.
+#[derive(Debug, Clone)]
+pub(crate) struct ServedBy(pub String);
+
 /// Counts a request of a peer for as long as it is served here.
 pub struct TakenOver(Rc<Cell<usize>>);
 
@@ -208,8 +215,10 @@
 
 /// Marks an answer for the peer that handed the request over, which has to know if this instance refused it.
 pub(crate) fn mark_answer<B>(response: &mut Response<B>) {
+    let served_by = response.extensions_mut().remove::<ServedBy>();
+    let upstream = served_by.and_then(|it| HeaderValue::from_str(&it.0).ok());
     let headers = response.headers_mut();
-    headers.insert(HANDOVER, HeaderValue::from_static(""));
+    headers.insert(HANDOVER, upstream.unwrap_or(HeaderValue::from_static("")));
     let Some(refusal) = response.extensions().get::<Refusal>() else {
         return;
     };
@@ -357,9 +366,10 @@
         Ok(Err(error)) => return Handed::NotTaken(error.to_string()),
         Err(_) => return Handed::Lost(format!("nothing within {timeout_ms} ms")),
     };
-    if exchanged.0.headers_mut().remove(HANDOVER).is_none() {
+    let Some(upstream) = exchanged.0.headers_mut().remove(HANDOVER) else {
         return Handed::NotTaken("it takes no requests over".to_owned());
-    }
+    };
+    note_announced_leaving(relay, call, &upstream, &exchanged.0);
     let label = exchanged.0.headers().get(REFUSED);
     let label = label.and_then(|label| label.to_str().ok());
     match label.filter(|label| is_refused_by_peer_alone(label)) {
@@ -368,6 +378,23 @@
     }
 }
 
+/// Takes an upstream out of use that announced its leaving in an answer to a peer: the answer is passed on here.
+fn note_announced_leaving(
+    relay: &Relay,
+    call: &Call,
+    upstream: &HeaderValue,
+    response: &Response<Incoming>,
+) {
+    let head = relay.dialect.parse_response_head(response.headers());
+    let id = upstream.to_str().unwrap_or_default();
+    let upstream = relay.upstreams.borrow().get(id).cloned();
+    if let Some(upstream) = upstream.filter(|_| head.is_leaving) {
+        let status = response.status();
+        let answer = AnnouncingAnswer::to_attempt(AnswerTo::HandedOver, call, status, &head);
+        note_leaving(relay, &upstream, &answer);
+    }
+}
+
 /// Whether another peer may serve a request that a peer refused for this reason.
 fn is_refused_by_peer_alone(label: &str) -> bool {
     let alone = [
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -204,10 +204,10 @@
         .dialect
         .parse_caller_zone(request.uri().query().unwrap_or(""));
     let own = relay.own_member();
-    let cut_off = relay.fully_cut_off();
+    let unreached = relay.fully_unreached();
     let members = relay.members.borrow();
     let reachable = members.reachable();
-    let addresses = crate::directory::addresses(reachable, &own, zone.as_deref(), &cut_off);
+    let addresses = crate::directory::addresses(reachable, &own, zone.as_deref(), &unreached);
     if addresses.is_empty() {
         return empty_response(StatusCode::SERVICE_UNAVAILABLE);
     }
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -6,7 +6,7 @@
 //! docs/design/reachability.md.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -35,6 +35,9 @@
 /// Timeout of a connection that a check opens, in ms: dozens of round trips between availability zones.
 const PROBE_TIMEOUT_MS: u64 = 200;
 
+/// Instances, by rank, that find out whether a service is reached if a peer does not reach it.
+const ANSWERING_INSTANCES: usize = 3;
+
 /// Upstreams that a check connects to while some upstreams are still heard.
 const TARGETS_WHILE_HEARD: usize = 2 * TELLING_UPSTREAMS;
 
@@ -77,6 +80,12 @@
     opened_ms: Option<u64>,
 }
 
+impl Contact {
+    fn last_ms(self) -> Option<u64> {
+        self.heard_ms.max(self.opened_ms)
+    }
+}
+
 impl Relay {
     /// What this instance believes of its path to the upstreams of a service.
     pub fn reach_state(&self, service: &str) -> ReachState {
@@ -100,37 +109,47 @@
             .is_some_and(|path| path.reach.was_cut_off_since(since_ms))
     }
 
-    /// The services from whose upstreams this instance is cut off.
-    pub fn cut_off_services(&self) -> Vec<ServiceKey> {
+    /// The services of which this instance reaches no upstream, whether or not peers do.
+    pub fn unreached_services(&self) -> Vec<ServiceKey> {
         let services = self.reachability.services.borrow();
-        let cut_off = services
+        let unreached = services
             .iter()
-            .filter(|(_, path)| path.reach.state() == ReachState::CutOff);
-        let mut keys: Vec<ServiceKey> = cut_off.map(|(name, _)| ServiceKey::of(name)).collect();
+            .filter(|(_, path)| path.reach.state() != ReachState::Reached);
+        let mut keys: Vec<ServiceKey> = unreached.map(|(name, _)| ServiceKey::of(name)).collect();
         keys.sort_unstable();
         keys
     }
 
-    /// The instances that are cut off from all services, as this one or its peers tell.
-    pub fn fully_cut_off(&self) -> Vec<InstanceKey> {
+    /// The instances that reach no upstream at all, as this one or its peers tell.
+    pub fn fully_unreached(&self) -> Vec<InstanceKey> {
         let services = self.upstreams.borrow().service_count();
-        let mut counts: HashMap<InstanceKey, Vec<ServiceKey>> = HashMap::new();
-        for each in self.gossip.borrow().cut_off() {
-            let known = counts.entry(each.instance).or_default();
-            if !known.contains(&each.service) {
-                known.push(each.service);
-            }
+        let mut unreached: HashMap<InstanceKey, BTreeSet<ServiceKey>> = HashMap::new();
+        for each in self.gossip.borrow().unreached() {
+            let of_instance = unreached.entry(each.instance).or_default();
+            of_instance.insert(each.service);
         }
         let own = InstanceKey::of(&self.settings.borrow().name);
-        counts.insert(own, self.cut_off_services());
-        let is_fully = |cut_off: &Vec<ServiceKey>| services > 0 && cut_off.len() >= services;
-        counts
+        unreached.insert(own, self.unreached_services().into_iter().collect());
+        let is_fully = |all: &BTreeSet<ServiceKey>| services > 0 && all.len() >= services;
+        unreached
             .into_iter()
-            .filter(|(_, cut_off)| is_fully(cut_off))
+            .filter(|(_, all)| is_fully(all))
             .map(|(instance, _)| instance)
             .collect()
     }
 
+    /// Whether peers ask if this instance reaches a service: one of them does not, and nobody else would know if the
+    /// service has few requests.
+    fn is_asked(&self, service: &str) -> bool {
+        let key = ServiceKey::of(service);
+        let own = InstanceKey::of(&self.settings.borrow().name);
+        let gossip = self.gossip.borrow();
+        let is_asked = gossip
+            .unreached()
+            .any(|each| each.service == key && each.instance != own);
+        is_asked && self.rank() < ANSWERING_INSTANCES
+    }
+
     /// How long ago this instance heard upstreams of each service, for gossip.
     pub(crate) fn heard_services(&self) -> Vec<ServiceHeard> {
         let now_ms = self.now_ms();
@@ -188,7 +207,7 @@
                 return;
             };
             let before = path.reach.state();
-            if let Some(heard_ms) = contact.heard_ms.max(contact.opened_ms) {
+            if let Some(heard_ms) = contact.last_ms() {
                 path.reach.record_heard(heard_ms);
             }
             update(now_ms, path);
@@ -288,6 +307,10 @@
             })
         };
         let is_due = match state {
+            ReachState::Reached if relay.is_asked(&service) => {
+                let heard_ms = relay.contact(&service).last_ms().unwrap_or_default();
+                now_ms >= heard_ms.max(checked_ms) + PROBE_INTERVAL_MS
+            }
             ReachState::Reached => {
                 now_ms >= checked_ms + CHECK_PAUSE_MS && relay.is_quiet(now_ms, &service)
             }
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -143,7 +143,7 @@
             list_position: position(&self.list_position),
             config_position: position(&self.config_position),
             poison: self.poison_requests(),
-            cut_off: self.cut_off_services(),
+            unreached: self.unreached_services(),
             heard: self.heard_services(),
         }
     }
--- a/crates/relay/src/role_orders.rs
+++ b/crates/relay/src/role_orders.rs
@@ -170,7 +170,7 @@
     let may_lead = relay.is_ready()
         && knows_demand
         && !relay.role_orders.last_store_call_failed.get()
-        && relay.cut_off_services().is_empty();
+        && relay.unreached_services().is_empty();
     may_lead.then(|| relay.role_orders.last_fence.get())
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,7 +15,7 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::dialect::{Prompt, SendOptions};
 use crate::forward::{count_answer, may_retry};
-use crate::handover::{AtPeer, hand_over_from, is_handed_over};
+use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over};
 use crate::placement;
 use crate::pool::{Exchanged, PooledConnection};
 use crate::relay::Relay;
@@ -124,6 +124,7 @@
     ) -> Response<AnswerBody> {
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers, |_| false);
+        head.extensions.insert(ServedBy(origin.name().to_owned()));
         if call.route.is_retryable() {
             // The rest may come from another engine and differ in length.
             head.headers.remove(header::CONTENT_LENGTH);
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -7,7 +7,7 @@
 
 use common::{
     Action, EVENTS, Link, LinkState, ReceivedRequest, StubUpstream, TestInstance,
-    generation_request, is_prefill, meet, read_request, request, wait_until,
+    generation_request, in_other_zone, is_prefill, meet, read_request, request, wait_until,
 };
 use futures_util::future::join_all;
 use http::{HeaderValue, Method};
@@ -267,7 +267,7 @@
         press(&cut_off).await;
         assert!(cut_off.relay.is_cut_off("desk") && cut_off.relay.is_cut_off("llm"));
         set_all(&links, LinkState::Open);
-        let is_healed = || cut_off.relay.cut_off_services().is_empty();
+        let is_healed = || cut_off.relay.unreached_services().is_empty();
         assert!(wait_until(is_healed).await);
         drop(busy);
         assert_eq!(served(&cut_off, 20_000).await, REQUESTS);
@@ -314,7 +314,7 @@
         .enumerate()
     {
         set_all(&links, LinkState::Open);
-        assert!(wait_until(|| cut_off.relay.cut_off_services().is_empty()).await);
+        assert!(wait_until(|| cut_off.relay.unreached_services().is_empty()).await);
         let stream = cut_off.fetch(generation_request("/grades/x", 900 + id, 300));
         let cut = async {
             actix_rt::time::sleep(Duration::from_millis(350)).await;
@@ -360,3 +360,36 @@
     assert_eq!(response.status(), 503);
     assert_eq!(refused.map(HeaderValue::as_bytes), Some(&b"cut_off"[..]));
 }
+
+/// Guards against requests to an upstream that is leaving, sent after the path has healed by an instance that passed its
+/// announcement on while a peer served for it.
+#[actix_rt::test]
+async fn a_leaving_announced_to_a_peer_holds_here_too() {
+    let leaving =
+        || StubUpstream::start(|received| received.response("200 OK", "x-leaving: 1\r\n", "ok"));
+    let (first, last) = (leaving(), serving());
+    let entry = |stub: &StubUpstream, id: &str| stub.entry(id, "desk", Stage::Whole);
+    let entries = [entry(&first, "first"), in_other_zone(entry(&last, "last"))];
+    let links = [Link::open(first.address), Link::open(last.address)];
+    let linked = links
+        .iter()
+        .zip(&entries)
+        .map(|(link, entry)| link.entry(entry.clone()));
+    let cut_off = TestInstance::start_peer("a", "here", linked.collect()).await;
+    set_all(&links, LinkState::Refusing);
+    let peer = TestInstance::start_peer("b", "here", entries.to_vec()).await;
+    meet(&[&cut_off, &peer]).await;
+    let is_ready = || {
+        let upstreams = cut_off.relay.upstreams.borrow();
+        upstreams.get("first").expect("listed").is_ready()
+    };
+    // The peer does not know of the leaving before the first answer.
+    for id in 0..200 {
+        cut_off.fetch(read_request(id)).await;
+        actix_rt::time::sleep(PAUSE).await;
+        if !is_ready() {
+            break;
+        }
+    }
+    assert!(!is_ready());
+}
--- a/crates/view/src/gossip.rs
+++ b/crates/view/src/gossip.rs
@@ -15,9 +15,9 @@
 
 use self::resend::ResendQueue;
 use crate::{
-    CutOff, FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
+    FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
     MessageKind, PendingRoleChange, PrefilledPart, RecentChanges, RequestKey, ServiceDemand,
-    ServiceHeard, ServiceKey, UpstreamKey, UpstreamLimit, demand,
+    ServiceHeard, ServiceKey, Unreached, UpstreamKey, UpstreamLimit, demand,
 };
 
 /// Gossip period, in ms. All instances know the load of one instance within three periods, a
@@ -54,8 +54,8 @@
     pub config_position: Option<LogPosition>,
     /// Poison requests, which must not be sent to any upstream.
     pub poison: Vec<RequestKey>,
-    /// Services from whose upstreams it is cut off.
-    pub cut_off: Vec<ServiceKey>,
+    /// Services of which it reaches no upstream.
+    pub unreached: Vec<ServiceKey>,
     /// When it last heard upstreams.
     pub heard: Vec<ServiceHeard>,
 }
@@ -79,7 +79,7 @@
     loads: Loads,
     demand: Vec<ServiceDemand>,
     alive: Vec<InstanceKey>,
-    cut_off: Vec<CutOff>,
+    unreached: Vec<Unreached>,
     /// When the instances that it speaks for last heard upstreams.
     heard_ms: HashMap<ServiceKey, u64>,
     last_order_token: Option<u64>,
@@ -121,7 +121,7 @@
     avoided_hubs: HashMap<InstanceKey, u64>,
     ticks: u64,
     last_own_loads: Vec<(UpstreamKey, Load)>,
-    last_own_cut_off: Vec<ServiceKey>,
+    last_own_unreached: Vec<ServiceKey>,
 }
 
 impl Sender {
@@ -178,21 +178,21 @@
             loads: Loads::new(),
             demand: Vec::new(),
             alive: Vec::new(),
-            cut_off: Vec::new(),
+            unreached: Vec::new(),
             heard_ms: HashMap::new(),
         };
         if let Some(before) = before {
             sender.loads = before.loads;
             sender.demand = before.demand;
             sender.alive = before.alive;
-            sender.cut_off = before.cut_off;
+            sender.unreached = before.unreached;
             sender.heard_ms = before.heard_ms;
         }
         // Not every datagram has these; the last values received stay valid until the next.
         if !message.alive.is_empty() {
             sender.alive.clone_from(&message.alive);
             sender.demand.clone_from(&message.demand);
-            sender.cut_off.clone_from(&message.cut_off);
+            sender.unreached.clone_from(&message.unreached);
             sender.note_heard(now_ms, &message.heard);
         }
         self.update_loads(&mut sender.loads, message, &mut changed);
@@ -289,11 +289,11 @@
         self.totals.get(&upstream).copied().unwrap_or_default()
     }
 
-    /// Peers that are cut off from the upstreams of services.
-    pub fn cut_off(&self) -> impl Iterator<Item = CutOff> {
+    /// Peers that reach no upstream of a service.
+    pub fn unreached(&self) -> impl Iterator<Item = Unreached> {
         self.senders
             .values()
-            .flat_map(|sender| sender.cut_off.iter().copied())
+            .flat_map(|sender| sender.unreached.iter().copied())
     }
 
     /// When a peer last heard an upstream of a service.
--- a/crates/view/src/gossip/outgoing.rs
+++ b/crates/view/src/gossip/outgoing.rs
@@ -6,8 +6,8 @@
 use super::{GossipState, Hub, Loads, LocalState};
 use crate::hubs::HubRanking;
 use crate::{
-    CutOff, GossipMessage, InstanceKey, Load, Member, MessageKind, RequestKey, ServiceDemand,
-    ServiceHeard, ServiceKey, UpstreamKey, demand, hubs,
+    GossipMessage, InstanceKey, Load, Member, MessageKind, RequestKey, ServiceDemand, ServiceHeard,
+    ServiceKey, Unreached, UpstreamKey, demand, hubs,
 };
 
 /// Periods per full datagram, which has all loads, the live instances and the demand. The others
@@ -50,10 +50,10 @@
         let has_changes =
             has_changes || !self.up_evidence.is_empty() || !self.down_evidence.is_empty();
         let has_changes = has_changes || !self.up_limits.is_empty() || !self.down_limits.is_empty();
-        let has_changes = has_changes || own.cut_off != self.last_own_cut_off;
+        let has_changes = has_changes || own.unreached != self.last_own_unreached;
         let must_send = has_changes || self.ticks.is_multiple_of(FULL_DATAGRAM_PERIODS);
         self.last_own_loads.clone_from(&own.loads);
-        self.last_own_cut_off.clone_from(&own.cut_off);
+        self.last_own_unreached.clone_from(&own.unreached);
         self.recent_members
             .retain(|(at_ms, _)| now_ms < at_ms + RESEND_MEMBER_MS);
         let has_receivers = self
@@ -91,7 +91,7 @@
         let message = GossipMessage {
             members: self.members_to_send(),
             alive: ready_key(&own.member).into_iter().collect(),
-            cut_off: own_cut_off(&own).collect(),
+            unreached: own_unreached(&own).collect(),
             heard: own.heard,
             loads: own.loads,
             prefilled_parts: own.prefilled_parts,
@@ -217,7 +217,7 @@
         if is_full {
             (digest.alive, digest.demand) = self.alive(own, MessageKind::Sum);
             digest.alive.extend(&alive);
-            digest.cut_off = own_cut_off(own).chain(self.cut_off()).collect();
+            digest.unreached = own_unreached(own).chain(self.unreached()).collect();
             digest.heard = self.heard(now_ms, own, |_| true);
             demand::add(&mut digest.demand, &demand);
             demand::subtract(&mut digest.demand, &own.demand);
@@ -229,8 +229,8 @@
             sum.alive = alive.into_iter().chain(hubs.copied()).collect();
             sum.demand = demand;
             let reporters = self.of_kind(MessageKind::Report);
-            let theirs = reporters.flat_map(|(_, sender)| sender.cut_off.iter().copied());
-            sum.cut_off = own_cut_off(own).chain(theirs).collect();
+            let theirs = reporters.flat_map(|(_, sender)| sender.unreached.iter().copied());
+            sum.unreached = own_unreached(own).chain(theirs).collect();
             sum.heard = self.heard(now_ms, own, |kind| kind == MessageKind::Report);
         }
         (sum, digest)
@@ -335,14 +335,14 @@
     items
 }
 
-/// The services from whose upstreams this instance is cut off, as it tells them.
-fn own_cut_off(own: &LocalState) -> impl Iterator<Item = CutOff> {
+/// The services of which this instance reaches no upstream, as it tells them.
+fn own_unreached(own: &LocalState) -> impl Iterator<Item = Unreached> {
     let instance = InstanceKey::of(&own.member.name);
-    let cut_off = move |service: &ServiceKey| CutOff {
+    let unreached = move |service: &ServiceKey| Unreached {
         instance,
         service: *service,
     };
-    own.cut_off.iter().map(cut_off)
+    own.unreached.iter().map(unreached)
 }
 
 fn ready_key(member: &Member) -> Option<InstanceKey> {
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -34,8 +34,8 @@
 pub use log_follower::{ListedEntries, LogFollower, LogPosition, ReadId};
 pub use members::{Member, Members};
 pub use message::{
-    CutOff, GossipMessage, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart,
-    ServiceHeard, Tally, UpstreamLimit, decode, encode,
+    GossipMessage, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart, ServiceHeard,
+    Tally, Unreached, UpstreamLimit, decode, encode,
 };
 pub use poison::{FailureEvidence, PoisonTracker};
 pub use queue::{PrefillQueue, RANKS};
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -73,9 +73,9 @@
     pub at_ms: u64,
 }
 
-/// An instance that reaches no upstream of a service, while others do.
+/// An instance that reaches no upstream of a service, whether or not others do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
-pub struct CutOff {
+pub struct Unreached {
     /// The instance.
     pub instance: InstanceKey,
     /// The service.
@@ -126,8 +126,8 @@
     pub demand: Vec<ServiceDemand>,
     /// Ready instances that are alive, as far as the sender knows.
     pub alive: Vec<InstanceKey>,
-    /// Instances among them that are cut off from the upstreams of a service; told with `alive`.
-    pub cut_off: Vec<CutOff>,
+    /// Instances among them that reach no upstream of a service; told with `alive`.
+    pub unreached: Vec<Unreached>,
     /// When they last heard upstreams; told with `alive`.
     pub heard: Vec<ServiceHeard>,
     /// Heartbeat records that may be new to the receiver.
@@ -168,7 +168,7 @@
             role_changes: Vec::new(),
             demand: Vec::new(),
             alive: Vec::new(),
-            cut_off: Vec::new(),
+            unreached: Vec::new(),
             heard: Vec::new(),
             members: Vec::new(),
             last_order_token: None,
@@ -220,7 +220,7 @@
     role_changes: Vec<PendingRoleChange>,
     demand: Vec<ServiceDemand>,
     alive: Vec<InstanceKey>,
-    cut_off: Vec<CutOff>,
+    unreached: Vec<Unreached>,
     heard: Vec<ServiceHeard>,
     members: Vec<Member>,
     #[serde(rename = "gives_after")]
@@ -274,7 +274,7 @@
             role_changes: message.role_changes,
             demand: message.demand,
             alive: message.alive,
-            cut_off: message.cut_off,
+            unreached: message.unreached,
             heard: message.heard,
             members: message.members,
             last_order_token: message.last_order_token,
@@ -310,7 +310,7 @@
             role_changes: wire.role_changes,
             demand: wire.demand,
             alive: wire.alive,
-            cut_off: wire.cut_off,
+            unreached: wire.unreached,
             heard: wire.heard,
             members: wire.members,
             last_order_token: wire.last_order_token,
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -30,7 +30,7 @@
     pub members: Members,
     pub gossip: GossipState,
     pub own: Vec<(UpstreamKey, Load)>,
-    pub cut_off: Vec<ServiceKey>,
+    pub unreached: Vec<ServiceKey>,
     /// Services that it hears all the time.
     pub hears: Vec<ServiceKey>,
     pub list: Option<LogPosition>,
@@ -87,7 +87,7 @@
                 members: known,
                 gossip: GossipState::default(),
                 own: Vec::new(),
-                cut_off: Vec::new(),
+                unreached: Vec::new(),
                 hears: Vec::new(),
                 list: None,
                 positions: Vec::new(),
@@ -146,7 +146,7 @@
         let instances = self.all.len();
         let each = &mut self.all[index];
         let own = LocalState {
-            cut_off: each.cut_off.clone(),
+            unreached: each.unreached.clone(),
             heard: each
                 .hears
                 .iter()
--- a/crates/view/tests/gossip.rs
+++ b/crates/view/tests/gossip.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 
 use common::{Fleet, load, upstream};
-use view::{CutOff, InstanceKey, ServiceKey, hubs};
+use view::{InstanceKey, ServiceKey, Unreached, hubs};
 
 /// Fleet sizes: two full meshes, and two with hubs.
 const SIZES: [usize; 4] = [2, 7, 80, 295];
@@ -183,7 +183,7 @@
         let cut = instances / 2;
         for (index, each) in fleet.all.iter_mut().enumerate() {
             if index < cut {
-                each.cut_off = vec![service];
+                each.unreached = vec![service];
             } else {
                 each.hears = vec![service];
             }
@@ -191,12 +191,12 @@
         fleet.run(SPREAD_MS + 100, never);
         let now_ms = fleet.now_ms;
         for (index, each) in fleet.all.iter().enumerate() {
-            let known: HashSet<CutOff> = each.gossip.cut_off().collect();
+            let known: HashSet<Unreached> = each.gossip.unreached().collect();
             // An instance does not need word of itself.
             let others = (0..cut).filter(|other| *other != index);
             let missing = others.filter(|other| {
                 let instance = InstanceKey::of(&fleet.all[*other].member.name);
-                !known.contains(&CutOff { instance, service })
+                !known.contains(&Unreached { instance, service })
             });
             assert_eq!(missing.count(), 0, "{instances}: {index}");
             let is_only_one = instances - cut == 1 && index >= cut;
@@ -207,10 +207,10 @@
             );
         }
         for each in &mut fleet.all {
-            each.cut_off.clear();
+            each.unreached.clear();
         }
         fleet.run(SPREAD_MS + 100, never);
-        let left = fleet.all.iter().map(|each| each.gossip.cut_off().count());
+        let left = fleet.all.iter().map(|each| each.gossip.unreached().count());
         assert_eq!(left.sum::<usize>(), 0, "{instances}: healed");
     }
 }
