Streams: an engine that is silent for a second is waited for

Cause: a stream was sent to another engine after 700 ms without an event. A sound upstream may fall silent for a second or so and go on; the stream was made twice.

Mend: 1,300 ms. Callers leave after two seconds or more.

Ruled out: waiting longer, which leaves no time for another engine. Plain services get no requests after 250 ms of silence and some at once afterwards, as before: requests of 600 ms would be lost there.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -29,8 +29,8 @@
 /// for the gap between events. Callers give up after eight, which leaves time for the other engine.
 const MAX_SILENT_GAPS: u64 = 3;
 
-/// Shortest silence after which a stream is resumed elsewhere, in ms.
-const MIN_SILENCE_MS: u64 = 700;
+/// Shortest silence after which a stream is resumed elsewhere, in ms: a sound engine may be silent for a second.
+const MIN_SILENCE_MS: u64 = 1_300;
 
 /// State of a stream that is forwarded from an engine to a caller.
 pub struct StreamForwarder {
