Streams and waiting requests leave an engine as soon as the path to it is known to be cut

Cause: a stream whose connections are refused tried two more engines within a millisecond and ended incomplete, before the check of the path had an answer; and a request counted as heard if another one had an answer of its upstream after it was sent, so it waited to its deadline.

Mend: a resumed stream waits for the check like every other send; what counts is what was heard of the upstream since the path began to fail; a stream that waits for events leaves with the verdict and not with its silence.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -244,10 +244,9 @@
     upstream: &Rc<Upstream>,
     options: &SendOptions<'_>,
 ) -> SendResult {
-    let sent_ms = relay.now_ms();
     let sent = tokio::select! {
         sent = send(relay, call, upstream, options) => sent,
-        () = cut_off_from(relay, upstream, sent_ms), if call.route.is_retryable() => {
+        () = cut_off_from(relay, upstream), if call.route.is_retryable() => {
             SendResult::Lost("the path to the upstream was cut".to_owned())
         }
     };
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -163,7 +163,7 @@
     };
     let kv = tokio::select! {
         kv = prefill => kv,
-        () = cut_off_from(relay, engine, began_ms) => {
+        () = cut_off_from(relay, engine) => {
             log_not_prefilled(relay, call, engine, "the path to the engine was cut");
             None
         }
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -450,12 +450,18 @@
     }
 }
 
-/// Completes once this instance is cut off from the service of `upstream` and has heard nothing of it since a request
-/// was sent to it at `sent_ms`.
-pub async fn cut_off_from(relay: &Relay, upstream: &Upstream, sent_ms: u64) {
+/// Completes once this instance is cut off from the service of `upstream` and has heard nothing of it since that began.
+pub async fn cut_off_from(relay: &Relay, upstream: &Upstream) {
     loop {
         let changed = relay.reachability.changed.notified();
-        if relay.is_cut_off(&upstream.service) && !upstream.has_answered_since(sent_ms) {
+        let failing_since_ms = {
+            let services = relay.reachability.services.borrow();
+            let path = services.get(&upstream.service);
+            let reach = path.map(|path| path.reach).unwrap_or_default();
+            let is_cut_off = reach.state() == ReachState::CutOff;
+            reach.failing_since_ms().filter(|_| is_cut_off)
+        };
+        if failing_since_ms.is_some_and(|since_ms| upstream.heard_ms() < Some(since_ms)) {
             return;
         }
         changed.await;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,14 +15,15 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::dialect::{Prompt, SendOptions};
 use crate::forward::{count_answer, may_retry};
-use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over};
+use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over, send_unless_cut_off};
 use crate::placement;
 use crate::pool::{Exchanged, PooledConnection};
+use crate::reachability::cut_off_from;
 use crate::relay::Relay;
 use crate::retry::MAX_UNREACHABLE;
-use crate::send::{SendResult, send};
+use crate::send::SendResult;
 use crate::sse::EventSplitter;
-use crate::upstream::{InFlight, Work};
+use crate::upstream::{InFlight, Upstream, Work};
 use crate::urgency::Urgency;
 
 /// Silence of an engine after which its stream is resumed elsewhere, in multiples of the objective
@@ -63,6 +64,13 @@
         }
     }
 
+    fn engine(&self) -> Option<Rc<Upstream>> {
+        match self {
+            Self::Engine(guard) => Some(Rc::clone(guard.upstream())),
+            Self::Peer(_) => None,
+        }
+    }
+
     fn note_activity(&self, now_ms: u64) {
         if let Self::Engine(guard) = self {
             guard.upstream().note_activity(now_ms);
@@ -231,8 +239,18 @@
         let Some(source) = self.source.as_mut() else {
             return Received::End;
         };
+        let engine = source.origin.engine().filter(|_| may_resume);
+        let path_cut = async {
+            match &engine {
+                Some(engine) => cut_off_from(&self.relay, engine).await,
+                None => std::future::pending().await,
+            }
+        };
         let frame = source.body.frame();
-        let waited = actix_rt::time::timeout(Duration::from_millis(wait_ms), frame).await;
+        let waited = tokio::select! {
+            waited = actix_rt::time::timeout(Duration::from_millis(wait_ms), frame) => waited,
+            () = path_cut => return Received::Silent("the path to the engine was cut".to_owned()),
+        };
         match waited {
             Err(_) if wait_ms == left_ms => Received::OutOfTime,
             Err(_) => Received::Silent(format!("silent for {wait_ms} ms")),
@@ -362,7 +380,8 @@
             ..SendOptions::default()
         };
         let left = Duration::from_millis(call.left_ms(self.relay.now_ms()));
-        let sent = actix_rt::time::timeout(left, send(&self.relay, call, &engine, &options)).await;
+        let sending = send_unless_cut_off(&self.relay, call, &engine, &options);
+        let sent = actix_rt::time::timeout(left, sending).await;
         match sent {
             Ok(SendResult::Answer(checked)) if checked.response.status() == StatusCode::OK => {
                 guard.note_prefilled();
