--- a/crates/ctl/src/trace.rs
+++ b/crates/ctl/src/trace.rs
@@ -7,8 +7,9 @@
 /// Lines that name no request but one of the request's upstreams are included, since what an
 /// instance knew about an upstream explains where it sent the request. So are announcements of any
 /// upstream of the request's service that still hold, since a request that passed over an upstream
-/// or was refused names none. Lines without a JSON object
-/// are skipped, as a captured log may hold other output.
+/// or was refused names none. And so is what the request's instances believed of their path to the service, which tells
+/// why one of them handed it over or refused it. Lines without a JSON object are skipped, as a captured log may hold
+/// other output.
 pub fn request_timeline(request: &str, logs: &[(String, String)]) -> String {
     let mut lines: Vec<Line> = logs
         .iter()
@@ -33,13 +34,16 @@
     let names = |line: &Line, field: &str, all: &[&str]| {
         line.field(field).is_some_and(|value| all.contains(&value))
     };
+    let paths = paths_at(&lines, &of_request, &services, first.wall_ms);
     let is_relevant = |line: &&Line| {
         let is_of_request = line.field("request") == Some(request);
         let is_of_upstream = line.field("request").is_none()
             && names(line, "upstream", &upstreams)
             && line.wall_ms + LOOKBACK_MS >= first.wall_ms;
         let is_announced = names(line, "service", &services) && line.holds_at(first.wall_ms);
-        line.wall_ms <= last.wall_ms && (is_of_request || is_of_upstream || is_announced)
+        let is_path = paths.iter().any(|path| std::ptr::eq(*path, *line));
+        let is_shown = is_of_request || is_of_upstream || is_announced || is_path;
+        line.wall_ms <= last.wall_ms && is_shown
     };
     let mut timeline = String::new();
     for line in lines.iter().filter(is_relevant) {
@@ -49,6 +53,40 @@
     timeline
 }
 
+/// The lines on the paths of a request's instances to its services: the last one of each before its first line unless
+/// the path was sound then, and all later ones.
+fn paths_at<'a>(
+    lines: &'a [Line],
+    of_request: &[&Line],
+    services: &[&str],
+    first_ms: i64,
+) -> Vec<&'a Line> {
+    let is_path = |line: &&Line| {
+        let is_of_service = line
+            .field("service")
+            .is_some_and(|it| services.contains(&it));
+        let is_of_instance = of_request.iter().any(|own| own.instance == line.instance);
+        line.field("message") == Some(PATH_MESSAGE) && is_of_service && is_of_instance
+    };
+    let mut shown: Vec<&Line> = Vec::new();
+    for line in lines.iter().filter(is_path) {
+        let is_same = |earlier: &&Line| {
+            earlier.instance == line.instance && earlier.field("service") == line.field("service")
+        };
+        if line.wall_ms <= first_ms {
+            shown.retain(|earlier| !is_same(earlier));
+        }
+        let is_sound = line.field("after") == Some("Reached");
+        if line.wall_ms > first_ms || !is_sound {
+            shown.push(line);
+        }
+    }
+    shown
+}
+
+/// Message on a change of what an instance believes of its path to a service.
+const PATH_MESSAGE: &str = "path to the upstreams of a service changed";
+
 /// Message on an upstream that is leaving, which holds for the rest of its life.
 const LEAVING_MESSAGE: &str = "upstream announces that it is leaving";
 
--- a/crates/ctl/tests/trace.rs
+++ b/crates/ctl/tests/trace.rs
@@ -44,3 +44,22 @@
     let is_shown = ["i-1", "i-2", "i-3", "i-4"].map(|id| timeline.contains(id));
     assert_eq!(is_shown, [true, true, false, false], "{timeline}");
 }
+
+/// Guards against a request that seems served or refused by chance, since its instance was cut off and a peer served it:
+/// the paths that held at the instances of the request are shown, and no others.
+#[test]
+fn the_paths_of_the_requests_instances_are_gathered() {
+    let cut_off = r#"{"wall_ms":1000,"message":"path to the upstreams of a service changed","service":"desk","before":"Reached","after":"CutOff"}
+{"wall_ms":1000,"message":"path to the upstreams of a service changed","service":"llm","before":"Reached","after":"CutOff"}
+{"wall_ms":9000,"message":"request served by another instance: this one is cut off from upstreams","request":"ab","service":"desk","to":"b"}
+"#;
+    let helping = r#"{"wall_ms":500,"message":"path to the upstreams of a service changed","service":"desk","before":"Reached","after":"Down"}
+{"wall_ms":800,"message":"path to the upstreams of a service changed","service":"desk","before":"Down","after":"Reached"}
+{"wall_ms":8990,"message":"request taken over from another instance: that one is cut off from upstreams","request":"ab","service":"desk","from":"a"}
+"#;
+    let idle = r#"{"wall_ms":1000,"message":"path to the upstreams of a service changed","service":"desk","before":"Reached","after":"CutOff"}
+"#;
+    let logs = [("a", cut_off), ("b", helping), ("c", idle)];
+    let logs = logs.map(|(name, log)| (name.to_owned(), log.to_owned()));
+    insta::assert_snapshot!(request_timeline("ab", &logs));
+}
--- a/crates/entry/src/runner/attempt.rs
+++ b/crates/entry/src/runner/attempt.rs
@@ -72,7 +72,7 @@
             events = match with_timeout(attempt.timeout.timeout_ms, reopened).await {
                 Ok(events) => events,
                 Err(error) => {
-                    self.record_engine_loss(attempt, &error);
+                    self.attribute_loss(attempt, error).await;
                     return self.fail_attempt(attempt, "resume");
                 }
             };
--- a/crates/entry/src/runner/poison.rs
+++ b/crates/entry/src/runner/poison.rs
@@ -3,6 +3,8 @@
 //! The same rule as on the platform (`view::poison`), but based only on what this instance
 //! observes: a request during which two engines have crashed is not sent to a third.
 
+use std::time::Duration;
+
 use view::{FailureEvidence, UpstreamKey};
 
 use super::CompletionRunner;
@@ -10,6 +12,11 @@
 use crate::engine::{self, EngineError};
 use crate::refusal::{Code, Refusal};
 
+/// Times that an engine whose connection broke again is asked once more, and the pause between two of them, in ms: the
+/// listener of a process that is ending may accept connections for a moment longer than those before last.
+const LOSS_CHECKS: u32 = 5;
+const LOSS_CHECK_PAUSE_MS: u64 = 20;
+
 impl CompletionRunner {
     /// Refuses a poison request.
     pub(super) fn check_poison(&self) -> Result<(), Refusal> {
@@ -27,16 +34,32 @@
     pub(super) async fn probe_engine(&self, attempt: &Attempt) {
         let name = &attempt.request_id;
         if let Err(error) = engine::resume(&self.app, &attempt.address, name, 0).await {
-            self.record_engine_loss(attempt, &error);
+            self.attribute_loss(attempt, error).await;
         }
     }
 
-    /// Records that an engine has crashed if resuming its stream failed because it refuses
-    /// connections.
-    pub(super) fn record_engine_loss(&self, attempt: &Attempt, error: &EngineError) {
-        if !matches!(error, EngineError::NeverSent { .. }) {
-            return;
+    /// Finds out whether an engine has crashed, after resuming its stream failed: whether it refuses connections, now
+    /// or shortly after. Without a second look, an engine that is just ending would not count, and the request would
+    /// end one engine more.
+    pub(super) async fn attribute_loss(&self, attempt: &Attempt, mut error: EngineError) {
+        for _ in 0..LOSS_CHECKS {
+            if !matches!(error, EngineError::Broken { .. }) {
+                break;
+            }
+            actix_rt::time::sleep(Duration::from_millis(LOSS_CHECK_PAUSE_MS)).await;
+            let name = &attempt.request_id;
+            let produced = self.produced;
+            match engine::resume(&self.app, &attempt.address, name, produced).await {
+                Ok(_) => return,
+                Err(next) => error = next,
+            }
+        }
+        if matches!(error, EngineError::NeverSent { .. }) {
+            self.record_engine_loss(attempt);
         }
+    }
+
+    fn record_engine_loss(&self, attempt: &Attempt) {
         let now_ms = self.app.now_ms();
         let upstream = UpstreamKey::of(&attempt.name, 0);
         let request = self.job.key;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -422,7 +422,7 @@
             if self.relay.success_log_limit.take(self.relay.now_ms()) {
                 log::info!(
                     request = self.call.id(), route = route.name, workspace = self.call.workspace_name(),
-                    upstream = source.origin.name(), is_from_peer,
+                    service = self.call.service, upstream = source.origin.name(), is_from_peer,
                     first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time;
                     "stream finished"
                 );
