--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -113,17 +113,40 @@
     }
 }
 
-/// An instance whose paths to all upstreams can be cut, its peer, and the paths.
-async fn start_pair(upstreams: &Upstreams) -> (TestInstance, TestInstance, Vec<Link>) {
+async fn start_pair_without_traffic(
+    upstreams: &Upstreams,
+) -> (TestInstance, TestInstance, Vec<Link>) {
     let (links, entries) = upstreams.links();
     let cut_off = TestInstance::start_peer("a", "here", entries).await;
     let peer = TestInstance::start_peer("b", "here", upstreams.entries()).await;
     meet(&[&cut_off, &peer]).await;
+    (cut_off, peer, links)
+}
+
+/// An instance whose paths to all upstreams can be cut, its peer, and the paths.
+async fn start_pair(upstreams: &Upstreams) -> (TestInstance, TestInstance, Vec<Link>) {
+    let (cut_off, peer, links) = start_pair_without_traffic(upstreams).await;
     served(&cut_off, 1_000).await;
     served(&peer, 2_000).await;
     (cut_off, peer, links)
 }
 
+/// An instance whose paths to these stubs can be cut, its peer, and the paths.
+async fn start_pair_of(
+    stubs: &[StubUpstream],
+    service: &str,
+    stage: Stage,
+) -> (TestInstance, TestInstance, Vec<Link>) {
+    let stubs = stubs.iter().enumerate().map(|(number, stub)| {
+        let entry = stub.entry(&format!("up-{number}"), service, stage);
+        (stub.clone(), entry)
+    });
+    start_pair_without_traffic(&Upstreams {
+        stubs: stubs.collect(),
+    })
+    .await
+}
+
 /// Keeps requests coming to an instance until the returned guard is dropped.
 fn keep_busy(instance: &Rc<TestInstance>) -> Busy {
     let instance = Rc::clone(instance);
@@ -177,12 +200,7 @@
         })
     };
     let stubs = [slow(), slow(), slow()];
-    let entry = |number: usize| stubs[number].entry(&format!("up-{number}"), "desk", Stage::Whole);
-    let links: Vec<Link> = stubs.iter().map(|stub| Link::open(stub.address)).collect();
-    let entries = (0..3).map(|number| links[number].entry(entry(number)));
-    let cut_off = TestInstance::start_peer("a", "here", entries.collect()).await;
-    let peer = TestInstance::start_peer("b", "here", (0..3).map(entry).collect()).await;
-    meet(&[&cut_off, &peer]).await;
+    let (cut_off, peer, links) = start_pair_of(&stubs, "desk", Stage::Whole).await;
     let peer = Rc::new(peer);
     let _busy = keep_busy(&peer);
     // The same request is under way at two upstreams when their connections are lost.
@@ -301,12 +319,7 @@
         })
     };
     let stubs = [engine(), engine(), engine()];
-    let entry = |number: usize| stubs[number].entry(&format!("up-{number}"), "llm", Stage::Decode);
-    let links: Vec<Link> = stubs.iter().map(|stub| Link::open(stub.address)).collect();
-    let entries = (0..3).map(|number| links[number].entry(entry(number)));
-    let cut_off = TestInstance::start_peer("a", "here", entries.collect()).await;
-    let peer = TestInstance::start_peer("b", "here", (0..3).map(entry).collect()).await;
-    meet(&[&cut_off, &peer]).await;
+    let (cut_off, peer, links) = start_pair_of(&stubs, "llm", Stage::Decode).await;
     let peer = Rc::new(peer);
     let _busy = keep_busy(&peer);
     for (id, state) in [LinkState::Hanging, LinkState::Refusing]
