Relay tests: the stub of a long stream does not wait after its last event

The trace shows the peer's engine closing the connection: the stub waited for 100 ms after its complete answer and took the next request on the connection for a caller that leaves. The peer lost an answer by that, and the stream had no attempt left.

Ruled out: the hand-over itself (the verdict came 0.1 to 0.25 s after the cut, the peer took the request over at once).

--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -313,7 +313,8 @@
             let head = whole.strip_suffix(rest.as_str()).expect("a head");
             let mut actions = vec![Action::Write(head.to_owned())];
             for id in after + 1..=10 {
-                actions.extend([Action::Write(event(id)), Action::Wait(100)]);
+                // A stub that still waits after its answer takes the next request for a closed connection.
+                actions.extend([Action::Wait(100), Action::Write(event(id))]);
             }
             actions
         })
