--- a/crates/relay/tests/common/link.rs
+++ b/crates/relay/tests/common/link.rs
@@ -14,6 +14,9 @@
 /// Instruction of a socket filter that drops the packet.
 const DROP: SockFilter = SockFilter::new(0x06, 0, 0, 0);
 
+/// Time after which a connection that was established is reset.
+const LATE_RESET: Duration = Duration::from_millis(30);
+
 /// What a link does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum LinkState {
@@ -25,6 +28,8 @@
     Refusing,
     /// Passes data on open connections, and establishes no new ones.
     OpenOnly,
+    /// Establishes connections and resets them a moment later, with their requests unread.
+    ResettingLate,
 }
 
 /// A path to one upstream.
@@ -69,7 +74,8 @@
             listener = Some(bind(address).expect("the port of before"));
         }
         if let Some(listener) = &listener {
-            set_filter(&SockRef::from(listener), state != LinkState::Open);
+            let is_open = matches!(state, LinkState::Open | LinkState::ResettingLate);
+            set_filter(&SockRef::from(listener), !is_open);
         }
         let accepted = async {
             match &listener {
@@ -101,6 +107,12 @@
 }
 
 async fn pass(near: TcpStream, to: SocketAddr, mut states: watch::Receiver<LinkState>) {
+    if *states.borrow() == LinkState::ResettingLate {
+        let linger = SockRef::from(&near).set_linger(Some(Duration::ZERO));
+        linger.expect("an option");
+        actix_rt::time::sleep(LATE_RESET).await;
+        return;
+    }
     let Ok(far) = TcpStream::connect(to).await else {
         return;
     };
@@ -114,7 +126,7 @@
     let follow = async {
         loop {
             let state = *states.borrow_and_update();
-            if state == LinkState::Refusing {
+            if matches!(state, LinkState::Refusing | LinkState::ResettingLate) {
                 return;
             }
             set_filter(&SockRef::from(&socket), state == LinkState::Hanging);
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -190,6 +190,13 @@
     assert_eq!(serves_through(LinkState::OpenOnly).await, REQUESTS);
 }
 
+/// Guards against an instance that takes its path for healed because connections are established, although each is
+/// reset a moment later.
+#[actix_rt::test]
+async fn callers_are_served_while_connections_are_reset_after_they_open() {
+    assert_eq!(serves_through(LinkState::ResettingLate).await, REQUESTS);
+}
+
 /// Guards against requests that all instances refuse as poison because one instance lost its own path under them.
 #[actix_rt::test]
 async fn an_instance_cut_off_from_upstreams_accuses_no_request() {
