Path belief: only an answer on a new connection proves a path; lost answers start a check

What callers saw: at an instance whose connections are established and reset a moment later, their requests were lost for as long as the cut lasted.

Cause: a probe held a connection for 5 ms and took it for a sound path, and so did any answer on a connection that was opened before the cut; a sound probe wiped what had failed. An answer that was lost started no check of the path at all: only connections that could not be opened did.

Mend: a check asks for the upstream's report on a new connection (no slot, no request of a caller), and only the answer counts. What an answer on a caller's connection proves dates from when that connection began to be opened. Requests wait for a check that follows a failure, one round trip if the path is sound. The checks have a module of their own, ask other upstreams at each instance, and leave out those that want no requests. Why it works: a path that resets, holds or passes one way cannot bring an answer.

The stubs of the tests answer queries for their report by themselves, as upstreams do; no check was changed.

--- a/crates/plan/src/reach.rs
+++ b/crates/plan/src/reach.rs
@@ -33,9 +33,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Reach {
     state: ReachState,
-    /// When an upstream was last heard: a connection was opened, or data came on one.
+    /// When data of an upstream last came on any connection.
     heard_ms: Option<u64>,
-    /// Start of the first attempt that failed since a connection was opened.
+    /// Start of the first attempt that failed since an upstream answered on a new connection.
     failing_since_ms: Option<u64>,
     /// Upstreams found unreachable since then.
     failed: usize,
@@ -61,7 +61,7 @@
         self.heard_ms.max(self.peers_heard_ms)
     }
 
-    /// Start of the first attempt that failed since a connection was opened; none while connections open.
+    /// Start of the first attempt that failed since an upstream answered on a new connection; none while they do.
     pub fn failing_since_ms(&self) -> Option<u64> {
         self.failing_since_ms
     }
@@ -78,8 +78,9 @@
         self.heard_ms = self.heard_ms.max(Some(now_ms));
     }
 
-    /// Records that a connection was opened, which ends any doubt.
-    pub fn record_connected(&mut self, now_ms: u64) {
+    /// Records that an upstream answered on a connection that was opened since the first failure, which ends any
+    /// doubt. A connection that was merely established does not: it may be reset before its request is read.
+    pub fn record_proven(&mut self, now_ms: u64) {
         if self.state == ReachState::CutOff {
             self.cut_off_ms = Some(now_ms);
         }
--- a/crates/plan/tests/reach.rs
+++ b/crates/plan/tests/reach.rs
@@ -7,7 +7,7 @@
 
 fn failing(at_ms: u64, failed: usize, known: usize) -> Reach {
     let mut reach = Reach::default();
-    reach.record_connected(0);
+    reach.record_proven(0);
     reach.record_unreachable(at_ms + 200, at_ms, failed, known);
     reach
 }
@@ -33,7 +33,7 @@
     // Data on an open connection does not show that a new one can be opened.
     reach.record_heard(1_300);
     assert_eq!(reach.state(), ReachState::CutOff);
-    reach.record_connected(2_000);
+    reach.record_proven(2_000);
     assert_eq!(reach.state(), ReachState::Reached);
     assert!(reach.was_cut_off_since(1_900) && !reach.was_cut_off_since(2_100));
 }
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -8,14 +8,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use plan::Sign;
 use view::FailureEvidence;
 
 use crate::answer::Refusal;
 use crate::call::Call;
-use crate::pool::ExchangeError;
+use crate::inquiry::ask;
+use crate::path_check::{suspect_path, suspect_path_after_loss};
 use crate::reachability::settle;
 use crate::relay::Relay;
-use crate::send::{max_connections_to, note_exchange_error};
 use crate::upstream::Upstream;
 
 /// Poll interval while a health check is running, in ms. A check takes about one round trip.
@@ -45,34 +46,37 @@
         request: call.key,
         upstream: upstream.key,
     });
+    suspect_path_after_loss(relay, &upstream.service);
     // An engine that terminates loses dozens of answers at once; one check is enough for all of them.
     if !upstream.begin_health_check() {
         return;
     }
-    let max_open = max_connections_to(relay, &call.service);
     let (relay, upstream) = (Rc::clone(relay), Rc::clone(upstream));
     actix_rt::spawn(async move {
-        check_health(&relay, &upstream, max_open).await;
+        check_health(&relay, &upstream).await;
         upstream.end_health_check();
     });
 }
 
-/// Opens a connection; if that fails, reports to the failure attribution that the upstream has ended.
+/// Asks the upstream for a sign of life; if its address refuses connections, reports to the failure attribution that it
+/// has ended.
 ///
 /// An instance that lost its own path would otherwise accuse the requests under way of ending all upstreams, and its
 /// peers would refuse them.
-async fn check_health(relay: &Rc<Relay>, upstream: &Upstream, max_open: usize) {
+async fn check_health(relay: &Rc<Relay>, upstream: &Upstream) {
     let began_ms = relay.now_ms();
-    let Err(fault) = upstream.pool.probe(max_open).await else {
+    let sign = ask(relay, upstream).await;
+    if sign.proves_path() || sign == Sign::NotAsked {
         return;
-    };
-    note_exchange_error(relay, upstream, &fault, began_ms);
-    if let ExchangeError::Connect { .. } = fault {
+    }
+    upstream.note_unreachable(relay.now_ms());
+    suspect_path(relay, &upstream.service, began_ms);
+    if sign == Sign::Refused {
         settle(relay, &upstream.service).await;
         if relay.is_cut_off(&upstream.service) {
             return;
         }
-        log::info!(upstream = upstream.id, fault:%; "health check failed: upstream has terminated");
+        log::info!(upstream = upstream.id, sign:?; "health check failed: upstream has terminated");
         relay.record_attribution(FailureEvidence::Ended(upstream.key));
     }
 }
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -160,10 +160,13 @@
     fn parse_prefill_response(&self, body: &[u8]) -> Option<String>;
     /// Method and path of the call that frees an unused KV cache.
     fn free_kv_request(&self, handle: &KvHandle) -> (Method, String);
-    /// Path of an engine's report.
+    /// Path of an upstream's report; it takes no slot there.
     fn report_path(&self) -> &str;
     /// Parses an engine's report.
     fn parse_engine_report(&self, body: &[u8]) -> Option<EngineReport>;
+    /// Start of the incarnation that an upstream's report names, on the upstream's clock, in ms; none if the body does
+    /// not tell it.
+    fn parse_reported_start(&self, body: &[u8]) -> Option<u64>;
     /// Path and body of an order to an engine.
     fn order_request(&self, order: &RoleOrder) -> (String, Vec<u8>);
     /// Writes the id of the only incarnation that may accept a request.
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -11,7 +11,7 @@
 use view::gossip::PERIOD_MS;
 use view::{decode, encode};
 
-use crate::reachability::check_paths;
+use crate::path_check::check_paths;
 use crate::relay::Relay;
 
 /// Size of the receive buffer, in bytes: the largest UDP datagram.
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -12,7 +12,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
-use plan::{AttemptTimeout, ReachState};
+use plan::AttemptTimeout;
 use view::{InstanceKey, Member, ServiceKey};
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_leaving};
@@ -230,7 +230,7 @@
 ///
 /// While that is in doubt, sending it would be in vain, and one that may not be repeated would be lost.
 pub async fn is_handed_over(relay: &Relay, call: &Call) -> bool {
-    if relay.reach_state(&call.service) == ReachState::Suspected {
+    if relay.is_path_in_doubt(&call.service) {
         settle(relay, &call.service).await;
     }
     relay.is_cut_off(&call.service)
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -30,10 +30,6 @@
 /// link, shorter than the usual grace period of a shutdown.
 const UNACKED_TIMEOUT_MS: u64 = 4_000;
 
-/// Time for which a probed connection must stay open, in ms: a peer or a network that resets it does so within a
-/// round trip.
-const PROBE_HOLD_MS: u64 = 5;
-
 /// Idle time before the first TCP keepalive probe, in s.
 const KEEPALIVE_IDLE_S: u64 = 2;
 
@@ -55,6 +51,8 @@
         peer: SocketAddr,
         /// Cause.
         why: String,
+        /// Whether the peer, or a path that stands for it, refused: nothing listens at the address.
+        is_refused: bool,
     },
     /// All connections that this instance may open are in use; nothing was sent.
     #[display("no connection to {peer} is free")]
@@ -94,6 +92,8 @@
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: JoinHandle<()>,
+    /// When it began to be opened.
+    began_ms: u64,
     idle_until_ms: u64,
 }
 
@@ -111,7 +111,7 @@
     open: Cell<usize>,
     is_closing: Cell<bool>,
     rest: Cell<Rest>,
-    opened_ms: Cell<Option<u64>>,
+    proven_ms: Cell<Option<u64>>,
 }
 
 impl Pool {
@@ -124,7 +124,7 @@
             open: Cell::default(),
             is_closing: Cell::default(),
             rest: Cell::default(),
-            opened_ms: Cell::default(),
+            proven_ms: Cell::default(),
         })
     }
 
@@ -158,41 +158,53 @@
         Ok(())
     }
 
-    /// When a connection was last opened.
-    pub fn opened_ms(&self) -> Option<u64> {
-        self.opened_ms.get()
+    /// When the youngest connection that brought an answer began to be opened.
+    ///
+    /// Only an answer proves the path: the kernel or a proxy may establish a connection that is reset before its
+    /// request is read.
+    pub fn proven_ms(&self) -> Option<u64> {
+        self.proven_ms.get()
     }
 
-    /// Opens a connection to find out whether the peer can be reached, and keeps it for the next request.
-    pub async fn probe(self: &Rc<Self>, max_open: usize) -> Result<(), ExchangeError> {
-        let connection = open(self, max_open).await?;
-        let pooled = PooledConnection {
-            connection: Some(connection),
-            pool: Rc::clone(self),
-            idle_ms: DEFAULT_IDLE_MS,
-        };
-        actix_rt::time::sleep(Duration::from_millis(PROBE_HOLD_MS)).await;
-        if pooled.is_closed() {
-            return Err(ExchangeError::Connect {
-                peer: self.peer,
-                why: "closed at once".to_owned(),
-            });
-        }
-        self.opened_ms.set(Some(self.clock.now_ms()));
-        pooled.release();
-        Ok(())
+    fn note_answer(&self, connection_began_ms: u64) {
+        self.proven_ms
+            .set(self.proven_ms.get().max(Some(connection_began_ms)));
     }
 
-    /// Opens an idle connection for the next request.
-    pub async fn warm_up(self: &Rc<Self>, max_open: usize) -> Result<(), ExchangeError> {
-        let connection = open(self, max_open).await?;
-        let pooled = PooledConnection {
+    /// Sends a request of this instance's own on a new connection, and reads the whole answer. The connection is
+    /// kept for the next request.
+    pub async fn call(
+        self: &Rc<Self>,
+        request: Request<Full<Bytes>>,
+        connect_timeout_ms: u64,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let connection = open(self, usize::MAX, connect_timeout_ms).await?;
+        let mut pooled = PooledConnection {
             connection: Some(connection),
             pool: Rc::clone(self),
             idle_ms: DEFAULT_IDLE_MS,
         };
+        let peer = self.peer;
+        let Some(connection) = pooled.connection.as_mut() else {
+            return Err(ExchangeError::PoolExhausted { peer });
+        };
+        let lost = |error: hyper::Error| ExchangeError::Lost {
+            peer,
+            why: error.to_string(),
+        };
+        let response = connection.sender.send_request(request).await;
+        let response = response.map_err(lost)?;
+        self.note_answer(connection.began_ms);
+        pooled.idle_ms = idle_ms(&response);
+        let (head, body) = response.into_parts();
+        let body = body.collect().await.map_err(lost)?.to_bytes();
         pooled.release();
-        Ok(())
+        Ok(Response::from_parts(head, body))
+    }
+
+    /// Opens a connection and closes it again; an error tells that none was established.
+    pub async fn connect(&self, timeout_ms: u64) -> Result<(), ExchangeError> {
+        connect_to(self.peer, timeout_ms).await.map(|_| ())
     }
 
     /// Number of open connections, idle or in use.
@@ -232,11 +244,6 @@
 }
 
 impl PooledConnection {
-    fn is_closed(&self) -> bool {
-        let connection = self.connection.as_ref();
-        connection.is_none_or(|connection| connection.sender.is_closed())
-    }
-
     /// Returns the connection to the pool after its answer was read completely.
     pub fn release(mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -279,7 +286,7 @@
         pool.check_accepts()?;
         let (connection, is_new) = match pool.take_idle() {
             Some(connection) => (connection, false),
-            None => (open(pool, max_open).await?, true),
+            None => (open(pool, max_open, CONNECT_TIMEOUT_MS).await?, true),
         };
         let mut pooled = PooledConnection {
             connection: Some(connection),
@@ -293,9 +300,7 @@
         pool.check_accepts()?;
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
-                if is_new {
-                    pool.opened_ms.set(Some(pool.clock.now_ms()));
-                }
+                pool.note_answer(connection.began_ms);
                 pooled.idle_ms = idle_ms(&response);
                 return Ok((response, pooled));
             }
@@ -303,7 +308,13 @@
                 let why = error.error().to_string();
                 match error.take_message() {
                     Some(unsent) if !is_new => request = unsent,
-                    Some(_) => return Err(ExchangeError::Connect { peer, why }),
+                    Some(_) => {
+                        return Err(ExchangeError::Connect {
+                            peer,
+                            why,
+                            is_refused: false,
+                        });
+                    }
                     None => return Err(ExchangeError::Lost { peer, why }),
                 }
             }
@@ -351,23 +362,47 @@
     socket.connect(peer).await
 }
 
+/// Connects to a peer, within the timeout and with the options that all connections need.
+async fn connect_to(peer: SocketAddr, timeout_ms: u64) -> Result<TcpStream, ExchangeError> {
+    let failed = |error: &std::io::Error| ExchangeError::Connect {
+        peer,
+        why: error.to_string(),
+        is_refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
+    };
+    let wait = Duration::from_millis(timeout_ms);
+    let connected = actix_rt::time::timeout(wait, connect(peer)).await;
+    let stream = connected
+        .map_err(|_| ExchangeError::Connect {
+            peer,
+            why: format!("nothing within {timeout_ms} ms"),
+            is_refused: false,
+        })?
+        .map_err(|error| failed(&error))?;
+    configure_socket(&stream).map_err(|error| failed(&error))?;
+    reset_on_drop(&stream).map_err(|error| failed(&error))?;
+    Ok(stream)
+}
+
 /// Opens a connection, unless `max_open` are open already.
-async fn open(pool: &Rc<Pool>, max_open: usize) -> Result<Connection, ExchangeError> {
+async fn open(
+    pool: &Rc<Pool>,
+    max_open: usize,
+    timeout_ms: u64,
+) -> Result<Connection, ExchangeError> {
     let peer = pool.peer;
     if pool.open.get() >= max_open {
         return Err(ExchangeError::PoolExhausted { peer });
     }
-    let failed = |why: String| ExchangeError::Connect { peer, why };
-    let wait = Duration::from_millis(CONNECT_TIMEOUT_MS);
-    let connected = actix_rt::time::timeout(wait, connect(peer)).await;
-    let stream = connected
-        .map_err(|_| failed(format!("nothing within {CONNECT_TIMEOUT_MS} ms")))?
-        .map_err(|error| failed(error.to_string()))?;
-    configure_socket(&stream).map_err(|error| failed(error.to_string()))?;
-    reset_on_drop(&stream).map_err(|error| failed(error.to_string()))?;
-    let (mut sender, connection) = http1::handshake(TokioIo::new(stream))
-        .await
-        .map_err(|error| failed(error.to_string()))?;
+    let began_ms = pool.clock.now_ms();
+    let stream = connect_to(peer, timeout_ms).await?;
+    let (mut sender, connection) =
+        http1::handshake(TokioIo::new(stream))
+            .await
+            .map_err(|error| ExchangeError::Connect {
+                peer,
+                why: error.to_string(),
+                is_refused: false,
+            })?;
     let task = actix_rt::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(peer:%, error:%; "connection ended");
@@ -382,6 +417,7 @@
             sender
         },
         task,
+        began_ms,
         idle_until_ms: 0,
     };
     Ok(connection)
--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -1,48 +1,25 @@
-//! This instance's path to the upstreams of each service: whether it is cut off, and the checks that find out.
+//! This instance's path to the upstreams of each service: whether it is cut off.
 //!
 //! An instance that reaches no upstream sees what it would see if all of them were down: connections that fail or
 //! hang. If peers reach them, the fault is its own path. It then hands its callers' requests to peers
-//! ([`crate::handover`]) and holds what failed meanwhile neither against upstreams nor against requests. See
-//! docs/design/reachability.md.
+//! ([`crate::handover`]) and holds what failed meanwhile neither against upstreams nor against requests. The checks
+//! that find out are in [`crate::path_check`]. See docs/design/reachability.md.
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
-use std::rc::Rc;
 use std::time::Duration;
 
-use futures_util::stream::{FuturesUnordered, StreamExt};
-use plan::{EVIDENCE_WAIT_MS, Reach, ReachState, TELLING_UPSTREAMS};
+use plan::{EVIDENCE_WAIT_MS, Reach, ReachState};
 use tokio::sync::Notify;
 use view::{FailureEvidence, InstanceKey, RequestKey, ServiceHeard, ServiceKey, UpstreamKey};
 
 use crate::call::Call;
+use crate::inquiry::ANSWER_TIMEOUT_MS;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 
-/// Time for which no upstream of a service may be heard while one is overdue, in ms, before the path is checked:
-/// several answers of a plain service, or gaps between events of a stream.
-const QUIET_MS: u64 = 250;
-
-/// Factor on the predicted prefill of an engine, during which it is silent, before it counts as overdue.
-const PREFILL_FACTOR: f64 = 2.0;
-
-/// Shortest time between two checks of a service whose upstreams are reached, in ms; each opens a connection.
-const CHECK_PAUSE_MS: u64 = 1_000;
-
-/// Time between two checks of a service whose upstreams are not reached, in ms.
-const PROBE_INTERVAL_MS: u64 = 250;
-
-/// Timeout of a connection that a check opens, in ms: dozens of round trips between availability zones.
-const PROBE_TIMEOUT_MS: u64 = 200;
-
-/// Instances, by rank, that find out whether a service is reached if a peer does not reach it.
-const ANSWERING_INSTANCES: usize = 3;
-
-/// Upstreams that a check connects to while some upstreams are still heard.
-const TARGETS_WHILE_HEARD: usize = 2 * TELLING_UPSTREAMS;
-
-/// Delay between the connections of one check, in ms; the first one usually answers the question.
-const PROBE_STAGGER_MS: u64 = 20;
+/// Longest time for which requests wait for a verdict, in ms: a check, and word from peers.
+const SETTLE_MS: u64 = EVIDENCE_WAIT_MS + ANSWER_TIMEOUT_MS;
 
 /// Most lost answers that are remembered to be excused.
 const MAX_LOSSES: usize = 256;
@@ -57,32 +34,34 @@
 
 /// The path to the upstreams of one service.
 #[derive(Debug, Default)]
-struct ServicePath {
-    reach: Reach,
-    is_checking: bool,
-    checked_ms: u64,
+pub(crate) struct ServicePath {
+    pub(crate) reach: Reach,
+    /// Whether a check is running, and whether requests wait for it.
+    pub(crate) is_checking: bool,
+    pub(crate) is_awaited: bool,
+    pub(crate) checked_ms: u64,
     /// From when on failures may be due to the path: the last time that an upstream was heard before.
-    faults_from_ms: u64,
+    pub(crate) faults_from_ms: u64,
     losses: Vec<Loss>,
 }
 
 /// The paths to the upstreams of all services.
 #[derive(Default)]
 pub struct Reachability {
-    services: RefCell<HashMap<String, ServicePath>>,
-    changed: Notify,
+    pub(crate) services: RefCell<HashMap<String, ServicePath>>,
+    pub(crate) changed: Notify,
 }
 
-/// When the upstreams of a service were last heard, and when a connection to one was last opened.
+/// When the upstreams of a service were last heard, and when the youngest connection began that brought an answer.
 #[derive(Debug, Clone, Copy, Default)]
-struct Contact {
-    heard_ms: Option<u64>,
-    opened_ms: Option<u64>,
+pub(crate) struct Contact {
+    pub(crate) heard_ms: Option<u64>,
+    pub(crate) proven_ms: Option<u64>,
 }
 
 impl Contact {
-    fn last_ms(self) -> Option<u64> {
-        self.heard_ms.max(self.opened_ms)
+    pub(crate) fn last_ms(self) -> Option<u64> {
+        self.heard_ms.max(self.proven_ms)
     }
 }
 
@@ -100,6 +79,18 @@
         self.reach_state(service) == ReachState::CutOff
     }
 
+    /// Whether it is being found out if this instance reaches the upstreams of a service, after something failed.
+    pub fn is_path_in_doubt(&self, service: &str) -> bool {
+        let services = self.reachability.services.borrow();
+        services
+            .get(service)
+            .is_some_and(|path| match path.reach.state() {
+                ReachState::Suspected => true,
+                ReachState::Reached => path.is_checking && path.is_awaited,
+                ReachState::CutOff | ReachState::Down => false,
+            })
+    }
+
     /// Whether this instance was cut off from a service at some time since `since_ms`; how long answers took then
     /// says nothing about upstreams.
     pub fn was_cut_off_since(&self, service: &str, since_ms: u64) -> bool {
@@ -138,18 +129,6 @@
             .collect()
     }
 
-    /// Whether peers ask if this instance reaches a service: one of them does not, and nobody else would know if the
-    /// service has few requests.
-    fn is_asked(&self, service: &str) -> bool {
-        let key = ServiceKey::of(service);
-        let own = InstanceKey::of(&self.settings.borrow().name);
-        let gossip = self.gossip.borrow();
-        let is_asked = gossip
-            .unreached()
-            .any(|each| each.service == key && each.instance != own);
-        is_asked && self.rank() < ANSWERING_INSTANCES
-    }
-
     /// How long ago this instance heard upstreams of each service, for gossip.
     pub(crate) fn heard_services(&self) -> Vec<ServiceHeard> {
         let now_ms = self.now_ms();
@@ -184,17 +163,17 @@
         true
     }
 
-    fn contact(&self, service: &str) -> Contact {
+    pub(crate) fn contact(&self, service: &str) -> Contact {
         let upstreams = self.upstreams.borrow();
         let all = upstreams.of_service(service);
         all.fold(Contact::default(), |contact, each| Contact {
             heard_ms: contact.heard_ms.max(each.heard_ms()),
-            opened_ms: contact.opened_ms.max(each.pool.opened_ms()),
+            proven_ms: contact.proven_ms.max(each.pool.proven_ms()),
         })
     }
 
     /// Updates the path to a service by `update`, after what was heard since, and acts on a change of the belief.
-    fn update_path(&self, service: &str, update: impl FnOnce(u64, &mut ServicePath)) {
+    pub(crate) fn update_path(&self, service: &str, update: impl FnOnce(u64, &mut ServicePath)) {
         let now_ms = self.now_ms();
         let contact = self.contact(service);
         let peers_heard_ms = self.gossip.borrow().heard_ms(ServiceKey::of(service));
@@ -212,11 +191,11 @@
             }
             update(now_ms, path);
             let failing_since_ms = path.reach.failing_since_ms();
-            let reopened_ms = contact
-                .opened_ms
-                .filter(|opened_ms| failing_since_ms.is_some_and(|since_ms| *opened_ms > since_ms));
-            if let Some(reopened_ms) = reopened_ms {
-                path.reach.record_connected(reopened_ms);
+            let proven_ms = contact
+                .proven_ms
+                .filter(|began_ms| failing_since_ms.is_some_and(|since_ms| *began_ms > since_ms));
+            if let Some(proven_ms) = proven_ms {
+                path.reach.record_proven(proven_ms);
             }
             if let Some(heard_ms) = peers_heard_ms {
                 path.reach.record_peers_heard(now_ms, heard_ms);
@@ -277,150 +256,11 @@
             });
         }
     }
-
-    /// Whether an upstream of a service is overdue and none was heard lately.
-    fn is_quiet(&self, now_ms: u64, service: &str) -> bool {
-        let token_ms = self.estimates.latency_model(now_ms, service).token_ms();
-        let upstreams = self.upstreams.borrow();
-        let heard_ms = self.contact(service).heard_ms.unwrap_or_default();
-        let is_overdue = |each: &Rc<Upstream>| {
-            let prefill_ms = each.own_queued_tokens() * token_ms * PREFILL_FACTOR;
-            each.silent_ms(now_ms)
-                .is_some_and(|silent_ms| silent_ms >= QUIET_MS + prefill_ms as u64)
-        };
-        now_ms >= heard_ms + QUIET_MS && upstreams.of_service(service).any(is_overdue)
-    }
-}
-
-/// Updates what is believed of all paths, and checks those that are quiet or not reached. Called once in each gossip
-/// period.
-pub fn check_paths(relay: &Rc<Relay>) {
-    let now_ms = relay.now_ms();
-    let services = relay.upstreams.borrow().services();
-    for service in services {
-        relay.update_path(&service, |_, _| {});
-        let (state, checked_ms) = {
-            let services = relay.reachability.services.borrow();
-            let path = services.get(&service);
-            path.map_or((ReachState::Reached, 0), |path| {
-                (path.reach.state(), path.checked_ms)
-            })
-        };
-        let is_due = match state {
-            ReachState::Reached if relay.is_asked(&service) => {
-                let heard_ms = relay.contact(&service).last_ms().unwrap_or_default();
-                now_ms >= heard_ms.max(checked_ms) + PROBE_INTERVAL_MS
-            }
-            ReachState::Reached => {
-                now_ms >= checked_ms + CHECK_PAUSE_MS && relay.is_quiet(now_ms, &service)
-            }
-            ReachState::Suspected | ReachState::CutOff | ReachState::Down => {
-                now_ms >= checked_ms + PROBE_INTERVAL_MS
-            }
-        };
-        if is_due {
-            begin_check(relay, &service, now_ms);
-        }
-    }
-}
-
-/// Checks the path to a service after no connection to one of its upstreams could be opened by an attempt that began
-/// at `began_ms`, unless another one was opened since.
-pub fn suspect_path(relay: &Rc<Relay>, service: &str, began_ms: u64) {
-    let is_reached = relay
-        .contact(service)
-        .opened_ms
-        .is_some_and(|opened_ms| opened_ms > began_ms);
-    if !is_reached {
-        begin_check(relay, service, began_ms);
-    }
-}
-
-/// Starts a check unless one is running.
-fn begin_check(relay: &Rc<Relay>, service: &str, began_ms: u64) {
-    let mut is_running = false;
-    relay.update_path(service, |now_ms, path| {
-        is_running = std::mem::replace(&mut path.is_checking, true);
-        path.checked_ms = now_ms;
-        if path.reach.failing_since_ms().is_none() {
-            let heard_ms = path.reach.heard_ms().unwrap_or(began_ms);
-            path.faults_from_ms = heard_ms.min(began_ms);
-        }
-    });
-    if is_running {
-        return;
-    }
-    let (relay, service) = (Rc::clone(relay), service.to_owned());
-    actix_rt::spawn(async move {
-        let targets = targets(&relay, &service, began_ms);
-        let is_reached = reaches_any(&targets).await;
-        let known = relay.upstreams.borrow().of_service(&service).count();
-        relay.update_path(&service, |now_ms, path| {
-            path.is_checking = false;
-            if is_reached {
-                path.reach.record_connected(now_ms);
-            } else if !targets.is_empty() {
-                path.reach
-                    .record_unreachable(now_ms, began_ms, targets.len(), known);
-            }
-        });
-        relay.reachability.changed.notify_waiters();
-    });
-}
-
-/// Upstreams that a check connects to: of different zones if there are several, others each time.
-///
-/// While some are still heard on open connections there are more of them: several that ended at the same time could
-/// otherwise be taken for a path that is cut.
-fn targets(relay: &Relay, service: &str, began_ms: u64) -> Vec<Rc<Upstream>> {
-    let now_ms = relay.now_ms();
-    let is_heard = relay
-        .contact(service)
-        .heard_ms
-        .is_some_and(|heard_ms| heard_ms + QUIET_MS >= began_ms);
-    let count = if is_heard {
-        TARGETS_WHILE_HEARD
-    } else {
-        TELLING_UPSTREAMS
-    };
-    let upstreams = relay.upstreams.borrow();
-    let mut all: Vec<Rc<Upstream>> = upstreams.ready(service, now_ms).cloned().collect();
-    let turn = (now_ms / PROBE_INTERVAL_MS) as usize % all.len().max(1);
-    all.rotate_left(turn);
-    let mut zones: HashMap<String, usize> = HashMap::new();
-    all.sort_by_cached_key(|each| {
-        let count = zones.entry(each.zone.clone()).or_default();
-        *count += 1;
-        *count
-    });
-    all.truncate(count);
-    all
-}
-
-/// Opens a connection to each upstream, one shortly after the other, until one is established.
-async fn reaches_any(targets: &[Rc<Upstream>]) -> bool {
-    let attempt = |(number, target): (usize, &Rc<Upstream>)| {
-        let pool = Rc::clone(&target.pool);
-        async move {
-            let delay_ms = number as u64 * PROBE_STAGGER_MS;
-            actix_rt::time::sleep(Duration::from_millis(delay_ms)).await;
-            let timeout = Duration::from_millis(PROBE_TIMEOUT_MS);
-            let probed = actix_rt::time::timeout(timeout, pool.probe(usize::MAX)).await;
-            matches!(probed, Ok(Ok(())))
-        }
-    };
-    let mut attempts: FuturesUnordered<_> = targets.iter().enumerate().map(attempt).collect();
-    while let Some(is_reached) = attempts.next().await {
-        if is_reached {
-            return true;
-        }
-    }
-    false
 }
 
 /// Waits until it is known whether this instance is cut off from a service, if that is in doubt.
 pub async fn settle(relay: &Relay, service: &str) {
-    let deadline_ms = relay.now_ms() + EVIDENCE_WAIT_MS + PROBE_TIMEOUT_MS;
+    let deadline_ms = relay.now_ms() + SETTLE_MS;
     loop {
         let changed = relay.reachability.changed.notified();
         // Without peers no word can come; the check itself still runs.
@@ -432,16 +272,8 @@
         relay.update_path(service, |now_ms, path| {
             path.reach.decide(now_ms + waited_ms);
         });
-        let is_in_doubt = {
-            let services = relay.reachability.services.borrow();
-            services.get(service).is_some_and(|path| {
-                let state = path.reach.state();
-                let is_checked_first = path.is_checking && state == ReachState::Reached;
-                is_checked_first || state == ReachState::Suspected
-            })
-        };
         let now_ms = relay.now_ms();
-        if !is_in_doubt || now_ms >= deadline_ms {
+        if !relay.is_path_in_doubt(service) || now_ms >= deadline_ms {
             return;
         }
         let wait = Duration::from_millis((deadline_ms - now_ms).min(view::gossip::PERIOD_MS));
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderMap, Method, Request, Response, StatusCode, header};
+use http::{Method, Request, Response, StatusCode};
 use http_body_util::Full;
 use lease::SendPermit;
 use tick::since_boot_ms;
@@ -11,6 +11,7 @@
 use super::{PlannedChange, RoleOrder};
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements, note_leaving};
 use crate::dialect::{EngineReport, ResponseHead};
+use crate::own_request::{own_request, report_request};
 use crate::pool::call_on_new_connection;
 use crate::relay::Relay;
 use crate::upstream::{Stage, Upstream};
@@ -122,7 +123,8 @@
         orders_before: report.orders,
         is_prefill: planned.stage == Stage::Prefill,
     });
-    let request = request(relay, engine, Method::POST, &path, body)?;
+    let request = own_request(relay, engine, Method::POST, &path, body)
+        .map_err(|error| OrderError::before_send(&error))?;
     if !permit.is_valid(since_boot_ms()) {
         return Err(OrderError::before_send(
             &"the time to send the order is over",
@@ -144,13 +146,7 @@
 }
 
 async fn report(relay: &Relay, engine: &Upstream) -> Result<EngineReport, OrderError> {
-    let request = request(
-        relay,
-        engine,
-        Method::GET,
-        relay.dialect.report_path(),
-        Vec::new(),
-    )?;
+    let request = report_request(relay, engine).map_err(|error| OrderError::before_send(&error))?;
     let response = call(relay, engine, AnswerTo::Report, request)
         .await
         .map_err(|why| OrderError::before_send(&why))?;
@@ -171,28 +167,6 @@
     Ok(report)
 }
 
-fn request(
-    relay: &Relay,
-    engine: &Upstream,
-    method: Method,
-    path: &str,
-    body: Vec<u8>,
-) -> Result<Request<Full<Bytes>>, OrderError> {
-    let mut headers = HeaderMap::new();
-    relay
-        .dialect
-        .write_expected_instance(&mut headers, &engine.id);
-    let built = Request::builder()
-        .method(method)
-        .uri(path)
-        .header(header::HOST, engine.address.to_string())
-        .header(header::CONTENT_TYPE, "application/json")
-        .body(Full::new(body.into()));
-    let mut request = built.map_err(|error| OrderError::before_send(&error))?;
-    request.headers_mut().extend(headers);
-    Ok(request)
-}
-
 /// Makes a call to an engine on a new connection, and records what the answer announces.
 async fn call(
     relay: &Relay,
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -147,6 +147,10 @@
         None
     }
 
+    fn parse_reported_start(&self, body: &[u8]) -> Option<u64> {
+        std::str::from_utf8(body).ok()?.parse().ok()
+    }
+
     fn order_request(&self, order: &RoleOrder) -> (String, Vec<u8>) {
         ("/order".to_owned(), order.fence.to_string().into_bytes())
     }
--- a/crates/relay/tests/common/link.rs
+++ b/crates/relay/tests/common/link.rs
@@ -14,8 +14,8 @@
 /// Instruction of a socket filter that drops the packet.
 const DROP: SockFilter = SockFilter::new(0x06, 0, 0, 0);
 
-/// Time after which a connection that was established is reset.
-const LATE_RESET: Duration = Duration::from_millis(30);
+/// Time after which a connection that was established is reset, in [`LinkState::ResettingLate`].
+const LATE_RESET_MS: u64 = 30;
 
 /// What a link does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -30,6 +30,34 @@
     OpenOnly,
     /// Establishes connections and resets them a moment later, with their requests unread.
     ResettingLate,
+    /// Establishes connections and resets them after this many ms, with their requests unread.
+    ResettingAfter(u64),
+    /// Establishes connections, passes requests on, and resets the connections once something was sent.
+    ResettingAfterRequest,
+    /// Establishes connections and passes requests on; no answer comes back.
+    RequestsOnly,
+}
+
+impl LinkState {
+    /// Time after which connections are reset unread, in ms; none if they are not.
+    fn reset_after_ms(self) -> Option<u64> {
+        match self {
+            Self::ResettingLate => Some(LATE_RESET_MS),
+            Self::ResettingAfter(ms) => Some(ms),
+            _ => None,
+        }
+    }
+
+    /// Whether open connections are closed as the link enters this state.
+    fn closes_open(self) -> bool {
+        self.reset_after_ms().is_some()
+            || matches!(self, Self::Refusing | Self::ResettingAfterRequest)
+    }
+
+    /// Whether connections are established.
+    fn establishes(self) -> bool {
+        !matches!(self, Self::Hanging | Self::OpenOnly | Self::Refusing)
+    }
 }
 
 /// A path to one upstream.
@@ -74,8 +102,7 @@
             listener = Some(bind(address).expect("the port of before"));
         }
         if let Some(listener) = &listener {
-            let is_open = matches!(state, LinkState::Open | LinkState::ResettingLate);
-            set_filter(&SockRef::from(listener), !is_open);
+            set_filter(&SockRef::from(listener), !state.establishes());
         }
         let accepted = async {
             match &listener {
@@ -107,10 +134,11 @@
 }
 
 async fn pass(near: TcpStream, to: SocketAddr, mut states: watch::Receiver<LinkState>) {
-    if *states.borrow() == LinkState::ResettingLate {
+    let opened_in = *states.borrow();
+    if let Some(after_ms) = opened_in.reset_after_ms() {
         let linger = SockRef::from(&near).set_linger(Some(Duration::ZERO));
         linger.expect("an option");
-        actix_rt::time::sleep(LATE_RESET).await;
+        actix_rt::time::sleep(Duration::from_millis(after_ms)).await;
         return;
     }
     let Ok(far) = TcpStream::connect(to).await else {
@@ -126,7 +154,8 @@
     let follow = async {
         loop {
             let state = *states.borrow_and_update();
-            if matches!(state, LinkState::Refusing | LinkState::ResettingLate) {
+            let is_its_own = opened_in == LinkState::ResettingAfterRequest && state == opened_in;
+            if state.closes_open() && !is_its_own {
                 return;
             }
             set_filter(&SockRef::from(&socket), state == LinkState::Hanging);
@@ -135,22 +164,27 @@
             }
         }
     };
+    let is_reset_by_request = opened_in == LinkState::ResettingAfterRequest;
     tokio::select! {
         () = follow => {}
-        () = copy(near_read, far_write, up) => {}
-        () = copy(far_read, near_write, down) => {}
+        () = copy(near_read, far_write, up, &[LinkState::Hanging], is_reset_by_request) => {}
+        () = copy(far_read, near_write, down, &[LinkState::Hanging, LinkState::RequestsOnly], false) => {}
     }
 }
 
+/// Passes one direction on, but not in some states, until it ends, or until the first bytes were passed on if
+/// `is_reset` says so.
 async fn copy(
     mut from: OwnedReadHalf,
     mut to: OwnedWriteHalf,
     mut states: watch::Receiver<LinkState>,
+    held_in: &[LinkState],
+    is_reset: bool,
 ) {
     let mut bytes = vec![0; 16_384];
     while let Ok(count @ 1..) = from.read(&mut bytes).await {
-        let _ = states.wait_for(|state| *state != LinkState::Hanging).await;
-        if to.write_all(&bytes[..count]).await.is_err() {
+        let _ = states.wait_for(|state| !held_in.contains(state)).await;
+        if to.write_all(&bytes[..count]).await.is_err() || is_reset {
             return;
         }
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -33,7 +33,7 @@
 pub use dialect::TestDialect;
 pub use link::{Link, LinkState};
 pub use requests::{EVENTS, generation_request, is_prefill, read_request};
-pub use stub::{Action, ReceivedRequest, StubUpstream};
+pub use stub::{Action, Ending, ReceivedRequest, StubUpstream};
 
 /// How long the process of an instance seems to have been running: longer than any of its time
 /// windows, so that the whole retry budget is available.
--- a/crates/relay/tests/common/stub.rs
+++ b/crates/relay/tests/common/stub.rs
@@ -1,6 +1,6 @@
 //! Upstreams that respond as a test prescribes.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,7 +8,7 @@
 use relay::listener::bind;
 use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
 /// A step of a response; a stub carries out its steps in order.
@@ -23,6 +23,20 @@
     Crash,
 }
 
+/// How the process of a stub ends, after its connections are closed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ending {
+    /// Its listener closes with the connections.
+    AtOnce,
+    /// Connections are established for this many ms more, and nobody reads them: the kernel or a supervisor holds the
+    /// socket.
+    Held(u64),
+    /// Connections are accepted and closed for this many ms more, as by a proxy before it.
+    ClosingNew(u64),
+    /// Another incarnation listens at the address after this many ms.
+    Restart(u64),
+}
+
 /// A request as the upstream received it.
 #[derive(Debug, Clone)]
 pub struct ReceivedRequest {
@@ -61,52 +75,105 @@
 pub struct StubUpstream {
     /// Address at which it listens.
     pub address: SocketAddr,
-    /// The requests that it received, in order.
+    /// The requests that it received, in order, without queries for its report.
     pub received: Rc<RefCell<Vec<ReceivedRequest>>>,
     /// Connections that the other end closed while a response was under way.
     pub closed_by_relay: Rc<RefCell<usize>>,
+    ending: Ending,
+    crashes: Rc<Cell<usize>>,
+    /// Start of the incarnation, in ms, as its report tells it.
+    started_ms: u64,
     crashed: watch::Sender<bool>,
 }
 
+type Respond = Rc<dyn Fn(&ReceivedRequest) -> Vec<Action>>;
+
 impl StubUpstream {
     /// Starts one that responds to each request with these steps.
     pub fn start(respond: impl Fn(&ReceivedRequest) -> Vec<Action> + 'static) -> Self {
+        Self::start_ending(Ending::AtOnce, respond)
+    }
+
+    /// Starts one whose process ends in this way.
+    pub fn start_ending(
+        ending: Ending,
+        respond: impl Fn(&ReceivedRequest) -> Vec<Action> + 'static,
+    ) -> Self {
         let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
         let stub = Self {
             address: listener.local_addr().expect("an address"),
             received: Rc::default(),
             closed_by_relay: Rc::default(),
+            ending,
+            crashes: Rc::default(),
+            started_ms: 1,
             crashed: watch::Sender::new(false),
         };
-        let respond = Rc::new(respond);
-        let shared = stub.clone();
-        let mut crashed = stub.crashed.subscribe();
-        actix_rt::spawn(async move {
-            loop {
-                let accepted = tokio::select! {
-                    accepted = listener.accept() => accepted,
-                    _ = crashed.wait_for(|crashed| *crashed) => return,
-                };
-                let Ok((stream, _)) = accepted else {
+        actix_rt::spawn(stub.clone().run(listener, Rc::new(respond)));
+        stub
+    }
+
+    async fn run(mut self, mut listener: TcpListener, respond: Respond) {
+        loop {
+            self.accept(&listener, &respond).await;
+            match self.ending {
+                Ending::AtOnce => return,
+                Ending::Held(ms) => {
+                    actix_rt::time::sleep(Duration::from_millis(ms)).await;
                     return;
-                };
-                let stub = shared.clone();
-                let respond = Rc::clone(&respond);
-                actix_rt::spawn(async move {
-                    let mut crashed = stub.crashed.subscribe();
-                    tokio::select! {
-                        () = stub.serve_connection(stream, &*respond) => {}
-                        _ = crashed.wait_for(|crashed| *crashed) => {}
-                    }
-                });
+                }
+                Ending::ClosingNew(ms) => {
+                    let closing = async {
+                        while let Ok((stream, _)) = listener.accept().await {
+                            drop(stream);
+                        }
+                    };
+                    let ended = Duration::from_millis(ms);
+                    let _ = actix_rt::time::timeout(ended, closing).await;
+                    return;
+                }
+                Ending::Restart(ms) => {
+                    drop(listener);
+                    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+                    listener = bind(self.address).expect("the port of before");
+                    self.started_ms += 1;
+                    self.crashed = watch::Sender::new(false);
+                }
             }
-        });
-        stub
+        }
+    }
+
+    /// Accepts connections until the process ends.
+    async fn accept(&self, listener: &TcpListener, respond: &Respond) {
+        let mut crashed = self.crashed.subscribe();
+        loop {
+            let accepted = tokio::select! {
+                accepted = listener.accept() => accepted,
+                _ = crashed.wait_for(|crashed| *crashed) => return,
+            };
+            let Ok((stream, _)) = accepted else {
+                return;
+            };
+            let stub = self.clone();
+            let respond = Rc::clone(respond);
+            actix_rt::spawn(async move {
+                let mut crashed = stub.crashed.subscribe();
+                tokio::select! {
+                    () = stub.serve_connection(stream, &*respond) => {}
+                    _ = crashed.wait_for(|crashed| *crashed) => {}
+                }
+            });
+        }
     }
 
     /// Whether a step has ended the process.
     pub fn has_crashed(&self) -> bool {
-        *self.crashed.borrow()
+        self.crash_count() > 0
+    }
+
+    /// How often a step has ended the process.
+    pub fn crash_count(&self) -> usize {
+        self.crashes.get()
     }
 
     async fn serve_connection(
@@ -115,6 +182,17 @@
         respond: &dyn Fn(&ReceivedRequest) -> Vec<Action>,
     ) {
         while let Some(received) = read_request(&mut stream).await {
+            // An upstream answers this by itself, whatever becomes of callers' requests.
+            if received.request_line.starts_with("GET /report ") {
+                if *self.crashed.borrow() {
+                    return;
+                }
+                let report = received.response_text("200 OK", "", &self.started_ms.to_string());
+                if stream.write_all(report.as_bytes()).await.is_err() {
+                    return;
+                }
+                continue;
+            }
             self.received.borrow_mut().push(received.clone());
             for action in respond(&received) {
                 match action {
@@ -137,6 +215,7 @@
                     }
                     Action::Close => return,
                     Action::Crash => {
+                        self.crashes.set(self.crashes.get() + 1);
                         self.crashed.send_replace(true);
                         return;
                     }
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -197,6 +197,16 @@
     assert_eq!(serves_through(LinkState::ResettingLate).await, REQUESTS);
 }
 
+/// Guards against the same however late connections are reset, after the request was read, or if answers alone are lost.
+#[actix_rt::test]
+async fn callers_are_served_however_connections_that_open_fail() {
+    let states = [3, 30, 300].map(LinkState::ResettingAfter);
+    let others = [LinkState::ResettingAfterRequest, LinkState::RequestsOnly];
+    for state in states.into_iter().chain(others) {
+        assert_eq!(serves_through(state).await, REQUESTS, "{state:?}");
+    }
+}
+
 /// Guards against requests that all instances refuse as poison because one instance lost its own path under them.
 #[actix_rt::test]
 async fn an_instance_cut_off_from_upstreams_accuses_no_request() {
