Path checks: upstreams that want no requests do not count as known

Cause: a path is suspected once three upstreams fail, or all that are known if there are fewer. A check asks only those that are in use. Of the four of that service two were leaving, one rested and one was limited: two could be asked and failed, of four known, so the path was never suspected.

Mend: those that may not be asked do not count. Why it works: the threshold is then one that the check can reach.

callers_are_served_while_most_upstreams_are_leaving: 0 of 20 served before, 20 of 20 after.

--- a/crates/relay/src/path_check.rs
+++ b/crates/relay/src/path_check.rs
@@ -151,9 +151,8 @@
     }
     let (relay, service) = (Rc::clone(relay), service.to_owned());
     actix_rt::spawn(async move {
-        let targets = targets(&relay, &service, began_ms);
+        let (targets, askable) = targets(&relay, &service, began_ms);
         let is_reached = reaches_any(&relay, &targets).await;
-        let known = relay.upstreams.borrow().of_service(&service).count();
         relay.update_path(&service, |now_ms, path| {
             path.is_checking = false;
             path.is_awaited = false;
@@ -161,19 +160,22 @@
                 path.reach.record_proven(now_ms);
             } else if !targets.is_empty() {
                 path.reach
-                    .record_unreachable(now_ms, began_ms, targets.len(), known);
+                    .record_unreachable(now_ms, began_ms, targets.len(), askable);
             }
         });
         relay.reachability.changed.notify_waiters();
     });
 }
 
-/// Upstreams that a check asks: of different zones if there are several, others each time and at each instance, so
-/// that the checks of a fleet do not meet at the same ones. Those that want no requests now are left out.
+/// Upstreams that a check asks, and the number of those that it could ask: of different zones if there are several,
+/// others each time and at each instance, so that the checks of a fleet do not meet at the same ones.
+///
+/// Those that are leaving, rest or have no room within their limit are not asked, and do not count as known: otherwise
+/// too few could fail for the path to be suspected while the others want no requests.
 ///
 /// While some are still heard on open connections there are more of them: several that ended at the same time could
 /// otherwise be taken for a path that is cut.
-fn targets(relay: &Relay, service: &str, began_ms: u64) -> Vec<Rc<Upstream>> {
+fn targets(relay: &Relay, service: &str, began_ms: u64) -> (Vec<Rc<Upstream>>, usize) {
     let now_ms = relay.now_ms();
     let is_heard = relay
         .contact(service)
@@ -200,8 +202,9 @@
         *count += 1;
         *count
     });
+    let askable = all.len();
     all.truncate(count);
-    all
+    (all, askable)
 }
 
 /// Asks each upstream, one shortly after the other, until one answers.
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -13,7 +13,8 @@
 use http::{HeaderValue, Method};
 use plan::HealthStatus;
 use relay::pool::{Pool, exchange};
-use relay::upstream::{Stage, UpstreamEntry};
+use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
+use relay::upstreams::ListChange;
 
 /// Time in which an instance finds out that it is cut off, or that it no longer is, while requests come.
 const SETTLE: Duration = Duration::from_millis(1_500);
@@ -207,6 +208,35 @@
     }
 }
 
+/// Guards against callers who are not served because an instance that reaches no upstream may not ask most of them:
+/// those are leaving, and too few seem to fail for its path to be suspected.
+#[actix_rt::test]
+async fn callers_are_served_while_most_upstreams_are_leaving() {
+    let stubs: Vec<StubUpstream> = (0..4).map(|_| serving()).collect();
+    let (cut_off, peer, links) = start_pair_of(&stubs, "desk", Stage::Whole).await;
+    for (number, stub) in stubs.iter().enumerate().skip(1) {
+        for instance in [&cut_off, &peer] {
+            let leaving = UpstreamEntry {
+                state: UpstreamState::Leaving,
+                seq: 2,
+                ..stub.entry(&format!("up-{number}"), "desk", Stage::Whole)
+            };
+            let change = ListChange::Put(leaving);
+            instance.relay.apply_change(change, relay::Origin::Read);
+        }
+    }
+    let peer = Rc::new(peer);
+    let _busy = keep_busy(&peer);
+    set_all(&links, LinkState::Refusing);
+    press(&cut_off).await;
+    let reads = (0..REQUESTS).map(|id| cut_off.fetch(read_request(id)));
+    let served = join_all(reads).await;
+    assert_eq!(
+        served.iter().filter(|(status, _)| *status == 200).count(),
+        REQUESTS
+    );
+}
+
 /// Guards against requests that all instances refuse as poison because one instance lost its own path under them.
 #[actix_rt::test]
 async fn an_instance_cut_off_from_upstreams_accuses_no_request() {
