Attribution: an upstream that lost an answer counts as ended until it answers

Cause: a health check looked once, and a connection that opened counted as life. What peers had told of losses was not looked into at all.

Mend: an inquiry (plan::Inquiry) asks until there is a verdict: an answer of the same incarnation shows life; a refusal, another incarnation, or no sign of life for 3 s shows an end. A request waits while as many upstreams may have ended under it as make it poison, 0.5 s or a third of its time at most, and is then refused as not run; for the first loss it waits 100 ms at most. An instance that knows of losses from peers asks for itself. An upstream that answers is no longer ejected for the loss.

Why it works: it does not depend on how long an end takes, as the request is held back until life is shown; the limit of 3 s only ends the inquiry. A sound upstream that is silent for a second is not taken for ended.

--- a/crates/plan/src/inquiry.rs
+++ b/crates/plan/src/inquiry.rs
@@ -4,6 +4,16 @@
 //! a while, by the kernel, a supervisor or a proxy. If that counted as a sign of life, the request would be sent to one
 //! upstream after the other, and each would end. See docs/design/reachability.md.
 
+/// Pause after the first attempt that brought no answer, in ms: most processes end in less. It doubles with each one.
+const FIRST_PAUSE_MS: u64 = 10;
+
+/// Longest pause between two attempts, in ms.
+const MAX_PAUSE_MS: u64 = 250;
+
+/// Time without any sign of life after which an upstream that lost an answer counts as ended, in ms. A sound one may be
+/// silent for a second.
+const NO_SIGN_MS: u64 = 3_000;
+
 /// What an attempt to get an answer from an upstream on a new connection showed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Sign {
@@ -29,3 +39,61 @@
         }
     }
 }
+
+/// What became of an upstream.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Its process runs.
+    Lives,
+    /// Its process has ended.
+    Ended,
+    /// It could not be found out.
+    Unknown,
+}
+
+/// What follows from a sign.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum InquiryStep {
+    /// The inquiry is over.
+    Conclude(Verdict),
+    /// The sign shows neither; it is to be asked again after this many ms.
+    AskAgain(u64),
+}
+
+/// The inquiry into whether an upstream that lost an answer has ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Inquiry {
+    began_ms: u64,
+    pause_ms: u64,
+}
+
+impl Inquiry {
+    /// Begins an inquiry into a loss at `now_ms`.
+    pub fn new(now_ms: u64) -> Self {
+        Self {
+            began_ms: now_ms,
+            pause_ms: FIRST_PAUSE_MS,
+        }
+    }
+
+    /// When it began.
+    pub fn began_ms(&self) -> u64 {
+        self.began_ms
+    }
+
+    /// Decides what a sign means.
+    pub fn decide(&mut self, now_ms: u64, sign: Sign) -> InquiryStep {
+        let is_over = now_ms >= self.began_ms + NO_SIGN_MS;
+        match sign {
+            Sign::Answered => InquiryStep::Conclude(Verdict::Lives),
+            Sign::Replaced | Sign::Refused => InquiryStep::Conclude(Verdict::Ended),
+            Sign::Unanswered if is_over => InquiryStep::Conclude(Verdict::Ended),
+            Sign::NotAsked if is_over => InquiryStep::Conclude(Verdict::Unknown),
+            Sign::Unanswered | Sign::NotAsked => {
+                let pause_ms = self.pause_ms;
+                self.pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
+                InquiryStep::AskAgain(pause_ms)
+            }
+        }
+    }
+}
--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -32,7 +32,7 @@
 pub use fairness::Fairness;
 pub use fleet::{Engine, Fleet, LoadReport, Outstanding, Presence};
 pub use forecast::Forecast;
-pub use inquiry::Sign;
+pub use inquiry::{Inquiry, InquiryStep, Sign, Verdict};
 pub use kv_copy::{KvCopy, KvLink, PrefixHolder, best_copy};
 pub use latency_model::{LatencyModel, PrefillSample, UnconfirmedFor};
 pub use lateness::{LateRequest, LatestStart};
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -159,6 +159,9 @@
     /// Poison request: it terminates the upstreams that run it.
     #[display("upstreams end under this request")]
     PoisonRequest,
+    /// It is not known yet whether upstreams that lost its answer have ended.
+    #[display("upstreams may have ended under this request")]
+    InDoubt,
     /// The request was sent, and no complete answer came.
     #[display("the upstream's answer was lost")]
     Lost,
@@ -190,6 +193,7 @@
             Self::HelperBusy => "helper_busy",
             Self::Rejected => "rejected",
             Self::PoisonRequest => "poisonous",
+            Self::InDoubt => "in_doubt",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -213,7 +217,8 @@
             | Self::CutOff
             | Self::HelperBusy
             | Self::Rejected
-            | Self::PoisonRequest => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::PoisonRequest
+            | Self::InDoubt => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -1,17 +1,17 @@
 //! Failure attribution: whether a lost connection was caused by the request or by its upstream.
 //!
 //! A lost answer alone proves little, since the upstream may have closed just that connection. If the whole
-//! upstream ended, and it happens again to the same request, the request may be the cause (`view::poison`). A
-//! health check therefore opens another connection at once. If that succeeds, the connection serves the next
-//! request; if not, the upstream counts as unreachable before the next request tries it.
+//! upstream ended, and it happens again to the same request, the request may be the cause (`view::poison`). An
+//! inquiry therefore asks the upstream for a sign of life until it is known whether it has ended
+//! ([`plan::Inquiry`]); meanwhile the request waits if another upstream could be the one too many.
 
 use std::rc::Rc;
 use std::time::Duration;
 
-use plan::Sign;
+use plan::{Inquiry, InquiryStep, ReachState, Sign, Verdict};
 use view::FailureEvidence;
 
-use crate::answer::Refusal;
+use crate::answer::{Reason, Refusal};
 use crate::call::Call;
 use crate::inquiry::ask;
 use crate::path_check::{suspect_path, suspect_path_after_loss};
@@ -19,23 +19,48 @@
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 
-/// Poll interval while a health check is running, in ms. A check takes about one round trip.
-const HEALTH_CHECK_POLL_MS: u64 = 2;
+/// Poll interval while an inquiry is running, in ms. One takes about a round trip, unless the upstream ends slowly.
+const INQUIRY_POLL_MS: u64 = 2;
+
+/// Longest time for which a request waits for inquiries before it is refused, in ms, and the part of the time to its
+/// deadline that it may wait: its caller may have better use for the rest.
+const MAX_WAIT_MS: u64 = 500;
+const MAX_WAIT_FRACTION: u64 = 3;
+
+/// Retry delay sent to a caller whose request waits for inquiries, in ms: most upstreams that end have ended by then.
+const IN_DOUBT_RETRY_MS: u64 = 1_000;
 
 /// Refuses a poison request, which terminates the upstreams that run it.
 ///
 /// Called before each send: a prompt may wait for seconds between two sends, and other instances may have
-/// identified it meanwhile. If the connection to an upstream was lost just now, this waits until the health check of
-/// that upstream is complete; otherwise the request could terminate a third one before the end of the first is known.
-pub async fn ensure_not_poison(relay: &Relay, call: &Call) -> Result<(), Refusal> {
-    while relay.is_attribution_pending(call) {
-        actix_rt::time::sleep(Duration::from_millis(HEALTH_CHECK_POLL_MS)).await;
+/// identified it meanwhile. If the connection to an upstream was lost just now, this waits until it is known whether
+/// that upstream has ended; otherwise the request could terminate a third one before the end of the first is known.
+pub async fn ensure_not_poison(relay: &Rc<Relay>, call: &Call) -> Result<(), Refusal> {
+    let began_ms = relay.now_ms();
+    let wait_ms = (call.left_ms(began_ms) / MAX_WAIT_FRACTION).min(MAX_WAIT_MS);
+    loop {
+        relay.check_poison(call)?;
+        inquire_into_losses(relay, call);
+        if !relay.waits_for_inquiry(call) {
+            return Ok(());
+        }
+        if relay.now_ms() >= began_ms + wait_ms {
+            let reason = Reason::InDoubt;
+            return Err(Refusal::with_retry_after(reason, IN_DOUBT_RETRY_MS));
+        }
+        actix_rt::time::sleep(Duration::from_millis(INQUIRY_POLL_MS)).await;
+    }
+}
+
+/// Starts inquiries into losses that peers have told of: this instance does not know yet whether the upstreams live.
+fn inquire_into_losses(relay: &Rc<Relay>, call: &Call) {
+    for upstream in relay.upstreams_to_inquire(call) {
+        begin_inquiry(relay, &upstream);
     }
-    relay.check_poison(call)
 }
 
-/// Records that a connection ended under a request before the answer was complete, and starts a
-/// health check of the upstream unless one is running.
+/// Records that a connection ended under a request before the answer was complete, and starts an
+/// inquiry into the upstream and a check of the path to its service unless they are running.
 ///
 /// While this instance is cut off from the service, the loss says nothing about either.
 pub fn note_lost_answer(relay: &Rc<Relay>, call: &Call, upstream: &Rc<Upstream>) {
@@ -47,36 +72,63 @@
         upstream: upstream.key,
     });
     suspect_path_after_loss(relay, &upstream.service);
-    // An engine that terminates loses dozens of answers at once; one check is enough for all of them.
+    begin_inquiry(relay, upstream);
+}
+
+/// Starts an inquiry unless one is running: an engine that terminates loses dozens of answers at once, and one inquiry is
+/// enough for all of them.
+fn begin_inquiry(relay: &Rc<Relay>, upstream: &Rc<Upstream>) {
     if !upstream.begin_health_check() {
         return;
     }
     let (relay, upstream) = (Rc::clone(relay), Rc::clone(upstream));
     actix_rt::spawn(async move {
-        check_health(&relay, &upstream).await;
+        inquire(&relay, &upstream).await;
         upstream.end_health_check();
     });
 }
 
-/// Asks the upstream for a sign of life; if its address refuses connections, reports to the failure attribution that it
-/// has ended.
+/// Asks an upstream for a sign of life until it is known whether it has ended, and reports an end to the failure
+/// attribution.
 ///
 /// An instance that lost its own path would otherwise accuse the requests under way of ending all upstreams, and its
 /// peers would refuse them.
-async fn check_health(relay: &Rc<Relay>, upstream: &Upstream) {
-    let began_ms = relay.now_ms();
-    let sign = ask(relay, upstream).await;
-    if sign.proves_path() || sign == Sign::NotAsked {
-        return;
-    }
-    upstream.note_unreachable(relay.now_ms());
-    suspect_path(relay, &upstream.service, began_ms);
-    if sign == Sign::Refused {
-        settle(relay, &upstream.service).await;
-        if relay.is_cut_off(&upstream.service) {
+async fn inquire(relay: &Rc<Relay>, upstream: &Upstream) {
+    let mut inquiry = Inquiry::new(relay.now_ms());
+    loop {
+        let asked_ms = relay.now_ms();
+        let sign = ask(relay, upstream).await;
+        if matches!(sign, Sign::Refused | Sign::Unanswered) {
+            upstream.note_unreachable(relay.now_ms());
+            suspect_path(relay, &upstream.service, asked_ms);
+            settle(relay, &upstream.service).await;
+        }
+        let is_lost_path = match relay.reach_state(&upstream.service) {
+            ReachState::Reached => false,
+            ReachState::CutOff => true,
+            // Without an upstream that answers, silence says nothing about a single one; a refusal still does.
+            ReachState::Suspected | ReachState::Down => sign != Sign::Refused,
+        };
+        if is_lost_path {
             return;
         }
-        log::info!(upstream = upstream.id, sign:?; "health check failed: upstream has terminated");
-        relay.record_attribution(FailureEvidence::Ended(upstream.key));
+        match inquiry.decide(relay.now_ms(), sign) {
+            InquiryStep::Conclude(Verdict::Lives) => {
+                upstream.forgive_since(relay.now_ms(), inquiry.began_ms());
+                return;
+            }
+            InquiryStep::Conclude(Verdict::Ended) => {
+                log::info!(
+                    upstream = upstream.id, sign:?, took_ms = relay.now_ms() - inquiry.began_ms();
+                    "upstream has terminated after it lost an answer"
+                );
+                relay.record_attribution(FailureEvidence::Ended(upstream.key));
+                return;
+            }
+            InquiryStep::Conclude(Verdict::Unknown) => return,
+            InquiryStep::AskAgain(pause_ms) => {
+                actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
+            }
+        }
     }
 }
--- a/crates/relay/src/relay/poison.rs
+++ b/crates/relay/src/relay/poison.rs
@@ -1,5 +1,7 @@
 //! Poison requests: requests that terminate the upstreams that run them.
 
+use std::rc::Rc;
+
 use serde::{Deserialize, Serialize};
 use view::poison::RETENTION_MS;
 use view::{FailureEvidence, GossipMessage, RequestKey};
@@ -8,6 +10,7 @@
 use super::peers::unix_ms;
 use crate::answer::{Reason, Refusal};
 use crate::call::Call;
+use crate::upstream::Upstream;
 
 /// Record of a poison request in the store.
 ///
@@ -20,17 +23,31 @@
 }
 
 impl Relay {
-    /// Whether a health check is running that will show if another upstream terminated under a suspected
-    /// request.
-    pub fn is_attribution_pending(&self, call: &Call) -> bool {
-        let undecided = self.poison_tracker.borrow().undecided_upstreams(call.key);
+    /// Whether a request is to wait until it is known which upstreams have ended under it.
+    pub fn waits_for_inquiry(&self, call: &Call) -> bool {
+        let now_ms = self.now_ms();
+        let upstreams = self.upstreams.borrow();
+        let tracker = self.poison_tracker.borrow();
+        tracker.is_in_doubt(call.key, |key| {
+            let upstream = upstreams.get_by_key(key)?;
+            upstream.health_check_age_ms(now_ms)
+        })
+    }
+
+    /// Upstreams that may have ended under a request, and that this instance has not asked since they lost its answer;
+    /// none while one more end would not make it a poison request.
+    pub(crate) fn upstreams_to_inquire(&self, call: &Call) -> Vec<Rc<Upstream>> {
         let upstreams = self.upstreams.borrow();
-        let known = undecided
-            .iter()
-            .filter_map(|key| upstreams.get_by_key(*key));
-        known
-            .into_iter()
-            .any(|upstream| upstream.is_health_check_running())
+        let tracker = self.poison_tracker.borrow();
+        let Some(lost_ms) = tracker.critical_loss_ms(call.key) else {
+            return Vec::new();
+        };
+        let undecided = tracker.undecided_upstreams(call.key).into_iter();
+        undecided
+            .filter_map(|key| upstreams.get_by_key(key))
+            .filter(|upstream| !upstream.was_health_checked_since(lost_ms))
+            .cloned()
+            .collect()
     }
 
     /// Returns a refusal for a known poison request; see [`crate::attribution::ensure_not_poison`].
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -76,7 +76,9 @@
     pub is_spot: bool,
     /// Connections to it.
     pub pool: Rc<Pool>,
-    is_health_check_running: Cell<bool>,
+    /// When the health check that is running began, and when the last one did.
+    health_check_ms: Cell<Option<u64>>,
+    last_health_check_ms: Cell<Option<u64>>,
     clock: Clock,
     joined_ms: u64,
     role_change: Cell<Option<RoleChange>>,
@@ -112,7 +114,8 @@
             slots: entry.slots.max(1),
             is_spot: entry.is_spot,
             pool: Pool::new(entry.address, clock),
-            is_health_check_running: Cell::default(),
+            health_check_ms: Cell::default(),
+            last_health_check_ms: Cell::default(),
             joined_ms: clock.now_ms(),
             role_change: Cell::default(),
             no_capacity_until_ms: Cell::default(),
@@ -135,19 +138,38 @@
         }
     }
 
-    /// Marks a health check as running; false if one already was.
+    /// Marks a health check as running, which finds out whether it has ended; false if one already was.
     pub fn begin_health_check(&self) -> bool {
-        !self.is_health_check_running.replace(true)
+        if self.is_health_check_running() {
+            return false;
+        }
+        let now_ms = Some(self.clock.now_ms());
+        self.health_check_ms.set(now_ms);
+        self.last_health_check_ms.set(now_ms);
+        true
     }
 
     /// Marks the health check as complete.
     pub fn end_health_check(&self) {
-        self.is_health_check_running.set(false);
+        self.health_check_ms.set(None);
     }
 
     /// Whether a health check is running.
     pub fn is_health_check_running(&self) -> bool {
-        self.is_health_check_running.get()
+        self.health_check_ms.get().is_some()
+    }
+
+    /// Time for which the health check has been running, in ms; none if none is.
+    pub fn health_check_age_ms(&self, now_ms: u64) -> Option<u64> {
+        let began_ms = self.health_check_ms.get()?;
+        Some(now_ms.saturating_sub(began_ms))
+    }
+
+    /// Whether a health check was begun at `since_ms` or later.
+    pub fn was_health_checked_since(&self, since_ms: u64) -> bool {
+        self.last_health_check_ms
+            .get()
+            .is_some_and(|began_ms| began_ms >= since_ms)
     }
 
     /// Whether it accepts new requests according to the list and its own answers.
--- a/crates/relay/tests/poison_requests.rs
+++ b/crates/relay/tests/poison_requests.rs
@@ -10,7 +10,7 @@
 
 use bytes::Bytes;
 use common::{
-    Action, ReceivedRequest, StubUpstream, TestInstance, config, deliver_gossip, request,
+    Action, Ending, ReceivedRequest, StubUpstream, TestInstance, config, deliver_gossip, request,
     wait_until,
 };
 use http::{HeaderValue, Method, Request};
@@ -289,6 +289,80 @@
     assert_eq!(crash_count(&decode_engines), 0);
 }
 
+/// Ways in which the process of an upstream ends.
+const ENDINGS: [Ending; 7] = [
+    Ending::Held(20),
+    Ending::Held(400),
+    Ending::Held(2_000),
+    Ending::ClosingNew(20),
+    Ending::ClosingNew(400),
+    Ending::ClosingNew(2_000),
+    Ending::Restart(40),
+];
+
+fn fleet_ending(size: usize, ending: Ending) -> Vec<StubUpstream> {
+    (0..size)
+        .map(|_| StubUpstream::start_ending(ending, crash_on_poison))
+        .collect()
+}
+
+/// Entries with the start of the incarnation that the stubs tell in their reports.
+fn started_entries(fleet: &[StubUpstream]) -> Vec<relay::upstream::UpstreamEntry> {
+    let with_start = |entry| relay::upstream::UpstreamEntry {
+        started_ms: 1,
+        ..entry
+    };
+    entries(fleet, "desk", Stage::Whole)
+        .into_iter()
+        .map(with_start)
+        .collect()
+}
+
+fn crashes(fleet: &[StubUpstream]) -> usize {
+    fleet.iter().map(StubUpstream::crash_count).sum()
+}
+
+/// Guards against a request that takes down the whole service because connections to an upstream that is ending are
+/// still established, or its successor listens at the address: neither shows that the process lives.
+#[actix_rt::test]
+async fn a_poison_read_does_not_take_down_upstreams_that_end_slowly() {
+    let runs = ENDINGS.map(|ending| async move {
+        let fleet = fleet_ending(8, ending);
+        let instance = TestInstance::start(started_entries(&fleet));
+        for attempt in 0..8 {
+            instance.fetch(poison_request("/reads/1", attempt)).await;
+        }
+        (ending, crashes(&fleet))
+    });
+    for (ending, crashes) in futures_util::future::join_all(runs).await {
+        assert!(crashes <= MAX_CRASHES, "{ending:?}: {crashes} crashed");
+    }
+}
+
+/// Guards against the same where the caller reaches another instance each time, which knows of the losses by gossip
+/// alone.
+#[actix_rt::test]
+async fn crashes_of_upstreams_that_end_slowly_are_gossiped() {
+    let runs = ENDINGS.map(|ending| async move {
+        let fleet = fleet_ending(12, ending);
+        let instances: Vec<Rc<TestInstance>> = (0..4)
+            .map(|_| Rc::new(TestInstance::start(started_entries(&fleet))))
+            .collect();
+        for (attempt, instance) in instances.iter().enumerate() {
+            instance.fetch(poison_request("/reads/1", attempt)).await;
+            for other in &instances {
+                if !Rc::ptr_eq(instance, other) {
+                    deliver_gossip(&instance.relay, &other.relay);
+                }
+            }
+        }
+        (ending, crashes(&fleet))
+    });
+    for (ending, crashes) in futures_util::future::join_all(runs).await {
+        assert!(crashes <= MAX_CRASHES, "{ending:?}: {crashes} crashed");
+    }
+}
+
 /// Guards against a third upstream that gets a request before the health check of the second is
 /// done, where a route allows six attempts.
 #[actix_rt::test]
--- a/crates/view/src/poison.rs
+++ b/crates/view/src/poison.rs
@@ -21,6 +21,10 @@
 /// few requests meet two upstreams that end for their own reasons.
 const ENDED_THRESHOLD: usize = 2;
 
+/// Time for which a request waits until it is known whether the first upstream that lost its answer has ended, in ms. It
+/// may meet one more in any case, so a caller is not kept waiting for one that ends slowly.
+const FIRST_LOSS_WAIT_MS: u64 = 100;
+
 /// How long a request is remembered after it last arrived, in ms: far longer than callers wait
 /// before they retry, and short enough to find out that the upstreams have been fixed.
 pub const RETENTION_MS: u64 = 3_600_000;
@@ -230,6 +234,39 @@
         }
     }
 
+    /// Whether a request waits before its next send, because upstreams that lost its answer may have ended.
+    /// `inquiry_age_ms` gives the time for which it has been asked whether an upstream has ended, if that is not known.
+    ///
+    /// An upstream that is not known to live counts as ended until then: taken for alive because it has not refused a
+    /// connection yet, it would let the request end one more.
+    pub fn is_in_doubt(
+        &self,
+        request: RequestKey,
+        inquiry_age_ms: impl Fn(UpstreamKey) -> Option<u64>,
+    ) -> bool {
+        let undecided = self.undecided_upstreams(request);
+        let ages: Vec<u64> = undecided.into_iter().filter_map(inquiry_age_ms).collect();
+        let Some(youngest_ms) = ages.iter().min() else {
+            return false;
+        };
+        self.ended_under(request) + ages.len() >= ENDED_THRESHOLD
+            || *youngest_ms < FIRST_LOSS_WAIT_MS
+    }
+
+    /// When a request last lost an answer, if so many upstreams lost one that it is poison should all have ended.
+    pub fn critical_loss_ms(&self, request: RequestKey) -> Option<u64> {
+        let suspect = self.requests.get(&request)?;
+        (suspect.lost.len() >= ENDED_THRESHOLD).then_some(suspect.at_ms)
+    }
+
+    fn ended_under(&self, request: RequestKey) -> usize {
+        let Some(suspect) = self.requests.get(&request) else {
+            return 0;
+        };
+        let ended = |key: &&UpstreamKey| self.ended.contains_key(key);
+        suspect.lost.iter().filter(ended).count()
+    }
+
     /// Whether an answer to the request would be evidence.
     pub fn is_tracked(&self, request: RequestKey) -> bool {
         self.requests.contains_key(&request)
--- a/crates/view/tests/poison.rs
+++ b/crates/view/tests/poison.rs
@@ -60,6 +60,30 @@
     }
 }
 
+/// Guards against a third upstream that gets a request while two that lost its answer may be ending slowly, and against
+/// callers kept waiting for the first one.
+#[test]
+fn a_request_waits_while_as_many_upstreams_may_have_ended_as_make_it_poison() {
+    let asked_for_ms = |ages_ms: [Option<u64>; 2]| {
+        move |key| match key {
+            key if key == upstream(1) => ages_ms[0],
+            key if key == upstream(2) => ages_ms[1],
+            _ => None,
+        }
+    };
+    let one = tracker_after(&[lost(1)]);
+    assert!(one.is_in_doubt(REQUEST, asked_for_ms([Some(10), None])));
+    assert!(!one.is_in_doubt(REQUEST, asked_for_ms([Some(400), None])));
+    let two = tracker_after(&[lost(1), lost(2)]);
+    assert!(two.is_in_doubt(REQUEST, asked_for_ms([Some(2_000), Some(400)])));
+    assert!(!two.is_in_doubt(REQUEST, asked_for_ms([None, Some(400)])));
+    let one_ended = tracker_after(&[lost(1), ended(1), lost(2)]);
+    assert!(one_ended.is_in_doubt(REQUEST, asked_for_ms([None, Some(400)])));
+    assert!(!one_ended.is_in_doubt(REQUEST, asked_for_ms([None, None])));
+    assert_eq!(one.critical_loss_ms(REQUEST), None);
+    assert_eq!(two.critical_loss_ms(REQUEST), Some(0));
+}
+
 /// Guards against an end that goes unnoticed because the upstream restarts so fast that a check of
 /// the connection reaches its successor. The replaced entry shows the end. The removal of an
 /// upstream without a loss is no evidence.
