Older edge: an engine that lost a stream counts as ended until it gives a sign of life

Cause: only a refused connection within 100 ms counted as an end. An engine that goes on answering for some ms, or whose socket is held, was taken for one that lives, and nothing kept the prompt from a third one meanwhile. A stream that its engine ended at once after a resume was resumed again, and then counted for nothing.

Mend: the pure decision of the platform's path (plan::Inquiry, view::poison) decides here too. A request waits while two engines may have ended under it, 0.5 s at most, and is then refused.

Why it works: it rests on signs of life and not on how long an end takes.

Ruled out: looking more often or longer; the engine that answers for 20 ms passed for alive in the first look already.

--- a/crates/entry/src/app.rs
+++ b/crates/entry/src/app.rs
@@ -15,7 +15,7 @@
 use rand_pcg::Pcg64;
 use tick::{Clock, Timers};
 use tokio::sync::{Notify, oneshot, watch};
-use view::PoisonTracker;
+use view::{PoisonTracker, UpstreamKey};
 use wire::{Body, Condition};
 
 use crate::control::Control;
@@ -55,6 +55,8 @@
     pub(crate) retry_budget: RefCell<RetryBudget>,
     pub(crate) workspace_limiter: RefCell<WorkspaceLimiter>,
     pub(crate) poison_tracker: RefCell<PoisonTracker>,
+    /// Engines of which it is asked whether they have ended, and since when.
+    pub(crate) inquiries: RefCell<HashMap<UpstreamKey, u64>>,
     pub(crate) home: RefCell<Home>,
     pub(crate) witness: RefCell<Witness>,
     pub(crate) call_ended: watch::Sender<u64>,
@@ -119,6 +121,7 @@
             retry_budget: RefCell::default(),
             workspace_limiter: RefCell::default(),
             poison_tracker: RefCell::default(),
+            inquiries: RefCell::default(),
             condition: Cell::default(),
             closed: Cell::new(false),
             log_up: Cell::new(false),
--- a/crates/entry/src/engine.rs
+++ b/crates/entry/src/engine.rs
@@ -1,5 +1,6 @@
 //! HTTP client for model engines: opens, resumes and cancels streams.
 
+use std::io::ErrorKind;
 use std::pin::Pin;
 use std::time::Duration;
 
@@ -7,6 +8,7 @@
 use derive_more::{Display, Error};
 use eventsource_stream::Eventsource;
 use futures_util::{Stream, StreamExt};
+use plan::Sign;
 use serde::{Deserialize, Serialize};
 
 use crate::app::App;
@@ -55,6 +57,8 @@
     NeverSent {
         /// Error of the operating system.
         detail: String,
+        /// Whether the address refused the connection: nothing listens there.
+        is_refused: bool,
     },
     /// The engine refused the request and has not started it.
     #[display("refused with {status}")]
@@ -74,6 +78,9 @@
     /// The engine is responsive, but the answer can no longer meet its deadline.
     #[display("too late to meet the deadline")]
     TooLate,
+    /// The engine ended the stream before its last event.
+    #[display("stream ended without a final event")]
+    EndedEarly,
     /// The connection failed, or the answer was invalid.
     #[display("broken: {detail}")]
     Broken {
@@ -132,6 +139,45 @@
     }
 }
 
+/// Asks an engine for its report; only an answer, whatever it says, shows that its process lives.
+pub(crate) async fn ask_report(app: &App, address: &str, timeout_ms: u64) -> Sign {
+    let url = format!("http://{address}/report");
+    let timeout = Duration::from_millis(timeout_ms);
+    let asked = app.client.get(url).timeout(timeout).send().await;
+    match asked {
+        Ok(_) => Sign::Answered,
+        Err(awc::error::SendRequestError::Connect(error)) => sign_of(&never_sent(&error)),
+        Err(_) => Sign::Unanswered,
+    }
+}
+
+/// What the failure to resume a stream shows of the engine that ran it.
+pub(crate) fn sign_of(error: &EngineError) -> Sign {
+    match error {
+        EngineError::NeverSent {
+            is_refused: true, ..
+        } => Sign::Refused,
+        // The process that answers does not have the stream: the one that ran it has ended.
+        EngineError::Refused { status: 404 } | EngineError::EndedEarly => Sign::Replaced,
+        EngineError::Refused { .. } | EngineError::WrongRequest => Sign::Answered,
+        EngineError::NeverSent { .. }
+        | EngineError::Timeout { .. }
+        | EngineError::TooLate
+        | EngineError::Broken { .. } => Sign::Unanswered,
+    }
+}
+
+fn never_sent(error: &awc::error::ConnectError) -> EngineError {
+    let is_refused = match error {
+        awc::error::ConnectError::Io(error) => error.kind() == ErrorKind::ConnectionRefused,
+        _ => false,
+    };
+    EngineError::NeverSent {
+        detail: error.to_string(),
+        is_refused,
+    }
+}
+
 type Sent<S> = Result<awc::ClientResponse<S>, awc::error::SendRequestError>;
 
 fn events<S>(sent: Sent<S>, request_id: &str) -> Result<EngineEvents, EngineError>
@@ -139,9 +185,7 @@
     S: Stream<Item = Result<bytes::Bytes, actix_http::error::PayloadError>> + Unpin + 'static,
 {
     let response = sent.map_err(|error| match error {
-        awc::error::SendRequestError::Connect(error) => EngineError::NeverSent {
-            detail: error.to_string(),
-        },
+        awc::error::SendRequestError::Connect(error) => never_sent(&error),
         error => EngineError::Broken {
             detail: error.to_string(),
         },
--- a/crates/entry/src/runner.rs
+++ b/crates/entry/src/runner.rs
@@ -101,7 +101,7 @@
     pub(crate) async fn run(mut self) {
         self.app.retry_budget.borrow_mut().deposit();
         loop {
-            let choice = match self.check_poison().and_then(|()| self.route()) {
+            let choice = match self.check_poison().await.and_then(|()| self.route()) {
                 Ok(choice) => choice,
                 Err(refusal) => return self.fail(refusal).await,
             };
--- a/crates/entry/src/runner/attempt.rs
+++ b/crates/entry/src/runner/attempt.rs
@@ -40,6 +40,7 @@
             Err(outcome) => return outcome,
         };
         let mut resumes = 0;
+        let mut resumed_at = None;
         loop {
             let reason = match self.read(attempt, &mut events).await {
                 Ok(outcome) => return outcome,
@@ -50,6 +51,10 @@
                 step = "stream", request_id = attempt.request_id.as_str(),
                 peer = attempt.name.as_str(), number = self.produced; "{reason}"
             );
+            if reason == EngineError::EndedEarly && resumed_at == Some(self.produced) {
+                self.attribute_loss(attempt, engine::sign_of(&reason));
+                return self.fail_attempt(attempt, "resume");
+            }
             // Resuming on an engine that has answered no request since this one was sent would
             // spend the time that another engine needs.
             let is_unresponsive =
@@ -72,10 +77,11 @@
             events = match with_timeout(attempt.timeout.timeout_ms, reopened).await {
                 Ok(events) => events,
                 Err(error) => {
-                    self.attribute_loss(attempt, error).await;
+                    self.attribute_loss(attempt, engine::sign_of(&error));
                     return self.fail_attempt(attempt, "resume");
                 }
             };
+            resumed_at = Some(self.produced);
         }
     }
 
@@ -117,9 +123,10 @@
                     .inc();
                 self.fail_attempt(attempt, "crossed")
             }
-            EngineError::Broken { .. } => {
+            EngineError::Broken { .. } | EngineError::EndedEarly => {
                 self.may_have_run = true;
-                self.probe_engine(attempt).await;
+                let sign = self.sign_of_first_event(attempt).await;
+                self.attribute_loss(attempt, sign);
                 self.fail_attempt(attempt, "open")
             }
             EngineError::Timeout { .. } | EngineError::TooLate => {
@@ -182,7 +189,7 @@
         loop {
             let limit = Duration::from_millis(limit_ms);
             if let Ok(event) = actix_rt::time::timeout(limit, events.next()).await {
-                return event.unwrap_or(Err(ended_early()));
+                return event.unwrap_or(Err(EngineError::EndedEarly));
             }
             if attempt.load_guard.started || self.is_silent(attempt) {
                 return Err(timed_out(limit_ms));
@@ -284,17 +291,11 @@
     }
 }
 
-fn ended_early() -> EngineError {
-    EngineError::Broken {
-        detail: "stream ended without a final event".to_owned(),
-    }
-}
-
 fn timed_out(limit_ms: u64) -> EngineError {
     EngineError::Timeout { limit_ms }
 }
 
-async fn with_timeout<T>(
+pub(super) async fn with_timeout<T>(
     limit_ms: u64,
     operation: impl Future<Output = Result<T, EngineError>>,
 ) -> Result<T, EngineError> {
--- a/crates/entry/src/runner/poison.rs
+++ b/crates/entry/src/runner/poison.rs
@@ -1,75 +1,100 @@
 //! Detection of poison requests, which crash the engines that serve them.
 //!
-//! The same rule as on the platform (`view::poison`), but based only on what this instance
+//! The same rules as on the platform (`view::poison`, `plan::Inquiry`), but based only on what this instance
 //! observes: a request during which two engines have crashed is not sent to a third.
 
+use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::StreamExt;
+use plan::{Inquiry, InquiryStep, Sign, Verdict};
 use view::{FailureEvidence, UpstreamKey};
 
 use super::CompletionRunner;
-use super::attempt::Attempt;
-use crate::engine::{self, EngineError};
+use super::attempt::{Attempt, with_timeout};
+use crate::app::App;
+use crate::engine;
 use crate::refusal::{Code, Refusal};
 
-/// Times that an engine whose connection broke again is asked once more, and the pause between two of them, in ms: the
-/// listener of a process that is ending may accept connections for a moment longer than those before last.
-const LOSS_CHECKS: u32 = 5;
-const LOSS_CHECK_PAUSE_MS: u64 = 20;
+/// Time in which an engine has to give a sign of life, in ms.
+const SIGN_TIMEOUT_MS: u64 = 300;
 
-impl CompletionRunner {
-    /// Refuses a poison request.
-    pub(super) fn check_poison(&self) -> Result<(), Refusal> {
-        let now_ms = self.app.now_ms();
-        let mut tracker = self.app.poison_tracker.borrow_mut();
-        if !tracker.is_poison(now_ms, self.job.key) {
-            return Ok(());
-        }
-        tracker.record_refusal(now_ms, self.job.key);
-        let text = "engines end under this request";
-        Err(Refusal::new(Code::NoUpstream, text))
-    }
+/// Interval at which a request that waits for inquiries looks again, in ms, and the longest time for which it waits.
+const INQUIRY_POLL_MS: u64 = 5;
+const MAX_WAIT_MS: u64 = 500;
 
-    /// Checks whether the engine has crashed, after its connection failed before the answer began.
-    pub(super) async fn probe_engine(&self, attempt: &Attempt) {
-        let name = &attempt.request_id;
-        if let Err(error) = engine::resume(&self.app, &attempt.address, name, 0).await {
-            self.attribute_loss(attempt, error).await;
-        }
-    }
+/// Retry delay sent to a caller whose request waits for inquiries, in ms: most engines that end have ended by then.
+const IN_DOUBT_RETRY_MS: u64 = 1_000;
 
-    /// Finds out whether an engine has crashed, after resuming its stream failed: whether it refuses connections, now
-    /// or shortly after. Without a second look, an engine that is just ending would not count, and the request would
-    /// end one engine more.
-    pub(super) async fn attribute_loss(&self, attempt: &Attempt, mut error: EngineError) {
-        for _ in 0..LOSS_CHECKS {
-            if !matches!(error, EngineError::Broken { .. }) {
-                break;
+impl CompletionRunner {
+    /// Refuses a poison request. Waits while so many engines may have ended under the request that it is one if they
+    /// have; otherwise it could crash a third before the end of the others is known.
+    pub(super) async fn check_poison(&self) -> Result<(), Refusal> {
+        let began_ms = self.app.now_ms();
+        loop {
+            let now_ms = self.app.now_ms();
+            if self
+                .app
+                .poison_tracker
+                .borrow()
+                .is_poison(now_ms, self.job.key)
+            {
+                let mut tracker = self.app.poison_tracker.borrow_mut();
+                tracker.record_refusal(now_ms, self.job.key);
+                let text = "engines end under this request";
+                return Err(Refusal::new(Code::NoUpstream, text));
+            }
+            if !self.app.waits_for_inquiry(self.job.key) {
+                return Ok(());
             }
-            actix_rt::time::sleep(Duration::from_millis(LOSS_CHECK_PAUSE_MS)).await;
-            let name = &attempt.request_id;
-            let produced = self.produced;
-            match engine::resume(&self.app, &attempt.address, name, produced).await {
-                Ok(_) => return,
-                Err(next) => error = next,
+            if now_ms >= began_ms + MAX_WAIT_MS {
+                let text = "engines may have ended under this request";
+                let refusal = Refusal::new(Code::NoUpstream, text);
+                return Err(refusal.retry_after(IN_DOUBT_RETRY_MS));
             }
+            actix_rt::time::sleep(Duration::from_millis(INQUIRY_POLL_MS)).await;
         }
-        if matches!(error, EngineError::NeverSent { .. }) {
-            self.record_engine_loss(attempt);
+    }
+
+    /// Resumes the stream of an attempt whose connection failed before the answer began, and tells what its first event
+    /// shows.
+    pub(super) async fn sign_of_first_event(&self, attempt: &Attempt) -> Sign {
+        let first = async {
+            let mut events =
+                engine::resume(&self.app, &attempt.address, &attempt.request_id, 0).await?;
+            let ended = Err(engine::EngineError::EndedEarly);
+            events.next().await.unwrap_or(ended)
+        };
+        match with_timeout(SIGN_TIMEOUT_MS, first).await {
+            Ok(_) => Sign::Answered,
+            Err(error) => engine::sign_of(&error),
         }
     }
 
-    fn record_engine_loss(&self, attempt: &Attempt) {
-        let now_ms = self.app.now_ms();
+    /// Records that an engine lost the stream of an attempt. Whether the engine has ended is asked until it is known, if
+    /// the sign does not show it.
+    pub(super) fn attribute_loss(&self, attempt: &Attempt, sign: Sign) {
         let upstream = UpstreamKey::of(&attempt.name, 0);
         let request = self.job.key;
-        let mut tracker = self.app.poison_tracker.borrow_mut();
-        tracker.observe(now_ms, FailureEvidence::Lost { request, upstream });
-        tracker.observe(now_ms, FailureEvidence::Ended(upstream));
+        let now_ms = self.app.now_ms();
+        self.app
+            .poison_tracker
+            .borrow_mut()
+            .observe(now_ms, FailureEvidence::Lost { request, upstream });
         log::info!(
             step = "stream", request_id = attempt.request_id.as_str(),
-            peer = attempt.name.as_str(), key:% = request; "engine has crashed"
+            peer = attempt.name.as_str(), key:% = request, sign:?; "engine has lost a stream"
         );
+        let mut inquiry = Inquiry::new(now_ms);
+        let step = inquiry.decide(now_ms, sign);
+        if self.app.conclude(&attempt.name, step) {
+            return;
+        }
+        let is_running = self.app.inquiries.borrow_mut().insert(upstream, now_ms);
+        if is_running.is_none() {
+            let (app, name) = (Rc::clone(&self.app), attempt.name.clone());
+            actix_rt::spawn(inquire(app, name, attempt.address.clone(), inquiry));
+        }
     }
 
     /// Records a complete answer, which shows that the request is not a poison request.
@@ -80,3 +105,44 @@
         }
     }
 }
+
+/// Asks an engine for a sign of life until it is known whether it has ended.
+async fn inquire(app: Rc<App>, name: String, address: String, mut inquiry: Inquiry) {
+    loop {
+        let sign = engine::ask_report(&app, &address, SIGN_TIMEOUT_MS).await;
+        let step = inquiry.decide(app.now_ms(), sign);
+        if app.conclude(&name, step) {
+            break;
+        }
+        if let InquiryStep::AskAgain(pause_ms) = step {
+            actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
+        }
+    }
+    app.inquiries
+        .borrow_mut()
+        .remove(&UpstreamKey::of(&name, 0));
+}
+
+impl App {
+    fn waits_for_inquiry(&self, request: view::RequestKey) -> bool {
+        let now_ms = self.now_ms();
+        let inquiries = self.inquiries.borrow();
+        let age_ms = |key| Some(now_ms.saturating_sub(*inquiries.get(&key)?));
+        self.poison_tracker.borrow().is_in_doubt(request, age_ms)
+    }
+
+    /// Records the verdict on an engine; false if there is none yet.
+    fn conclude(&self, name: &str, step: InquiryStep) -> bool {
+        match step {
+            InquiryStep::AskAgain(_) => return false,
+            InquiryStep::Conclude(Verdict::Lives | Verdict::Unknown) => {}
+            InquiryStep::Conclude(Verdict::Ended) => {
+                let ended = FailureEvidence::Ended(UpstreamKey::of(name, 0));
+                let mut tracker = self.poison_tracker.borrow_mut();
+                tracker.observe(self.now_ms(), ended);
+                log::info!(step = "stream", peer = name; "engine has crashed");
+            }
+        }
+        true
+    }
+}
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -44,6 +44,21 @@
     /// Reaction to a prompt that contains [`POISON_MARKER`].
     #[serde(rename = "at_poison")]
     pub poison_behavior: PoisonBehavior,
+    /// Time for which the listener outlives the streams when the engine is killed, in ms.
+    pub ending_ms: u64,
+    /// What becomes of requests in that time.
+    pub while_ending: EndingBehavior,
+}
+
+/// What becomes of requests to an engine that is ending.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum EndingBehavior {
+    /// They are answered by a process that has lost all streams.
+    #[default]
+    Answered,
+    /// Their connections are established, and nobody reads them.
+    Held,
 }
 
 /// Reaction of an engine to a poison request.
@@ -67,6 +82,8 @@
             cross_ids: false,
             refuse: false,
             poison_behavior: PoisonBehavior::Survives,
+            ending_ms: 0,
+            while_ending: EndingBehavior::Answered,
         }
     }
 }
@@ -218,9 +235,25 @@
     pub fn kill(&self) {
         self.is_killed.set(true);
         self.crash();
-        if let Some(server) = self.server.borrow().as_ref() {
-            server.kill();
+        let ending_ms = self.inner.borrow().faults.ending_ms;
+        let engine = self.clone();
+        let stop = move || {
+            if let Some(server) = engine.server.borrow().as_ref() {
+                server.kill();
+            }
+        };
+        if ending_ms == 0 {
+            return stop();
         }
+        actix_rt::spawn(async move {
+            actix_rt::time::sleep(Duration::from_millis(ending_ms)).await;
+            stop();
+        });
+    }
+
+    /// Whether nobody reads requests any more, since the process is ending.
+    fn holds_requests(&self) -> bool {
+        self.is_killed.get() && self.inner.borrow().faults.while_ending == EndingBehavior::Held
     }
 
     async fn iterate(self) {
--- a/crates/standin/src/engine/http.rs
+++ b/crates/standin/src/engine/http.rs
@@ -46,6 +46,9 @@
 
 impl EngineStandin {
     pub(super) async fn answer(&self, request: Request) -> Response {
+        if self.holds_requests() {
+            std::future::pending::<()>().await;
+        }
         match self.handle(request).await {
             Ok(response) => response,
             Err(error) => web::text(error.status(), "text/plain", error.to_string()),
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -10,7 +10,9 @@
 mod text;
 mod weights;
 
-pub use engine::{EngineFaults, EngineOptions, EngineStandin, POISON_MARKER, PoisonBehavior};
+pub use engine::{
+    EndingBehavior, EngineFaults, EngineOptions, EngineStandin, POISON_MARKER, PoisonBehavior,
+};
 pub use instances::{InstanceEntry, InstanceList, InstanceState, register};
 pub use log::{LogFaults, LogStandin};
 pub use service::{ServiceFaults, ServiceOptions, ServiceStandin};
--- a/tests/failure/engines.rs
+++ b/tests/failure/engines.rs
@@ -4,7 +4,7 @@
 
 use actix_rt::task::JoinHandle;
 use chicoryrack::standin::{
-    EngineFaults, EngineStandin, POISON_MARKER, PoisonBehavior, expected_text,
+    EndingBehavior, EngineFaults, EngineStandin, POISON_MARKER, PoisonBehavior, expected_text,
 };
 use serde_json::json;
 
@@ -217,3 +217,37 @@
     let reply = complete(&daemon.caller_address, "another", 8).await;
     assert_eq!(reply.status, 200, "{}", reply.text());
 }
+
+/// Guards against a prompt that crashes engine after engine where an engine's listener outlives its streams, whether
+/// requests are answered meanwhile or not.
+#[actix_rt::test]
+async fn a_poison_prompt_does_not_crash_all_engines_that_end_slowly() {
+    for (ending_ms, while_ending) in [
+        (20, EndingBehavior::Answered),
+        (400, EndingBehavior::Answered),
+        (2_000, EndingBehavior::Answered),
+        (20, EndingBehavior::Held),
+        (400, EndingBehavior::Held),
+        (2_000, EndingBehavior::Held),
+    ] {
+        let platform = Platform::start(5).await;
+        let daemon = start_serving(&platform).await;
+        for engine in &platform.engines {
+            engine.set_faults(EngineFaults {
+                poison_behavior: PoisonBehavior::Crashes,
+                ending_ms,
+                while_ending,
+                ..EngineFaults::default()
+            });
+        }
+        for _ in 0..5 {
+            let reply = complete(&daemon.caller_address, POISON_MARKER, 8).await;
+            assert_ne!(reply.status, 200, "{}", reply.text());
+        }
+        let alive = platform.engines.iter().filter(|it| it.is_listening());
+        let alive = alive.count();
+        assert!(alive >= 2, "{alive} left, {ending_ms} ms, {while_ending:?}");
+        let reply = complete(&daemon.caller_address, "another", 8).await;
+        assert_eq!(reply.status, 200, "{}", reply.text());
+    }
+}
