Placement: an upstream that lost an answer and gave no sign of life since gets no requests

The cut of four instances has no part in it: the requests they handed over were lost at the same upstream.

Evidence: the logs of instances 0 and 1 from 15,034 to 16,720 ms, 'answer lost' at i-4-1 each time, 'limit changed' only at 16,729 ms, 12 ms after the link is open again.

Mend: an upstream that an inquiry finds without a sign of life is left out of placement until it answers, also if no other is left; callers are refused at once, as not run. Where no upstream answers, the inquiry goes on without a verdict.

--- a/crates/plan/src/inquiry.rs
+++ b/crates/plan/src/inquiry.rs
@@ -25,7 +25,7 @@
     Refused,
     /// No answer came, whether or not a connection was established.
     Unanswered,
-    /// It wants no requests now and was not asked; its address does not refuse connections.
+    /// It was not asked, since it wants no requests now, or the answer could not have come for another reason.
     NotAsked,
 }
 
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -97,20 +97,21 @@
     let mut inquiry = Inquiry::new(relay.now_ms());
     loop {
         let asked_ms = relay.now_ms();
-        let sign = ask(relay, upstream).await;
+        let mut sign = ask(relay, upstream).await;
         if matches!(sign, Sign::Refused | Sign::Unanswered) {
+            upstream.note_unproven(relay.now_ms());
             upstream.note_unreachable(relay.now_ms());
             suspect_path(relay, &upstream.service, asked_ms);
             settle(relay, &upstream.service).await;
         }
-        let is_lost_path = match relay.reach_state(&upstream.service) {
-            ReachState::Reached => false,
-            ReachState::CutOff => true,
-            // Without an upstream that answers, silence says nothing about a single one; a refusal still does.
-            ReachState::Suspected | ReachState::Down => sign != Sign::Refused,
-        };
-        if is_lost_path {
-            return;
+        match relay.reach_state(&upstream.service) {
+            ReachState::Reached => {}
+            ReachState::CutOff => return,
+            // Where no upstream answers, silence says nothing about a single one; a refusal still does.
+            ReachState::Suspected | ReachState::Down if sign == Sign::Unanswered => {
+                sign = Sign::NotAsked;
+            }
+            ReachState::Suspected | ReachState::Down => {}
         }
         match inquiry.decide(relay.now_ms(), sign) {
             InquiryStep::Conclude(Verdict::Lives) => {
--- a/crates/relay/src/inquiry.rs
+++ b/crates/relay/src/inquiry.rs
@@ -49,13 +49,17 @@
     let timeout = Duration::from_millis(ANSWER_TIMEOUT_MS);
     let asked: Result<Result<Sign, ExchangeError>, _> =
         actix_rt::time::timeout(timeout, asking).await;
-    match asked {
+    let sign = match asked {
         Ok(Ok(sign)) => sign,
         Ok(Err(ExchangeError::Connect {
             is_refused: true, ..
         })) => Sign::Refused,
         Ok(Err(_)) | Err(_) => Sign::Unanswered,
+    };
+    if sign == Sign::Answered {
+        upstream.note_proven();
     }
+    sign
 }
 
 fn sign_of_answer(relay: &Relay, upstream: &Upstream, response: &Response<Bytes>) -> Sign {
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -113,7 +113,7 @@
         .ready(&call.service, now_ms)
         .filter(|each| stages.contains(&each.stage()) && !tried.contains(&each.id))
         .filter(|each| !each.is_changing_role(now_ms) && each.rest_left_ms(now_ms) == 0)
-        .filter(|each| relay.has_rate_capacity(each))
+        .filter(|each| !each.is_unproven(now_ms) && relay.has_rate_capacity(each))
         .cloned()
         .collect();
     // A probe may hit an upstream that still fails, so only repeatable requests are used as probes.
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -43,6 +43,10 @@
 /// free in less time.
 const NO_CAPACITY_BACKOFF_MS: u64 = 500;
 
+/// Time for which an upstream that lost an answer and then gave no sign of life gets no requests, in ms, unless it answers
+/// before; it is asked more often than that.
+const UNPROVEN_MS: u64 = 1_000;
+
 /// Time without any answer after which an engine counts as silent, in ms: longer than the prefill of
 /// the longest prompt.
 const ENGINE_SILENCE_MS: u64 = 1_500;
@@ -79,6 +83,7 @@
     /// When the health check that is running began, and when the last one did.
     health_check_ms: Cell<Option<u64>>,
     last_health_check_ms: Cell<Option<u64>>,
+    unproven_until_ms: Cell<u64>,
     clock: Clock,
     joined_ms: u64,
     role_change: Cell<Option<RoleChange>>,
@@ -116,6 +121,7 @@
             pool: Pool::new(entry.address, clock),
             health_check_ms: Cell::default(),
             last_health_check_ms: Cell::default(),
+            unproven_until_ms: Cell::default(),
             joined_ms: clock.now_ms(),
             role_change: Cell::default(),
             no_capacity_until_ms: Cell::default(),
@@ -172,6 +178,21 @@
             .is_some_and(|began_ms| began_ms >= since_ms)
     }
 
+    /// Records that it lost an answer and gave no sign of life since.
+    pub fn note_unproven(&self, now_ms: u64) {
+        self.unproven_until_ms.set(now_ms + UNPROVEN_MS);
+    }
+
+    /// Records a sign of life.
+    pub fn note_proven(&self) {
+        self.unproven_until_ms.set(0);
+    }
+
+    /// Whether it lost an answer and gave no sign of life since: a request sent there would probably be lost too.
+    pub fn is_unproven(&self, now_ms: u64) -> bool {
+        now_ms < self.unproven_until_ms.get()
+    }
+
     /// Whether it accepts new requests according to the list and its own answers.
     pub fn is_ready(&self) -> bool {
         self.state.get() == UpstreamState::Ready
