Attribution: refused connections say nothing about upstreams while none answers, and one refusal is no end

What callers saw: where all instances lose their paths at once and connections are refused, requests that were under way at two upstreams are refused by all instances for an hour: each upstream counted as ended, and there are no peers whose word excuses the losses.

Cause: found while looking for the same class elsewhere: a refusal seen once decided that an upstream has ended, even if the check of the path found no upstream that answers (state Down), or if the path failed for one upstream some ms before the others.

Evidence: instances_that_are_all_cut_off_accuse_no_request before: one poison request.

Mend: an inquiry takes two refusals in a row for an end, and none while no upstream of the service answers; real ends show in the list or by a successor that answers.

Why it works: between two refusals the path is asked about anew, so a path that fails upstream by upstream is found first.

--- a/crates/plan/src/inquiry.rs
+++ b/crates/plan/src/inquiry.rs
@@ -65,6 +65,8 @@
 pub struct Inquiry {
     began_ms: u64,
     pause_ms: u64,
+    /// Whether the last attempt was refused.
+    was_refused: bool,
 }
 
 impl Inquiry {
@@ -73,6 +75,7 @@
         Self {
             began_ms: now_ms,
             pause_ms: FIRST_PAUSE_MS,
+            was_refused: false,
         }
     }
 
@@ -82,14 +85,19 @@
     }
 
     /// Decides what a sign means.
+    ///
+    /// One refusal shows no end: the path may be failing just then, and whether others still answer on it is known only
+    /// after the next attempt.
     pub fn decide(&mut self, now_ms: u64, sign: Sign) -> InquiryStep {
+        let was_refused = std::mem::replace(&mut self.was_refused, sign == Sign::Refused);
         let is_over = now_ms >= self.began_ms + NO_SIGN_MS;
         match sign {
             Sign::Answered => InquiryStep::Conclude(Verdict::Lives),
-            Sign::Replaced | Sign::Refused => InquiryStep::Conclude(Verdict::Ended),
+            Sign::Replaced => InquiryStep::Conclude(Verdict::Ended),
+            Sign::Refused if was_refused => InquiryStep::Conclude(Verdict::Ended),
             Sign::Unanswered if is_over => InquiryStep::Conclude(Verdict::Ended),
             Sign::NotAsked if is_over => InquiryStep::Conclude(Verdict::Unknown),
-            Sign::Unanswered | Sign::NotAsked => {
+            Sign::Refused | Sign::Unanswered | Sign::NotAsked => {
                 let pause_ms = self.pause_ms;
                 self.pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
                 InquiryStep::AskAgain(pause_ms)
--- a/crates/plan/tests/inquiry.rs
+++ b/crates/plan/tests/inquiry.rs
@@ -44,8 +44,13 @@
         replay(&[(0, Sign::Unanswered)]).0,
     ];
     assert_eq!(verdicts, [Verdict::Ended; 6]);
-    let verdicts = [replay(&[(0, Sign::Answered)]).0, silent_for(1_000).0];
-    assert_eq!(verdicts, [Verdict::Lives; 2]);
+    let refused_once = replay(&[(0, Sign::Refused), (1, Sign::Answered)]);
+    let verdicts = [
+        replay(&[(0, Sign::Answered)]).0,
+        silent_for(1_000).0,
+        refused_once.0,
+    ];
+    assert_eq!(verdicts, [Verdict::Lives; 3]);
     let unasked = replay(&[(0, Sign::NotAsked)]);
     assert_eq!(unasked.0, Verdict::Unknown);
 }
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -107,9 +107,11 @@
         match relay.reach_state(&upstream.service) {
             ReachState::Reached => {}
             ReachState::CutOff => return,
-            // Where no upstream answers, silence says nothing about a single one; a refusal still does.
-            ReachState::Suspected | ReachState::Down if sign == Sign::Unanswered => {
-                sign = Sign::NotAsked;
+            // Where no upstream answers, neither silence nor a refusal says anything about a single one: if all
+            // instances lost their paths, the requests under way would be refused for long after. An end shows in
+            // the list, or by a successor that answers.
+            ReachState::Suspected | ReachState::Down if !sign.proves_path() => {
+                sign = Sign::NotAsked
             }
             ReachState::Suspected | ReachState::Down => {}
         }
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -264,6 +264,43 @@
     assert_eq!(status, 200);
 }
 
+/// Guards against requests that are refused for an hour because all instances had lost their paths under them: refused
+/// connections then say nothing about single upstreams.
+#[actix_rt::test]
+async fn instances_that_are_all_cut_off_accuse_no_request() {
+    let slow = || {
+        StubUpstream::start(|received| {
+            let answer = received.response_text("200 OK", "", EVENTS);
+            vec![Action::Wait(200), Action::Write(answer)]
+        })
+    };
+    let stubs = [slow(), slow(), slow()];
+    let entries = stubs.iter().enumerate().map(|(number, stub)| {
+        let link = Link::open(stub.address);
+        let entry = link.entry(stub.entry(&format!("up-{number}"), "desk", Stage::Whole));
+        (link, entry)
+    });
+    let (links, entries): (Vec<Link>, Vec<UpstreamEntry>) = entries.unzip();
+    let instance = TestInstance::start_peer("a", "here", entries).await;
+    let accused = |id: usize| request(Method::GET, "/reads/accused", &id.to_string());
+    let lost = (0..3).map(|id| instance.fetch(accused(id)));
+    let cut = async {
+        actix_rt::time::sleep(Duration::from_millis(100)).await;
+        set_all(&links, LinkState::Refusing);
+    };
+    tokio::join!(join_all(lost), cut);
+    actix_rt::time::sleep(SETTLE).await;
+    set_all(&links, LinkState::Open);
+    assert!(wait_until(|| instance.relay.unreached_services().is_empty()).await);
+    assert_eq!(instance.relay.poison_requests(), Vec::new());
+    let upstreams_idle = || {
+        let upstreams = instance.relay.upstreams.borrow();
+        upstreams.iter().all(|each| !each.is_health_check_running())
+    };
+    assert!(wait_until(upstreams_idle).await);
+    assert_eq!(instance.fetch(accused(4)).await.0, 200);
+}
+
 /// Guards against an upstream that runs a request twice, gets more time than is left, loses its id or sees a key, when
 /// the request comes by way of a peer.
 #[actix_rt::test]
