--- a/crates/plan/tests/rate_limit.rs
+++ b/crates/plan/tests/rate_limit.rs
@@ -119,6 +119,36 @@
     assert!(bucket.try_take(90_500, 2.0));
 }
 
+/// Guards against a limit that is exceeded when paths heal: instances that were cut off and handed their requests to
+/// peers send what they saved up meanwhile.
+#[test]
+fn the_limit_holds_when_instances_that_were_cut_off_come_back() {
+    let (cut_off_ms, limit_per_s) = (5_000..10_000, 5.0);
+    for instances in [6, 30, 300] {
+        let mut buckets = vec![TokenBucket::default(); instances];
+        let mut sent: Vec<u64> = Vec::new();
+        for now_ms in (0..20_000).step_by(STEP_MS as usize) {
+            for (rank, bucket) in buckets.iter_mut().enumerate() {
+                let is_cut_off = rank % 3 != 0 && cut_off_ms.contains(&now_ms);
+                let share = InstancePosition { rank, instances }.share_per_s(limit_per_s, 7_919);
+                while !is_cut_off && bucket.try_take(now_ms, share) {
+                    sent.push(now_ms);
+                }
+            }
+        }
+        let received = |from_ms: &u64| {
+            let window = *from_ms..from_ms + WINDOW_MS;
+            sent.iter().filter(|at_ms| window.contains(at_ms)).count()
+        };
+        let most = sent.iter().map(received).max().unwrap_or_default();
+        let allowed = 1.5 * limit_per_s * WINDOW_MS as f64 / 1_000.0 + 5.0;
+        assert!(
+            most as f64 <= allowed,
+            "{instances} instances: {most} received"
+        );
+    }
+}
+
 proptest! {
     #![proptest_config(ProptestConfig {
         failure_persistence: None,
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -95,7 +95,8 @@
 /// peers would refuse them.
 async fn inquire(relay: &Rc<Relay>, upstream: &Upstream) {
     let mut inquiry = Inquiry::new(relay.now_ms());
-    loop {
+    let mut is_first = true;
+    let found = loop {
         let asked_ms = relay.now_ms();
         let mut sign = ask(relay, upstream).await;
         if matches!(sign, Sign::Refused | Sign::Unanswered) {
@@ -104,34 +105,66 @@
             suspect_path(relay, &upstream.service, asked_ms);
             settle(relay, &upstream.service).await;
         }
-        match relay.reach_state(&upstream.service) {
-            ReachState::Reached => {}
-            ReachState::CutOff => return,
-            // Where no upstream answers, neither silence nor a refusal says anything about a single one: if all
-            // instances lost their paths, the requests under way would be refused for long after. An end shows in
-            // the list, or by a successor that answers.
-            ReachState::Suspected | ReachState::Down if !sign.proves_path() => {
-                sign = Sign::NotAsked
-            }
-            ReachState::Suspected | ReachState::Down => {}
+        let reach = relay.reach_state(&upstream.service);
+        if std::mem::take(&mut is_first) && !sign.proves_path() {
+            log::info!(
+                upstream = upstream.id, service = upstream.service, sign:?, reach:?;
+                "upstream gave no sign of life after it lost an answer"
+            );
+        }
+        if reach == ReachState::CutOff {
+            break Found::CutOff;
+        }
+        // Where no upstream answers, neither silence nor a refusal says anything about a single one: if all instances
+        // lost their paths, the requests under way would be refused for long after. An end shows in the list, or by a
+        // successor that answers.
+        if reach != ReachState::Reached && !sign.proves_path() {
+            sign = Sign::NotAsked;
         }
         match inquiry.decide(relay.now_ms(), sign) {
-            InquiryStep::Conclude(Verdict::Lives) => {
-                upstream.forgive_since(relay.now_ms(), inquiry.began_ms());
-                return;
-            }
-            InquiryStep::Conclude(Verdict::Ended) => {
-                log::info!(
-                    upstream = upstream.id, sign:?, took_ms = relay.now_ms() - inquiry.began_ms();
-                    "upstream has terminated after it lost an answer"
-                );
-                relay.record_attribution(FailureEvidence::Ended(upstream.key));
-                return;
-            }
-            InquiryStep::Conclude(Verdict::Unknown) => return,
+            InquiryStep::Conclude(verdict) => break Found::Verdict(verdict),
             InquiryStep::AskAgain(pause_ms) => {
                 actix_rt::time::sleep(Duration::from_millis(pause_ms)).await;
             }
         }
+    };
+    conclude(relay, upstream, &inquiry, found);
+}
+
+/// What an inquiry found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    /// The verdict on the upstream.
+    Verdict(Verdict),
+    /// This instance has lost its own path, which says nothing about the upstream.
+    CutOff,
+}
+
+impl Found {
+    /// Label in metrics.
+    fn label(self) -> &'static str {
+        match self {
+            Self::Verdict(Verdict::Lives) => "lives",
+            Self::Verdict(Verdict::Ended) => "ended",
+            Self::Verdict(Verdict::Unknown) => "unknown",
+            Self::CutOff => "cut_off",
+        }
+    }
+}
+
+fn conclude(relay: &Relay, upstream: &Upstream, inquiry: &Inquiry, found: Found) {
+    let now_ms = relay.now_ms();
+    let labels = [upstream.service.as_str(), found.label()];
+    relay.metrics.inquiries.with_label_values(&labels).inc();
+    match found {
+        Found::Verdict(Verdict::Lives) => upstream.forgive_since(now_ms, inquiry.began_ms()),
+        Found::Verdict(Verdict::Ended) => {
+            log::info!(
+                upstream = upstream.id, service = upstream.service, took_ms = now_ms - inquiry.began_ms();
+                "upstream has ended after it lost an answer"
+            );
+            relay.record_attribution(FailureEvidence::Ended(upstream.key));
+        }
+        Found::Verdict(Verdict::Unknown) | Found::CutOff => {}
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -33,6 +33,8 @@
     generations: IntCounterVec,
     /// Whether this instance is cut off from the upstreams of a service, by service.
     pub cut_off: IntGaugeVec,
+    /// Inquiries into upstreams that lost an answer, by service and what they found.
+    pub inquiries: IntCounterVec,
     /// Requests handed over to peers by service and outcome.
     pub handed_over: IntCounterVec,
     /// Requests taken over from peers by service.
@@ -156,6 +158,11 @@
                 "Requests that generate text, by prompt length.",
                 &["route", "prompt_tokens", "end"],
             ),
+            inquiries: all.counter(
+                "inquiries_total",
+                "Inquiries into upstreams that lost an answer.",
+                &["service", "found"],
+            ),
             cut_off: all.gauges(
                 "cut_off",
                 "Whether no upstream of a service is reached while peers reach them.",
