--- a/crates/relay/tests/estimates.rs
+++ b/crates/relay/tests/estimates.rs
@@ -116,3 +116,20 @@
     let forgotten_ms = estimates.latency_model(30_000, "llm").kv_transfer_ms();
     assert!(forgotten_ms < 2.0 * assumed_ms, "{forgotten_ms}");
 }
+
+/// Guards against callers who are refused for many seconds after transfers have become fast again: nobody tries one while
+/// it is believed to be slow.
+#[test]
+fn a_slow_transfer_is_forgotten_within_three_seconds_of_the_last_one() {
+    let estimates = Estimates::default();
+    let assumed_ms = estimates.latency_model(0, "llm").kv_transfer_ms();
+    for _ in 0..1_000 {
+        let first = Prediction {
+            processing_ms: estimates.latency_model(0, "llm").kv_transfer_ms(),
+            ..Prediction::default()
+        };
+        estimates.observe_first_event(0, "llm", &first, true, 1_500.0);
+    }
+    let forgotten_ms = estimates.latency_model(3_000, "llm").kv_transfer_ms();
+    assert!(forgotten_ms < 2.0 * assumed_ms, "{forgotten_ms}");
+}
