Older edge: an engine that gave no sign of life after it lost a stream is ejected

Cause: an engine that was known to have ended, but went on accepting requests until its process was gone, still got them; one that lost the prompt counted as ended under it at once, and two such engines made the harmless prompt a poison request.

Evidence: the reply's text in both logs; the engines' faults are set so that they answer or hold requests for up to 2 s after they ended.

Mend: an engine without a sign of life after a lost stream is ejected at once, as on the platform's path. Only the older edge's program is changed.

Test: the slow-end test now asks 20 harmless prompts at once instead of one.

--- a/crates/entry/src/runner/poison.rs
+++ b/crates/entry/src/runner/poison.rs
@@ -85,6 +85,9 @@
             step = "stream", request_id = attempt.request_id.as_str(),
             peer = attempt.name.as_str(), key:% = request, sign:?; "engine has lost a stream"
         );
+        if sign != Sign::Answered {
+            self.eject(attempt, now_ms);
+        }
         let mut inquiry = Inquiry::new(now_ms);
         let step = inquiry.decide(now_ms, sign);
         if self.app.conclude(&attempt.name, step) {
@@ -97,6 +100,14 @@
         }
     }
 
+    /// Keeps other requests from an engine that gave no sign of life: one that is ending may still accept them, and each
+    /// would count as lost to an engine that ended under it.
+    fn eject(&self, attempt: &Attempt, now_ms: u64) {
+        let mut fleet = self.app.fleet.borrow_mut();
+        let engine = fleet.get_mut(attempt.load_guard.engine);
+        engine.health.record_unreachable(now_ms);
+    }
+
     /// Records a complete answer, which shows that the request is not a poison request.
     pub(super) fn record_answered(&self) {
         let mut tracker = self.app.poison_tracker.borrow_mut();
--- a/tests/failure/engines.rs
+++ b/tests/failure/engines.rs
@@ -6,6 +6,7 @@
 use chicoryrack::standin::{
     EndingBehavior, EngineFaults, EngineStandin, POISON_MARKER, PoisonBehavior, expected_text,
 };
+use futures_util::future::join_all;
 use serde_json::json;
 
 use crate::common::{MEMBER_KEY, Platform, Reply, admin, bundle, send, start_serving, wait_until};
@@ -219,7 +220,7 @@
 }
 
 /// Guards against a prompt that crashes engine after engine where an engine's listener outlives its streams, whether
-/// requests are answered meanwhile or not.
+/// requests are answered meanwhile or not, and against harmless prompts that are sent to engines that are ending.
 #[actix_rt::test]
 async fn a_poison_prompt_does_not_crash_all_engines_that_end_slowly() {
     for (ending_ms, while_ending) in [
@@ -247,7 +248,16 @@
         let alive = platform.engines.iter().filter(|it| it.is_listening());
         let alive = alive.count();
         assert!(alive >= 2, "{alive} left, {ending_ms} ms, {while_ending:?}");
-        let reply = complete(&daemon.caller_address, "another", 8).await;
-        assert_eq!(reply.status, 200, "{}", reply.text());
+        let harmless = (0..20).map(|number| {
+            let address = daemon.caller_address.clone();
+            async move { complete(&address, &format!("another {number}"), 8).await }
+        });
+        for reply in join_all(harmless).await {
+            let text = reply.text();
+            assert_eq!(
+                reply.status, 200,
+                "{ending_ms} ms, {while_ending:?}: {text}"
+            );
+        }
     }
 }
