Inquiry: only silence while an upstream could answer counts towards its end

What callers would see: after all instances had lost their paths for some seconds, a request refused for an hour, since an upstream was slow to answer the first question after that.

Cause: the 3 s without a sign of life counted from the loss, also the time in which the path was lost and silence said nothing.

Mend: the time starts anew whenever the upstream was not asked, or its path was lost.

--- a/crates/plan/src/inquiry.rs
+++ b/crates/plan/src/inquiry.rs
@@ -10,8 +10,8 @@
 /// Longest pause between two attempts, in ms.
 const MAX_PAUSE_MS: u64 = 250;
 
-/// Time without any sign of life after which an upstream that lost an answer counts as ended, in ms. A sound one may be
-/// silent for a second.
+/// Time without any sign of life, while it could answer, after which an upstream that lost an answer counts as ended, in
+/// ms. A sound one may be silent for a second.
 const NO_SIGN_MS: u64 = 3_000;
 
 /// What an attempt to get an answer from an upstream on a new connection showed.
@@ -64,6 +64,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Inquiry {
     began_ms: u64,
+    /// Since when it could have answered and did not.
+    silent_since_ms: Option<u64>,
     pause_ms: u64,
     /// Whether the last attempt was refused.
     was_refused: bool,
@@ -74,6 +76,7 @@
     pub fn new(now_ms: u64) -> Self {
         Self {
             began_ms: now_ms,
+            silent_since_ms: Some(now_ms),
             pause_ms: FIRST_PAUSE_MS,
             was_refused: false,
         }
@@ -90,13 +93,20 @@
     /// after the next attempt.
     pub fn decide(&mut self, now_ms: u64, sign: Sign) -> InquiryStep {
         let was_refused = std::mem::replace(&mut self.was_refused, sign == Sign::Refused);
-        let is_over = now_ms >= self.began_ms + NO_SIGN_MS;
+        let is_over = |from_ms: u64| now_ms >= from_ms + NO_SIGN_MS;
+        let silent_since_ms = match sign {
+            Sign::Unanswered => Some(self.silent_since_ms.unwrap_or(now_ms)),
+            Sign::Answered | Sign::Replaced | Sign::Refused | Sign::NotAsked => None,
+        };
+        self.silent_since_ms = silent_since_ms;
         match sign {
             Sign::Answered => InquiryStep::Conclude(Verdict::Lives),
             Sign::Replaced => InquiryStep::Conclude(Verdict::Ended),
             Sign::Refused if was_refused => InquiryStep::Conclude(Verdict::Ended),
-            Sign::Unanswered if is_over => InquiryStep::Conclude(Verdict::Ended),
-            Sign::NotAsked if is_over => InquiryStep::Conclude(Verdict::Unknown),
+            Sign::Unanswered if silent_since_ms.is_some_and(is_over) => {
+                InquiryStep::Conclude(Verdict::Ended)
+            }
+            Sign::NotAsked if is_over(self.began_ms) => InquiryStep::Conclude(Verdict::Unknown),
             Sign::Refused | Sign::Unanswered | Sign::NotAsked => {
                 let pause_ms = self.pause_ms;
                 self.pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
--- a/crates/plan/tests/inquiry.rs
+++ b/crates/plan/tests/inquiry.rs
@@ -55,6 +55,19 @@
     assert_eq!(unasked.0, Verdict::Unknown);
 }
 
+/// Guards against an upstream that counts as ended because the own path was lost for some seconds and it is slow to answer
+/// the first question after that.
+#[test]
+fn only_silence_while_it_could_answer_shows_an_end() {
+    let path_lost_ms = 2_900;
+    let slow_to_answer = replay(&[
+        (0, Sign::NotAsked),
+        (path_lost_ms, Sign::Unanswered),
+        (path_lost_ms + 1_000, Sign::Answered),
+    ]);
+    assert_eq!(slow_to_answer.0, Verdict::Lives);
+}
+
 /// Guards against an upstream in need that is asked all the time: by hundreds of instances, some times a second each.
 #[test]
 fn an_upstream_without_an_answer_is_asked_ever_less_often() {
