--- a/crates/relay/tests/common/link.rs
+++ b/crates/relay/tests/common/link.rs
@@ -14,8 +14,8 @@
 /// Instruction of a socket filter that drops the packet.
 const DROP: SockFilter = SockFilter::new(0x06, 0, 0, 0);
 
-/// Time after which a connection that was established is reset, in [`LinkState::ResettingLate`].
-const LATE_RESET_MS: u64 = 30;
+/// Time after which a connection that was established is reset.
+const LATE_RESET: Duration = Duration::from_millis(30);
 
 /// What a link does.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -39,19 +39,18 @@
 }
 
 impl LinkState {
-    /// Time after which connections are reset unread, in ms; none if they are not.
-    fn reset_after_ms(self) -> Option<u64> {
+    /// Time after which connections are reset unread; none if they are not.
+    fn reset_after(self) -> Option<Duration> {
         match self {
-            Self::ResettingLate => Some(LATE_RESET_MS),
-            Self::ResettingAfter(ms) => Some(ms),
+            Self::ResettingLate => Some(LATE_RESET),
+            Self::ResettingAfter(ms) => Some(Duration::from_millis(ms)),
             _ => None,
         }
     }
 
     /// Whether open connections are closed as the link enters this state.
     fn closes_open(self) -> bool {
-        self.reset_after_ms().is_some()
-            || matches!(self, Self::Refusing | Self::ResettingAfterRequest)
+        self.reset_after().is_some() || matches!(self, Self::Refusing | Self::ResettingAfterRequest)
     }
 
     /// Whether connections are established.
@@ -135,10 +134,10 @@
 
 async fn pass(near: TcpStream, to: SocketAddr, mut states: watch::Receiver<LinkState>) {
     let opened_in = *states.borrow();
-    if let Some(after_ms) = opened_in.reset_after_ms() {
+    if let Some(after) = opened_in.reset_after() {
         let linger = SockRef::from(&near).set_linger(Some(Duration::ZERO));
         linger.expect("an option");
-        actix_rt::time::sleep(Duration::from_millis(after_ms)).await;
+        actix_rt::time::sleep(after).await;
         return;
     }
     let Ok(far) = TcpStream::connect(to).await else {
