Sight of stream ends: framing and place in the events, in a counter and in the line of a finished stream

Now stream_ends_total{service,framing,at} counts each end that looked orderly, and 'stream finished' has both. The scanner of events reads bytes as they pass and holds none back; lines may end with LF, CR or CRLF. No decision changes: the streams of before end as they did.

--- /dev/null
+++ b/crates/relay/src/framing.rs
@@ -0,0 +1,71 @@
+//! How the end of an answer's body is marked, and what the end of a stream says.
+
+use http::{HeaderMap, header};
+
+use crate::sse::EventScanner;
+
+/// How the end of an answer's body is marked on its connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// By a length in the head.
+    Length,
+    /// By a last chunk.
+    Chunks,
+    /// Only by the end of the connection, which an upstream that crashes closes, too.
+    Close,
+}
+
+impl Framing {
+    /// The framing that an answer's head announces.
+    pub fn of(headers: &HeaderMap) -> Self {
+        if headers.contains_key(header::TRANSFER_ENCODING) {
+            Self::Chunks
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+
+    /// Label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunks => "chunks",
+            Self::Close => "close",
+        }
+    }
+}
+
+/// Where in its events a stream ended that its connection ended in an orderly way.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StreamEnd {
+    /// After a complete event.
+    BetweenEvents,
+    /// Within an event.
+    WithinEvent,
+    /// Before the first event.
+    NoEvent,
+}
+
+impl StreamEnd {
+    /// Where the stream ended whose bytes these are.
+    pub fn of(events: &EventScanner) -> Self {
+        if events.is_within_event() {
+            Self::WithinEvent
+        } else if events.has_events() {
+            Self::BetweenEvents
+        } else {
+            Self::NoEvent
+        }
+    }
+
+    /// Label in metrics.
+    pub fn label(self) -> &'static str {
+        match self {
+            Self::BetweenEvents => "between_events",
+            Self::WithinEvent => "within_event",
+            Self::NoEvent => "no_event",
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod estimates;
 pub mod forward;
+pub mod framing;
 pub mod generation;
 pub mod gossip;
 pub mod handover;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -35,6 +35,8 @@
     pub cut_off: IntGaugeVec,
     /// Inquiries into upstreams that lost an answer, by service and what they found.
     pub inquiries: IntCounterVec,
+    /// Ends of streams that looked orderly on their connections, by service, framing and place in the events.
+    pub stream_ends: IntCounterVec,
     /// Requests handed over to peers by service and outcome.
     pub handed_over: IntCounterVec,
     /// Requests taken over from peers by service.
@@ -163,6 +165,11 @@
                 "Inquiries into upstreams that lost an answer.",
                 &["service", "found"],
             ),
+            stream_ends: all.counter(
+                "stream_ends_total",
+                "Ends of streams that looked orderly on their connections.",
+                &["service", "framing", "at"],
+            ),
             cut_off: all.gauges(
                 "cut_off",
                 "Whether no upstream of a service is reached while peers reach them.",
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -11,6 +11,79 @@
     pub bytes: Bytes,
 }
 
+/// Finds the ends of events in bytes as they arrive.
+///
+/// A line ends with LF, CR or CRLF, which a stream may mix, and an empty line ends an event.
+#[derive(Debug, Clone, Copy)]
+pub struct EventScanner {
+    is_line_empty: bool,
+    is_after_cr: bool,
+    /// Whether a line of an event that has not ended was begun; a comment belongs to none.
+    is_event_begun: bool,
+    has_events: bool,
+}
+
+impl Default for EventScanner {
+    fn default() -> Self {
+        Self {
+            is_line_empty: true,
+            is_after_cr: false,
+            is_event_begun: false,
+            has_events: false,
+        }
+    }
+}
+
+impl EventScanner {
+    /// Reads up to the first empty line and returns the position after it; reads all bytes if there is none.
+    fn find_end(&mut self, bytes: &[u8]) -> Option<usize> {
+        let end = bytes.iter().position(|&byte| self.ends_event(byte))? + 1;
+        // The second half of a CRLF belongs to the same line if it has arrived.
+        let has_lf = self.is_after_cr && bytes.get(end) == Some(&b'\n');
+        if has_lf {
+            self.is_after_cr = false;
+        }
+        Some(end + usize::from(has_lf))
+    }
+
+    /// Reads one byte; true if it ends an empty line.
+    fn ends_event(&mut self, byte: u8) -> bool {
+        let was_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
+        match byte {
+            b'\n' if was_after_cr => false,
+            b'\n' | b'\r' => {
+                let was_empty = std::mem::replace(&mut self.is_line_empty, true);
+                if was_empty {
+                    self.has_events |= std::mem::take(&mut self.is_event_begun);
+                }
+                was_empty
+            }
+            _ => {
+                let begins_line = std::mem::replace(&mut self.is_line_empty, false);
+                self.is_event_begun |= begins_line && byte != b':';
+                false
+            }
+        }
+    }
+
+    /// Reads bytes as received.
+    pub fn read(&mut self, mut bytes: &[u8]) {
+        while let Some(end) = self.find_end(bytes) {
+            bytes = &bytes[end..];
+        }
+    }
+
+    /// Whether the bytes so far end within an event.
+    pub fn is_within_event(&self) -> bool {
+        self.is_event_begun || !self.is_line_empty
+    }
+
+    /// Whether an event was complete.
+    pub fn has_events(&self) -> bool {
+        self.has_events
+    }
+}
+
 /// Buffers bytes and returns complete events.
 ///
 /// A stream may end in the middle of an event. Only complete events are forwarded, so that another upstream
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -15,6 +15,7 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::dialect::{Prompt, SendOptions};
 use crate::forward::{count_answer, may_retry};
+use crate::framing::{Framing, StreamEnd};
 use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over, send_unless_cut_off};
 use crate::placement;
 use crate::pool::{Exchanged, PooledConnection};
@@ -22,7 +23,7 @@
 use crate::relay::Relay;
 use crate::retry::MAX_UNREACHABLE;
 use crate::send::SendResult;
-use crate::sse::EventSplitter;
+use crate::sse::{EventScanner, EventSplitter};
 use crate::upstream::{InFlight, Upstream, Work};
 use crate::urgency::Urgency;
 
@@ -99,11 +100,26 @@
 
 /// The part of a stream that comes from one engine or peer.
 struct StreamSource {
+    framing: Framing,
+    scanner: EventScanner,
     body: Incoming,
     connection: PooledConnection,
     origin: StreamOrigin,
 }
 
+impl StreamSource {
+    /// The rest of a stream, from the answer with which it is resumed.
+    fn resumed((response, connection): Exchanged, origin: StreamOrigin) -> Self {
+        Self {
+            framing: Framing::of(response.headers()),
+            scanner: EventScanner::default(),
+            body: response.into_body(),
+            connection,
+            origin,
+        }
+    }
+}
+
 /// Result of resuming a stream at another engine.
 enum Resumed {
     Streaming(StreamSource),
@@ -130,6 +146,7 @@
         origin: StreamOrigin,
         tried: Vec<String>,
     ) -> Response<AnswerBody> {
+        let framing = Framing::of(response.headers());
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers, |_| false);
         head.extensions.insert(ServedBy(origin.name().to_owned()));
@@ -148,6 +165,8 @@
             relay: Rc::clone(relay),
             call: Rc::clone(call),
             source: Some(StreamSource {
+                framing,
+                scanner: EventScanner::default(),
                 body,
                 connection,
                 origin,
@@ -257,22 +276,38 @@
             Ok(None) => Received::End,
             Ok(Some(Err(error))) => Received::Broken(error.to_string()),
             Ok(Some(Ok(frame))) => {
-                self.note_progress();
-                Received::Data(frame.into_data().unwrap_or_default())
+                let bytes = frame.into_data().unwrap_or_default();
+                self.note_progress(&bytes);
+                Received::Data(bytes)
             }
         }
     }
 
-    /// Updates the longest gap and the engine's last activity.
-    fn note_progress(&mut self) {
+    /// Updates the longest gap, the place in the events and the engine's last activity.
+    fn note_progress(&mut self, bytes: &[u8]) {
         let now_ms = self.relay.now_ms();
         self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_ms);
         self.last_ms = now_ms;
-        if let Some(source) = &self.source {
+        if let Some(source) = &mut self.source {
+            source.scanner.read(bytes);
             source.origin.note_activity(now_ms);
         }
     }
 
+    /// Counts an end that looked orderly on the connection, and tells where in the events it was.
+    fn note_end(&self) -> Option<(Framing, StreamEnd)> {
+        let source = self.source.as_ref()?;
+        let end = StreamEnd::of(&source.scanner);
+        let labels = [
+            self.call.service.as_str(),
+            source.framing.label(),
+            end.label(),
+        ];
+        let ends = &self.relay.metrics.stream_ends;
+        ends.with_label_values(&labels).inc();
+        Some((source.framing, end))
+    }
+
     /// Reports the lost connection to the failure attribution.
     fn note_lost_answer(&self) {
         if let Some(source) = &self.source {
@@ -340,11 +375,11 @@
         if self.relay.failure_log_limit.take(self.relay.now_ms()) {
             log::info!(request = call.id(), to = at_peer.name; "stream resumed by another instance");
         }
-        Resumed::Streaming(StreamSource {
-            body: response.into_body(),
-            connection,
-            origin: StreamOrigin::Peer(at_peer),
-        })
+        let exchanged = (response, connection);
+        Resumed::Streaming(StreamSource::resumed(
+            exchanged,
+            StreamOrigin::Peer(at_peer),
+        ))
     }
 
     /// Sends the request for the rest of the stream to the best engine that was not tried yet.
@@ -389,11 +424,11 @@
                 if self.relay.failure_log_limit.take(self.relay.now_ms()) {
                     log::info!(request = call.id(), upstream = engine.id; "stream resumed at another engine");
                 }
-                Resumed::Streaming(StreamSource {
-                    body: checked.response.into_body(),
-                    connection: checked.connection,
-                    origin: StreamOrigin::Engine(guard),
-                })
+                let exchanged = (checked.response, checked.connection);
+                Resumed::Streaming(StreamSource::resumed(
+                    exchanged,
+                    StreamOrigin::Engine(guard),
+                ))
             }
             Ok(SendResult::Unsent(_)) => Resumed::Unsent,
             _ => Resumed::Failed,
@@ -402,6 +437,7 @@
 
     /// Counts and logs a complete stream, and releases its connection.
     fn finish(&mut self, status: &str) {
+        let end = self.note_end();
         self.call.is_finished.set(true);
         let route = &self.call.route;
         let first_ms = self.call.prior_wait_ms + self.first_ms;
@@ -423,7 +459,9 @@
                 log::info!(
                     request = self.call.id(), route = route.name, workspace = self.call.workspace_name(),
                     service = self.call.service, upstream = source.origin.name(), is_from_peer,
-                    first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time;
+                    first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time,
+                    framing = end.map_or("-", |(framing, _)| framing.label()),
+                    ended = end.map_or("-", |(_, end)| end.label());
                     "stream finished"
                 );
             }
