Failing test: a stream that broke off within an event looks complete

Run on the code of before any mend: /once/x (may not be resumed), a length that holds, 'id: 1\nda' without an end: the caller reads the body without an error. Ruled out by it: hypothesis 3 (one engine, nothing to resume at) and 4 (no timeout near 30 ms). Framing decides nothing (hypothesis 2 holds, 1 is one of its cases).

--- /dev/null
+++ b/crates/relay/tests/stream_ends.rs
@@ -0,0 +1,84 @@
+//! What callers get when the answer of an engine ends, however its end is marked.
+
+mod common;
+
+use common::{Action, ReceivedRequest, StubUpstream, TestInstance, generation_request};
+use relay::framing::Framing;
+use relay::upstream::Stage;
+
+/// Two events and the beginning of a third.
+const BROKEN: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\nda";
+
+/// Path of a stream that may not be resumed, and of one that may.
+const PATHS: [&str; 2] = ["/once/x", "/grades/x"];
+
+const FRAMINGS: [Framing; 3] = [Framing::Length, Framing::Chunks, Framing::Close];
+
+/// An answer with this body whose end is marked in this way; the connection closes after it.
+fn answer(received: &ReceivedRequest, framing: Framing, body: &str) -> Vec<Action> {
+    let attempt = received.header("x-attempt").unwrap_or("none");
+    let (header, body) = match framing {
+        Framing::Length => (
+            format!("content-length: {}\r\n", body.len()),
+            body.to_owned(),
+        ),
+        Framing::Chunks => ("transfer-encoding: chunked\r\n".to_owned(), chunked(body)),
+        Framing::Close => (String::new(), body.to_owned()),
+    };
+    let head = format!(
+        "HTTP/1.1 200 OK\r\nx-attempt: {attempt}\r\nx-signature: p\r\ncontent-type: text/event-stream\r\n{header}\r\n"
+    );
+    vec![Action::Write(head + &body), Action::Wait(30), Action::Close]
+}
+
+fn chunked(body: &str) -> String {
+    let chunk = if body.is_empty() {
+        String::new()
+    } else {
+        format!("{:x}\r\n{body}\r\n", body.len())
+    };
+    chunk + "0\r\n\r\n"
+}
+
+/// An engine that always answers so.
+fn engine(framing: Framing, body: &str) -> StubUpstream {
+    let body = body.to_owned();
+    StubUpstream::start(move |received| answer(received, framing, &body))
+}
+
+/// What a caller gets of such an answer; `None` if it sees that the answer broke off.
+async fn fetch(path: &str, framing: Framing, body: &str) -> Option<String> {
+    let engine = engine(framing, body);
+    let instance = TestInstance::start(vec![engine.entry("one", "llm", Stage::Decode)]);
+    let (status, body) = instance.fetch(generation_request(path, 1, 90)).await;
+    assert_eq!(status, 200);
+    body
+}
+
+/// Guards against an answer that broke off within an event and looks complete, however its end is marked.
+#[actix_rt::test]
+async fn a_stream_that_broke_off_within_an_event_never_looks_complete() {
+    let within_first = &BROKEN[..8];
+    let within_second = &BROKEN[..26];
+    let without_empty_line = &BROKEN[..33];
+    for path in PATHS {
+        for framing in FRAMINGS {
+            for body in [within_first, within_second, without_empty_line, BROKEN] {
+                let received = fetch(path, framing, body).await;
+                assert_eq!(received, None, "{path} {framing:?} {body:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a whole stream that is taken for a broken one.
+#[actix_rt::test]
+async fn a_whole_stream_looks_complete_however_its_end_is_marked() {
+    let whole = &BROKEN[..34];
+    for path in PATHS {
+        for framing in FRAMINGS {
+            let received = fetch(path, framing, whole).await;
+            assert_eq!(received.as_deref(), Some(whole), "{path} {framing:?}");
+        }
+    }
+}
