Streams: an end within an event is a break, also where the stream may not be resumed

What callers saw: a short body framed as complete. Cause: chunks of streams that may not be resumed went past the splitter, and the end of the connection was taken for the end of the stream, whatever its framing. Under a length that held, the caller had the whole length before the relay knew. Mend: every stream is scanned as it passes, no byte is held back; an end within an event is a lost answer of its engine (attribution, failure count, resumption where allowed, else the caller's body ends without its last chunk). Streams carry no length to callers. A pending poll before the error has the events of before written first.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -150,10 +150,9 @@
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers, |_| false);
         head.extensions.insert(ServedBy(origin.name().to_owned()));
-        if call.route.is_retryable() {
-            // The rest may come from another engine and differ in length.
-            head.headers.remove(header::CONTENT_LENGTH);
-        }
+        // The rest may come from another engine and differ in length, and a stream that turns out to be broken off at
+        // its end would look complete under its length.
+        head.headers.remove(header::CONTENT_LENGTH);
         let took_s = (relay.now_ms() - call.arrived_ms) as f64 / 1_000.0;
         let labels = [call.route.name.as_str()];
         relay
@@ -183,7 +182,11 @@
             let mut forwarder = forwarder?;
             match forwarder.next().await {
                 Some(Ok(bytes)) => Some((Ok(bytes), Some(forwarder))),
-                Some(Err(truncated)) => Some((Err(truncated), None)),
+                Some(Err(truncated)) => {
+                    // An error drops what is not written yet; a pending body has it written first.
+                    actix_rt::task::yield_now().await;
+                    Some((Err(truncated), None))
+                }
                 None => None,
             }
         });
@@ -202,17 +205,19 @@
                     self.splitter.push(&bytes);
                     self.take_events();
                 }
-                Received::End if !self.splitter.has_partial_event() => {
-                    self.finish("200");
-                    return None;
-                }
-                Received::End => {
-                    self.note_lost_answer();
-                    if let Err(truncated) = self.resume_elsewhere("it ended within an event").await
-                    {
-                        return Some(Err(truncated));
+                Received::End => match self.note_end() {
+                    StreamEnd::BetweenEvents | StreamEnd::NoEvent => {
+                        self.finish("200");
+                        return None;
                     }
-                }
+                    StreamEnd::WithinEvent => {
+                        self.note_lost_answer();
+                        let why = "it ended within an event";
+                        if let Err(truncated) = self.resume_elsewhere(why).await {
+                            return Some(Err(truncated));
+                        }
+                    }
+                },
                 Received::Broken(why) => {
                     self.note_lost_answer();
                     if let Err(truncated) = self.resume_elsewhere(&why).await {
@@ -295,8 +300,10 @@
     }
 
     /// Counts an end that looked orderly on the connection, and tells where in the events it was.
-    fn note_end(&self) -> Option<(Framing, StreamEnd)> {
-        let source = self.source.as_ref()?;
+    fn note_end(&self) -> StreamEnd {
+        let Some(source) = &self.source else {
+            return StreamEnd::NoEvent;
+        };
         let end = StreamEnd::of(&source.scanner);
         let labels = [
             self.call.service.as_str(),
@@ -305,7 +312,7 @@
         ];
         let ends = &self.relay.metrics.stream_ends;
         ends.with_label_values(&labels).inc();
-        Some((source.framing, end))
+        end
     }
 
     /// Reports the lost connection to the failure attribution.
@@ -437,7 +444,6 @@
 
     /// Counts and logs a complete stream, and releases its connection.
     fn finish(&mut self, status: &str) {
-        let end = self.note_end();
         self.call.is_finished.set(true);
         let route = &self.call.route;
         let first_ms = self.call.prior_wait_ms + self.first_ms;
@@ -460,8 +466,7 @@
                     request = self.call.id(), route = route.name, workspace = self.call.workspace_name(),
                     service = self.call.service, upstream = source.origin.name(), is_from_peer,
                     first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time,
-                    framing = end.map_or("-", |(framing, _)| framing.label()),
-                    ended = end.map_or("-", |(_, end)| end.label());
+                    framing = source.framing.label(), ended = StreamEnd::of(&source.scanner).label();
                     "stream finished"
                 );
             }
