Streams: one without an event whose end nothing marks is a break

What callers saw: an empty answer that looked complete, on both kinds of streams. Cause: an engine that crashes before its first event closes the connection, and with neither length nor chunks that is an orderly end. Why it suffices: a generation has an event at least; where the engine marked an empty body by a length or a last chunk, it stays complete. Cost: a stream taken up after its last event is only ended by an engine that marks the end.

--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -60,6 +60,18 @@
         }
     }
 
+    /// Why a stream that ended here was broken off; none if it is complete.
+    ///
+    /// A generation has an event at least. Without one, only an engine that marked the end can have meant it: a crash
+    /// closes the connection, too.
+    pub fn break_cause(self, framing: Framing) -> Option<&'static str> {
+        match (self, framing) {
+            (Self::WithinEvent, _) => Some("it ended within an event"),
+            (Self::NoEvent, Framing::Close) => Some("it ended without an event"),
+            (Self::BetweenEvents, _) | (Self::NoEvent, Framing::Length | Framing::Chunks) => None,
+        }
+    }
+
     /// Label in metrics.
     pub fn label(self) -> &'static str {
         match self {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -205,19 +205,16 @@
                     self.splitter.push(&bytes);
                     self.take_events();
                 }
-                Received::End => match self.note_end() {
-                    StreamEnd::BetweenEvents | StreamEnd::NoEvent => {
+                Received::End => {
+                    let Some(why) = self.note_end() else {
                         self.finish("200");
                         return None;
+                    };
+                    self.note_lost_answer();
+                    if let Err(truncated) = self.resume_elsewhere(why).await {
+                        return Some(Err(truncated));
                     }
-                    StreamEnd::WithinEvent => {
-                        self.note_lost_answer();
-                        let why = "it ended within an event";
-                        if let Err(truncated) = self.resume_elsewhere(why).await {
-                            return Some(Err(truncated));
-                        }
-                    }
-                },
+                }
                 Received::Broken(why) => {
                     self.note_lost_answer();
                     if let Err(truncated) = self.resume_elsewhere(&why).await {
@@ -299,11 +296,9 @@
         }
     }
 
-    /// Counts an end that looked orderly on the connection, and tells where in the events it was.
-    fn note_end(&self) -> StreamEnd {
-        let Some(source) = &self.source else {
-            return StreamEnd::NoEvent;
-        };
+    /// Counts an end that looked orderly on the connection, and tells why it is a break; none if it is the stream's end.
+    fn note_end(&self) -> Option<&'static str> {
+        let source = self.source.as_ref()?;
         let end = StreamEnd::of(&source.scanner);
         let labels = [
             self.call.service.as_str(),
@@ -312,7 +307,7 @@
         ];
         let ends = &self.relay.metrics.stream_ends;
         ends.with_label_values(&labels).inc();
-        end
+        end.break_cause(source.framing)
     }
 
     /// Reports the lost connection to the failure attribution.
--- a/crates/relay/tests/stream_ends.rs
+++ b/crates/relay/tests/stream_ends.rs
@@ -82,3 +82,18 @@
         }
     }
 }
+
+/// Guards against an engine that crashed before its first event and whose closed connection looks like an empty answer.
+#[actix_rt::test]
+async fn a_stream_without_an_event_is_complete_only_if_its_engine_marked_the_end() {
+    for path in PATHS {
+        for framing in FRAMINGS {
+            let expected = (framing != Framing::Close).then(String::new);
+            assert_eq!(
+                fetch(path, framing, "").await,
+                expected,
+                "{path} {framing:?}"
+            );
+        }
+    }
+}
