Streams: an event ends with an empty line, whatever its line ends

What callers saw: a whole resumable stream with CR, or CRLF and LF mixed, was resumed elsewhere and then truncated: the splitter knew only two LF or two CRLF. Mend: one scanner for both kinds of streams, which reads lines as the format defines them; comments and the second half of a CRLF after the last event are passed on at the end. The test of the splitter at any chunk boundary now draws CR, too, and asks that every byte of a whole stream comes out.

--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, header};
 
-use crate::sse::EventScanner;
+use crate::sse::EventSplitter;
 
 /// How the end of an answer's body is marked on its connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,7 +50,7 @@
 
 impl StreamEnd {
     /// Where the stream ended whose bytes these are.
-    pub fn of(events: &EventScanner) -> Self {
+    pub fn of(events: &EventSplitter) -> Self {
         if events.is_within_event() {
             Self::WithinEvent
         } else if events.has_events() {
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -15,7 +15,7 @@
 ///
 /// A line ends with LF, CR or CRLF, which a stream may mix, and an empty line ends an event.
 #[derive(Debug, Clone, Copy)]
-pub struct EventScanner {
+struct EventScanner {
     is_line_empty: bool,
     is_after_cr: bool,
     /// Whether a line of an event that has not ended was begun; a comment belongs to none.
@@ -66,33 +66,21 @@
         }
     }
 
-    /// Reads bytes as received.
-    pub fn read(&mut self, mut bytes: &[u8]) {
-        while let Some(end) = self.find_end(bytes) {
-            bytes = &bytes[end..];
-        }
-    }
-
-    /// Whether the bytes so far end within an event.
-    pub fn is_within_event(&self) -> bool {
+    fn is_within_event(&self) -> bool {
         self.is_event_begun || !self.is_line_empty
     }
-
-    /// Whether an event was complete.
-    pub fn has_events(&self) -> bool {
-        self.has_events
-    }
 }
 
-/// Buffers bytes and returns complete events.
+/// Buffers bytes and returns complete events, or all bytes as they arrived.
 ///
-/// A stream may end in the middle of an event. Only complete events are forwarded, so that another upstream
-/// can continue the stream after the last one.
+/// A stream may end in the middle of an event. Of a stream that another upstream can continue, only complete events
+/// are forwarded; of any other, all bytes, and the end tells whether it was broken off.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buffer: BytesMut,
     /// Length of the buffer's start in which no end of an event was found.
     searched: usize,
+    scanner: EventScanner,
 }
 
 impl EventSplitter {
@@ -103,49 +91,44 @@
 
     /// Removes and returns the next complete event, if there is one.
     pub fn next_event(&mut self) -> Option<Event> {
-        let end = self.find_end()?;
+        let Some(end) = self.scanner.find_end(&self.buffer[self.searched..]) else {
+            self.searched = self.buffer.len();
+            return None;
+        };
+        let bytes = self.buffer.split_to(self.searched + end).freeze();
         self.searched = 0;
-        let bytes = self.buffer.split_to(end).freeze();
         let id = event_id(&bytes);
         Some(Event { id, bytes })
     }
 
-    /// Whether the buffer holds bytes that [`EventSplitter::next_event`] has not returned.
-    pub fn has_partial_event(&self) -> bool {
-        !self.buffer.is_empty()
+    /// Removes and returns all bytes, also those of an event that is not complete.
+    pub fn take_all(&mut self) -> Bytes {
+        while let Some(end) = self.scanner.find_end(&self.buffer[self.searched..]) {
+            self.searched += end;
+        }
+        self.searched = 0;
+        self.buffer.split().freeze()
     }
 
-    /// Drops all buffered bytes.
-    pub fn clear(&mut self) {
-        self.buffer.clear();
-        self.searched = 0;
+    /// Whether the bytes so far end within an event.
+    pub fn is_within_event(&self) -> bool {
+        self.scanner.is_within_event()
     }
 
-    /// End of the first complete event in the buffer.
-    fn find_end(&mut self) -> Option<usize> {
-        // The terminator may have arrived in parts.
-        let from = self.searched.saturating_sub(3);
-        let lf = end_of(&self.buffer, b"\n\n", from);
-        let crlf = end_of(&self.buffer, b"\r\n\r\n", from);
-        self.searched = self.buffer.len();
-        match (lf, crlf) {
-            (Some(lf), Some(crlf)) => Some(lf.min(crlf)),
-            (one, other) => one.or(other),
-        }
+    /// Whether an event was complete since the start or the last [`EventSplitter::clear`].
+    pub fn has_events(&self) -> bool {
+        self.scanner.has_events
     }
-}
 
-/// Position after the first `terminator` at or after `from`.
-fn end_of(bytes: &[u8], terminator: &[u8], from: usize) -> Option<usize> {
-    let rest = bytes.get(from..)?;
-    let at = rest
-        .windows(terminator.len())
-        .position(|window| window == terminator)?;
-    Some(from + at + terminator.len())
+    /// Drops all buffered bytes; what comes next is another stream.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
 }
 
 fn event_id(event: &[u8]) -> Option<u64> {
-    event.split(|&byte| byte == b'\n').find_map(|line| {
+    let mut lines = event.split(|&byte| byte == b'\n' || byte == b'\r');
+    lines.find_map(|line| {
         let value = line.strip_prefix(b"id:")?;
         std::str::from_utf8(value).ok()?.trim().parse().ok()
     })
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -23,7 +23,7 @@
 use crate::relay::Relay;
 use crate::retry::MAX_UNREACHABLE;
 use crate::send::SendResult;
-use crate::sse::{EventScanner, EventSplitter};
+use crate::sse::EventSplitter;
 use crate::upstream::{InFlight, Upstream, Work};
 use crate::urgency::Urgency;
 
@@ -101,7 +101,6 @@
 /// The part of a stream that comes from one engine or peer.
 struct StreamSource {
     framing: Framing,
-    scanner: EventScanner,
     body: Incoming,
     connection: PooledConnection,
     origin: StreamOrigin,
@@ -112,7 +111,6 @@
     fn resumed((response, connection): Exchanged, origin: StreamOrigin) -> Self {
         Self {
             framing: Framing::of(response.headers()),
-            scanner: EventScanner::default(),
             body: response.into_body(),
             connection,
             origin,
@@ -165,7 +163,6 @@
             call: Rc::clone(call),
             source: Some(StreamSource {
                 framing,
-                scanner: EventScanner::default(),
                 body,
                 connection,
                 origin,
@@ -199,16 +196,21 @@
             if let Some(bytes) = self.ready.pop_front() {
                 return Some(Ok(bytes));
             }
+            if self.call.is_finished.get() {
+                return None;
+            }
             match self.receive().await {
-                Received::Data(bytes) if !self.call.route.is_retryable() => return Some(Ok(bytes)),
                 Received::Data(bytes) => {
                     self.splitter.push(&bytes);
-                    self.take_events();
+                    self.queue_received();
                 }
                 Received::End => {
                     let Some(why) = self.note_end() else {
+                        // Comments and the second half of a CRLF may follow the last event.
+                        let rest = self.splitter.take_all();
+                        self.queue(rest);
                         self.finish("200");
-                        return None;
+                        return self.ready.pop_front().map(Ok);
                     };
                     self.note_lost_answer();
                     if let Err(truncated) = self.resume_elsewhere(why).await {
@@ -231,8 +233,13 @@
         }
     }
 
-    /// Queues the complete events, without those that the caller already has.
-    fn take_events(&mut self) {
+    /// Queues what may be passed on: all bytes, or the complete events if the stream can be resumed, without those that
+    /// the caller already has.
+    fn queue_received(&mut self) {
+        if !self.call.route.is_retryable() {
+            let bytes = self.splitter.take_all();
+            return self.queue(bytes);
+        }
         while let Some(event) = self.splitter.next_event() {
             let is_duplicate = match (event.id, self.last_event) {
                 (Some(id), Some(last)) => id <= last,
@@ -242,7 +249,13 @@
                 continue;
             }
             self.last_event = event.id.or(self.last_event);
-            self.ready.push_back(event.bytes);
+            self.queue(event.bytes);
+        }
+    }
+
+    fn queue(&mut self, bytes: Bytes) {
+        if !bytes.is_empty() {
+            self.ready.push_back(bytes);
         }
     }
 
@@ -278,20 +291,18 @@
             Ok(None) => Received::End,
             Ok(Some(Err(error))) => Received::Broken(error.to_string()),
             Ok(Some(Ok(frame))) => {
-                let bytes = frame.into_data().unwrap_or_default();
-                self.note_progress(&bytes);
-                Received::Data(bytes)
+                self.note_progress();
+                Received::Data(frame.into_data().unwrap_or_default())
             }
         }
     }
 
-    /// Updates the longest gap, the place in the events and the engine's last activity.
-    fn note_progress(&mut self, bytes: &[u8]) {
+    /// Updates the longest gap and the engine's last activity.
+    fn note_progress(&mut self) {
         let now_ms = self.relay.now_ms();
         self.longest_gap_ms = self.longest_gap_ms.max(now_ms - self.last_ms);
         self.last_ms = now_ms;
-        if let Some(source) = &mut self.source {
-            source.scanner.read(bytes);
+        if let Some(source) = &self.source {
             source.origin.note_activity(now_ms);
         }
     }
@@ -299,7 +310,7 @@
     /// Counts an end that looked orderly on the connection, and tells why it is a break; none if it is the stream's end.
     fn note_end(&self) -> Option<&'static str> {
         let source = self.source.as_ref()?;
-        let end = StreamEnd::of(&source.scanner);
+        let end = StreamEnd::of(&self.splitter);
         let labels = [
             self.call.service.as_str(),
             source.framing.label(),
@@ -461,7 +472,7 @@
                     request = self.call.id(), route = route.name, workspace = self.call.workspace_name(),
                     service = self.call.service, upstream = source.origin.name(), is_from_peer,
                     first_ms = self.first_ms, longest_gap_ms = self.longest_gap_ms, in_time,
-                    framing = source.framing.label(), ended = StreamEnd::of(&source.scanner).label();
+                    framing = source.framing.label(), ended = StreamEnd::of(&self.splitter).label();
                     "stream finished"
                 );
             }
--- a/crates/relay/tests/sse.rs
+++ b/crates/relay/tests/sse.rs
@@ -4,7 +4,7 @@
 use proptest::test_runner::RngSeed;
 use relay::sse::{Event, EventSplitter};
 
-/// Returns the complete events, and whether bytes of a further one remain.
+/// Returns the complete events with the bytes after the last one, and whether bytes of a further one remain.
 fn split(chunks: &[&[u8]]) -> (Vec<Event>, bool) {
     let mut splitter = EventSplitter::default();
     let mut events = Vec::new();
@@ -14,7 +14,15 @@
             events.push(event);
         }
     }
-    (events, splitter.has_partial_event())
+    let is_within_event = splitter.is_within_event();
+    let rest = splitter.take_all();
+    if !is_within_event && !rest.is_empty() {
+        events.push(Event {
+            id: None,
+            bytes: rest,
+        });
+    }
+    (events, is_within_event)
 }
 
 proptest! {
@@ -28,9 +36,8 @@
     fn events_do_not_depend_on_chunk_boundaries(
         ids in prop::collection::vec(0_u64..1_000, 1..20),
         cuts in prop::collection::vec(1_usize..40, 1..60),
-        crlf: bool,
+        end in prop::sample::select(vec!["\n", "\r\n", "\r"]),
     ) {
-        let end = if crlf { "\r\n" } else { "\n" };
         let whole = ids.iter().fold(String::new(), |all, id| {
             all + &format!("id: {id}{end}data: x{end}{end}")
         });
@@ -67,3 +74,32 @@
     assert_eq!(events.len(), 1);
     assert!(has_partial);
 }
+
+/// Guards against a whole stream that is taken for a broken one, or a broken one for a whole one, by its line ends.
+#[test]
+fn an_event_ends_with_an_empty_line_of_any_kind() {
+    for whole in [
+        "id: 1\n\n",
+        "id: 1\r\n\r\n",
+        "id: 1\r\r",
+        "id: 1\r\n\n",
+        "id: 1\n\r\n",
+        "id: 1\r\ndata: x\n\r",
+        "id: 1\n\n: a comment\n",
+        "\n\nid: 1\n\n",
+    ] {
+        let (events, is_within_event) = split(&[whole.as_bytes()]);
+        let ids: Vec<u64> = events.iter().filter_map(|event| event.id).collect();
+        assert_eq!((ids, is_within_event), (vec![1], false), "{whole:?}");
+    }
+    for broken in [
+        "id: 1\n",
+        "id: 1\r\n",
+        "id: 1\r",
+        "id: 1",
+        "id: 1\n\ndata",
+        "id: 1\n\n: a com",
+    ] {
+        assert!(split(&[broken.as_bytes()]).1, "{broken:?}");
+    }
+}
--- a/crates/relay/tests/stream_ends.rs
+++ b/crates/relay/tests/stream_ends.rs
@@ -97,3 +97,25 @@
         }
     }
 }
+
+/// Guards against a whole stream that is taken for a broken one because of its line ends, which a stream may mix.
+#[actix_rt::test]
+async fn a_whole_stream_looks_complete_whatever_its_line_ends() {
+    let mixed = "id: 1\r\ndata: one\n\r\nid: 2\rdata: two\n\n";
+    for body in [
+        BROKEN[..34].replace('\n', "\r\n"),
+        BROKEN[..34].replace('\n', "\r"),
+        mixed.to_owned(),
+    ] {
+        for path in PATHS {
+            for framing in FRAMINGS {
+                let received = fetch(path, framing, &body).await;
+                assert_eq!(
+                    received.as_deref(),
+                    Some(body.as_str()),
+                    "{path} {framing:?}"
+                );
+            }
+        }
+    }
+}
