Listener: a broken answer resets the connection of a caller that knows no chunks

What callers saw: over HTTP/1.0 a broken stream and a whole one ended in the same way, since without chunks only the end of the connection marks the end. Evidence and before: the test fails on the parent, both paths. Mend: if serving ends with an error and the last request was older than HTTP/1.1, the connection is reset instead of closed. Under HTTP/1.1 the missing last chunk tells, and events on their way are not put at risk. After: a reset for broken ones, an orderly end for whole ones, both paths.

--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -1,18 +1,21 @@
 //! HTTP listeners for callers, the directory, readiness, metrics and peers.
 
+use std::cell::Cell;
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::{TokioIo, TokioTimer};
+use socket2::SockRef;
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::sync::watch;
 
@@ -96,27 +99,38 @@
     let limits = relay
         .config()
         .map_or_else(Limits::default, |config| config.limits);
-    let service = service_fn(|request| {
+    let knows_chunks = Cell::new(true);
+    let service = service_fn(|request: Request<Incoming>| {
+        knows_chunks.set(request.version() >= Version::HTTP_11);
         let relay = Rc::clone(&relay);
         async move { Ok::<_, Infallible>(respond(&relay, kind, request).await) }
     });
-    let serving = http1::Builder::new()
+    let mut serving = http1::Builder::new()
         .timer(TokioTimer::new())
         // Bounds the idle time of a connection, which is announced to callers, and the time to
         // receive a request's head.
         .header_read_timeout(Duration::from_millis(limits.idle_ms))
         .max_buf_size(limits.head_bytes.max(16_384))
         .serve_connection(TokioIo::new(stream), service);
-    let mut serving = std::pin::pin!(serving);
     let ended = tokio::select! {
-        ended = serving.as_mut() => ended,
+        ended = &mut serving => ended,
         _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            serving.as_mut().graceful_shutdown();
-            serving.await
+            Pin::new(&mut serving).graceful_shutdown();
+            (&mut serving).await
         }
     };
     if let Err(error) = ended {
         log::debug!(error:%; "caller's connection ended");
+        if !knows_chunks.get() {
+            reset(serving.into_parts().io.into_inner());
+        }
+    }
+}
+
+/// Resets a connection. To a caller without chunks an orderly close would be the end of a whole answer.
+fn reset(stream: TcpStream) {
+    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+        log::warn!(error:%; "connection of a broken answer could not be reset");
     }
 }
 
--- a/crates/relay/tests/stream_ends.rs
+++ b/crates/relay/tests/stream_ends.rs
@@ -2,9 +2,13 @@
 
 mod common;
 
+use std::io::ErrorKind;
+
 use common::{Action, ReceivedRequest, StubUpstream, TestInstance, generation_request};
 use relay::framing::Framing;
 use relay::upstream::Stage;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
 
 /// Two events and the beginning of a third.
 const BROKEN: &str = "id: 1\ndata: one\n\nid: 2\ndata: two\n\nid: 3\nda";
@@ -119,3 +123,34 @@
         }
     }
 }
+
+/// What a caller that speaks HTTP/1.0 reads until its connection ends, or the error with which it ends.
+async fn fetch_http10(path: &str, body: &str) -> Result<String, ErrorKind> {
+    let engine = engine(Framing::Close, body);
+    let instance = TestInstance::start(vec![engine.entry("one", "llm", Stage::Decode)]);
+    let mut stream = TcpStream::connect(instance.address)
+        .await
+        .expect("a connection");
+    let request = format!(
+        "POST {path} HTTP/1.0\r\nhost: host.test\r\nx-attempt: 1\r\nx-left-ms: 3000\r\nx-prompt: 1:90\r\ncontent-length: 0\r\n\r\n"
+    );
+    stream
+        .write_all(request.as_bytes())
+        .await
+        .expect("a request");
+    let mut received = String::new();
+    let read = stream.read_to_string(&mut received).await;
+    read.map(|_| received).map_err(|error| error.kind())
+}
+
+/// Guards against a broken answer that a caller of HTTP/1.0 takes for a whole one: only the end of its connection tells.
+#[actix_rt::test]
+async fn a_broken_stream_resets_the_connection_of_a_caller_without_chunks() {
+    for path in PATHS {
+        let broken = fetch_http10(path, BROKEN).await;
+        assert_eq!(broken, Err(ErrorKind::ConnectionReset), "{path}");
+        let whole = fetch_http10(path, &BROKEN[..34]).await;
+        let whole = whole.expect("an orderly end");
+        assert!(whole.ends_with(&BROKEN[..34]), "{path}: {whole}");
+    }
+}
