Forwarding: a stream is forwarded as one even if its request declares no prompt

What callers saw: such a stream was collected like a plain answer, held back to its end, and complete as soon as its connection ended. Evidence and before: the test fails on the parent with all three framings. Mend: a success on a route of streams goes through the same forwarder, which passes events as they come and knows where they end. After: broken in all three.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -18,7 +18,7 @@
 use crate::relay::Relay;
 use crate::retry::{RetryContext, RetryDecision, SendFailure, decide, without_false_not_run};
 use crate::send::{CheckedAnswer, SendResult, note_response};
-use crate::stream::{StreamOrigin, stream_answer};
+use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
 use crate::upstream::{InFlight, Upstream, Work};
 
 /// Longest answer that is buffered before it is forwarded, in bytes, so that the request can be
@@ -101,6 +101,16 @@
         let sent = send_with_attempt_timeout(relay, call, &upstream, &options).await;
         note_response(relay, &guard, &sent);
         let failure = match sent {
+            SendResult::Answer(checked)
+                if call.route.kind == RouteKind::Stream
+                    && checked.response.status().is_success() =>
+            {
+                let exchanged = (checked.response, checked.connection);
+                let origin = StreamOrigin::Engine(guard);
+                return Ok(StreamForwarder::start(
+                    relay, call, exchanged, origin, tried,
+                ));
+            }
             SendResult::Answer(checked) => {
                 let is_failure = checked.response.status().is_server_error();
                 let is_repeatable = is_failure && call.route.kind == RouteKind::Safe;
--- a/crates/relay/tests/stream_ends.rs
+++ b/crates/relay/tests/stream_ends.rs
@@ -4,7 +4,8 @@
 
 use std::io::ErrorKind;
 
-use common::{Action, ReceivedRequest, StubUpstream, TestInstance, generation_request};
+use common::{Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, request};
+use http::Method;
 use relay::framing::Framing;
 use relay::upstream::Stage;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -154,3 +155,14 @@
         assert!(whole.ends_with(&BROKEN[..34]), "{path}: {whole}");
     }
 }
+
+/// Guards against a stream whose request declares no prompt: it is no plain answer, which is complete as its end is.
+#[actix_rt::test]
+async fn a_broken_stream_without_a_declared_prompt_never_looks_complete() {
+    for framing in FRAMINGS {
+        let engine = engine(framing, BROKEN);
+        let instance = TestInstance::start(vec![engine.entry("one", "llm", Stage::Whole)]);
+        let (status, body) = instance.fetch(request(Method::POST, "/once/x", "1")).await;
+        assert_eq!((status, body), (200, None), "{framing:?}");
+    }
+}
