Prefill: an answer that nobody can read and only its close ended is a lost answer

What callers saw: nothing at once; but an engine that crashed within the answer of a separate prefill was not asked for a sign of life, so the next requests still went there, and a poison prompt had one more engine for free. Evidence and before: the test fails on the parent (nobody asks in 5 s). The dialect of the tests now reads only handles, as the platform's does. A test for a peer that serves for an instance that is cut off comes along: it passed from the start, since the peer's last chunk is missing. After: both pass.

--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -14,6 +14,7 @@
 use crate::awaited::{AwaitedAnswer, AwaitedStep};
 use crate::call::Call;
 use crate::dialect::{KvHandle, Prompt, SendOptions, Step};
+use crate::framing::Framing;
 use crate::generation::record_cached_parts;
 use crate::placement::PrefillPlacement;
 use crate::pool::{ExchangeError, PooledConnection, exchange};
@@ -235,6 +236,7 @@
     connection: PooledConnection,
 ) -> Option<PrefilledKv> {
     let status = response.status();
+    let framing = Framing::of(response.headers());
     let answered = relay.dialect.parse_response_head(response.headers());
     let answer = AnnouncingAnswer::to_attempt(AnswerTo::Prefill, call, status, &answered);
     note_response_head(relay, engine, &answer);
@@ -267,7 +269,13 @@
         }
         return None;
     }
-    let id = relay.dialect.parse_prefill_response(&body)?;
+    let Some(id) = relay.dialect.parse_prefill_response(&body) else {
+        if framing == Framing::Close {
+            note_lost_answer(relay, call, engine);
+        }
+        log_not_prefilled(relay, call, engine, "the answer names no KV cache");
+        return None;
+    };
     Some(PrefilledKv {
         relay: Rc::clone(relay),
         engine: Rc::clone(engine),
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -132,7 +132,8 @@
     }
 
     fn parse_prefill_response(&self, body: &[u8]) -> Option<String> {
-        std::str::from_utf8(body).ok().map(str::to_owned)
+        let handle = std::str::from_utf8(body).ok()?;
+        handle.starts_with("kv-").then(|| handle.to_owned())
     }
 
     fn free_kv_request(&self, handle: &KvHandle) -> (Method, String) {
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -237,6 +237,32 @@
     );
 }
 
+/// Guards against a stream that broke off at a peer's engine and looks complete to the caller of an instance that is cut
+/// off.
+#[actix_rt::test]
+async fn a_stream_that_broke_off_at_a_peer_never_looks_complete() {
+    let breaking = || {
+        StubUpstream::start(|received| {
+            if !received.request_line.contains("/once/") {
+                return received.response("200 OK", "", EVENTS);
+            }
+            let answer = received.response_text("200 OK", "", "id: 1\ndata: one\n\nid: 2\nda");
+            let unframed = answer.replace("content-length", "x-length");
+            vec![Action::Write(unframed), Action::Wait(30), Action::Close]
+        })
+    };
+    let (cut_off, peer, links) =
+        start_pair_of(&[breaking(), breaking()], "llm", Stage::Decode).await;
+    let peer = Rc::new(peer);
+    let _busy = keep_busy(&peer);
+    set_all(&links, LinkState::Refusing);
+    press(&cut_off).await;
+    let (status, body) = cut_off
+        .fetch(generation_request("/once/x", 90_001, 90))
+        .await;
+    assert_eq!((status, body), (200, None));
+}
+
 /// Guards against requests that all instances refuse as poison because one instance lost its own path under them.
 #[actix_rt::test]
 async fn an_instance_cut_off_from_upstreams_accuses_no_request() {
--- a/crates/relay/tests/stream_ends.rs
+++ b/crates/relay/tests/stream_ends.rs
@@ -4,7 +4,9 @@
 
 use std::io::ErrorKind;
 
-use common::{Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, request};
+use common::{
+    Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, request, wait_until,
+};
 use http::Method;
 use relay::framing::Framing;
 use relay::upstream::Stage;
@@ -166,3 +168,29 @@
         assert_eq!((status, body), (200, None), "{framing:?}");
     }
 }
+
+/// Guards against an engine that crashes within the answer of a separate prefill without being asked for a sign of life:
+/// where only the close marks the end, the answer looks like a whole one that cannot be read.
+#[actix_rt::test]
+async fn a_prefill_answer_that_broke_off_counts_as_lost() {
+    let prefill = StubUpstream::start(|received| {
+        let mut actions = answer(received, Framing::Close, "kv");
+        actions.pop();
+        actions.push(Action::Crash);
+        actions
+    });
+    let engine = engine(Framing::Length, &BROKEN[..34]);
+    let instance = TestInstance::start(vec![
+        prefill.entry("prefill", "llm", Stage::Prefill),
+        engine.entry("one", "llm", Stage::Decode),
+    ]);
+    let (status, _) = instance
+        .fetch(generation_request("/once/x", 1, 17_000))
+        .await;
+    assert_eq!((status, prefill.count()), (200, 1));
+    let is_asked = || {
+        let metrics = String::from_utf8(instance.relay.metrics_text()).expect("text");
+        metrics.contains("chicoryrack_inquiries_total{")
+    };
+    assert!(wait_until(is_asked).await, "nobody asked the engine");
+}
