Sight of streams that go on: the list's software version, the attempt that a caller names, and which version goes on

Cause: the adapter dropped the version that the list tells, so no line could tell whether a stream went on at the version that began it, nor a stream that is taken up from a new one. Now: entries have the version (gossip format 9), heads the attempt that brought the first event; continued_streams_total and two lines tell both. An entry that comes back with another version is another incarnation. No choice asks it yet.

--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -42,6 +42,8 @@
     pub prompt: Option<Prompt>,
     /// Last event that the caller received of a stream that it resumes.
     pub last_event: Option<u64>,
+    /// Id of the attempt that brought the first event of that stream.
+    pub resumes: Option<HeaderValue>,
     /// The key that the caller presents.
     pub key: PresentedKey,
 }
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -4,7 +4,6 @@
 use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -37,6 +37,8 @@
     pub inquiries: IntCounterVec,
     /// Ends of streams that looked orderly on their connections, by service, framing and place in the events.
     pub stream_ends: IntCounterVec,
+    /// Streams that went on after a break, by service, who made them go on, and whether at the version that began them.
+    pub continued_streams: IntCounterVec,
     /// Requests handed over to peers by service and outcome.
     pub handed_over: IntCounterVec,
     /// Requests taken over from peers by service.
@@ -170,6 +172,11 @@
                 "Ends of streams that looked orderly on their connections.",
                 &["service", "framing", "at"],
             ),
+            continued_streams: all.counter(
+                "continued_streams_total",
+                "Streams that went on after a break.",
+                &["service", "by", "version"],
+            ),
             cut_off: all.gauges(
                 "cut_off",
                 "Whether no upstream of a service is reached while peers reach them.",
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -42,6 +42,8 @@
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     last_event: Option<u64>,
+    /// Version of the engine that began the stream; none if it is not known here.
+    began_version: Option<String>,
     tried: Vec<String>,
     first_ms: u64,
     last_ms: u64,
@@ -145,6 +147,12 @@
         tried: Vec<String>,
     ) -> Response<AnswerBody> {
         let framing = Framing::of(response.headers());
+        let is_taken_up = call.head.last_event.is_some();
+        let engine = origin.engine();
+        let began_version = engine.filter(|_| !is_taken_up).map(|it| it.version.clone());
+        if is_taken_up {
+            note_taken_up(relay, call, &origin);
+        }
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers, |_| false);
         head.extensions.insert(ServedBy(origin.name().to_owned()));
@@ -170,6 +178,7 @@
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
             last_event: call.head.last_event,
+            began_version,
             tried,
             first_ms: relay.now_ms() - call.arrived_ms,
             last_ms: relay.now_ms(),
@@ -435,8 +444,14 @@
                 guard.note_prefilled();
                 guard.note_head(self.relay.now_ms());
                 if self.relay.failure_log_limit.take(self.relay.now_ms()) {
-                    log::info!(request = call.id(), upstream = engine.id; "stream resumed at another engine");
+                    log::info!(
+                        request = call.id(), upstream = engine.id, version = engine.version,
+                        began_version = self.began_version.as_deref().unwrap_or("-");
+                        "stream resumed at another engine"
+                    );
                 }
+                let is_same = self.began_version.as_ref().map(|it| *it == engine.version);
+                count_continued(&self.relay, &call.service, "relay", is_same);
                 let exchanged = (checked.response, checked.connection);
                 Resumed::Streaming(StreamSource::resumed(
                     exchanged,
@@ -497,6 +512,31 @@
     }
 }
 
+/// Logs and counts a stream that its caller takes up.
+fn note_taken_up(relay: &Relay, call: &Call, origin: &StreamOrigin) {
+    let version = origin.engine().map(|engine| engine.version.clone());
+    if relay.success_log_limit.take(relay.now_ms()) {
+        let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
+        log::info!(
+            request = call.id(), resumes = resumes.unwrap_or("-"), last_event = call.head.last_event.unwrap_or(0),
+            upstream = origin.name(), version = version.as_deref().unwrap_or("-");
+            "stream taken up by its caller"
+        );
+    }
+    count_continued(relay, &call.service, "caller", None);
+}
+
+/// Counts a stream that went on, and whether it did so at the version that began it, if that is known.
+fn count_continued(relay: &Relay, service: &str, by: &str, is_same: Option<bool>) {
+    let version = match is_same {
+        Some(true) => "same",
+        Some(false) => "other",
+        None => "unknown",
+    };
+    let streams = &relay.metrics.continued_streams;
+    streams.with_label_values(&[service, by, version]).inc();
+}
+
 /// Streams a long answer to the caller as it arrives, until the request's deadline.
 pub fn stream_answer(
     relay: &Rc<Relay>,
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -76,6 +76,8 @@
     pub one_way_delay_ms: f64,
     /// Requests that it runs concurrently; at least 1.
     pub slots: u32,
+    /// Version of its software, empty if it names none.
+    pub version: String,
     /// Whether its machine may be reclaimed at short notice.
     pub is_spot: bool,
     /// Connections to it.
@@ -117,6 +119,7 @@
             zone: entry.zone.clone(),
             one_way_delay_ms,
             slots: entry.slots.max(1),
+            version: entry.version.clone(),
             is_spot: entry.is_spot,
             pool: Pool::new(entry.address, clock),
             health_check_ms: Cell::default(),
@@ -245,6 +248,7 @@
             state: self.state.get(),
             stage: self.stage.get(),
             seq: self.seq.get(),
+            version: self.version.clone(),
             is_spot: self.is_spot,
         }
     }
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -308,7 +308,8 @@
             // as the first one had run.
             let is_same = entry.started_ms == known.started_ms
                 && known.address == entry.address
-                && known.service == entry.service;
+                && known.service == entry.service
+                && known.version == entry.version;
             if is_same {
                 return if known.update(entry) {
                     Effect::Changed
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -56,6 +56,7 @@
             deadline_ms: header_number(headers, "x-left-ms"),
             prompt: header_text(headers, "x-prompt").map(parse_prompt),
             last_event: header_number(headers, "last-event-id"),
+            resumes: headers.get("x-resumes").cloned(),
             key: presented_key(headers),
         }
     }
--- a/crates/relay/tests/common/stub.rs
+++ b/crates/relay/tests/common/stub.rs
@@ -240,6 +240,7 @@
             state: UpstreamState::Ready,
             stage,
             seq: 1,
+            version: String::new(),
             is_spot: false,
             started_ms: 0,
         }
--- a/crates/relay/tests/instance_view.rs
+++ b/crates/relay/tests/instance_view.rs
@@ -24,6 +24,7 @@
         state,
         stage: Stage::Whole,
         seq,
+        version: String::new(),
         is_spot: false,
         started_ms: 0,
     }
--- a/crates/relay/tests/list_consistency.rs
+++ b/crates/relay/tests/list_consistency.rs
@@ -115,6 +115,7 @@
         state,
         stage: Stage::Prefill,
         seq,
+        version: String::new(),
         is_spot: false,
     }
 }
--- a/crates/relay/tests/unconfirmed_entries.rs
+++ b/crates/relay/tests/unconfirmed_entries.rs
@@ -36,6 +36,7 @@
         state: UpstreamState::Ready,
         stage: Stage::Prefill,
         seq,
+        version: String::new(),
         is_spot: false,
     }
 }
--- a/crates/view/src/entry.rs
+++ b/crates/view/src/entry.rs
@@ -51,6 +51,9 @@
     pub stage: Stage,
     /// Sequence number; grows with each entry that the incarnation writes.
     pub seq: u64,
+    /// Version of the upstream's software, empty if it names none. What two versions write does not fit together.
+    #[serde(default)]
+    pub version: String,
     /// Whether it runs on spot capacity, which costs less and may be reclaimed at short notice.
     #[serde(default)]
     pub is_spot: bool,
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -13,7 +13,7 @@
 };
 
 /// Version of the wire format, in the first byte of each datagram.
-const FORMAT: u8 = 8;
+const FORMAT: u8 = 9;
 
 /// Whose state a datagram describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/view/tests/log_follower.rs
+++ b/crates/view/tests/log_follower.rs
@@ -37,6 +37,7 @@
         state: UpstreamState::Ready,
         stage: Stage::Whole,
         seq,
+        version: String::new(),
         is_spot: false,
     }
 }
