Failing tests: streams go on at another software version

A rig of two and three versions, instances that gossip, and callers that take streams up at the instance that began them, at another one, and after a kill.

--- /dev/null
+++ b/crates/relay/tests/stream_versions.rs
@@ -0,0 +1,279 @@
+//! Streams that go on while engines of several software versions serve: what one version began, no other may continue.
+
+mod common;
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use common::{
+    Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, in_other_zone, meet,
+};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use http::{HeaderValue, Request};
+use http_body_util::{BodyExt, Full};
+use relay::Phase;
+use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
+use relay::upstreams::ListChange;
+
+/// Streams by which a test judges.
+const STREAMS: usize = 12;
+
+/// Number of events of a whole stream.
+const EVENTS: u64 = 4;
+
+fn events(version: &str, after: u64, to: u64) -> String {
+    let ids = after + 1..=to;
+    ids.map(|id| format!("id: {id}\ndata: {version}\n\n"))
+        .collect()
+}
+
+fn last_event(received: &ReceivedRequest) -> u64 {
+    let id = received.header("last-event-id");
+    id.map_or(0, |id| id.parse().expect("a number"))
+}
+
+/// An engine of a version that serves the rest of a stream, and breaks new ones after their first event.
+fn breaking_engine(version: &'static str) -> StubUpstream {
+    StubUpstream::start(move |received| {
+        let after = last_event(received);
+        let whole = received.response_text("200 OK", "", &events(version, after, EVENTS));
+        if after > 0 {
+            return vec![Action::Write(whole)];
+        }
+        let second = whole.find("id: 2").expect("a second event");
+        vec![
+            Action::Write(whole[..second + 3].to_owned()),
+            Action::Wait(20),
+            Action::Close,
+        ]
+    })
+}
+
+/// An engine of a version whose new streams stop after their first event without an end.
+fn hanging_engine(version: &'static str) -> StubUpstream {
+    StubUpstream::start(move |received| {
+        let after = last_event(received);
+        let whole = received.response_text("200 OK", "", &events(version, after, EVENTS));
+        if after > 0 {
+            return vec![Action::Write(whole)];
+        }
+        let second = whole.find("id: 2").expect("a second event");
+        vec![
+            Action::Write(whole[..second].to_owned()),
+            Action::Wait(5_000),
+        ]
+    })
+}
+
+fn entry(stub: &StubUpstream, id: &str, version: &str) -> UpstreamEntry {
+    UpstreamEntry {
+        version: version.to_owned(),
+        ..stub.entry(id, "llm", Stage::Decode)
+    }
+}
+
+/// Two engines of each of these versions, in turn, with their entries.
+fn engines(
+    start: impl Fn(&'static str) -> StubUpstream,
+    versions: &[&'static str],
+) -> Vec<UpstreamEntry> {
+    let pairs = [0, 1].into_iter().flat_map(|number| {
+        let start = &start;
+        versions
+            .iter()
+            .map(move |&version| entry(&start(version), &format!("{version}-{number}"), version))
+    });
+    pairs.collect()
+}
+
+/// The versions whose events a body has, in the order of their first events.
+fn versions_in(body: &str) -> Vec<String> {
+    let mut versions: Vec<String> = Vec::new();
+    for line in body.lines().filter_map(|line| line.strip_prefix("data: ")) {
+        if !versions.iter().any(|known| known == line) {
+            versions.push(line.to_owned());
+        }
+    }
+    versions
+}
+
+/// A request that takes a stream up after its first event.
+fn take_up(id: usize, began_as: usize) -> Request<Full<Bytes>> {
+    let mut request = generation_request("/grades/x", id, 90);
+    let headers = request.headers_mut();
+    headers.insert("last-event-id", HeaderValue::from_static("1"));
+    let began_as = HeaderValue::from_str(&began_as.to_string()).expect("a valid value");
+    headers.insert("x-resumes", began_as);
+    request
+}
+
+/// Begins streams at an instance and reads the first event of each; gives the attempts with their versions.
+async fn begin_streams(instance: &TestInstance, first_id: usize) -> Vec<(usize, String)> {
+    let begun = (first_id..first_id + STREAMS).map(|id| async move {
+        let request = generation_request("/grades/x", id, 90);
+        let response = instance.send(request).await.expect("an answer's head");
+        let mut body = response.into_body();
+        let frame = body.frame().await.expect("an event").expect("no error");
+        let text = String::from_utf8_lossy(frame.data_ref().expect("data")).into_owned();
+        // The caller keeps its connection until the instance is gone.
+        std::mem::forget(body);
+        (id, versions_in(&text).remove(0))
+    });
+    let mut begun: FuturesUnordered<_> = begun.collect();
+    let mut all = Vec::new();
+    while let Some(each) = begun.next().await {
+        all.push(each);
+    }
+    all
+}
+
+/// How streams that are taken up went on.
+#[derive(Debug, Default, PartialEq, Eq)]
+struct TakenUp {
+    same: usize,
+    other: usize,
+    refused: usize,
+}
+
+/// Takes up all streams at an instance.
+async fn take_up_all(instance: &TestInstance, begun: &[(usize, String)]) -> TakenUp {
+    let mut taken_up = TakenUp::default();
+    for (id, version) in begun {
+        let (status, body) = instance.fetch(take_up(id + 10_000, *id)).await;
+        match status {
+            200 if versions_in(&body.unwrap_or_default()) == [version.clone()] => {
+                taken_up.same += 1
+            }
+            200 => taken_up.other += 1,
+            503 => taken_up.refused += 1,
+            _ => panic!("status {status}"),
+        }
+    }
+    taken_up
+}
+
+/// All streams go on at the version that began them.
+const ALL_SAME: TakenUp = TakenUp {
+    same: STREAMS,
+    other: 0,
+    refused: 0,
+};
+
+/// An instance that no longer sends or receives anything.
+async fn kill(instance: &TestInstance) {
+    instance.phase.send_replace(Phase::Closing);
+    instance.relay.enter(Phase::Closing);
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+}
+
+/// Guards against an answer that goes on at another version after its engine broke off.
+#[actix_rt::test]
+async fn a_broken_stream_goes_on_at_the_version_that_began_it() {
+    let instance = TestInstance::start(engines(breaking_engine, &["v1", "v2", "v3"]));
+    for id in 0..STREAMS {
+        let (status, body) = instance
+            .fetch(generation_request("/grades/x", id, 90))
+            .await;
+        let body = body.expect("a whole stream");
+        assert_eq!((status, versions_in(&body).len()), (200, 1), "{body}");
+    }
+}
+
+/// Guards against a stream that is ended although an engine of its version is left: the one that broke it off.
+#[actix_rt::test]
+async fn the_last_engine_of_a_version_may_go_on_with_what_it_broke_off() {
+    let (one, two) = (breaking_engine("v1"), breaking_engine("v2"));
+    let entries = vec![
+        entry(&one, "one", "v1"),
+        in_other_zone(entry(&two, "two", "v2")),
+    ];
+    let instance = TestInstance::start(entries);
+    let (_, body) = instance.fetch(generation_request("/grades/x", 1, 90)).await;
+    let body = body.expect("a whole stream");
+    assert_eq!(versions_in(&body).len(), 1, "{body}");
+}
+
+/// Guards against a stream that its caller takes up at another instance, which did not begin it, and that goes on at
+/// another version.
+#[actix_rt::test]
+async fn a_stream_taken_up_elsewhere_goes_on_at_the_version_that_began_it() {
+    let entries = engines(hanging_engine, &["v1", "v2"]);
+    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let two = TestInstance::start_peer("b", "here", entries.clone()).await;
+    let three = TestInstance::start_peer("c", "here", entries).await;
+    meet(&[&one, &two, &three]).await;
+    let begun = begin_streams(&one, 100).await;
+    assert_eq!(take_up_all(&two, &begun).await, ALL_SAME);
+    assert_eq!(take_up_all(&one, &begun).await, ALL_SAME);
+}
+
+/// Guards against the same after the instance that began the streams was killed, which is when callers come.
+#[actix_rt::test]
+async fn a_stream_of_a_killed_instance_goes_on_at_the_version_that_began_it() {
+    let entries = engines(hanging_engine, &["v1", "v2"]);
+    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let two = TestInstance::start_peer("b", "here", entries.clone()).await;
+    let three = TestInstance::start_peer("c", "here", entries).await;
+    meet(&[&one, &two, &three]).await;
+    let begun = begin_streams(&one, 100).await;
+    kill(&one).await;
+    assert_eq!(take_up_all(&three, &begun).await, ALL_SAME);
+}
+
+/// Guards against a stream that goes on at another version since none of its own is left.
+#[actix_rt::test]
+async fn a_stream_whose_version_is_gone_is_refused_as_not_run() {
+    let entries = engines(hanging_engine, &["v1"]);
+    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let two = TestInstance::start_peer("b", "here", entries.clone()).await;
+    meet(&[&one, &two]).await;
+    let begun = begin_streams(&one, 100).await;
+    let successors = engines(hanging_engine, &["v2"]);
+    for (old, new) in entries.into_iter().zip(successors) {
+        let leaving = UpstreamEntry {
+            state: UpstreamState::Leaving,
+            seq: 2,
+            ..old
+        };
+        for instance in [&one, &two] {
+            for change in [
+                ListChange::Put(new.clone()),
+                ListChange::Put(leaving.clone()),
+            ] {
+                instance.relay.apply_change(change, relay::Origin::Read);
+            }
+        }
+    }
+    let taken_up = take_up_all(&two, &begun).await;
+    assert_eq!((taken_up.same, taken_up.other), (0, 0));
+}
+
+/// Guards against streams that are turned away although they could go on: they began just before a second version came.
+#[actix_rt::test]
+async fn a_stream_from_before_a_second_version_came_goes_on_at_the_first() {
+    let entries = engines(hanging_engine, &["v1"]);
+    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let two = TestInstance::start_peer("b", "here", entries.clone()).await;
+    let three = TestInstance::start_peer("c", "here", entries).await;
+    meet(&[&one, &two, &three]).await;
+    let begun = begin_streams(&one, 100).await;
+    for new in engines(hanging_engine, &["v2"]) {
+        for instance in [&one, &two, &three] {
+            let change = ListChange::Put(new.clone());
+            instance.relay.apply_change(change, relay::Origin::Read);
+        }
+    }
+    kill(&one).await;
+    assert_eq!(take_up_all(&two, &begun).await, ALL_SAME);
+}
+
+/// Guards against streams that are turned away where one version alone serves and served.
+#[actix_rt::test]
+async fn streams_of_the_only_version_go_on_anywhere() {
+    let entries = engines(hanging_engine, &["v1"]);
+    let one = TestInstance::start(entries.clone());
+    let two = TestInstance::start(entries);
+    let begun = begin_streams(&one, 100).await;
+    assert_eq!(take_up_all(&two, &begun).await, ALL_SAME);
+}
