Streams: inside an answer only engines of the version that began the stream go on with it

What callers saw: events of two versions in one answer, within a millisecond of a crash. Cause: the next engine was chosen without its software's version. Mend: the first event that is passed on fixes the version for the rest of the call; the choice of engines that write events asks it on every way, also at a peer, which is told it and tells the one it serves from. Before the first event any version may serve. Separate prefills write no event and stay free.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -8,13 +8,13 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
-use view::RequestKey;
+use view::{RequestKey, VersionKey};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::access::Admitted;
 use crate::config::{Route, Workspace};
 use crate::dialect::{Dialect, RequestHead, SendOptions};
-use crate::handover::Spent;
+use crate::handover::{Handover, Spent};
 use crate::relay::Relay;
 use crate::urgency::Urgency;
 
@@ -69,6 +69,8 @@
     pub is_sent: Cell<bool>,
     /// Id of the upstream that it was last sent to; empty before the first send.
     pub current_upstream: RefCell<String>,
+    /// Version of the only upstreams that may go on with its stream; none before an event of the stream is known.
+    pub(crate) began_version: Cell<Option<VersionKey>>,
     /// Whether a peer that is cut off from upstreams handed it over; it goes no further then.
     pub is_taken_over: Cell<bool>,
     /// Whether it was handed over to a peer, which counts it from then on.
@@ -139,6 +141,7 @@
             is_finished: Cell::default(),
             is_sent: Cell::default(),
             current_upstream: RefCell::default(),
+            began_version: Cell::default(),
             is_taken_over: Cell::default(),
             is_handed_over: Cell::default(),
             is_first_counted: Cell::default(),
@@ -224,8 +227,10 @@
     }
 
     /// Goes on with a request on which a peer has spent this; the next arrival at its service is covered there.
-    pub(crate) fn take_over(&self, spent: &Spent) {
+    pub(crate) fn take_over(&self, handover: &Handover) {
+        let spent = &handover.spent;
         self.is_taken_over.set(true);
+        self.began_version.set(handover.began_version);
         self.attempts.set(spent.attempts);
         self.prefill_sends
             .set(spent.arrivals.saturating_sub(spent.attempts));
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -204,7 +204,10 @@
     let (mut head, body) = checked.response.into_parts();
     strip_hop_by_hop(&mut head.headers, |_| false);
     let upstream = Rc::clone(guard.upstream());
-    head.extensions.insert(ServedBy(upstream.id.clone()));
+    head.extensions.insert(ServedBy {
+        id: upstream.id.clone(),
+        version: None,
+    });
     let is_long = http_body::Body::size_hint(&body).lower() > MAX_BUFFERED_BYTES;
     let body = if is_long {
         let origin = StreamOrigin::Engine(guard);
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -13,7 +13,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use plan::AttemptTimeout;
-use view::{InstanceKey, Member, ServiceKey};
+use view::{InstanceKey, Member, ServiceKey, VersionKey};
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_leaving};
 use crate::answer::{AnswerBody, Reason, Refusal};
@@ -34,6 +34,10 @@
 /// passed on, and what an upstream announces in one holds here as well.
 const HANDOVER: HeaderName = HeaderName::from_static("relay-handover");
 
+/// Header with the version that began a stream: the only one at which the peer may go on with it, or in an answer the one
+/// of the engine that serves it.
+const VERSION: HeaderName = HeaderName::from_static("relay-version");
+
 /// Header of an answer with which an instance refuses a request that was handed over to it, with the reason's label.
 const REFUSED: HeaderName = HeaderName::from_static("relay-refused");
 
@@ -66,6 +70,8 @@
 pub struct Handover {
     /// What the peer spent on it.
     pub spent: Spent,
+    /// Version that began the stream that the peer goes on with, if it is one and that is known.
+    pub began_version: Option<VersionKey>,
     /// Name of the peer.
     pub from: String,
 }
@@ -79,10 +85,11 @@
     /// Takes the header out of a request's head; none if the request was not handed over.
     pub fn take(headers: &mut HeaderMap) -> Option<Result<Self, MalformedHandover>> {
         let value = headers.remove(HANDOVER)?;
-        Some(Self::parse(&value).ok_or(MalformedHandover))
+        let began_version = take_version(headers);
+        Some(Self::parse(&value, began_version).ok_or(MalformedHandover))
     }
 
-    fn parse(value: &HeaderValue) -> Option<Self> {
+    fn parse(value: &HeaderValue, began_version: Option<VersionKey>) -> Option<Self> {
         let mut parts = value.to_str().ok()?.splitn(6, ',');
         let mut number = || parts.next()?.parse::<u32>().ok();
         let spent = Spent {
@@ -93,7 +100,11 @@
             is_first_counted: number()? > 0,
         };
         let from = parts.next()?.to_owned();
-        Some(Self { spent, from })
+        Some(Self {
+            spent,
+            began_version,
+            from,
+        })
     }
 
     fn header(&self) -> Option<HeaderValue> {
@@ -111,6 +122,19 @@
     }
 }
 
+fn take_version(headers: &mut HeaderMap) -> Option<VersionKey> {
+    let value = headers.remove(VERSION)?;
+    let number = u64::from_str_radix(value.to_str().ok()?, 16).ok()?;
+    Some(VersionKey(number))
+}
+
+fn write_version(headers: &mut HeaderMap, version: Option<VersionKey>) {
+    let value = version.and_then(|it| HeaderValue::from_str(&format!("{:x}", it.0)).ok());
+    if let Some(value) = value {
+        headers.insert(VERSION, value);
+    }
+}
+
 /// Connections to peers, and the requests of peers that are served here now.
 #[derive(Default)]
 pub struct Handovers {
@@ -124,6 +148,8 @@
     relay: Rc<Relay>,
     /// Name of the peer.
     pub name: String,
+    /// Version of the engine from which the peer serves it, if the peer told.
+    pub version: Option<VersionKey>,
     address: SocketAddr,
 }
 
@@ -134,6 +160,7 @@
         Self {
             relay: Rc::clone(relay),
             name: peer.name.clone(),
+            version: None,
             address: peer.address,
         }
     }
@@ -200,9 +227,14 @@
     }
 }
 
-/// Id of the upstream that an answer comes from, for a peer that handed the request over.
+/// The upstream that an answer comes from, for a peer that handed the request over.
 #[derive(Debug, Clone)]
-pub(crate) struct ServedBy(pub String);
+pub(crate) struct ServedBy {
+    /// Its id.
+    pub id: String,
+    /// Version of its software, if the answer is a stream.
+    pub version: Option<VersionKey>,
+}
 
 /// Counts a request of a peer for as long as it is served here.
 pub struct TakenOver(Rc<Cell<usize>>);
@@ -216,8 +248,10 @@
 /// Marks an answer for the peer that handed the request over, which has to know if this instance refused it.
 pub(crate) fn mark_answer<B>(response: &mut Response<B>) {
     let served_by = response.extensions_mut().remove::<ServedBy>();
-    let upstream = served_by.and_then(|it| HeaderValue::from_str(&it.0).ok());
+    let version = served_by.as_ref().and_then(|it| it.version);
+    let upstream = served_by.and_then(|it| HeaderValue::from_str(&it.id).ok());
     let headers = response.headers_mut();
+    write_version(headers, version);
     headers.insert(HANDOVER, upstream.unwrap_or(HeaderValue::from_static("")));
     let Some(refusal) = response.extensions().get::<Refusal>() else {
         return;
@@ -304,11 +338,12 @@
             break;
         };
         tried.push(peer.name.clone());
-        let at_peer = AtPeer::begin(relay, &peer);
+        let mut at_peer = AtPeer::begin(relay, &peer);
         let spent = call.spent();
         let handed = exchange_with_peer(relay, call, &peer, last_event).await;
         match handed {
-            Handed::Answered(exchanged) => {
+            Handed::Answered(mut exchanged) => {
+                at_peer.version = take_version(exchanged.0.headers_mut());
                 call.is_handed_over.set(true);
                 count(relay, call, "answered");
                 return Ok((*exchanged, at_peer));
@@ -341,13 +376,16 @@
 ) -> Handed {
     let handover = Handover {
         spent: call.spent(),
+        began_version: call.began_version.get(),
         from: relay.settings.borrow().name.clone(),
     };
     let Some(value) = handover.header() else {
         return Handed::NotTaken("the instance's name is no valid header value".to_owned());
     };
     let mut request = call.handover_request(last_event);
-    request.headers_mut().insert(HANDOVER, value);
+    let headers = request.headers_mut();
+    headers.insert(HANDOVER, value);
+    write_version(headers, handover.began_version);
     call.attempts.set(call.attempts.get() + 1);
     call.possible_runs.set(call.possible_runs.get() + 1);
     call.current_upstream.borrow_mut().clone_from(&peer.name);
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -287,7 +287,7 @@
         return refuse(relay, Refusal::new(Reason::NoUpstream));
     };
     if let Some(handover) = handover {
-        call.take_over(&handover.spent);
+        call.take_over(&handover);
         let labels = [call.service.as_str()];
         relay.metrics.taken_over.with_label_values(&labels).inc();
         if relay.success_log_limit.take(relay.now_ms()) {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -26,6 +26,7 @@
 use crate::sse::EventSplitter;
 use crate::upstream::{InFlight, Upstream, Work};
 use crate::urgency::Urgency;
+use view::VersionKey;
 
 /// Silence of an engine after which its stream is resumed elsewhere, in multiples of the objective
 /// for the gap between events. Callers give up after eight, which leaves time for the other engine.
@@ -42,8 +43,6 @@
     splitter: EventSplitter,
     ready: VecDeque<Bytes>,
     last_event: Option<u64>,
-    /// Version of the engine that began the stream; none if it is not known here.
-    began_version: Option<String>,
     tried: Vec<String>,
     first_ms: u64,
     last_ms: u64,
@@ -67,6 +66,14 @@
         }
     }
 
+    /// Version of the engine that serves the stream, if it is known.
+    fn version(&self) -> Option<VersionKey> {
+        match self {
+            Self::Engine(guard) => Some(guard.upstream().version_key),
+            Self::Peer(at_peer) => at_peer.version,
+        }
+    }
+
     fn engine(&self) -> Option<Rc<Upstream>> {
         match self {
             Self::Engine(guard) => Some(Rc::clone(guard.upstream())),
@@ -147,15 +154,15 @@
         tried: Vec<String>,
     ) -> Response<AnswerBody> {
         let framing = Framing::of(response.headers());
-        let is_taken_up = call.head.last_event.is_some();
-        let engine = origin.engine();
-        let began_version = engine.filter(|_| !is_taken_up).map(|it| it.version.clone());
-        if is_taken_up {
+        if call.head.last_event.is_some() {
             note_taken_up(relay, call, &origin);
         }
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers, |_| false);
-        head.extensions.insert(ServedBy(origin.name().to_owned()));
+        head.extensions.insert(ServedBy {
+            id: origin.name().to_owned(),
+            version: origin.version(),
+        });
         // The rest may come from another engine and differ in length, and a stream that turns out to be broken off at
         // its end would look complete under its length.
         head.headers.remove(header::CONTENT_LENGTH);
@@ -178,7 +185,6 @@
             splitter: EventSplitter::default(),
             ready: VecDeque::new(),
             last_event: call.head.last_event,
-            began_version,
             tried,
             first_ms: relay.now_ms() - call.arrived_ms,
             last_ms: relay.now_ms(),
@@ -245,6 +251,14 @@
     /// Queues what may be passed on: all bytes, or the complete events if the stream can be resumed, without those that
     /// the caller already has.
     fn queue_received(&mut self) {
+        self.queue_events();
+        if !self.ready.is_empty() && self.call.began_version.get().is_none() {
+            let version = self.source.as_ref().and_then(|it| it.origin.version());
+            self.call.began_version.set(version);
+        }
+    }
+
+    fn queue_events(&mut self) {
         if !self.call.route.is_retryable() {
             let bytes = self.splitter.take_all();
             return self.queue(bytes);
@@ -360,6 +374,10 @@
         if !may_retry(&self.relay, &call) {
             return Err(self.fail(why));
         }
+        let has_version = call.began_version.get().is_some();
+        if self.last_event.is_some() && !has_version {
+            return Err(self.fail("the version that began it is not known"));
+        }
         // An engine that was not reached, or began to leave before the request was sent, costs no attempt.
         for _ in 0..MAX_UNREACHABLE {
             let resumed = if is_handed_over(&self.relay, &call).await {
@@ -391,7 +409,9 @@
         else {
             return Resumed::Failed;
         };
-        if response.status() != StatusCode::OK {
+        // An instance of an older build does not ask for the version.
+        let is_other = at_peer.version != call.began_version.get();
+        if response.status() != StatusCode::OK || is_other {
             return Resumed::Failed;
         }
         if self.relay.failure_log_limit.take(self.relay.now_ms()) {
@@ -445,12 +465,12 @@
                 guard.note_head(self.relay.now_ms());
                 if self.relay.failure_log_limit.take(self.relay.now_ms()) {
                     log::info!(
-                        request = call.id(), upstream = engine.id, version = engine.version,
-                        began_version = self.began_version.as_deref().unwrap_or("-");
+                        request = call.id(), upstream = engine.id, version = engine.version;
                         "stream resumed at another engine"
                     );
                 }
-                let is_same = self.began_version.as_ref().map(|it| *it == engine.version);
+                let began_version = call.began_version.get();
+                let is_same = began_version.map(|it| it == engine.version_key);
                 count_continued(&self.relay, &call.service, "relay", is_same);
                 let exchanged = (checked.response, checked.connection);
                 Resumed::Streaming(StreamSource::resumed(
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -22,6 +22,7 @@
 use role_change::RoleChange;
 pub use view::{
     Load, PrefillProgress, PrefillQueue, RANKS, Stage, UpstreamEntry, UpstreamKey, UpstreamState,
+    VersionKey,
 };
 
 /// Time constant by which the load that an upstream reported decays, in ms: a few times the duration
@@ -78,6 +79,8 @@
     pub slots: u32,
     /// Version of its software, empty if it names none.
     pub version: String,
+    /// Key of that version.
+    pub version_key: VersionKey,
     /// Whether its machine may be reclaimed at short notice.
     pub is_spot: bool,
     /// Connections to it.
@@ -120,6 +123,7 @@
             one_way_delay_ms,
             slots: entry.slots.max(1),
             version: entry.version.clone(),
+            version_key: VersionKey::of(&entry.version),
             is_spot: entry.is_spot,
             pool: Pool::new(entry.address, clock),
             health_check_ms: Cell::default(),
--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -62,6 +62,17 @@
     }
 }
 
+/// Version of an upstream's software, by a hash of its name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct VersionKey(#[serde(with = "postcard::fixint::le")] pub u64);
+
+impl VersionKey {
+    /// The key of a version's name.
+    pub fn of(version: &str) -> Self {
+        Self(xxh3_64(version.as_bytes()))
+    }
+}
+
 /// The content of a request, by a hash of its host, method, path and body.
 ///
 /// Each attempt of a caller has its own id. This key is the same for all attempts of a request, at
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -28,7 +28,7 @@
 pub use demand::ServiceDemand;
 pub use entry::{ListChange, Stage, UpstreamEntry, UpstreamState};
 pub use gossip::{ChangedLoads, GossipState, LocalState};
-pub use key::{InstanceKey, RequestKey, ServiceKey, UpstreamKey, WorkspaceKey};
+pub use key::{InstanceKey, RequestKey, ServiceKey, UpstreamKey, VersionKey, WorkspaceKey};
 pub use list_changes::{GossipedChange, RecentChanges};
 pub use load::Load;
 pub use log_follower::{ListedEntries, LogFollower, LogPosition, ReadId};
