Streams that callers take up go on at the version that began them, at any instance

Cause: a take-up names the attempt that began the stream, and nothing kept what that attempt's version was; the instance that knew is often the one that was killed. Mend: while several versions of a service serve, or did so in the last 15 s, the instance that begins a stream tells two others, which the attempt's id names, before it passes on the first event. Whoever is asked to take a stream up asks those; plan::origin_version decides from records and from what each saw of versions come and go. What cannot be told is refused at once as not run. Where one version serves, nothing is sent but the query at a take-up. The rig's kill now ends the instance's datagrams, too (it was one that still answered: stricter than before).

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -24,6 +24,7 @@
 mod rollout;
 mod route;
 mod split;
+mod stream_version;
 
 pub use admission::{Refusal, RefusalReason, WorkspaceLimiter};
 pub use deadline::{AttemptTimeout, RetryBudget, give_up_ms};
@@ -49,3 +50,4 @@
     Demand, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitPlanner, max_changes_at_once,
     wanted_prefill_engines,
 };
+pub use stream_version::{OriginEvidence, STREAM_AGE_MS, ServiceVersions, origin_version};
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -150,6 +150,9 @@
     /// This instance is cut off from the upstreams, and no peer took the request.
     #[display("this instance reaches no upstream")]
     CutOff,
+    /// It takes a stream up, and nobody can tell which version began that.
+    #[display("it is not known which version began the stream")]
+    UnknownOrigin,
     /// This instance serves as many requests of peers as it may.
     #[display("too many requests of other instances")]
     HelperBusy,
@@ -190,6 +193,7 @@
             Self::TooLate => "too_late",
             Self::Resting => "resting",
             Self::CutOff => "cut_off",
+            Self::UnknownOrigin => "unknown_origin",
             Self::HelperBusy => "helper_busy",
             Self::Rejected => "rejected",
             Self::PoisonRequest => "poisonous",
@@ -215,6 +219,7 @@
             | Self::TooLate
             | Self::Resting
             | Self::CutOff
+            | Self::UnknownOrigin
             | Self::HelperBusy
             | Self::Rejected
             | Self::PoisonRequest
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -19,6 +19,7 @@
 use crate::retry::{RetryContext, RetryDecision, SendFailure, decide, without_false_not_run};
 use crate::send::{CheckedAnswer, SendResult, note_response};
 use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
+use crate::stream_origins::bind_to_origin;
 use crate::upstream::{InFlight, Upstream, Work};
 
 /// Longest answer that is buffered before it is forwarded, in bytes, so that the request can be
@@ -69,6 +70,7 @@
     if is_handed_over(relay, call).await {
         return hand_over(relay, call).await;
     }
+    bind_to_origin(relay, call).await?;
     if !call.is_first_counted.replace(true) {
         relay.count_first_send(&call.service);
     }
--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -9,7 +9,7 @@
 
 use tokio::net::UdpSocket;
 use view::gossip::PERIOD_MS;
-use view::{decode, encode};
+use view::{decode, encode, stream_origin};
 
 use crate::path_check::check_paths;
 use crate::relay::Relay;
@@ -40,9 +40,18 @@
 /// Receives and applies gossip of peers until the process ends.
 pub async fn receive(relay: Rc<Relay>, socket: Rc<UdpSocket>) {
     let mut buffer = vec![0; DATAGRAM_BYTES];
+    relay.stream_origins.attach(&socket);
     loop {
         let received = socket.recv_from(&mut buffer).await;
         match received {
+            Ok((length, peer)) if stream_origin::is_origin_message(&buffer[..length]) => {
+                match stream_origin::decode(&buffer[..length]) {
+                    Ok(message) => relay.receive_origin(&message, peer),
+                    Err(error) => {
+                        log::debug!(peer:%, error:%; "datagram about a stream could not be decoded");
+                    }
+                }
+            }
             Ok((length, peer)) => match decode(&buffer[..length]) {
                 Ok(message) => relay.receive_gossip(&message, peer),
                 Err(error) => log::debug!(peer:%, error:%; "gossip datagram could not be decoded"),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod snapshot;
 pub mod sse;
 pub mod stream;
+pub mod stream_origins;
 pub mod subset;
 pub mod upstream;
 pub mod upstreams;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::role_orders::RoleOrders;
 use crate::singleton_tasks::{self, SingletonTasks};
 use crate::snapshot::{LastQuery, Snapshot};
+use crate::stream_origins::StreamOrigins;
 use crate::upstreams::Upstreams;
 
 /// Log lines per second about requests that succeed: two or three for each request at the usual load.
@@ -118,6 +119,8 @@
     pub(crate) reachability: Reachability,
     /// Requests handed over to peers and taken over from them.
     pub(crate) handovers: Handovers,
+    /// Records of what began streams.
+    pub stream_origins: StreamOrigins,
     /// Log position up to which the list of upstreams was applied.
     pub list_position: RefCell<LogFollower>,
     /// Entries of the list as last read, to distinguish real changes from heartbeats.
@@ -159,6 +162,7 @@
             singleton_tasks,
             reachability: Reachability::default(),
             handovers: Handovers::default(),
+            stream_origins: StreamOrigins::default(),
             list_position: RefCell::new(LogFollower::new(own)),
             last_listed: RefCell::default(),
             config_position: RefCell::new(LogFollower::new(own)),
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -255,6 +255,9 @@
         if !self.ready.is_empty() && self.call.began_version.get().is_none() {
             let version = self.source.as_ref().and_then(|it| it.origin.version());
             self.call.began_version.set(version);
+            if let Some(version) = version {
+                self.relay.tell_stream_began(&self.call, version);
+            }
         }
     }
 
@@ -543,7 +546,9 @@
             "stream taken up by its caller"
         );
     }
-    count_continued(relay, &call.service, "caller", None);
+    let began_version = call.began_version.get();
+    let is_same = began_version.map(|it| Some(it) == origin.version());
+    count_continued(relay, &call.service, "caller", is_same);
 }
 
 /// Counts a stream that went on, and whether it did so at the version that began it, if that is known.
--- /dev/null
+++ b/crates/relay/src/stream_origins.rs
@@ -0,0 +1,301 @@
+//! Finds out which version began a stream that a caller takes up, and keeps the records of other instances' streams.
+//!
+//! While several versions of a service serve, an instance tells two others of each stream that it begins, before it
+//! passes on the first event: its caller may come back because the instance was killed right after. The id of the
+//! attempt names them, so that any instance knows whom to ask. What follows from their answers is decided in
+//! [`plan::origin_version`]. See docs/design/stream-versions.md.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{HashMap, VecDeque};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use plan::{OriginEvidence, origin_version};
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
+use view::{InstanceKey, OriginMessage, ServiceKey, StreamKey, VersionKey, stream_origin};
+
+use crate::answer::{Reason, Refusal};
+use crate::call::Call;
+use crate::relay::Relay;
+
+/// Instances that are told of a stream, besides the one that begins it.
+const HOMES: usize = 2;
+
+/// Instances that are asked: the one that began it may be among the first ones, too.
+const MAX_ASKED: usize = HOMES + 1;
+
+/// Time for which a record is kept, in ms: longer than callers wait for any stream.
+const KEEP_MS: u64 = 60_000;
+
+/// Time after which a query is sent once more, in ms: a few round trips between availability zones.
+const RESEND_MS: u64 = 40;
+
+/// Time after which instances that have not answered are waited for no longer, in ms.
+const ANSWER_TIMEOUT_MS: u64 = 150;
+
+/// Age of the list of upstreams from which an instance that no other one answers does not trust it alone, in ms.
+const MAX_LIST_AGE_MS: u64 = 3_000;
+
+/// Retry delay sent to a caller whose stream cannot go on, in ms: an upstream of its version may come back.
+const UNKNOWN_RETRY_MS: u64 = 500;
+
+type Evidence = OriginEvidence<VersionKey>;
+
+/// Records of streams, and queries that wait for their answers.
+#[derive(Default)]
+pub struct StreamOrigins {
+    socket: RefCell<Option<Rc<UdpSocket>>>,
+    records: RefCell<HashMap<StreamKey, VersionKey>>,
+    /// Records by age, oldest first.
+    ages: RefCell<VecDeque<(u64, StreamKey)>>,
+    queries: RefCell<HashMap<u32, UnboundedSender<Evidence>>>,
+    last_query: Cell<u32>,
+}
+
+impl StreamOrigins {
+    /// Sets the socket from which datagrams are sent.
+    pub(crate) fn attach(&self, socket: &Rc<UdpSocket>) {
+        *self.socket.borrow_mut() = Some(Rc::clone(socket));
+    }
+
+    fn send(&self, peer: SocketAddr, message: &OriginMessage) {
+        let socket = self.socket.borrow();
+        let Some(socket) = socket.as_ref() else {
+            return;
+        };
+        match stream_origin::encode(message) {
+            // A lost datagram is one of two records, or is asked for again.
+            Ok(bytes) => {
+                if let Err(error) = socket.try_send_to(&bytes, peer) {
+                    log::debug!(peer:%, error:%; "datagram about a stream could not be sent");
+                }
+            }
+            Err(error) => log::error!(error:%; "datagram about a stream could not be encoded"),
+        }
+    }
+
+    fn record(&self, now_ms: u64, stream: StreamKey, version: VersionKey) {
+        let (mut records, mut ages) = (self.records.borrow_mut(), self.ages.borrow_mut());
+        while let Some(&(at_ms, oldest)) = ages.front() {
+            if now_ms < at_ms + KEEP_MS {
+                break;
+            }
+            records.remove(&oldest);
+            ages.pop_front();
+        }
+        if records.insert(stream, version).is_none() {
+            ages.push_back((now_ms, stream));
+        }
+    }
+
+    /// Number of streams of which a record is kept.
+    pub fn len(&self) -> usize {
+        self.records.borrow().len()
+    }
+
+    /// Whether no record is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn recorded(&self, stream: StreamKey) -> Option<VersionKey> {
+        self.records.borrow().get(&stream).copied()
+    }
+
+    fn begin_query(&self) -> (u32, UnboundedReceiver<Evidence>) {
+        let number = self.last_query.get().wrapping_add(1);
+        self.last_query.set(number);
+        let (sender, receiver) = unbounded_channel();
+        self.queries.borrow_mut().insert(number, sender);
+        (number, receiver)
+    }
+}
+
+impl Relay {
+    /// Tells other instances which version began a stream, if it is not the only one that serves.
+    pub(crate) fn tell_stream_began(&self, call: &Call, version: VersionKey) {
+        let now_ms = self.now_ms();
+        let is_mixed = self
+            .upstreams
+            .borrow()
+            .versions(&call.service)
+            .is_some_and(|versions| versions.are_mixed(now_ms));
+        if !is_mixed || !call.route.is_retryable() {
+            return;
+        }
+        let stream = StreamKey(call.id_hash);
+        self.stream_origins.record(now_ms, stream, version);
+        for home in self.homes(stream, HOMES) {
+            let message = OriginMessage::Began { stream, version };
+            self.stream_origins.send(home, &message);
+        }
+    }
+
+    /// Addresses of the other instances that come first for a stream.
+    fn homes(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+        let own = InstanceKey::of(&self.settings.borrow().name);
+        let members = self.members.borrow();
+        let others = members.reachable().filter_map(|member| {
+            let key = InstanceKey::of(&member.name);
+            let address = member.gossip_address.filter(|_| key != own)?;
+            Some((stream.place(key), address))
+        });
+        let mut others: Vec<(u64, SocketAddr)> = others.collect();
+        let count = count.min(others.len());
+        if count < others.len() {
+            others.select_nth_unstable(count);
+        }
+        others.truncate(count);
+        others.into_iter().map(|(_, address)| address).collect()
+    }
+
+    /// What this instance itself knows of a stream.
+    fn own_evidence(&self, stream: StreamKey, service: ServiceKey) -> Evidence {
+        if let Some(version) = self.stream_origins.recorded(stream) {
+            return OriginEvidence::Recorded(version);
+        }
+        let upstreams = self.upstreams.borrow();
+        let versions = upstreams.versions_by_key(service);
+        let unrecorded = versions.and_then(|versions| versions.unrecorded(self.now_ms()));
+        OriginEvidence::Unrecorded(unrecorded)
+    }
+
+    /// Handles a datagram of a peer.
+    pub(crate) fn receive_origin(&self, message: &OriginMessage, peer: SocketAddr) {
+        let origins = &self.stream_origins;
+        match *message {
+            OriginMessage::Began { stream, version } => {
+                origins.record(self.now_ms(), stream, version);
+            }
+            OriginMessage::Query {
+                number,
+                stream,
+                service,
+            } => {
+                let (recorded, unrecorded) = match self.own_evidence(stream, service) {
+                    OriginEvidence::Recorded(version) => (Some(version), None),
+                    OriginEvidence::Unrecorded(version) => (None, version),
+                };
+                let reply = OriginMessage::Reply {
+                    number,
+                    recorded,
+                    unrecorded,
+                };
+                origins.send(peer, &reply);
+            }
+            OriginMessage::Reply {
+                number,
+                recorded,
+                unrecorded,
+            } => {
+                let evidence = recorded.map_or(
+                    OriginEvidence::Unrecorded(unrecorded),
+                    OriginEvidence::Recorded,
+                );
+                if let Some(waiting) = origins.queries.borrow().get(&number) {
+                    // The query may have ended just now.
+                    let _ = waiting.send(evidence);
+                }
+            }
+        }
+    }
+
+    /// What this instance and those that keep the stream's record know of it.
+    async fn gather_evidence(&self, stream: StreamKey, service: ServiceKey) -> Vec<Evidence> {
+        let mut all = vec![self.own_evidence(stream, service)];
+        if matches!(all[0], OriginEvidence::Recorded(_)) {
+            return all;
+        }
+        let homes = self.homes(stream, MAX_ASKED);
+        if homes.is_empty() {
+            return all;
+        }
+        self.ask_homes(stream, service, &homes, &mut all).await;
+        let is_list_late = self
+            .list_age_ms()
+            .is_none_or(|age_ms| age_ms > MAX_LIST_AGE_MS);
+        if all.len() == 1 && is_list_late {
+            // Others may use versions of which this instance has not heard.
+            all.clear();
+        }
+        all
+    }
+
+    /// Adds what the given instances reply, until one has a record, all have replied, or it takes too long.
+    async fn ask_homes(
+        &self,
+        stream: StreamKey,
+        service: ServiceKey,
+        homes: &[SocketAddr],
+        all: &mut Vec<Evidence>,
+    ) {
+        let (number, mut replies) = self.stream_origins.begin_query();
+        let query = OriginMessage::Query {
+            number,
+            stream,
+            service,
+        };
+        let asking = async {
+            for wait_ms in [RESEND_MS, ANSWER_TIMEOUT_MS - RESEND_MS] {
+                for home in homes {
+                    self.stream_origins.send(*home, &query);
+                }
+                let wait = actix_rt::time::sleep(Duration::from_millis(wait_ms));
+                tokio::pin!(wait);
+                loop {
+                    let reply = tokio::select! {
+                        reply = replies.recv() => reply,
+                        () = &mut wait => break,
+                    };
+                    all.extend(reply);
+                    if matches!(all.last(), Some(OriginEvidence::Recorded(_)))
+                        || all.len() > homes.len()
+                    {
+                        return;
+                    }
+                }
+            }
+        };
+        asking.await;
+        self.stream_origins.queries.borrow_mut().remove(&number);
+    }
+}
+
+/// Finds out which version began the stream that a call takes up, and binds the call to it; refuses the call as not run
+/// if that cannot be told.
+pub async fn bind_to_origin(relay: &Relay, call: &Call) -> Result<(), Refusal> {
+    let is_taken_up = call.head.last_event.is_some() && call.route.is_retryable();
+    if !is_taken_up || call.began_version.get().is_some() {
+        return Ok(());
+    }
+    let Some(attempt) = &call.head.resumes else {
+        return refuse_unknown(relay, call, 0);
+    };
+    let stream = StreamKey::of(attempt.as_bytes());
+    let evidence = relay
+        .gather_evidence(stream, ServiceKey::of(&call.service))
+        .await;
+    match origin_version(&evidence) {
+        Some(version) => {
+            call.began_version.set(Some(version));
+            Ok(())
+        }
+        None => refuse_unknown(relay, call, evidence.len().saturating_sub(1)),
+    }
+}
+
+fn refuse_unknown(relay: &Relay, call: &Call, replies: usize) -> Result<(), Refusal> {
+    if relay.failure_log_limit.take(relay.now_ms()) {
+        let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
+        log::info!(
+            request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, replies;
+            "stream not taken up: no instance can tell which version began it"
+        );
+    }
+    Err(Refusal::with_retry_after(
+        Reason::UnknownOrigin,
+        UNKNOWN_RETRY_MS,
+    ))
+}
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -5,9 +5,11 @@
 use std::collections::HashMap;
 use std::rc::Rc;
 
+use plan::ServiceVersions;
 use serde::{Deserialize, Serialize};
 use tick::Clock;
 pub use view::ListChange;
+use view::{ServiceKey, VersionKey};
 
 use crate::upstream::{Upstream, UpstreamEntry, UpstreamKey};
 use removed::RemovedUpstreams;
@@ -75,6 +77,7 @@
     /// Time until which each unconfirmed upstream stays in use.
     unconfirmed: HashMap<String, u64>,
     removed: RemovedUpstreams,
+    versions: HashMap<ServiceKey, ServiceVersions<VersionKey>>,
     may_have_lapsed_until_ms: u64,
 }
 
@@ -213,6 +216,16 @@
         self.removed.last(id)
     }
 
+    /// The software versions of a service that serve or did so lately; none if it never had upstreams.
+    pub fn versions(&self, service: &str) -> Option<&ServiceVersions<VersionKey>> {
+        self.versions_by_key(ServiceKey::of(service))
+    }
+
+    /// The same, by the service's key.
+    pub fn versions_by_key(&self, service: ServiceKey) -> Option<&ServiceVersions<VersionKey>> {
+        self.versions.get(&service)
+    }
+
     /// The upstream with this key.
     pub fn get_by_key(&self, key: UpstreamKey) -> Option<&Rc<Upstream>> {
         self.by_key.get(&key)
@@ -326,6 +339,10 @@
         };
         let upstream = Rc::new(Upstream::new(entry, one_way_delay_ms, self.clock));
         self.removed.restore_announcements(&upstream);
+        let versions = self.versions.entry(ServiceKey::of(&entry.service));
+        versions
+            .or_default()
+            .join(self.clock.now_ms(), upstream.version_key);
         self.by_id.insert(entry.id.clone(), Rc::clone(&upstream));
         self.by_key.insert(upstream.key, Rc::clone(&upstream));
         self.by_service
@@ -356,6 +373,9 @@
         if let Some(all) = self.by_service.get_mut(&known.service) {
             all.retain(|each| each.id != id);
         }
+        if let Some(versions) = self.versions.get_mut(&ServiceKey::of(&known.service)) {
+            versions.leave(self.clock.now_ms(), known.version_key);
+        }
         self.removed.record(&known);
         known.leave();
     }
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -47,6 +47,8 @@
     pub address: SocketAddr,
     /// Sets the phase that its listener follows.
     pub phase: watch::Sender<Phase>,
+    /// Tasks that exchange datagrams and requests with peers.
+    peer_tasks: Vec<actix_rt::task::JoinHandle<()>>,
     pool: Rc<Pool>,
 }
 
@@ -166,6 +168,7 @@
             relay,
             address,
             phase,
+            peer_tasks: Vec::new(),
             pool: Pool::new(address, clock),
         }
     }
@@ -180,7 +183,7 @@
             peer: Some(peer),
             ..settings()
         };
-        let instance = Self::start_with(named, entries);
+        let mut instance = Self::start_with(named, entries);
         let relay = &instance.relay;
         relay.settings.borrow_mut().address = instance.address;
         let serving = serve(
@@ -189,12 +192,23 @@
             listener,
             instance.phase.subscribe(),
         );
-        actix_rt::spawn(serving);
-        actix_rt::spawn(relay::gossip::receive(Rc::clone(relay), Rc::clone(&socket)));
-        actix_rt::spawn(relay::gossip::send_periodically(Rc::clone(relay), socket));
+        let receiving = relay::gossip::receive(Rc::clone(relay), Rc::clone(&socket));
+        let sending = relay::gossip::send_periodically(Rc::clone(relay), socket);
+        let tasks = [
+            actix_rt::spawn(serving),
+            actix_rt::spawn(receiving),
+            actix_rt::spawn(sending),
+        ];
+        instance.peer_tasks.extend(tasks);
         instance
     }
 
+    /// Ends the instance as a kill of its process does: nobody hears of it again.
+    pub fn kill(&self) {
+        self.phase.send_replace(Phase::Closing);
+        self.peer_tasks.iter().for_each(|task| task.abort());
+    }
+
     /// Sends a request and returns the head of the response; its body can still be read.
     pub async fn send(
         &self,
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -2,8 +2,6 @@
 
 mod common;
 
-use std::time::Duration;
-
 use bytes::Bytes;
 use common::{
     Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, in_other_zone, meet,
@@ -12,7 +10,6 @@
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderValue, Request};
 use http_body_util::{BodyExt, Full};
-use relay::Phase;
 use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
 use relay::upstreams::ListChange;
 
@@ -160,13 +157,6 @@
     refused: 0,
 };
 
-/// An instance that no longer sends or receives anything.
-async fn kill(instance: &TestInstance) {
-    instance.phase.send_replace(Phase::Closing);
-    instance.relay.enter(Phase::Closing);
-    actix_rt::time::sleep(Duration::from_millis(50)).await;
-}
-
 /// Guards against an answer that goes on at another version after its engine broke off.
 #[actix_rt::test]
 async fn a_broken_stream_goes_on_at_the_version_that_began_it() {
@@ -217,7 +207,7 @@
     let three = TestInstance::start_peer("c", "here", entries).await;
     meet(&[&one, &two, &three]).await;
     let begun = begin_streams(&one, 100).await;
-    kill(&one).await;
+    one.kill();
     assert_eq!(take_up_all(&three, &begun).await, ALL_SAME);
 }
 
@@ -264,7 +254,7 @@
             instance.relay.apply_change(change, relay::Origin::Read);
         }
     }
-    kill(&one).await;
+    one.kill();
     assert_eq!(take_up_all(&two, &begun).await, ALL_SAME);
 }
 
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod poison;
 pub mod polling;
 pub mod queue;
+pub mod stream_origin;
 
 pub use clock::FleetClock;
 pub use demand::ServiceDemand;
@@ -34,8 +35,9 @@
 pub use log_follower::{ListedEntries, LogFollower, LogPosition, ReadId};
 pub use members::{Member, Members};
 pub use message::{
-    GossipMessage, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart, ServiceHeard,
-    Tally, Unreached, UpstreamLimit, decode, encode,
+    GossipMessage, MessageError, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart,
+    ServiceHeard, Tally, Unreached, UpstreamLimit, decode, encode,
 };
 pub use poison::{FailureEvidence, PoisonTracker};
 pub use queue::{PrefillQueue, RANKS};
+pub use stream_origin::{OriginMessage, StreamKey};
