Streams: an engine that came back at its address and id does not go on with what another version began

What callers saw: a stream resumed at an engine that the list still has as of its version, although another process answers there. Mend: before a stream goes on while several versions serve, the engine is asked for its report, whose start names the incarnation; a replaced one is taken out of use and the next one is chosen. One call a continued stream, none else. What it does not cover: a stream that began at such an engine; nothing in an answer names the incarnation. After: the stream goes on at v1.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -27,6 +27,7 @@
 use crate::relay::{Phase, Relay};
 use crate::send::{SendResult, send};
 use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
+use crate::stream_origins::came_back;
 use crate::upstream::Upstream;
 
 /// Header with which an instance hands a request over: what was spent on it, and the instance's name. An answer carries
@@ -278,6 +279,10 @@
     upstream: &Rc<Upstream>,
     options: &SendOptions<'_>,
 ) -> SendResult {
+    if options.last_event.is_some() && came_back(relay, call, upstream).await {
+        let peer = upstream.address;
+        return SendResult::Unsent(ExchangeError::Replaced { peer });
+    }
     let sent = tokio::select! {
         sent = send(relay, call, upstream, options) => sent,
         () = cut_off_from(relay, upstream), if call.route.is_retryable() => {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -78,6 +78,12 @@
         /// Address of the peer.
         peer: SocketAddr,
     },
+    /// Another incarnation listens at the address; nothing was sent.
+    #[display("{peer} is another incarnation")]
+    Replaced {
+        /// Address of the peer.
+        peer: SocketAddr,
+    },
     /// The request was sent, at least in part, and may have run.
     #[display("answer of {peer}: {why}")]
     Lost {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -160,7 +160,8 @@
         ExchangeError::PoolExhausted { .. }
         | ExchangeError::RateLimited { .. }
         | ExchangeError::Leaving { .. }
-        | ExchangeError::Resting { .. } => {}
+        | ExchangeError::Resting { .. }
+        | ExchangeError::Replaced { .. } => {}
     }
 }
 
@@ -201,7 +202,8 @@
         Err(
             ExchangeError::Connect { .. }
             | ExchangeError::PoolExhausted { .. }
-            | ExchangeError::RateLimited { .. },
+            | ExchangeError::RateLimited { .. }
+            | ExchangeError::Replaced { .. },
         ) => {}
     }
     exchanged
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -11,14 +11,16 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use plan::{OriginEvidence, origin_version};
+use plan::{OriginEvidence, Sign, origin_version};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
 use view::{InstanceKey, OriginMessage, ServiceKey, StreamKey, VersionKey, stream_origin};
 
 use crate::answer::{Reason, Refusal};
 use crate::call::Call;
+use crate::inquiry::ask;
 use crate::relay::Relay;
+use crate::upstream::Upstream;
 
 /// Instances that are told of a stream, besides the one that begins it.
 const HOMES: usize = 2;
@@ -117,12 +119,7 @@
     /// Tells other instances which version began a stream, if it is not the only one that serves.
     pub(crate) fn tell_stream_began(&self, call: &Call, version: VersionKey) {
         let now_ms = self.now_ms();
-        let is_mixed = self
-            .upstreams
-            .borrow()
-            .versions(&call.service)
-            .is_some_and(|versions| versions.are_mixed(now_ms));
-        if !is_mixed || !call.route.is_retryable() {
+        if !self.are_versions_mixed(&call.service) || !call.route.is_retryable() {
             return;
         }
         let stream = StreamKey(call.id_hash);
@@ -133,6 +130,12 @@
         }
     }
 
+    fn are_versions_mixed(&self, service: &str) -> bool {
+        let upstreams = self.upstreams.borrow();
+        let versions = upstreams.versions(ServiceKey::of(service));
+        versions.is_some_and(|versions| versions.are_mixed(self.now_ms()))
+    }
+
     /// Addresses of the other instances that come first for a stream.
     fn homes(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
         let own = InstanceKey::of(&self.settings.borrow().name);
@@ -157,7 +160,7 @@
             return OriginEvidence::Recorded(version);
         }
         let upstreams = self.upstreams.borrow();
-        let versions = upstreams.versions_by_key(service);
+        let versions = upstreams.versions(service);
         let unrecorded = versions.and_then(|versions| versions.unrecorded(self.now_ms()));
         OriginEvidence::Unrecorded(unrecorded)
     }
@@ -286,6 +289,20 @@
     }
 }
 
+/// Whether another incarnation than the listed one answers for an engine that is to go on with a stream, while several
+/// versions serve; it is taken out of use then.
+///
+/// An engine that crashed may be back at its address and id within 50 ms with another version, which the list tells
+/// later.
+pub async fn came_back(relay: &Relay, call: &Call, engine: &Upstream) -> bool {
+    let is_mixed = relay.are_versions_mixed(&call.service);
+    if !is_mixed || ask(relay, engine).await != Sign::Replaced {
+        return false;
+    }
+    relay.remove_replaced(engine);
+    true
+}
+
 fn refuse_unknown(relay: &Relay, call: &Call, replies: usize) -> Result<(), Refusal> {
     if relay.failure_log_limit.take(relay.now_ms()) {
         let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -217,12 +217,7 @@
     }
 
     /// The software versions of a service that serve or did so lately; none if it never had upstreams.
-    pub fn versions(&self, service: &str) -> Option<&ServiceVersions<VersionKey>> {
-        self.versions_by_key(ServiceKey::of(service))
-    }
-
-    /// The same, by the service's key.
-    pub fn versions_by_key(&self, service: ServiceKey) -> Option<&ServiceVersions<VersionKey>> {
+    pub fn versions(&self, service: ServiceKey) -> Option<&ServiceVersions<VersionKey>> {
         self.versions.get(&service)
     }
 
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -184,6 +184,31 @@
     assert_eq!(versions_in(&body).len(), 1, "{body}");
 }
 
+/// Guards against an engine that came back at its address and id with another version, which the list does not tell yet.
+#[actix_rt::test]
+async fn a_stream_does_not_go_on_at_an_engine_that_came_back_since() {
+    let (first, back, other) = (
+        breaking_engine("v1"),
+        breaking_engine("v2"),
+        breaking_engine("v2"),
+    );
+    // The stub reports a start at 1 ms.
+    let stale = UpstreamEntry {
+        started_ms: 7,
+        ..in_other_zone(entry(&back, "back", "v1"))
+    };
+    let entries = vec![
+        entry(&first, "first", "v1"),
+        stale,
+        in_other_zone(entry(&other, "other", "v2")),
+    ];
+    let instance = TestInstance::start(entries);
+    let (status, body) = instance.fetch(generation_request("/grades/x", 1, 90)).await;
+    let body = body.expect("a whole stream");
+    assert_eq!((status, versions_in(&body)), (200, vec!["v1".to_owned()]));
+    assert_eq!(back.count(), 0);
+}
+
 /// Guards against a stream that its caller takes up at another instance, which did not begin it, and that goes on at
 /// another version.
 #[actix_rt::test]
