--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -2,9 +2,12 @@
 
 mod common;
 
+use std::time::Duration;
+
 use bytes::Bytes;
 use common::{
-    Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, in_other_zone, meet,
+    Action, Link, LinkState, ReceivedRequest, StubUpstream, TestInstance, generation_request,
+    in_other_zone, meet,
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
@@ -236,6 +239,29 @@
     assert_eq!(take_up_all(&three, &begun).await, ALL_SAME);
 }
 
+/// Guards against the same at an instance that is cut off from upstreams: a peer goes on with it there.
+#[actix_rt::test]
+async fn a_stream_taken_up_at_a_cut_off_instance_goes_on_at_the_version_that_began_it() {
+    let entries = engines(hanging_engine, &["v1", "v2"]);
+    let links: Vec<Link> = entries.iter().map(|it| Link::open(it.address)).collect();
+    let linked = links.iter().zip(&entries);
+    let linked = linked
+        .map(|(link, entry)| link.entry(entry.clone()))
+        .collect();
+    let cut_off = TestInstance::start_peer("a", "here", linked).await;
+    let two = TestInstance::start_peer("b", "here", entries.clone()).await;
+    let three = TestInstance::start_peer("c", "here", entries).await;
+    meet(&[&cut_off, &two, &three]).await;
+    let begun = begin_streams(&two, 100).await;
+    links.iter().for_each(|link| link.set(LinkState::Refusing));
+    for id in 0..60 {
+        // Requests by which it finds out; whole streams after their first event.
+        cut_off.fetch(take_up(50_000 + id, 100)).await;
+        actix_rt::time::sleep(Duration::from_millis(25)).await;
+    }
+    assert_eq!(take_up_all(&cut_off, &begun).await, ALL_SAME);
+}
+
 /// Guards against a stream that goes on at another version since none of its own is left.
 #[actix_rt::test]
 async fn a_stream_whose_version_is_gone_is_refused_as_not_run() {
