--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -309,6 +309,34 @@
     assert_eq!(take_up_all(&two, &begun).await, ALL_SAME);
 }
 
+/// Guards against a cost of each stream that grows with the number of instances.
+#[actix_rt::test]
+async fn each_stream_is_told_to_two_instances_however_many_there_are() {
+    let entries = engines(hanging_engine, &["v1", "v2"]);
+    let mut instances = Vec::new();
+    for name in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        instances.push(TestInstance::start_peer(name, "here", entries.clone()).await);
+    }
+    meet(&instances.iter().collect::<Vec<_>>()).await;
+    begin_streams(&instances[0], 100).await;
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let kept = |instance: &TestInstance| instance.relay.stream_origins.len();
+    assert_eq!(kept(&instances[0]), STREAMS);
+    assert_eq!(instances[1..].iter().map(kept).sum::<usize>(), 2 * STREAMS);
+}
+
+/// Guards against records and queries where one version alone serves and served.
+#[actix_rt::test]
+async fn nothing_is_told_where_one_version_serves() {
+    let entries = engines(hanging_engine, &["v1"]);
+    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let two = TestInstance::start_peer("b", "here", entries).await;
+    meet(&[&one, &two]).await;
+    begin_streams(&one, 100).await;
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    assert!(one.relay.stream_origins.is_empty() && two.relay.stream_origins.is_empty());
+}
+
 /// Guards against streams that are turned away where one version alone serves and served.
 #[actix_rt::test]
 async fn streams_of_the_only_version_go_on_anywhere() {
