--- a/crates/duty/src/reports.rs
+++ b/crates/duty/src/reports.rs
@@ -59,6 +59,8 @@
     /// First window that this instance has seen from its start on. It reports windows from here on
     /// even if nothing ran in them.
     first_own_window: u64,
+    /// First window that the log cannot have lost a report of.
+    first_kept_window: u64,
     fixed: BTreeMap<u64, Fixed>,
 }
 
@@ -68,6 +70,7 @@
         Self {
             windows,
             first_own_window: windows.at(now_ms) + 1,
+            first_kept_window: 0,
             fixed: BTreeMap::new(),
         }
     }
@@ -84,9 +87,9 @@
     }
 
     /// Records that the log may have lost reports that were sent. Windows that ended before are not
-    /// fixed again, since they may have been reported with other counts.
+    /// fixed again, since they may have been reported with other counts, whatever tallies of them are known here.
     pub fn log_was_lost(&mut self, now_ms: u64) {
-        self.first_own_window = self.first_own_window.max(self.windows.at(now_ms));
+        self.first_kept_window = self.first_kept_window.max(self.windows.at(now_ms));
     }
 
     /// Records that a window was sent, and whether it was accepted.
@@ -113,8 +116,11 @@
                 Some(fixed) => self
                     .must_send(now_ms, fixed)
                     .then(|| ReportAction::Send(fixed.report.clone())),
-                None => (window >= self.first_own_window || is_known(window))
-                    .then_some(ReportAction::Fix(window)),
+                None => {
+                    let is_counted = window >= self.first_own_window || is_known(window);
+                    let is_kept = window >= self.first_kept_window;
+                    (is_counted && is_kept).then_some(ReportAction::Fix(window))
+                }
             })
     }
 
--- a/crates/duty/tests/reports.rs
+++ b/crates/duty/tests/reports.rs
@@ -94,3 +94,15 @@
         Some(ReportAction::Fix(10))
     );
 }
+
+/// Guards against the same at an instance that knows tallies of the old windows, but not their reports.
+#[test]
+fn old_windows_with_tallies_are_not_fixed_again_after_log_loss() {
+    let mut reports = UsageReports::new(WINDOWS, WINDOWS.start_ms(5));
+    reports.log_was_lost(WINDOWS.start_ms(10) + 100);
+    assert_eq!(reports.next_action(settled_ms(9), |_| true), None);
+    assert_eq!(
+        reports.next_action(settled_ms(10), |_| true),
+        Some(ReportAction::Fix(10))
+    );
+}
