--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -45,6 +45,22 @@
 
 type Evidence = OriginEvidence<VersionKey>;
 
+/// What an instance replied.
+type Reply = (SocketAddr, Evidence);
+
+/// A query that waits for replies. It is forgotten when dropped, also if the caller leaves meanwhile.
+struct WaitingQuery<'a> {
+    origins: &'a StreamOrigins,
+    number: u32,
+    replies: UnboundedReceiver<Reply>,
+}
+
+impl Drop for WaitingQuery<'_> {
+    fn drop(&mut self) {
+        self.origins.queries.borrow_mut().remove(&self.number);
+    }
+}
+
 /// Records of streams, and queries that wait for their answers.
 #[derive(Default)]
 pub struct StreamOrigins {
@@ -52,7 +68,7 @@
     records: RefCell<HashMap<StreamKey, VersionKey>>,
     /// Records by age, oldest first.
     ages: RefCell<VecDeque<(u64, StreamKey)>>,
-    queries: RefCell<HashMap<u32, UnboundedSender<Evidence>>>,
+    queries: RefCell<HashMap<u32, UnboundedSender<Reply>>>,
     last_query: Cell<u32>,
 }
 
@@ -106,12 +122,16 @@
         self.records.borrow().get(&stream).copied()
     }
 
-    fn begin_query(&self) -> (u32, UnboundedReceiver<Evidence>) {
+    fn begin_query(&self) -> WaitingQuery<'_> {
         let number = self.last_query.get().wrapping_add(1);
         self.last_query.set(number);
-        let (sender, receiver) = unbounded_channel();
+        let (sender, replies) = unbounded_channel();
         self.queries.borrow_mut().insert(number, sender);
-        (number, receiver)
+        WaitingQuery {
+            origins: self,
+            number,
+            replies,
+        }
     }
 }
 
@@ -119,7 +139,7 @@
     /// Tells other instances which version began a stream, if it is not the only one that serves.
     pub(crate) fn tell_stream_began(&self, call: &Call, version: VersionKey) {
         let now_ms = self.now_ms();
-        if !self.are_versions_mixed(&call.service) || !call.route.is_retryable() {
+        if !self.are_versions_mixed(ServiceKey::of(&call.service)) || !call.route.is_retryable() {
             return;
         }
         let stream = StreamKey(call.id_hash);
@@ -130,9 +150,9 @@
         }
     }
 
-    fn are_versions_mixed(&self, service: &str) -> bool {
+    fn are_versions_mixed(&self, service: ServiceKey) -> bool {
         let upstreams = self.upstreams.borrow();
-        let versions = upstreams.versions(ServiceKey::of(service));
+        let versions = upstreams.versions(service);
         versions.is_some_and(|versions| versions.are_mixed(self.now_ms()))
     }
 
@@ -159,6 +179,11 @@
         if let Some(version) = self.stream_origins.recorded(stream) {
             return OriginEvidence::Recorded(version);
         }
+        self.unrecorded_evidence(service)
+    }
+
+    /// What this instance's view of versions says of a stream without a record.
+    fn unrecorded_evidence(&self, service: ServiceKey) -> Evidence {
         let upstreams = self.upstreams.borrow();
         let versions = upstreams.versions(service);
         let unrecorded = versions.and_then(|versions| versions.unrecorded(self.now_ms()));
@@ -199,7 +224,7 @@
                 );
                 if let Some(waiting) = origins.queries.borrow().get(&number) {
                     // The query may have ended just now.
-                    let _ = waiting.send(evidence);
+                    let _ = waiting.send((peer, evidence));
                 }
             }
         }
@@ -215,7 +240,10 @@
         if homes.is_empty() {
             return all;
         }
-        self.ask_homes(stream, service, &homes, &mut all).await;
+        // Where one version serves, one instance that sees the same is enough: others may have been killed just now.
+        let is_one_enough = !self.are_versions_mixed(service);
+        let asked = self.ask_homes(stream, service, &homes, is_one_enough);
+        all.extend(asked.await);
         let is_list_late = self
             .list_age_ms()
             .is_none_or(|age_ms| age_ms > MAX_LIST_AGE_MS);
@@ -226,43 +254,41 @@
         all
     }
 
-    /// Adds what the given instances reply, until one has a record, all have replied, or it takes too long.
+    /// What the given instances reply, until one has a record, enough have replied, or it takes too long.
     async fn ask_homes(
         &self,
         stream: StreamKey,
         service: ServiceKey,
         homes: &[SocketAddr],
-        all: &mut Vec<Evidence>,
-    ) {
-        let (number, mut replies) = self.stream_origins.begin_query();
+        is_one_enough: bool,
+    ) -> Vec<Evidence> {
+        let enough = if is_one_enough { 1 } else { homes.len() };
+        let mut waiting = self.stream_origins.begin_query();
         let query = OriginMessage::Query {
-            number,
+            number: waiting.number,
             stream,
             service,
         };
-        let asking = async {
-            for wait_ms in [RESEND_MS, ANSWER_TIMEOUT_MS - RESEND_MS] {
-                for home in homes {
-                    self.stream_origins.send(*home, &query);
-                }
-                let wait = actix_rt::time::sleep(Duration::from_millis(wait_ms));
-                tokio::pin!(wait);
-                loop {
-                    let reply = tokio::select! {
-                        reply = replies.recv() => reply,
-                        () = &mut wait => break,
-                    };
-                    all.extend(reply);
-                    if matches!(all.last(), Some(OriginEvidence::Recorded(_)))
-                        || all.len() > homes.len()
-                    {
-                        return;
-                    }
+        let mut replied: HashMap<SocketAddr, Evidence> = HashMap::new();
+        for wait_ms in [RESEND_MS, ANSWER_TIMEOUT_MS - RESEND_MS] {
+            for home in homes.iter().filter(|home| !replied.contains_key(home)) {
+                self.stream_origins.send(*home, &query);
+            }
+            let wait = actix_rt::time::sleep(Duration::from_millis(wait_ms));
+            tokio::pin!(wait);
+            loop {
+                let (home, evidence) = tokio::select! {
+                    Some(reply) = waiting.replies.recv() => reply,
+                    () = &mut wait => break,
+                };
+                replied.insert(home, evidence);
+                let is_recorded = matches!(evidence, OriginEvidence::Recorded(_));
+                if is_recorded || replied.len() >= enough {
+                    return replied.into_values().collect();
                 }
             }
-        };
-        asking.await;
-        self.stream_origins.queries.borrow_mut().remove(&number);
+        }
+        replied.into_values().collect()
     }
 }
 
@@ -273,13 +299,15 @@
     if !is_taken_up || call.began_version.get().is_some() {
         return Ok(());
     }
-    let Some(attempt) = &call.head.resumes else {
-        return refuse_unknown(relay, call, 0);
+    let service = ServiceKey::of(&call.service);
+    let evidence = match &call.head.resumes {
+        Some(attempt) => {
+            let stream = StreamKey::of(attempt.as_bytes());
+            relay.gather_evidence(stream, service).await
+        }
+        None if relay.are_versions_mixed(service) => Vec::new(),
+        None => vec![relay.unrecorded_evidence(service)],
     };
-    let stream = StreamKey::of(attempt.as_bytes());
-    let evidence = relay
-        .gather_evidence(stream, ServiceKey::of(&call.service))
-        .await;
     match origin_version(&evidence) {
         Some(version) => {
             call.began_version.set(Some(version));
@@ -295,7 +323,7 @@
 /// An engine that crashed may be back at its address and id within 50 ms with another version, which the list tells
 /// later.
 pub async fn came_back(relay: &Relay, call: &Call, engine: &Upstream) -> bool {
-    let is_mixed = relay.are_versions_mixed(&call.service);
+    let is_mixed = relay.are_versions_mixed(ServiceKey::of(&call.service));
     if !is_mixed || ask(relay, engine).await != Sign::Replaced {
         return false;
     }
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -346,3 +346,15 @@
     let begun = begin_streams(&one, 100).await;
     assert_eq!(take_up_all(&two, &begun).await, ALL_SAME);
 }
+
+/// Guards against callers that do not name the attempt that began their stream: they are served while one version serves.
+#[actix_rt::test]
+async fn a_stream_whose_beginning_is_not_named_goes_on_while_one_version_serves() {
+    for (versions, expected) in [(&["v1"][..], 200), (&["v1", "v2"][..], 503)] {
+        let instance = TestInstance::start(engines(hanging_engine, versions));
+        let mut request = take_up(1, 2);
+        request.headers_mut().remove("x-resumes");
+        let (status, _) = instance.fetch(request).await;
+        assert_eq!(status, expected, "{versions:?}");
+    }
+}
