--- a/crates/duty/src/reports.rs
+++ b/crates/duty/src/reports.rs
@@ -112,15 +112,14 @@
         let is_over = |window: &u64| now_ms >= self.windows.end_ms(*window) + SETTLE_MS;
         (oldest..=self.windows.at(now_ms))
             .take_while(is_over)
-            .find_map(|window| match self.fixed.get(&window) {
-                Some(fixed) => self
-                    .must_send(now_ms, fixed)
-                    .then(|| ReportAction::Send(fixed.report.clone())),
-                None => {
-                    let is_counted = window >= self.first_own_window || is_known(window);
-                    let is_kept = window >= self.first_kept_window;
-                    (is_counted && is_kept).then_some(ReportAction::Fix(window))
+            .find_map(|window| {
+                if let Some(fixed) = self.fixed.get(&window) {
+                    let must_send = self.must_send(now_ms, fixed);
+                    return must_send.then(|| ReportAction::Send(fixed.report.clone()));
                 }
+                let is_counted = window >= self.first_own_window || is_known(window);
+                let is_kept = window >= self.first_kept_window;
+                (is_counted && is_kept).then_some(ReportAction::Fix(window))
             })
     }
 
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -121,14 +121,14 @@
     if let Err(error) = ended {
         log::debug!(error:%; "caller's connection ended");
         if !knows_chunks.get() {
-            reset(serving.into_parts().io.into_inner());
+            reset(serving.into_parts().io.inner());
         }
     }
 }
 
 /// Resets a connection. To a caller without chunks an orderly close would be the end of a whole answer.
-fn reset(stream: TcpStream) {
-    if let Err(error) = SockRef::from(&stream).set_linger(Some(Duration::ZERO)) {
+fn reset(stream: &TcpStream) {
+    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
         log::warn!(error:%; "connection of a broken answer could not be reset");
     }
 }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -24,6 +24,31 @@
     class.map_or("more", |(_, label)| label)
 }
 
+/// Metrics of how streams end and go on.
+pub struct StreamMetrics {
+    /// Ends that looked orderly on their connections, by service, framing and place in the events.
+    pub ends: IntCounterVec,
+    /// Streams that went on after a break, by service, who made them go on, and whether at the version that began them.
+    pub continued: IntCounterVec,
+}
+
+impl StreamMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            ends: all.counter(
+                "stream_ends_total",
+                "Ends of streams that looked orderly on their connections.",
+                &["service", "framing", "at"],
+            ),
+            continued: all.counter(
+                "continued_streams_total",
+                "Streams that went on after a break.",
+                &["service", "by", "version"],
+            ),
+        }
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -31,14 +56,12 @@
     requests: IntCounterVec,
     /// Requests that generate text, by route, class of prompt lengths, and end.
     generations: IntCounterVec,
+    /// Ends of streams, and streams that went on after them.
+    pub streams: StreamMetrics,
     /// Whether this instance is cut off from the upstreams of a service, by service.
     pub cut_off: IntGaugeVec,
     /// Inquiries into upstreams that lost an answer, by service and what they found.
     pub inquiries: IntCounterVec,
-    /// Ends of streams that looked orderly on their connections, by service, framing and place in the events.
-    pub stream_ends: IntCounterVec,
-    /// Streams that went on after a break, by service, who made them go on, and whether at the version that began them.
-    pub continued_streams: IntCounterVec,
     /// Requests handed over to peers by service and outcome.
     pub handed_over: IntCounterVec,
     /// Requests taken over from peers by service.
@@ -167,16 +190,7 @@
                 "Inquiries into upstreams that lost an answer.",
                 &["service", "found"],
             ),
-            stream_ends: all.counter(
-                "stream_ends_total",
-                "Ends of streams that looked orderly on their connections.",
-                &["service", "framing", "at"],
-            ),
-            continued_streams: all.counter(
-                "continued_streams_total",
-                "Streams that went on after a break.",
-                &["service", "by", "version"],
-            ),
+            streams: StreamMetrics::new(&all),
             cut_off: all.gauges(
                 "cut_off",
                 "Whether no upstream of a service is reached while peers reach them.",
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -11,29 +11,30 @@
     pub bytes: Bytes,
 }
 
+/// Where in a stream a byte is.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+enum Position {
+    /// At the start of a line, with no event begun.
+    #[default]
+    BetweenEvents,
+    /// Within a comment that belongs to no event.
+    InComment,
+    /// Within a line of an event, or a comment in it.
+    InLine,
+    /// At the start of a further line of an event.
+    AtLineStart,
+}
+
 /// Finds the ends of events in bytes as they arrive.
 ///
 /// A line ends with LF, CR or CRLF, which a stream may mix, and an empty line ends an event.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Default)]
 struct EventScanner {
-    is_line_empty: bool,
+    position: Position,
     is_after_cr: bool,
-    /// Whether a line of an event that has not ended was begun; a comment belongs to none.
-    is_event_begun: bool,
     has_events: bool,
 }
 
-impl Default for EventScanner {
-    fn default() -> Self {
-        Self {
-            is_line_empty: true,
-            is_after_cr: false,
-            is_event_begun: false,
-            has_events: false,
-        }
-    }
-}
-
 impl EventScanner {
     /// Reads up to the first empty line and returns the position after it; reads all bytes if there is none.
     fn find_end(&mut self, bytes: &[u8]) -> Option<usize> {
@@ -51,23 +52,34 @@
         let was_after_cr = std::mem::replace(&mut self.is_after_cr, byte == b'\r');
         match byte {
             b'\n' if was_after_cr => false,
-            b'\n' | b'\r' => {
-                let was_empty = std::mem::replace(&mut self.is_line_empty, true);
-                if was_empty {
-                    self.has_events |= std::mem::take(&mut self.is_event_begun);
-                }
-                was_empty
-            }
+            b'\n' | b'\r' => self.ends_empty_line(),
             _ => {
-                let begins_line = std::mem::replace(&mut self.is_line_empty, false);
-                self.is_event_begun |= begins_line && byte != b':';
+                self.position = match self.position {
+                    Position::BetweenEvents if byte == b':' => Position::InComment,
+                    Position::InComment => Position::InComment,
+                    Position::BetweenEvents | Position::InLine | Position::AtLineStart => {
+                        Position::InLine
+                    }
+                };
                 false
             }
         }
     }
 
+    /// Reads the end of a line; true if the line was empty.
+    fn ends_empty_line(&mut self) -> bool {
+        let (next, was_empty) = match self.position {
+            Position::BetweenEvents | Position::AtLineStart => (Position::BetweenEvents, true),
+            Position::InComment => (Position::BetweenEvents, false),
+            Position::InLine => (Position::AtLineStart, false),
+        };
+        self.has_events |= self.position == Position::AtLineStart;
+        self.position = next;
+        was_empty
+    }
+
     fn is_within_event(&self) -> bool {
-        self.is_event_begun || !self.is_line_empty
+        self.position != Position::BetweenEvents
     }
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -342,7 +342,7 @@
             source.framing.label(),
             end.label(),
         ];
-        let ends = &self.relay.metrics.stream_ends;
+        let ends = &self.relay.metrics.streams.ends;
         ends.with_label_values(&labels).inc();
         end.break_cause(source.framing)
     }
@@ -558,7 +558,7 @@
         Some(false) => "other",
         None => "unknown",
     };
-    let streams = &relay.metrics.continued_streams;
+    let streams = &relay.metrics.streams.continued;
     streams.with_label_values(&[service, by, version]).inc();
 }
 
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -206,7 +206,9 @@
     /// Ends the instance as a kill of its process does: nobody hears of it again.
     pub fn kill(&self) {
         self.phase.send_replace(Phase::Closing);
-        self.peer_tasks.iter().for_each(|task| task.abort());
+        for task in &self.peer_tasks {
+            task.abort();
+        }
     }
 
     /// Sends a request and returns the head of the response; its body can still be read.
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -24,8 +24,9 @@
 
 fn events(version: &str, after: u64, to: u64) -> String {
     let ids = after + 1..=to;
-    ids.map(|id| format!("id: {id}\ndata: {version}\n\n"))
-        .collect()
+    ids.fold(String::new(), |text, id| {
+        text + &format!("id: {id}\ndata: {version}\n\n")
+    })
 }
 
 fn last_event(received: &ReceivedRequest) -> u64 {
@@ -143,7 +144,7 @@
         let (status, body) = instance.fetch(take_up(id + 10_000, *id)).await;
         match status {
             200 if versions_in(&body.unwrap_or_default()) == [version.clone()] => {
-                taken_up.same += 1
+                taken_up.same += 1;
             }
             200 => taken_up.other += 1,
             503 => taken_up.refused += 1,
@@ -253,7 +254,9 @@
     let three = TestInstance::start_peer("c", "here", entries).await;
     meet(&[&cut_off, &two, &three]).await;
     let begun = begin_streams(&two, 100).await;
-    links.iter().for_each(|link| link.set(LinkState::Refusing));
+    for link in &links {
+        link.set(LinkState::Refusing);
+    }
     for id in 0..60 {
         // Requests by which it finds out; whole streams after their first event.
         cut_off.fetch(take_up(50_000 + id, 100)).await;
