--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -265,6 +265,25 @@
     assert_eq!(take_up_all(&cut_off, &begun).await, ALL_SAME);
 }
 
+/// Guards against streams that are all turned away after every instance was killed while two versions serve: their records
+/// were in memory alone.
+#[actix_rt::test]
+async fn streams_go_on_after_all_instances_were_killed() {
+    let entries = engines(hanging_engine, &["v1", "v2"]);
+    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let two = TestInstance::start_peer("b", "here", entries.clone()).await;
+    meet(&[&one, &two]).await;
+    let begun = begin_streams(&one, 100).await;
+    one.kill();
+    two.kill();
+    let again = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let other = TestInstance::start_peer("b", "here", entries).await;
+    meet(&[&again, &other]).await;
+    let taken_up = take_up_all(&other, &begun).await;
+    assert_eq!(taken_up.other, 0);
+    assert!(2 * taken_up.same >= STREAMS, "{taken_up:?}");
+}
+
 /// Guards against a stream that goes on at another version since none of its own is left.
 #[actix_rt::test]
 async fn a_stream_whose_version_is_gone_is_refused_as_not_run() {
