Sight of connections that end: what was on them and why, in a counter and a line with the request's id

Cause: a connection that ended with a request on it left a debug line without the request, and nothing counted it. Ruled out: doing it in listener.rs, which would go on growing; serving a connection is a file of its own now. The gauges of what was learned of engines are a group, since the constructor of all metrics had become too long. Conclusion: no decision has changed; the idle limit is still that of the connection's opening.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -12,6 +12,7 @@
 use http_body::{Body, Frame, SizeHint};
 use log::kv::ToValue;
 
+use crate::connection::OnConnection;
 use crate::handover::TakenOver;
 
 /// Error of an answer that ends early. The caller's connection is closed, so that the answer does not
@@ -35,6 +36,7 @@
     content: Content,
     active: Option<ActiveRequest>,
     taken_over: Option<TakenOver>,
+    on_connection: Option<OnConnection>,
 }
 
 impl AnswerBody {
@@ -44,6 +46,7 @@
             content: Content::Whole(bytes.into()),
             active: None,
             taken_over: None,
+            on_connection: None,
         }
     }
 
@@ -53,6 +56,7 @@
             content: Content::Streamed(Box::pin(frames)),
             active: None,
             taken_over: None,
+            on_connection: None,
         }
     }
 
@@ -61,6 +65,11 @@
         self.active = Some(active);
         self.taken_over = taken_over;
     }
+
+    /// Keeps a connection marked as occupied until the body has been sent.
+    pub fn occupy(&mut self, on_connection: OnConnection) {
+        self.on_connection = Some(on_connection);
+    }
 }
 
 /// Guard that counts a request from its arrival until its answer has been sent.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod awaited;
 pub mod call;
 pub mod config;
+pub mod connection;
 pub mod dialect;
 pub mod directory;
 pub mod estimates;
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -1,27 +1,22 @@
 //! HTTP listeners for callers, the directory, readiness, metrics and peers.
 
-use std::cell::Cell;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
 use crate::access::admit;
 use crate::answer::{ActiveRequest, AnswerBody, Reason, Refusal};
 use crate::call::{Call, host};
 use crate::config::Limits;
+use crate::connection::serve_connection;
 use crate::forward::forward;
 use crate::handover::{Handover, mark_answer};
 use crate::relay::{Phase, Relay};
@@ -75,7 +70,10 @@
             Ok((stream, _)) => {
                 let relay = Rc::clone(&relay);
                 let phase = phase.clone();
-                actix_rt::spawn(serve_connection(relay, kind, stream, phase));
+                actix_rt::spawn(async move {
+                    let respond = |request| respond(&relay, kind, request);
+                    serve_connection(Rc::clone(&relay), stream, phase, respond).await;
+                });
             }
             Err(error) => {
                 log::warn!(error:%; "could not accept connection");
@@ -85,54 +83,6 @@
     }
 }
 
-/// Serves the requests of one connection until it ends or the phase becomes [`Phase::Closing`].
-async fn serve_connection(
-    relay: Rc<Relay>,
-    kind: ListenerKind,
-    stream: TcpStream,
-    mut phase: watch::Receiver<Phase>,
-) {
-    if let Err(error) = crate::pool::configure_socket(&stream) {
-        log::debug!(error:%; "could not set socket options, using defaults");
-    }
-    let limits = relay
-        .config()
-        .map_or_else(Limits::default, |config| config.limits);
-    let knows_chunks = Cell::new(true);
-    let service = service_fn(|request: Request<Incoming>| {
-        knows_chunks.set(request.version() >= Version::HTTP_11);
-        let relay = Rc::clone(&relay);
-        async move { Ok::<_, Infallible>(respond(&relay, kind, request).await) }
-    });
-    let mut serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Bounds the idle time of a connection, which is announced to callers, and the time to
-        // receive a request's head.
-        .header_read_timeout(Duration::from_millis(limits.idle_ms))
-        .max_buf_size(limits.head_bytes.max(16_384))
-        .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        ended = &mut serving => ended,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            Pin::new(&mut serving).graceful_shutdown();
-            (&mut serving).await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!(error:%; "caller's connection ended");
-        if !knows_chunks.get() {
-            reset(serving.into_parts().io.inner());
-        }
-    }
-}
-
-/// Resets a connection. To a caller without chunks an orderly close would be the end of a whole answer.
-fn reset(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::warn!(error:%; "connection of a broken answer could not be reset");
-    }
-}
-
 /// Answers one request. Once the instance is leaving, the answer asks the peer to close the
 /// connection.
 async fn respond(
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,38 @@
     }
 }
 
+/// Metrics of what was learned of engines, by service and time.
+pub struct LearnedMetrics {
+    /// Learned times, in seconds.
+    pub times_s: GaugeVec,
+    /// Answers from which they were learned.
+    pub answers: IntGaugeVec,
+    /// Time since the last such answer, in ms.
+    pub age_ms: IntGaugeVec,
+}
+
+impl LearnedMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            times_s: all.float_gauges(
+                "learned_seconds",
+                "Learned times of engines.",
+                &["service", "time"],
+            ),
+            answers: all.gauges(
+                "learned_answers",
+                "Answers from which times were learned.",
+                &["service", "time"],
+            ),
+            age_ms: all.gauges(
+                "learned_age_ms",
+                "Age of the last such answer.",
+                &["service", "time"],
+            ),
+        }
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -58,6 +90,8 @@
     generations: IntCounterVec,
     /// Ends of streams, and streams that went on after them.
     pub streams: StreamMetrics,
+    /// Ends of connections of callers and peers, by what was on them and the cause.
+    pub connections_ended: IntCounterVec,
     /// Whether this instance is cut off from the upstreams of a service, by service.
     pub cut_off: IntGaugeVec,
     /// Inquiries into upstreams that lost an answer, by service and what they found.
@@ -66,12 +100,8 @@
     pub handed_over: IntCounterVec,
     /// Requests taken over from peers by service.
     pub taken_over: IntCounterVec,
-    /// Learned times of engines by service, in seconds.
-    pub learned_s: GaugeVec,
-    /// Answers from which they were learned.
-    pub learned_answers: IntGaugeVec,
-    /// Time since the last such answer, in ms.
-    pub learned_age_ms: IntGaugeVec,
+    /// What was learned of engines.
+    pub learned: LearnedMetrics,
     /// Complete answers by route and whether they were in time.
     pub answers: IntCounterVec,
     /// Refused requests by route and reason.
@@ -191,6 +221,11 @@
                 &["service", "found"],
             ),
             streams: StreamMetrics::new(&all),
+            connections_ended: all.counter(
+                "connections_ended_total",
+                "Ends of connections of callers and peers.",
+                &["with", "cause"],
+            ),
             cut_off: all.gauges(
                 "cut_off",
                 "Whether no upstream of a service is reached while peers reach them.",
@@ -206,21 +241,7 @@
                 "Requests taken over from peers.",
                 &["service"],
             ),
-            learned_s: all.float_gauges(
-                "learned_seconds",
-                "Learned times of engines.",
-                &["service", "time"],
-            ),
-            learned_answers: all.gauges(
-                "learned_answers",
-                "Answers from which times were learned.",
-                &["service", "time"],
-            ),
-            learned_age_ms: all.gauges(
-                "learned_age_ms",
-                "Age of the last such answer.",
-                &["service", "time"],
-            ),
+            learned: LearnedMetrics::new(&all),
             answers: all.counter("answers_total", "Complete answers.", &["route", "in_time"]),
             refusals: all.counter("refusals_total", "Refused requests.", &["route", "reason"]),
             prompts_placed: all.counter("placed_total", "Prompts.", &["service", "read", "held"]),
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -300,15 +300,18 @@
                 let labels = [service.as_str(), time];
                 let age_ms = provenance.age_ms(now_ms).unwrap_or(0);
                 metrics
-                    .learned_s
+                    .learned
+                    .times_s
                     .with_label_values(&labels)
                     .set(value_ms / 1_000.0);
                 metrics
-                    .learned_answers
+                    .learned
+                    .answers
                     .with_label_values(&labels)
                     .set(provenance.answers.cast_signed());
                 metrics
-                    .learned_age_ms
+                    .learned
+                    .age_ms
                     .with_label_values(&labels)
                     .set(age_ms.cast_signed());
             }
