Failing tests: whole requests that get no answer

Cause: shown, not yet mended. An idle limit that a connection keeps from its opening; the wait for a body that takes the idle limit; a stream, and a read, whose silent source is given up before another is at hand. Ruled out: a lowered limit closes nothing within it, a connection that stays idle is closed, and a request that lies unread while the process is slow for 300 ms is read before the timer is looked at (three tests that hold on the code of before).

--- /dev/null
+++ b/crates/relay/tests/kept_connections.rs
@@ -0,0 +1,141 @@
+//! Connections that callers keep between requests, across changes of the configuration.
+
+mod common;
+
+use std::time::Duration;
+
+use common::{StubUpstream, TestInstance, config, settings};
+use relay::config::{Config, Limits};
+use relay::upstream::Stage;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+
+/// A configuration of this version under which connections may be idle for this long.
+fn config_with_idle(version: u64, idle_ms: u64) -> Config {
+    let mut config = config(version);
+    config.limits = Limits {
+        idle_ms,
+        ..Limits::default()
+    };
+    config
+}
+
+async fn sleep_ms(ms: u64) {
+    actix_rt::time::sleep(Duration::from_millis(ms)).await;
+}
+
+fn desk() -> StubUpstream {
+    StubUpstream::start(|received| received.response("200 OK", "", "ok"))
+}
+
+/// A caller with one connection, which it does not replace.
+struct KeptConnection(TcpStream);
+
+impl KeptConnection {
+    async fn open(instance: &TestInstance) -> Self {
+        Self(
+            TcpStream::connect(instance.address)
+                .await
+                .expect("a connection"),
+        )
+    }
+
+    /// Sends the head and the begin of a body of `length` bytes.
+    async fn send(&mut self, length: usize, begin: &str) {
+        let head = format!(
+            "POST /claims/x HTTP/1.1\r\nhost: host.test\r\nx-attempt: 1\r\nx-left-ms: 3000\r\ncontent-length: {length}\r\n\r\n{begin}"
+        );
+        // A connection that was closed shows when the answer is read.
+        let _ = self.0.write_all(head.as_bytes()).await;
+    }
+
+    /// The status of the next answer; `None` if the connection is closed without one.
+    async fn status(&mut self) -> Option<String> {
+        let mut received = String::new();
+        while !received.ends_with("ok") {
+            let mut chunk = [0; 1_024];
+            let count = self.0.read(&mut chunk).await.unwrap_or(0);
+            if count == 0 {
+                return received.split(' ').nth(1).map(str::to_owned);
+            }
+            received.push_str(&String::from_utf8_lossy(&chunk[..count]));
+        }
+        received.split(' ').nth(1).map(str::to_owned)
+    }
+
+    async fn ask(&mut self) -> Option<String> {
+        self.send(0, "").await;
+        self.status().await
+    }
+}
+
+/// Guards against a request that is closed unanswered, because its connection kept the idle limit of its opening.
+#[actix_rt::test]
+async fn a_raised_idle_limit_holds_on_open_connections() {
+    for (pause_ms, asks_between) in [(900, false), (1_500, false), (1_500, true)] {
+        let desk = desk();
+        let instance = TestInstance::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+        instance.relay.configure(config_with_idle(2, 400));
+        let mut caller = KeptConnection::open(&instance).await;
+        assert_eq!(caller.ask().await.as_deref(), Some("200"));
+        instance.relay.configure(config_with_idle(3, 2_000));
+        if asks_between {
+            assert_eq!(caller.ask().await.as_deref(), Some("200"));
+        }
+        sleep_ms(pause_ms).await;
+        let status = caller.ask().await;
+        assert_eq!(status.as_deref(), Some("200"), "{pause_ms} {asks_between}");
+    }
+}
+
+/// Guards against a limit that is lowered and closes connections at once, under requests on their way.
+#[actix_rt::test]
+async fn a_lowered_idle_limit_closes_nothing_within_it() {
+    let desk = desk();
+    let instance = TestInstance::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    let mut caller = KeptConnection::open(&instance).await;
+    assert_eq!(caller.ask().await.as_deref(), Some("200"));
+    instance.relay.configure(config_with_idle(2, 400));
+    sleep_ms(320).await;
+    assert_eq!(caller.ask().await.as_deref(), Some("200"));
+}
+
+/// Guards against connections that nobody uses and that stay open for ever.
+#[actix_rt::test]
+async fn a_connection_that_stays_idle_is_closed() {
+    let instance = TestInstance::start(Vec::new());
+    instance.relay.configure(config_with_idle(2, 100));
+    let mut caller = KeptConnection::open(&instance).await;
+    let closed = caller.status();
+    let closed = actix_rt::time::timeout(Duration::from_secs(5), closed).await;
+    assert_eq!(closed, Ok(None));
+}
+
+/// Guards against a request that is refused since its body took longer than a connection may be idle.
+#[actix_rt::test]
+async fn a_body_may_take_longer_than_a_connection_may_be_idle() {
+    let desk = desk();
+    let instance = TestInstance::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    instance.relay.configure(config_with_idle(2, 400));
+    let mut caller = KeptConnection::open(&instance).await;
+    caller.send(4, "bo").await;
+    sleep_ms(600).await;
+    caller.0.write_all(b"dy").await.expect("an open connection");
+    assert_eq!(caller.status().await.as_deref(), Some("200"));
+}
+
+/// Guards against a request that lies unread in its socket, as the process was slow for a moment, when the idle limit
+/// passes.
+#[actix_rt::test]
+async fn a_request_that_is_unread_when_the_idle_limit_passes_is_answered() {
+    let desk = desk();
+    let instance =
+        TestInstance::start_with(settings(), vec![desk.entry("one", "desk", Stage::Whole)]);
+    instance.relay.configure(config_with_idle(2, 400));
+    let mut caller = KeptConnection::open(&instance).await;
+    assert_eq!(caller.ask().await.as_deref(), Some("200"));
+    sleep_ms(300).await;
+    caller.send(0, "").await;
+    std::thread::sleep(Duration::from_millis(300));
+    assert_eq!(caller.status().await.as_deref(), Some("200"));
+}
--- a/crates/relay/tests/silent_upstreams.rs
+++ b/crates/relay/tests/silent_upstreams.rs
@@ -2,29 +2,184 @@
 
 mod common;
 
-use common::{Action, StubUpstream, TestInstance, generation_request};
-use plan::HealthStatus;
-use relay::upstream::Stage;
+use common::{
+    Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, read_request, settings,
+};
+use futures_util::future::join_all;
+use http::HeaderValue;
+use plan::{HealthStatus, RetryBudgetSettings};
+use relay::Settings;
+use relay::upstream::{Stage, UpstreamEntry};
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 
 /// Time for which the engine of the test is silent within a stream, in ms.
 const SILENCE_MS: u64 = 1_100;
 
+/// The events of a stream, the second after a silence.
+const EVENTS: [&str; 2] = ["id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n"];
+
+/// Where in its answer an upstream falls silent.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Place {
+    /// Before the head.
+    Head,
+    /// Between the head and the first event.
+    FirstEvent,
+    /// Before the second event.
+    SecondEvent,
+}
+
+/// A stream that is silent at `place` for `silence_ms`.
+fn silent_stream(received: &ReceivedRequest, place: Place, silence_ms: u64) -> Vec<Action> {
+    let whole = received.response_text("200 OK", "", &EVENTS.concat());
+    let events_at = whole.len() - EVENTS.concat().len();
+    let at = match place {
+        Place::Head => 0,
+        Place::FirstEvent => events_at,
+        Place::SecondEvent => events_at + EVENTS[0].len(),
+    };
+    vec![
+        Action::Write(whole[..at].to_owned()),
+        Action::Wait(silence_ms),
+        Action::Write(whole[at..].to_owned()),
+    ]
+}
+
+/// The other upstream of the service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Other {
+    /// There is none.
+    None,
+    /// It rejects all requests.
+    Rejects,
+    /// Nothing listens at its address.
+    Dead,
+    /// It is silent before its answer's head as well.
+    Silent,
+    /// It is sound, but no retry is left.
+    NoRetryLeft,
+    /// It is sound.
+    Sound,
+}
+
+const OTHERS: [Other; 6] = [
+    Other::None,
+    Other::Rejects,
+    Other::Dead,
+    Other::Silent,
+    Other::NoRetryLeft,
+    Other::Sound,
+];
+
+impl Other {
+    fn stub(self) -> Option<StubUpstream> {
+        match self {
+            Self::None => None,
+            Self::Rejects => Some(StubUpstream::start(|received| {
+                received.response("503 Service Unavailable", "x-not-run: 1\r\n", "")
+            })),
+            Self::Dead => Some(StubUpstream::start(|_| vec![Action::Crash])),
+            Self::Silent => Some(StubUpstream::start(|received| {
+                silent_stream(received, Place::Head, 10_000)
+            })),
+            Self::NoRetryLeft | Self::Sound => Some(StubUpstream::start(|received| {
+                received.response("200 OK", "", &EVENTS.concat())
+            })),
+        }
+    }
+
+    fn settings(self) -> Settings {
+        let mut settings = settings();
+        if self == Self::NoRetryLeft {
+            settings.retry_budget = RetryBudgetSettings {
+                ratio: 0.0,
+                slack: 0.0,
+                ..settings.retry_budget
+            };
+        }
+        settings
+    }
+}
+
+/// An instance whose first choice is `first`; the other upstream is in another availability zone.
+async fn instance(first: &StubUpstream, other: Other, service: &str, stage: Stage) -> TestInstance {
+    let second = other.stub();
+    let mut entries: Vec<UpstreamEntry> = vec![first.entry("one", service, stage)];
+    if let Some(second) = &second {
+        entries.push(common::in_other_zone(second.entry("two", service, stage)));
+    }
+    if let (Other::Dead, Some(second)) = (other, &second) {
+        // Any request ends it, so that its address refuses connections.
+        let mut stream = TcpStream::connect(second.address)
+            .await
+            .expect("a connection");
+        let _ = stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await;
+        assert!(common::wait_until(|| second.has_crashed()).await);
+    }
+    TestInstance::start_with(other.settings(), entries)
+}
+
+/// What became of a stream whose first engine is silent; none if it was whole and made once there.
+async fn silent_stream_fault(other: Other, place: Place, silence_ms: u64) -> Option<String> {
+    let first = StubUpstream::start(move |received| silent_stream(received, place, silence_ms));
+    let instance = instance(&first, other, "llm", Stage::Decode).await;
+    let request = generation_request("/grades/x", 1, 300);
+    let (status, body) = instance.fetch(request).await;
+    let is_whole = status == 200 && body.as_deref() == Some(&EVENTS.concat());
+    let fault = format!(
+        "{other:?}, silent for {silence_ms} ms at {place:?}: {status}, {body:?}, made {} times there",
+        first.count()
+    );
+    (!is_whole || first.count() != 1).then_some(fault)
+}
+
+/// Guards against a stream that is broken off since its engine was silent, although nothing else could take it up and
+/// the engine went on.
+#[actix_rt::test]
+async fn a_silent_stream_is_whole_whatever_the_other_engine_does() {
+    let mut cases = Vec::new();
+    for other in OTHERS {
+        for place in [Place::Head, Place::FirstEvent, Place::SecondEvent] {
+            for silence_ms in [1_500, 1_900, 2_400] {
+                cases.push(silent_stream_fault(other, place, silence_ms));
+            }
+        }
+    }
+    let faults: Vec<String> = join_all(cases).await.into_iter().flatten().collect();
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
+/// What became of a read whose first upstream is silent; none if it was answered.
+async fn silent_read_fault(other: Other) -> Option<String> {
+    let first = StubUpstream::start(|received| {
+        let mut actions = vec![Action::Wait(2_500)];
+        actions.extend(received.response("200 OK", "", "ok"));
+        actions
+    });
+    let instance = instance(&first, other, "desk", Stage::Whole).await;
+    let mut request = read_request(1);
+    let left = HeaderValue::from_static("3500");
+    request.headers_mut().insert("x-left-ms", left);
+    let (status, body) = instance.fetch(request).await;
+    (status != 200 || body.is_none()).then(|| format!("{other:?}: {status}, {body:?}"))
+}
+
+/// Guards against a read that is given up since its upstream was silent, although nothing else could answer it and the
+/// upstream went on.
+#[actix_rt::test]
+async fn a_silent_read_is_answered_whatever_the_other_upstream_does() {
+    let cases = OTHERS.map(silent_read_fault);
+    let faults: Vec<String> = join_all(cases).await.into_iter().flatten().collect();
+    assert!(faults.is_empty(), "{faults:#?}");
+}
+
 /// Guards against a stream that is made a second time, and an engine that gets no requests, because it was silent for
 /// a second.
 #[actix_rt::test]
 async fn a_stream_whose_engine_is_silent_for_a_second_is_not_made_again() {
-    let engine = || {
-        StubUpstream::start(|received| {
-            let (first, last) = ("id: 1\ndata: 1\n\n", "id: 2\ndata: 2\n\n");
-            let whole = received.response_text("200 OK", "", &format!("{first}{last}"));
-            let begin = whole.strip_suffix(last).expect("two events").to_owned();
-            vec![
-                Action::Write(begin),
-                Action::Wait(SILENCE_MS),
-                Action::Write(last.to_owned()),
-            ]
-        })
-    };
+    let engine =
+        || StubUpstream::start(|received| silent_stream(received, Place::SecondEvent, SILENCE_MS));
     let engines = [engine(), engine()];
     let ids = ["one", "two"];
     let entries = engines.iter().zip(ids);
