Connections: the idle limit is the one in force, and none is closed with a request in its socket

What callers saw: after a configuration raised the idle limit, a request on a connection that had been idle for less than four fifths of it was closed without an answer. Cause: the limits were read once, as the connection opened, and given to the HTTP library for its whole life. Class: a value of the configuration that is copied where it should be asked for. Ruled out: closing all connections on a change of the configuration (it would do to all what the fault did to some); telling the library anew (it takes the limit only before it serves). Mend: the socket itself appears at its end once nothing is left to read, no request is on it, and the limit in force and 3 s have passed; the 3 s cover a raise that callers know before this instance, and a process that was slow. A head that stops midway is held to the limit on heads in place of the idle limit. Only the id of a request is kept for the log. The test's fourth pause is longer than the old limit and the 3 s together.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -1,16 +1,21 @@
-//! A connection of a caller or peer, and what its end cuts off.
+//! A connection of a caller or peer: how long it may be idle, and what its end cuts off.
 
 use std::cell::{Cell, RefCell};
 use std::convert::Infallible;
+use std::io;
+use std::mem::MaybeUninit;
+use std::pin::Pin;
 use std::rc::Rc;
+use std::task::{Context, Poll};
 use std::time::Duration;
 
-use http::{Request, Response, Version};
+use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use socket2::SockRef;
+use tokio::io::{AsyncRead, AsyncWrite, ReadBuf};
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
@@ -18,6 +23,15 @@
 use crate::config::Limits;
 use crate::relay::{Phase, Relay};
 
+/// Time beyond a limit for which a connection is kept, in ms.
+///
+/// Callers go by the limit in force. A raised one may have reached them seconds before it arrives here, and a close at
+/// the limit itself would cross a request that a slow process has not read yet.
+const GRACE_MS: u64 = 3_000;
+
+/// Shortest pause between two looks at whether a connection has expired, in ms.
+const MIN_WAIT_MS: u64 = 20;
+
 /// What was on a connection when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Occupancy {
@@ -58,7 +72,6 @@
         match ended {
             Ok(()) => Self::Orderly,
             Err(error) if error.is_user() => Self::BrokenAnswer,
-            Err(error) if error.is_timeout() => Self::Limit,
             Err(_) => Self::Peer,
         }
     }
@@ -75,46 +88,92 @@
 }
 
 /// State of one connection.
-#[derive(Debug)]
 struct Connection {
+    relay: Rc<Relay>,
     occupancy: Cell<Occupancy>,
+    /// When it was opened, or when its last answer was complete.
+    idle_since_ms: Cell<u64>,
+    /// When the first bytes of the next request arrived.
+    head_since_ms: Cell<Option<u64>>,
+    has_expired: Cell<bool>,
     /// Id of the last request, for the log.
-    request: RefCell<String>,
+    request: RefCell<Option<HeaderValue>>,
     knows_chunks: Cell<bool>,
 }
 
 /// Marks a connection as occupied by a request, until its answer was handed to the connection or dropped.
-#[derive(Debug)]
 pub struct OnConnection(Rc<Connection>);
 
 impl Drop for OnConnection {
     fn drop(&mut self) {
-        self.0.occupancy.set(Occupancy::Idle);
+        let connection = &self.0;
+        connection.occupancy.set(Occupancy::Idle);
+        connection.head_since_ms.set(None);
+        connection.idle_since_ms.set(connection.relay.now_ms());
     }
 }
 
 impl Connection {
-    fn new() -> Rc<Self> {
+    fn new(relay: &Rc<Relay>) -> Rc<Self> {
         Rc::new(Self {
+            relay: Rc::clone(relay),
             occupancy: Cell::new(Occupancy::Idle),
+            idle_since_ms: Cell::new(relay.now_ms()),
+            head_since_ms: Cell::default(),
+            has_expired: Cell::default(),
             request: RefCell::default(),
             knows_chunks: Cell::new(true),
         })
     }
 
     /// Notes that a request has arrived.
-    fn begin(self: &Rc<Self>, relay: &Relay, request: &Request<Incoming>) -> OnConnection {
+    fn begin(self: &Rc<Self>, request: &Request<Incoming>) -> OnConnection {
         self.knows_chunks.set(request.version() >= Version::HTTP_11);
         self.occupancy.set(Occupancy::Request);
-        let head = relay.dialect.parse_request_head(request.headers());
-        let id = head.attempt.as_ref().and_then(|id| id.to_str().ok());
-        id.unwrap_or("-").clone_into(&mut self.request.borrow_mut());
+        let attempt = self.relay.dialect.parse_attempt(request.headers());
+        *self.request.borrow_mut() = attempt;
         OnConnection(Rc::clone(self))
     }
 
+    /// When it is to be closed by the limits in force, if nothing arrives until then; none while a request is on it.
+    fn expires_ms(&self) -> Option<u64> {
+        if self.occupancy.get() != Occupancy::Idle {
+            return None;
+        }
+        let limits = limits_in_force(&self.relay);
+        Some(
+            GRACE_MS
+                + self.head_since_ms.get().map_or_else(
+                    || self.idle_since_ms.get() + limits.idle_ms,
+                    |since_ms| since_ms + limits.head_ms,
+                ),
+        )
+    }
+
+    fn is_expired(&self) -> bool {
+        let expires_ms = self.expires_ms();
+        expires_ms.is_some_and(|expires_ms| self.relay.now_ms() >= expires_ms)
+    }
+
+    /// Completes when it may have expired. The limits may change meanwhile, so the wait is at most one of those in force.
+    async fn may_have_expired(&self) {
+        let limits = limits_in_force(&self.relay);
+        let now_ms = self.relay.now_ms();
+        let expires_ms = self
+            .expires_ms()
+            .unwrap_or(now_ms + GRACE_MS + limits.idle_ms);
+        let wait_ms = expires_ms.saturating_sub(now_ms).max(MIN_WAIT_MS);
+        actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
+    }
+
     /// Counts its end, and logs one that took a request along. What the other end closed is logged with its request.
-    fn note_end(&self, relay: &Relay, ended: &Result<(), hyper::Error>) {
-        let cause = Cause::of(ended);
+    fn note_end(&self, ended: &Result<(), hyper::Error>) {
+        let relay = &self.relay;
+        let cause = if self.has_expired.get() {
+            Cause::Limit
+        } else {
+            Cause::of(ended)
+        };
         let occupancy = match cause {
             Cause::BrokenAnswer => Occupancy::Answer,
             Cause::Orderly | Cause::Peer | Cause::Limit => self.occupancy.get(),
@@ -127,14 +186,92 @@
         };
         let is_taken_along = occupancy != Occupancy::Idle && cause != Cause::Peer;
         if is_taken_along && relay.failure_log_limit.take(relay.now_ms()) {
+            let request = self.request.borrow();
+            let request = request.as_ref().and_then(|id| id.to_str().ok());
             log::warn!(
-                request = self.request.borrow().as_str(), with = occupancy.label(), cause = cause.label(), error:%;
+                request = request.unwrap_or("-"), with = occupancy.label(), cause = cause.label(), error:%;
                 "connection ended with a request on it"
             );
         }
     }
 }
 
+/// Limits of the configuration in force.
+fn limits_in_force(relay: &Relay) -> Limits {
+    relay
+        .config()
+        .map_or_else(Limits::default, |config| config.limits)
+}
+
+/// The socket of a connection, at whose end it appears once the connection has expired.
+///
+/// Whether it has is asked only after nothing was left to read, so that it is not closed with a request in its socket.
+struct ExpiringSocket {
+    stream: TcpStream,
+    connection: Rc<Connection>,
+}
+
+impl ExpiringSocket {
+    fn has_unread(&self) -> bool {
+        let mut byte = [MaybeUninit::uninit()];
+        let peeked = SockRef::from(&self.stream).peek(&mut byte);
+        !matches!(peeked, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+}
+
+impl AsyncRead for ExpiringSocket {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let before = buffer.filled().len();
+        let polled = Pin::new(&mut self.stream).poll_read(context, buffer);
+        let connection = &self.connection;
+        if polled.is_pending() && connection.is_expired() && !self.has_unread() {
+            connection.has_expired.set(true);
+            return Poll::Ready(Ok(()));
+        }
+        let is_head = connection.occupancy.get() == Occupancy::Idle;
+        if buffer.filled().len() > before && is_head && connection.head_since_ms.get().is_none() {
+            connection
+                .head_since_ms
+                .set(Some(connection.relay.now_ms()));
+        }
+        polled
+    }
+}
+
+impl AsyncWrite for ExpiringSocket {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write(context, bytes)
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(context)
+    }
+}
+
 /// Serves the requests of one connection by `respond` until it ends or the phase becomes [`Phase::Closing`].
 pub async fn serve_connection<F>(
     relay: Rc<Relay>,
@@ -147,12 +284,9 @@
     if let Err(error) = crate::pool::configure_socket(&stream) {
         log::debug!(error:%; "could not set socket options, using defaults");
     }
-    let limits = relay
-        .config()
-        .map_or_else(Limits::default, |config| config.limits);
-    let connection = Connection::new();
+    let connection = Connection::new(&relay);
     let service = service_fn(|request: Request<Incoming>| {
-        let on_connection = connection.begin(&relay, &request);
+        let on_connection = connection.begin(&request);
         let responding = respond(request);
         async move {
             let mut response = responding.await;
@@ -161,23 +295,29 @@
             Ok::<_, Infallible>(response)
         }
     });
+    let socket = ExpiringSocket {
+        stream,
+        connection: Rc::clone(&connection),
+    };
     let mut serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Bounds the idle time of a connection, which is announced to callers, and the time to
-        // receive a request's head.
-        .header_read_timeout(Duration::from_millis(limits.idle_ms))
-        .max_buf_size(limits.head_bytes.max(16_384))
-        .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        ended = &mut serving => ended,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            Pin::new(&mut serving).graceful_shutdown();
-            (&mut serving).await
+        .header_read_timeout(None)
+        .max_buf_size(limits_in_force(&relay).head_bytes.max(16_384))
+        .serve_connection(TokioIo::new(socket), service);
+    let mut is_closing = false;
+    let ended = loop {
+        tokio::select! {
+            ended = &mut serving => break ended,
+            _ = phase.wait_for(|phase| *phase == Phase::Closing), if !is_closing => {
+                is_closing = true;
+                Pin::new(&mut serving).graceful_shutdown();
+            }
+            // Polls the connection once more, which then finds its socket at the end.
+            () = connection.may_have_expired() => {}
         }
     };
-    connection.note_end(&relay, &ended);
+    connection.note_end(&ended);
     if ended.is_err() && !connection.knows_chunks.get() {
-        reset(serving.into_parts().io.inner());
+        reset(&serving.into_parts().io.inner().stream);
     }
 }
 
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -143,6 +143,9 @@
 
 /// Parses and writes the headers, paths and small bodies of one deployment.
 pub trait Dialect {
+    /// The id that the caller gave to this attempt.
+    fn parse_attempt(&self, headers: &HeaderMap) -> Option<HeaderValue>;
+
     /// Parses the head of a request.
     fn parse_request_head(&self, headers: &HeaderMap) -> RequestHead;
     /// Removes the headers that a caller must not set.
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -50,9 +50,13 @@
 }
 
 impl Dialect for TestDialect {
+    fn parse_attempt(&self, headers: &HeaderMap) -> Option<HeaderValue> {
+        headers.get("x-attempt").cloned()
+    }
+
     fn parse_request_head(&self, headers: &HeaderMap) -> RequestHead {
         RequestHead {
-            attempt: headers.get("x-attempt").cloned(),
+            attempt: self.parse_attempt(headers),
             deadline_ms: header_number(headers, "x-left-ms"),
             prompt: header_text(headers, "x-prompt").map(parse_prompt),
             last_event: header_number(headers, "last-event-id"),
--- a/crates/relay/tests/kept_connections.rs
+++ b/crates/relay/tests/kept_connections.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use common::{StubUpstream, TestInstance, config, settings};
+use futures_util::future::join_all;
 use relay::config::{Config, Limits};
 use relay::upstream::Stage;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -69,23 +70,32 @@
     }
 }
 
+/// Asks on a connection, raises the idle limit, and asks again after a pause.
+async fn ask_after_raise(raised_ms: u64, pause_ms: u64, asks_between: bool) -> Option<String> {
+    let desk = desk();
+    let instance = TestInstance::start(vec![desk.entry("one", "desk", Stage::Whole)]);
+    instance.relay.configure(config_with_idle(2, 400));
+    let mut caller = KeptConnection::open(&instance).await;
+    assert_eq!(caller.ask().await.as_deref(), Some("200"));
+    instance.relay.configure(config_with_idle(3, raised_ms));
+    if asks_between {
+        assert_eq!(caller.ask().await.as_deref(), Some("200"));
+    }
+    sleep_ms(pause_ms).await;
+    caller.ask().await
+}
+
 /// Guards against a request that is closed unanswered, because its connection kept the idle limit of its opening.
 #[actix_rt::test]
 async fn a_raised_idle_limit_holds_on_open_connections() {
-    for (pause_ms, asks_between) in [(900, false), (1_500, false), (1_500, true)] {
-        let desk = desk();
-        let instance = TestInstance::start(vec![desk.entry("one", "desk", Stage::Whole)]);
-        instance.relay.configure(config_with_idle(2, 400));
-        let mut caller = KeptConnection::open(&instance).await;
-        assert_eq!(caller.ask().await.as_deref(), Some("200"));
-        instance.relay.configure(config_with_idle(3, 2_000));
-        if asks_between {
-            assert_eq!(caller.ask().await.as_deref(), Some("200"));
-        }
-        sleep_ms(pause_ms).await;
-        let status = caller.ask().await;
-        assert_eq!(status.as_deref(), Some("200"), "{pause_ms} {asks_between}");
-    }
+    let cases = [
+        ask_after_raise(2_000, 900, false),
+        ask_after_raise(2_000, 1_500, false),
+        ask_after_raise(2_000, 1_500, true),
+        ask_after_raise(6_000, 4_500, false),
+    ];
+    let statuses = join_all(cases).await;
+    assert_eq!(statuses, vec![Some("200".to_owned()); 4]);
 }
 
 /// Guards against a limit that is lowered and closes connections at once, under requests on their way.
