Listener: the wait for a body no longer takes the idle limit alone

What callers saw: 408 for a request whose body took longer than a connection may be idle, after that limit was lowered. Cause: the idle limit, which says how long nothing may be asked on a connection, also bounded the time for a body. Ruled out: the deadline alone, since a caller that stops within its body would delay a shutdown.

--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -194,8 +194,9 @@
     let limits = config
         .as_ref()
         .map_or_else(Limits::default, |config| config.limits);
-    // A caller that stops within its body must not delay a shutdown.
-    let wait = Duration::from_millis(limits.idle_ms.min(head.deadline_ms.unwrap_or(u64::MAX)));
+    // A caller that stops within its body must not delay a shutdown, and one whose body is slow is not idle.
+    let longest_ms = limits.idle_ms.max(limits.head_ms);
+    let wait = Duration::from_millis(longest_ms.min(head.deadline_ms.unwrap_or(u64::MAX)));
     let body = Limited::new(body, limits.body_bytes).collect();
     let Ok(body) = actix_rt::time::timeout(wait, body).await else {
         return refuse(relay, Refusal::new(Reason::BodyTimeout));
