Streams: a silent source is kept until another has begun to answer

What callers saw: a stream broken off, although its engine, which had been silent for 1.5 to 2.4 s, would have gone on. Cause: after 1.3 s of silence the source was dropped first and another one looked for afterwards. Where the other one rejected, was dead or silent itself, or no retry was left, nothing was there any more; with no other engine the stream was made a second time at the same one, or cut. Class: a source that is given up before another is at hand. Ruled out: a longer wait for silence (an engine that has gone dark would cost every stream on it as much more, and a silence of any length is no reason to end an answer); keeping both until the other one's first event (two engines would work on one stream for longer than is allowed). Mend: the silent source is read on while another one is looked for, and given up once the other one's head is there. If none is found it is kept to the deadline and another look is taken 1.3 s later. The silent engine itself is no other one, a retry is taken only if there is someone else, and a peer that serves a stream gets twice the time, since it looks for another engine itself. Test: a dead upstream is now an address that is bound and refuses, since a port that was freed was taken by other stubs of the same test; as strict as before.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use futures_util::stream::unfold;
 use http::{Response, StatusCode, header};
+use http_body::Frame;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 
@@ -17,7 +18,7 @@
 use crate::forward::{count_answer, may_retry};
 use crate::framing::{Framing, StreamEnd};
 use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over, send_unless_cut_off};
-use crate::placement;
+use crate::placement::{self, DecodePlacement};
 use crate::pool::{Exchanged, PooledConnection};
 use crate::reachability::cut_off_from;
 use crate::relay::Relay;
@@ -47,6 +48,8 @@
     first_ms: u64,
     last_ms: u64,
     longest_gap_ms: u64,
+    /// Before this time no other source is looked for in the place of a silent one, since none was found just now.
+    look_again_ms: u64,
 }
 
 /// Where a stream comes from.
@@ -81,6 +84,15 @@
         }
     }
 
+    /// Silence after which another source is looked for. A peer does so itself, and is given the time for it.
+    fn max_silence_ms(&self, call: &Call) -> u64 {
+        let silence_ms = (call.route.gap_goal_ms * MAX_SILENT_GAPS).max(MIN_SILENCE_MS);
+        match self {
+            Self::Engine(_) => silence_ms,
+            Self::Peer(_) => 2 * silence_ms,
+        }
+    }
+
     fn note_activity(&self, now_ms: u64) {
         if let Self::Engine(guard) = self {
             guard.upstream().note_activity(now_ms);
@@ -127,6 +139,9 @@
     }
 }
 
+/// Nobody else can go on with a stream.
+struct NoOther;
+
 /// Result of resuming a stream at another engine.
 enum Resumed {
     Streaming(StreamSource),
@@ -135,12 +150,14 @@
     Failed,
 }
 
-/// Result of waiting for the engine.
+/// Result of waiting for the source.
 enum Received {
     Data(Bytes),
     End,
     Broken(String),
     Silent(String),
+    /// Another source took its place.
+    Replaced,
     OutOfTime,
 }
 
@@ -189,6 +206,7 @@
             first_ms: relay.now_ms() - call.arrived_ms,
             last_ms: relay.now_ms(),
             longest_gap_ms: 0,
+            look_again_ms: 0,
         };
         let frames = unfold(Some(forwarder), |forwarder| async move {
             let mut forwarder = forwarder?;
@@ -214,7 +232,11 @@
             if self.call.is_finished.get() {
                 return None;
             }
-            match self.receive().await {
+            let received = match self.receive().await {
+                Received::Silent(why) => self.replace_silent(&why).await,
+                received => received,
+            };
+            match received {
                 Received::Data(bytes) => {
                     self.splitter.push(&bytes);
                     self.queue_received();
@@ -238,11 +260,7 @@
                         return Some(Err(truncated));
                     }
                 }
-                Received::Silent(why) => {
-                    if let Err(truncated) = self.resume_elsewhere(&why).await {
-                        return Some(Err(truncated));
-                    }
-                }
+                Received::Silent(_) | Received::Replaced => {}
                 Received::OutOfTime => return Some(Err(self.fail("out of time"))),
             }
         }
@@ -287,20 +305,23 @@
 
     /// Waits for data, as long as the deadline and the allowed silence permit.
     async fn receive(&mut self) -> Received {
-        let left_ms = self.call.left_ms(self.relay.now_ms());
-        let silent_ms = (self.call.route.gap_goal_ms * MAX_SILENT_GAPS).max(MIN_SILENCE_MS);
+        let now_ms = self.relay.now_ms();
+        let left_ms = self.call.left_ms(now_ms);
+        let Some(source) = self.source.as_mut() else {
+            return Received::End;
+        };
         let may_resume = self.call.route.is_retryable()
             && self.call.attempts.get() < self.call.route.max_attempts;
+        let silent_ms = source.origin.max_silence_ms(&self.call);
         let wait_ms = if may_resume {
             left_ms.min(silent_ms)
         } else {
             left_ms
         };
-        let Some(source) = self.source.as_mut() else {
-            return Received::End;
-        };
         let engine = source.origin.engine().filter(|_| may_resume);
+        let pause = Duration::from_millis(self.look_again_ms.saturating_sub(now_ms));
         let path_cut = async {
+            actix_rt::time::sleep(pause).await;
             match &engine {
                 Some(engine) => cut_off_from(&self.relay, engine).await,
                 None => std::future::pending().await,
@@ -314,15 +335,59 @@
         match waited {
             Err(_) if wait_ms == left_ms => Received::OutOfTime,
             Err(_) => Received::Silent(format!("silent for {wait_ms} ms")),
-            Ok(None) => Received::End,
-            Ok(Some(Err(error))) => Received::Broken(error.to_string()),
-            Ok(Some(Ok(frame))) => {
+            Ok(frame) => self.note_frame(frame),
+        }
+    }
+
+    /// What the source brought.
+    fn note_frame(&mut self, frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Received {
+        match frame {
+            None => Received::End,
+            Some(Err(error)) => Received::Broken(error.to_string()),
+            Some(Ok(frame)) => {
                 self.note_progress();
                 Received::Data(frame.into_data().unwrap_or_default())
             }
         }
     }
 
+    /// Looks for another source in the place of a silent one.
+    ///
+    /// A sound engine may be silent and go on, and the other one may reject the request, be dead or silent itself. So the
+    /// silent one is kept until the other one has begun to answer, and goes on if it is the first to do so.
+    async fn replace_silent(&mut self, why: &str) -> Received {
+        let Some(mut silent) = self.source.take() else {
+            return Received::End;
+        };
+        let kept = silent.origin.engine();
+        let found = {
+            let goes_on = silent.body.frame();
+            let other = self.find_other(kept.as_deref());
+            tokio::select! {
+                biased;
+                frame = goes_on => Err(frame),
+                other = other => Ok(other),
+            }
+        };
+        match found {
+            Ok(Ok(other)) => {
+                self.note_interrupted(&silent.origin, why);
+                self.splitter.clear();
+                self.source = Some(other);
+                Received::Replaced
+            }
+            Ok(Err(NoOther)) => {
+                self.look_again_ms = self.relay.now_ms() + MIN_SILENCE_MS;
+                self.source = Some(silent);
+                Received::Silent(why.to_owned())
+            }
+            Err(frame) => {
+                self.source = Some(silent);
+                self.note_frame(frame)
+            }
+        }
+    }
+
     /// Updates the longest gap and the engine's last activity.
     fn note_progress(&mut self) {
         let now_ms = self.relay.now_ms();
@@ -357,47 +422,80 @@
     /// Resumes the stream at another engine, after the last complete event.
     async fn resume_elsewhere(&mut self, why: &str) -> Result<(), TruncatedAnswer> {
         if let Some(source) = self.source.take() {
-            source.origin.note_failure(self.relay.now_ms());
-            if self.relay.failure_log_limit.take(self.relay.now_ms()) {
-                log::info!(
-                    request = self.call.id(), key:% = self.call.key,
-                    upstream = source.origin.name(), why, last_event = self.last_event.unwrap_or(0);
-                    "stream interrupted"
-                );
-            }
+            self.note_interrupted(&source.origin, why);
         }
         self.splitter.clear();
-        let call = Rc::clone(&self.call);
-        let Some(prompt) = call.head.prompt.as_ref() else {
-            return Err(self.fail(why));
-        };
-        if !call.route.is_retryable() || ensure_not_poison(&self.relay, &call).await.is_err() {
-            return Err(self.fail(why));
+        if self.last_event.is_some() && self.call.began_version.get().is_none() {
+            return Err(self.fail("the version that began it is not known"));
         }
-        if !may_retry(&self.relay, &call) {
+        let Ok(other) = self.find_other(None).await else {
             return Err(self.fail(why));
+        };
+        self.source = Some(other);
+        Ok(())
+    }
+
+    /// Records that a source was given up.
+    fn note_interrupted(&self, origin: &StreamOrigin, why: &str) {
+        let now_ms = self.relay.now_ms();
+        origin.note_failure(now_ms);
+        if self.relay.failure_log_limit.take(now_ms) {
+            log::info!(
+                request = self.call.id(), key:% = self.call.key,
+                upstream = origin.name(), why, last_event = self.last_event.unwrap_or(0);
+                "stream interrupted"
+            );
         }
+    }
+
+    /// Finds another source for the rest of the stream, after the last complete event; not `kept`, which is waited for.
+    async fn find_other(&mut self, kept: Option<&Upstream>) -> Result<StreamSource, NoOther> {
+        let call = Rc::clone(&self.call);
+        let prompt = call.head.prompt.as_ref().ok_or(NoOther)?;
         let has_version = call.began_version.get().is_some();
-        if self.last_event.is_some() && !has_version {
-            return Err(self.fail("the version that began it is not known"));
+        if !call.route.is_retryable() || (self.last_event.is_some() && !has_version) {
+            return Err(NoOther);
+        }
+        ensure_not_poison(&self.relay, &call)
+            .await
+            .map_err(|_| NoOther)?;
+        if kept.is_some() && !self.has_other(&call, prompt, kept) || !may_retry(&self.relay, &call)
+        {
+            return Err(NoOther);
         }
         // An engine that was not reached, or began to leave before the request was sent, costs no attempt.
         for _ in 0..MAX_UNREACHABLE {
             let resumed = if is_handed_over(&self.relay, &call).await {
                 self.resume_at_peer(&call).await
             } else {
-                self.resume_at_best(&call, prompt).await
+                self.resume_at_best(&call, prompt, kept).await
             };
             match resumed {
-                Resumed::Streaming(source) => {
-                    self.source = Some(source);
-                    return Ok(());
-                }
+                Resumed::Streaming(source) => return Ok(source),
                 Resumed::Unsent => {}
                 Resumed::Failed => break,
             }
         }
-        Err(self.fail(why))
+        Err(NoOther)
+    }
+
+    /// Whether anyone else could go on with the stream, so that no retry is taken in vain.
+    fn has_other(&self, call: &Call, prompt: &Prompt, kept: Option<&Upstream>) -> bool {
+        self.relay.is_cut_off(&call.service) || self.choose_other(call, prompt, kept).is_some()
+    }
+
+    /// The best engine that was not tried yet, other than `kept`.
+    fn choose_other(
+        &self,
+        call: &Call,
+        prompt: &Prompt,
+        kept: Option<&Upstream>,
+    ) -> Option<DecodePlacement> {
+        let urgency = Urgency::OnTime;
+        let chosen =
+            placement::choose_decode_engine(&self.relay, call, prompt, &self.tried, false, urgency);
+        let is_kept = |engine: &Upstream| kept.is_some_and(|kept| kept.id == engine.id);
+        chosen.ok().filter(|chosen| !is_kept(&chosen.engine))
     }
 
     /// Has a peer serve the rest of the stream, since this instance is cut off from the engines.
@@ -428,15 +526,13 @@
     }
 
     /// Sends the request for the rest of the stream to the best engine that was not tried yet.
-    async fn resume_at_best(&mut self, call: &Rc<Call>, prompt: &Prompt) -> Resumed {
-        let Ok(placement) = placement::choose_decode_engine(
-            &self.relay,
-            call,
-            prompt,
-            &self.tried,
-            false,
-            Urgency::OnTime,
-        ) else {
+    async fn resume_at_best(
+        &mut self,
+        call: &Rc<Call>,
+        prompt: &Prompt,
+        kept: Option<&Upstream>,
+    ) -> Resumed {
+        let Some(placement) = self.choose_other(call, prompt, kept) else {
             return Resumed::Failed;
         };
         let copy_from = placement.copy_from.map(|holder| holder.address);
--- a/crates/relay/tests/silent_upstreams.rs
+++ b/crates/relay/tests/silent_upstreams.rs
@@ -3,15 +3,15 @@
 mod common;
 
 use common::{
-    Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, read_request, settings,
+    Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, in_other_zone,
+    read_request, settings,
 };
 use futures_util::future::join_all;
 use http::HeaderValue;
 use plan::{HealthStatus, RetryBudgetSettings};
 use relay::Settings;
 use relay::upstream::{Stage, UpstreamEntry};
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
+use tokio::net::TcpSocket;
 
 /// Time for which the engine of the test is silent within a stream, in ms.
 const SILENCE_MS: u64 = 1_100;
@@ -75,11 +75,10 @@
 impl Other {
     fn stub(self) -> Option<StubUpstream> {
         match self {
-            Self::None => None,
+            Self::None | Self::Dead => None,
             Self::Rejects => Some(StubUpstream::start(|received| {
                 received.response("503 Service Unavailable", "x-not-run: 1\r\n", "")
             })),
-            Self::Dead => Some(StubUpstream::start(|_| vec![Action::Crash])),
             Self::Silent => Some(StubUpstream::start(|received| {
                 silent_stream(received, Place::Head, 10_000)
             })),
@@ -102,30 +101,42 @@
     }
 }
 
-/// An instance whose first choice is `first`; the other upstream is in another availability zone.
-async fn instance(first: &StubUpstream, other: Other, service: &str, stage: Stage) -> TestInstance {
-    let second = other.stub();
-    let mut entries: Vec<UpstreamEntry> = vec![first.entry("one", service, stage)];
-    if let Some(second) = &second {
-        entries.push(common::in_other_zone(second.entry("two", service, stage)));
-    }
-    if let (Other::Dead, Some(second)) = (other, &second) {
-        // Any request ends it, so that its address refuses connections.
-        let mut stream = TcpStream::connect(second.address)
-            .await
-            .expect("a connection");
-        let _ = stream.write_all(b"GET / HTTP/1.1\r\n\r\n").await;
-        assert!(common::wait_until(|| second.has_crashed()).await);
+/// An instance whose first choice is `first`, and what keeps the other upstream's address.
+struct Fleet {
+    instance: TestInstance,
+    _refusing: TcpSocket,
+}
+
+impl Fleet {
+    /// Starts the instance; the other upstream is in another availability zone.
+    fn start(first: &StubUpstream, other: Other, service: &str, stage: Stage) -> Self {
+        let refusing = TcpSocket::new_v4().expect("a socket");
+        refusing
+            .bind("127.0.0.1:0".parse().expect("an address"))
+            .expect("a port");
+        let mut entries = vec![first.entry("one", service, stage)];
+        if let Some(second) = other.stub() {
+            entries.push(in_other_zone(second.entry("two", service, stage)));
+        }
+        if other == Other::Dead {
+            entries.push(in_other_zone(UpstreamEntry {
+                address: refusing.local_addr().expect("an address"),
+                ..first.entry("two", service, stage)
+            }));
+        }
+        Self {
+            instance: TestInstance::start_with(other.settings(), entries),
+            _refusing: refusing,
+        }
     }
-    TestInstance::start_with(other.settings(), entries)
 }
 
 /// What became of a stream whose first engine is silent; none if it was whole and made once there.
 async fn silent_stream_fault(other: Other, place: Place, silence_ms: u64) -> Option<String> {
     let first = StubUpstream::start(move |received| silent_stream(received, place, silence_ms));
-    let instance = instance(&first, other, "llm", Stage::Decode).await;
+    let fleet = Fleet::start(&first, other, "llm", Stage::Decode);
     let request = generation_request("/grades/x", 1, 300);
-    let (status, body) = instance.fetch(request).await;
+    let (status, body) = fleet.instance.fetch(request).await;
     let is_whole = status == 200 && body.as_deref() == Some(&EVENTS.concat());
     let fault = format!(
         "{other:?}, silent for {silence_ms} ms at {place:?}: {status}, {body:?}, made {} times there",
@@ -157,11 +168,11 @@
         actions.extend(received.response("200 OK", "", "ok"));
         actions
     });
-    let instance = instance(&first, other, "desk", Stage::Whole).await;
+    let fleet = Fleet::start(&first, other, "desk", Stage::Whole);
     let mut request = read_request(1);
     let left = HeaderValue::from_static("3500");
     request.headers_mut().insert("x-left-ms", left);
-    let (status, body) = instance.fetch(request).await;
+    let (status, body) = fleet.instance.fetch(request).await;
     (status != 200 || body.is_none()).then(|| format!("{other:?}: {status}, {body:?}"))
 }
 
