Reads: a silent upstream is given up only once another has answered

What callers saw: 502 for a read whose upstream was silent for 2.5 of 3.5 s, though nobody else could have been asked. Cause: the part of the time that one attempt may use was applied wherever another attempt was allowed, whether or not another upstream existed, and the send was dropped before another one had answered. Class: a source that is given up before another is at hand, as with streams. Ruled out: the whole time for every attempt (an upstream that has gone dark would cost each read its deadline). Mend: after the same part of the time another upstream is asked in addition, if there is one and a retry is left; the first answer is used, and dropping the other send closes its connection. Sends that are under way are a type of their own, so that forwarding has one loop for what ended and one for what is still open.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -5,22 +5,21 @@
 
 use http::{Response, header};
 use http_body_util::BodyExt;
-use plan::AttemptTimeout;
 
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::attribution::{ensure_not_poison, note_lost_answer};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
-use crate::dialect::SendOptions;
 use crate::generation::generate;
-use crate::handover::{ServedBy, hand_over, is_handed_over, send_unless_cut_off};
+use crate::handover::{ServedBy, hand_over, is_handed_over};
 use crate::placement;
+use crate::plain_attempts::{Attempt, Attempts, Next};
 use crate::relay::Relay;
 use crate::retry::{RetryContext, RetryDecision, SendFailure, decide, without_false_not_run};
-use crate::send::{CheckedAnswer, SendResult, note_response};
+use crate::send::{CheckedAnswer, SendResult};
 use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
 use crate::stream_origins::bind_to_origin;
-use crate::upstream::{InFlight, Upstream, Work};
+use crate::upstream::{InFlight, Upstream};
 
 /// Longest answer that is buffered before it is forwarded, in bytes, so that the request can be
 /// retried if the answer ends early. Longer ones are streamed to save memory.
@@ -87,51 +86,87 @@
 ) -> Result<Response<AnswerBody>, Refusal> {
     let mut tried = Vec::new();
     let mut unreachable_upstreams = 0;
+    let mut attempts = Attempts::new(relay, call);
     loop {
-        if is_handed_over(relay, call).await {
+        if !attempts.is_under_way() && is_handed_over(relay, call).await {
             return hand_over(relay, call).await;
         }
-        ensure_not_poison(relay, call).await?;
-        let upstream = placement::choose_upstream(relay, call, &tried)?;
-        tried.push(upstream.id.clone());
-        let guard = InFlight::begin(&upstream, relay.now_ms(), Work::default());
-        let options = SendOptions {
-            instance: &upstream.id,
-            deadline_ms: call.left_ms(relay.now_ms()),
-            ..SendOptions::default()
-        };
-        let sent = send_with_attempt_timeout(relay, call, &upstream, &options).await;
-        note_response(relay, &guard, &sent);
-        let failure = match sent {
-            SendResult::Answer(checked)
-                if call.route.kind == RouteKind::Stream
-                    && checked.response.status().is_success() =>
-            {
-                let exchanged = (checked.response, checked.connection);
-                let origin = StreamOrigin::Engine(guard);
-                return Ok(StreamForwarder::start(
-                    relay, call, exchanged, origin, tried,
-                ));
+        match place(relay, call, &tried).await {
+            Ok(upstream) => {
+                tried.push(upstream.id.clone());
+                attempts.begin(upstream);
             }
-            SendResult::Answer(checked) => {
-                let is_failure = checked.response.status().is_server_error();
-                let is_repeatable = is_failure && call.route.kind == RouteKind::Safe;
-                // If no other upstream can answer, the caller gets this error, which is more
-                // specific than a refusal.
-                let has_other =
-                    is_repeatable && placement::choose_upstream(relay, call, &tried).is_ok();
-                if has_other && may_retry(relay, call) {
-                    continue;
-                }
-                match buffer_or_stream(relay, call, *checked, guard).await {
-                    Ok(response) => return Ok(response),
-                    // No part of the truncated answer was forwarded.
-                    Err(_) => SendFailure::Lost,
-                }
+            Err(refusal) if !attempts.is_under_way() => return Err(refusal),
+            // The silent one may answer yet.
+            Err(_) => {}
+        }
+        loop {
+            let Next::Ended(attempt) = attempts.next(&tried).await else {
+                break;
+            };
+            let failure = match use_attempt(relay, call, attempt, &tried).await {
+                Used::Answered(response) => return Ok(response),
+                Used::AskAnother => break,
+                Used::Failed(failure) => failure,
+            };
+            // One that is still under way may answer yet.
+            if !attempts.is_under_way() {
+                retry_or_refuse(relay, call, failure, &mut unreachable_upstreams)?;
+                break;
             }
-            failed => failed.failure(),
-        };
-        retry_or_refuse(relay, call, failure, &mut unreachable_upstreams)?;
+        }
+    }
+}
+
+/// Chooses the upstream of the next send, unless the request is refused.
+async fn place(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    tried: &[String],
+) -> Result<Rc<Upstream>, Refusal> {
+    ensure_not_poison(relay, call).await?;
+    placement::choose_upstream(relay, call, tried)
+}
+
+/// What came of a send that has ended.
+enum Used {
+    /// The caller's answer.
+    Answered(Response<AnswerBody>),
+    /// The upstream failed, and another one can be asked.
+    AskAnother,
+    /// No answer that can be used.
+    Failed(SendFailure),
+}
+
+async fn use_attempt(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    Attempt { result, guard }: Attempt,
+    tried: &[String],
+) -> Used {
+    let checked = match result {
+        SendResult::Answer(checked) => checked,
+        failed => return Used::Failed(failed.failure()),
+    };
+    let status = checked.response.status();
+    if call.route.kind == RouteKind::Stream && status.is_success() {
+        let exchanged = (checked.response, checked.connection);
+        let origin = StreamOrigin::Engine(guard);
+        let tried = tried.to_vec();
+        return Used::Answered(StreamForwarder::start(
+            relay, call, exchanged, origin, tried,
+        ));
+    }
+    let is_repeatable = status.is_server_error() && call.route.kind == RouteKind::Safe;
+    // If no other upstream can answer, the caller gets this error, which is more specific than a refusal.
+    let has_other = is_repeatable && placement::choose_upstream(relay, call, tried).is_ok();
+    if has_other && may_retry(relay, call) {
+        return Used::AskAnother;
+    }
+    match buffer_or_stream(relay, call, *checked, guard).await {
+        Ok(response) => Used::Answered(response),
+        // No part of the truncated answer was forwarded.
+        Err(_) => Used::Failed(SendFailure::Lost),
     }
 }
 
@@ -160,33 +195,6 @@
     call.attempts.get() < call.route.max_attempts && relay.may_send(call)
 }
 
-/// Sends a request. If another upstream could still answer it, this attempt gets only a part of the
-/// remaining time.
-async fn send_with_attempt_timeout(
-    relay: &Rc<Relay>,
-    call: &Rc<Call>,
-    upstream: &Rc<Upstream>,
-    options: &SendOptions<'_>,
-) -> SendResult {
-    let sent_ms = relay.now_ms();
-    let left_ms = call.left_ms(sent_ms);
-    let has_other = call.route.is_retryable() && call.attempts.get() + 1 < call.route.max_attempts;
-    let budget = AttemptTimeout::next(left_ms, 1).filter(|_| has_other);
-    let sending = send_unless_cut_off(relay, call, upstream, options);
-    let Some(budget) = budget else {
-        return sending.await;
-    };
-    let wait = Duration::from_millis(budget.timeout_ms);
-    let sent = actix_rt::time::timeout(wait, sending).await;
-    if relay.was_cut_off_since(&call.service, sent_ms) && sent.is_err() {
-        return SendResult::Lost("the path to the upstream was cut".to_owned());
-    }
-    sent.unwrap_or_else(|_| {
-        upstream.note_failure(relay.now_ms());
-        SendResult::Lost(format!("nothing within {} ms", budget.timeout_ms))
-    })
-}
-
 /// Counts a complete answer by whether it met the route's objective, which its status does not show.
 pub fn count_answer(relay: &Relay, call: &Call, in_time: bool) {
     let in_time = if in_time { "yes" } else { "no" };
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod own_request;
 pub mod path_check;
 pub mod placement;
+mod plain_attempts;
 pub mod pool;
 pub mod prefill;
 pub mod prefix;
