Failing tests: connections of peers under callers' idle limit, and a request whose handling panics

Cause: shown, not yet mended. Both end a whole request without an answer, the class of the first matter. Ruled out: nothing further. Figures: a peer's connection was closed within 4.5 s under an idle limit of 100 ms, while peers keep theirs for 4 s; a request that makes the instance panic had its connection closed without a byte, and nothing counted it.

--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -55,6 +55,10 @@
     }
 
     fn parse_request_head(&self, headers: &HeaderMap) -> RequestHead {
+        assert!(
+            !headers.contains_key("x-panic"),
+            "a request that makes the instance panic"
+        );
         RequestHead {
             attempt: self.parse_attempt(headers),
             deadline_ms: header_number(headers, "x-left-ms"),
--- a/crates/relay/tests/kept_connections.rs
+++ b/crates/relay/tests/kept_connections.rs
@@ -149,3 +149,40 @@
     std::thread::sleep(Duration::from_millis(300));
     assert_eq!(caller.status().await.as_deref(), Some("200"));
 }
+
+/// Guards against a request that a peer hands over on a connection that is being closed: callers' idle limit is none of
+/// peers', which keep their connections for seconds.
+#[actix_rt::test]
+async fn connections_of_peers_outlast_the_idle_limit_of_callers() {
+    let instance = TestInstance::start_peer("a", "here", Vec::new()).await;
+    instance.relay.configure(config_with_idle(2, 100));
+    let peer = instance.relay.settings.borrow().peer.expect("an address");
+    let mut connection = TcpStream::connect(peer).await.expect("a connection");
+    let mut byte = [0];
+    let closed = connection.read(&mut byte);
+    let closed = actix_rt::time::timeout(Duration::from_millis(4_500), closed).await;
+    assert!(closed.is_err(), "closed within 4.5 s");
+}
+
+/// Guards against a caller whose connection is closed without an answer, and nobody is told, since a task panicked.
+#[actix_rt::test]
+async fn a_request_whose_handling_panics_is_answered() {
+    let instance = TestInstance::start(Vec::new());
+    let mut caller = KeptConnection::open(&instance).await;
+    let head = "GET /reads/x HTTP/1.1\r\nhost: host.test\r\nx-attempt: 1\r\nx-panic: 1\r\n\r\n";
+    caller
+        .0
+        .write_all(head.as_bytes())
+        .await
+        .expect("an open connection");
+    let mut received = [0; 1_024];
+    let count = caller.0.read(&mut received).await.unwrap_or(0);
+    let received = String::from_utf8_lossy(&received[..count]).into_owned();
+    assert!(received.starts_with("HTTP/1.1 500 "), "{received:?}");
+    let metrics = String::from_utf8(instance.relay.metrics_text()).expect("text");
+    assert!(
+        metrics
+            .lines()
+            .any(|line| line.starts_with("chicoryrack_panics_total") && line.ends_with(" 1"))
+    );
+}
