Listener: the idle limit of callers does not hold for connections of peers

What callers saw: nothing yet. A request that is handed over while its instance is cut off goes to a peer on a kept connection; the peer closed it at callers' idle limit, so one that may not be repeated could be lost in the crossing. Cause: all listeners took the limit that the configuration sets for callers; peers keep their connections for 4 s. Class: a limit that stands for another thing than it names, as for bodies. Ruled out: a shorter time at the side that opens them: it would have to follow each change of the configuration.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -32,6 +32,15 @@
 /// Shortest pause between two looks at whether a connection has expired, in ms.
 const MIN_WAIT_MS: u64 = 20;
 
+/// Time for which a connection may be idle.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum IdleLimit {
+    /// The limit of the configuration in force.
+    Configured,
+    /// A fixed time, in ms.
+    Fixed(u64),
+}
+
 /// What was on a connection when it ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Occupancy {
@@ -90,6 +99,7 @@
 /// State of one connection.
 struct Connection {
     relay: Rc<Relay>,
+    idle_limit: IdleLimit,
     occupancy: Cell<Occupancy>,
     /// When it was opened, or when its last answer was complete.
     idle_since_ms: Cell<u64>,
@@ -114,9 +124,10 @@
 }
 
 impl Connection {
-    fn new(relay: &Rc<Relay>) -> Rc<Self> {
+    fn new(relay: &Rc<Relay>, idle_limit: IdleLimit) -> Rc<Self> {
         Rc::new(Self {
             relay: Rc::clone(relay),
+            idle_limit,
             occupancy: Cell::new(Occupancy::Idle),
             idle_since_ms: Cell::new(relay.now_ms()),
             head_since_ms: Cell::default(),
@@ -135,6 +146,13 @@
         OnConnection(Rc::clone(self))
     }
 
+    fn idle_ms(&self, limits: Limits) -> u64 {
+        match self.idle_limit {
+            IdleLimit::Configured => limits.idle_ms,
+            IdleLimit::Fixed(idle_ms) => idle_ms,
+        }
+    }
+
     /// When it is to be closed by the limits in force, if nothing arrives until then; none while a request is on it.
     fn expires_ms(&self) -> Option<u64> {
         if self.occupancy.get() != Occupancy::Idle {
@@ -144,7 +162,7 @@
         Some(
             GRACE_MS
                 + self.head_since_ms.get().map_or_else(
-                    || self.idle_since_ms.get() + limits.idle_ms,
+                    || self.idle_since_ms.get() + self.idle_ms(limits),
                     |since_ms| since_ms + limits.head_ms,
                 ),
         )
@@ -161,7 +179,7 @@
         let now_ms = self.relay.now_ms();
         let expires_ms = self
             .expires_ms()
-            .unwrap_or(now_ms + GRACE_MS + limits.idle_ms);
+            .unwrap_or(now_ms + GRACE_MS + self.idle_ms(limits));
         let wait_ms = expires_ms.saturating_sub(now_ms).max(MIN_WAIT_MS);
         actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
     }
@@ -276,6 +294,7 @@
 pub async fn serve_connection<F>(
     relay: Rc<Relay>,
     stream: TcpStream,
+    idle_limit: IdleLimit,
     mut phase: watch::Receiver<Phase>,
     respond: impl Fn(Request<Incoming>) -> F,
 ) where
@@ -284,7 +303,7 @@
     if let Err(error) = crate::pool::configure_socket(&stream) {
         log::debug!(error:%; "could not set socket options, using defaults");
     }
-    let connection = Connection::new(&relay);
+    let connection = Connection::new(&relay, idle_limit);
     let service = service_fn(|request: Request<Incoming>| {
         let on_connection = connection.begin(&request);
         let responding = respond(request);
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -16,9 +16,10 @@
 use crate::answer::{ActiveRequest, AnswerBody, Reason, Refusal};
 use crate::call::{Call, host};
 use crate::config::Limits;
-use crate::connection::serve_connection;
+use crate::connection::{IdleLimit, serve_connection};
 use crate::forward::forward;
 use crate::handover::{Handover, mark_answer};
+use crate::pool::DEFAULT_IDLE_MS;
 use crate::relay::{Phase, Relay};
 
 /// Length of the accept queue, so that a burst of new connections is not refused.
@@ -45,6 +46,18 @@
     Peers,
 }
 
+impl ListenerKind {
+    /// How long a connection may be idle. Peers keep theirs for a time of their own, whatever holds for callers.
+    fn idle_limit(self) -> IdleLimit {
+        match self {
+            Self::Peers => IdleLimit::Fixed(DEFAULT_IDLE_MS),
+            Self::Callers | Self::Directory | Self::Readiness | Self::Metrics => {
+                IdleLimit::Configured
+            }
+        }
+    }
+}
+
 /// Opens a listening socket with address reuse, so that a restarted program can bind at once.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
@@ -72,7 +85,8 @@
                 let phase = phase.clone();
                 actix_rt::spawn(async move {
                     let respond = |request| respond(&relay, kind, request);
-                    serve_connection(Rc::clone(&relay), stream, phase, respond).await;
+                    let idle_limit = kind.idle_limit();
+                    serve_connection(Rc::clone(&relay), stream, idle_limit, phase, respond).await;
                 });
             }
             Err(error) => {
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -35,7 +35,7 @@
 
 /// Time for which an idle connection is kept if the peer does not announce one, in ms; shorter than
 /// the usual five seconds of servers, so that requests rarely race with the peer's close.
-const DEFAULT_IDLE_MS: u64 = 4_000;
+pub(crate) const DEFAULT_IDLE_MS: u64 = 4_000;
 
 /// Time by which an announced idle timeout is shortened, in ms, since the peer may already be closing
 /// the connection then.
