Listener: a request whose handling panics is answered, and somebody is told

What callers saw: a closed connection without an answer, and no line or metric said why. Cause: a panic ended the task of the connection, and nothing caught it. Class: an end of which nobody is told. Ruled out: a known place that panics in service (none was found by this commit); the mend is for those not known yet. Mend: the caller gets 500, which promises nothing; a line with the request's id and panics_total tell on-call. A panic within an answer that has begun still closes the connection, and is logged and counted.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -180,6 +180,9 @@
     /// The deadline passed.
     #[display("out of time")]
     TimedOut,
+    /// Handling the request failed in this instance.
+    #[display("the instance failed")]
+    Panicked,
 }
 
 impl ToValue for Reason {
@@ -209,6 +212,7 @@
             Self::InDoubt => "in_doubt",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
+            Self::Panicked => "panicked",
         }
     }
 
@@ -240,6 +244,7 @@
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
+            Self::Panicked => StatusCode::INTERNAL_SERVER_ERROR,
         }
     }
 }
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -4,11 +4,13 @@
 use std::convert::Infallible;
 use std::io;
 use std::mem::MaybeUninit;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use http::{HeaderValue, Request, Response, Version};
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
@@ -19,7 +21,7 @@
 use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-use crate::answer::AnswerBody;
+use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::config::Limits;
 use crate::relay::{Phase, Relay};
 
@@ -184,6 +186,17 @@
         actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
     }
 
+    /// Logs and counts that handling a request panicked, and answers its caller, who would see a closed connection.
+    fn note_panic(&self) -> Response<AnswerBody> {
+        let relay = &self.relay;
+        relay.metrics.panics.inc();
+        let request = self.request.borrow();
+        let request = request.as_ref().and_then(|id| id.to_str().ok());
+        log::error!(request = request.unwrap_or("-"); "handling a request panicked");
+        let refusal = Refusal::new(Reason::Panicked);
+        refusal.response(relay.dialect.encode_error(&refusal.reason.to_string()))
+    }
+
     /// Counts its end, and logs one that took a request along. What the other end closed is logged with its request.
     fn note_end(&self, ended: &Result<(), hyper::Error>) {
         let relay = &self.relay;
@@ -292,7 +305,7 @@
 
 /// Serves the requests of one connection by `respond` until it ends or the phase becomes [`Phase::Closing`].
 pub async fn serve_connection<F>(
-    relay: Rc<Relay>,
+    relay: &Rc<Relay>,
     stream: TcpStream,
     idle_limit: IdleLimit,
     mut phase: watch::Receiver<Phase>,
@@ -303,12 +316,14 @@
     if let Err(error) = crate::pool::configure_socket(&stream) {
         log::debug!(error:%; "could not set socket options, using defaults");
     }
-    let connection = Connection::new(&relay, idle_limit);
+    let connection = Connection::new(relay, idle_limit);
     let service = service_fn(|request: Request<Incoming>| {
         let on_connection = connection.begin(&request);
-        let responding = respond(request);
+        let responding = AssertUnwindSafe(respond(request)).catch_unwind();
+        let connection = &connection;
         async move {
-            let mut response = responding.await;
+            let responded = responding.await;
+            let mut response = responded.unwrap_or_else(|_| connection.note_panic());
             on_connection.0.occupancy.set(Occupancy::Answer);
             response.body_mut().occupy(on_connection);
             Ok::<_, Infallible>(response)
@@ -320,7 +335,7 @@
     };
     let mut serving = http1::Builder::new()
         .header_read_timeout(None)
-        .max_buf_size(limits_in_force(&relay).head_bytes.max(16_384))
+        .max_buf_size(limits_in_force(relay).head_bytes.max(16_384))
         .serve_connection(TokioIo::new(socket), service);
     let mut is_closing = false;
     let ended = loop {
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -2,10 +2,12 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::FutureExt;
 use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -86,7 +88,11 @@
                 actix_rt::spawn(async move {
                     let respond = |request| respond(&relay, kind, request);
                     let idle_limit = kind.idle_limit();
-                    serve_connection(Rc::clone(&relay), stream, idle_limit, phase, respond).await;
+                    let serving = serve_connection(&relay, stream, idle_limit, phase, respond);
+                    if AssertUnwindSafe(serving).catch_unwind().await.is_err() {
+                        relay.metrics.panics.inc();
+                        log::error!(kind:?; "serving a connection panicked");
+                    }
                 });
             }
             Err(error) => {
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -150,6 +150,8 @@
     pub instances: IntGauge,
     /// Known poison requests, which are refused.
     pub poison_requests: IntGauge,
+    /// Requests whose handling panicked.
+    pub panics: IntCounter,
     /// Requests whose answers are not complete yet.
     pub in_flight: IntGauge,
     /// Calls of singleton tasks to the platform, by call and outcome.
@@ -291,6 +293,7 @@
             upstreams: all.gauge("upstreams", "Upstreams in use."),
             instances: all.gauge("instances", "Instances ready."),
             poison_requests: all.gauge("poisonous", "Known poison requests."),
+            panics: all.plain_counter("panics_total", "Requests whose handling panicked."),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
             store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
