Reads: what another upstream brings counts only as a whole answer while the silent one may still bring one

What callers saw: the error, or the stopped body, of an upstream that was asked in addition, while the silent one was about to answer. Cause: the first head to arrive was taken for the answer, and the other send was dropped with it. Class: a source that is given up before another is at hand. Ruled out: waiting for all sends in any case (a server error of the only upstream is answered at once, as before). Mend: a send has come to an end when its short answer is read; an error of an upstream is kept, and is the caller's answer only if no other send brings one and nobody else can be asked.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,10 +13,10 @@
 use crate::generation::generate;
 use crate::handover::{ServedBy, hand_over, is_handed_over};
 use crate::placement;
-use crate::plain_attempts::{Attempt, Attempts, Next};
+use crate::plain_attempts::{Attempts, BegunAnswer, Next, Outcome};
 use crate::relay::Relay;
 use crate::retry::{RetryContext, RetryDecision, SendFailure, decide, without_false_not_run};
-use crate::send::{CheckedAnswer, SendResult};
+use crate::send::CheckedAnswer;
 use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
 use crate::stream_origins::bind_to_origin;
 use crate::upstream::{InFlight, Upstream};
@@ -87,6 +87,8 @@
     let mut tried = Vec::new();
     let mut unreachable_upstreams = 0;
     let mut attempts = Attempts::new(relay, call);
+    // An error of an upstream is more specific than a refusal, if no other one answers.
+    let mut server_error = None;
     loop {
         if !attempts.is_under_way() && is_handed_over(relay, call).await {
             return hand_over(relay, call).await;
@@ -96,28 +98,58 @@
                 tried.push(upstream.id.clone());
                 attempts.begin(upstream);
             }
-            Err(refusal) if !attempts.is_under_way() => return Err(refusal),
-            // The silent one may answer yet.
-            Err(_) => {}
+            // What is under way may answer yet.
+            Err(_) if attempts.is_under_way() => {}
+            Err(refusal) => return answer_with(relay, call, server_error, refusal).await,
         }
         loop {
-            let Next::Ended(attempt) = attempts.next(&tried).await else {
+            let Next::Ended(outcome) = attempts.next(&tried).await else {
                 break;
             };
-            let failure = match use_attempt(relay, call, attempt, &tried).await {
-                Used::Answered(response) => return Ok(response),
-                Used::AskAnother => break,
-                Used::Failed(failure) => failure,
+            let failure = match outcome {
+                Outcome::Answered(response) => return Ok(response),
+                Outcome::Stream((checked, guard)) => {
+                    let exchanged = (checked.response, checked.connection);
+                    let origin = StreamOrigin::Engine(guard);
+                    return Ok(StreamForwarder::start(
+                        relay, call, exchanged, origin, tried,
+                    ));
+                }
+                Outcome::ServerError(answer) => {
+                    server_error = Some(answer);
+                    SendFailure::Lost
+                }
+                Outcome::Failed(failure) => failure,
             };
-            // One that is still under way may answer yet.
-            if !attempts.is_under_way() {
-                retry_or_refuse(relay, call, failure, &mut unreachable_upstreams)?;
-                break;
+            if attempts.is_under_way() {
+                continue;
+            }
+            let decided = if server_error.is_some() && !attempts.may_ask_another(&tried) {
+                Err(Refusal::new(Reason::Lost))
+            } else {
+                retry_or_refuse(relay, call, failure, &mut unreachable_upstreams)
+            };
+            match decided {
+                Ok(()) => break,
+                Err(refusal) => return answer_with(relay, call, server_error, refusal).await,
             }
         }
     }
 }
 
+/// Answers with the error of an upstream if there is one, and with the refusal otherwise.
+async fn answer_with(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    server_error: Option<BegunAnswer>,
+    refusal: Refusal,
+) -> Result<Response<AnswerBody>, Refusal> {
+    match server_error {
+        Some((checked, guard)) => buffer_or_stream(relay, call, *checked, guard).await,
+        None => Err(refusal),
+    }
+}
+
 /// Chooses the upstream of the next send, unless the request is refused.
 async fn place(
     relay: &Rc<Relay>,
@@ -128,48 +160,6 @@
     placement::choose_upstream(relay, call, tried)
 }
 
-/// What came of a send that has ended.
-enum Used {
-    /// The caller's answer.
-    Answered(Response<AnswerBody>),
-    /// The upstream failed, and another one can be asked.
-    AskAnother,
-    /// No answer that can be used.
-    Failed(SendFailure),
-}
-
-async fn use_attempt(
-    relay: &Rc<Relay>,
-    call: &Rc<Call>,
-    Attempt { result, guard }: Attempt,
-    tried: &[String],
-) -> Used {
-    let checked = match result {
-        SendResult::Answer(checked) => checked,
-        failed => return Used::Failed(failed.failure()),
-    };
-    let status = checked.response.status();
-    if call.route.kind == RouteKind::Stream && status.is_success() {
-        let exchanged = (checked.response, checked.connection);
-        let origin = StreamOrigin::Engine(guard);
-        let tried = tried.to_vec();
-        return Used::Answered(StreamForwarder::start(
-            relay, call, exchanged, origin, tried,
-        ));
-    }
-    let is_repeatable = status.is_server_error() && call.route.kind == RouteKind::Safe;
-    // If no other upstream can answer, the caller gets this error, which is more specific than a refusal.
-    let has_other = is_repeatable && placement::choose_upstream(relay, call, tried).is_ok();
-    if has_other && may_retry(relay, call) {
-        return Used::AskAnother;
-    }
-    match buffer_or_stream(relay, call, *checked, guard).await {
-        Ok(response) => Used::Answered(response),
-        // No part of the truncated answer was forwarded.
-        Err(_) => Used::Failed(SendFailure::Lost),
-    }
-}
-
 /// Returns `Ok` if the request is to be retried after a failed send, and the refusal otherwise.
 pub fn retry_or_refuse(
     relay: &Relay,
--- a/crates/relay/src/plain_attempts.rs
+++ b/crates/relay/src/plain_attempts.rs
@@ -7,29 +7,40 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use http::Response;
 use plan::AttemptTimeout;
 
+use crate::answer::AnswerBody;
 use crate::call::Call;
+use crate::config::RouteKind;
 use crate::dialect::SendOptions;
-use crate::forward::may_retry;
+use crate::forward::{buffer_or_stream, may_retry};
 use crate::handover::send_unless_cut_off;
 use crate::placement;
 use crate::relay::Relay;
-use crate::send::{SendResult, note_response};
+use crate::retry::SendFailure;
+use crate::send::{CheckedAnswer, SendResult, note_response};
 use crate::upstream::{InFlight, Upstream, Work};
 
-/// A send that has ended.
-pub struct Attempt {
-    /// What came of it.
-    pub result: SendResult,
-    /// Counts the request at its upstream.
-    pub guard: InFlight,
+/// An answer of which only the head has been read, and the guard that counts the request at its upstream.
+pub type BegunAnswer = (Box<CheckedAnswer>, InFlight);
+
+/// What came of a send.
+pub enum Outcome {
+    /// The caller's answer.
+    Answered(Response<AnswerBody>),
+    /// A stream has begun.
+    Stream(BegunAnswer),
+    /// The upstream failed, and another one may do better.
+    ServerError(BegunAnswer),
+    /// There is no answer that can be used.
+    Failed(SendFailure),
 }
 
 /// What to do next for a request whose sends are under way.
 pub enum Next {
     /// A send has ended.
-    Ended(Attempt),
+    Ended(Outcome),
     /// All are silent, and another upstream can be asked.
     AskAnother,
 }
@@ -38,7 +49,7 @@
 pub struct Attempts<'a> {
     relay: &'a Rc<Relay>,
     call: &'a Rc<Call>,
-    under_way: FuturesUnordered<Pin<Box<dyn Future<Output = Attempt> + 'a>>>,
+    under_way: FuturesUnordered<Pin<Box<dyn Future<Output = Outcome> + 'a>>>,
     /// Upstream of the last send, and when it began.
     last: Option<(Rc<Upstream>, u64)>,
 }
@@ -63,17 +74,8 @@
     pub fn begin(&mut self, upstream: Rc<Upstream>) {
         let (relay, call) = (self.relay, self.call);
         self.last = Some((Rc::clone(&upstream), relay.now_ms()));
-        let guard = InFlight::begin(&upstream, relay.now_ms(), Work::default());
-        self.under_way.push(Box::pin(async move {
-            let options = SendOptions {
-                instance: &upstream.id,
-                deadline_ms: call.left_ms(relay.now_ms()),
-                ..SendOptions::default()
-            };
-            let result = send_unless_cut_off(relay, call, &upstream, &options).await;
-            note_response(relay, &guard, &result);
-            Attempt { result, guard }
-        }));
+        self.under_way
+            .push(Box::pin(attempt(relay, call, upstream)));
     }
 
     /// Waits until a send has ended, or until the last one has used its part of the time and another upstream can be
@@ -91,7 +93,7 @@
         };
         tokio::select! {
             biased;
-            Some(attempt) = self.under_way.next() => return Next::Ended(attempt),
+            Some(outcome) = self.under_way.next() => return Next::Ended(outcome),
             () = silence => {}
         }
         if self.may_ask_another(tried) {
@@ -99,12 +101,13 @@
             return Next::AskAnother;
         }
         match self.under_way.next().await {
-            Some(attempt) => Next::Ended(attempt),
+            Some(outcome) => Next::Ended(outcome),
             None => Next::AskAnother,
         }
     }
 
-    fn may_ask_another(&self, tried: &[String]) -> bool {
+    /// Whether another upstream can be asked; takes a retry if it can.
+    pub fn may_ask_another(&self, tried: &[String]) -> bool {
         placement::choose_upstream(self.relay, self.call, tried).is_ok()
             && may_retry(self.relay, self.call)
     }
@@ -128,3 +131,31 @@
         }
     }
 }
+
+/// Sends a request to an upstream and reads a short answer whole, so that one whose body stops is no answer yet.
+async fn attempt(relay: &Rc<Relay>, call: &Rc<Call>, upstream: Rc<Upstream>) -> Outcome {
+    let guard = InFlight::begin(&upstream, relay.now_ms(), Work::default());
+    let options = SendOptions {
+        instance: &upstream.id,
+        deadline_ms: call.left_ms(relay.now_ms()),
+        ..SendOptions::default()
+    };
+    let result = send_unless_cut_off(relay, call, &upstream, &options).await;
+    note_response(relay, &guard, &result);
+    let checked = match result {
+        SendResult::Answer(checked) => checked,
+        failed => return Outcome::Failed(failed.failure()),
+    };
+    let status = checked.response.status();
+    if call.route.kind == RouteKind::Stream && status.is_success() {
+        return Outcome::Stream((checked, guard));
+    }
+    if call.route.kind == RouteKind::Safe && status.is_server_error() {
+        return Outcome::ServerError((checked, guard));
+    }
+    match buffer_or_stream(relay, call, *checked, guard).await {
+        Ok(response) => Outcome::Answered(response),
+        // No part of the truncated answer was forwarded.
+        Err(_) => Outcome::Failed(SendFailure::Lost),
+    }
+}
