Streams: the end of a silent engine does not end the search for another

What callers saw: a stream cut since its engine, silent so far, ended while another one was about to begin with the rest. Cause: whatever the silent source brought ended the search, also its end; the attempts were used up then. Class: a source that is given up before another is at hand. Ruled out: going on with the search after an end that is the stream's own: nothing more is to come. Mend: a break of the silent source leaves the search as the only source; the loss is reported as any other.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -360,25 +360,43 @@
             return Received::End;
         };
         let kept = silent.origin.engine();
+        // Nothing arrives meanwhile, so an end of the source now is either the stream's end or a break.
+        let is_end = StreamEnd::of(&self.splitter)
+            .break_cause(silent.framing)
+            .is_none();
+        let mut broken = None;
         let found = {
-            let goes_on = silent.body.frame();
             let other = self.find_other(kept.as_deref());
-            tokio::select! {
-                biased;
-                frame = goes_on => Err(frame),
-                other = other => Ok(other),
+            tokio::pin!(other);
+            loop {
+                tokio::select! {
+                    biased;
+                    frame = silent.body.frame(), if broken.is_none() => match frame {
+                        Some(Ok(_)) => break Err(frame),
+                        None if is_end => break Err(frame),
+                        // The other source is needed all the more.
+                        None | Some(Err(_)) => broken = Some(frame),
+                    },
+                    other = &mut other => break Ok(other),
+                }
             }
         };
         match found {
             Ok(Ok(other)) => {
+                if broken.is_some() {
+                    silent.origin.note_lost_answer(&self.relay, &self.call);
+                }
                 self.note_interrupted(&silent.origin, why);
                 self.splitter.clear();
                 self.source = Some(other);
                 Received::Replaced
             }
             Ok(Err(NoOther)) => {
-                self.look_again_ms = self.relay.now_ms() + MIN_SILENCE_MS;
                 self.source = Some(silent);
+                if let Some(frame) = broken {
+                    return self.note_frame(frame);
+                }
+                self.look_again_ms = self.relay.now_ms() + MIN_SILENCE_MS;
                 Received::Silent(why.to_owned())
             }
             Err(frame) => {
