Connections: a head that stops midway is closed at the limit on heads

What callers saw: nothing; connections with a begun head stayed open for the idle limit. Cause: since the idle limit in force is asked for, the next look at a connection was planned when it opened, and a head that began later did not bring it forward. Class: a time that is fixed when something opens. Ruled out: a wake-up at each head (it costs every request a second poll of its connection). Mend: a connection is looked at once in each limit on heads and the grace at the latest.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -175,14 +175,16 @@
         expires_ms.is_some_and(|expires_ms| self.relay.now_ms() >= expires_ms)
     }
 
-    /// Completes when it may have expired. The limits may change meanwhile, so the wait is at most one of those in force.
+    /// Completes when it may have expired. The limits may change meanwhile, and the limit on heads holds from the moment at
+    /// which one begins, so the wait is at most the latter.
     async fn may_have_expired(&self) {
         let limits = limits_in_force(&self.relay);
+        let longest_ms = limits.head_ms + GRACE_MS;
         let now_ms = self.relay.now_ms();
-        let expires_ms = self
+        let left_ms = self
             .expires_ms()
-            .unwrap_or(now_ms + GRACE_MS + self.idle_ms(limits));
-        let wait_ms = expires_ms.saturating_sub(now_ms).max(MIN_WAIT_MS);
+            .map_or(longest_ms, |expires_ms| expires_ms.saturating_sub(now_ms));
+        let wait_ms = left_ms.clamp(MIN_WAIT_MS, longest_ms);
         actix_rt::time::sleep(Duration::from_millis(wait_ms)).await;
     }
 
