Connections: the limit on heads is the one in force

What callers saw: 431 for a head that the limit allows, on connections that were open when the limit was raised. Cause: the HTTP library takes the longest head when it begins to serve a connection. Class: a value of the configuration that is copied when something opens. Ruled out: a longer buffer by the new limit for new connections only (open ones are what callers keep). Mend: room for 64 KiB, or the limit if that is higher, and the limit in force is checked once the head is read. Open connections take a raise up to 64 KiB at once; beyond that, only connections opened since.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -144,6 +144,9 @@
     /// The body did not arrive in time.
     #[display("the request's body did not come in time")]
     BodyTimeout,
+    /// The head is longer than allowed.
+    #[display("the head is too long")]
+    HeadTooLong,
     /// The body is longer than allowed.
     #[display("the body is too long")]
     TooLong,
@@ -200,6 +203,7 @@
             Self::NoKey => "no_key",
             Self::Malformed => "malformed",
             Self::BodyTimeout => "unread",
+            Self::HeadTooLong => "head_too_long",
             Self::TooLong => "too_long",
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
@@ -241,6 +245,7 @@
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::BodyTimeout => StatusCode::REQUEST_TIMEOUT,
+            Self::HeadTooLong => StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
             Self::TooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::Lost => StatusCode::BAD_GATEWAY,
             Self::TimedOut => StatusCode::GATEWAY_TIMEOUT,
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -31,6 +31,9 @@
 /// the limit itself would cross a request that a slow process has not read yet.
 const GRACE_MS: u64 = 3_000;
 
+/// Largest head that a connection can receive at least, in bytes: the limit may be raised while it is open.
+const MIN_HEAD_BUFFER_BYTES: usize = 65_536;
+
 /// Shortest pause between two looks at whether a connection has expired, in ms.
 const MIN_WAIT_MS: u64 = 20;
 
@@ -337,7 +340,7 @@
     };
     let mut serving = http1::Builder::new()
         .header_read_timeout(None)
-        .max_buf_size(limits_in_force(relay).head_bytes.max(16_384))
+        .max_buf_size(limits_in_force(relay).head_bytes.max(MIN_HEAD_BUFFER_BYTES))
         .serve_connection(TokioIo::new(socket), service);
     let mut is_closing = false;
     let ended = loop {
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -8,7 +8,8 @@
 
 use bytes::Bytes;
 use futures_util::FutureExt;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::request::Parts;
+use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::net::{TcpListener, TcpSocket};
@@ -214,6 +215,9 @@
     let limits = config
         .as_ref()
         .map_or_else(Limits::default, |config| config.limits);
+    if head_bytes(&parts) > limits.head_bytes {
+        return refuse(relay, Refusal::new(Reason::HeadTooLong));
+    }
     // A caller that stops within its body must not delay a shutdown, and one whose body is slow is not idle.
     let longest_ms = limits.idle_ms.max(limits.head_ms);
     let wait = Duration::from_millis(longest_ms.min(head.deadline_ms.unwrap_or(u64::MAX)));
@@ -272,6 +276,20 @@
     forward(relay, call).await
 }
 
+/// Length of a request's head as HTTP/1.1 writes it, in bytes.
+fn head_bytes(parts: &Parts) -> usize {
+    let line = parts.method.as_str().len()
+        + parts
+            .uri
+            .path_and_query()
+            .map_or(0, |target| target.as_str().len())
+        + " HTTP/1.1\r\n".len();
+    let header = |(name, value): (&HeaderName, &HeaderValue)| {
+        name.as_str().len() + value.len() + ": \r\n".len()
+    };
+    line + parts.headers.iter().map(header).sum::<usize>()
+}
+
 /// Counts and builds the answer to a request that was refused before it had a route.
 fn refuse(relay: &Relay, refusal: Refusal) -> Response<AnswerBody> {
     let labels = ["-", refusal.reason.label()];
