Hand-over: a silent peer is kept until another has answered

Cause: a peer was given up at an attempt's share of the time, whether or not another one could take the request, and before another one had it. A sound engine may be silent for that long, and the caller got 502 for an answer that was on its way. Ruled out: a longer share alone; the request would still be dropped before another peer has it. Conclusion: the next peer is asked beside the silent one, within attempts and the retry budget as before, and the first answer is taken; a refusal of the next one does not end the wait for the first.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -315,7 +316,7 @@
     }
     let (exchanged, at_peer) = hand_over_from(relay, call, call.head.last_event).await?;
     let (response, connection) = exchanged;
-    let refused = response.headers().contains_key(REFUSED);
+    let refused = is_refusal(&response);
     let is_stream = call.route.kind == RouteKind::Stream && response.status().is_success();
     if is_stream && !refused {
         let origin = StreamOrigin::Peer(at_peer);
@@ -332,46 +333,128 @@
 
 /// Hands a request over to one peer after the other until one answers; `last_event` is the last event that its caller
 /// has of a stream.
+///
+/// A peer whose upstream is silent is not given up: once it has used up its share of the time another one is asked
+/// beside it, if one can be, and the first that answers is taken.
 pub async fn hand_over_from(
     relay: &Rc<Relay>,
     call: &Rc<Call>,
     last_event: Option<u64>,
 ) -> Result<(Exchanged, AtPeer), Refusal> {
     let mut tried = Vec::new();
-    while tried.len() < MAX_HELPERS {
-        let Some(peer) = relay.choose_helper(&call.service, &tried) else {
+    let mut asked = FuturesUnordered::new();
+    let mut overdue_at_ms = None;
+    let mut is_lost = false;
+    let mut next = next_helper(relay, call, &tried);
+    loop {
+        if let Some(peer) = next.take() {
+            tried.push(peer.name.clone());
+            overdue_at_ms = share_ends_ms(relay, call);
+            asked.push(ask_peer(relay, call, peer, last_event));
+        }
+        let answered = tokio::select! {
+            answered = asked.next() => answered,
+            () = sleep_until(relay, overdue_at_ms) => {
+                overdue_at_ms = None;
+                next = next_helper_for_retry(relay, call, &tried);
+                continue;
+            }
+        };
+        let Some((at_peer, handed)) = answered else {
             break;
         };
-        tried.push(peer.name.clone());
-        let mut at_peer = AtPeer::begin(relay, &peer);
-        let spent = call.spent();
-        let handed = exchange_with_peer(relay, call, &peer, last_event).await;
+        let is_newest = tried.last() == Some(&at_peer.name);
         match handed {
-            Handed::Answered(mut exchanged) => {
-                at_peer.version = take_version(exchanged.0.headers_mut());
-                call.is_handed_over.set(true);
-                count(relay, call, "answered");
-                return Ok((*exchanged, at_peer));
+            Handed::Answered(exchanged) if asked.is_empty() || !is_refusal(&exchanged.0) => {
+                return Ok(take_answer(relay, call, *exchanged, at_peer));
+            }
+            // Those that were asked before may still serve it.
+            Handed::Answered(_) => {
+                is_lost = true;
+                note_failure(relay, call, &at_peer, "not_taken", "refused");
             }
             Handed::NotTaken(why) => {
-                call.attempts.set(spent.attempts);
-                call.possible_runs.set(spent.possible_runs);
-                count(relay, call, "not_taken");
-                log_failure(relay, call, &peer, &why);
+                note_failure(relay, call, &at_peer, "not_taken", &why);
+                call.attempts.set(call.attempts.get() - 1);
+                call.possible_runs.set(call.possible_runs.get() - 1);
+                if is_newest {
+                    next = next_helper(relay, call, &tried);
+                }
             }
             Handed::Lost(why) => {
-                count(relay, call, "lost");
-                log_failure(relay, call, &peer, &why);
-                if !call.route.is_retryable() || !may_retry(relay, call) {
-                    return Err(Refusal::new(Reason::Lost));
+                is_lost = true;
+                note_failure(relay, call, &at_peer, "lost", &why);
+                if is_newest {
+                    next = next_helper_for_retry(relay, call, &tried);
                 }
             }
         }
     }
+    if is_lost {
+        return Err(Refusal::new(Reason::Lost));
+    }
     count(relay, call, "no_peer");
     Err(Refusal::with_retry_after(Reason::CutOff, CUT_OFF_RETRY_MS))
 }
 
+/// The next peer to ask, if there is one.
+fn next_helper(relay: &Relay, call: &Call, tried: &[String]) -> Option<Peer> {
+    if tried.len() >= MAX_HELPERS {
+        return None;
+    }
+    relay.choose_helper(&call.service, tried)
+}
+
+/// The next peer to ask although the request may run at one that was asked; takes a retry from the budget.
+fn next_helper_for_retry(relay: &Relay, call: &Call, tried: &[String]) -> Option<Peer> {
+    let peer = next_helper(relay, call, tried).filter(|_| call.route.is_retryable())?;
+    may_retry(relay, call).then_some(peer)
+}
+
+/// When a peer that is asked now has used up its share of the time; none if too little is left for another one.
+fn share_ends_ms(relay: &Relay, call: &Call) -> Option<u64> {
+    let now_ms = relay.now_ms();
+    let share = AttemptTimeout::next(call.left_ms(now_ms), 1)?;
+    Some(now_ms + share.timeout_ms)
+}
+
+async fn sleep_until(relay: &Relay, at_ms: Option<u64>) {
+    let Some(at_ms) = at_ms else {
+        return std::future::pending().await;
+    };
+    let left_ms = at_ms.saturating_sub(relay.now_ms());
+    actix_rt::time::sleep(Duration::from_millis(left_ms)).await;
+}
+
+fn is_refusal(response: &Response<Incoming>) -> bool {
+    response.headers().contains_key(REFUSED)
+}
+
+fn take_answer(
+    relay: &Relay,
+    call: &Call,
+    mut exchanged: Exchanged,
+    mut at_peer: AtPeer,
+) -> (Exchanged, AtPeer) {
+    at_peer.version = take_version(exchanged.0.headers_mut());
+    call.current_upstream.borrow_mut().clone_from(&at_peer.name);
+    call.is_handed_over.set(true);
+    count(relay, call, "answered");
+    (exchanged, at_peer)
+}
+
+/// Sends a request to one peer, for which it counts as long as it is there.
+async fn ask_peer(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    peer: Peer,
+    last_event: Option<u64>,
+) -> (AtPeer, Handed) {
+    let at_peer = AtPeer::begin(relay, &peer);
+    let handed = exchange_with_peer(relay, call, &peer, last_event).await;
+    (at_peer, handed)
+}
+
 /// Sends a request to one peer. It counts as sent until the peer says that it did not take it.
 async fn exchange_with_peer(
     relay: &Rc<Relay>,
@@ -395,18 +478,10 @@
     call.possible_runs.set(call.possible_runs.get() + 1);
     call.current_upstream.borrow_mut().clone_from(&peer.name);
     let pool = relay.handover_pool(peer.address);
-    let left_ms = call.left_ms(relay.now_ms());
-    let has_other = call.route.is_retryable() && call.attempts.get() < call.route.max_attempts;
-    let timeout_ms = AttemptTimeout::next(left_ms, 1)
-        .filter(|_| has_other)
-        .map_or(left_ms, |it| it.timeout_ms);
-    let exchanged = exchange(&pool, MAX_CONNECTIONS, request);
-    let timeout = Duration::from_millis(timeout_ms);
-    let mut exchanged = match actix_rt::time::timeout(timeout, exchanged).await {
-        Ok(Ok(exchanged)) => exchanged,
-        Ok(Err(error @ ExchangeError::Lost { .. })) => return Handed::Lost(error.to_string()),
-        Ok(Err(error)) => return Handed::NotTaken(error.to_string()),
-        Err(_) => return Handed::Lost(format!("nothing within {timeout_ms} ms")),
+    let mut exchanged = match exchange(&pool, MAX_CONNECTIONS, request).await {
+        Ok(exchanged) => exchanged,
+        Err(error @ ExchangeError::Lost { .. }) => return Handed::Lost(error.to_string()),
+        Err(error) => return Handed::NotTaken(error.to_string()),
     };
     let Some(upstream) = exchanged.0.headers_mut().remove(HANDOVER) else {
         return Handed::NotTaken("it takes no requests over".to_owned());
@@ -488,10 +563,12 @@
     relay.metrics.handed_over.with_label_values(&labels).inc();
 }
 
-fn log_failure(relay: &Relay, call: &Call, peer: &Peer, why: &str) {
+/// Counts and logs that a peer did not serve a request.
+fn note_failure(relay: &Relay, call: &Call, at_peer: &AtPeer, outcome: &str, why: &str) {
+    count(relay, call, outcome);
     if relay.failure_log_limit.take(relay.now_ms()) {
         log::info!(
-            request = call.id(), key:% = call.key, service = call.service, to = peer.name, why;
+            request = call.id(), key:% = call.key, service = call.service, to = at_peer.name, why;
             "request not taken over by another instance"
         );
     }
