Test: a stream cut off before its first event is not resumed at a peer

Cause: StreamForwarder::resume_at_peer compares the version that the peer names with the stream's, which is not fixed before the first event, so that any version differs and the stream is broken off without an event. Ruled out: a peer that does not take it over; with the comparison left out while no version is fixed it goes on there.

--- a/crates/relay/tests/silent_peers.rs
+++ b/crates/relay/tests/silent_peers.rs
@@ -21,9 +21,12 @@
 /// Time that the caller has, in ms.
 const LEFT_MS: u64 = 2_000;
 
-/// Id from which on requests meet a silent engine.
+/// Id of the request whose engine is silent before its answer.
 const SILENT_ID: usize = 900_000;
 
+/// Id of the request whose engine is silent after the head of its answer.
+const HEAD_ID: usize = 800_000;
+
 /// Pause between two requests of the traffic that goes on all the time.
 const PAUSE: Duration = Duration::from_millis(20);
 
@@ -31,10 +34,18 @@
 fn engine() -> StubUpstream {
     StubUpstream::start(|received| {
         let id = received.header("x-attempt").and_then(|id| id.parse().ok());
-        let is_silent = id.is_some_and(|id: usize| id >= SILENT_ID);
-        let answer = Action::Write(received.response_text("200 OK", "", EVENTS));
-        let silence = is_silent.then_some(Action::Wait(SILENCE_MS));
-        silence.into_iter().chain([answer]).collect()
+        let answer = received.response_text("200 OK", "", EVENTS);
+        let head = answer.strip_suffix(EVENTS).expect("a body").to_owned();
+        let silence = Action::Wait(SILENCE_MS);
+        match id {
+            Some(SILENT_ID) => vec![silence, Action::Write(answer)],
+            Some(HEAD_ID) => vec![
+                Action::Write(head),
+                silence,
+                Action::Write(EVENTS.to_owned()),
+            ],
+            _ => vec![Action::Write(answer)],
+        }
     })
 }
 
@@ -83,27 +94,37 @@
     }
 }
 
-/// An instance that knows to be cut off from its engine while these peers are not.
-async fn start_cut_off(peers: &[Peer]) -> TestInstance {
+/// An instance with an engine, and its path to that.
+async fn start_among(peers: &[Peer]) -> (TestInstance, Link) {
     let engine = engine();
     let link = Link::open(engine.address);
     let entry = link.entry(engine.entry("up", "llm", Stage::Decode));
-    let cut_off = TestInstance::start_peer("a", "here", vec![entry]).await;
-    let mut all = vec![&cut_off];
+    let instance = TestInstance::start_peer("a", "here", vec![entry]).await;
+    let mut all = vec![&instance];
     all.extend(peers.iter().map(|peer| &*peer.instance));
     meet(&all).await;
+    (instance, link)
+}
+
+/// Cuts the path of an instance, and waits until it knows.
+async fn cut_off(instance: &TestInstance, link: &Link) {
     link.set(LinkState::Refusing);
     for id in 1..200 {
-        if cut_off.relay.is_cut_off("llm") {
+        if instance.relay.is_cut_off("llm") {
             break;
         }
-        cut_off
-            .fetch(generation_request("/grades/x", 50_000 + id, 300))
-            .await;
+        let request = generation_request("/grades/x", 50_000 + id, 300);
+        instance.fetch(request).await;
         actix_rt::time::sleep(PAUSE).await;
     }
-    assert!(cut_off.relay.is_cut_off("llm"));
-    cut_off
+    assert!(instance.relay.is_cut_off("llm"));
+}
+
+/// An instance that knows to be cut off from its engine while these peers are not.
+async fn start_cut_off(peers: &[Peer]) -> TestInstance {
+    let (instance, link) = start_among(peers).await;
+    cut_off(&instance, &link).await;
+    instance
 }
 
 /// The request under which an engine is silent.
@@ -119,8 +140,8 @@
 #[actix_rt::test]
 async fn a_request_waits_at_the_only_peer_whose_engine_is_silent() {
     let peer = Peer::start("b").await;
-    let cut_off = start_cut_off(std::slice::from_ref(&peer)).await;
-    let (status, body) = cut_off.fetch(silent_request()).await;
+    let instance = start_cut_off(std::slice::from_ref(&peer)).await;
+    let (status, body) = instance.fetch(silent_request()).await;
     assert_eq!((status, body.as_deref()), (200, Some(EVENTS)));
 }
 
@@ -128,13 +149,28 @@
 #[actix_rt::test]
 async fn a_request_stays_at_a_silent_peer_until_another_one_has_taken_it() {
     let peers = [Peer::start("b").await, Peer::start("c").await];
-    let cut_off = start_cut_off(&peers).await;
+    let instance = start_cut_off(&peers).await;
     let others_leave = async {
         assert!(wait_until(|| peers.iter().any(Peer::is_asked)).await);
         for peer in peers.iter().filter(|peer| !peer.is_asked()) {
             peer.instance.relay.enter(relay::Phase::Leaving);
         }
     };
-    let ((status, body), ()) = tokio::join!(cut_off.fetch(silent_request()), others_leave);
+    let ((status, body), ()) = tokio::join!(instance.fetch(silent_request()), others_leave);
+    assert_eq!((status, body.as_deref()), (200, Some(EVENTS)));
+}
+
+/// Guards against a stream that breaks off without an event, because the path is cut between the head and the first
+/// event and a peer that goes on names its version.
+#[actix_rt::test]
+async fn a_stream_without_an_event_goes_on_at_a_peer_when_the_path_is_cut() {
+    let peer = Peer::start("b").await;
+    let (instance, link) = start_among(std::slice::from_ref(&peer)).await;
+    let stream = instance.fetch(generation_request("/grades/x", HEAD_ID, 300));
+    let cut = async {
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        cut_off(&instance, &link).await;
+    };
+    let ((status, body), ()) = tokio::join!(stream, cut);
     assert_eq!((status, body.as_deref()), (200, Some(EVENTS)));
 }
