Cut-off: a request is given up only if a peer may serve it

Cause: an instance that takes itself for cut off gives up all repeatable requests that wait at upstreams, also where no peer can take them or no retry is left. Silent upstreams look the same as a cut path, and their answers were on the way. Ruled out: the attempt's share of the time; retries alone (lost with 50 left, too, for lack of a peer). Conclusion: the request stays until a peer may serve it within attempts and retry budget; one that was taken over stays, as it goes no further. That the instance believes itself cut off is a fault of its own.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -272,8 +272,8 @@
     relay.is_cut_off(&call.service)
 }
 
-/// Sends a request to an upstream, and gives it up if this instance is cut off from it before anything came back and
-/// the request may be repeated.
+/// Sends a request to an upstream, and gives it up if this instance is cut off from it before anything came back and a
+/// peer may serve the request instead.
 pub async fn send_unless_cut_off(
     relay: &Rc<Relay>,
     call: &Rc<Call>,
@@ -286,7 +286,7 @@
     }
     let sent = tokio::select! {
         sent = send(relay, call, upstream, options) => sent,
-        () = cut_off_from(relay, upstream), if call.route.is_retryable() => {
+        () = movable_to_peer(relay, call, upstream), if call.route.is_retryable() => {
             SendResult::Lost("the path to the upstream was cut".to_owned())
         }
     };
@@ -296,6 +296,23 @@
     sent
 }
 
+/// Completes once this instance is cut off from `upstream` and a peer may serve the request that waits there.
+///
+/// An upstream that is merely silent looks the same. Until somebody else can serve the request, its answer may come.
+pub async fn movable_to_peer(relay: &Relay, call: &Call, upstream: &Upstream) {
+    if call.is_taken_over.get() {
+        return std::future::pending().await;
+    }
+    loop {
+        cut_off_from(relay, upstream).await;
+        if next_helper_for_retry(relay, call, &[]).is_some() {
+            return;
+        }
+        // Peers may come into reach, and the retry budget fills again.
+        actix_rt::time::sleep(Duration::from_millis(view::gossip::PERIOD_MS)).await;
+    }
+}
+
 /// Result of handing a request over to one peer.
 enum Handed {
     /// The peer answered, also with a refusal of its own that stands.
