Prefill: given up only where the decode may be sent

Cause: an overdue prefill without an answer counts as an arrival, the decode then takes a retry, and without one the request was refused while the answer was on its way. Ruled out: a longer time before it is overdue; a lost answer would block the request for as long. Conclusion: it waits on until a retry is left, at most until the deadline.

--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -168,7 +168,7 @@
             log_not_prefilled(relay, call, engine, "the path to the engine was cut");
             None
         }
-        () = overdue(engine, &guard, read_ms) => {
+        () = overdue(relay, call, engine, &guard, read_ms) => {
             log_not_prefilled(relay, call, engine, "no answer, although the engine has no other prefill work");
             None
         }
@@ -208,11 +208,13 @@
 ///
 /// A lost answer would block the request until its deadline. It is therefore abandoned if it is
 /// long overdue and the engine has no other prefill work. With a long queue, the queue explains the
-/// wait, and starting over elsewhere would cost more than waiting.
-async fn overdue(engine: &Upstream, guard: &InFlight, read_ms: f64) {
+/// wait, and starting over elsewhere would cost more than waiting. An unanswered prefill counts as an arrival, so
+/// without a retry for the decode the request would be refused, while the answer may still come.
+async fn overdue(relay: &Relay, call: &Call, engine: &Upstream, guard: &InFlight, read_ms: f64) {
     let overdue_ms = (read_ms * OVERDUE_FACTOR) as u64 + OVERDUE_BASE_MS;
     actix_rt::time::sleep(Duration::from_millis(overdue_ms)).await;
-    while engine.queued_tokens() > guard.remaining_tokens() + IDLE_QUEUE_TOKENS {
+    let is_queued = || engine.queued_tokens() > guard.remaining_tokens() + IDLE_QUEUE_TOKENS;
+    while is_queued() || !relay.may_send(call) {
         actix_rt::time::sleep(Duration::from_millis(RECHECK_MS)).await;
     }
 }
