--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -1,29 +1,27 @@
 //! HTTP listeners for callers, the directory, readiness, metrics and peers.
 
-use std::cell::Cell;
-use std::convert::Infallible;
 use std::io;
 use std::net::SocketAddr;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
+use futures_util::FutureExt;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
-use hyper::server::conn::http1;
-use hyper::service::service_fn;
-use hyper_util::rt::{TokioIo, TokioTimer};
-use socket2::SockRef;
-use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
 
 use crate::access::admit;
 use crate::answer::{ActiveRequest, AnswerBody, Reason, Refusal};
 use crate::call::{Call, host};
 use crate::config::Limits;
+use crate::connection::{IdleLimit, serve_connection};
 use crate::forward::forward;
 use crate::handover::{Handover, mark_answer};
+use crate::pool::DEFAULT_IDLE_MS;
 use crate::relay::{Phase, Relay};
 
 /// Length of the accept queue, so that a burst of new connections is not refused.
@@ -50,6 +48,18 @@
     Peers,
 }
 
+impl ListenerKind {
+    /// How long a connection may be idle. Peers keep theirs for a time of their own, whatever holds for callers.
+    fn idle_limit(self) -> IdleLimit {
+        match self {
+            Self::Peers => IdleLimit::Fixed(DEFAULT_IDLE_MS),
+            Self::Callers | Self::Directory | Self::Readiness | Self::Metrics => {
+                IdleLimit::Configured
+            }
+        }
+    }
+}
+
 /// Opens a listening socket with address reuse, so that a restarted program can bind at once.
 pub fn bind(address: SocketAddr) -> io::Result<TcpListener> {
     let socket = TcpSocket::new_v4()?;
@@ -75,7 +85,15 @@
             Ok((stream, _)) => {
                 let relay = Rc::clone(&relay);
                 let phase = phase.clone();
-                actix_rt::spawn(serve_connection(relay, kind, stream, phase));
+                actix_rt::spawn(async move {
+                    let respond = |request| respond(&relay, kind, request);
+                    let idle_limit = kind.idle_limit();
+                    let serving = serve_connection(&relay, stream, idle_limit, phase, respond);
+                    if AssertUnwindSafe(serving).catch_unwind().await.is_err() {
+                        relay.metrics.panics.inc();
+                        log::error!(kind:?; "serving a connection panicked");
+                    }
+                });
             }
             Err(error) => {
                 log::warn!(error:%; "could not accept connection");
@@ -85,54 +103,6 @@
     }
 }
 
-/// Serves the requests of one connection until it ends or the phase becomes [`Phase::Closing`].
-async fn serve_connection(
-    relay: Rc<Relay>,
-    kind: ListenerKind,
-    stream: TcpStream,
-    mut phase: watch::Receiver<Phase>,
-) {
-    if let Err(error) = crate::pool::configure_socket(&stream) {
-        log::debug!(error:%; "could not set socket options, using defaults");
-    }
-    let limits = relay
-        .config()
-        .map_or_else(Limits::default, |config| config.limits);
-    let knows_chunks = Cell::new(true);
-    let service = service_fn(|request: Request<Incoming>| {
-        knows_chunks.set(request.version() >= Version::HTTP_11);
-        let relay = Rc::clone(&relay);
-        async move { Ok::<_, Infallible>(respond(&relay, kind, request).await) }
-    });
-    let mut serving = http1::Builder::new()
-        .timer(TokioTimer::new())
-        // Bounds the idle time of a connection, which is announced to callers, and the time to
-        // receive a request's head.
-        .header_read_timeout(Duration::from_millis(limits.idle_ms))
-        .max_buf_size(limits.head_bytes.max(16_384))
-        .serve_connection(TokioIo::new(stream), service);
-    let ended = tokio::select! {
-        ended = &mut serving => ended,
-        _ = phase.wait_for(|phase| *phase == Phase::Closing) => {
-            Pin::new(&mut serving).graceful_shutdown();
-            (&mut serving).await
-        }
-    };
-    if let Err(error) = ended {
-        log::debug!(error:%; "caller's connection ended");
-        if !knows_chunks.get() {
-            reset(serving.into_parts().io.inner());
-        }
-    }
-}
-
-/// Resets a connection. To a caller without chunks an orderly close would be the end of a whole answer.
-fn reset(stream: &TcpStream) {
-    if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
-        log::warn!(error:%; "connection of a broken answer could not be reset");
-    }
-}
-
 /// Answers one request. Once the instance is leaving, the answer asks the peer to close the
 /// connection.
 async fn respond(
@@ -244,8 +214,9 @@
     let limits = config
         .as_ref()
         .map_or_else(Limits::default, |config| config.limits);
-    // A caller that stops within its body must not delay a shutdown.
-    let wait = Duration::from_millis(limits.idle_ms.min(head.deadline_ms.unwrap_or(u64::MAX)));
+    // A caller that stops within its body must not delay a shutdown, and one whose body is slow is not idle.
+    let longest_ms = limits.idle_ms.max(limits.head_ms);
+    let wait = Duration::from_millis(longest_ms.min(head.deadline_ms.unwrap_or(u64::MAX)));
     let body = Limited::new(body, limits.body_bytes).collect();
     let Ok(body) = actix_rt::time::timeout(wait, body).await else {
         return refuse(relay, Refusal::new(Reason::BodyTimeout));
