Test: one late answer ejects a sound upstream

Cause: the moving average of actual to predicted latency takes a single answer with up to 20 times the predicted time, and passes the bound of 4 with it. A plain service predicts some 15 ms, so a silence of a second does that. Ruled out: a refusal or a lost answer by it; where no upstream is healthy all are used. Conclusion: known red until one answer alone cannot eject.

--- a/crates/plan/tests/decisions.rs
+++ b/crates/plan/tests/decisions.rs
@@ -183,6 +183,17 @@
     assert!(alone.allows(10_000, "only", 100.0));
 }
 
+/// Guards against a sound upstream that gets no requests for seconds because one answer was late: it may be silent for
+/// a second and go on. One that stays slow is ejected by the next answer.
+#[test]
+fn one_late_answer_ejects_no_upstream() {
+    let mut health = Health::default();
+    health.record_latency(1_000, 15.0, 1_500.0);
+    assert_eq!(health.status(1_000), HealthStatus::Healthy);
+    health.record_latency(2_500, 15.0, 1_500.0);
+    assert_eq!(health.status(2_500), HealthStatus::Ejected);
+}
+
 #[test]
 fn a_slow_engine_is_ejected_and_probed() {
     let mut health = Health::default();
