Ejection: one late answer ejects no sound upstream

Cause: a single answer counted with up to 20 times its predicted time, so that one request through a silence of a second moved the average of a healthy upstream past the bound of 4. Ruled out: another smoothing, which would change what slow upstreams get; the bound itself. Conclusion: a response counts with 11 times at most; a healthy average of 1.6 stays below 4, and the second late answer in a row ejects.

--- a/crates/plan/src/ejection.rs
+++ b/crates/plan/src/ejection.rs
@@ -10,6 +10,10 @@
 /// Average ratio of actual to predicted latency at which an upstream is ejected.
 const EJECTION_RATIO: f64 = 4.0;
 
+/// Bounds of the ratio that a single response counts with. One late response of a healthy upstream, which may have been
+/// silent for a second, must not reach `EJECTION_RATIO`.
+const RATIO_BOUNDS: (f64, f64) = (0.25, 11.0);
+
 /// Consecutive failures at which an upstream is ejected.
 const MAX_FAILURES: u32 = 3;
 
@@ -75,7 +79,7 @@
     /// The time between tokens indicates an engine's health better than the time to the first
     /// token, which depends mostly on its queue.
     pub fn record_latency(&mut self, now_ms: u64, predicted_ms: f64, actual_ms: f64) {
-        let ratio = (actual_ms / predicted_ms.max(1.0)).clamp(0.25, 20.0);
+        let ratio = (actual_ms / predicted_ms.max(1.0)).clamp(RATIO_BOUNDS.0, RATIO_BOUNDS.1);
         self.failures = 0;
         if self.is_probing {
             // Latency from before the ejection does not describe the upstream now.
