Reach: silent upstreams that go on are no cut path

Cause: an instance whose checks get no answer waits for word of its peers. Upstreams that were silent together go on, a peer hears them first or as soon as the instance does, and the instance takes itself for cut off although it hears them, too; data on open connections did not count. Until the next check it hands over or refuses what comes. Ruled out: counting data on open connections in every case: open ones live on while no new one can be opened. Conclusion: a check tells connections that are established and stay without an answer from those that are not (a sign of its own, so the test comes with the change); with data heard since, the first end the doubt. What is left: an instance that waits at upstreams that are still silent hears nothing itself.

--- a/crates/plan/src/inquiry.rs
+++ b/crates/plan/src/inquiry.rs
@@ -23,8 +23,10 @@
     Replaced,
     /// The connection was refused: nothing listens at the address, or the path refuses.
     Refused,
-    /// No answer came, whether or not a connection was established.
+    /// No answer came, and the connection was not established or did not last.
     Unanswered,
+    /// A connection was established and lasted, and no answer came on it.
+    Silent,
     /// It was not asked, since it wants no requests now, or the answer could not have come for another reason.
     NotAsked,
 }
@@ -35,7 +37,7 @@
     pub fn proves_path(self) -> bool {
         match self {
             Self::Answered | Self::Replaced => true,
-            Self::Refused | Self::Unanswered | Self::NotAsked => false,
+            Self::Refused | Self::Unanswered | Self::Silent | Self::NotAsked => false,
         }
     }
 }
@@ -95,7 +97,7 @@
         let was_refused = std::mem::replace(&mut self.was_refused, sign == Sign::Refused);
         let is_over = |from_ms: u64| now_ms >= from_ms + NO_SIGN_MS;
         let silent_since_ms = match sign {
-            Sign::Unanswered => Some(self.silent_since_ms.unwrap_or(now_ms)),
+            Sign::Unanswered | Sign::Silent => Some(self.silent_since_ms.unwrap_or(now_ms)),
             Sign::Answered | Sign::Replaced | Sign::Refused | Sign::NotAsked => None,
         };
         self.silent_since_ms = silent_since_ms;
@@ -103,11 +105,11 @@
             Sign::Answered => InquiryStep::Conclude(Verdict::Lives),
             Sign::Replaced => InquiryStep::Conclude(Verdict::Ended),
             Sign::Refused if was_refused => InquiryStep::Conclude(Verdict::Ended),
-            Sign::Unanswered if silent_since_ms.is_some_and(is_over) => {
+            Sign::Unanswered | Sign::Silent if silent_since_ms.is_some_and(is_over) => {
                 InquiryStep::Conclude(Verdict::Ended)
             }
             Sign::NotAsked if is_over(self.began_ms) => InquiryStep::Conclude(Verdict::Unknown),
-            Sign::Refused | Sign::Unanswered | Sign::NotAsked => {
+            Sign::Refused | Sign::Unanswered | Sign::Silent | Sign::NotAsked => {
                 let pause_ms = self.pause_ms;
                 self.pause_ms = (pause_ms * 2).min(MAX_PAUSE_MS);
                 InquiryStep::AskAgain(pause_ms)
--- a/crates/plan/src/reach.rs
+++ b/crates/plan/src/reach.rs
@@ -39,6 +39,8 @@
     failing_since_ms: Option<u64>,
     /// Upstreams found unreachable since then.
     failed: usize,
+    /// Whether the last of them accepted connections and only gave no answer.
+    is_silence: bool,
     /// When a peer last heard an upstream.
     peers_heard_ms: Option<u64>,
     /// When this instance was last cut off.
@@ -81,17 +83,33 @@
     /// Records that an upstream answered on a connection that was opened since the first failure, which ends any
     /// doubt. A connection that was merely established does not: it may be reset before its request is read.
     pub fn record_proven(&mut self, now_ms: u64) {
+        self.record_heard(now_ms);
+        self.end_doubt(now_ms);
+    }
+
+    fn end_doubt(&mut self, now_ms: u64) {
         if self.state == ReachState::CutOff {
             self.cut_off_ms = Some(now_ms);
         }
-        self.record_heard(now_ms);
         self.state = ReachState::Reached;
         self.failing_since_ms = None;
         self.failed = 0;
     }
 
+    /// Records that `failed` upstreams, of `known`, accepted connections and gave no answer to attempts that began at
+    /// `began_ms`: their path may pass one direction only, or they may be silent for a moment.
+    pub fn record_silent(&mut self, now_ms: u64, began_ms: u64, failed: usize, known: usize) {
+        self.is_silence = true;
+        self.record_failed(now_ms, began_ms, failed, known);
+    }
+
     /// Records that `failed` upstreams, of `known`, were found unreachable by attempts that began at `began_ms`.
     pub fn record_unreachable(&mut self, now_ms: u64, began_ms: u64, failed: usize, known: usize) {
+        self.is_silence = false;
+        self.record_failed(now_ms, began_ms, failed, known);
+    }
+
+    fn record_failed(&mut self, now_ms: u64, began_ms: u64, failed: usize, known: usize) {
         self.failing_since_ms.get_or_insert(began_ms);
         self.failed = self.failed.max(failed);
         if self.state == ReachState::Reached && self.failed >= known.clamp(1, TELLING_UPSTREAMS) {
@@ -111,12 +129,18 @@
         let Some(since_ms) = self.failing_since_ms else {
             return;
         };
+        // Connections open and data comes, so the path passes both directions: silent upstreams went on.
+        let told_ms = since_ms + EVIDENCE_MARGIN_MS;
+        if self.is_silence && self.heard_ms.is_some_and(|heard_ms| heard_ms >= told_ms) {
+            self.end_doubt(now_ms);
+            return;
+        }
         if !matches!(self.state, ReachState::Suspected | ReachState::Down) {
             return;
         }
         let is_heard_by_peers = self
             .peers_heard_ms
-            .is_some_and(|heard_ms| heard_ms >= since_ms + EVIDENCE_MARGIN_MS);
+            .is_some_and(|heard_ms| heard_ms >= told_ms);
         if is_heard_by_peers {
             self.state = ReachState::CutOff;
         } else if now_ms >= since_ms + EVIDENCE_WAIT_MS {
--- a/crates/plan/tests/reach.rs
+++ b/crates/plan/tests/reach.rs
@@ -38,6 +38,35 @@
     assert!(reach.was_cut_off_since(1_900) && !reach.was_cut_off_since(2_100));
 }
 
+/// Guards against an instance that takes itself for cut off because upstreams that were silent go on, and peers hear
+/// them too. Where no connection is established, data on open ones shows nothing.
+#[test]
+fn silent_upstreams_that_go_on_are_no_cut() {
+    let went_on = |record: fn(&mut Reach, u64, u64, usize, usize)| {
+        let mut reach = Reach::default();
+        reach.record_proven(0);
+        record(&mut reach, 1_300, 1_000, 3, KNOWN);
+        let before = reach.state();
+        reach.record_heard(1_400);
+        reach.record_peers_heard(1_450, 1_400);
+        (before, reach.state())
+    };
+    let silent = went_on(Reach::record_silent);
+    assert_eq!(silent, (ReachState::Suspected, ReachState::Reached));
+    let unreachable = went_on(Reach::record_unreachable);
+    assert_eq!(unreachable, (ReachState::Suspected, ReachState::CutOff));
+}
+
+/// Guards against a path that passes requests only and is taken for sound: nothing is heard on it.
+#[test]
+fn a_path_on_which_no_answer_comes_back_is_cut() {
+    let mut reach = Reach::default();
+    reach.record_proven(900);
+    reach.record_silent(1_300, 1_000, 3, KNOWN);
+    reach.record_peers_heard(1_450, 1_400);
+    assert_eq!(reach.state(), ReachState::CutOff);
+}
+
 /// Guards against an instance that takes single failing upstreams for a cut, and against a service of one upstream
 /// that never counts as cut off.
 #[test]
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -99,7 +99,7 @@
     let found = loop {
         let asked_ms = relay.now_ms();
         let mut sign = ask(relay, upstream).await;
-        if matches!(sign, Sign::Refused | Sign::Unanswered) {
+        if matches!(sign, Sign::Refused | Sign::Unanswered | Sign::Silent) {
             upstream.note_unproven(relay.now_ms());
             upstream.note_unreachable(relay.now_ms());
             suspect_path(relay, &upstream.service, asked_ms);
--- a/crates/relay/src/inquiry.rs
+++ b/crates/relay/src/inquiry.rs
@@ -54,7 +54,9 @@
         Ok(Err(ExchangeError::Connect {
             is_refused: true, ..
         })) => Sign::Refused,
-        Ok(Err(_)) | Err(_) => Sign::Unanswered,
+        Ok(Err(_)) => Sign::Unanswered,
+        // A connection that is not established ends the attempt earlier.
+        Err(_) => Sign::Silent,
     };
     if sign == Sign::Answered {
         upstream.note_proven();
--- a/crates/relay/src/path_check.rs
+++ b/crates/relay/src/path_check.rs
@@ -152,15 +152,17 @@
     let (relay, service) = (Rc::clone(relay), service.to_owned());
     actix_rt::spawn(async move {
         let (targets, askable) = targets(&relay, &service, began_ms);
-        let is_reached = reaches_any(&relay, &targets).await;
+        let found = ask_all(&relay, &targets).await;
         relay.update_path(&service, |now_ms, path| {
             path.is_checking = false;
             path.is_awaited = false;
-            if is_reached {
-                path.reach.record_proven(now_ms);
-            } else if !targets.is_empty() {
-                path.reach
-                    .record_unreachable(now_ms, began_ms, targets.len(), askable);
+            let failed = targets.len();
+            let reach = &mut path.reach;
+            match found {
+                Found::Nobody => {}
+                Found::Reached => reach.record_proven(now_ms),
+                Found::Silent => reach.record_silent(now_ms, began_ms, failed, askable),
+                Found::Unreachable => reach.record_unreachable(now_ms, began_ms, failed, askable),
             }
         });
         relay.reachability.changed.notify_waiters();
@@ -207,8 +209,24 @@
     (all, askable)
 }
 
+/// What a check found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Found {
+    /// There was nobody to ask.
+    Nobody,
+    /// An upstream answered.
+    Reached,
+    /// All accepted connections and gave no answer.
+    Silent,
+    /// None answered.
+    Unreachable,
+}
+
 /// Asks each upstream, one shortly after the other, until one answers.
-async fn reaches_any(relay: &Relay, targets: &[Rc<Upstream>]) -> bool {
+async fn ask_all(relay: &Relay, targets: &[Rc<Upstream>]) -> Found {
+    if targets.is_empty() {
+        return Found::Nobody;
+    }
     let attempt = |(number, target): (usize, &Rc<Upstream>)| {
         let target = Rc::clone(target);
         async move {
@@ -218,10 +236,13 @@
         }
     };
     let mut attempts: FuturesUnordered<_> = targets.iter().enumerate().map(attempt).collect();
+    let mut found = Found::Silent;
     while let Some(sign) = attempts.next().await {
-        if Sign::proves_path(sign) {
-            return true;
+        match sign {
+            Sign::Answered | Sign::Replaced => return Found::Reached,
+            Sign::Silent => {}
+            Sign::Unanswered | Sign::Refused | Sign::NotAsked => found = Found::Unreachable,
         }
     }
-    false
+    found
 }
