Streams: before the first event a peer may go on with a stream at any version

What callers saw: a truncated stream without an event, where the instance was cut off between the answer's head and its first event. Cause: the version that the peer names was compared with that of the stream, which is fixed by the first event only. Class: an answer that is at hand is given up. Ruled out: fixing the version with the head; nothing of the stream is there yet that a version could not go on with.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -528,8 +528,9 @@
         else {
             return Resumed::Failed;
         };
-        // An instance of an older build does not ask for the version.
-        let is_other = at_peer.version != call.began_version.get();
+        // An instance of an older build does not ask for the version. Before the first event any will do.
+        let began_version = call.began_version.get();
+        let is_other = began_version.is_some() && at_peer.version != began_version;
         if response.status() != StatusCode::OK || is_other {
             return Resumed::Failed;
         }
