Review: a peer's silence is the peer's to judge, and a connection that is opened in vain does not count

A stream that a peer serves was looked for again at the same peer after its silence; a rejected hand-over left the call marked as handed over; a pool counted a connection as open before the last wait of opening it, so a send that was dropped then used up a connection for good. Ruled out, after the same review: bounding the time in which two engines have a stream by dropping the newcomer; a stream goes on at the other engine with its first token, which is when its head comes and the silent one is dropped. Tests taken over: a read whose upstream stays silent is answered elsewhere (fails with the asking taken out, by the reviewer's run); the request that lies unread now waits for longer than the limit and the grace together. Open: an engine that was asked in vain while the silent one went on is not asked again if that one breaks off later.

--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -414,19 +414,16 @@
             log::debug!(peer:%, error:%; "connection ended");
         }
     });
+    // The task has to run once before the connection accepts a request. An error is ignored: the send will fail too, with
+    // the request unsent. It counts as open only after the wait, since a caller that leaves meanwhile drops it.
+    let _ = sender.ready().await;
     pool.open.set(pool.open.get() + 1);
-    let connection = Connection {
-        sender: {
-            // The task has to run once before the connection accepts a request. An error is ignored:
-            // the send will fail too, with the request unsent.
-            let _ = sender.ready().await;
-            sender
-        },
+    Ok(Connection {
+        sender,
         task,
         began_ms,
         idle_until_ms: 0,
-    };
-    Ok(connection)
+    })
 }
 
 /// Time for which the connection may idle after this answer, in ms; 0 if the peer closes it.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -84,15 +84,6 @@
         }
     }
 
-    /// Silence after which another source is looked for. A peer does so itself, and is given the time for it.
-    fn max_silence_ms(&self, call: &Call) -> u64 {
-        let silence_ms = (call.route.gap_goal_ms * MAX_SILENT_GAPS).max(MIN_SILENCE_MS);
-        match self {
-            Self::Engine(_) => silence_ms,
-            Self::Peer(_) => 2 * silence_ms,
-        }
-    }
-
     fn note_activity(&self, now_ms: u64) {
         if let Self::Engine(guard) = self {
             guard.upstream().note_activity(now_ms);
@@ -312,13 +303,13 @@
         };
         let may_resume = self.call.route.is_retryable()
             && self.call.attempts.get() < self.call.route.max_attempts;
-        let silent_ms = source.origin.max_silence_ms(&self.call);
-        let wait_ms = if may_resume {
-            left_ms.min(silent_ms)
-        } else {
-            left_ms
-        };
+        // A peer looks for another engine itself.
         let engine = source.origin.engine().filter(|_| may_resume);
+        let silent_ms = (self.call.route.gap_goal_ms * MAX_SILENT_GAPS).max(MIN_SILENCE_MS);
+        let wait_ms = match &engine {
+            Some(_) => left_ms.min(silent_ms),
+            None => left_ms,
+        };
         let pause = Duration::from_millis(self.look_again_ms.saturating_sub(now_ms));
         let path_cut = async {
             actix_rt::time::sleep(pause).await;
@@ -532,6 +523,7 @@
         let began_version = call.began_version.get();
         let is_other = began_version.is_some() && at_peer.version != began_version;
         if response.status() != StatusCode::OK || is_other {
+            call.is_handed_over.set(false);
             return Resumed::Failed;
         }
         if self.relay.failure_log_limit.take(self.relay.now_ms()) {
--- a/crates/relay/tests/kept_connections.rs
+++ b/crates/relay/tests/kept_connections.rs
@@ -146,7 +146,7 @@
     assert_eq!(caller.ask().await.as_deref(), Some("200"));
     sleep_ms(300).await;
     caller.send(0, "").await;
-    std::thread::sleep(Duration::from_millis(300));
+    std::thread::sleep(Duration::from_millis(3_500));
     assert_eq!(caller.status().await.as_deref(), Some("200"));
 }
 
--- a/crates/relay/tests/silent_upstreams.rs
+++ b/crates/relay/tests/silent_upstreams.rs
@@ -223,6 +223,19 @@
     assert_eq!(status.await, 200);
 }
 
+/// Guards against a read that waits for a silent upstream alone although another one is sound.
+#[actix_rt::test]
+async fn a_read_whose_upstream_stays_silent_is_answered_elsewhere() {
+    let first = StubUpstream::start(|_| vec![Action::Wait(10_000)]);
+    let other = StubUpstream::start(|received| received.response("200 OK", "", "ok"));
+    let instance = TestInstance::start(vec![
+        first.entry("one", "desk", Stage::Whole),
+        in_other_zone(other.entry("two", "desk", Stage::Whole)),
+    ]);
+    let (status, _) = instance.fetch(read_request(1)).await;
+    assert_eq!((status, first.count(), other.count()), (200, 1, 1));
+}
+
 /// Guards against a stream that is cut because its silent engine ended while another one was about to answer.
 #[actix_rt::test]
 async fn a_silent_engine_that_ends_does_not_end_the_search_for_another() {
