Failing test: one part of prompts ends engine after engine

Cause: ends are held against whole requests (`view::poison`, a hash of host, method, path and body). Requests that share a part and nothing else never meet there, so each may end two engines.

Ruled out: that the requests are repeats (paths, bodies and last parts differ in the test); that gossip is missing (the same at one and at four instances).

After: no mend yet.

Conclusion: evidence has to be kept by part.

--- /dev/null
+++ b/crates/relay/tests/bad_parts.rs
@@ -0,0 +1,212 @@
+//! Prompt parts that crash every engine that begins to write an answer on them.
+//!
+//! Requests with such a part come at any instance, no two alike: path, body and last part differ, so that nothing but
+//! the part tells them from sound ones, which share their first part.
+
+mod common;
+
+use std::cell::Cell;
+use std::rc::Rc;
+
+use bytes::Bytes;
+use common::{Action, Ending, ReceivedRequest, StubUpstream, TestInstance, config, meet, request};
+use http::{HeaderValue, Method, Request};
+use http_body_util::Full;
+use relay::config::{Config, Limits, Route};
+use relay::upstream::{Stage, UpstreamEntry};
+use relay::upstreams::ListChange;
+
+/// Part of each prompt of these tests, and the part that engines do not survive.
+const FIRST_PART: u64 = 7;
+const BAD_PART: u64 = 9;
+
+/// Engines and requests of each kind.
+const ENGINES: usize = 16;
+const BAD_REQUESTS: usize = 20;
+
+/// Most crashes until the part is refused, and most requests with it that reach engines afterwards.
+const MAX_CRASHES: usize = 5;
+const MAX_LATE: usize = 3;
+
+/// Time after which a restarted engine is listed again, in ms.
+const LISTED_MS: u64 = 60;
+
+/// A generation whose body, path and last part are its own.
+fn generation(id: usize, middle: u64) -> Request<Full<Bytes>> {
+    let mut req = request(Method::POST, &format!("/grades/{id}"), &id.to_string());
+    *req.body_mut() = Full::from(format!("question {id}"));
+    let prompt = format!("{FIRST_PART}:50,{middle}:30,{}:40", 1_000 + id);
+    let prompt = HeaderValue::from_str(&prompt).expect("a valid value");
+    req.headers_mut().insert("x-prompt", prompt);
+    req
+}
+
+fn bad_generation(id: usize) -> Request<Full<Bytes>> {
+    generation(id, BAD_PART)
+}
+
+/// A sound one, in one of four sessions.
+fn sound_generation(id: usize) -> Request<Full<Bytes>> {
+    generation(id, 20 + (id % 4) as u64)
+}
+
+fn has_bad_part(received: &ReceivedRequest) -> bool {
+    let prompt = received.header("x-prompt").unwrap_or_default();
+    prompt.contains(&format!(",{BAD_PART}:"))
+}
+
+/// Begins the answer to each request; the process ends where the bad part is in the prompt.
+fn crash_on_bad_part(received: &ReceivedRequest) -> Vec<Action> {
+    let events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+    let head = "content-type: text/event-stream\r\n";
+    let whole = received.response_text("200 OK", head, events);
+    let (head, events) = whole.split_at(whole.len() - events.len());
+    if has_bad_part(received) {
+        return vec![
+            Action::Write(head.to_owned()),
+            Action::Wait(10),
+            Action::Crash,
+        ];
+    }
+    let (first, second) = events.split_at(events.len() / 2);
+    vec![
+        Action::Write(format!("{head}{first}")),
+        Action::Wait(10),
+        Action::Write(second.to_owned()),
+    ]
+}
+
+/// A fleet of engines with instances before it.
+struct Fleet {
+    engines: Vec<StubUpstream>,
+    instances: Vec<Rc<TestInstance>>,
+    ending: Ending,
+    next: Cell<usize>,
+}
+
+impl Fleet {
+    async fn start(instances: usize, ending: Ending) -> Self {
+        let start = |_| StubUpstream::start_ending(ending, crash_on_bad_part);
+        let engines: Vec<StubUpstream> = (0..ENGINES).map(start).collect();
+        let mut all = Vec::new();
+        for index in 0..instances {
+            let name = format!("i{index}");
+            let instance = TestInstance::start_peer(&name, "here", entries(&engines)).await;
+            assert!(instance.relay.configure(three_attempts()));
+            all.push(Rc::new(instance));
+        }
+        meet(&all.iter().map(Rc::as_ref).collect::<Vec<_>>()).await;
+        Self {
+            engines,
+            instances: all,
+            ending,
+            next: Cell::new(0),
+        }
+    }
+
+    /// Sends a request to the next instance, and tells whether it got a whole answer.
+    async fn fetch(&self, req: Request<Full<Bytes>>) -> bool {
+        let next = self.next.replace(self.next.get() + 1);
+        let instance = &self.instances[next % self.instances.len()];
+        let (status, body) = instance.fetch(req).await;
+        status == 200 && body.is_some_and(|body| body.contains("data: 2"))
+    }
+
+    fn crashes(&self) -> usize {
+        self.engines.iter().map(StubUpstream::crash_count).sum()
+    }
+
+    /// Requests with the bad part that engines received.
+    fn bad_received(&self) -> usize {
+        let received = self.engines.iter().map(|engine| {
+            let received = engine.received.borrow();
+            received.iter().filter(|each| has_bad_part(each)).count()
+        });
+        received.sum()
+    }
+
+    /// Lists engines that are back as new incarnations.
+    async fn relist(&self) {
+        if !matches!(self.ending, Ending::Restart(_)) {
+            return;
+        }
+        actix_rt::time::sleep(std::time::Duration::from_millis(LISTED_MS)).await;
+        for instance in &self.instances {
+            for entry in entries(&self.engines) {
+                let change = ListChange::Put(entry);
+                instance.relay.apply_change(change, relay::Origin::Read);
+            }
+        }
+    }
+}
+
+fn entries(engines: &[StubUpstream]) -> Vec<UpstreamEntry> {
+    let entry = |(index, stub): (usize, &StubUpstream)| UpstreamEntry {
+        started_ms: 1 + stub.crash_count() as u64,
+        ..stub.entry(&format!("u{index}"), "llm", Stage::Decode)
+    };
+    engines.iter().enumerate().map(entry).collect()
+}
+
+/// The usual configuration with three attempts on each route.
+fn three_attempts() -> Config {
+    let default = config(2);
+    let routes = default.all_routes().cloned().map(|route| Route {
+        max_attempts: 3,
+        ..route
+    });
+    let services = default.services().clone();
+    Config::new(2, routes.collect(), services, Limits::default())
+}
+
+/// Sends bad requests with sound ones beside and between them, and checks the bounds.
+async fn bad_part_is_refused(instances: usize, ending: Ending) {
+    let fleet = Fleet::start(instances, ending).await;
+    let mut received_at_bound = None;
+    let mut unserved = Vec::new();
+    for id in 0..BAD_REQUESTS {
+        let beside = sound_generation(100 + id);
+        let (_, _) =
+            futures_util::future::join(fleet.fetch(bad_generation(id)), fleet.fetch(beside)).await;
+        fleet.relist().await;
+        for alone in [200 + 2 * id, 201 + 2 * id] {
+            if !fleet.fetch(sound_generation(alone)).await {
+                unserved.push(alone);
+            }
+        }
+        if fleet.crashes() >= MAX_CRASHES && received_at_bound.is_none() {
+            received_at_bound = Some(fleet.bad_received());
+        }
+    }
+    let late = received_at_bound.map_or(0, |before| fleet.bad_received() - before);
+    let found = format!(
+        "{} crashes, {late} requests with the part after the fifth, sound ones not served: {unserved:?}",
+        fleet.crashes()
+    );
+    let is_bounded = fleet.crashes() <= MAX_CRASHES + MAX_LATE && late <= MAX_LATE;
+    assert!(is_bounded && unserved.is_empty(), "{found}");
+}
+
+/// Guards against a prompt part that takes down all engines, one request after the other.
+#[actix_rt::test]
+async fn a_bad_part_does_not_take_down_the_fleet() {
+    bad_part_is_refused(1, Ending::AtOnce).await;
+}
+
+/// Guards against the same where engines come back, so that it goes on for as long as such requests come.
+#[actix_rt::test]
+async fn a_bad_part_does_not_keep_ending_engines_that_come_back() {
+    bad_part_is_refused(1, Ending::Restart(40)).await;
+}
+
+/// Guards against counting anew at each instance.
+#[actix_rt::test]
+async fn crashes_under_a_part_are_gossiped() {
+    bad_part_is_refused(4, Ending::AtOnce).await;
+}
+
+/// Guards against the same with engines that come back.
+#[actix_rt::test]
+async fn crashes_under_a_part_are_gossiped_where_engines_come_back() {
+    bad_part_is_refused(4, Ending::Restart(40)).await;
+}
