Model: prompt parts that end upstreams are accused by ends, cleared by answers, convicted by a trial

Ruled out (docs/design/prompt-parts.md): refusing from the third end on (no way back), shares of answers by part (grow with traffic, too late), refusing the first part, caller or route, one line for all accused parts, bisecting with engines set aside.

--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -94,6 +94,36 @@
     }
 }
 
+/// A part of prompts, by a hash of its id.
+///
+/// Two of a million parts share a key in about one of forty million fleets.
+#[derive(
+    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
+)]
+pub struct PartKey(#[serde(with = "postcard::fixint::le")] pub u64);
+
+/// Keeps keys of parts apart from those of requests.
+const PART_SEED: u64 = 0x7061_7274;
+
+impl PartKey {
+    /// The key of a part with this id.
+    pub fn of(id: u64) -> Self {
+        Self(xxh3_64_with_seed(&id.to_le_bytes(), PART_SEED))
+    }
+
+    /// The key under which all requests with this part are refused once it is known to end upstreams, so that it is
+    /// told, kept and forgotten like a poison request.
+    pub fn request_key(self) -> RequestKey {
+        RequestKey(self.0)
+    }
+}
+
+impl Display for PartKey {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        self.request_key().fmt(formatter)
+    }
+}
+
 impl FromStr for RequestKey {
     type Err = ParseIntError;
 
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -20,16 +20,21 @@
 pub mod log_follower;
 pub mod members;
 pub mod message;
+pub mod part_losses;
+pub mod parts;
 pub mod poison;
 pub mod polling;
 pub mod queue;
+pub mod sound_parts;
 pub mod stream_origin;
 
 pub use clock::FleetClock;
 pub use demand::ServiceDemand;
 pub use entry::{ListChange, Stage, UpstreamEntry, UpstreamState};
 pub use gossip::{ChangedLoads, GossipState, LocalState};
-pub use key::{InstanceKey, RequestKey, ServiceKey, UpstreamKey, VersionKey, WorkspaceKey};
+pub use key::{
+    InstanceKey, PartKey, RequestKey, ServiceKey, UpstreamKey, VersionKey, WorkspaceKey,
+};
 pub use list_changes::{GossipedChange, RecentChanges};
 pub use load::Load;
 pub use log_follower::{ListedEntries, LogFollower, LogPosition, ReadId};
@@ -38,6 +43,8 @@
     GossipMessage, MessageError, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart,
     ServiceHeard, Tally, Unreached, UpstreamLimit, decode, encode,
 };
+pub use part_losses::{AnswerProgress, Suspicion};
+pub use parts::{PartEvidence, PartTracker, PartVerdict};
 pub use poison::{FailureEvidence, PoisonTracker};
 pub use queue::{PrefillQueue, RANKS};
 pub use stream_origin::{OriginMessage, StreamKey};
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
 pub mod log;
+pub mod part_storm;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
