Sight of lost answers on prompts: how far the answer had come, its events, and the keys of its parts

Ruled out: more fields on `answer lost` and `stream interrupted`, which come from three places with different knowledge; one line at the place where all losses meet has both.

Conclusion: what the part's detection rests on can be read from the lines. The progress of an answer is kept at its call.

--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -14,6 +14,7 @@
 use crate::answer::{Reason, Refusal};
 use crate::call::Call;
 use crate::inquiry::ask;
+use crate::part_evidence::log_lost_parts;
 use crate::path_check::{suspect_path, suspect_path_after_loss};
 use crate::reachability::settle;
 use crate::relay::Relay;
@@ -64,6 +65,7 @@
 ///
 /// While this instance is cut off from the service, the loss says nothing about either.
 pub fn note_lost_answer(relay: &Rc<Relay>, call: &Call, upstream: &Rc<Upstream>) {
+    log_lost_parts(relay, call, upstream);
     if !relay.note_loss(call, upstream) {
         return;
     }
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -8,13 +8,14 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
-use view::{RequestKey, VersionKey};
+use view::{AnswerProgress, PartKey, RequestKey, VersionKey};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::access::Admitted;
 use crate::config::{Route, Workspace};
 use crate::dialect::{Dialect, RequestHead, SendOptions};
 use crate::handover::{Handover, Spent};
+use crate::part_evidence::shared_parts;
 use crate::relay::Relay;
 use crate::urgency::Urgency;
 
@@ -71,6 +72,11 @@
     pub current_upstream: RefCell<String>,
     /// Version of the only upstreams that may go on with its stream; none before an event of the stream is known.
     pub(crate) began_version: Cell<Option<VersionKey>>,
+    /// The parts of its prompt that other requests may have as well.
+    pub(crate) shared_parts: Vec<PartKey>,
+    /// How far the answer to its last send has come, and the number of its events.
+    pub(crate) progress: Cell<AnswerProgress>,
+    pub(crate) events: Cell<u32>,
     /// Whether a peer that is cut off from upstreams handed it over; it goes no further then.
     pub is_taken_over: Cell<bool>,
     /// Whether it was handed over to a peer, which counts it from then on.
@@ -121,6 +127,7 @@
         if let Some(workspace) = &workspace {
             dialect.write_workspace(&mut headers, &workspace.name);
         }
+        let shared_parts = shared_parts(head.prompt.as_ref());
         Some(Self {
             route,
             workspace,
@@ -142,6 +149,9 @@
             is_sent: Cell::default(),
             current_upstream: RefCell::default(),
             began_version: Cell::default(),
+            shared_parts,
+            progress: Cell::default(),
+            events: Cell::default(),
             is_taken_over: Cell::default(),
             is_handed_over: Cell::default(),
             is_first_counted: Cell::default(),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod logging;
 pub mod metrics;
 pub mod own_request;
+pub mod part_evidence;
 pub mod path_check;
 pub mod placement;
 pub mod pool;
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -11,6 +11,7 @@
 use crate::call::Call;
 use crate::config::RouteKind;
 use crate::dialect::{ResponseHead, SendOptions, Step};
+use crate::part_evidence::{note_send_result, note_sent};
 use crate::path_check::suspect_path;
 use crate::placement::DEFAULT_ANSWER_MS;
 use crate::pool::{ExchangeError, Exchanged, PooledConnection, exchange};
@@ -77,6 +78,7 @@
     call.attempts.set(call.attempts.get() + 1);
     call.possible_runs.set(call.possible_runs.get() + 1);
     call.current_upstream.borrow_mut().clone_from(&upstream.id);
+    note_sent(call);
     let began_ms = relay.now_ms();
     let sent = match exchange_with(relay, call, upstream, request).await {
         Ok((response, connection)) => {
@@ -85,6 +87,7 @@
         Err(error @ ExchangeError::Lost { .. }) => SendResult::Lost(error.to_string()),
         Err(error) => SendResult::Unsent(error),
     };
+    note_send_result(call, &sent);
     match &sent {
         SendResult::Answer(checked) => {
             let settings = relay.settings.borrow().singleton_tasks;
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::forward::{count_answer, may_retry};
 use crate::framing::{Framing, StreamEnd};
 use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over, send_unless_cut_off};
+use crate::part_evidence::note_event;
 use crate::placement;
 use crate::pool::{Exchanged, PooledConnection};
 use crate::reachability::cut_off_from;
@@ -281,6 +282,7 @@
 
     fn queue(&mut self, bytes: Bytes) {
         if !bytes.is_empty() {
+            note_event(&self.call);
             self.ready.push_back(bytes);
         }
     }
