A prompt part that ends engine after engine is held after two ends and convicted by one trial

Cause: ends were held against whole requests only, so requests that share a part and nothing else each ended two engines.

Wiring: `view::parts` is told of second events and whole ends, of losses with the progress of their answers, and of ends of upstreams; `ensure_not_poison` asks it before each send of each step and waits, within its bounds, for a running trial. The trial goes to the engine with the least to do, once. Evidence goes through the hubs (datagram format 10); the store's record has the number of failed trials. The test of the unknown format names 11 now, as strict as before.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -165,6 +165,9 @@
     /// It is not known yet whether upstreams that lost its answer have ended.
     #[display("upstreams may have ended under this request")]
     InDoubt,
+    /// A part of its prompt may end upstreams, and another request is the trial that tells.
+    #[display("upstreams may end under a part of the prompt")]
+    HeldPart,
     /// The request was sent, and no complete answer came.
     #[display("the upstream's answer was lost")]
     Lost,
@@ -198,6 +201,7 @@
             Self::Rejected => "rejected",
             Self::PoisonRequest => "poisonous",
             Self::InDoubt => "in_doubt",
+            Self::HeldPart => "held_part",
             Self::Lost => "lost",
             Self::TimedOut => "timed_out",
         }
@@ -223,7 +227,8 @@
             | Self::HelperBusy
             | Self::Rejected
             | Self::PoisonRequest
-            | Self::InDoubt => StatusCode::SERVICE_UNAVAILABLE,
+            | Self::InDoubt
+            | Self::HeldPart => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
             Self::NoKey => StatusCode::UNAUTHORIZED,
             Self::Malformed => StatusCode::BAD_REQUEST,
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -14,7 +14,7 @@
 use crate::answer::{Reason, Refusal};
 use crate::call::Call;
 use crate::inquiry::ask;
-use crate::part_evidence::log_lost_parts;
+use crate::part_evidence::{PartStep, log_lost_parts};
 use crate::path_check::{suspect_path, suspect_path_after_loss};
 use crate::reachability::settle;
 use crate::relay::Relay;
@@ -28,10 +28,12 @@
 const MAX_WAIT_MS: u64 = 500;
 const MAX_WAIT_FRACTION: u64 = 3;
 
-/// Retry delay sent to a caller whose request waits for inquiries, in ms: most upstreams that end have ended by then.
-const IN_DOUBT_RETRY_MS: u64 = 1_000;
+/// Retry delay sent to a caller whose request waits for inquiries or for the trial of a prompt part, in ms: most
+/// upstreams that end have ended by then.
+pub(crate) const IN_DOUBT_RETRY_MS: u64 = 1_000;
 
-/// Refuses a poison request, which terminates the upstreams that run it.
+/// Refuses a poison request, which terminates the upstreams that run it, and a request with a prompt part that may do
+/// so, unless it is the part's trial.
 ///
 /// Called before each send: a prompt may wait for seconds between two sends, and other instances may have
 /// identified it meanwhile. If the connection to an upstream was lost just now, this waits until it is known whether
@@ -42,11 +44,15 @@
     loop {
         relay.check_poison(call)?;
         inquire_into_losses(relay, call);
-        if !relay.waits_for_inquiry(call) {
-            return Ok(());
-        }
+        let reason = if relay.waits_for_inquiry(call) {
+            Reason::InDoubt
+        } else {
+            match relay.part_step(call)? {
+                PartStep::Send => return Ok(()),
+                PartStep::Wait => Reason::HeldPart,
+            }
+        };
         if relay.now_ms() >= began_ms + wait_ms {
-            let reason = Reason::InDoubt;
             return Err(Refusal::with_retry_after(reason, IN_DOUBT_RETRY_MS));
         }
         actix_rt::time::sleep(Duration::from_millis(INQUIRY_POLL_MS)).await;
@@ -69,6 +75,7 @@
     if !relay.note_loss(call, upstream) {
         return;
     }
+    relay.note_lost_parts(call, upstream);
     relay.record_attribution(FailureEvidence::Lost {
         request: call.key,
         upstream: upstream.key,
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -15,7 +15,7 @@
 use crate::config::{Route, Workspace};
 use crate::dialect::{Dialect, RequestHead, SendOptions};
 use crate::handover::{Handover, Spent};
-use crate::part_evidence::shared_parts;
+use crate::part_evidence::{PartTrial, shared_parts};
 use crate::relay::Relay;
 use crate::urgency::Urgency;
 
@@ -77,6 +77,8 @@
     /// How far the answer to its last send has come, and the number of its events.
     pub(crate) progress: Cell<AnswerProgress>,
     pub(crate) events: Cell<u32>,
+    /// The trial of one of these parts that it is.
+    pub(crate) part_trial: Cell<Option<PartTrial>>,
     /// Whether a peer that is cut off from upstreams handed it over; it goes no further then.
     pub is_taken_over: Cell<bool>,
     /// Whether it was handed over to a peer, which counts it from then on.
@@ -152,6 +154,7 @@
             shared_parts,
             progress: Cell::default(),
             events: Cell::default(),
+            part_trial: Cell::default(),
             is_taken_over: Cell::default(),
             is_handed_over: Cell::default(),
             is_first_counted: Cell::default(),
@@ -286,6 +289,7 @@
             let settings = self.relay.settings.borrow().singleton_tasks;
             self.relay.singleton_tasks.count_unanswered(settings, self);
         }
+        self.relay.abandon_part_trial(self);
         if self.is_finished.get() {
             return;
         }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -49,6 +49,27 @@
     }
 }
 
+/// Metrics of prompt parts that may end upstreams.
+pub struct PartMetrics {
+    /// Parts whose requests are only sent as trials, and parts whose requests are refused.
+    pub suspected: IntGaugeVec,
+    /// Trials by this instance, by outcome.
+    pub trials: IntCounterVec,
+}
+
+impl PartMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            suspected: all.gauges(
+                "suspected_parts",
+                "Prompt parts that may end upstreams.",
+                &["state"],
+            ),
+            trials: all.counter("part_trials_total", "Trials of prompt parts.", &["outcome"]),
+        }
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -120,6 +141,8 @@
     pub instances: IntGauge,
     /// Known poison requests, which are refused.
     pub poison_requests: IntGauge,
+    /// Prompt parts that may end upstreams.
+    pub parts: PartMetrics,
     /// Requests whose answers are not complete yet.
     pub in_flight: IntGauge,
     /// Calls of singleton tasks to the platform, by call and outcome.
@@ -270,6 +293,7 @@
             upstreams: all.gauge("upstreams", "Upstreams in use."),
             instances: all.gauge("instances", "Instances ready."),
             poison_requests: all.gauge("poisonous", "Known poison requests."),
+            parts: PartMetrics::new(&all),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
             store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -353,10 +353,11 @@
     let now_ms = relay.now_ms();
     let tokens = f64::from(prompt.input_tokens);
     let model = relay.estimates.latency_model(now_ms, &call.service);
-    let engines = own_subset(
-        relay,
-        &candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]),
-    );
+    let all = candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]);
+    let engines = match call.part_trial.get() {
+        Some(_) => least_loaded(&all, now_ms),
+        None => own_subset(relay, &all),
+    };
     let decode_request = DecodeRequest {
         prompt_tokens: tokens,
         slot_turnover_ms: SLOT_TURNOVER_MS,
@@ -395,6 +396,15 @@
     })
 }
 
+/// The engine with the least to do: one that may end takes its answers along.
+fn least_loaded(engines: &[Rc<Upstream>], now_ms: u64) -> Vec<Rc<Upstream>> {
+    let load = |engine: &&Rc<Upstream>| engine.load(now_ms);
+    let least = engines
+        .iter()
+        .min_by(|one, other| load(one).total_cmp(&load(other)));
+    least.into_iter().cloned().collect()
+}
+
 /// Cost of the connection that a request needs; zero if an idle one is open.
 fn connection_cost_ms(upstream: &Upstream) -> f64 {
     if upstream.pool.has_idle() {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod list;
+mod parts;
 mod peers;
 mod poison;
 mod retries;
@@ -18,7 +19,9 @@
 use tick::{Clock, since_boot_ms};
 use view::gossip::GossipState;
 use view::hubs::HubRanking;
-use view::{InstanceKey, ListedEntries, LogFollower, Members, PoisonTracker, PrefilledPart};
+use view::{
+    InstanceKey, ListedEntries, LogFollower, Members, PartTracker, PoisonTracker, PrefilledPart,
+};
 
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
@@ -111,6 +114,7 @@
     /// Estimates learned from requests and answers.
     pub estimates: Estimates,
     poison_tracker: RefCell<PoisonTracker>,
+    part_tracker: RefCell<PartTracker>,
     /// Role orders to engines.
     pub role_orders: RoleOrders,
     /// Tasks that one instance performs for the fleet.
@@ -158,6 +162,7 @@
             retries: RefCell::default(),
             estimates: Estimates::default(),
             poison_tracker: RefCell::default(),
+            part_tracker: RefCell::default(),
             role_orders,
             singleton_tasks,
             reachability: Reachability::default(),
@@ -257,6 +262,7 @@
         metrics
             .poison_requests
             .set(self.poison_requests().len().cast_signed() as i64);
+        self.set_part_gauges();
         let settings = self.settings.borrow().retry_budget;
         let share = self.share();
         for (service, retries) in self.retries.borrow_mut().iter_mut() {
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -156,6 +156,7 @@
         self.apply_loads(&changed);
         self.apply_log_changes(now_ms, message);
         self.apply_attributions(now_ms, message);
+        self.apply_part_evidence(now_ms, message);
         self.apply_limits(now_ms, message);
         self.singleton_tasks
             .receive_gossip(self.settings.borrow().singleton_tasks, message);
--- a/crates/relay/src/relay/poison.rs
+++ b/crates/relay/src/relay/poison.rs
@@ -20,6 +20,9 @@
 pub struct PoisonRecord {
     /// Wall clock time at which the request was detected, in ms since 1970.
     pub found_unix_ms: u64,
+    /// Trials that ended their upstream, if the key is that of a prompt part.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub failed_trials: Option<u8>,
 }
 
 impl Relay {
@@ -67,6 +70,11 @@
         if self.poison_tracker.borrow_mut().observe(now_ms, evidence) {
             self.gossip.borrow_mut().add_evidence(evidence);
         }
+        match evidence {
+            FailureEvidence::Ended(upstream) => self.accuse_parts(upstream),
+            FailureEvidence::Excused { upstream, .. } => self.excuse_parts(upstream),
+            FailureEvidence::Lost { .. } | FailureEvidence::Answered(_) => {}
+        }
     }
 
     /// Records the end of the last removed incarnation of an upstream as evidence against the requests whose
@@ -77,11 +85,13 @@
             self.poison_tracker
                 .borrow_mut()
                 .upstream_unlisted(self.now_ms(), upstream);
+            self.accuse_parts(upstream);
         }
     }
 
     /// Clears a suspected request that an upstream answered completely.
     pub fn record_answered(&self, call: &Call) {
+        self.clear_answered_parts(call);
         let is_suspected = self.poison_tracker.borrow().is_tracked(call.key);
         if is_suspected {
             self.record_attribution(FailureEvidence::Answered(call.key));
@@ -118,9 +128,10 @@
     }
 
     /// The record for the store of a poison request detected now.
-    pub fn poison_record(&self) -> PoisonRecord {
+    pub fn poison_record(&self, request: RequestKey) -> PoisonRecord {
         PoisonRecord {
             found_unix_ms: unix_ms(),
+            failed_trials: self.failed_part_trials(request),
         }
     }
 
@@ -129,6 +140,7 @@
         if unix_ms() < record.found_unix_ms.saturating_add(RETENTION_MS) {
             self.learn_poison_requests(&[request]);
             self.poison_request_saved(request);
+            self.learn_convicted_part(request, record);
         }
     }
 
@@ -155,16 +167,17 @@
 
     /// Applies the failure attributions and poison requests that a peer gossiped.
     pub(super) fn apply_attributions(&self, now_ms: u64, message: &GossipMessage) {
-        let mut tracker = self.poison_tracker.borrow_mut();
         for evidence in &message.evidence {
-            if tracker.receive(now_ms, *evidence) {
-                self.gossip
-                    .borrow_mut()
-                    .forward_evidence(*evidence, message.kind);
+            if !self.poison_tracker.borrow_mut().receive(now_ms, *evidence) {
+                continue;
+            }
+            self.gossip
+                .borrow_mut()
+                .forward_evidence(*evidence, message.kind);
+            if let FailureEvidence::Ended(upstream) = evidence {
+                self.accuse_parts(*upstream);
             }
         }
-        for request in &message.poison {
-            tracker.mark_poison(now_ms, *request);
-        }
+        self.learn_poison_requests(&message.poison);
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -282,7 +282,7 @@
 
     fn queue(&mut self, bytes: Bytes) {
         if !bytes.is_empty() {
-            note_event(&self.call);
+            note_event(&self.relay, &self.call);
             self.ready.push_back(bytes);
         }
     }
--- a/crates/view/src/gossip.rs
+++ b/crates/view/src/gossip.rs
@@ -16,8 +16,8 @@
 use self::resend::ResendQueue;
 use crate::{
     FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
-    MessageKind, PendingRoleChange, PrefilledPart, RecentChanges, RequestKey, ServiceDemand,
-    ServiceHeard, ServiceKey, Unreached, UpstreamKey, UpstreamLimit, demand,
+    MessageKind, PartEvidence, PendingRoleChange, PrefilledPart, RecentChanges, RequestKey,
+    ServiceDemand, ServiceHeard, ServiceKey, Unreached, UpstreamKey, UpstreamLimit, demand,
 };
 
 /// Gossip period, in ms. All instances know the load of one instance within three periods, a
@@ -111,6 +111,10 @@
     up_evidence: ResendQueue<FailureEvidence>,
     /// Evidence from other hubs, for the reporters.
     down_evidence: ResendQueue<FailureEvidence>,
+    /// Evidence on prompt parts of this instance or its reporters, for all instances.
+    up_part_evidence: ResendQueue<PartEvidence>,
+    /// Evidence on prompt parts from other hubs, for the reporters.
+    down_part_evidence: ResendQueue<PartEvidence>,
     /// Limits that upstreams named to this instance or its reporters, for all instances.
     up_limits: ResendQueue<UpstreamLimit>,
     /// Limits from other hubs, for the reporters.
@@ -364,6 +368,21 @@
         }
     }
 
+    /// Adds evidence on a prompt part that is new to peers.
+    pub fn add_part_evidence(&mut self, evidence: PartEvidence) {
+        self.up_part_evidence.add(evidence);
+    }
+
+    /// Passes on evidence on a prompt part that was new here, to the instances that datagrams of its sender do not
+    /// reach.
+    pub fn forward_part_evidence(&mut self, evidence: PartEvidence, sender_kind: MessageKind) {
+        match sender_kind {
+            MessageKind::Report => self.up_part_evidence.add(evidence),
+            MessageKind::Sum => self.down_part_evidence.add(evidence),
+            MessageKind::Digest => {}
+        }
+    }
+
     /// Adds a limit that an upstream named to this instance, or its withdrawal.
     pub fn add_limit(&mut self, limit: UpstreamLimit) {
         self.up_limits.add(limit);
--- a/crates/view/src/gossip/outgoing.rs
+++ b/crates/view/src/gossip/outgoing.rs
@@ -49,6 +49,8 @@
             || !own.role_changes.is_empty();
         let has_changes =
             has_changes || !self.up_evidence.is_empty() || !self.down_evidence.is_empty();
+        let has_changes =
+            has_changes || !self.up_part_evidence.is_empty() || !self.down_part_evidence.is_empty();
         let has_changes = has_changes || !self.up_limits.is_empty() || !self.down_limits.is_empty();
         let has_changes = has_changes || own.unreached != self.last_own_unreached;
         let must_send = has_changes || self.ticks.is_multiple_of(FULL_DATAGRAM_PERIODS);
@@ -83,6 +85,7 @@
         self.up_role_changes.clear();
         self.down_role_changes.clear();
         self.down_evidence.clear();
+        self.down_part_evidence.clear();
         self.down_limits.clear();
         let is_new = self.hub.is_some_and(|hub| hub.since_ms == now_ms);
         if !must_send && !is_new {
@@ -100,6 +103,7 @@
             last_order_token: own.last_order_token,
             clock_ms: own.clock_ms,
             evidence: self.up_evidence.next_batch(),
+            part_evidence: self.up_part_evidence.next_batch(),
             limits: self.up_limits.next_batch(),
             poison: self.poison_to_send(&own.poison),
             ..GossipMessage::new(InstanceKey::of(&own.member.name), MessageKind::Report)
@@ -192,6 +196,7 @@
             config_position: own.config_position,
             list_changes: self.list_changes.to_send(now_ms),
             evidence: self.up_evidence.next_batch(),
+            part_evidence: self.up_part_evidence.next_batch(),
             limits: self.up_limits.next_batch(),
             poison: self.poison_to_send(&own.poison),
             ..GossipMessage::new(key, MessageKind::Sum)
@@ -212,6 +217,8 @@
             ..message
         };
         digest.evidence.extend(self.down_evidence.next_batch());
+        let part_evidence = self.down_part_evidence.next_batch();
+        digest.part_evidence.extend(part_evidence);
         digest.limits.extend(self.down_limits.next_batch());
         let (alive, demand) = self.alive(own, MessageKind::Report);
         if is_full {
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -8,12 +8,12 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member, PrefillQueue, RANKS,
-    RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey, WorkspaceKey,
+    FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member, PartEvidence,
+    PrefillQueue, RANKS, RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey, WorkspaceKey,
 };
 
 /// Version of the wire format, in the first byte of each datagram.
-const FORMAT: u8 = 9;
+const FORMAT: u8 = 10;
 
 /// Whose state a datagram describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -142,6 +142,8 @@
     pub list_changes: Vec<GossipedChange>,
     /// Evidence for failure attribution.
     pub evidence: Vec<FailureEvidence>,
+    /// Evidence on prompt parts that may end upstreams.
+    pub part_evidence: Vec<PartEvidence>,
     /// Poison requests, which must not be sent to any upstream.
     pub poison: Vec<RequestKey>,
     /// Limits that upstreams named or withdrew lately.
@@ -176,6 +178,7 @@
             config_position: None,
             list_changes: Vec::new(),
             evidence: Vec::new(),
+            part_evidence: Vec::new(),
             poison: Vec::new(),
             limits: Vec::new(),
             clock_ms: 0,
@@ -233,6 +236,7 @@
     list_changes: Vec<GossipedChange>,
     #[serde(rename = "fates")]
     evidence: Vec<FailureEvidence>,
+    part_evidence: Vec<PartEvidence>,
     #[serde(rename = "poisonous")]
     poison: Vec<RequestKey>,
     limits: Vec<UpstreamLimit>,
@@ -282,6 +286,7 @@
             config_position: message.config_position,
             list_changes: message.list_changes,
             evidence: message.evidence,
+            part_evidence: message.part_evidence,
             poison: message.poison,
             limits: message.limits,
             clock_ms: message.clock_ms,
@@ -318,6 +323,7 @@
             config_position: wire.config_position,
             list_changes: wire.list_changes,
             evidence: wire.evidence,
+            part_evidence: wire.part_evidence,
             poison: wire.poison,
             limits: wire.limits,
             clock_ms: wire.clock_ms,
--- a/crates/view/src/poison.rs
+++ b/crates/view/src/poison.rs
@@ -324,6 +324,18 @@
         }
     }
 
+    /// Records that what the store has of a poison request is out of date.
+    pub fn mark_unsaved(&mut self, request: RequestKey) {
+        if let Some(suspect) = self.requests.get_mut(&request) {
+            suspect.store_record = StoreRecord::Unsaved;
+        }
+    }
+
+    /// Whether an upstream is known to have ended.
+    pub fn has_ended(&self, upstream: UpstreamKey) -> bool {
+        self.ended.contains_key(&upstream)
+    }
+
     /// Records that the store may have lost what was written to it.
     pub fn mark_all_unsaved(&mut self) {
         for suspect in self.requests.values_mut() {
--- a/crates/view/tests/message.rs
+++ b/crates/view/tests/message.rs
@@ -1,9 +1,10 @@
 //! The wire format of gossip datagrams.
 
+use view::parts::Trial;
 use view::{
     GossipMessage, GossipedChange, InstanceKey, ListChange, Load, LogPosition, Member, MessageKind,
-    PendingRoleChange, PrefillProgress, PrefilledPart, ReadId, ServiceDemand, Stage, UpstreamKey,
-    decode, encode,
+    PartEvidence, PartKey, PendingRoleChange, PrefillProgress, PrefilledPart, ReadId,
+    ServiceDemand, Stage, Suspicion, UpstreamKey, decode, encode,
 };
 
 fn message() -> GossipMessage {
@@ -103,7 +104,7 @@
     newer[0] += 1;
     let cut = &bytes[..bytes.len() - 1];
     for (bytes, reason) in [
-        (&newer[..], "unknown datagram format Some(10)"),
+        (&newer[..], "unknown datagram format Some(11)"),
         (&[][..], "unknown datagram format None"),
         (cut, "Hit the end of buffer, expected more data"),
     ] {
@@ -111,6 +112,40 @@
     }
 }
 
+/// Evidence on prompt parts decodes to what was encoded, and an accusation stays as short as the design counts on.
+#[test]
+fn part_evidence_round_trips() {
+    let part = PartKey::of(9);
+    let trial = Trial {
+        part,
+        instance: InstanceKey::of("front-1"),
+    };
+    let accusation = PartEvidence::EndedUnder {
+        part,
+        upstream: UpstreamKey::of("i-1", 1),
+        suspicion: Suspicion::Strong,
+    };
+    let conviction = PartEvidence::Convicted {
+        part,
+        failed_trials: 2,
+    };
+    let part_evidence = vec![
+        accusation,
+        PartEvidence::WentOn(part),
+        PartEvidence::TrialBegan(trial),
+        PartEvidence::TrialOver(trial),
+        conviction,
+    ];
+    let told = GossipMessage {
+        part_evidence,
+        ..message()
+    };
+    let bytes = encode(told.clone()).unwrap();
+    assert_eq!(decode(&bytes).unwrap(), told);
+    let added = bytes.len() - encode(message()).unwrap().len();
+    assert_eq!(added, 14 + 9 + 13 + 13 + 10);
+}
+
 proptest::proptest! {
     #![proptest_config(proptest::prelude::ProptestConfig {
         rng_seed: proptest::test_runner::RngSeed::Fixed(20),
