Failing test: a claim of a trial is ignored by an instance that takes the part for not yet due

Cause: a convicted part is due a minute after its conviction became known, at each instance by its own clock; one that heard of it 100 ms later ignores the claim of the first, and may claim a second trial a moment later.

Ruled out: that gossip repeats the claim for long enough (three datagrams, 150 ms; evidence takes as long through the hubs).

--- a/crates/view/tests/parts.rs
+++ b/crates/view/tests/parts.rs
@@ -185,6 +185,24 @@
     );
 }
 
+/// Guards against a second trial at an instance that heard of the conviction a moment later, and so does not take the
+/// claim of the first for due.
+#[test]
+fn a_claim_counts_a_moment_before_the_part_is_due() {
+    let mut tracker = PartTracker::default();
+    let convicted = PartEvidence::Convicted {
+        part: part(9),
+        failed_trials: 1,
+    };
+    tracker.receive(200, convicted);
+    assert!(
+        tracker
+            .receive(60_100, PartEvidence::TrialBegan(trial(9, PEER)))
+            .is_new
+    );
+    assert_eq!(tracker.decide(60_300, &[part(9)]), PartVerdict::Held);
+}
+
 /// Guards against a sound part that stays refused after its engine ended by chance during the trial.
 #[test]
 fn a_convicted_part_is_cleared_by_an_answer() {
