A claim of a trial counts a second before the part is due

Ruled out: telling the due time (clocks differ, and a second of slack costs nothing: the receiver only waits).

Conclusion: instances that heard of a conviction at different times keep to one trial.

--- a/crates/view/src/parts.rs
+++ b/crates/view/src/parts.rs
@@ -44,6 +44,9 @@
 /// several upstreams that ended for reasons of their own.
 const FIRST_PAUSE_MS: u64 = 60_000;
 
+/// Time by which instances may differ on when a convicted part is due, in ms: they hear of its conviction by gossip.
+const DUE_SLACK_MS: u64 = 1_000;
+
 /// Trials that may end their upstream before a part is not tried again.
 const MAX_FAILED_TRIALS: u8 = 2;
 
@@ -315,7 +318,7 @@
 
     /// Of two instances whose claims cross, the one with the lower key goes first.
     fn receive_trial(&mut self, now_ms: u64, trial: Trial) -> bool {
-        if self.last_trial == Some(trial) || !self.is_to_be_tried(now_ms, trial.part) {
+        if self.last_trial == Some(trial) || !self.may_be_due(now_ms, trial.part) {
             return false;
         }
         let running = self.trial.filter(|running| !running.has_lapsed(now_ms));
@@ -433,6 +436,11 @@
         }
     }
 
+    /// Whether a peer may have reason to try a part now.
+    fn may_be_due(&self, now_ms: u64, part: PartKey) -> bool {
+        self.is_to_be_tried(now_ms, part) || self.is_to_be_tried(now_ms + DUE_SLACK_MS, part)
+    }
+
     /// Points against a part. An upstream that ended under a convicted part accuses no other one.
     fn points(&self, part: PartKey, suspect: &Suspect) -> usize {
         let unexplained = suspect
