Tests of whole instances: a bad part that comes everywhere at once, a start after a conviction, a sound part that met two ends

Cause: the first tests send one bad request after the other, and no test of whole instances had a sound part that is held, or an instance that starts after a conviction.

--- a/crates/relay/tests/bad_parts.rs
+++ b/crates/relay/tests/bad_parts.rs
@@ -10,11 +10,13 @@
 
 use bytes::Bytes;
 use common::{Action, Ending, ReceivedRequest, StubUpstream, TestInstance, config, meet, request};
+use futures_util::future::join_all;
 use http::{HeaderValue, Method, Request};
 use http_body_util::Full;
 use relay::config::{Config, Limits, Route};
 use relay::upstream::{Stage, UpstreamEntry};
 use relay::upstreams::ListChange;
+use view::PartKey;
 
 /// Part of each prompt of these tests, and the part that engines do not survive.
 const FIRST_PART: u64 = 7;
@@ -24,6 +26,10 @@
 const ENGINES: usize = 16;
 const BAD_REQUESTS: usize = 20;
 
+/// Instances and rounds where requests come at all instances at once.
+const INSTANCES_AT_ONCE: usize = 4;
+const ROUNDS: usize = 6;
+
 /// Most crashes until the part is refused, and most requests with it that reach engines afterwards.
 const MAX_CRASHES: usize = 5;
 const MAX_LATE: usize = 3;
@@ -76,6 +82,20 @@
     ]
 }
 
+/// Serves all requests, but ends under the first ones with the bad part, for a reason of its own.
+fn crash_a_few_times(crashes: usize) -> impl Fn(&ReceivedRequest) -> Vec<Action> {
+    let left = Cell::new(crashes);
+    move |received| {
+        if has_bad_part(received) && left.get() > 0 {
+            left.set(left.get() - 1);
+            return crash_on_bad_part(received);
+        }
+        let head = "content-type: text/event-stream\r\n";
+        let events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+        received.response("200 OK", head, events)
+    }
+}
+
 /// A fleet of engines with instances before it.
 struct Fleet {
     engines: Vec<StubUpstream>,
@@ -187,6 +207,87 @@
     assert!(is_bounded && unserved.is_empty(), "{found}");
 }
 
+/// Guards against requests that come everywhere at the same time, before the first end is known anywhere.
+#[actix_rt::test]
+async fn a_bad_part_that_comes_at_all_instances_at_once_is_refused() {
+    let fleet = Fleet::start(INSTANCES_AT_ONCE, Ending::Restart(40)).await;
+    let mut received = Vec::new();
+    let mut unserved = Vec::new();
+    for round in 0..ROUNDS {
+        let ids = (0..INSTANCES_AT_ONCE).map(|each| round * INSTANCES_AT_ONCE + each);
+        let bad = ids.clone().map(|id| fleet.fetch(bad_generation(id)));
+        let beside = ids
+            .clone()
+            .map(|id| fleet.fetch(sound_generation(100 + id)));
+        let both = futures_util::future::join(join_all(bad), join_all(beside));
+        let _ = both.await;
+        fleet.relist().await;
+        for id in ids {
+            if !fleet.fetch(sound_generation(200 + id)).await {
+                unserved.push(id);
+            }
+        }
+        received.push(fleet.bad_received());
+    }
+    let late = received[ROUNDS - 1] - received[1];
+    let found = format!("received after each round: {received:?}, not served: {unserved:?}");
+    assert!(late <= MAX_LATE && unserved.is_empty(), "{found}");
+}
+
+/// Guards against a session that is refused because two engines happened to end under it: its next request is the trial
+/// that clears it, also where callers of the same session come at the same time.
+#[actix_rt::test]
+async fn a_sound_part_that_met_two_ends_is_served_again() {
+    let respond = Rc::new(crash_a_few_times(2));
+    let start = |_| {
+        let respond = Rc::clone(&respond);
+        StubUpstream::start(move |received| respond(received))
+    };
+    let engines: Vec<StubUpstream> = (0..6).map(start).collect();
+    let instance = TestInstance::start(entries(&engines));
+    assert_eq!(instance.fetch(sound_generation(50)).await.0, 200);
+    instance.fetch(bad_generation(0)).await;
+    let ended = engines.iter().filter(|engine| engine.has_crashed()).count();
+    assert_eq!(ended, 2);
+    let again = join_all((1..5).map(|id| instance.fetch(bad_generation(id)))).await;
+    let statuses: Vec<u16> = again.iter().map(|(status, _)| *status).collect();
+    assert_eq!(statuses, [200; 4]);
+    let part = PartKey::of(BAD_PART).request_key();
+    assert!(!instance.relay.poison_requests().contains(&part));
+}
+
+/// Guards against a conviction that is lost with the instances, or unknown to one that starts.
+#[actix_rt::test]
+async fn a_starting_instance_refuses_a_convicted_part() {
+    let fleet = Fleet::start(1, Ending::AtOnce).await;
+    assert!(fleet.fetch(sound_generation(98)).await);
+    for id in 0..4 {
+        fleet.fetch(bad_generation(id)).await;
+    }
+    let old = &fleet.instances[0].relay;
+    let received = fleet.bad_received();
+    let unsaved = old.unsaved_poison_requests();
+    let part = PartKey::of(BAD_PART);
+    assert!(unsaved.contains(&part.request_key()), "for the store");
+    let record = old.poison_record(part.request_key());
+    assert_eq!(record.failed_trials, Some(1));
+
+    let by_snapshot = TestInstance::start(entries(&fleet.engines));
+    let peer = "127.0.0.1:1".parse().expect("an address");
+    relay::snapshot::merge(&by_snapshot.relay, &old.snapshot(), peer);
+    let by_store = TestInstance::start(entries(&fleet.engines));
+    by_store
+        .relay
+        .load_poison_record(part.request_key(), record);
+    for instance in [by_snapshot, by_store] {
+        let response = instance.send(bad_generation(99)).await.expect("an answer");
+        assert_eq!(response.status(), 503);
+        assert!(!response.headers().contains_key("retry-after"));
+        assert_eq!(instance.fetch(sound_generation(99)).await.0, 200);
+    }
+    assert_eq!(fleet.bad_received(), received);
+}
+
 /// Guards against a prompt part that takes down all engines, one request after the other.
 #[actix_rt::test]
 async fn a_bad_part_does_not_take_down_the_fleet() {
