Test: evidence on prompt parts reaches all instances through the hubs, and a claim does so before its request is sent

Cause: tests of whole instances have four, which all tell each other; hubs that pass evidence on were in no test.

Ruled out: nothing; no fault was found.

Conclusion: the wait of a trial is long enough while no datagram is lost.

--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use view::hubs::HubRanking;
 use view::{
     FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
-    Members, PoisonTracker, PrefillQueue, ServiceHeard, ServiceKey, UpstreamKey, UpstreamLimit,
-    decode, encode,
+    Members, PartEvidence, PartTracker, PoisonTracker, PrefillQueue, ServiceHeard, ServiceKey,
+    UpstreamKey, UpstreamLimit, decode, encode,
 };
 
 /// Transit time of a datagram, in ms.
@@ -38,6 +38,7 @@
     pub positions: Vec<LogPosition>,
     pub list_changes: Vec<GossipedChange>,
     pub poison: PoisonTracker,
+    pub parts: PartTracker,
     pub limits: HashMap<UpstreamKey, UpstreamLimit>,
     pub is_running: bool,
     pub sent: usize,
@@ -94,6 +95,7 @@
                 positions: Vec::new(),
                 list_changes: Vec::new(),
                 poison: PoisonTracker::default(),
+                parts: PartTracker::default(),
                 limits: HashMap::new(),
                 is_running: true,
                 sent: 0,
@@ -220,6 +222,13 @@
         for request in &message.poison {
             self.poison.mark_poison(now_ms, *request);
         }
+        for evidence in &message.part_evidence {
+            let effect = self.parts.receive(now_ms, *evidence);
+            if effect.is_new {
+                self.gossip.forward_part_evidence(*evidence, message.kind);
+            }
+            self.tell_of_parts(effect.reply);
+        }
         for limit in &message.limits {
             if self.accept_limit(*limit) {
                 self.gossip.forward_limit(*limit, message.kind);
@@ -237,6 +246,13 @@
         }
     }
 
+    /// Gossips evidence on prompt parts.
+    pub fn tell_of_parts(&mut self, evidence: impl IntoIterator<Item = PartEvidence>) {
+        for each in evidence {
+            self.gossip.add_part_evidence(each);
+        }
+    }
+
     /// Records a limit that an upstream named to the instance.
     pub fn receive_limit(&mut self, limit: UpstreamLimit) {
         if self.accept_limit(limit) {
--- a/crates/view/tests/parts.rs
+++ b/crates/view/tests/parts.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use common::part_storm::{Outcome, Storm, play};
+use common::{Fleet, Instance, STEP_MS};
 use view::parts::{MAX_TRACKED, Trial};
 use view::{
     AnswerProgress, InstanceKey, PartEvidence, PartKey, PartTracker, PartVerdict, Suspicion,
@@ -18,6 +19,9 @@
 /// Most requests with a bad part that may reach engines later than 3 s after the fifth end.
 const MAX_LATE: usize = 3;
 
+/// Time between a claim and its request, in ms.
+const CLAIM_MS: u64 = 200;
+
 const OWN: InstanceKey = InstanceKey(1);
 const PEER: InstanceKey = InstanceKey(2);
 
@@ -263,6 +267,52 @@
     assert_eq!(view::sound_parts::SoundParts::BYTES, 32 * 1_024);
 }
 
+/// Runs a fleet until all instances fulfil a condition; returns how long that took, in ms.
+fn spread_ms(fleet: &mut Fleet, is_known: impl Fn(&Instance) -> bool) -> u64 {
+    let began_ms = fleet.now_ms;
+    while !fleet.running().all(&is_known) && fleet.now_ms < began_ms + 2_000 {
+        fleet.run(STEP_MS, |_, _| false);
+    }
+    fleet.now_ms - began_ms
+}
+
+/// Guards against evidence that stays within the group of one hub: accusations, objections and claims reach all, and a
+/// claim does so before its request is sent.
+#[test]
+fn evidence_on_parts_reaches_all_instances() {
+    for instances in [2, 7, 80, 295] {
+        let mut fleet = Fleet::new(instances);
+        fleet.run(1_000, |_, _| false);
+        let (accuser, server) = (instances - 1, 0);
+        let now_ms = fleet.now_ms;
+        fleet.all[server].parts.record_went_on(now_ms, part(1));
+        let bytes_before: usize = fleet.running().map(|each| each.sent_bytes).sum();
+        for index in 1..=2 {
+            let found = end_under(&mut fleet.all[accuser].parts, now_ms, index, &[1, 9]);
+            fleet.all[accuser].tell_of_parts(found);
+        }
+        let held_ms = spread_ms(&mut fleet, |each| {
+            each.parts.ended_under(part(9)).len() == 2
+        });
+        let cleared_ms = spread_ms(&mut fleet, |each| {
+            each.parts.ended_under(part(1)).is_empty()
+        });
+        let now_ms = fleet.now_ms;
+        let claimed = trial(9, OWN);
+        let claim = fleet.all[accuser].parts.claim_trial(now_ms, claimed);
+        fleet.all[accuser].tell_of_parts([claim]);
+        let claimed_ms = spread_ms(&mut fleet, |each| each.parts.holds_trial(now_ms, claimed));
+        let bytes: usize = fleet.running().map(|each| each.sent_bytes).sum();
+        println!(
+            "{instances} instances: held after {held_ms} ms, first part cleared {cleared_ms} ms later, claim known \
+             after {claimed_ms} ms, {} bytes an instance in all",
+            (bytes - bytes_before) / instances
+        );
+        assert!(held_ms <= 350 && cleared_ms <= 350, "of {instances}");
+        assert!(claimed_ms <= CLAIM_MS, "of {instances}: {claimed_ms} ms");
+    }
+}
+
 fn storm(instances: usize) -> Storm {
     Storm {
         seed: 0,
