--- a/crates/relay/tests/bad_parts.rs
+++ b/crates/relay/tests/bad_parts.rs
@@ -7,6 +7,7 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use common::{Action, Ending, ReceivedRequest, StubUpstream, TestInstance, config, meet, request};
@@ -30,6 +31,9 @@
 const INSTANCES_AT_ONCE: usize = 4;
 const ROUNDS: usize = 6;
 
+/// Length of the storm, in steps of 20 ms and what it takes to list engines.
+const STORM_TICKS: usize = 300;
+
 /// Most crashes until the part is refused, and most requests with it that reach engines afterwards.
 const MAX_CRASHES: usize = 5;
 const MAX_LATE: usize = 3;
@@ -82,6 +86,25 @@
     ]
 }
 
+/// Serves all requests as a busy engine does; the process ends where the bad part is in the prompt.
+fn crash_after_a_prefill(received: &ReceivedRequest) -> Vec<Action> {
+    let mut actions = vec![Action::Wait(60)];
+    if has_bad_part(received) {
+        actions.extend(crash_on_bad_part(received));
+        return actions;
+    }
+    let head = "content-type: text/event-stream\r\n";
+    let events = "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\n";
+    let whole = received.response_text("200 OK", head, events);
+    let (begin, second) = whole.split_at(whole.len() - events.len() / 2);
+    actions.extend([
+        Action::Write(begin.to_owned()),
+        Action::Wait(400),
+        Action::Write(second.to_owned()),
+    ]);
+    actions
+}
+
 /// Serves all requests, but ends under the first ones with the bad part, for a reason of its own.
 fn crash_a_few_times(crashes: usize) -> impl Fn(&ReceivedRequest) -> Vec<Action> {
     let left = Cell::new(crashes);
@@ -106,7 +129,15 @@
 
 impl Fleet {
     async fn start(instances: usize, ending: Ending) -> Self {
-        let start = |_| StubUpstream::start_ending(ending, crash_on_bad_part);
+        Self::start_with(instances, ending, crash_on_bad_part).await
+    }
+
+    async fn start_with(
+        instances: usize,
+        ending: Ending,
+        respond: fn(&ReceivedRequest) -> Vec<Action>,
+    ) -> Self {
+        let start = |_| StubUpstream::start_ending(ending, respond);
         let engines: Vec<StubUpstream> = (0..ENGINES).map(start).collect();
         let mut all = Vec::new();
         for index in 0..instances {
@@ -150,7 +181,7 @@
         if !matches!(self.ending, Ending::Restart(_)) {
             return;
         }
-        actix_rt::time::sleep(std::time::Duration::from_millis(LISTED_MS)).await;
+        actix_rt::time::sleep(Duration::from_millis(LISTED_MS)).await;
         for instance in &self.instances {
             for entry in entries(&self.engines) {
                 let change = ListChange::Put(entry);
@@ -256,6 +287,50 @@
     assert!(!instance.relay.poison_requests().contains(&part));
 }
 
+/// Guards against a storm: engines are busy with answers that each crash takes along, and requests with the part come all
+/// the time.
+#[actix_rt::test]
+async fn a_bad_part_among_busy_engines_is_refused_within_seconds() {
+    let fleet = Fleet::start_with(
+        INSTANCES_AT_ONCE,
+        Ending::Restart(300),
+        crash_after_a_prefill,
+    )
+    .await;
+    let fleet = Rc::new(fleet);
+    let send = |request| {
+        let fleet = Rc::clone(&fleet);
+        actix_rt::spawn(async move { fleet.fetch(request).await })
+    };
+    let mut bad = Vec::new();
+    let mut sound = Vec::new();
+    let mut received_by_half = 0;
+    for tick in 0..STORM_TICKS {
+        if tick == STORM_TICKS / 2 {
+            received_by_half = fleet.bad_received();
+        }
+        if tick % 10 == 0 {
+            bad.push(send(bad_generation(1_000 + 2 * tick)));
+        }
+        sound.push(send(sound_generation(1_001 + 2 * tick)));
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+        if tick % 10 == 5 {
+            fleet.relist().await;
+        }
+    }
+    let served: Vec<bool> = join_all(sound).await.into_iter().flatten().collect();
+    join_all(bad).await;
+    let late = fleet.bad_received() - received_by_half;
+    let later = &served[STORM_TICKS / 2..];
+    let unserved = later.iter().filter(|is_served| !**is_served).count();
+    let found = format!(
+        "{} crashes, {late} requests with the part in the second half, {unserved} of {} sound ones not served",
+        fleet.crashes(),
+        later.len()
+    );
+    assert!(late <= MAX_LATE && unserved * 10 <= later.len(), "{found}");
+}
+
 /// Guards against a conviction that is lost with the instances, or unknown to one that starts.
 #[actix_rt::test]
 async fn a_starting_instance_refuses_a_convicted_part() {
