Sight of accused parts: which parts of a lost answer are suspected, and each accusation with its strength

Cause: the line of a lost answer named all parts of its prompt, and an accusation showed in no line.

Ruled out: a line for each accusation of a peer (one at the accuser is enough, under the limit of lines on failures).

Conclusion: from the lines alone it can be read what accused a part, what cleared it and what convicted it.

--- a/crates/relay/src/part_evidence.rs
+++ b/crates/relay/src/part_evidence.rs
@@ -91,15 +91,22 @@
     }
 }
 
-/// Logs how far an answer had come when it was lost, and the parts of its prompt.
+/// Logs how far an answer had come when it was lost, the parts of its prompt, and those that it accuses should the
+/// upstream have ended.
 pub(crate) fn log_lost_parts(relay: &Relay, call: &Call, upstream: &Upstream) {
     if call.shared_parts.is_empty() || !relay.failure_log_limit.take(relay.now_ms()) {
         return;
     }
-    let parts: Vec<String> = call.shared_parts.iter().map(PartKey::to_string).collect();
+    let suspected = relay.unproven_parts(call);
     log::info!(
         request = call.id(), key:% = call.key, upstream = upstream.id, progress:? = call.progress.get(),
-        events = call.events.get(), parts = parts.join(",");
+        events = call.events.get(), parts = joined(&call.shared_parts),
+        suspected = joined(&suspected);
         "answer on a prompt lost"
     );
 }
+
+fn joined(parts: &[PartKey]) -> String {
+    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
+    parts.join(",")
+}
--- a/crates/relay/src/relay/parts.rs
+++ b/crates/relay/src/relay/parts.rs
@@ -3,7 +3,7 @@
 use view::parts::Trial;
 use view::{
     AnswerProgress, FailureEvidence, GossipMessage, InstanceKey, PartEvidence, PartKey,
-    PartVerdict, RequestKey, UpstreamKey, gossip,
+    PartVerdict, RequestKey, Suspicion, UpstreamKey, gossip,
 };
 
 use super::{PoisonRecord, Relay};
@@ -155,6 +155,12 @@
         }
     }
 
+    /// The parts of a request that its lost answer may accuse.
+    pub(crate) fn unproven_parts(&self, call: &Call) -> Vec<PartKey> {
+        let tracker = self.part_tracker.borrow();
+        tracker.unproven(self.now_ms(), &call.shared_parts)
+    }
+
     /// Records that an answer was lost with its connection; it accuses the parts of its prompt if its upstream ended.
     pub(crate) fn note_lost_parts(&self, call: &Call, upstream: &Upstream) {
         if call.shared_parts.is_empty() {
@@ -184,12 +190,30 @@
             .upstream_ended(now_ms, own, upstream);
         for evidence in found {
             self.gossip.borrow_mut().add_part_evidence(evidence);
-            if let PartEvidence::Convicted { part, .. } = evidence {
-                self.part_convicted(part);
+            match evidence {
+                PartEvidence::EndedUnder {
+                    part,
+                    upstream,
+                    suspicion,
+                } => self.log_accused(now_ms, part, upstream, suspicion),
+                PartEvidence::Convicted { part, .. } => self.part_convicted(part),
+                PartEvidence::WentOn(_)
+                | PartEvidence::TrialBegan(_)
+                | PartEvidence::TrialOver(_) => {}
             }
         }
     }
 
+    fn log_accused(&self, now_ms: u64, part: PartKey, upstream: UpstreamKey, how: Suspicion) {
+        if !self.failure_log_limit.take(now_ms) {
+            return;
+        }
+        let upstreams = self.upstreams.borrow();
+        let upstream = upstreams.get_by_key(upstream);
+        let id = upstream.map_or("-", |upstream| upstream.id.as_str());
+        log::info!(part:% = part, upstream = id, how:?; "prompt part accused: an upstream ended under it");
+    }
+
     /// Has a convicted part refused, told and recorded like a poison request.
     fn part_convicted(&self, part: PartKey) {
         self.count_part_trial("convicted");
--- a/crates/view/src/parts.rs
+++ b/crates/view/src/parts.rs
@@ -216,6 +216,12 @@
         }
     }
 
+    /// Those of some parts on which no answer lately went on here or, as peers tell, elsewhere.
+    pub fn unproven(&self, now_ms: u64, parts: &[PartKey]) -> Vec<PartKey> {
+        let is_unproven = |part: &&PartKey| !self.sound.contains(now_ms, **part);
+        parts.iter().filter(is_unproven).copied().collect()
+    }
+
     /// Drops the losses at an upstream that says nothing against them, since the path to it was cut.
     pub fn excuse(&mut self, now_ms: u64, upstream: UpstreamKey) {
         self.losses.take(now_ms, upstream);
