--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -81,6 +81,27 @@
     }
 }
 
+/// Metrics of prompt parts that may end upstreams.
+pub struct PartMetrics {
+    /// Parts whose requests are only sent as trials, and parts whose requests are refused.
+    pub suspected: IntGaugeVec,
+    /// Trials by this instance, by outcome.
+    pub trials: IntCounterVec,
+}
+
+impl PartMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            suspected: all.gauges(
+                "suspected_parts",
+                "Prompt parts that may end upstreams.",
+                &["state"],
+            ),
+            trials: all.counter("part_trials_total", "Trials of prompt parts.", &["outcome"]),
+        }
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -152,6 +173,8 @@
     pub poison_requests: IntGauge,
     /// Requests whose handling panicked.
     pub panics: IntCounter,
+    /// Prompt parts that may end upstreams.
+    pub parts: PartMetrics,
     /// Requests whose answers are not complete yet.
     pub in_flight: IntGauge,
     /// Calls of singleton tasks to the platform, by call and outcome.
@@ -294,6 +317,7 @@
             instances: all.gauge("instances", "Instances ready."),
             poison_requests: all.gauge("poisonous", "Known poison requests."),
             panics: all.plain_counter("panics_total", "Requests whose handling panicked."),
+            parts: PartMetrics::new(&all),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
             store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
--- /dev/null
+++ b/crates/relay/src/part_evidence.rs
@@ -0,0 +1,112 @@
+//! What the answers to a request show of the parts of its prompt.
+//!
+//! A part may crash each engine that begins to write an answer on it. So for each answer it is known how far it has
+//! come when it is lost. See docs/design/prompt-parts.md.
+
+use view::parts::Trial;
+use view::{AnswerProgress, PartKey};
+
+use crate::call::Call;
+use crate::dialect::Prompt;
+use crate::relay::Relay;
+use crate::send::SendResult;
+use crate::upstream::Upstream;
+
+/// What the parts of its prompt mean for the next send of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PartStep {
+    /// It may be sent.
+    Send,
+    /// It waits for the outcome of a trial, or for its own to be known to the peers.
+    Wait,
+}
+
+/// The trial of a part that a request is.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct PartTrial {
+    pub(crate) trial: Trial,
+    pub(crate) claimed_ms: u64,
+    /// Sends of the request before that may have run.
+    runs_before: u32,
+}
+
+impl PartTrial {
+    pub(crate) fn new(call: &Call, trial: Trial, claimed_ms: u64) -> Self {
+        Self {
+            trial,
+            claimed_ms,
+            runs_before: call.possible_runs.get(),
+        }
+    }
+
+    /// Whether its one send is still to come.
+    pub(crate) fn is_unused(&self, call: &Call) -> bool {
+        call.possible_runs.get() <= self.runs_before
+    }
+}
+
+/// The keys of a prompt's parts, each once, without the last, which no other request has.
+pub(crate) fn shared_parts(prompt: Option<&Prompt>) -> Vec<PartKey> {
+    let Some((_, shared)) = prompt.and_then(|prompt| prompt.parts.split_last()) else {
+        return Vec::new();
+    };
+    let mut keys: Vec<PartKey> = Vec::with_capacity(shared.len());
+    for part in shared {
+        let key = PartKey::of(part.id);
+        if !keys.contains(&key) {
+            keys.push(key);
+        }
+    }
+    keys
+}
+
+/// Records that a request is about to be sent to an upstream that may write an answer.
+pub(crate) fn note_sent(call: &Call) {
+    call.progress.set(AnswerProgress::Waiting);
+    call.events.set(0);
+}
+
+/// Records whether a send brought the head of an answer.
+pub(crate) fn note_send_result(call: &Call, sent: &SendResult) {
+    let progress = match sent {
+        SendResult::Answer(checked) if checked.response.status().is_success() => {
+            AnswerProgress::Begun
+        }
+        SendResult::Answer(_)
+        | SendResult::Unsent(_)
+        | SendResult::NotRun(_)
+        | SendResult::Lost(_) => AnswerProgress::NotSent,
+    };
+    call.progress.set(progress);
+}
+
+/// Records that an event of the answer came; from the second on, its parts are known to end no upstreams.
+pub(crate) fn note_event(relay: &Relay, call: &Call) {
+    call.events.set(call.events.get() + 1);
+    let before = call.progress.get();
+    let after = before.after_event();
+    call.progress.set(after);
+    if after != before && after == AnswerProgress::WentOn {
+        relay.clear_parts(call);
+    }
+}
+
+/// Logs how far an answer had come when it was lost, the parts of its prompt, and those that it accuses should the
+/// upstream have ended.
+pub(crate) fn log_lost_parts(relay: &Relay, call: &Call, upstream: &Upstream) {
+    if call.shared_parts.is_empty() || !relay.failure_log_limit.take(relay.now_ms()) {
+        return;
+    }
+    let suspected = relay.unproven_parts(call);
+    log::info!(
+        request = call.id(), key:% = call.key, upstream = upstream.id, progress:? = call.progress.get(),
+        events = call.events.get(), parts = joined(&call.shared_parts),
+        suspected = joined(&suspected);
+        "answer on a prompt lost"
+    );
+}
+
+fn joined(parts: &[PartKey]) -> String {
+    let parts: Vec<String> = parts.iter().map(PartKey::to_string).collect();
+    parts.join(",")
+}
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -18,6 +18,7 @@
 use crate::forward::{count_answer, may_retry};
 use crate::framing::{Framing, StreamEnd};
 use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over, send_unless_cut_off};
+use crate::part_evidence::note_event;
 use crate::placement::{self, DecodePlacement};
 use crate::pool::{Exchanged, PooledConnection};
 use crate::reachability::cut_off_from;
@@ -290,6 +291,7 @@
 
     fn queue(&mut self, bytes: Bytes) {
         if !bytes.is_empty() {
+            note_event(&self.relay, &self.call);
             self.ready.push_back(bytes);
         }
     }
