Prompt parts: pieces of one event are no two events

What callers saw: nothing yet; on a stream that may not be resumed, whose bytes are passed on as they come, a first event in two pieces cleared the part under which its engine then ended, each time. Cause: an event was counted for each piece of bytes that was queued for the caller. Class: evidence that is taken from what happens to be at hand, not from what it stands for. Ruled out: streams that may be resumed; they are queued event by event. Conclusion: the splitter counts complete events.

--- a/crates/relay/src/part_evidence.rs
+++ b/crates/relay/src/part_evidence.rs
@@ -80,11 +80,11 @@
     call.progress.set(progress);
 }
 
-/// Records that an event of the answer came; from the second on, its parts are known to end no upstreams.
-pub(crate) fn note_event(relay: &Relay, call: &Call) {
-    call.events.set(call.events.get() + 1);
+/// Records how many events of the answer have come; from the second on, its parts are known to end no upstreams.
+pub(crate) fn note_events(relay: &Relay, call: &Call, events: u32) {
     let before = call.progress.get();
-    let after = before.after_event();
+    let after = before.after_events(events);
+    call.events.set(events);
     call.progress.set(after);
     if after != before && after == AnswerProgress::WentOn {
         relay.clear_parts(call);
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -32,7 +32,8 @@
 struct EventScanner {
     position: Position,
     is_after_cr: bool,
-    has_events: bool,
+    /// Events that were complete so far.
+    events: u32,
 }
 
 impl EventScanner {
@@ -73,7 +74,7 @@
             Position::InComment => (Position::BetweenEvents, false),
             Position::InLine => (Position::AtLineStart, false),
         };
-        self.has_events |= self.position == Position::AtLineStart;
+        self.events += u32::from(self.position == Position::AtLineStart);
         self.position = next;
         was_empty
     }
@@ -127,9 +128,14 @@
         self.scanner.is_within_event()
     }
 
-    /// Whether an event was complete since the start or the last [`EventSplitter::clear`].
+    /// Number of events that were complete since the start or the last [`EventSplitter::clear`].
+    pub fn event_count(&self) -> u32 {
+        self.scanner.events
+    }
+
+    /// Whether one of them was complete.
     pub fn has_events(&self) -> bool {
-        self.scanner.has_events
+        self.event_count() > 0
     }
 
     /// Drops all buffered bytes; what comes next is another stream.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -18,7 +18,7 @@
 use crate::forward::{count_answer, may_retry};
 use crate::framing::{Framing, StreamEnd};
 use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over, send_unless_cut_off};
-use crate::part_evidence::note_event;
+use crate::part_evidence::note_events;
 use crate::placement::{self, DecodePlacement};
 use crate::pool::{Exchanged, PooledConnection};
 use crate::reachability::cut_off_from;
@@ -262,6 +262,7 @@
     /// the caller already has.
     fn queue_received(&mut self) {
         self.queue_events();
+        note_events(&self.relay, &self.call, self.splitter.event_count());
         if !self.ready.is_empty() && self.call.began_version.get().is_none() {
             let version = self.source.as_ref().and_then(|it| it.origin.version());
             self.call.began_version.set(version);
@@ -291,7 +292,6 @@
 
     fn queue(&mut self, bytes: Bytes) {
         if !bytes.is_empty() {
-            note_event(&self.relay, &self.call);
             self.ready.push_back(bytes);
         }
     }
--- a/crates/relay/tests/bad_parts.rs
+++ b/crates/relay/tests/bad_parts.rs
@@ -86,6 +86,20 @@
     ]
 }
 
+/// Begins the first event of each answer in pieces, and ends.
+fn crash_within_the_first_event(received: &ReceivedRequest) -> Vec<Action> {
+    let whole = received.response_text("200 OK", "", "id: 1\ndata: 1\n\n");
+    let (begin, end) = whole.split_at(whole.len() - 8);
+    let piece = end[..4].to_owned();
+    vec![
+        Action::Write(begin.to_owned()),
+        Action::Wait(10),
+        Action::Write(piece),
+        Action::Wait(10),
+        Action::Crash,
+    ]
+}
+
 /// Serves all requests as a busy engine does; the process ends where the bad part is in the prompt.
 fn crash_after_a_prefill(received: &ReceivedRequest) -> Vec<Action> {
     let mut actions = vec![Action::Wait(60)];
@@ -386,3 +400,16 @@
 async fn crashes_under_a_part_are_gossiped_where_engines_come_back() {
     bad_part_is_refused(4, Ending::Restart(40)).await;
 }
+
+/// Guards against a part that is cleared by the pieces of one event of a stream that is passed on as it comes.
+#[actix_rt::test]
+async fn pieces_of_one_event_clear_no_part() {
+    let fleet = Fleet::start_with(1, Ending::AtOnce, crash_within_the_first_event).await;
+    assert!(fleet.instances[0].relay.configure(config(3)));
+    for id in 0..BAD_REQUESTS {
+        let mut req = bad_generation(id);
+        *req.uri_mut() = format!("/once/{id}").parse().expect("a path");
+        fleet.fetch(req).await;
+    }
+    assert!(fleet.crashes() <= MAX_CRASHES, "{}", fleet.crashes());
+}
--- a/crates/view/src/part_losses.rs
+++ b/crates/view/src/part_losses.rs
@@ -30,12 +30,13 @@
 }
 
 impl AnswerProgress {
-    /// The state after one more event.
+    /// The state once this many events have come.
     #[must_use]
-    pub fn after_event(self) -> Self {
-        match self {
-            Self::NotSent | Self::Waiting | Self::Begun => Self::FirstEvent,
-            Self::FirstEvent | Self::WentOn => Self::WentOn,
+    pub fn after_events(self, events: u32) -> Self {
+        match (self, events) {
+            (Self::WentOn, _) | (_, 2..) => Self::WentOn,
+            (_, 1) => Self::FirstEvent,
+            (before, 0) => before,
         }
     }
 
