Streams of unknown origin: no time to come back once all that could know have replied

Callers saw: a stream that nobody can tell the origin of is refused with 500 ms to come back, and is refused again, since no home has a record of it and none will get one. Cause: the refusal did not ask whether any home was left that had not replied. Ruled out: naming none at all; a home that did not reply may do so at the next try, and has the record. All instances killed at once stays open.

--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -40,7 +40,7 @@
 /// Age of the list of upstreams from which an instance that no other one answers does not trust it alone, in ms.
 const MAX_LIST_AGE_MS: u64 = 3_000;
 
-/// Retry delay sent to a caller whose stream cannot go on, in ms: an upstream of its version may come back.
+/// Retry delay sent to a caller of whose stream no instance that replied can tell the origin, in ms: another one may.
 const UNKNOWN_RETRY_MS: u64 = 500;
 
 type Evidence = OriginEvidence<VersionKey>;
@@ -48,6 +48,13 @@
 /// What an instance replied.
 type Reply = (SocketAddr, Evidence);
 
+/// What instances say of a stream.
+struct Gathered {
+    evidence: Vec<Evidence>,
+    /// Whether an instance that was asked gave no reply, so that more may be known later.
+    is_partial: bool,
+}
+
 /// A query that waits for replies. It is forgotten when dropped, also if the caller leaves meanwhile.
 struct WaitingQuery<'a> {
     origins: &'a StreamOrigins,
@@ -231,19 +238,20 @@
     }
 
     /// What this instance and those that keep the stream's record know of it.
-    async fn gather_evidence(&self, stream: StreamKey, service: ServiceKey) -> Vec<Evidence> {
+    async fn gather_evidence(&self, stream: StreamKey, service: ServiceKey) -> Gathered {
         let mut all = vec![self.own_evidence(stream, service)];
-        if matches!(all[0], OriginEvidence::Recorded(_)) {
-            return all;
-        }
         let homes = self.homes(stream, MAX_ASKED);
-        if homes.is_empty() {
-            return all;
+        if homes.is_empty() || matches!(all[0], OriginEvidence::Recorded(_)) {
+            return Gathered {
+                evidence: all,
+                is_partial: false,
+            };
         }
         // Where one version serves, one instance that sees the same is enough: others may have been killed just now.
         let is_one_enough = !self.are_versions_mixed(service);
         let asked = self.ask_homes(stream, service, &homes, is_one_enough);
         all.extend(asked.await);
+        let are_replies_missing = all.len() <= homes.len();
         let is_list_late = self
             .list_age_ms()
             .is_none_or(|age_ms| age_ms > MAX_LIST_AGE_MS);
@@ -251,7 +259,23 @@
             // Others may use versions of which this instance has not heard.
             all.clear();
         }
-        all
+        Gathered {
+            evidence: all,
+            is_partial: are_replies_missing,
+        }
+    }
+
+    /// What is known of a stream whose caller does not name the attempt that began it.
+    fn evidence_of_unnamed(&self, service: ServiceKey) -> Gathered {
+        let evidence = if self.are_versions_mixed(service) {
+            Vec::new()
+        } else {
+            vec![self.unrecorded_evidence(service)]
+        };
+        Gathered {
+            evidence,
+            is_partial: false,
+        }
     }
 
     /// What the given instances reply, until one has a record, enough have replied, or it takes too long.
@@ -300,20 +324,19 @@
         return Ok(());
     }
     let service = ServiceKey::of(&call.service);
-    let evidence = match &call.head.resumes {
+    let gathered = match &call.head.resumes {
         Some(attempt) => {
             let stream = StreamKey::of(attempt.as_bytes());
             relay.gather_evidence(stream, service).await
         }
-        None if relay.are_versions_mixed(service) => Vec::new(),
-        None => vec![relay.unrecorded_evidence(service)],
+        None => relay.evidence_of_unnamed(service),
     };
-    match origin_version(&evidence) {
+    match origin_version(&gathered.evidence) {
         Some(version) => {
             call.began_version.set(Some(version));
             Ok(())
         }
-        None => refuse_unknown(relay, call, evidence.len().saturating_sub(1)),
+        None => Err(refuse_unknown(relay, call, &gathered)),
     }
 }
 
@@ -331,16 +354,23 @@
     true
 }
 
-fn refuse_unknown(relay: &Relay, call: &Call, replies: usize) -> Result<(), Refusal> {
+/// Refuses a stream of unknown origin. Once all that could have a record have replied, no time to come back would help.
+fn refuse_unknown(relay: &Relay, call: &Call, gathered: &Gathered) -> Refusal {
+    let Gathered {
+        evidence,
+        is_partial,
+    } = gathered;
     if relay.failure_log_limit.take(relay.now_ms()) {
         let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
+        let replies = evidence.len().saturating_sub(1);
         log::info!(
-            request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, replies;
+            request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, replies, is_partial;
             "stream not taken up: no instance can tell which version began it"
         );
     }
-    Err(Refusal::with_retry_after(
-        Reason::UnknownOrigin,
-        UNKNOWN_RETRY_MS,
-    ))
+    if *is_partial {
+        Refusal::with_retry_after(Reason::UnknownOrigin, UNKNOWN_RETRY_MS)
+    } else {
+        Refusal::new(Reason::UnknownOrigin)
+    }
 }
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -380,3 +380,22 @@
         assert_eq!(status, expected, "{versions:?}");
     }
 }
+
+/// The time to come back that an instance names as it refuses a stream of which nobody has a record.
+async fn retry_after_of_unknown(instance: &TestInstance) -> Option<HeaderValue> {
+    let response = instance.send(take_up(1, 2)).await.expect("an answer");
+    assert_eq!(response.status(), 503);
+    response.headers().get("retry-after").cloned()
+}
+
+/// Guards against callers that are told to come back although all that could know their stream's origin have replied.
+#[actix_rt::test]
+async fn no_time_to_come_back_is_named_once_all_have_replied() {
+    let entries = engines(hanging_engine, &["v1", "v2"]);
+    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
+    let two = TestInstance::start_peer("b", "here", entries).await;
+    meet(&[&one, &two]).await;
+    assert_eq!(retry_after_of_unknown(&two).await, None);
+    one.kill();
+    assert!(retry_after_of_unknown(&two).await.is_some());
+}
