Stream forwarding is split: sources, the search for another one, and long answers have files of their own

Cause: stream.rs had grown to 723 lines with three jobs. Ruled out: a change of behaviour; items moved as they were, only their visibility changed. Conclusion: no other change.

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -1,34 +1,32 @@
 //! Forwards streams event by event, and resumes them at another engine when an engine fails.
 
+mod long_answer;
+mod resume;
+mod source;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::stream::unfold;
-use http::{Response, StatusCode, header};
+use http::{Response, header};
 use http_body::Frame;
 use http_body_util::BodyExt;
-use hyper::body::Incoming;
 
+pub use self::long_answer::stream_answer;
+pub use self::source::StreamOrigin;
+use self::source::{StreamSource, note_taken_up};
 use crate::answer::{AnswerBody, TruncatedAnswer};
-use crate::attribution::{ensure_not_poison, note_lost_answer};
 use crate::call::{Call, strip_hop_by_hop};
-use crate::dialect::{Prompt, SendOptions};
-use crate::forward::{count_answer, may_retry};
+use crate::forward::count_answer;
 use crate::framing::{Framing, StreamEnd};
-use crate::handover::{AtPeer, ServedBy, hand_over_from, is_handed_over, send_unless_cut_off};
+use crate::handover::ServedBy;
 use crate::part_evidence::note_events;
-use crate::placement::{self, DecodePlacement};
-use crate::pool::{Exchanged, PooledConnection};
+use crate::pool::Exchanged;
 use crate::reachability::cut_off_from;
 use crate::relay::Relay;
-use crate::retry::MAX_UNREACHABLE;
-use crate::send::SendResult;
 use crate::sse::EventSplitter;
-use crate::upstream::{InFlight, Upstream, Work};
-use crate::urgency::Urgency;
-use view::VersionKey;
 
 /// Silence of an engine after which its stream is resumed elsewhere, in multiples of the objective
 /// for the gap between events. Callers give up after eight, which leaves time for the other engine.
@@ -53,95 +51,6 @@
     look_again_ms: u64,
 }
 
-/// Where a stream comes from.
-pub enum StreamOrigin {
-    /// An engine.
-    Engine(InFlight),
-    /// A peer that serves the request for this instance.
-    Peer(AtPeer),
-}
-
-impl StreamOrigin {
-    /// Name of the engine or the peer.
-    fn name(&self) -> &str {
-        match self {
-            Self::Engine(guard) => &guard.upstream().id,
-            Self::Peer(at_peer) => &at_peer.name,
-        }
-    }
-
-    /// Version of the engine that serves the stream, if it is known.
-    fn version(&self) -> Option<VersionKey> {
-        match self {
-            Self::Engine(guard) => Some(guard.upstream().version_key),
-            Self::Peer(at_peer) => at_peer.version,
-        }
-    }
-
-    fn engine(&self) -> Option<Rc<Upstream>> {
-        match self {
-            Self::Engine(guard) => Some(Rc::clone(guard.upstream())),
-            Self::Peer(_) => None,
-        }
-    }
-
-    fn note_activity(&self, now_ms: u64) {
-        if let Self::Engine(guard) = self {
-            guard.upstream().note_activity(now_ms);
-        }
-    }
-
-    fn note_failure(&self, now_ms: u64) {
-        if let Self::Engine(guard) = self {
-            guard.upstream().note_failure(now_ms);
-        }
-    }
-
-    /// Reports a lost connection to the failure attribution; the peer does so for its own.
-    fn note_lost_answer(&self, relay: &Rc<Relay>, call: &Call) {
-        if let Self::Engine(guard) = self {
-            note_lost_answer(relay, call, guard.upstream());
-        }
-    }
-
-    fn record_answered(&self, relay: &Relay, call: &Call) {
-        if let Self::Engine(_) = self {
-            relay.record_answered(call);
-        }
-    }
-}
-
-/// The part of a stream that comes from one engine or peer.
-struct StreamSource {
-    framing: Framing,
-    body: Incoming,
-    connection: PooledConnection,
-    origin: StreamOrigin,
-}
-
-impl StreamSource {
-    /// The rest of a stream, from the answer with which it is resumed.
-    fn resumed((response, connection): Exchanged, origin: StreamOrigin) -> Self {
-        Self {
-            framing: Framing::of(response.headers()),
-            body: response.into_body(),
-            connection,
-            origin,
-        }
-    }
-}
-
-/// Nobody else can go on with a stream.
-struct NoOther;
-
-/// Result of resuming a stream at another engine.
-enum Resumed {
-    Streaming(StreamSource),
-    /// Nothing reached the engine.
-    Unsent,
-    Failed,
-}
-
 /// Result of waiting for the source.
 enum Received {
     Data(Bytes),
@@ -344,61 +253,6 @@
         }
     }
 
-    /// Looks for another source in the place of a silent one.
-    ///
-    /// A sound engine may be silent and go on, and the other one may reject the request, be dead or silent itself. So the
-    /// silent one is kept until the other one has begun to answer, and goes on if it is the first to do so.
-    async fn replace_silent(&mut self, why: &str) -> Received {
-        let Some(mut silent) = self.source.take() else {
-            return Received::End;
-        };
-        let kept = silent.origin.engine();
-        // Nothing arrives meanwhile, so an end of the source now is either the stream's end or a break.
-        let is_end = StreamEnd::of(&self.splitter)
-            .break_cause(silent.framing)
-            .is_none();
-        let mut broken = None;
-        let found = {
-            let other = self.find_other(kept.as_deref());
-            tokio::pin!(other);
-            loop {
-                tokio::select! {
-                    biased;
-                    frame = silent.body.frame(), if broken.is_none() => match frame {
-                        Some(Ok(_)) => break Err(frame),
-                        None if is_end => break Err(frame),
-                        // The other source is needed all the more.
-                        None | Some(Err(_)) => broken = Some(frame),
-                    },
-                    other = &mut other => break Ok(other),
-                }
-            }
-        };
-        match found {
-            Ok(Ok(other)) => {
-                if broken.is_some() {
-                    silent.origin.note_lost_answer(&self.relay, &self.call);
-                }
-                self.note_interrupted(&silent.origin, why);
-                self.splitter.clear();
-                self.source = Some(other);
-                Received::Replaced
-            }
-            Ok(Err(NoOther)) => {
-                self.source = Some(silent);
-                if let Some(frame) = broken {
-                    return self.note_frame(frame);
-                }
-                self.look_again_ms = self.relay.now_ms() + MIN_SILENCE_MS;
-                Received::Silent(why.to_owned())
-            }
-            Err(frame) => {
-                self.source = Some(silent);
-                self.note_frame(frame)
-            }
-        }
-    }
-
     /// Updates the longest gap and the engine's last activity.
     fn note_progress(&mut self) {
         let now_ms = self.relay.now_ms();
@@ -430,171 +284,6 @@
         }
     }
 
-    /// Resumes the stream at another engine, after the last complete event.
-    async fn resume_elsewhere(&mut self, why: &str) -> Result<(), TruncatedAnswer> {
-        if let Some(source) = self.source.take() {
-            self.note_interrupted(&source.origin, why);
-        }
-        self.splitter.clear();
-        if self.last_event.is_some() && self.call.began_version.get().is_none() {
-            return Err(self.fail("the version that began it is not known"));
-        }
-        let Ok(other) = self.find_other(None).await else {
-            return Err(self.fail(why));
-        };
-        self.source = Some(other);
-        Ok(())
-    }
-
-    /// Records that a source was given up.
-    fn note_interrupted(&self, origin: &StreamOrigin, why: &str) {
-        let now_ms = self.relay.now_ms();
-        origin.note_failure(now_ms);
-        if self.relay.failure_log_limit.take(now_ms) {
-            log::info!(
-                request = self.call.id(), key:% = self.call.key,
-                upstream = origin.name(), why, last_event = self.last_event.unwrap_or(0);
-                "stream interrupted"
-            );
-        }
-    }
-
-    /// Finds another source for the rest of the stream, after the last complete event; not `kept`, which is waited for.
-    async fn find_other(&mut self, kept: Option<&Upstream>) -> Result<StreamSource, NoOther> {
-        let call = Rc::clone(&self.call);
-        let prompt = call.head.prompt.as_ref().ok_or(NoOther)?;
-        let has_version = call.began_version.get().is_some();
-        if !call.route.is_retryable() || (self.last_event.is_some() && !has_version) {
-            return Err(NoOther);
-        }
-        ensure_not_poison(&self.relay, &call)
-            .await
-            .map_err(|_| NoOther)?;
-        if kept.is_some() && !self.has_other(&call, prompt, kept) || !may_retry(&self.relay, &call)
-        {
-            return Err(NoOther);
-        }
-        // An engine that was not reached, or began to leave before the request was sent, costs no attempt.
-        for _ in 0..MAX_UNREACHABLE {
-            let resumed = if is_handed_over(&self.relay, &call).await {
-                self.resume_at_peer(&call).await
-            } else {
-                self.resume_at_best(&call, prompt, kept).await
-            };
-            match resumed {
-                Resumed::Streaming(source) => return Ok(source),
-                Resumed::Unsent => {}
-                Resumed::Failed => break,
-            }
-        }
-        Err(NoOther)
-    }
-
-    /// Whether anyone else could go on with the stream, so that no retry is taken in vain.
-    fn has_other(&self, call: &Call, prompt: &Prompt, kept: Option<&Upstream>) -> bool {
-        self.relay.is_cut_off(&call.service) || self.choose_other(call, prompt, kept).is_some()
-    }
-
-    /// The best engine that was not tried yet, other than `kept`.
-    fn choose_other(
-        &self,
-        call: &Call,
-        prompt: &Prompt,
-        kept: Option<&Upstream>,
-    ) -> Option<DecodePlacement> {
-        let urgency = Urgency::OnTime;
-        let chosen =
-            placement::choose_decode_engine(&self.relay, call, prompt, &self.tried, false, urgency);
-        let is_kept = |engine: &Upstream| kept.is_some_and(|kept| kept.id == engine.id);
-        chosen.ok().filter(|chosen| !is_kept(&chosen.engine))
-    }
-
-    /// Has a peer serve the rest of the stream, since this instance is cut off from the engines.
-    async fn resume_at_peer(&mut self, call: &Rc<Call>) -> Resumed {
-        if call.is_taken_over.get() {
-            return Resumed::Failed;
-        }
-        let left = Duration::from_millis(call.left_ms(self.relay.now_ms()));
-        let resumed = hand_over_from(&self.relay, call, self.last_event);
-        let Ok(Ok(((response, connection), at_peer))) =
-            actix_rt::time::timeout(left, resumed).await
-        else {
-            return Resumed::Failed;
-        };
-        // An instance of an older build does not ask for the version. Before the first event any will do.
-        let began_version = call.began_version.get();
-        let is_other = began_version.is_some() && at_peer.version != began_version;
-        if response.status() != StatusCode::OK || is_other {
-            call.is_handed_over.set(false);
-            return Resumed::Failed;
-        }
-        if self.relay.failure_log_limit.take(self.relay.now_ms()) {
-            log::info!(request = call.id(), to = at_peer.name; "stream resumed by another instance");
-        }
-        let exchanged = (response, connection);
-        Resumed::Streaming(StreamSource::resumed(
-            exchanged,
-            StreamOrigin::Peer(at_peer),
-        ))
-    }
-
-    /// Sends the request for the rest of the stream to the best engine that was not tried yet.
-    async fn resume_at_best(
-        &mut self,
-        call: &Rc<Call>,
-        prompt: &Prompt,
-        kept: Option<&Upstream>,
-    ) -> Resumed {
-        let Some(placement) = self.choose_other(call, prompt, kept) else {
-            return Resumed::Failed;
-        };
-        let copy_from = placement.copy_from.map(|holder| holder.address);
-        let engine = placement.engine;
-        self.tried.push(engine.id.clone());
-        let guard = InFlight::begin(
-            &engine,
-            self.relay.now_ms(),
-            Work {
-                prefill_tokens: placement.prefill_tokens,
-                context_tokens: f64::from(prompt.input_tokens),
-                rank: call.rank(Urgency::OnTime),
-            },
-        );
-        let options = SendOptions {
-            instance: &engine.id,
-            deadline_ms: call.left_ms(self.relay.now_ms()),
-            priority: Some(call.rank(Urgency::OnTime)),
-            copy_from,
-            last_event: self.last_event,
-            ..SendOptions::default()
-        };
-        let left = Duration::from_millis(call.left_ms(self.relay.now_ms()));
-        let sending = send_unless_cut_off(&self.relay, call, &engine, &options);
-        let sent = actix_rt::time::timeout(left, sending).await;
-        match sent {
-            Ok(SendResult::Answer(checked)) if checked.response.status() == StatusCode::OK => {
-                guard.note_prefilled();
-                guard.note_head(self.relay.now_ms());
-                if self.relay.failure_log_limit.take(self.relay.now_ms()) {
-                    log::info!(
-                        request = call.id(), upstream = engine.id, version = engine.version;
-                        "stream resumed at another engine"
-                    );
-                }
-                let began_version = call.began_version.get();
-                let is_same = began_version.map(|it| it == engine.version_key);
-                count_continued(&self.relay, &call.service, "relay", is_same);
-                let exchanged = (checked.response, checked.connection);
-                Resumed::Streaming(StreamSource::resumed(
-                    exchanged,
-                    StreamOrigin::Engine(guard),
-                ))
-            }
-            Ok(SendResult::Unsent(_)) => Resumed::Unsent,
-            _ => Resumed::Failed,
-        }
-    }
-
     /// Counts and logs a complete stream, and releases its connection.
     fn finish(&mut self, status: &str) {
         self.call.is_finished.set(true);
@@ -643,81 +332,3 @@
         }
     }
 }
-
-/// Logs and counts a stream that its caller takes up.
-fn note_taken_up(relay: &Relay, call: &Call, origin: &StreamOrigin) {
-    let version = origin.engine().map(|engine| engine.version.clone());
-    if relay.success_log_limit.take(relay.now_ms()) {
-        let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
-        log::info!(
-            request = call.id(), resumes = resumes.unwrap_or("-"), last_event = call.head.last_event.unwrap_or(0),
-            upstream = origin.name(), version = version.as_deref().unwrap_or("-");
-            "stream taken up by its caller"
-        );
-    }
-    let began_version = call.began_version.get();
-    let is_same = began_version.map(|it| Some(it) == origin.version());
-    count_continued(relay, &call.service, "caller", is_same);
-}
-
-/// Counts a stream that went on, and whether it did so at the version that began it, if that is known.
-fn count_continued(relay: &Relay, service: &str, by: &str, is_same: Option<bool>) {
-    let version = match is_same {
-        Some(true) => "same",
-        Some(false) => "other",
-        None => "unknown",
-    };
-    let streams = &relay.metrics.streams.continued;
-    streams.with_label_values(&[service, by, version]).inc();
-}
-
-/// Streams a long answer to the caller as it arrives, until the request's deadline.
-pub fn stream_answer(
-    relay: &Rc<Relay>,
-    call: &Rc<Call>,
-    body: Incoming,
-    connection: PooledConnection,
-    origin: StreamOrigin,
-) -> AnswerBody {
-    struct State {
-        relay: Rc<Relay>,
-        call: Rc<Call>,
-        body: Incoming,
-        connection: PooledConnection,
-        origin: StreamOrigin,
-    }
-    let state = State {
-        relay: Rc::clone(relay),
-        call: Rc::clone(call),
-        body,
-        connection,
-        origin,
-    };
-    let frames = unfold(Some(state), |state| async move {
-        let mut state = state?;
-        let left = Duration::from_millis(state.call.left_ms(state.relay.now_ms()));
-        let why = match actix_rt::time::timeout(left, state.body.frame()).await {
-            Ok(Some(Ok(frame))) => {
-                return Some((Ok(frame.into_data().unwrap_or_default()), Some(state)));
-            }
-            Ok(None) => {
-                state.connection.release();
-                state.origin.record_answered(&state.relay, &state.call);
-                return None;
-            }
-            Ok(Some(Err(error))) => {
-                state.origin.note_lost_answer(&state.relay, &state.call);
-                error.to_string()
-            }
-            Err(_) => "out of time".to_owned(),
-        };
-        if state.relay.failure_log_limit.take(state.relay.now_ms()) {
-            log::info!(
-                request = state.call.id(), key:% = state.call.key, upstream = state.origin.name(), why;
-                "answer ended early"
-            );
-        }
-        Some((Err(TruncatedAnswer { why }), None))
-    });
-    AnswerBody::stream(frames)
-}
