Hand-over headers and trials of prompt parts have files of their own

Ruled out: a change of behaviour; items moved as they were, only their visibility changed. Conclusion: no other change.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -3,6 +3,8 @@
 //! A request goes one hop at most, as its caller sent it, with the time that is left and what was spent on it. The peer
 //! admits, places, retries and counts it like one of its own callers'. See docs/design/reachability.md.
 
+mod wire;
+
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
@@ -10,12 +12,15 @@
 use std::time::Duration;
 
 use futures_util::stream::{FuturesUnordered, StreamExt};
-use http::{HeaderMap, HeaderName, HeaderValue, Response, header};
+use http::{HeaderValue, Response, header};
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use plan::AttemptTimeout;
 use view::{InstanceKey, Member, ServiceKey, VersionKey};
 
+use self::wire::{HANDOVER, REFUSED, is_refusal, take_version, write_version};
+pub use self::wire::{Handover, MalformedHandover, Spent};
+pub(crate) use self::wire::{ServedBy, mark_answer};
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_leaving};
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::call::{Call, strip_hop_by_hop};
@@ -31,18 +36,6 @@
 use crate::stream_origins::came_back;
 use crate::upstream::Upstream;
 
-/// Header with which an instance hands a request over: what was spent on it, and the instance's name. An answer carries
-/// it too, with the id of the upstream that it comes from: the answer of an instance that takes no requests over is not
-/// passed on, and what an upstream announces in one holds here as well.
-const HANDOVER: HeaderName = HeaderName::from_static("relay-handover");
-
-/// Header with the version that began a stream: the only one at which the peer may go on with it, or in an answer the one
-/// of the engine that serves it.
-const VERSION: HeaderName = HeaderName::from_static("relay-version");
-
-/// Header of an answer with which an instance refuses a request that was handed over to it, with the reason's label.
-const REFUSED: HeaderName = HeaderName::from_static("relay-refused");
-
 /// Peers that a request is handed over to, one after the other, until one takes it.
 const MAX_HELPERS: usize = 3;
 
@@ -52,91 +45,6 @@
 /// Retry delay sent to a caller whose request no peer took, in ms: a few gossip periods.
 const CUT_OFF_RETRY_MS: u64 = 300;
 
-/// What was spent on a request before it was handed over.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct Spent {
-    /// Upstreams that it was sent to.
-    pub attempts: u32,
-    /// Its arrivals at the service, as the retry budget counts them.
-    pub arrivals: u32,
-    /// Sends that may have run.
-    pub possible_runs: u32,
-    /// Whether a separate prefill was accepted.
-    pub is_prefill_accepted: bool,
-    /// Whether its first send was counted for the retry budget.
-    pub is_first_counted: bool,
-}
-
-/// A request that a peer hands over.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Handover {
-    /// What the peer spent on it.
-    pub spent: Spent,
-    /// Version that began the stream that the peer goes on with, if it is one and that is known.
-    pub began_version: Option<VersionKey>,
-    /// Name of the peer.
-    pub from: String,
-}
-
-/// Error of a handover header that cannot be parsed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, derive_more::Display, derive_more::Error)]
-#[display("header {HANDOVER}: malformed")]
-pub struct MalformedHandover;
-
-impl Handover {
-    /// Takes the header out of a request's head; none if the request was not handed over.
-    pub fn take(headers: &mut HeaderMap) -> Option<Result<Self, MalformedHandover>> {
-        let value = headers.remove(HANDOVER)?;
-        let began_version = take_version(headers);
-        Some(Self::parse(&value, began_version).ok_or(MalformedHandover))
-    }
-
-    fn parse(value: &HeaderValue, began_version: Option<VersionKey>) -> Option<Self> {
-        let mut parts = value.to_str().ok()?.splitn(6, ',');
-        let mut number = || parts.next()?.parse::<u32>().ok();
-        let spent = Spent {
-            attempts: number()?,
-            arrivals: number()?,
-            possible_runs: number()?,
-            is_prefill_accepted: number()? > 0,
-            is_first_counted: number()? > 0,
-        };
-        let from = parts.next()?.to_owned();
-        Some(Self {
-            spent,
-            began_version,
-            from,
-        })
-    }
-
-    fn header(&self) -> Option<HeaderValue> {
-        let spent = &self.spent;
-        let text = format!(
-            "{},{},{},{},{},{}",
-            spent.attempts,
-            spent.arrivals,
-            spent.possible_runs,
-            u32::from(spent.is_prefill_accepted),
-            u32::from(spent.is_first_counted),
-            self.from
-        );
-        HeaderValue::from_str(&text).ok()
-    }
-}
-
-fn take_version(headers: &mut HeaderMap) -> Option<VersionKey> {
-    let value = headers.remove(VERSION)?;
-    let number = u64::from_str_radix(value.to_str().ok()?, 16).ok()?;
-    Some(VersionKey(number))
-}
-
-fn write_version(headers: &mut HeaderMap, version: Option<VersionKey>) {
-    let value = version.and_then(|it| HeaderValue::from_str(&format!("{:x}", it.0)).ok());
-    if let Some(value) = value {
-        headers.insert(VERSION, value);
-    }
-}
-
 /// Connections to peers, and the requests of peers that are served here now.
 #[derive(Default)]
 pub struct Handovers {
@@ -229,15 +137,6 @@
     }
 }
 
-/// The upstream that an answer comes from, for a peer that handed the request over.
-#[derive(Debug, Clone)]
-pub(crate) struct ServedBy {
-    /// Its id.
-    pub id: String,
-    /// Version of its software, if the answer is a stream.
-    pub version: Option<VersionKey>,
-}
-
 /// Counts a request of a peer for as long as it is served here.
 pub struct TakenOver(Rc<Cell<usize>>);
 
@@ -247,21 +146,6 @@
     }
 }
 
-/// Marks an answer for the peer that handed the request over, which has to know if this instance refused it.
-pub(crate) fn mark_answer<B>(response: &mut Response<B>) {
-    let served_by = response.extensions_mut().remove::<ServedBy>();
-    let version = served_by.as_ref().and_then(|it| it.version);
-    let upstream = served_by.and_then(|it| HeaderValue::from_str(&it.id).ok());
-    let headers = response.headers_mut();
-    write_version(headers, version);
-    headers.insert(HANDOVER, upstream.unwrap_or(HeaderValue::from_static("")));
-    let Some(refusal) = response.extensions().get::<Refusal>() else {
-        return;
-    };
-    let label = HeaderValue::from_static(refusal.reason.label());
-    response.headers_mut().insert(REFUSED, label);
-}
-
 /// Whether a request is to be handed over, once it is known whether this instance is cut off.
 ///
 /// While that is in doubt, sending it would be in vain, and one that may not be repeated would be lost.
@@ -443,10 +327,6 @@
     actix_rt::time::sleep(Duration::from_millis(left_ms)).await;
 }
 
-fn is_refusal(response: &Response<Incoming>) -> bool {
-    response.headers().contains_key(REFUSED)
-}
-
 fn take_answer(
     relay: &Relay,
     call: &Call,
--- a/crates/view/src/parts.rs
+++ b/crates/view/src/parts.rs
@@ -7,10 +7,14 @@
 //! refused, except one at a time that is sent as a trial and either clears the part or convicts it. From then on the
 //! part is refused like a poison request. See docs/design/prompt-parts.md.
 
+mod trial;
+
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
+pub use self::trial::Trial;
+use self::trial::{Conviction, RunningTrial};
 use crate::part_losses::{LostPart, PartLosses};
 use crate::sound_parts::SoundParts;
 use crate::{AnswerProgress, InstanceKey, PartKey, Suspicion, UpstreamKey};
@@ -30,26 +34,13 @@
 /// How long a part is remembered after it was last accused or refused, in ms: as long as poison requests are.
 const RETENTION_MS: u64 = crate::poison::RETENTION_MS;
 
-/// Time after which a trial no longer keeps others waiting, in ms.
-const TRIAL_MS: u64 = 3_000;
-
-/// The same for one whose answer was lost: it may take this long until it is known whether the upstream has ended.
-const LOST_TRIAL_MS: u64 = 10_000;
-
 /// Time without a new end after which a request with several held parts is tried, in ms. Before, one that has only one
 /// of them may come and tell which it is.
 const COMBINED_TRIAL_AFTER_MS: u64 = 2_000;
 
-/// Pause after a conviction until the part is tried again, in ms; doubles with each one. A sound part may have met
-/// several upstreams that ended for reasons of their own.
-const FIRST_PAUSE_MS: u64 = 60_000;
-
 /// Time by which instances may differ on when a convicted part is due, in ms: they hear of its conviction by gossip.
 const DUE_SLACK_MS: u64 = 1_000;
 
-/// Trials that may end their upstream before a part is not tried again.
-const MAX_FAILED_TRIALS: u8 = 2;
-
 /// Evidence on parts that instances gossip.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PartEvidence {
@@ -77,15 +68,6 @@
     },
 }
 
-/// A request with a held part that one instance sends to find out.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub struct Trial {
-    /// The part.
-    pub part: PartKey,
-    /// The instance.
-    pub instance: InstanceKey,
-}
-
 /// What becomes of a request with some parts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum PartVerdict {
@@ -108,28 +90,6 @@
     pub reply: Option<PartEvidence>,
 }
 
-#[derive(Debug, Clone, Copy)]
-struct Conviction {
-    failed_trials: u8,
-    /// When the part may be tried again; none if it is not.
-    next_trial_ms: Option<u64>,
-}
-
-impl Conviction {
-    fn new(now_ms: u64, failed_trials: u8) -> Self {
-        let doublings = u32::from(failed_trials.saturating_sub(1));
-        let pause_ms = FIRST_PAUSE_MS << doublings.min(u32::from(MAX_FAILED_TRIALS));
-        Self {
-            failed_trials,
-            next_trial_ms: (failed_trials < MAX_FAILED_TRIALS).then_some(now_ms + pause_ms),
-        }
-    }
-
-    fn may_be_tried(&self, now_ms: u64) -> bool {
-        self.next_trial_ms.is_some_and(|at_ms| now_ms >= at_ms)
-    }
-}
-
 #[derive(Debug, Default)]
 struct Suspect {
     ends: Vec<(UpstreamKey, Suspicion)>,
@@ -150,24 +110,6 @@
     }
 }
 
-#[derive(Debug, Clone, Copy)]
-struct RunningTrial {
-    trial: Trial,
-    began_ms: u64,
-    /// The upstream that lost its answer.
-    lost_at: Option<UpstreamKey>,
-}
-
-impl RunningTrial {
-    fn has_lapsed(&self, now_ms: u64) -> bool {
-        let lapse_ms = match self.lost_at {
-            Some(_) => LOST_TRIAL_MS,
-            None => TRIAL_MS,
-        };
-        now_ms >= self.began_ms + lapse_ms
-    }
-}
-
 /// Parts under which upstreams ended lately, as seen by all instances.
 #[derive(Debug, Default)]
 pub struct PartTracker {
