--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -25,7 +25,6 @@
 mod route;
 mod split;
 mod stream_version;
-mod trial;
 
 pub use admission::{Refusal, RefusalReason, WorkspaceLimiter};
 pub use deadline::{AttemptTimeout, RetryBudget, give_up_ms};
@@ -52,4 +51,3 @@
     wanted_prefill_engines,
 };
 pub use stream_version::{OriginEvidence, STREAM_AGE_MS, ServiceVersions, origin_version};
-pub use trial::Trial;
--- a/crates/relay/src/estimates.rs
+++ b/crates/relay/src/estimates.rs
@@ -6,7 +6,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 
-use plan::{LatencyModel, Prediction, PrefillSample, Trial, UnconfirmedFor};
+use plan::{LatencyModel, Prediction, PrefillSample, UnconfirmedFor};
 
 use crate::prior_wait::PriorWaitEstimator;
 use crate::urgency::TypicalLength;
@@ -59,10 +59,6 @@
     pub decode_prefill: Provenance,
     /// Of the time of a transfer.
     pub kv_transfer: Provenance,
-    /// When a transfer is tried although it is believed to be slow.
-    transfer_trial: Trial,
-    /// When the last transfer was sent that refuted the learned time.
-    transfer_refuted_ms: u64,
 }
 
 impl ServiceLatency {
@@ -72,14 +68,12 @@
             token_ms: self.token.unconfirmed_ms(now_ms),
             prefill_ms: self.prefill.unconfirmed_ms(now_ms),
             decode_prefill_ms: self.decode_prefill.unconfirmed_ms(now_ms),
+            kv_transfer_ms: self.kv_transfer.unconfirmed_ms(now_ms),
         };
-        let model = self.model.after(&unconfirmed);
-        let model = if self.transfer_trial.is_due(now_ms) {
-            model.with_trial_transfer()
-        } else {
-            model
-        };
-        Self { model, ..*self }
+        Self {
+            model: self.model.after(&unconfirmed),
+            ..*self
+        }
     }
 
     fn record_prefill(&mut self, now_ms: u64, sample: &PrefillSample) {
@@ -106,18 +100,13 @@
         self.model.record_decode_prefill(error_ms, wait_ms, own_ms);
     }
 
-    fn record_kv_transfer(&mut self, now_ms: u64, error_ms: f64, took_ms: f64) {
-        let sent_ms = now_ms.saturating_sub(took_ms as u64);
-        // Slow transfers that were sent before a fast one end after it, and tell of the time before.
-        if sent_ms < self.transfer_refuted_ms {
-            return;
-        }
-        self.kv_transfer.confirm(now_ms, true);
-        self.transfer_trial.note_sent(sent_ms);
+    fn record_kv_transfer(&mut self, now_ms: u64, error_ms: f64) {
+        let unconfirmed = UnconfirmedFor {
+            kv_transfer_ms: self.kv_transfer.confirm(now_ms, true),
+            ..UnconfirmedFor::default()
+        };
+        self.model = self.model.after(&unconfirmed);
         self.model.record_kv_transfer(error_ms);
-        if self.model.bound_kv_transfer(took_ms) {
-            self.transfer_refuted_ms = sent_ms;
-        }
     }
 }
 
@@ -154,11 +143,6 @@
         services.into_iter().map(latency).collect()
     }
 
-    /// Records that a request is sent a way that ends with a transfer: if a trial was due, this request is it.
-    pub fn begin_transfer(&self, now_ms: u64, service: &str) {
-        self.adjust(service, |latency| latency.transfer_trial.note_sent(now_ms));
-    }
-
     /// Learns from a prefill at a dedicated prefill engine.
     pub fn observe_prefill(&self, now_ms: u64, service: &str, sample: &PrefillSample) {
         self.adjust(service, |latency| latency.record_prefill(now_ms, sample));
@@ -177,7 +161,7 @@
         let error_ms = took_ms - first.total_ms();
         self.adjust(service, |latency| {
             if is_transferred {
-                latency.record_kv_transfer(now_ms, error_ms, took_ms);
+                latency.record_kv_transfer(now_ms, error_ms);
             } else {
                 latency.record_decode_prefill(now_ms, first, error_ms);
             }
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -104,8 +104,6 @@
             Ok((decode, None))
         }
         Placement::Disaggregated(prefill) => {
-            let estimates = &relay.estimates;
-            estimates.begin_transfer(relay.now_ms(), &call.service);
             let kv = prefill_separately(relay, call, prompt, &prefill).await;
             let decode =
                 choose_decode_engine(relay, call, prompt, tried, kv.as_ref(), prefill.urgency)?;
