Cut paths: what waits at an upstream is kept while a peer is asked

What callers saw: 502 for reads and streams that waited at a silent upstream, 1 s after they came, while the engines of the service went on one after the other. Cause: the instance took itself for cut off for 38 to 520 ms, since a peer heard an upstream first; what waited at the silent one was given up at once, and the peer's upstream rejected it. Class: a source that is given up before another is at hand. Mend: once the cut has lasted for a sixth of the time that is left, 400 ms at most, a peer is asked in addition; its answer is taken, a refusal or an error of it ends nothing. After 2.5 s out of reach the upstream is given up as before. A prefill is given up only after the same 400 ms.

--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -64,6 +64,7 @@
                     relay, call, exchanged, origin, tried,
                 ));
             }
+            SendResult::HandedOver(response) => return Ok(*response),
             SendResult::Answer(checked) => {
                 // If no other engine can answer, the caller gets this error, which is more specific
                 // than a refusal.
@@ -172,7 +173,9 @@
     awaited.end();
     if let Some(kv) = kv {
         match sent {
-            SendResult::Answer(_) | SendResult::Lost(_) => kv.mark_taken(),
+            SendResult::Answer(_) | SendResult::Lost(_) | SendResult::HandedOver(_) => {
+                kv.mark_taken();
+            }
             SendResult::NotRun(StatusCode::SERVICE_UNAVAILABLE)
                 if engine.accepts_requests(relay.now_ms())
                     && relay.check_poison(call).is_ok()
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -11,6 +11,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_util::FutureExt;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderValue, Response, header};
 use http_body_util::BodyExt;
@@ -42,6 +43,15 @@
 /// Connections to one peer for requests that are handed over.
 const MAX_CONNECTIONS: usize = 256;
 
+/// Time for which an instance must stay cut off before it gives up what waits at an upstream, in ms, and the part of the
+/// time to the deadline that this may take: longer than it takes to hear upstreams that were silent.
+const MAX_CONFIRM_MS: u64 = 400;
+const CONFIRM_FRACTION: u64 = 6;
+
+/// Time after which an upstream that is out of reach is not waited for any longer, in ms: a sound one may be silent for a
+/// second or two.
+const MAX_SILENCE_MS: u64 = 2_500;
+
 /// Retry delay sent to a caller whose request no peer took, in ms: a few gossip periods.
 const CUT_OFF_RETRY_MS: u64 = 300;
 
@@ -156,8 +166,8 @@
     relay.is_cut_off(&call.service)
 }
 
-/// Sends a request to an upstream, and gives it up if this instance is cut off from it before anything came back and a
-/// peer may serve the request instead.
+/// Sends a request to an upstream. If this instance is cut off from it before anything came back, and a peer may serve
+/// the request instead, a peer is asked beside it, and the first to answer counts.
 pub async fn send_unless_cut_off(
     relay: &Rc<Relay>,
     call: &Rc<Call>,
@@ -168,11 +178,25 @@
         let peer = upstream.address;
         return SendResult::Unsent(ExchangeError::Replaced { peer });
     }
+    let sending = send(relay, call, upstream, options);
+    tokio::pin!(sending);
     let sent = tokio::select! {
-        sent = send(relay, call, upstream, options) => sent,
-        () = movable_to_peer(relay, call, upstream), if call.route.is_retryable() => {
+        sent = &mut sending => Some(sent),
+        () = movable_to_peer(relay, call, upstream), if call.route.is_retryable() => None,
+    };
+    let sent = match sent {
+        Some(sent) => sent,
+        // A peer would begin a stream from where its caller has it, not from where it broke off.
+        None if options.last_event != call.head.last_event => {
             SendResult::Lost("the path to the upstream was cut".to_owned())
         }
+        None => tokio::select! {
+            sent = &mut sending => sent,
+            response = serve_at_peer(relay, call) => SendResult::HandedOver(Box::new(response)),
+            () = silent_for_too_long(relay, upstream) => {
+                SendResult::Lost("the path to the upstream was cut".to_owned())
+            }
+        },
     };
     if let SendResult::Unsent(ExchangeError::Connect { .. }) = &sent {
         settle(relay, &call.service).await;
@@ -180,6 +204,29 @@
     sent
 }
 
+/// Completes once an upstream has been out of reach for longer than a sound one is silent.
+async fn silent_for_too_long(relay: &Relay, upstream: &Upstream) {
+    loop {
+        actix_rt::time::sleep(Duration::from_millis(MAX_SILENCE_MS)).await;
+        if cut_off_from(relay, upstream).now_or_never().is_some() {
+            return;
+        }
+    }
+}
+
+/// Completes once a peer serves a request; never if none does, since the upstream may answer yet.
+async fn serve_at_peer(relay: &Rc<Relay>, call: &Rc<Call>) -> Response<AnswerBody> {
+    if let Ok(((response, connection), at_peer)) =
+        hand_over_from(relay, call, call.head.last_event).await
+        && !is_refusal(&response)
+        && !response.status().is_server_error()
+        && let Ok(response) = use_peer_answer(relay, call, (response, connection), at_peer).await
+    {
+        return response;
+    }
+    std::future::pending().await
+}
+
 /// Completes once this instance is cut off from `upstream` and a peer may serve the request that waits there.
 ///
 /// An upstream that is merely silent looks the same. Until somebody else can serve the request, its answer may come.
@@ -188,7 +235,7 @@
         return std::future::pending().await;
     }
     loop {
-        cut_off_from(relay, upstream).await;
+        stays_cut_off_from(relay, call, upstream).await;
         if next_helper_for_retry(relay, call, &[]).is_some() {
             return;
         }
@@ -197,6 +244,22 @@
     }
 }
 
+/// Completes once this instance has been cut off from `upstream` for a while.
+///
+/// Upstreams that go on after a silence are often heard by peers first, and the instance takes itself for cut off until
+/// it hears them too. What waits at another upstream must not be given up for that.
+pub async fn stays_cut_off_from(relay: &Relay, call: &Call, upstream: &Upstream) {
+    loop {
+        cut_off_from(relay, upstream).await;
+        let left_ms = call.left_ms(relay.now_ms());
+        let confirm_ms = (left_ms / CONFIRM_FRACTION).min(MAX_CONFIRM_MS);
+        actix_rt::time::sleep(Duration::from_millis(confirm_ms)).await;
+        if cut_off_from(relay, upstream).now_or_never().is_some() {
+            return;
+        }
+    }
+}
+
 /// Result of handing a request over to one peer.
 enum Handed {
     /// The peer answered, also with a refusal of its own that stands.
@@ -216,7 +279,16 @@
         return Err(Refusal::new(Reason::CutOff));
     }
     let (exchanged, at_peer) = hand_over_from(relay, call, call.head.last_event).await?;
-    let (response, connection) = exchanged;
+    use_peer_answer(relay, call, exchanged, at_peer).await
+}
+
+/// Passes a peer's answer on, as a stream that goes on elsewhere if the peer fails, or whole.
+async fn use_peer_answer(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    (response, connection): Exchanged,
+    at_peer: AtPeer,
+) -> Result<Response<AnswerBody>, Refusal> {
     let refused = is_refusal(&response);
     let is_stream = call.route.kind == RouteKind::Stream && response.status().is_success();
     if is_stream && !refused {
--- a/crates/relay/src/part_evidence.rs
+++ b/crates/relay/src/part_evidence.rs
@@ -75,7 +75,8 @@
         SendResult::Answer(_)
         | SendResult::Unsent(_)
         | SendResult::NotRun(_)
-        | SendResult::Lost(_) => AnswerProgress::NotSent,
+        | SendResult::Lost(_)
+        | SendResult::HandedOver(_) => AnswerProgress::NotSent,
     };
     call.progress.set(progress);
 }
--- a/crates/relay/src/plain_attempts.rs
+++ b/crates/relay/src/plain_attempts.rs
@@ -144,6 +144,7 @@
     note_response(relay, &guard, &result);
     let checked = match result {
         SendResult::Answer(checked) => checked,
+        SendResult::HandedOver(response) => return Outcome::Answered(*response),
         failed => return Outcome::Failed(failed.failure()),
     };
     let status = checked.response.status();
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -16,9 +16,9 @@
 use crate::dialect::{KvHandle, Prompt, SendOptions, Step};
 use crate::framing::Framing;
 use crate::generation::record_cached_parts;
+use crate::handover::stays_cut_off_from;
 use crate::placement::PrefillPlacement;
 use crate::pool::{ExchangeError, PooledConnection, exchange};
-use crate::reachability::cut_off_from;
 use crate::relay::Relay;
 use crate::send::{
     exchange_with, is_no_capacity, note_exchange_error, note_misdirected, note_response_head,
@@ -164,7 +164,7 @@
     };
     let kv = tokio::select! {
         kv = prefill => kv,
-        () = cut_off_from(relay, engine) => {
+        () = stays_cut_off_from(relay, call, engine) => {
             log_not_prefilled(relay, call, engine, "the path to the engine was cut");
             None
         }
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -7,6 +7,7 @@
 use hyper::body::Incoming;
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
+use crate::answer::AnswerBody;
 use crate::attribution::note_lost_answer;
 use crate::call::Call;
 use crate::config::RouteKind;
@@ -47,6 +48,8 @@
     NotRun(StatusCode),
     /// The request may have run, and there is no answer; with the reason.
     Lost(String),
+    /// The upstream was out of reach, and a peer serves the request.
+    HandedOver(Box<Response<AnswerBody>>),
 }
 
 impl SendResult {
@@ -56,7 +59,7 @@
         match self {
             Self::Unsent(_) => SendFailure::Unsent,
             Self::NotRun(_) => SendFailure::NotRun,
-            Self::Answer(_) | Self::Lost(_) => SendFailure::Lost,
+            Self::Answer(_) | Self::Lost(_) | Self::HandedOver(_) => SendFailure::Lost,
         }
     }
 }
@@ -134,6 +137,7 @@
                 );
             }
         }
+        SendResult::HandedOver(_) => {}
     }
     sent
 }
@@ -142,7 +146,7 @@
 pub fn note_response(relay: &Relay, guard: &InFlight, sent: &SendResult) {
     match sent {
         SendResult::Answer(_) | SendResult::NotRun(_) => guard.note_head(relay.now_ms()),
-        SendResult::Unsent(_) | SendResult::Lost(_) => {}
+        SendResult::Unsent(_) | SendResult::Lost(_) | SendResult::HandedOver(_) => {}
     }
 }
 
