Read-through: hand-overs are not held to callers' limit on heads, and no timer for a pause of nothing

Cause: a peer adds headers to a request that was within the limit; a stream set a timer of 0 ms for each wait; 'peer' is another instance everywhere else, and stood for the other end of a connection in a label.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -74,7 +74,7 @@
     /// Both sides agreed on it.
     Orderly,
     /// The other end closed or reset it.
-    Peer,
+    OtherEnd,
     /// The answer broke off.
     BrokenAnswer,
     /// A limit of the configuration had passed.
@@ -86,7 +86,7 @@
         match ended {
             Ok(()) => Self::Orderly,
             Err(error) if error.is_user() => Self::BrokenAnswer,
-            Err(_) => Self::Peer,
+            Err(_) => Self::OtherEnd,
         }
     }
 
@@ -94,7 +94,7 @@
     fn label(self) -> &'static str {
         match self {
             Self::Orderly => "orderly",
-            Self::Peer => "peer",
+            Self::OtherEnd => "other_end",
             Self::BrokenAnswer => "broken_answer",
             Self::Limit => "limit",
         }
@@ -212,7 +212,7 @@
         };
         let occupancy = match cause {
             Cause::BrokenAnswer => Occupancy::Answer,
-            Cause::Orderly | Cause::Peer | Cause::Limit => self.occupancy.get(),
+            Cause::Orderly | Cause::OtherEnd | Cause::Limit => self.occupancy.get(),
         };
         let labels = [occupancy.label(), cause.label()];
         let counter = &relay.metrics.connections_ended;
@@ -220,7 +220,7 @@
         let Err(error) = ended else {
             return;
         };
-        let is_taken_along = occupancy != Occupancy::Idle && cause != Cause::Peer;
+        let is_taken_along = occupancy != Occupancy::Idle && cause != Cause::OtherEnd;
         if is_taken_along && relay.failure_log_limit.take(relay.now_ms()) {
             let request = self.request.borrow();
             let request = request.as_ref().and_then(|id| id.to_str().ok());
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -215,7 +215,8 @@
     let limits = config
         .as_ref()
         .map_or_else(Limits::default, |config| config.limits);
-    if head_bytes(&parts) > limits.head_bytes {
+    // A peer adds headers of its own.
+    if handover.is_none() && head_bytes(&parts) > limits.head_bytes {
         return refuse(relay, Refusal::new(Reason::HeadTooLong));
     }
     // A caller that stops within its body must not delay a shutdown, and one whose body is slow is not idle.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -223,7 +223,9 @@
         };
         let pause = Duration::from_millis(self.look_again_ms.saturating_sub(now_ms));
         let path_cut = async {
-            actix_rt::time::sleep(pause).await;
+            if !pause.is_zero() {
+                actix_rt::time::sleep(pause).await;
+            }
             match &engine {
                 Some(engine) => cut_off_from(&self.relay, engine).await,
                 None => std::future::pending().await,
