--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod relay;
 pub mod retry;
 pub mod role_orders;
+pub mod scheduling;
 pub mod send;
 pub mod shutdown;
 pub mod singleton_tasks;
@@ -52,4 +53,5 @@
 
 pub use plan::RetryBudgetSettings;
 pub use relay::{Origin, Phase, Relay, Settings};
+pub use scheduling::{SchedulingPart, SchedulingSettings};
 pub use view::{log_follower, members, polling};
--- /dev/null
+++ b/crates/relay/src/placement/record.rs
@@ -0,0 +1,58 @@
+//! What a placement adds to demand and metrics.
+
+use plan::{Prediction, work_tokens};
+
+use super::Placement;
+use crate::call::Call;
+use crate::dialect::Prompt;
+use crate::relay::Relay;
+
+/// Records the prefill demand of a request, whether or not it will be served.
+///
+/// Shared parts are left out: while caches are cold every engine prefills them, and a role split
+/// computed from that demand would be wrong as soon as the caches are warm.
+pub(super) fn record_demand(relay: &Relay, call: &Call, prompt: &Prompt) {
+    let tokens = f64::from(prompt.input_tokens);
+    let unshared_tokens = prompt
+        .parts
+        .last()
+        .map_or(tokens, |own| f64::from(own.tokens));
+    let now_ms = relay.now_ms();
+    let prefill_ms = work_tokens(tokens, tokens - unshared_tokens)
+        * relay
+            .estimates
+            .latency_model(now_ms, &call.service)
+            .token_ms();
+    relay
+        .role_orders
+        .record_demand(&call.service, relay.now_ms(), prefill_ms);
+}
+
+/// Updates the metrics of a placement: where the prompt is prefilled, how its prefix is cached
+/// there, and the predicted wait.
+pub(super) fn record_placement(
+    relay: &Relay,
+    call: &Call,
+    placement: &Placement,
+    first: &Prediction,
+) {
+    let (read, is_copied, cached_tokens) = match placement {
+        Placement::Disaggregated(prefill) => {
+            ("apart", prefill.copy_from.is_some(), prefill.cached_tokens)
+        }
+        Placement::Colocated(decode) => ("whole", decode.copy_from.is_some(), decode.cached_tokens),
+    };
+    let held = match (is_copied, cached_tokens > 0.0) {
+        (true, _) => "copied",
+        (false, true) => "there",
+        (false, false) => "nowhere",
+    };
+    let service = call.service.as_str();
+    let placed = relay
+        .metrics
+        .prompts_placed
+        .with_label_values(&[service, read, held]);
+    placed.inc();
+    let wait = relay.metrics.predicted_wait_s.with_label_values(&[service]);
+    wait.observe(first.wait_ms / 1_000.0);
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -31,6 +31,7 @@
 use crate::metrics::Metrics;
 use crate::reachability::Reachability;
 use crate::role_orders::RoleOrders;
+use crate::scheduling::SchedulingSettings;
 use crate::singleton_tasks::{self, SingletonTasks};
 use crate::snapshot::{LastQuery, Snapshot};
 use crate::stream_origins::StreamOrigins;
@@ -65,6 +66,8 @@
     pub link_mbps: u32,
     /// Singleton tasks that the deployment has.
     pub singleton_tasks: singleton_tasks::TaskSettings,
+    /// Parts of scheduling that may act.
+    pub scheduling: SchedulingSettings,
 }
 
 /// Lifecycle phase of a process; it only moves forward.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -122,6 +122,7 @@
         lease_ms: 3_000,
         link_mbps: 20,
         singleton_tasks: relay::singleton_tasks::TaskSettings::default(),
+        scheduling: relay::SchedulingSettings::default(),
     }
 }
 
