--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,38 +1,31 @@
 //! Pool of HTTP/1 connections to one peer.
 
+mod error;
+mod socket;
+
 use std::cell::{Cell, RefCell};
-use std::net::{IpAddr, SocketAddr};
+use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::OnceLock;
 use std::time::Duration;
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
-use derive_more::Display;
 use http::{Request, Response};
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use plan::Rest;
-use socket2::{SockRef, TcpKeepalive};
 use tick::Clock;
-use tokio::net::{TcpSocket, TcpStream};
 
-/// Address that connections are opened from; the kernel chooses one if it is not set.
-static SOURCE_ADDRESS: OnceLock<IpAddr> = OnceLock::new();
+pub use self::error::ExchangeError;
+use self::socket::connect_to;
+pub use self::socket::{configure_socket, set_source_address};
 
 /// Timeout for opening a connection, in ms: several round trips between availability zones and the
 /// first retransmission of a lost packet.
 const CONNECT_TIMEOUT_MS: u64 = 350;
 
-/// Time for which sent data may stay unacknowledged, in ms: longer than retransmissions take on a lossy
-/// link, shorter than the usual grace period of a shutdown.
-const UNACKED_TIMEOUT_MS: u64 = 4_000;
-
-/// Idle time before the first TCP keepalive probe, in s.
-const KEEPALIVE_IDLE_S: u64 = 2;
-
 /// Time for which an idle connection is kept if the peer does not announce one, in ms; shorter than
 /// the usual five seconds of servers, so that requests rarely race with the peer's close.
 pub(crate) const DEFAULT_IDLE_MS: u64 = 4_000;
@@ -41,59 +34,6 @@
 /// the connection then.
 const IDLE_MARGIN_MS: u64 = 1_000;
 
-/// Error of a request that brought no answer.
-#[derive(Debug, Clone, Display, PartialEq, Eq)]
-pub enum ExchangeError {
-    /// No connection could be opened; nothing was sent.
-    #[display("connecting to {peer}: {why}")]
-    Connect {
-        /// Address of the peer.
-        peer: SocketAddr,
-        /// Cause.
-        why: String,
-        /// Whether the peer, or a path that stands for it, refused: nothing listens at the address.
-        is_refused: bool,
-    },
-    /// All connections that this instance may open are in use; nothing was sent.
-    #[display("no connection to {peer} is free")]
-    PoolExhausted {
-        /// Address of the peer.
-        peer: SocketAddr,
-    },
-    /// This instance's share of the peer's rate limit is used up; nothing was sent.
-    #[display("rate limit of {peer} is used up")]
-    RateLimited {
-        /// Address of the peer.
-        peer: SocketAddr,
-    },
-    /// The peer is leaving and gets no new requests; nothing was sent.
-    #[display("{peer} is leaving")]
-    Leaving {
-        /// Address of the peer.
-        peer: SocketAddr,
-    },
-    /// The peer asked this instance for rest; nothing was sent.
-    #[display("{peer} asked for rest")]
-    Resting {
-        /// Address of the peer.
-        peer: SocketAddr,
-    },
-    /// Another incarnation listens at the address; nothing was sent.
-    #[display("{peer} is another incarnation")]
-    Replaced {
-        /// Address of the peer.
-        peer: SocketAddr,
-    },
-    /// The request was sent, at least in part, and may have run.
-    #[display("answer of {peer}: {why}")]
-    Lost {
-        /// Address of the peer.
-        peer: SocketAddr,
-        /// Cause.
-        why: String,
-    },
-}
-
 /// An open connection and the task that drives it, which ends with the connection.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
@@ -328,67 +268,6 @@
     }
 }
 
-/// Sets the socket options that all connections need.
-///
-/// Nagle's algorithm is off, since small messages must not wait for the acknowledgement of earlier
-/// ones. A machine that is gone or cut off neither answers nor resets a connection; without the
-/// timeouts, the connection and all resources of its request would stay for many minutes.
-pub fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
-    stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_TIMEOUT_MS)))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(Duration::from_secs(KEEPALIVE_IDLE_S))
-        .with_interval(Duration::from_secs(1))
-        .with_retries(3);
-    socket.set_tcp_keepalive(&keepalive)
-}
-
-/// Makes the kernel reset the connection on close and discard undelivered data.
-///
-/// While a peer is unreachable, the kernel would keep sending the data of a closed connection: a request
-/// whose caller disconnected could reach the peer seconds later, when it may be leaving. A connection with
-/// undelivered data is dropped only when no caller waits for the answer.
-fn reset_on_drop(stream: &TcpStream) -> std::io::Result<()> {
-    SockRef::from(stream).set_linger(Some(Duration::ZERO))
-}
-
-/// Opens all further connections of this process from the given address; only the first call has an effect.
-pub fn set_source_address(address: IpAddr) {
-    SOURCE_ADDRESS.get_or_init(|| address);
-}
-
-/// Connects to a peer, from the source address if one is set.
-async fn connect(peer: SocketAddr) -> std::io::Result<TcpStream> {
-    let Some(source) = SOURCE_ADDRESS.get() else {
-        return TcpStream::connect(peer).await;
-    };
-    let socket = TcpSocket::new_v4()?;
-    socket.bind(SocketAddr::new(*source, 0))?;
-    socket.connect(peer).await
-}
-
-/// Connects to a peer, within the timeout and with the options that all connections need.
-async fn connect_to(peer: SocketAddr, timeout_ms: u64) -> Result<TcpStream, ExchangeError> {
-    let failed = |error: &std::io::Error| ExchangeError::Connect {
-        peer,
-        why: error.to_string(),
-        is_refused: error.kind() == std::io::ErrorKind::ConnectionRefused,
-    };
-    let wait = Duration::from_millis(timeout_ms);
-    let connected = actix_rt::time::timeout(wait, connect(peer)).await;
-    let stream = connected
-        .map_err(|_| ExchangeError::Connect {
-            peer,
-            why: format!("nothing within {timeout_ms} ms"),
-            is_refused: false,
-        })?
-        .map_err(|error| failed(&error))?;
-    configure_socket(&stream).map_err(|error| failed(&error))?;
-    reset_on_drop(&stream).map_err(|error| failed(&error))?;
-    Ok(stream)
-}
-
 /// Opens a connection, unless `max_open` are open already.
 async fn open(
     pool: &Rc<Pool>,
