Engines on order: the size of a fleet follows a forecast of demand

Cause: the fleet held its starting size, with a third to a half more on spot capacity, whatever was demanded.

Change: crates/duty/src/scale.rs is split by job. The target is the peak of gossiped demand over 30 s (6 boot times) / 0.45, more is ordered at once, less is given back a twelfth at a time after a settled hold, dearest zones first. bootS is read. The record of an order carries the starting size; an order adopted or unanswered is repeated until the list shows it. Off is the planner as before, and tests/scale.rs runs with it, unchanged but for the new field of its bounds.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -4,165 +4,110 @@
 //! spot engines of a zone may be reclaimed within seconds, and for a while the zone has no more to
 //! give. So the fleet consists of spot engines spread over the zones, and what one zone loses is
 //! ordered in the others. Engines on demand are kept until spot engines serve, and come back where
-//! no spot capacity is available. See docs/design/duties.md.
+//! no spot capacity is available. The size of the fleet is that of its start, or follows demand.
+//! See docs/design/duties.md and docs/design/scaling.md.
 
-use std::cmp::Ordering;
-use std::collections::HashMap;
+mod capacity;
+mod forecast;
+mod orders;
+mod size;
+mod targets;
 
-use serde::{Deserialize, Serialize};
+use view::ServiceDemand;
 
-/// Pause before the same order is repeated, in ms, where the API had no capacity or did not answer.
-const RETRY_MS: u64 = 1_500;
+pub use capacity::{CapacityKind, OrderOutcome, ScalingBounds, ZoneCapacity, ZoneTarget};
+pub use forecast::{DemandForecast, EngineDemand, UnusableDemand};
+pub use size::{SizePlan, SizeReason};
 
-/// Pause before a zone that had no capacity, or reclaimed its engines, gets another order, and
-/// before a refused order is repeated, in ms.
-const COOLDOWN_MS: u64 = 8_000;
-
-/// A zone counts as reclaimed if more than this share of its spot engines are leaving. Single
-/// engines that leave are being replaced or drained, or leave for reasons of their own.
-const RECLAIMED_SHARE: f64 = 0.5;
+use orders::OrderBook;
+use size::{SizeBounds, SizePlanner};
+use targets::{Distribution, Sizing};
 
 /// Time after the first engine is seen within which the rest of the initial fleet appears in the
 /// list, in ms.
 const STARTUP_MS: u64 = 6_000;
 
-/// Pause between two orders for more engines of a kind in a zone while the initial fleet appears,
-/// in ms. Without it, there would be an order for each new entry.
-const SCALE_UP_PAUSE_MS: u64 = 1_000;
-
-/// How an engine is paid for.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum CapacityKind {
-    /// Stays until it is given back.
-    OnDemand,
-    /// Costs less, and may be reclaimed.
-    Spot,
-}
-
-/// The operators' bounds on the engines of a service.
-#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
-pub struct ScalingBounds {
-    /// Fewest engines in a zone, of both kinds together.
-    #[serde(rename = "least")]
-    pub min_per_zone: usize,
-    /// Most engines in a zone, of both kinds together.
-    #[serde(rename = "most")]
-    pub max_per_zone: usize,
-    /// Price of a spot engine as a share of that of one on demand; 0 where there are no spot
-    /// engines.
-    pub spot_price: f64,
-    /// Price of an engine in each zone, relative to the other zones; 1 where a zone is missing.
-    pub zone_prices: HashMap<String, f64>,
-}
-
-/// The engines that a zone has now.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
-pub struct ZoneCapacity {
-    /// Name of the zone.
-    pub name: String,
-    /// Engines on demand that serve.
-    pub on_demand: usize,
-    /// Spot engines that serve.
-    pub spot: usize,
-    /// Spot engines that were reclaimed and are leaving.
-    pub spot_reclaimed: usize,
-}
-
-/// An order: how many engines of a kind a zone should have.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ZoneTarget {
-    /// Name of the zone.
-    pub zone: String,
-    /// Kind of the engines.
-    pub kind: CapacityKind,
-    /// Engines that the zone should have.
-    pub desired: usize,
-}
-
-/// Outcome of an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum OrderOutcome {
-    /// It was accepted.
-    Taken,
-    /// The zone has no capacity of this kind.
-    Dry,
-    /// It was refused for another reason.
-    Refused,
-    /// There was no answer.
-    Unanswered,
-}
-
-#[derive(Debug, Clone, Copy, Default)]
-struct OrderState {
-    /// What the platform last accepted; `None` before the first accepted order.
-    desired: Option<usize>,
-    /// The last order, whatever its outcome.
-    last_attempt: Option<Attempt>,
-}
-
-#[derive(Debug, Clone, Copy)]
-struct Attempt {
-    desired: usize,
-    at_ms: u64,
-    pause_ms: u64,
-}
-
 /// Plans the engines of one service.
 #[derive(Debug, Clone, Default)]
 pub struct ScalePlanner {
-    /// Target size: engines that must serve even after all spot engines of one zone are reclaimed;
-    /// 0 while unknown.
+    /// Size of the fleet at its start; 0 while unknown.
+    starting_size: usize,
+    /// Target size; 0 while unknown. Without demand to follow it is the starting size.
     target_size: usize,
     seen_since_ms: Option<u64>,
     is_adopted: bool,
-    ordered: HashMap<(String, CapacityKind), OrderState>,
-    no_capacity_until_ms: HashMap<String, u64>,
-    reclaimed_until_ms: HashMap<String, u64>,
+    orders: OrderBook,
+    /// Present if the size follows demand.
+    sizes: Option<SizePlanner>,
+    last_plan: Option<SizePlan>,
 }
 
 impl ScalePlanner {
-    /// Engines that must serve even after all spot engines of one zone are reclaimed; `None` while
-    /// that number is unknown.
+    /// A planner whose target size follows demand; that of `default` holds the starting size.
+    pub fn following_demand() -> Self {
+        Self {
+            sizes: Some(SizePlanner::default()),
+            ..Self::default()
+        }
+    }
+
+    /// Engines that the service should have; `None` while that number is unknown. If the size does
+    /// not follow demand, as many must serve even after all spot engines of one zone are reclaimed.
     pub fn target_size(&self) -> Option<usize> {
         (self.target_size > 0).then_some(self.target_size)
     }
 
-    /// Takes over the target size and the last order of another instance.
+    /// Size of the fleet at its start, for the records of orders; `None` while it is unknown or
+    /// the size does not follow demand.
+    pub fn starting_size(&self) -> Option<usize> {
+        (self.sizes.is_some() && self.starting_size > 0).then_some(self.starting_size)
+    }
+
+    /// The last planned size; `None` while it is unknown or does not follow demand.
+    pub fn last_plan(&self) -> Option<SizePlan> {
+        self.last_plan
+    }
+
+    /// Takes over the target size and the last order of another instance that holds the starting
+    /// size.
     pub fn adopt(&mut self, target_size: usize, target: &ZoneTarget) {
-        self.target_size = target_size;
-        self.is_adopted = true;
-        self.order(target).desired = Some(target.desired);
+        self.adopt_following(target_size, target_size, target);
     }
 
-    /// Records an order and its outcome.
-    pub fn record_order(&mut self, now_ms: u64, target: &ZoneTarget, outcome: OrderOutcome) {
-        let pause_ms = match outcome {
-            OrderOutcome::Taken | OrderOutcome::Dry | OrderOutcome::Unanswered => RETRY_MS,
-            OrderOutcome::Refused => COOLDOWN_MS,
+    /// Takes over the target size, the starting size and the last order of another instance whose
+    /// target size follows demand.
+    pub fn adopt_following(
+        &mut self,
+        target_size: usize,
+        starting_size: usize,
+        target: &ZoneTarget,
+    ) {
+        self.starting_size = starting_size;
+        self.target_size = match self.sizes {
+            Some(_) => target_size,
+            None => starting_size,
         };
-        let order = self.order(target);
-        order.last_attempt = Some(Attempt {
-            desired: target.desired,
-            at_ms: now_ms,
-            pause_ms,
-        });
-        match outcome {
-            OrderOutcome::Taken => order.desired = Some(target.desired),
-            OrderOutcome::Dry => {
-                self.no_capacity_until_ms
-                    .insert(target.zone.clone(), now_ms + COOLDOWN_MS);
-            }
-            OrderOutcome::Refused | OrderOutcome::Unanswered => {}
-        }
+        self.is_adopted = true;
+        self.orders.adopt(target);
     }
 
-    fn order(&mut self, target: &ZoneTarget) -> &mut OrderState {
-        let key = (target.zone.clone(), target.kind);
-        self.ordered.entry(key).or_default()
+    /// Records an order and its outcome.
+    pub fn record_order(&mut self, now_ms: u64, target: &ZoneTarget, outcome: OrderOutcome) {
+        self.orders.record(now_ms, target, outcome);
     }
 
-    fn desired(&self, zone: &str, kind: CapacityKind) -> Option<usize> {
-        self.ordered.get(&(zone.to_owned(), kind))?.desired
+    /// Records the fleet's demand, `None` while it is unknown, and whether the store is away. Does
+    /// nothing if the size does not follow demand.
+    pub fn observe_demand(
+        &mut self,
+        now_ms: u64,
+        bounds: &ScalingBounds,
+        demand: Option<&ServiceDemand>,
+        is_store_away: bool,
+    ) {
+        if let Some(sizes) = &mut self.sizes {
+            sizes.observe(now_ms, bounds, demand, is_store_away);
+        }
     }
 
     /// The orders that are due now.
@@ -173,18 +118,63 @@
         zones: &[ZoneCapacity],
     ) -> Vec<ZoneTarget> {
         self.observe_size(now_ms, zones);
-        self.observe_reclaimed(now_ms, zones);
+        self.orders.observe_reclaimed(now_ms, zones);
         if self.target_size == 0 {
             return Vec::new();
         }
-        let spot = self.spot_targets(now_ms, bounds, zones);
-        let on_demand = self.on_demand_targets(now_ms, bounds, zones, &spot);
-        let all = spot.into_iter().chain(on_demand);
-        all.filter(|target| self.is_due(now_ms, target, zones))
-            .collect()
+        let sizing = self.plan_size(now_ms, bounds, zones);
+        let late_ms = self.sizes.as_ref().map(|_| size::late_ms(bounds));
+        let is_starting = self.is_starting(now_ms);
+        let distribution = self.distribution(now_ms, bounds, zones, sizing);
+        let is_due = |target: &ZoneTarget| {
+            self.orders
+                .is_due(now_ms, target, zones, is_starting, late_ms)
+        };
+        distribution.targets().filter(is_due).collect()
+    }
+
+    fn distribution<'a>(
+        &'a self,
+        now_ms: u64,
+        bounds: &'a ScalingBounds,
+        zones: &'a [ZoneCapacity],
+        sizing: Sizing,
+    ) -> Distribution<'a> {
+        Distribution {
+            now_ms,
+            bounds,
+            zones,
+            orders: &self.orders,
+            size: self.target_size,
+            sizing,
+        }
+    }
+
+    /// Brings the target size up to date, if it follows demand.
+    fn plan_size(&mut self, now_ms: u64, bounds: &ScalingBounds, zones: &[ZoneCapacity]) -> Sizing {
+        let keeping = Sizing::ByDemand { give_back: 0 };
+        let has_surplus = self
+            .distribution(now_ms, bounds, zones, keeping)
+            .has_surplus();
+        let Some(sizes) = &mut self.sizes else {
+            return Sizing::Fixed;
+        };
+        let limits = SizeBounds {
+            starting: self.starting_size,
+            min: bounds.min_per_zone * zones.len(),
+            max: bounds.max_per_zone * zones.len(),
+        };
+        let plan = sizes.next(now_ms, bounds, limits, self.target_size, has_surplus);
+        let give_back = match plan.reason {
+            SizeReason::GivingBack => size::step(self.target_size),
+            _ => 0,
+        };
+        self.target_size = plan.size;
+        self.last_plan = Some(plan);
+        Sizing::ByDemand { give_back }
     }
 
-    /// Takes the size of the initial fleet, which the operators set up, as the target size. Its
+    /// Takes the size of the initial fleet, which the operators set up, as the starting size. Its
     /// engines appear in the list one after the other, and each can be replaced as soon as it
     /// appears.
     fn observe_size(&mut self, now_ms: u64, zones: &[ZoneCapacity]) {
@@ -198,180 +188,19 @@
         if self.is_adopted || now_ms >= since_ms + STARTUP_MS {
             return;
         }
-        // Spot engines that the first observation shows come from earlier orders, which allowed for
-        // the loss of a zone.
-        let kept = if is_first_observation {
-            spot * zones.len().saturating_sub(1) / zones.len()
-        } else {
-            0
+        // Spot engines that the first observation shows come from earlier orders. Those of a fixed
+        // size allowed for the loss of a zone; otherwise the size that is there is kept.
+        let kept = match (is_first_observation, &self.sizes) {
+            (true, None) => spot * zones.len().saturating_sub(1) / zones.len(),
+            (true, Some(_)) => spot,
+            (false, _) => 0,
         };
-        self.target_size = self.target_size.max(on_demand + kept);
+        self.starting_size = self.starting_size.max(on_demand + kept);
+        self.target_size = self.target_size.max(self.starting_size);
     }
 
     fn is_starting(&self, now_ms: u64) -> bool {
         self.seen_since_ms
             .is_some_and(|since_ms| now_ms < since_ms + STARTUP_MS)
     }
-
-    fn observe_reclaimed(&mut self, now_ms: u64, zones: &[ZoneCapacity]) {
-        for zone in zones {
-            let spot_before = zone.spot + zone.spot_reclaimed;
-            if spot_before > 0 && zone.spot_reclaimed as f64 > spot_before as f64 * RECLAIMED_SHARE
-            {
-                let until_ms = now_ms + COOLDOWN_MS;
-                self.no_capacity_until_ms
-                    .insert(zone.name.clone(), until_ms);
-                self.reclaimed_until_ms.insert(zone.name.clone(), until_ms);
-            }
-        }
-    }
-
-    /// Whether the spot engines that still serve in a zone are about to leave. Their notices arrive
-    /// one after the other.
-    fn is_reclaimed(&self, now_ms: u64, zone: &str) -> bool {
-        let until_ms = self.reclaimed_until_ms.get(zone);
-        until_ms.is_some_and(|until_ms| now_ms < *until_ms)
-    }
-
-    fn has_no_capacity(&self, now_ms: u64, zone: &str) -> bool {
-        self.no_capacity_until_ms
-            .get(zone)
-            .is_some_and(|until_ms| now_ms < *until_ms)
-    }
-
-    /// Spot engines to have in all zones: enough that the target size remains when all of one zone
-    /// are reclaimed at once. New ones take seconds to start, and longer until they hold the
-    /// prompts that the reclaimed ones had cached. Zero if that many would not cost less than
-    /// engines on demand.
-    fn spot_target(&self, bounds: &ScalingBounds, zones: usize) -> usize {
-        let count = match zones {
-            0 | 1 => self.target_size,
-            _ => (self.target_size * zones).div_ceil(zones - 1),
-        };
-        let is_cheaper = count as f64 * bounds.spot_price < self.target_size as f64;
-        if bounds.spot_price > 0.0 && is_cheaper {
-            count
-        } else {
-            0
-        }
-    }
-
-    /// Distributes the spot engines over the zones that have capacity. Zones keep what they have.
-    /// Missing engines go to the zone with the fewest, so that the loss of one zone costs the
-    /// least, and among equal zones to the cheapest.
-    fn spot_targets(
-        &self,
-        now_ms: u64,
-        bounds: &ScalingBounds,
-        zones: &[ZoneCapacity],
-    ) -> Vec<ZoneTarget> {
-        let mut targets: Vec<(usize, usize, f64)> = zones
-            .iter()
-            .map(|zone| {
-                let has_no_capacity = self.has_no_capacity(now_ms, &zone.name);
-                let ordered = self
-                    .desired(&zone.name, CapacityKind::Spot)
-                    .unwrap_or_default();
-                let count = match (has_no_capacity, self.is_reclaimed(now_ms, &zone.name)) {
-                    (_, true) => 0,
-                    (true, false) => zone.spot.min(ordered),
-                    (false, false) => ordered,
-                };
-                // Both kinds together stay within the bound, with the engines on demand that are
-                // yet to leave.
-                let limit = bounds.max_per_zone.saturating_sub(zone.on_demand);
-                let price = bounds.zone_prices.get(&zone.name).copied();
-                (
-                    count,
-                    if has_no_capacity { 0 } else { limit },
-                    price.unwrap_or(1.0),
-                )
-            })
-            .collect();
-        let spot_target = self.spot_target(bounds, zones.len());
-        loop {
-            let total: usize = targets.iter().map(|(count, ..)| count).sum();
-            let least = targets
-                .iter_mut()
-                .filter(|(count, limit, _)| count < limit)
-                .min_by(|(a, _, one), (b, _, other)| a.cmp(b).then(one.total_cmp(other)));
-            match least {
-                Some((count, ..)) if total < spot_target => *count += 1,
-                _ => break,
-            }
-        }
-        let all = zones.iter().zip(targets);
-        all.map(|(zone, (desired, ..))| ZoneTarget {
-            zone: zone.name.clone(),
-            kind: CapacityKind::Spot,
-            desired,
-        })
-        .collect()
-    }
-
-    /// Engines on demand for what spot engines do not cover. Existing ones stay until spot engines
-    /// serve, and more are ordered only where no spot capacity is available.
-    fn on_demand_targets(
-        &self,
-        now_ms: u64,
-        bounds: &ScalingBounds,
-        zones: &[ZoneCapacity],
-        spot: &[ZoneTarget],
-    ) -> Vec<ZoneTarget> {
-        let current = |zone: &ZoneCapacity| {
-            let ordered = self.desired(&zone.name, CapacityKind::OnDemand);
-            ordered.unwrap_or(zone.on_demand)
-        };
-        let mut targets: Vec<usize> = zones.iter().map(current).collect();
-        let serving: usize = zones.iter().map(|zone| zone.spot).sum();
-        let planned: usize = spot.iter().map(|target| target.desired).sum();
-        let uncovered = self.target_size.saturating_sub(serving);
-        let shortfall = self.target_size.saturating_sub(planned);
-        let mut total: usize = targets.iter().sum();
-        let needed = uncovered.min(total.max(shortfall));
-        while total > needed {
-            if let Some(most) = targets.iter_mut().max() {
-                *most -= 1;
-            }
-            total -= 1;
-        }
-        while total < needed {
-            if let Some(least) = targets.iter_mut().min() {
-                *least += 1;
-            }
-            total += 1;
-        }
-        let all = zones.iter().zip(spot).zip(targets);
-        all.map(|((zone, spot), desired)| {
-            let lacks_spot =
-                spot.desired < bounds.min_per_zone || self.has_no_capacity(now_ms, &zone.name);
-            let least = if lacks_spot { bounds.min_per_zone } else { 0 };
-            let most = bounds.max_per_zone.saturating_sub(spot.desired).max(least);
-            ZoneTarget {
-                zone: zone.name.clone(),
-                kind: CapacityKind::OnDemand,
-                desired: desired.clamp(least, most),
-            }
-        })
-        .collect()
-    }
-
-    fn is_due(&self, now_ms: u64, target: &ZoneTarget, zones: &[ZoneCapacity]) -> bool {
-        let ordered = self.ordered.get(&(target.zone.clone(), target.kind));
-        let ordered = ordered.copied().unwrap_or_default();
-        let is_paused = ordered.last_attempt.is_some_and(|last_attempt| {
-            let wait_ms = match target.desired.cmp(&last_attempt.desired) {
-                Ordering::Equal => last_attempt.pause_ms,
-                Ordering::Greater if self.is_starting(now_ms) => SCALE_UP_PAUSE_MS,
-                Ordering::Less | Ordering::Greater => 0,
-            };
-            now_ms < last_attempt.at_ms + wait_ms
-        });
-        let current = zones.iter().find(|zone| zone.name == target.zone);
-        let serving = current.map_or(0, |zone| match target.kind {
-            CapacityKind::OnDemand => zone.on_demand,
-            CapacityKind::Spot => zone.spot,
-        });
-        !is_paused && ordered.desired.unwrap_or(serving) != target.desired
-    }
 }
--- a/crates/duty/tests/scale.rs
+++ b/crates/duty/tests/scale.rs
@@ -9,6 +9,7 @@
     ScalingBounds {
         min_per_zone: 1,
         max_per_zone: 76,
+        boot_ms: 4_000,
         spot_price: 0.22,
         zone_prices: prices.map(|(name, price)| (name.to_owned(), price)).into(),
     }
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -102,6 +102,31 @@
     }
 }
 
+/// Metrics of the planned number of engines, by service.
+pub struct ScalingMetrics {
+    /// Engines: forecast demand of each kind, the target, those that serve.
+    pub engines: GaugeVec,
+    /// Whether a reason is the one for the target.
+    pub reason: IntGaugeVec,
+}
+
+impl ScalingMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            engines: all.float_gauges(
+                "scaling_engines",
+                "Engines forecast, planned and serving.",
+                &["service", "figure"],
+            ),
+            reason: all.gauges(
+                "scaling_reason",
+                "Reason for the planned number of engines.",
+                &["service", "reason"],
+            ),
+        }
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -135,6 +160,8 @@
     pub predicted_wait_s: HistogramVec,
     /// Time from a send to the answer's head, by service, in seconds.
     pub upstream_head_s: HistogramVec,
+    /// The planned number of engines.
+    pub scaling: ScalingMetrics,
     /// Role orders to engines by outcome.
     pub role_orders: IntCounterVec,
     /// Retries left in the current window by service.
@@ -275,6 +302,7 @@
                 "Calls of singleton tasks.",
                 &["call", "outcome"],
             ),
+            scaling: ScalingMetrics::new(&all),
             role_orders: all.counter("orders_total", "Role orders to engines.", &["outcome"]),
             time_to_send_s: all.histogram("own_seconds", "Time to the first send.", &["route"]),
             predicted_wait_s: all.histogram("wait_seconds", "Predicted wait.", &["service"]),
--- a/crates/relay/src/singleton_tasks.rs
+++ b/crates/relay/src/singleton_tasks.rs
@@ -6,6 +6,7 @@
 //! docs/design/duties.md.
 
 mod due;
+mod scaling;
 mod store_health;
 mod tasks;
 
--- a/crates/relay/src/singleton_tasks/due.rs
+++ b/crates/relay/src/singleton_tasks/due.rs
@@ -1,11 +1,10 @@
 //! Which singleton tasks are due now, according to the instance's knowledge of the fleet.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 
-use duty::scale::{self, ZoneCapacity};
 use duty::{ReportAction, UsageReport, UsageReports, UsageWindows};
 
-use super::{ScaleOrder, Task, is_leader};
+use super::{Task, is_leader, scaling};
 use crate::relay::Relay;
 
 /// The tasks that this instance should perform now, the most urgent first; empty if it does not lead.
@@ -15,7 +14,7 @@
     // All instances plan, so that a new leader has the state of earlier windows and orders.
     let usage = settings.usage.and_then(|windows| usage_due(relay, windows));
     let scale = if settings.scales {
-        scale_due(relay)
+        scaling::due_orders(relay, is_leader)
     } else {
         Vec::new()
     };
@@ -63,52 +62,3 @@
     }
     counts
 }
-
-fn scale_due(relay: &Relay) -> Vec<Task> {
-    let Some(config) = relay.config() else {
-        return Vec::new();
-    };
-    let now_ms = relay.now_ms();
-    let mut tasks = Vec::new();
-    for (service, bounds) in config
-        .services()
-        .iter()
-        .filter_map(|(name, it)| Some((name, it.scale.as_ref()?)))
-    {
-        let zones = zones(relay, service, bounds);
-        let mut all = relay.singleton_tasks.scaling.borrow_mut();
-        let scaling = all.entry(service.clone()).or_default();
-        let targets = scaling.due_orders(now_ms, bounds, &zones);
-        let wanted = scaling.target_size().unwrap_or_default();
-        tasks.extend(targets.into_iter().map(|target| {
-            Task::Scale(ScaleOrder {
-                service: service.clone(),
-                wanted,
-                target,
-            })
-        }));
-    }
-    tasks
-}
-
-/// Number of a service's engines in each zone that has a price for them.
-fn zones(relay: &Relay, service: &str, bounds: &scale::ScalingBounds) -> Vec<ZoneCapacity> {
-    let mut names: Vec<&String> = bounds.zone_prices.keys().collect();
-    names.sort_unstable();
-    let mut zones: HashMap<&str, ZoneCapacity> = HashMap::new();
-    let upstreams = relay.upstreams.borrow();
-    for upstream in upstreams.iter().filter(|each| each.service == service) {
-        let zone = zones.entry(&upstream.zone).or_default();
-        match (upstream.is_spot, upstream.is_ready()) {
-            (true, true) => zone.spot += 1,
-            (true, false) => zone.spot_reclaimed += 1,
-            (false, true) => zone.on_demand += 1,
-            (false, false) => {}
-        }
-    }
-    let all = names.into_iter().map(|name| ZoneCapacity {
-        name: name.clone(),
-        ..zones.remove(name.as_str()).unwrap_or_default()
-    });
-    all.collect()
-}
--- a/crates/relay/src/singleton_tasks/tasks.rs
+++ b/crates/relay/src/singleton_tasks/tasks.rs
@@ -5,7 +5,7 @@
 use lease::SendPermit;
 use serde::{Deserialize, Serialize};
 
-use super::{MAX_FAILED_CALLS, YIELD_MS};
+use super::{MAX_FAILED_CALLS, YIELD_MS, scaling};
 use crate::relay::Relay;
 
 /// Windows whose records the log keeps; a new record replaces that of the window which is this many earlier.
@@ -39,6 +39,10 @@
     pub service: String,
     /// Target number of the service's engines in all zones.
     pub wanted: usize,
+    /// Number of the service's engines at the fleet's start, if the target follows demand; `wanted`
+    /// otherwise.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub starting: Option<usize>,
     /// Target for the zone.
     #[serde(rename = "wish")]
     pub target: ZoneTarget,
@@ -106,8 +110,11 @@
         }
         Task::Scale(order) if !is_own => {
             let mut all = tasks.scaling.borrow_mut();
-            let scaling = all.entry(order.service).or_default();
-            scaling.adopt(order.wanted, &order.target);
+            let scaling = scaling::planner(relay, &mut all, &order.service);
+            match order.starting {
+                Some(starting) => scaling.adopt_following(order.wanted, starting, &order.target),
+                None => scaling.adopt(order.wanted, &order.target),
+            }
         }
         Task::Scale(_) => {}
     }
