Predictions follow the pace that each upstream reports

Cause: on uneven machines one set of learned times serves engines of three speeds; separate prefills take 0.6 to 2.1 times the predicted time, and prompts queue at slow engines while fast ones are idle. Ruled out: learned times per engine (an instance has too few answers of each), one field more in the gossip's wire type (a byte in each datagram where nobody reports a pace). Open: the swap of pairs, splitting of upstream.rs, gossip bytes at 6, 60 and 300 instances, OPERATIONS and ARCHITECTURE.

--- a/crates/plan/src/latency_model.rs
+++ b/crates/plan/src/latency_model.rs
@@ -46,6 +46,17 @@
     pub elapsed_ms: f64,
 }
 
+impl PrefillSample {
+    /// The same from an engine of usual speed, if this one has a time factor.
+    #[must_use]
+    pub fn at_usual_speed(&self, time_factor: f64) -> Self {
+        Self {
+            elapsed_ms: self.elapsed_ms / time_factor,
+            ..*self
+        }
+    }
+}
+
 /// Answers until which a built-in time is the only thing that stands against a delay.
 const FIRST_ANSWERS: u32 = 6;
 
--- a/crates/plan/src/placement.rs
+++ b/crates/plan/src/placement.rs
@@ -60,7 +60,7 @@
 const REMAINING_FRACTION: f64 = 0.5;
 
 /// The state of an engine as far as it matters for placing one prompt.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct EngineView {
     /// Prefill work in its queue of this rank and more urgent ones, in tokens.
     pub queued_tokens: f64,
@@ -83,9 +83,35 @@
     pub one_way_delay_ms: f64,
     /// Factor by which it has been slower than predicted; below 1 counts as 1.
     pub slowness: f64,
+    /// Factor by which all its times differ from those of an engine of usual speed; below 1 if it is
+    /// faster.
+    pub time_factor: f64,
+}
+
+impl Default for EngineView {
+    fn default() -> Self {
+        Self {
+            queued_tokens: 0.0,
+            lower_priority_tokens: 0.0,
+            cached_tokens: 0.0,
+            copy_ms: 0.0,
+            new_tokens: 0.0,
+            requests: 0.0,
+            context_tokens: 0.0,
+            slots: 0.0,
+            one_way_delay_ms: 0.0,
+            slowness: 0.0,
+            time_factor: 1.0,
+        }
+    }
 }
 
 impl EngineView {
+    /// Factor for times of prefill work, by its pace and by how much slower than predicted it was.
+    fn token_factor(&self) -> f64 {
+        self.slowness.max(1.0) * self.time_factor
+    }
+
     /// Cost of the prefixes that it has to evict for those of this prompt.
     fn eviction_ms(&self) -> f64 {
         self.new_tokens * EVICTION_TOKEN_MS
@@ -99,6 +125,7 @@
     /// Time until a slot becomes free, and the delay by a batch that is filling up.
     fn slot_wait_ms(&self, turnover_ms: f64) -> f64 {
         let over = (self.requests + 1.0 - self.slots).max(0.0);
+        let turnover_ms = turnover_ms * self.time_factor;
         turnover_ms * (over / self.slots.max(1.0) + FILLING_DELAY * self.occupancy())
     }
 
@@ -138,6 +165,16 @@
         self.wait_ms + self.processing_ms
     }
 
+    /// The same at an engine of usual speed, if this one has a time factor.
+    #[must_use]
+    pub fn at_usual_speed(&self, time_factor: f64) -> Self {
+        Self {
+            wait_ms: self.wait_ms / time_factor,
+            processing_ms: self.processing_ms / time_factor,
+            interference_ms: self.interference_ms / time_factor,
+        }
+    }
+
     /// Cost by which placements are compared.
     pub fn cost_ms(&self) -> f64 {
         self.total_ms() + self.interference_ms
@@ -155,12 +192,12 @@
     /// Predicts the time until a prefill engine has prefilled a prompt.
     pub fn predict_prefill(&self, view: &EngineView, prompt_tokens: f64) -> Prediction {
         let own = work_tokens(prompt_tokens, view.cached_tokens);
-        let token_ms = self.token_ms() * view.slowness.max(1.0);
+        let token_ms = self.token_ms() * view.token_factor();
         Prediction {
             wait_ms: self.pending_tokens(view.queued_tokens + view.running_tokens()) * token_ms,
             processing_ms: 2.0 * view.one_way_delay_ms
                 + view.copy_ms
-                + self.prefill_base_ms()
+                + self.prefill_base_ms() * view.time_factor
                 + own * token_ms,
             interference_ms: view.eviction_ms(),
         }
@@ -177,6 +214,7 @@
         } else {
             self.kv_transfer_ms()
         };
+        let fixed_ms = fixed_ms * view.time_factor;
         Prediction {
             wait_ms: self.decode_pending_ms(view, token_ms)
                 + view.slot_wait_ms(request.slot_turnover_ms),
@@ -188,13 +226,14 @@
     /// Time of the prefills that a decode engine has really still to do, without those that are
     /// finished but not answered yet.
     fn decode_pending_ms(&self, view: &EngineView, token_ms: f64) -> f64 {
-        (view.queued_tokens * token_ms - self.decode_base_ms()).max(0.0)
+        let base_ms = self.decode_base_ms() * view.time_factor;
+        (view.queued_tokens * token_ms - base_ms).max(0.0)
     }
 
     /// Prefill time per token of work on a decode engine.
     fn decode_token_ms(&self, view: &EngineView) -> f64 {
         let iterations = 1.0 + IDLE_ITERATION + FULL_BATCH_ITERATION * view.occupancy().min(1.0);
-        self.token_ms() * DECODE_ENGINE_SLOWDOWN * iterations * view.slowness.max(1.0)
+        self.token_ms() * DECODE_ENGINE_SLOWDOWN * iterations * view.token_factor()
     }
 
     /// Time that the other requests on a decode engine lose by a prefill of `prefill_ms`, weighted
@@ -208,7 +247,7 @@
         let chunk = work_tokens(before + CHUNK_TOKENS, before);
         let token_ms = self.decode_token_ms(view);
         // Without the iterations that do not prefill: `BASE_GAP` contains them.
-        let chunk_ms = chunk * self.token_ms() * DECODE_ENGINE_SLOWDOWN * view.slowness.max(1.0);
+        let chunk_ms = chunk * self.token_ms() * DECODE_ENGINE_SLOWDOWN * view.token_factor();
         let queued_ms = view.queued_tokens * token_ms;
         let event_ms = request.event_tokens * chunk_ms;
         let late = late_probability(queued_ms + prefill_ms, event_ms, request.gap_goal_ms);
--- a/crates/relay/src/awaited.rs
+++ b/crates/relay/src/awaited.rs
@@ -6,6 +6,7 @@
 use plan::{Prediction, PrefillSample};
 
 use crate::call::Call;
+use crate::placement::PrefillPlacement;
 use crate::relay::Relay;
 use crate::upstream::Upstream;
 
@@ -33,28 +34,42 @@
     call: &'a Call,
     engine: &'a Rc<Upstream>,
     step: AwaitedStep,
+    time_factor: f64,
     began_ms: u64,
     has_ended: Cell<bool>,
 }
 
 impl<'a> AwaitedAnswer<'a> {
-    /// Starts waiting.
+    /// Starts waiting; `time_factor` is the engine's in what was predicted.
     pub fn begin(
         relay: &'a Relay,
         call: &'a Call,
         engine: &'a Rc<Upstream>,
         step: AwaitedStep,
+        time_factor: f64,
     ) -> Self {
         Self {
             relay,
             call,
             engine,
             step,
+            time_factor,
             began_ms: relay.now_ms(),
             has_ended: Cell::default(),
         }
     }
 
+    /// Starts waiting for the answer to a separate prefill.
+    pub fn to_prefill(
+        relay: &'a Relay,
+        call: &'a Call,
+        placement: &'a PrefillPlacement,
+        sample: PrefillSample,
+    ) -> Self {
+        let step = AwaitedStep::Prefill(sample);
+        Self::begin(relay, call, &placement.engine, step, placement.time_factor)
+    }
+
     /// Records that an answer or an error has come.
     pub fn end(&self) {
         self.has_ended.set(true);
@@ -67,7 +82,7 @@
             return;
         }
         let now_ms = self.relay.now_ms();
-        let waited_ms = (now_ms - self.began_ms) as f64;
+        let waited_ms = (now_ms - self.began_ms) as f64 / self.time_factor;
         let service = self.call.service.as_str();
         let estimates = &self.relay.estimates;
         match self.step {
@@ -85,7 +100,7 @@
             } => estimates.observe_abandoned_first_event(
                 now_ms,
                 service,
-                &predicted,
+                &predicted.at_usual_speed(self.time_factor),
                 is_transferred,
                 waited_ms,
             ),
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -145,6 +145,7 @@
             rank,
         },
     );
+    guard.expect_answer(predicted_ms, placement.time_factor);
     let copy_from = placement.copy_from.as_ref().map(|holder| holder.address);
     let held_tokens = placement.cached_tokens;
     let first = placement.first_event;
@@ -168,6 +169,7 @@
             predicted: first,
             is_transferred,
         },
+        placement.time_factor,
     );
     let mut sent = send_unless_cut_off(relay, call, engine, &options).await;
     awaited.end();
@@ -199,6 +201,7 @@
         if relay.success_log_limit.take(relay.now_ms()) {
             log::info!(
                 request = call.id(), upstream = engine.id, predicted_ms, took_ms, apart = is_transferred,
+                time_factor = placement.time_factor,
                 prompt_tokens = prompt.input_tokens, held_tokens,
                 load = engine.load(relay.now_ms()); "generation started"
             );
@@ -207,9 +210,9 @@
             relay.estimates.observe_first_event(
                 relay.now_ms(),
                 &call.service,
-                &first,
+                &first.at_usual_speed(placement.time_factor),
                 is_transferred,
-                took_ms,
+                took_ms / placement.time_factor,
             );
             let predicted_ms = predicted_ms.max(call.route.goal_ms as f64 / 2.0);
             engine.note_answer(relay.now_ms(), predicted_ms, took_ms);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -102,6 +102,30 @@
     }
 }
 
+/// Metrics of the paces that upstreams report.
+pub struct PaceMetrics {
+    /// Figures that were ignored because they are nonsense.
+    pub ignored: IntCounter,
+    /// Upstreams by service and speed.
+    pub upstreams: IntGaugeVec,
+}
+
+impl PaceMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            ignored: all.plain_counter(
+                "pace_figures_ignored_total",
+                "Reported paces that were ignored.",
+            ),
+            upstreams: all.gauges(
+                "upstreams_by_speed",
+                "Upstreams by the lasting part of their pace.",
+                &["service", "speed"],
+            ),
+        }
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -173,6 +197,8 @@
     pub poison_requests: IntGauge,
     /// Requests whose handling panicked.
     pub panics: IntCounter,
+    /// Paces that upstreams report.
+    pub pace: PaceMetrics,
     /// Prompt parts that may end upstreams.
     pub parts: PartMetrics,
     /// Requests whose answers are not complete yet.
@@ -317,6 +343,7 @@
             instances: all.gauge("instances", "Instances ready."),
             poison_requests: all.gauge("poisonous", "Known poison requests."),
             panics: all.plain_counter("panics_total", "Requests whose handling panicked."),
+            pace: PaceMetrics::new(&all),
             parts: PartMetrics::new(&all),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -61,6 +61,8 @@
     pub prefill_tokens: f64,
     /// Predicted time until the prefill is complete.
     pub prefill: Prediction,
+    /// The engine's time factor in that prediction.
+    pub time_factor: f64,
     /// Whether the request can meet its objective.
     pub urgency: Urgency,
 }
@@ -78,6 +80,8 @@
     pub prefill_tokens: f64,
     /// Predicted time to the first event.
     pub first_event: Prediction,
+    /// The engine's time factor in that prediction.
+    pub time_factor: f64,
     /// Whether the request can meet its objective.
     pub urgency: Urgency,
 }
--- a/crates/relay/src/placement/plain.rs
+++ b/crates/relay/src/placement/plain.rs
@@ -25,10 +25,12 @@
     let now_ms = relay.now_ms();
     let all = candidates(relay, call, tried, &[Stage::Whole]);
     let predicted = |each: &Rc<Upstream>| {
+        let time_factor = each.time_factor(now_ms);
         let answer_ms = if each.answer_ms() > 0.0 {
-            each.answer_ms()
+            // Its own answers contain the lasting part of the factor.
+            each.answer_ms() * (time_factor / each.lasting_factor())
         } else {
-            DEFAULT_ANSWER_MS
+            DEFAULT_ANSWER_MS * time_factor
         };
         let load = (each.load(now_ms) + 1.0) / f64::from(each.slots);
         let queue = (load - 1.0).max(0.0) + FULL_LOAD_SLOWDOWN * load;
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -11,7 +11,7 @@
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
 use crate::attribution::note_lost_answer;
-use crate::awaited::{AwaitedAnswer, AwaitedStep};
+use crate::awaited::AwaitedAnswer;
 use crate::call::Call;
 use crate::dialect::{KvHandle, Prompt, SendOptions, Step};
 use crate::framing::Framing;
@@ -118,8 +118,9 @@
             rank,
         },
     );
-    let read_ms = placement.prefill.total_ms();
+    let (read_ms, time_factor) = (placement.prefill.total_ms(), placement.time_factor);
     let own_ms = placement.prefill.processing_ms;
+    guard.expect_answer(read_ms, time_factor);
     let copy_from = placement.copy_from.clone();
     let held_tokens = placement.cached_tokens;
     let own_tokens = placement.prefill_tokens;
@@ -143,7 +144,7 @@
         queued_tokens: (queued_before - own_tokens).max(0.0),
         elapsed_ms: 0.0,
     };
-    let awaited = AwaitedAnswer::begin(relay, call, engine, AwaitedStep::Prefill(sample));
+    let awaited = AwaitedAnswer::to_prefill(relay, call, placement, sample);
     let prefill = async {
         let exchanged = exchange_with(relay, call, engine, request).await;
         awaited.end();
@@ -181,7 +182,7 @@
         if relay.success_log_limit.take(relay.now_ms()) {
             log::info!(
                 request = call.id(), upstream = engine.id, rank, prompt_tokens = prompt.input_tokens, held_tokens,
-                queued_tokens = queued_before, own_ms, read_ms, took_ms,
+                queued_tokens = queued_before, own_ms, read_ms, took_ms, time_factor,
                 copied_from = copy_from.as_ref().map_or("-", |holder| &holder.id),
                 load = engine.load(relay.now_ms());
                 "separate prefill finished"
@@ -190,11 +191,14 @@
         let sample = PrefillSample {
             elapsed_ms: took_ms,
             ..sample
-        };
+        }
+        .at_usual_speed(time_factor);
         if !relay.was_cut_off_since(&call.service, began_ms) {
-            relay
-                .estimates
-                .observe_prefill(relay.now_ms(), &call.service, &sample);
+            relay.estimates.observe_prefill(
+                relay.now_ms(),
+                &call.service,
+                &sample.at_usual_speed(placement.time_factor),
+            );
             engine.note_answer(relay.now_ms(), read_ms, took_ms);
         }
         let labels = [call.service.as_str()];
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 mod limits;
 mod list;
+mod pace;
 mod parts;
 mod peers;
 mod poison;
@@ -276,6 +277,7 @@
                 .set(left as i64);
         }
         self.set_learned_gauges(now_ms);
+        self.set_pace_gauges();
         let limits = [&self.success_log_limit, &self.failure_log_limit];
         let dropped = limits.map(|limit| (limit.kind(), limit.dropped()));
         for (kind, lines) in dropped
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -92,6 +92,7 @@
         self.apply_loads(&expired);
         self.remove_lapsed();
         self.log_new_poison_requests();
+        self.gossip_paces(now_ms);
         let own = self.local_state();
         let key = InstanceKey::of(&own.member.name);
         if own.member.ready && self.members.borrow().has_members() {
@@ -158,6 +159,7 @@
         self.apply_attributions(now_ms, message);
         self.apply_part_evidence(now_ms, message);
         self.apply_limits(now_ms, message);
+        self.apply_paces(now_ms, message);
         self.singleton_tasks
             .receive_gossip(self.settings.borrow().singleton_tasks, message);
         let upstreams = self.upstreams.borrow();
--- a/crates/relay/src/role_orders.rs
+++ b/crates/relay/src/role_orders.rs
@@ -14,7 +14,7 @@
 use lease::{AppendLease, AppendLeaseTimes};
 use plan::{
     Demand, HealthStatus, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitPlanner,
-    max_changes_at_once,
+    max_changes_at_once, speed_class,
 };
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -289,8 +289,10 @@
     chosen.into_iter().map(planned).collect()
 }
 
-/// Chooses the engines to change, one after the other: the one with the lowest load in the zone with the fewest
-/// engines of the new role.
+/// Chooses the engines to change, one after the other: a fast one to prefill or a slow one to decode, then the one
+/// with the lowest load in the zone with the fewest engines of the new role.
+///
+/// A prompt keeps a prefill engine busy, so a fast one serves more of them; a decode engine is bound by its slots.
 fn choose_engines(
     relay: &Relay,
     engines: &[Rc<Upstream>],
@@ -320,8 +322,11 @@
     let mut chosen = Vec::new();
     while chosen.len() < count {
         let best = candidates.iter().enumerate().min_by(|(_, a), (_, b)| {
+            let by_speed = speed_rank(a, stage).cmp(&speed_rank(b, stage));
             let by_zone = in_zone[a.zone.as_str()].cmp(&in_zone[b.zone.as_str()]);
-            by_zone.then(a.load(now_ms).total_cmp(&b.load(now_ms)))
+            by_speed
+                .then(by_zone)
+                .then(a.load(now_ms).total_cmp(&b.load(now_ms)))
         });
         let Some((at, _)) = best else {
             break;
@@ -333,6 +338,15 @@
     chosen
 }
 
+/// Place of an engine, by its speed, among those that may change to a stage; equal while no pace is known.
+fn speed_rank(engine: &Upstream, stage: Stage) -> i32 {
+    let class = speed_class(engine.lasting_factor());
+    match stage {
+        Stage::Prefill => class,
+        Stage::Decode | Stage::Whole => -class,
+    }
+}
+
 /// The record of the order for a planned change.
 pub fn order_record(relay: &Relay, planned: &PlannedChange) -> RoleOrderRecord {
     RoleOrderRecord {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -267,6 +267,9 @@
     }
     if let Some(load) = head.load {
         upstream.note_reported_load(relay.now_ms(), load);
+        if let Some(percent) = load.pace_percent {
+            relay.record_pace(upstream, percent);
+        }
     }
     relay.record_rate_limit(upstream, head.limit_per_s);
 }
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -2,6 +2,7 @@
 //! this instance.
 
 mod in_flight;
+mod pace;
 mod prompt_cache;
 mod rate_limit;
 mod role_change;
@@ -17,6 +18,7 @@
 use crate::pool::Pool;
 
 pub use in_flight::{InFlight, Work};
+use pace::PaceState;
 pub use prompt_cache::{CachedParts, MIN_CACHED_TOKENS};
 pub use rate_limit::RateLimit;
 use role_change::RoleChange;
@@ -108,6 +110,7 @@
     cached_parts: RefCell<CachedParts>,
     peer_load: Cell<Option<Load>>,
     limit: RefCell<RateLimit>,
+    pace: PaceState,
 }
 
 impl Upstream {
@@ -148,6 +151,7 @@
             cached_parts: RefCell::default(),
             peer_load: Cell::default(),
             limit: RefCell::default(),
+            pace: PaceState::default(),
         }
     }
 
@@ -481,6 +485,7 @@
             slots: f64::from(self.slots),
             one_way_delay_ms: self.one_way_delay_ms,
             slowness: self.slowness(),
+            time_factor: self.time_factor(now_ms),
         }
     }
 }
--- a/crates/relay/src/upstream/in_flight.rs
+++ b/crates/relay/src/upstream/in_flight.rs
@@ -58,6 +58,16 @@
         }
     }
 
+    /// Records that the answer was predicted to come within `predicted_ms` at a time factor.
+    ///
+    /// Only the lasting part of the factor explains a silence. Otherwise each request to a silent upstream, whose
+    /// predicted time grows with the silence, would explain more of it.
+    pub fn expect_answer(&self, predicted_ms: f64, time_factor: f64) {
+        let lasting = self.upstream.lasting_factor();
+        self.upstream
+            .expect_answer(predicted_ms / time_factor * lasting);
+    }
+
     /// Prefill work of the request that is not known to be complete, in tokens.
     pub fn remaining_tokens(&self) -> f64 {
         self.tokens.get()
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -168,6 +168,12 @@
         has_any.map(|(service, _)| service.clone()).collect()
     }
 
+    /// Whether a ready upstream of a service has reported its pace.
+    pub fn reports_pace(&self, service: &str) -> bool {
+        let mut ready = self.ready(service, self.clock.now_ms());
+        ready.any(|each| each.reports_pace())
+    }
+
     /// Number of services that have upstreams.
     pub fn service_count(&self) -> usize {
         let has_any = |all: &&Vec<Rc<Upstream>>| !all.is_empty();
--- a/crates/relay/tests/common/dialect.rs
+++ b/crates/relay/tests/common/dialect.rs
@@ -127,6 +127,7 @@
         let load = header_number(headers, "x-load").map(|running| ReportedLoad {
             running: running as u32,
             waiting: 0,
+            pace_percent: header_number(headers, "x-pace").map(|percent| percent as f64),
         });
         ResponseHead {
             attempt: headers.get("x-attempt").cloned(),
--- a/crates/view/src/gossip.rs
+++ b/crates/view/src/gossip.rs
@@ -8,11 +8,14 @@
 //! See docs/design/views.md.
 
 mod outgoing;
+mod pace;
 mod resend;
 
 use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 
+pub use self::pace::MAX_PACES;
+use self::pace::PaceGossip;
 use self::resend::ResendQueue;
 use crate::{
     FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
@@ -119,6 +122,8 @@
     up_limits: ResendQueue<UpstreamLimit>,
     /// Limits from other hubs, for the reporters.
     down_limits: ResendQueue<UpstreamLimit>,
+    /// Paces of upstreams.
+    paces: PaceGossip,
     recent_members: Vec<(u64, Member)>,
     list_changes: RecentChanges,
     hub: Option<Hub>,
--- a/crates/view/src/gossip/outgoing.rs
+++ b/crates/view/src/gossip/outgoing.rs
@@ -52,17 +52,19 @@
         let has_changes =
             has_changes || !self.up_part_evidence.is_empty() || !self.down_part_evidence.is_empty();
         let has_changes = has_changes || !self.up_limits.is_empty() || !self.down_limits.is_empty();
+        let has_receivers = self
+            .senders
+            .values()
+            .any(|sender| sender.kind != MessageKind::Digest);
+        let is_hub = ranks.is_hub() || has_receivers;
+        let has_changes = has_changes || self.paces.has_changed(is_hub);
         let has_changes = has_changes || own.unreached != self.last_own_unreached;
         let must_send = has_changes || self.ticks.is_multiple_of(FULL_DATAGRAM_PERIODS);
         self.last_own_loads.clone_from(&own.loads);
         self.last_own_unreached.clone_from(&own.unreached);
         self.recent_members
             .retain(|(at_ms, _)| now_ms < at_ms + RESEND_MEMBER_MS);
-        let has_receivers = self
-            .senders
-            .values()
-            .any(|sender| sender.kind != MessageKind::Digest);
-        if ranks.is_hub() || has_receivers {
+        if is_hub {
             self.hub = None;
             self.aggregate(now_ms, &own, ranks, must_send)
         } else {
@@ -87,6 +89,7 @@
         self.down_evidence.clear();
         self.down_part_evidence.clear();
         self.down_limits.clear();
+        self.paces.clear_down();
         let is_new = self.hub.is_some_and(|hub| hub.since_ms == now_ms);
         if !must_send && !is_new {
             return Vec::new();
@@ -105,6 +108,7 @@
             evidence: self.up_evidence.next_batch(),
             part_evidence: self.up_part_evidence.next_batch(),
             limits: self.up_limits.next_batch(),
+            paces: self.paces.next_up(now_ms),
             poison: self.poison_to_send(&own.poison),
             ..GossipMessage::new(InstanceKey::of(&own.member.name), MessageKind::Report)
         };
@@ -205,6 +209,7 @@
             loads: changed_loads(&loads, &mut self.last_sum_loads, is_full),
             prefilled_parts: drain_with(&mut self.up_parts, &own.prefilled_parts),
             role_changes: drain_with(&mut self.up_role_changes, &own.role_changes),
+            paces: self.paces.next_up(now_ms),
             ..message.clone()
         };
         let mut digest = GossipMessage {
@@ -214,6 +219,7 @@
             loads: changed_loads(&all, &mut self.last_fleet_loads, is_full),
             prefilled_parts: drain_with(&mut self.down_parts, &sum.prefilled_parts),
             role_changes: drain_with(&mut self.down_role_changes, &sum.role_changes),
+            paces: self.paces.next_down(now_ms),
             ..message
         };
         digest.evidence.extend(self.down_evidence.next_batch());
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -40,8 +40,8 @@
 pub use log_follower::{ListedEntries, LogFollower, LogPosition, ReadId};
 pub use members::{Member, Members};
 pub use message::{
-    GossipMessage, MessageError, MessageKind, PendingRoleChange, PrefillProgress, PrefilledPart,
-    ServiceHeard, Tally, Unreached, UpstreamLimit, decode, encode,
+    GossipMessage, MessageError, MessageKind, PaceReport, PendingRoleChange, PrefillProgress,
+    PrefilledPart, ServiceHeard, Tally, Unreached, UpstreamLimit, decode, encode,
 };
 pub use part_losses::{AnswerProgress, Suspicion};
 pub use parts::{PartEvidence, PartTracker, PartVerdict};
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -15,6 +15,9 @@
 /// Version of the wire format, in the first byte of each datagram.
 const FORMAT: u8 = 10;
 
+/// Version of the same format with paces at the end; datagrams without paces stay as short as before.
+const FORMAT_WITH_PACES: u8 = 11;
+
 /// Whose state a datagram describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MessageKind {
@@ -73,6 +76,21 @@
     pub at_ms: u64,
 }
 
+/// What is known of the pace of an upstream: the time that work takes there, in percent of the usual.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PaceReport {
+    /// The upstream.
+    pub upstream: UpstreamKey,
+    /// The lasting pace; 0 while it is unknown.
+    pub lasting_percent: u16,
+    /// The pace that it last reported; 0 if it has reported none.
+    pub current_percent: u16,
+    /// Time since it reported that, in ms.
+    pub age_ms: u32,
+    /// Time for which it has been silent beyond what is explained, in ms; 0 if it is not.
+    pub silent_ms: u32,
+}
+
 /// An instance that reaches no upstream of a service, whether or not others do.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Unreached {
@@ -156,6 +174,8 @@
     pub last_task_token: Option<u64>,
     /// Usage counts that changed lately.
     pub tallies: Vec<Tally>,
+    /// Paces of upstreams.
+    pub paces: Vec<PaceReport>,
 }
 
 impl GossipMessage {
@@ -184,6 +204,7 @@
             clock_ms: 0,
             last_task_token: None,
             tallies: Vec::new(),
+            paces: Vec::new(),
         }
     }
 }
@@ -247,18 +268,43 @@
 }
 
 /// Encodes a datagram.
-pub fn encode(message: GossipMessage) -> Result<Vec<u8>, MessageError> {
-    postcard::to_extend(&WireMessage::from(message), vec![FORMAT]).map_err(MessageError::Malformed)
+pub fn encode(mut message: GossipMessage) -> Result<Vec<u8>, MessageError> {
+    let paces = std::mem::take(&mut message.paces);
+    let format = if paces.is_empty() {
+        FORMAT
+    } else {
+        FORMAT_WITH_PACES
+    };
+    let bytes = postcard::to_extend(&WireMessage::from(message), vec![format])
+        .map_err(MessageError::Malformed)?;
+    if paces.is_empty() {
+        return Ok(bytes);
+    }
+    postcard::to_extend(&paces, bytes).map_err(MessageError::Malformed)
 }
 
 /// Decodes a datagram.
 pub fn decode(bytes: &[u8]) -> Result<GossipMessage, MessageError> {
     let format = bytes.first().copied();
-    if format != Some(FORMAT) {
+    let Some(has_paces) = has_paces(format) else {
         return Err(MessageError::UnknownFormat { format });
+    };
+    let (wire, rest) =
+        postcard::take_from_bytes::<WireMessage>(&bytes[1..]).map_err(MessageError::Malformed)?;
+    let mut message = GossipMessage::from(wire);
+    if has_paces {
+        message.paces = postcard::from_bytes(rest).map_err(MessageError::Malformed)?;
+    }
+    Ok(message)
+}
+
+/// Whether a datagram of this format has paces; `None` if the format is unknown.
+fn has_paces(format: Option<u8>) -> Option<bool> {
+    match format {
+        Some(FORMAT) => Some(false),
+        Some(FORMAT_WITH_PACES) => Some(true),
+        Some(_) | None => None,
     }
-    let wire: WireMessage = postcard::from_bytes(&bytes[1..]).map_err(MessageError::Malformed)?;
-    Ok(wire.into())
 }
 
 impl From<GossipMessage> for WireMessage {
@@ -329,6 +375,7 @@
             clock_ms: wire.clock_ms,
             last_task_token: wire.last_task_token,
             tallies: wire.tallies,
+            paces: Vec::new(),
         }
     }
 }
--- a/crates/view/tests/message.rs
+++ b/crates/view/tests/message.rs
@@ -3,7 +3,7 @@
 use view::parts::Trial;
 use view::{
     GossipMessage, GossipedChange, InstanceKey, ListChange, Load, LogPosition, Member, MessageKind,
-    PartEvidence, PartKey, PendingRoleChange, PrefillProgress, PrefilledPart, ReadId,
+    PaceReport, PartEvidence, PartKey, PendingRoleChange, PrefillProgress, PrefilledPart, ReadId,
     ServiceDemand, Stage, Suspicion, UpstreamKey, decode, encode,
 };
 
@@ -101,12 +101,15 @@
 fn malformed_datagram_is_rejected() {
     let bytes = encode(message()).unwrap();
     let mut newer = bytes.clone();
-    newer[0] += 1;
+    newer[0] = 12;
+    let mut without_paces = bytes.clone();
+    without_paces[0] = 11;
     let cut = &bytes[..bytes.len() - 1];
     for (bytes, reason) in [
-        (&newer[..], "unknown datagram format Some(11)"),
+        (&newer[..], "unknown datagram format Some(12)"),
         (&[][..], "unknown datagram format None"),
         (cut, "Hit the end of buffer, expected more data"),
+        (&without_paces, "Hit the end of buffer, expected more data"),
     ] {
         assert_eq!(decode(bytes).unwrap_err().to_string(), reason);
     }
@@ -162,3 +165,29 @@
         let _ = decode(&with_format);
     }
 }
+
+/// Paces decode to what was encoded; without any, a datagram has the format and size that it had before there were
+/// paces.
+#[test]
+fn paces_cost_nothing_where_there_are_none() {
+    let without = encode(message()).unwrap();
+    assert_eq!(without[0], 10);
+    let report = |each: u8| PaceReport {
+        upstream: UpstreamKey::of(&format!("i-{each}"), 0),
+        lasting_percent: 160,
+        current_percent: 400,
+        age_ms: 90,
+        silent_ms: 0,
+    };
+    let paced = GossipMessage {
+        paces: (0..16).map(report).collect(),
+        ..message()
+    };
+    let bytes = encode(paced.clone()).unwrap();
+    assert_eq!(decode(&bytes).unwrap(), paced);
+    assert!(
+        bytes.len() <= without.len() + 1 + 16 * 10,
+        "{}",
+        bytes.len()
+    );
+}
