Paces of upstreams that an instance does not know are not passed on

Cause: a report on an unknown upstream was queued and dropped in the same period, and its comment said otherwise. Ruled out: keeping them, which has no bound. Change: only reports on known upstreams are passed on.

--- a/crates/relay/src/relay/pace.rs
+++ b/crates/relay/src/relay/pace.rs
@@ -28,9 +28,8 @@
         let upstreams = self.upstreams.borrow();
         let mut gossip = self.gossip.borrow_mut();
         for report in &message.paces {
-            // An instance that does not know the upstream yet passes the report on all the same.
-            gossip.forward_pace(now_ms, *report, message.kind);
             if let Some(upstream) = upstreams.get_by_key(report.upstream) {
+                gossip.forward_pace(now_ms, *report, message.kind);
                 upstream.apply_pace_report(now_ms, report);
                 self.log_lasting_pace(upstream);
             }
