Placements in other availability zones cost what their bodies cross

Cause: engines were compared by predicted time alone, so with three zones two of three bodies crossed, without a gain for callers whose requests start on time either way. Ruled out: a margin of a quarter of the objective. Change: plan::zones weighs a crossing by the body's bytes against the gain beyond the safe part of the objective, with hysteresis; relay::zone_cost applies it to engines. Half of a subset is in the own zone. crossZonePrice sets the price; metrics count bytes and placements by zone. It is on for no service until upstreams report a pace. Copies of KV cache are not priced by their bytes.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -25,6 +25,7 @@
 mod route;
 mod split;
 mod stream_version;
+mod zones;
 
 pub use admission::{Refusal, RefusalReason, WorkspaceLimiter};
 pub use deadline::{AttemptTimeout, RetryBudget, give_up_ms};
@@ -51,3 +52,6 @@
     wanted_prefill_engines,
 };
 pub use stream_version::{OriginEvidence, STREAM_AGE_MS, ServiceVersions, origin_version};
+pub use zones::{
+    DEFAULT_CROSS_ZONE_PRICE, PlacedStep, ZoneChoice, ZoneRelation, ZoneTendency, crossing_ms,
+};
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -167,6 +167,17 @@
         })
     }
 
+    /// Length of its body, in bytes.
+    pub fn body_bytes(&self) -> usize {
+        self.body.len()
+    }
+
+    /// Time left until its objective, with the time that its caller waited before; negative after it.
+    pub fn left_to_goal_ms(&self, now_ms: u64) -> f64 {
+        let spent_ms = self.prior_wait_ms + now_ms.saturating_sub(self.arrived_ms);
+        self.route.goal_ms as f64 - spent_ms as f64
+    }
+
     /// Time until the deadline.
     pub fn left_ms(&self, now_ms: u64) -> u64 {
         self.deadline_at_ms.saturating_sub(now_ms)
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -50,8 +50,9 @@
 pub mod upstream;
 pub mod upstreams;
 pub mod urgency;
+pub mod zone_cost;
 
 pub use plan::RetryBudgetSettings;
 pub use relay::{Origin, Phase, Relay, Settings};
-pub use scheduling::{SchedulingPart, SchedulingSettings};
+pub use scheduling::{CrossZonePrice, SchedulingPart, SchedulingSettings};
 pub use view::{log_follower, members, polling};
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -81,6 +81,31 @@
     }
 }
 
+/// Metrics of traffic within and between availability zones.
+pub struct ZoneMetrics {
+    /// Bytes of request bodies sent to upstreams, by service and zone: `own` or `other`.
+    pub body_bytes: IntCounterVec,
+    /// Placements by service, where the prompt is prefilled, and zone.
+    pub placements: IntCounterVec,
+}
+
+impl ZoneMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            body_bytes: all.counter(
+                "body_bytes_total",
+                "Bytes of bodies sent to upstreams.",
+                &["service", "zone"],
+            ),
+            placements: all.counter(
+                "zone_placements_total",
+                "Placements by availability zone.",
+                &["service", "read", "zone"],
+            ),
+        }
+    }
+}
+
 /// Metrics of prompt parts that may end upstreams.
 pub struct PartMetrics {
     /// Parts whose requests are only sent as trials, and parts whose requests are refused.
@@ -175,6 +200,8 @@
     pub panics: IntCounter,
     /// Prompt parts that may end upstreams.
     pub parts: PartMetrics,
+    /// Traffic within and between availability zones.
+    pub zones: ZoneMetrics,
     /// Requests whose answers are not complete yet.
     pub in_flight: IntGauge,
     /// Calls of singleton tasks to the platform, by call and outcome.
@@ -318,6 +345,7 @@
             poison_requests: all.gauge("poisonous", "Known poison requests."),
             panics: all.plain_counter("panics_total", "Requests whose handling panicked."),
             parts: PartMetrics::new(&all),
+            zones: ZoneMetrics::new(&all),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
             store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -59,6 +59,8 @@
     pub cached_tokens: f64,
     /// Prefill work that remains, in tokens.
     pub prefill_tokens: f64,
+    /// Cost of sending the body to its zone, in ms.
+    pub crossing_ms: f64,
     /// Predicted time until the prefill is complete.
     pub prefill: Prediction,
     /// Whether the request can meet its objective.
@@ -139,7 +141,7 @@
     let first_event = |placement: &PrefillPlacement| Prediction {
         wait_ms: placement.prefill.wait_ms + decode.wait_ms,
         processing_ms: placement.prefill.processing_ms + decode.processing_ms,
-        interference_ms: decode.interference_ms,
+        interference_ms: decode.interference_ms + placement.crossing_ms,
     };
     let disaggregated = prefill.map(|placement| (first_event(&placement), placement));
     Ok(match disaggregated {
--- a/crates/relay/src/placement/candidates.rs
+++ b/crates/relay/src/placement/candidates.rs
@@ -2,17 +2,26 @@
 
 use std::rc::Rc;
 
-use plan::HealthStatus;
+use plan::{HealthStatus, ZoneRelation};
 use view::InstanceKey;
 
 use crate::call::Call;
 use crate::relay::Relay;
-use crate::subset::engine_subset;
+use crate::subset::{engine_subset, zone_subset};
 use crate::upstream::{Stage, Upstream};
+use crate::zone_cost::{relation_to, zones_enabled};
 
 /// The subset of the given engines that this instance uses.
-pub(super) fn own_subset(relay: &Relay, engines: &[Rc<Upstream>]) -> Vec<Rc<Upstream>> {
+pub(super) fn own_subset(
+    relay: &Relay,
+    service: &str,
+    engines: &[Rc<Upstream>],
+) -> Vec<Rc<Upstream>> {
     let own = InstanceKey::of(&relay.settings.borrow().name);
+    if zones_enabled(relay, service) {
+        let is_own = |engine: &Rc<Upstream>| relation_to(relay, &engine.zone) == ZoneRelation::Own;
+        return zone_subset(own, engines, |engine| engine.id.as_str(), is_own);
+    }
     engine_subset(own, engines, |engine| engine.id.as_str())
 }
 
--- a/crates/relay/src/placement/engines.rs
+++ b/crates/relay/src/placement/engines.rs
@@ -2,7 +2,7 @@
 
 use std::rc::Rc;
 
-use plan::{DecodeRequest, cheapest, work_tokens};
+use plan::{DecodeRequest, PlacedStep, work_tokens};
 
 use super::candidates::{candidates, least_loaded, own_subset};
 use super::refusal::{NO_UPSTREAM_RETRY_MS, refuse};
@@ -14,6 +14,7 @@
 use crate::relay::Relay;
 use crate::upstream::{Stage, Upstream};
 use crate::urgency::Urgency;
+use crate::zone_cost::{ZoneRequest, cheapest_engine, crossing_to_ms};
 
 /// Time until a slot of a full batch becomes free, in ms.
 const SLOT_TURNOVER_MS: f64 = 250.0;
@@ -46,7 +47,7 @@
     let all = candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]);
     let engines = match call.part_trial.get() {
         Some(_) => least_loaded(&all, now_ms),
-        None => own_subset(relay, &all),
+        None => own_subset(relay, &call.service, &all),
     };
     let decode_request = DecodeRequest {
         prompt_tokens: tokens,
@@ -71,7 +72,17 @@
         first.interference_ms += connection_cost_ms(each);
         first
     };
-    let Some((index, first)) = cheapest(engines.iter().map(predicted)) else {
+    let step = if is_prefilled {
+        PlacedStep::Decode
+    } else {
+        PlacedStep::Whole
+    };
+    let placements = engines
+        .iter()
+        .map(|each| (each.zone.as_str(), predicted(each)));
+    let Some((index, first)) =
+        cheapest_engine(relay, now_ms, &zone_request(call, step, now_ms), placements)
+    else {
         return Err(refuse(call, Reason::NoUpstream, NO_UPSTREAM_RETRY_MS));
     };
     let engine = Rc::clone(&engines[index]);
@@ -86,6 +97,15 @@
     })
 }
 
+fn zone_request(call: &Call, step: PlacedStep, now_ms: u64) -> ZoneRequest<'_> {
+    ZoneRequest {
+        service: &call.service,
+        body_bytes: call.body_bytes(),
+        left_ms: call.left_to_goal_ms(now_ms),
+        step,
+    }
+}
+
 /// Cost of the connection that a request needs; zero if an idle one is open.
 pub(super) fn connection_cost_ms(upstream: &Upstream) -> f64 {
     if upstream.pool.has_idle() {
@@ -113,7 +133,7 @@
     let affinity_target = affinity_target(&all, prompt).map(|each| each.id.clone());
     let holders = PrefixHolders::of(relay, call, prompt);
     let rank = call.rank(urgency);
-    let mut engines = own_subset(relay, &all);
+    let mut engines = own_subset(relay, &call.service, &all);
     let is_in_subset = |each: &Rc<Upstream>| engines.iter().any(|own| own.id == each.id);
     let has_affinity = |each: &&Rc<Upstream>| {
         Some(&each.id) == affinity_target.as_ref() || holds_prefix(each, prompt)
@@ -133,13 +153,22 @@
         }
         prefill
     };
-    let (index, prefill) = cheapest(engines.iter().map(predicted))?;
+    let placements = engines
+        .iter()
+        .map(|each| (each.zone.as_str(), predicted(each)));
+    let (index, prefill) = cheapest_engine(
+        relay,
+        now_ms,
+        &zone_request(call, PlacedStep::Prefill, now_ms),
+        placements,
+    )?;
     let engine = Rc::clone(&engines[index]);
     let cached = holders.best_at(&engine, prompt);
     Some(PrefillPlacement {
         prefill_tokens: work_tokens(tokens, cached.tokens),
         copy_from: cached.copy_from,
         cached_tokens: cached.tokens,
+        crossing_ms: crossing_to_ms(relay, &call.service, call.body_bytes(), &engine.zone),
         engine,
         prefill,
         urgency,
--- a/crates/relay/src/placement/record.rs
+++ b/crates/relay/src/placement/record.rs
@@ -6,6 +6,7 @@
 use crate::call::Call;
 use crate::dialect::Prompt;
 use crate::relay::Relay;
+use crate::zone_cost::{relation_to, zone_label};
 
 /// Records the prefill demand of a request, whether or not it will be served.
 ///
@@ -36,11 +37,19 @@
     placement: &Placement,
     first: &Prediction,
 ) {
-    let (read, is_copied, cached_tokens) = match placement {
-        Placement::Disaggregated(prefill) => {
-            ("apart", prefill.copy_from.is_some(), prefill.cached_tokens)
-        }
-        Placement::Colocated(decode) => ("whole", decode.copy_from.is_some(), decode.cached_tokens),
+    let (read, engine, is_copied, cached_tokens) = match placement {
+        Placement::Disaggregated(prefill) => (
+            "apart",
+            &prefill.engine,
+            prefill.copy_from.is_some(),
+            prefill.cached_tokens,
+        ),
+        Placement::Colocated(decode) => (
+            "whole",
+            &decode.engine,
+            decode.copy_from.is_some(),
+            decode.cached_tokens,
+        ),
     };
     let held = match (is_copied, cached_tokens > 0.0) {
         (true, _) => "copied",
@@ -53,6 +62,9 @@
         .prompts_placed
         .with_label_values(&[service, read, held]);
     placed.inc();
+    let zone = zone_label(relation_to(relay, &engine.zone));
+    let zones = &relay.metrics.zones.placements;
+    zones.with_label_values(&[service, read, zone]).inc();
     let wait = relay.metrics.predicted_wait_s.with_label_values(&[service]);
     wait.observe(first.wait_ms / 1_000.0);
 }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -36,6 +36,7 @@
 use crate::snapshot::{LastQuery, Snapshot};
 use crate::stream_origins::StreamOrigins;
 use crate::upstreams::Upstreams;
+use crate::zone_cost::{ZoneCosts, ZoneView};
 
 /// Log lines per second about requests that succeed: two or three for each request at the usual load.
 const SUCCESS_LINES_PER_S: u32 = 60;
@@ -128,6 +129,8 @@
     pub(crate) handovers: Handovers,
     /// Records of what began streams.
     pub stream_origins: StreamOrigins,
+    /// What is kept for choices between availability zones.
+    pub zone_costs: ZoneCosts,
     /// Log position up to which the list of upstreams was applied.
     pub list_position: RefCell<LogFollower>,
     /// Entries of the list as last read, to distinguish real changes from heartbeats.
@@ -171,6 +174,7 @@
             reachability: Reachability::default(),
             handovers: Handovers::default(),
             stream_origins: StreamOrigins::default(),
+            zone_costs: ZoneCosts::default(),
             list_position: RefCell::new(LogFollower::new(own)),
             last_listed: RefCell::default(),
             config_position: RefCell::new(LogFollower::new(own)),
@@ -357,6 +361,20 @@
     }
 }
 
+impl ZoneView for Relay {
+    fn zone_costs(&self) -> &ZoneCosts {
+        &self.zone_costs
+    }
+
+    fn scheduling(&self) -> SchedulingSettings {
+        self.settings.borrow().scheduling
+    }
+
+    fn is_in_zone(&self, zone: &str) -> bool {
+        self.settings.borrow().zone == zone
+    }
+}
+
 /// Age of a log's content for a snapshot; none while records are known to be missing.
 fn known_age_ms(followed: &LogFollower) -> Option<u64> {
     let is_behind = followed.is_behind();
--- a/crates/relay/src/scheduling.rs
+++ b/crates/relay/src/scheduling.rs
@@ -2,7 +2,8 @@
 //!
 //! A part that is not turned off acts only where the deployment calls for it. See docs/design/hard-load.md.
 
-use derive_more::{Display, FromStr};
+use derive_more::{Display, Error, FromStr};
+use plan::DEFAULT_CROSS_ZONE_PRICE;
 use serde::Deserialize;
 
 /// Whether a part acts where the deployment calls for it.
@@ -43,8 +44,43 @@
     Scaling,
 }
 
+/// Why a price is not usable.
+#[derive(Debug, Display, Clone, Copy, PartialEq, Error)]
+#[display("crossZonePrice is {_0}, not a finite number from 0 up")]
+pub struct InvalidPrice(#[error(not(source))] f64);
+
+/// Price of a gigabyte between zones, in requests on time.
+#[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
+#[serde(try_from = "f64")]
+pub struct CrossZonePrice(f64);
+
+impl CrossZonePrice {
+    /// The price.
+    pub fn value(self) -> f64 {
+        self.0
+    }
+}
+
+impl Default for CrossZonePrice {
+    fn default() -> Self {
+        Self(DEFAULT_CROSS_ZONE_PRICE)
+    }
+}
+
+impl TryFrom<f64> for CrossZonePrice {
+    type Error = InvalidPrice;
+
+    fn try_from(price: f64) -> Result<Self, InvalidPrice> {
+        if price.is_finite() && price >= 0.0 {
+            Ok(Self(price))
+        } else {
+            Err(InvalidPrice(price))
+        }
+    }
+}
+
 /// Which parts of scheduling may act.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Default, Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct SchedulingSettings {
     /// Speeds of single upstreams.
@@ -57,6 +93,9 @@
     pub zones: Switch,
     /// Engines ordered by demand.
     pub scaling: Switch,
+    /// Price of a gigabyte between zones.
+    #[serde(rename = "crossZonePrice")]
+    pub cross_zone_price: CrossZonePrice,
 }
 
 impl SchedulingSettings {
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -19,6 +19,7 @@
 use crate::relay::Relay;
 use crate::retry::SendFailure;
 use crate::upstream::{InFlight, Stage, Upstream};
+use crate::zone_cost::{relation_to, zone_label};
 
 /// Fraction of its share of an upstream's connections that an instance uses. The rest is left for
 /// instances that do not know of each other yet.
@@ -195,6 +196,9 @@
         histogram.observe(seconds(call.arrived_ms));
     }
     let exchanged = exchange(&upstream.pool, max_open, request).await;
+    if matches!(&exchanged, Ok(_) | Err(ExchangeError::Lost { .. })) {
+        note_body_sent(relay, call, upstream);
+    }
     match &exchanged {
         Ok(_) => {
             let histogram = relay
@@ -216,6 +220,15 @@
     exchanged
 }
 
+/// Counts the bytes of a body that was sent, by whether they left the zone.
+fn note_body_sent(relay: &Relay, call: &Call, upstream: &Upstream) {
+    let zone = zone_label(relation_to(relay, &upstream.zone));
+    let bytes = &relay.metrics.zones.body_bytes;
+    bytes
+        .with_label_values(&[call.service.as_str(), zone])
+        .inc_by(call.body_bytes() as u64);
+}
+
 fn note_withheld(relay: &Relay, reason: &str) {
     let withheld = &relay.metrics.sends_withheld;
     withheld.with_label_values(&[reason]).inc();
--- a/crates/relay/src/subset.rs
+++ b/crates/relay/src/subset.rs
@@ -17,7 +17,38 @@
     if all.len() <= SUBSET_SIZE {
         return all.to_vec();
     }
-    let mut subset: Vec<(u64, &E)> = all
+    by_hash(own, all, id)
+        .into_iter()
+        .take(SUBSET_SIZE)
+        .cloned()
+        .collect()
+}
+
+/// Like [`engine_subset`], but half of it is in the instance's own zone as far as the zone has that many
+/// engines. A subset drawn over all of three zones has only a third there, too few to keep requests in the zone.
+pub fn zone_subset<E: Clone>(
+    own: InstanceKey,
+    all: &[E],
+    id: impl Fn(&E) -> &str,
+    is_own_zone: impl Fn(&E) -> bool,
+) -> Vec<E> {
+    if all.len() <= SUBSET_SIZE {
+        return all.to_vec();
+    }
+    let ranked = by_hash(own, all, id);
+    let mut left_local = SUBSET_SIZE / 2;
+    let (local, rest): (Vec<&E>, Vec<&E>) = ranked.into_iter().partition(|engine| {
+        let is_taken = left_local > 0 && is_own_zone(engine);
+        left_local -= usize::from(is_taken);
+        is_taken
+    });
+    let subset = local.into_iter().chain(rest).take(SUBSET_SIZE);
+    subset.cloned().collect()
+}
+
+/// All engines in the order of their rendezvous hashes with an instance.
+fn by_hash<E>(own: InstanceKey, all: &[E], id: impl Fn(&E) -> &str) -> Vec<&E> {
+    let mut ranked: Vec<(u64, &E)> = all
         .iter()
         .map(|engine| {
             (
@@ -26,7 +57,6 @@
             )
         })
         .collect();
-    subset.sort_unstable_by_key(|(hash, _)| *hash);
-    let subset = subset.into_iter().take(SUBSET_SIZE);
-    subset.map(|(_, engine)| engine.clone()).collect()
+    ranked.sort_unstable_by_key(|(hash, _)| *hash);
+    ranked.into_iter().map(|(_, engine)| engine).collect()
 }
