--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -26,6 +26,7 @@
 mod route;
 mod split;
 mod stream_version;
+mod zones;
 
 pub use admission::{Refusal, RefusalReason, WorkspaceLimiter};
 pub use deadline::{AttemptTimeout, RetryBudget, give_up_ms};
@@ -53,3 +54,6 @@
     wanted_prefill_engines,
 };
 pub use stream_version::{OriginEvidence, STREAM_AGE_MS, ServiceVersions, origin_version};
+pub use zones::{
+    DEFAULT_CROSS_ZONE_PRICE, PlacedStep, ZoneChoice, ZoneRelation, ZoneTendency, crossing_ms,
+};
