--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -85,6 +85,12 @@
     pub(crate) is_handed_over: Cell<bool>,
     /// Whether its first send was counted for the retry budget.
     pub(crate) is_first_counted: Cell<bool>,
+    /// Whether it is sent only to engines that have room, if there are any.
+    pub(crate) needs_room: Cell<bool>,
+    /// Time for which it waited here for room, in ms.
+    pub(crate) queued_ms: Cell<u64>,
+    /// Sends that engines rejected for lack of capacity and after which it waited for room.
+    unrun_rejections: Cell<u32>,
     relay: Rc<Relay>,
     method: Method,
     target: PathAndQuery,
@@ -158,6 +164,9 @@
             is_taken_over: Cell::default(),
             is_handed_over: Cell::default(),
             is_first_counted: Cell::default(),
+            needs_room: Cell::default(),
+            queued_ms: Cell::default(),
+            unrun_rejections: Cell::default(),
             relay: Rc::clone(relay),
             method: parts.method,
             target,
@@ -195,6 +204,19 @@
         }
     }
 
+    /// Records that an engine rejected it for lack of capacity: it is placed again as if that engine had not been
+    /// asked, but for the retry budget.
+    pub(crate) fn note_unrun_rejection(&self) {
+        self.unrun_rejections.set(self.unrun_rejections.get() + 1);
+    }
+
+    /// Sends that count towards the route's largest number of attempts.
+    pub(crate) fn counted_attempts(&self) -> u32 {
+        self.attempts
+            .get()
+            .saturating_sub(self.unrun_rejections.get())
+    }
+
     /// Rank in an engine's queue, 0 first.
     pub fn rank(&self, urgency: Urgency) -> u8 {
         urgency.rank(self.priority(), self.yields_to_longer)
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -182,7 +182,7 @@
 /// Whether the request may be sent to another upstream; takes a retry from the budget if
 /// the send needs one.
 pub fn may_retry(relay: &Relay, call: &Call) -> bool {
-    call.attempts.get() < call.route.max_attempts && relay.may_send(call)
+    call.counted_attempts() < call.route.max_attempts && relay.may_send(call)
 }
 
 /// Counts a complete answer by whether it met the route's objective, which its status does not show.
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -20,6 +20,7 @@
 use crate::stream::{StreamForwarder, StreamOrigin};
 use crate::upstream::{InFlight, MIN_CACHED_TOKENS, PrefillProgress, Upstream, Work};
 use crate::urgency::Urgency;
+use crate::waiting::{self, wait_for_room};
 
 /// Places a generation, has its prompt prefilled, and streams the output to the caller.
 pub async fn generate(
@@ -31,6 +32,7 @@
     let mut unreachable_upstreams = 0;
     let mut transferred = None;
     loop {
+        let reservation = wait_for_room(relay, call, prompt).await?;
         if is_handed_over(relay, call).await {
             return hand_over(relay, call).await;
         }
@@ -53,9 +55,17 @@
         if !relay.may_send(call) {
             return Err(refuse_rejected());
         }
+        // From here on the load of the engine counts the request.
+        drop(reservation);
         let (sent, guard, is_transferred) =
             send_to_decode(relay, call, prompt, &decode, kv.as_ref()).await;
-        tried.push(decode.engine.id.clone());
+        let is_full = matches!(sent, SendResult::NotRun(_))
+            && decode.engine.is_known_full(relay.now_ms())
+            && waiting::is_enabled(relay, &call.service);
+        // A full engine may be asked again once it reports room.
+        if !is_full {
+            tried.push(decode.engine.id.clone());
+        }
         let failure = match sent {
             SendResult::Answer(checked) if checked.response.status() == StatusCode::OK => {
                 let exchanged = (checked.response, checked.connection);
@@ -87,7 +97,11 @@
         };
         let reusable = kv.filter(|kv| is_transferred && kv.is_available());
         transferred = reusable.map(|kv| (kv, decode.urgency));
-        retry_or_refuse(relay, call, failure, &mut unreachable_upstreams)?;
+        if is_full {
+            waiting::requeue(relay, call)?;
+        } else {
+            retry_or_refuse(relay, call, failure, &mut unreachable_upstreams)?;
+        }
     }
 }
 
@@ -192,7 +206,8 @@
         }
     }
     note_response(relay, &guard, &sent);
-    if let SendResult::Answer(_) = &sent {
+    if let SendResult::Answer(checked) = &sent {
+        waiting::note_accepted(relay, engine, checked.head.load);
         guard.note_prefilled();
         record_cached_parts(relay, call, prompt, engine, PrefillProgress::Done);
         let took_ms = (relay.now_ms() - began_ms) as f64;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -38,6 +38,7 @@
 pub mod relay;
 pub mod retry;
 pub mod role_orders;
+pub mod room_waiters;
 pub mod scheduling;
 pub mod send;
 pub mod shutdown;
@@ -50,6 +51,7 @@
 pub mod upstream;
 pub mod upstreams;
 pub mod urgency;
+pub mod waiting;
 
 pub use plan::RetryBudgetSettings;
 pub use relay::{Origin, Phase, Relay, Settings};
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -102,6 +102,30 @@
     }
 }
 
+/// Metrics of generations that wait for room, by service.
+pub struct WaitingMetrics {
+    /// Requests that wait now.
+    pub requests: IntGaugeVec,
+    /// Time for which requests waited that were then placed, in seconds.
+    pub waited_s: HistogramVec,
+    /// Requests refused by the queue, by cause.
+    pub refusals: IntCounterVec,
+}
+
+impl WaitingMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            requests: all.gauges("waiting_requests", "Requests that wait.", &["service"]),
+            waited_s: all.histogram("waited_seconds", "Time waited for room.", &["service"]),
+            refusals: all.counter(
+                "queue_refusals_total",
+                "Requests refused by the queue.",
+                &["service", "cause"],
+            ),
+        }
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -175,6 +199,8 @@
     pub panics: IntCounter,
     /// Prompt parts that may end upstreams.
     pub parts: PartMetrics,
+    /// Generations that wait for room.
+    pub waiting: WaitingMetrics,
     /// Requests whose answers are not complete yet.
     pub in_flight: IntGauge,
     /// Calls of singleton tasks to the platform, by call and outcome.
@@ -318,6 +344,7 @@
             poison_requests: all.gauge("poisonous", "Known poison requests."),
             panics: all.plain_counter("panics_total", "Requests whose handling panicked."),
             parts: PartMetrics::new(&all),
+            waiting: WaitingMetrics::new(&all),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
             store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -12,6 +12,7 @@
 
 use plan::{LateRequest, LatestStart, Prediction};
 
+pub use self::candidates::engines_with_slots;
 pub use self::engines::choose_decode_engine;
 use self::engines::choose_prefill_engine;
 pub use self::plain::choose_upstream;
@@ -99,18 +100,20 @@
     }
     let goal_ms = call.route.goal_ms as f64;
     let waited_ms = call.prior_wait_ms as f64;
+    let queued_ms = call.queued_ms.get() as f64;
     let (placement, first) = cheaper_placement(relay, call, prompt, tried, Urgency::OnTime)?;
-    if first.total_ms() <= goal_ms * ON_TIME_FRACTION - waited_ms {
+    if first.total_ms() <= goal_ms * ON_TIME_FRACTION - waited_ms - queued_ms {
         record_placement(relay, call, &placement, &first);
         return Ok(placement);
     }
     let (placement, first) = cheaper_placement(relay, call, prompt, tried, Urgency::Late)?;
+    let left_ms = call.left_ms(relay.now_ms()) as f64 * USABLE_TIME_FRACTION;
     let latest_ms = LatestStart::default().max_wait_ms(&LateRequest {
         goal_ms,
         processing_ms: first.processing_ms,
         waited_ms,
-        left_ms: call.left_ms(relay.now_ms()) as f64 * USABLE_TIME_FRACTION,
-    });
+        left_ms: left_ms + queued_ms,
+    }) - queued_ms;
     if first.total_ms() > latest_ms {
         log_too_late(relay, call, prompt, &placement, &first, latest_ms);
         return Err(refuse(call, Reason::TooLate, first.total_ms() - latest_ms));
@@ -119,6 +122,12 @@
     Ok(placement)
 }
 
+/// Predicted time of a generation itself, without waiting, at the engines that would serve it now.
+pub fn processing_ms(relay: &Relay, call: &Call, prompt: &Prompt) -> Result<f64, Refusal> {
+    let (_, first) = cheaper_placement(relay, call, prompt, &[], Urgency::OnTime)?;
+    Ok(first.processing_ms)
+}
+
 /// The cheaper of a colocated and a disaggregated placement, with the predicted time to the first
 /// event.
 fn cheaper_placement(
--- a/crates/relay/src/placement/candidates.rs
+++ b/crates/relay/src/placement/candidates.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use plan::HealthStatus;
-use view::InstanceKey;
+use view::{InstanceKey, VersionKey};
 
 use crate::call::Call;
 use crate::relay::Relay;
@@ -16,16 +16,39 @@
     engine_subset(own, engines, |engine| engine.id.as_str())
 }
 
-/// Upstreams of the call's service in one of the given stages that take requests now, of the version that began its
-/// stream if there is one.
-fn usable(relay: &Relay, call: &Call, stages: &[Stage]) -> Vec<Rc<Upstream>> {
+/// Those of the given engines that have room, of which this instance uses a subset; all of its subset if none has.
+///
+/// The subset is chosen among the engines with room, so engines outside the usual one take the place of those
+/// that are full, and different ones for each instance.
+pub(super) fn subset_with_room(relay: &Relay, engines: &[Rc<Upstream>]) -> Vec<Rc<Upstream>> {
+    let now_ms = relay.now_ms();
+    let has_room = |each: &&Rc<Upstream>| each.free_places(now_ms) >= 1.0;
+    let free: Vec<Rc<Upstream>> = engines.iter().filter(has_room).cloned().collect();
+    own_subset(relay, if free.is_empty() { engines } else { &free })
+}
+
+/// Engines of a service that may decode, those included that rejected a request for lack of capacity and are therefore
+/// avoided for a moment. Empty if requests are sent to none, or only because there is no healthy one.
+pub fn engines_with_slots(relay: &Relay, service: &str) -> Vec<Rc<Upstream>> {
+    let now_ms = relay.now_ms();
+    let mut engines = usable(relay, service, None, &[Stage::Decode, Stage::Whole]);
+    engines.retain(|each| {
+        each.is_known_full(now_ms) || each.health_status(now_ms) == HealthStatus::Healthy
+    });
+    engines
+}
+
+/// Upstreams of a service in one of the given stages that take requests now, of this version if there is one.
+fn usable(
+    relay: &Relay,
+    service: &str,
+    version: Option<VersionKey>,
+    stages: &[Stage],
+) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
-    // A separate prefill writes no event of the stream.
-    let began_version = call.began_version.get();
-    let version = began_version.filter(|_| !stages.contains(&Stage::Prefill));
     let upstreams = relay.upstreams.borrow();
     upstreams
-        .ready(&call.service, now_ms)
+        .ready(service, now_ms)
         .filter(|each| stages.contains(&each.stage()))
         .filter(|each| version.is_none_or(|version| each.version_key == version))
         .filter(|each| !each.is_changing_role(now_ms) && each.rest_left_ms(now_ms) == 0)
@@ -43,7 +66,10 @@
     stages: &[Stage],
 ) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
-    let all = usable(relay, call, stages);
+    // A separate prefill writes no event of the stream.
+    let began_version = call.began_version.get();
+    let version = began_version.filter(|_| !stages.contains(&Stage::Prefill));
+    let all = usable(relay, &call.service, version, stages);
     let (mut all, again): (Vec<_>, Vec<_>) =
         all.into_iter().partition(|each| !tried.contains(&each.id));
     // No other version can go on with a stream, so one that broke it off is better than none.
--- a/crates/relay/src/placement/engines.rs
+++ b/crates/relay/src/placement/engines.rs
@@ -4,7 +4,7 @@
 
 use plan::{DecodeRequest, cheapest, work_tokens};
 
-use super::candidates::{candidates, least_loaded, own_subset};
+use super::candidates::{candidates, least_loaded, own_subset, subset_with_room};
 use super::refusal::{NO_UPSTREAM_RETRY_MS, refuse};
 use super::{DecodePlacement, PrefillPlacement};
 use crate::answer::{Reason, Refusal};
@@ -46,6 +46,7 @@
     let all = candidates(relay, call, tried, &[Stage::Decode, Stage::Whole]);
     let engines = match call.part_trial.get() {
         Some(_) => least_loaded(&all, now_ms),
+        None if call.needs_room.get() => subset_with_room(relay, &all),
         None => own_subset(relay, &all),
     };
     let decode_request = DecodeRequest {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -31,6 +31,7 @@
 use crate::metrics::Metrics;
 use crate::reachability::Reachability;
 use crate::role_orders::RoleOrders;
+use crate::room_waiters::RoomWaiters;
 use crate::scheduling::SchedulingSettings;
 use crate::singleton_tasks::{self, SingletonTasks};
 use crate::snapshot::{LastQuery, Snapshot};
@@ -126,6 +127,8 @@
     pub(crate) reachability: Reachability,
     /// Requests handed over to peers and taken over from them.
     pub(crate) handovers: Handovers,
+    /// Generations that wait for room at engines.
+    pub(crate) room_waiters: RoomWaiters,
     /// Records of what began streams.
     pub stream_origins: StreamOrigins,
     /// Log position up to which the list of upstreams was applied.
@@ -170,6 +173,7 @@
             singleton_tasks,
             reachability: Reachability::default(),
             handovers: Handovers::default(),
+            room_waiters: RoomWaiters::default(),
             stream_origins: StreamOrigins::default(),
             list_position: RefCell::new(LogFollower::new(own)),
             last_listed: RefCell::default(),
@@ -191,6 +195,7 @@
     pub fn enter(&self, phase: Phase) {
         if phase > self.phase.get() {
             self.phase.set(phase);
+            self.room_waiters.wake();
             match phase {
                 Phase::Serving => {}
                 Phase::Leaving => log::info!("leaving: no longer offered to callers"),
@@ -230,6 +235,7 @@
             .set(config.version.cast_signed());
         self.singleton_tasks.learn_workspace_names(&config.access);
         *current = Some(Rc::new(config));
+        self.room_waiters.wake();
         true
     }
 
@@ -266,6 +272,10 @@
             .poison_requests
             .set(self.poison_requests().len().cast_signed() as i64);
         self.set_part_gauges();
+        for (service, waiting) in self.room_waiters.counts() {
+            let gauge = metrics.waiting.requests.with_label_values(&[&service]);
+            gauge.set(waiting.cast_signed() as i64);
+        }
         let settings = self.settings.borrow().retry_budget;
         let share = self.share();
         for (service, retries) in self.retries.borrow_mut().iter_mut() {
--- a/crates/relay/src/relay/list.rs
+++ b/crates/relay/src/relay/list.rs
@@ -216,6 +216,7 @@
             Effect::Unconfirmed => "upstream's entry is gone and may have lapsed with the store",
         };
         self.log_upstream(id, what, origin);
+        self.room_waiters.wake();
         // The restart of an upstream under the same id appears only as `Joined`.
         if matches!(effect, Effect::Joined | Effect::Left) {
             self.record_upstream_ended(id);
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -207,6 +207,7 @@
         {
             upstream.set_peer_load(Some(gossip.load(upstream.key)));
         }
+        self.room_waiters.wake();
     }
 
     fn apply_log_changes(&self, now_ms: u64, message: &GossipMessage) {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,10 +1,12 @@
 //! One incarnation of an upstream: its connections, load, health and cached prompt parts as seen by
 //! this instance.
 
+mod freed;
 mod in_flight;
 mod prompt_cache;
 mod rate_limit;
 mod role_change;
+mod room;
 
 use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
@@ -16,6 +18,7 @@
 use crate::dialect::ReportedLoad;
 use crate::pool::Pool;
 
+pub use freed::FreedPlaces;
 pub use in_flight::{InFlight, Work};
 pub use prompt_cache::{CachedParts, MIN_CACHED_TOKENS};
 pub use rate_limit::RateLimit;
@@ -108,6 +111,7 @@
     cached_parts: RefCell<CachedParts>,
     peer_load: Cell<Option<Load>>,
     limit: RefCell<RateLimit>,
+    freed: RefCell<Option<Rc<FreedPlaces>>>,
 }
 
 impl Upstream {
@@ -148,6 +152,7 @@
             cached_parts: RefCell::default(),
             peer_load: Cell::default(),
             limit: RefCell::default(),
+            freed: RefCell::default(),
         }
     }
 
@@ -347,7 +352,7 @@
 
     /// Whether requests may be sent to it, by its health.
     pub fn health_status(&self, now_ms: u64) -> HealthStatus {
-        if self.is_silent(now_ms) || now_ms < self.no_capacity_until_ms.get() {
+        if self.is_silent(now_ms) || self.is_known_full(now_ms) {
             return HealthStatus::Ejected;
         }
         self.health.borrow().status(now_ms)
--- a/crates/relay/src/upstream/in_flight.rs
+++ b/crates/relay/src/upstream/in_flight.rs
@@ -108,5 +108,6 @@
         self.upstream.context_tokens.set(context.max(0.0));
         let count = self.upstream.in_flight.get();
         self.upstream.in_flight.set(count.saturating_sub(1));
+        self.upstream.note_place_freed();
     }
 }
