--- a/crates/queue/src/wait_queue.rs
+++ b/crates/queue/src/wait_queue.rs
@@ -16,7 +16,7 @@
 const CERTAIN_FACTOR: f64 = 2.0;
 
 /// Bounds of the time after which a refused caller is told to return, in ms.
-const RETURN_BOUNDS_MS: (f64, f64) = (80.0, 2_000.0);
+const RETURN_BOUNDS_MS: (f64, f64) = (80.0, 1_500.0);
 
 /// Identifies a request that waits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/queue/tests/replay.rs
+++ b/crates/queue/tests/replay.rs
@@ -131,7 +131,9 @@
             Way::Wait => {
                 let places: Vec<f64> = (0..ENGINES).map(|it| self.places(instance, it)).collect();
                 let mut free = FreePlaces::default();
-                places.iter().for_each(|places| free.add(*places, SLOTS));
+                for places in &places {
+                    free.add(*places, SLOTS);
+                }
                 if free.is_ample() {
                     let has_room = |engine: &usize| places[*engine] >= 1.0;
                     own.subset
--- a/crates/queue/tests/wait_queue.rs
+++ b/crates/queue/tests/wait_queue.rs
@@ -142,7 +142,7 @@
     let mut free = FreePlaces::default();
     free.add(free_places(9.0, 12), 12);
     free.add(free_places(15.0, 12), 12);
-    assert_eq!(free.places, 6.0);
+    assert_eq!(free.places as u32, 6);
     let mut taken = 0;
     for instance in 0..60 {
         let mut quota = PlaceQuota::default();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -91,6 +91,8 @@
     pub(crate) queued_ms: Cell<u64>,
     /// Sends that engines rejected for lack of capacity and after which it waited for room.
     unrun_rejections: Cell<u32>,
+    /// Whether its demand was recorded.
+    pub(crate) is_demand_recorded: Cell<bool>,
     relay: Rc<Relay>,
     method: Method,
     target: PathAndQuery,
@@ -167,6 +169,7 @@
             needs_room: Cell::default(),
             queued_ms: Cell::default(),
             unrun_rejections: Cell::default(),
+            is_demand_recorded: Cell::default(),
             relay: Rc::clone(relay),
             method: parts.method,
             target,
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -16,7 +16,8 @@
 pub use self::engines::choose_decode_engine;
 use self::engines::choose_prefill_engine;
 pub use self::plain::choose_upstream;
-use self::record::{record_demand, record_placement};
+pub use self::record::record_demand;
+use self::record::record_placement;
 pub use self::refusal::refusal_with_rest;
 use self::refusal::{log_too_late, refuse};
 use crate::answer::{Reason, Refusal};
@@ -94,10 +95,7 @@
     prompt: &Prompt,
     tried: &[String],
 ) -> Result<Placement, Refusal> {
-    // The demand of a request that was placed at a peer before is counted there.
-    if tried.is_empty() && !(call.is_taken_over.get() && call.is_first_counted.get()) {
-        record_demand(relay, call, prompt);
-    }
+    record_demand(relay, call, prompt);
     let goal_ms = call.route.goal_ms as f64;
     let waited_ms = call.prior_wait_ms as f64;
     let queued_ms = call.queued_ms.get() as f64;
--- a/crates/relay/src/placement/record.rs
+++ b/crates/relay/src/placement/record.rs
@@ -7,11 +7,16 @@
 use crate::dialect::Prompt;
 use crate::relay::Relay;
 
-/// Records the prefill demand of a request, whether or not it will be served.
+/// Records the prefill demand of a request, once, whether or not it will be served.
 ///
 /// Shared parts are left out: while caches are cold every engine prefills them, and a role split
 /// computed from that demand would be wrong as soon as the caches are warm.
-pub(super) fn record_demand(relay: &Relay, call: &Call, prompt: &Prompt) {
+pub fn record_demand(relay: &Relay, call: &Call, prompt: &Prompt) {
+    // The demand of a request that was placed at a peer before is counted there.
+    let is_counted_at_peer = call.is_taken_over.get() && call.is_first_counted.get();
+    if is_counted_at_peer || call.is_demand_recorded.replace(true) {
+        return;
+    }
     let tokens = f64::from(prompt.input_tokens);
     let unshared_tokens = prompt
         .parts
--- a/crates/relay/src/waiting.rs
+++ b/crates/relay/src/waiting.rs
@@ -83,6 +83,7 @@
         let Ok(processing_ms) = placement::processing_ms(relay, call, prompt) else {
             return Ok(None);
         };
+        placement::record_demand(relay, call, prompt);
         let waiter = waiter(relay, call, since_ms, processing_ms);
         let assumed_per_ms =
             free.slots / ASSUMED_TURNOVER_MS / relay.instance_count().max(1) as f64;
@@ -94,8 +95,9 @@
         call.queued_ms.set(call.queued_ms.get() + waited_ms);
         match verdict {
             Verdict::Placed(reservation) => {
-                let waited = &relay.metrics.waiting.waited_s;
-                waited
+                let metrics = &relay.metrics.waiting;
+                metrics
+                    .waited_s
                     .with_label_values(&[call.service.as_str()])
                     .observe(waited_ms as f64 / 1_000.0);
                 return Ok(Some(reservation));
@@ -159,6 +161,11 @@
 
 /// Takes a place for one request if there is one and this instance may have it.
 fn take_place(relay: &Relay, waiters: &ServiceWaiters, free: &FreePlaces) -> Option<Reservation> {
+    // An instance that stops has no later period in which to take its share.
+    if relay.phase() != Phase::Serving {
+        let is_free = free.places - f64::from(waiters.reserved()) >= 1.0;
+        return is_free.then(|| waiters.reserve());
+    }
     let mut quota = waiters.quota.get();
     let instances = relay.instance_count();
     // Places that were freed before nothing waited are known to peers by now, and are theirs as well.
@@ -236,16 +243,8 @@
     for (id, refusal) in refused {
         waiters.tell(id, Verdict::Refused(refusal));
     }
-    let is_stopping = relay.phase() != Phase::Serving;
     while !waiters.queue.borrow().is_empty() {
-        // An instance that stops has no later period in which to take its share.
-        let place = if is_stopping {
-            let is_free = free.places - f64::from(waiters.reserved()) >= 1.0;
-            is_free.then(|| waiters.reserve())
-        } else {
-            take_place(relay, waiters, &free)
-        };
-        let Some(place) = place else {
+        let Some(place) = take_place(relay, waiters, &free) else {
             break;
         };
         let next = waiters.queue.borrow_mut().next(now_ms);
@@ -253,7 +252,7 @@
             waiters.tell(id, Verdict::Placed(place));
         }
     }
-    if is_stopping {
+    if relay.phase() != Phase::Serving {
         waiters.tell_all(now_ms, |queue| Verdict::Stopped {
             retry_after_ms: queue.return_after_ms(now_ms),
         });
--- a/crates/relay/tests/waiting.rs
+++ b/crates/relay/tests/waiting.rs
@@ -7,8 +7,8 @@
 use std::time::Duration;
 
 use common::{
-    Action, EVENTS, ReceivedRequest, StubUpstream, TestInstance, config, generation_request,
-    settings, wait_until,
+    Action, EVENTS, Link, LinkState, ReceivedRequest, StubUpstream, TestInstance, config,
+    generation_request, meet, settings, wait_until,
 };
 use http::Request;
 use http_body_util::Full;
@@ -232,3 +232,37 @@
         assert!(metric(&instance, "chicoryrack_refusals_total").contains(reason));
     }
 }
+
+/// Guards against requests that wait at an instance without a path to engines, while a peer could have them served.
+#[actix_rt::test]
+async fn an_instance_that_is_cut_off_hands_over_what_waits() {
+    let (busy, other) = (engine(2_500), engine(1));
+    let link = Link::open(busy.address);
+    let own = link.entry(entry(&busy, "busy"));
+    let cut_off = Rc::new(TestInstance::start_peer("a", "here", vec![own]).await);
+    let entries = vec![entry(&busy, "busy"), entry(&other, "other")];
+    let peer = Rc::new(TestInstance::start_peer("b", "here", entries).await);
+    for instance in [&cut_off, &peer] {
+        assert!(instance.relay.configure(keyed(2)));
+    }
+    meet(&[&cut_off, &peer]).await;
+    let ends = fill(&cut_off, &busy).await;
+    let at_peer = peer.relay.upstreams.borrow().get("busy").cloned();
+    at_peer
+        .expect("it")
+        .extend_rest(peer.relay.now_ms(), 10_000);
+    link.set(LinkState::Hanging);
+    // The peer goes on to hear engines of the service.
+    let heard = async {
+        loop {
+            peer.fetch(short(50)).await;
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    };
+    let served = wait_until(|| ends[0].get() >= 2);
+    tokio::select! {
+        is_served = served => assert!(is_served, "{ends:?}"),
+        () = heard => {}
+    }
+    assert!(metric(&cut_off, "handed_over_total").contains("answered"));
+}
