--- a/crates/relay/src/placement/candidates.rs
+++ b/crates/relay/src/placement/candidates.rs
@@ -3,7 +3,8 @@
 use std::rc::Rc;
 
 use plan::{HealthStatus, ZoneRelation};
-use view::InstanceKey;
+use queue::{FreePlaces, draw_by_places};
+use view::{InstanceKey, VersionKey};
 
 use crate::call::Call;
 use crate::relay::Relay;
@@ -25,16 +26,60 @@
     engine_subset(own, engines, |engine| engine.id.as_str())
 }
 
-/// Upstreams of the call's service in one of the given stages that take requests now, of the version that began its
-/// stream if there is one.
-fn usable(relay: &Relay, call: &Call, stages: &[Stage]) -> Vec<Rc<Upstream>> {
+/// Engines to choose from for a request that waits for room: the subset of those that have room, or one of these that
+/// is drawn while room is scarce; the usual subset if none has room.
+///
+/// Engines outside the usual subset so take the place of those that are full, and different ones for each instance.
+pub(super) fn subset_with_room(
+    relay: &Relay,
+    service: &str,
+    engines: &[Rc<Upstream>],
+) -> Vec<Rc<Upstream>> {
+    let now_ms = relay.now_ms();
+    let has_room = |each: &&Rc<Upstream>| each.free_places(now_ms) >= 1.0;
+    let with_room: Vec<Rc<Upstream>> = engines.iter().filter(has_room).cloned().collect();
+    let mut free = FreePlaces::default();
+    for engine in engines {
+        free.add(engine.free_places(now_ms), engine.slots);
+    }
+    if with_room.is_empty() {
+        own_subset(relay, service, engines)
+    } else if free.is_ample() {
+        own_subset(relay, service, &with_room)
+    } else {
+        // Slots of a faster engine become free more often.
+        let weight = |it: &Rc<Upstream>| it.free_places(now_ms) / it.time_factor(now_ms);
+        let weights: Vec<f64> = with_room.iter().map(weight).collect();
+        let drawn = draw_by_places(&weights, rand::random());
+        drawn
+            .map(|at| Rc::clone(&with_room[at]))
+            .into_iter()
+            .collect()
+    }
+}
+
+/// Engines of a service that may decode, those included that rejected a request for lack of capacity and are therefore
+/// avoided for a moment. Empty if requests are sent to none, or only because there is no healthy one.
+pub fn engines_with_slots(relay: &Relay, service: &str) -> Vec<Rc<Upstream>> {
+    let now_ms = relay.now_ms();
+    let mut engines = usable(relay, service, None, &[Stage::Decode, Stage::Whole]);
+    engines.retain(|each| {
+        each.is_known_full(now_ms) || each.health_status(now_ms) == HealthStatus::Healthy
+    });
+    engines
+}
+
+/// Upstreams of a service in one of the given stages that take requests now, of this version if there is one.
+fn usable(
+    relay: &Relay,
+    service: &str,
+    version: Option<VersionKey>,
+    stages: &[Stage],
+) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
-    // A separate prefill writes no event of the stream.
-    let began_version = call.began_version.get();
-    let version = began_version.filter(|_| !stages.contains(&Stage::Prefill));
     let upstreams = relay.upstreams.borrow();
     upstreams
-        .ready(&call.service, now_ms)
+        .ready(service, now_ms)
         .filter(|each| stages.contains(&each.stage()))
         .filter(|each| version.is_none_or(|version| each.version_key == version))
         .filter(|each| !each.is_changing_role(now_ms) && each.rest_left_ms(now_ms) == 0)
@@ -52,7 +97,10 @@
     stages: &[Stage],
 ) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
-    let all = usable(relay, call, stages);
+    // A separate prefill writes no event of the stream.
+    let began_version = call.began_version.get();
+    let version = began_version.filter(|_| !stages.contains(&Stage::Prefill));
+    let all = usable(relay, &call.service, version, stages);
     let (mut all, again): (Vec<_>, Vec<_>) =
         all.into_iter().partition(|each| !tried.contains(&each.id));
     // No other version can go on with a stream, so one that broke it off is better than none.
