Scaling keeps the starting size with its reserve until demand was observed; room covers what becomes free unseen

Now the size follows demand only after the hold (30 s) or when the forecast needs more than the reserve has. Ruled out: instances that wait for their quota, since loads were above the slots.

--- a/crates/duty/src/scale.rs
+++ b/crates/duty/src/scale.rs
@@ -37,8 +37,12 @@
     seen_since_ms: Option<u64>,
     is_adopted: bool,
     orders: OrderBook,
-    /// Present if the size follows demand.
+    /// Present if the size may follow demand.
     sizes: Option<SizePlanner>,
+    /// Whether the size follows demand by now. Until demand has been observed for long enough, the
+    /// starting size and the reserve for the loss of a zone are kept: the prefix caches of engines
+    /// that are missing at the first peak would be missed for seconds.
+    is_following: bool,
     last_plan: Option<SizePlan>,
 }
 
@@ -88,6 +92,7 @@
             None => starting_size,
         };
         self.is_adopted = true;
+        self.is_following |= self.sizes.is_some() && target_size != starting_size;
         self.orders.adopt(target);
     }
 
@@ -156,9 +161,18 @@
         let has_surplus = self
             .distribution(now_ms, bounds, zones, keeping)
             .has_surplus();
+        let with_reserve = self
+            .distribution(now_ms, bounds, zones, Sizing::Fixed)
+            .spot_target();
         let Some(sizes) = &mut self.sizes else {
             return Sizing::Fixed;
         };
+        let is_short = sizes.needed(now_ms) > with_reserve.max(self.target_size);
+        self.is_following |= is_short || sizes.is_settled(now_ms, bounds);
+        if !self.is_following {
+            self.last_plan = Some(sizes.keep(now_ms, self.target_size));
+            return Sizing::Fixed;
+        }
         let limits = SizeBounds {
             starting: self.starting_size,
             min: bounds.min_per_zone * zones.len(),
@@ -188,12 +202,12 @@
         if self.is_adopted || now_ms >= since_ms + STARTUP_MS {
             return;
         }
-        // Spot engines that the first observation shows come from earlier orders. Those of a fixed
-        // size allowed for the loss of a zone; otherwise the size that is there is kept.
-        let kept = match (is_first_observation, &self.sizes) {
-            (true, None) => spot * zones.len().saturating_sub(1) / zones.len(),
-            (true, Some(_)) => spot,
-            (false, _) => 0,
+        // Spot engines that the first observation shows come from earlier orders, which allowed for
+        // the loss of a zone.
+        let kept = if is_first_observation {
+            spot * zones.len().saturating_sub(1) / zones.len()
+        } else {
+            0
         };
         self.starting_size = self.starting_size.max(on_demand + kept);
         self.target_size = self.target_size.max(self.starting_size);
--- a/crates/duty/src/scale/size.rs
+++ b/crates/duty/src/scale/size.rs
@@ -124,6 +124,31 @@
         }
     }
 
+    /// Whether demand has been observed without a disturbance for as long as its peaks are held.
+    pub fn is_settled(&self, now_ms: u64, bounds: &ScalingBounds) -> bool {
+        self.forecast.is_settled(now_ms, hold_ms(bounds))
+    }
+
+    /// Engines that the forecast needs with their headroom; 0 while demand is unknown.
+    pub fn needed(&self, now_ms: u64) -> usize {
+        let peak = self.forecast.peak(now_ms);
+        peak.map_or(0, |peak| (peak.total() / PEAK_UTILIZATION).ceil() as usize)
+    }
+
+    /// The plan while the fleet keeps the starting size and its reserve.
+    pub fn keep(&self, now_ms: u64, size: usize) -> SizePlan {
+        let forecast = self.forecast.peak(now_ms);
+        let reason = match forecast {
+            Some(_) => SizeReason::Hold,
+            None => SizeReason::Unknown,
+        };
+        SizePlan {
+            forecast,
+            size,
+            reason,
+        }
+    }
+
     /// The size that follows `size`. `has_surplus` tells that more engines are ordered than `size`
     /// needs, so that a step may be made although the size is right.
     pub fn next(
@@ -140,10 +165,10 @@
             size,
             reason,
         };
-        let Some(peak) = forecast else {
+        if forecast.is_none() {
             return plan(size, SizeReason::Unknown);
-        };
-        let needed = (peak.total() / PEAK_UTILIZATION).ceil() as usize;
+        }
+        let needed = self.needed(now_ms);
         let least_of_start = (bounds.starting as f64 * MIN_STARTING_FRACTION).ceil() as usize;
         let min = bounds.min.max(least_of_start).min(bounds.max);
         let goal = needed.clamp(min, bounds.max);
--- a/crates/duty/src/scale/targets.rs
+++ b/crates/duty/src/scale/targets.rs
@@ -59,7 +59,7 @@
     /// Spot engines to have in all zones: enough that those of one zone can be reclaimed at once.
     /// New ones take seconds to start, and longer until they hold the prompts that the reclaimed
     /// ones had cached. Zero if that many would not cost less than engines on demand.
-    fn spot_target(&self) -> usize {
+    pub fn spot_target(&self) -> usize {
         let must_remain = match self.sizing {
             Sizing::Fixed => self.size,
             Sizing::ByDemand { .. } => size_after_loss(self.size),
--- a/crates/queue/src/room.rs
+++ b/crates/queue/src/room.rs
@@ -1,8 +1,9 @@
 //! Room at upstreams, and the part of it that one of several instances takes.
 
-/// Queue at an upstream up to which it has room, as a fraction of its slots: long enough to fill the slots that
-/// become free within a round trip, short enough that the order of requests is decided here.
-const SHORT_QUEUE_FRACTION: f64 = 0.25;
+/// Queue at an upstream up to which it has room, as a fraction of its slots: the slots that become free while gossip
+/// tells its load, 150 ms of an answer's usual 250 ms. With a shorter one the upstream has idle slots before an
+/// instance learns of them; with a longer one the order of requests is not decided here.
+const SHORT_QUEUE_FRACTION: f64 = 0.6;
 
 /// Free places, as a fraction of all slots, from which room is not scarce and each instance takes what it needs.
 const AMPLE_FRACTION: f64 = 0.5;
