Shares: engine time is shared among workspaces while room is short

Change: plan::shares (levels by rank, room with hysteresis, the fraction that passes) replaces plan::Fairness, whose test is unchanged but for the type's name; view::EngineTimeLedger and an optional section of datagrams; relay::shares, share_state; weight of a workspace; metrics and log lines.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -7,7 +7,6 @@
 mod deadline;
 mod ejection;
 mod engine_profile;
-mod fairness;
 mod fleet;
 mod forecast;
 mod inquiry;
@@ -23,6 +22,7 @@
 mod roles;
 mod rollout;
 mod route;
+pub mod shares;
 mod split;
 mod stream_version;
 
@@ -30,7 +30,7 @@
 pub use deadline::{AttemptTimeout, RetryBudget, give_up_ms};
 pub use ejection::{Health, HealthStatus};
 pub use engine_profile::{EngineProfile, RANKS, rank_index};
-pub use fairness::Fairness;
+
 pub use fleet::{Engine, Fleet, LoadReport, Outstanding, Presence};
 pub use forecast::Forecast;
 pub use inquiry::{Inquiry, InquiryStep, Sign, Verdict};
@@ -46,6 +46,7 @@
 pub use roles::{RoleChange, RoleCounts, RolePlanner, RoleSettings};
 pub use rollout::should_switch_version;
 pub use route::{Choice, Request, RouteSettings, Router};
+pub use shares::MemberShares;
 pub use split::{
     Demand, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitPlanner, max_changes_at_once,
     wanted_prefill_engines,
--- a/crates/plan/src/route.rs
+++ b/crates/plan/src/route.rs
@@ -4,7 +4,7 @@
 use rand::Rng;
 
 use crate::{
-    Engine, Fairness, Fleet, HealthStatus, Outstanding, Presence, RANKS, Refusal, RefusalReason,
+    Engine, Fleet, HealthStatus, MemberShares, Outstanding, Presence, RANKS, Refusal, RefusalReason,
 };
 
 /// Most engines considered for a request; of a larger fleet a random sample of this size is taken,
@@ -102,7 +102,7 @@
 #[derive(Debug, Clone, Default)]
 pub struct Router {
     settings: RouteSettings,
-    fairness: Fairness,
+    shares: MemberShares,
 }
 
 impl Router {
@@ -110,7 +110,7 @@
     pub fn new(settings: RouteSettings) -> Self {
         Self {
             settings,
-            fairness: Fairness::default(),
+            shares: MemberShares::default(),
         }
     }
 
@@ -152,7 +152,7 @@
             .min_work_ms(best.choice.uncached_tokens, request.output_tokens);
         let admission = self.admit(now_ms, request, &best, work_ms);
         let admitted = admission.is_ok();
-        self.fairness
+        self.shares
             .record(now_ms, request.member, request.share, work_ms, admitted);
         admission.map(|()| best.choice)
     }
@@ -174,7 +174,7 @@
         if self.settings.enforce_shares
             && is_under_pressure
             && !is_urgent
-            && !self.fairness.allows(now_ms, request.member, work_ms)
+            && !self.shares.allows(now_ms, request.member, work_ms)
         {
             return Err(refusal(RefusalReason::Share, work_ms));
         }
--- a/crates/plan/tests/decisions.rs
+++ b/crates/plan/tests/decisions.rs
@@ -2,7 +2,7 @@
 
 use conf::Role;
 use plan::{
-    AttemptTimeout, Engine, EngineProfile, Fairness, Fleet, Forecast, Health, HealthStatus,
+    AttemptTimeout, Engine, EngineProfile, Fleet, Forecast, Health, HealthStatus, MemberShares,
     PrefixIndex, Presence, RefusalReason, Request, RetryBudget, RolePlanner, RoleSettings,
     RouteSettings, Router, should_switch_version,
 };
@@ -169,14 +169,14 @@
 
 #[test]
 fn a_member_above_its_share_is_held_back_only_if_others_ask_for_theirs() {
-    let mut fairness = Fairness::default();
+    let mut shares = MemberShares::default();
     for step in 0..200 {
-        fairness.record(step * 50, "flood", 1, 100.0, true);
-        fairness.record(step * 50, "modest", 1, 80.0, step % 4 == 0);
+        shares.record(step * 50, "flood", 1, 100.0, true);
+        shares.record(step * 50, "modest", 1, 80.0, step % 4 == 0);
     }
-    assert!(!fairness.allows(10_000, "flood", 100.0));
-    assert!(fairness.allows(10_000, "modest", 80.0));
-    let mut alone = Fairness::default();
+    assert!(!shares.allows(10_000, "flood", 100.0));
+    assert!(shares.allows(10_000, "modest", 80.0));
+    let mut alone = MemberShares::default();
     for step in 0..200 {
         alone.record(step * 50, "only", 1, 100.0, true);
     }
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -159,6 +159,9 @@
     /// All upstreams that could take the request asked this instance for rest.
     #[display("all upstreams asked for rest")]
     Resting,
+    /// Its workspace requests more than its share while no engine has a free slot.
+    #[display("the workspace is over its share")]
+    OverShare,
     /// This instance is cut off from the upstreams, and no peer took the request.
     #[display("this instance reaches no upstream")]
     CutOff,
@@ -211,6 +214,7 @@
             Self::NoUpstream => "no_upstream",
             Self::TooLate => "too_late",
             Self::Resting => "resting",
+            Self::OverShare => "over_share",
             Self::CutOff => "cut_off",
             Self::UnknownOrigin => "unknown_origin",
             Self::HelperBusy => "helper_busy",
@@ -239,6 +243,7 @@
             | Self::NoUpstream
             | Self::TooLate
             | Self::Resting
+            | Self::OverShare
             | Self::CutOff
             | Self::UnknownOrigin
             | Self::HelperBusy
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -77,6 +77,12 @@
     /// How far the answer to its last send has come, and the number of its events.
     pub(crate) progress: Cell<AnswerProgress>,
     pub(crate) events: Cell<u32>,
+    /// Engine time that it was recorded to ask for; none before.
+    pub(crate) share_asked_ms: Cell<Option<f64>>,
+    /// The part of that for its output.
+    pub(crate) share_decode_ms: Cell<f64>,
+    /// Whether engine time was recorded as granted to it.
+    pub(crate) share_granted: Cell<bool>,
     /// The trial of one of these parts that it is.
     pub(crate) part_trial: Cell<Option<PartTrial>>,
     /// Whether a peer that is cut off from upstreams handed it over; it goes no further then.
@@ -154,6 +160,9 @@
             shared_parts,
             progress: Cell::default(),
             events: Cell::default(),
+            share_asked_ms: Cell::default(),
+            share_decode_ms: Cell::default(),
+            share_granted: Cell::default(),
             part_trial: Cell::default(),
             is_taken_over: Cell::default(),
             is_handed_over: Cell::default(),
--- a/crates/relay/src/config.rs
+++ b/crates/relay/src/config.rs
@@ -123,6 +123,16 @@
     pub priority: Option<u8>,
     /// Hashes of its keys.
     pub keys: Vec<KeyHash>,
+    /// Weight of its share of engine time, at least 1.
+    #[serde(default = "default_weight")]
+    pub weight: u32,
+}
+
+/// Weight of a workspace for which operators set none.
+pub const DEFAULT_WEIGHT: u32 = 1;
+
+fn default_weight() -> u32 {
+    DEFAULT_WEIGHT
 }
 
 /// Which callers are admitted.
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -17,6 +17,7 @@
 use crate::relay::Relay;
 use crate::retry::refuse_rejected;
 use crate::send::{SendResult, note_response};
+use crate::shares;
 use crate::stream::{StreamForwarder, StreamOrigin};
 use crate::upstream::{InFlight, MIN_CACHED_TOKENS, PrefillProgress, Upstream, Work};
 use crate::urgency::Urgency;
@@ -30,6 +31,7 @@
     let mut tried = Vec::new();
     let mut unreachable_upstreams = 0;
     let mut transferred = None;
+    shares::admit(relay, call)?;
     loop {
         if is_handed_over(relay, call).await {
             return hand_over(relay, call).await;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,8 @@
 pub mod role_orders;
 pub mod scheduling;
 pub mod send;
+pub mod share_state;
+pub mod shares;
 pub mod shutdown;
 pub mod singleton_tasks;
 pub mod snapshot;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -102,6 +102,48 @@
     }
 }
 
+/// Metrics of shares of engine time, by workspace: those that use most, and the others together.
+pub struct ShareMetrics {
+    /// Engines that the requests of a workspace keep busy, fleet-wide.
+    pub used_engines: GaugeVec,
+    /// Engines that the workspace is entitled to, or requests if that is less.
+    pub share_engines: GaugeVec,
+    /// Its requests that this instance refused for its share since the start.
+    pub refused: IntGaugeVec,
+    /// Whether room is short at any service.
+    pub is_short: IntGauge,
+}
+
+impl ShareMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            used_engines: all.float_gauges(
+                "share_used_engines",
+                "Engines that the requests of a workspace keep busy.",
+                &["workspace"],
+            ),
+            share_engines: all.float_gauges(
+                "share_engines",
+                "Engines that a workspace is entitled to.",
+                &["workspace"],
+            ),
+            refused: all.gauges(
+                "share_refused",
+                "Requests refused for the share of their workspace.",
+                &["workspace"],
+            ),
+            is_short: all.gauge("room_short", "Whether room is short."),
+        }
+    }
+
+    /// Removes the figures of all workspaces, before the present ones are set.
+    pub fn clear(&self) {
+        self.used_engines.reset();
+        self.share_engines.reset();
+        self.refused.reset();
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -175,6 +217,8 @@
     pub panics: IntCounter,
     /// Prompt parts that may end upstreams.
     pub parts: PartMetrics,
+    /// Shares of engine time.
+    pub shares: ShareMetrics,
     /// Requests whose answers are not complete yet.
     pub in_flight: IntGauge,
     /// Calls of singleton tasks to the platform, by call and outcome.
@@ -318,6 +362,7 @@
             poison_requests: all.gauge("poisonous", "Known poison requests."),
             panics: all.plain_counter("panics_total", "Requests whose handling panicked."),
             parts: PartMetrics::new(&all),
+            shares: ShareMetrics::new(&all),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
             store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -12,10 +12,12 @@
 
 use plan::{LateRequest, LatestStart, Prediction};
 
+pub(crate) use self::engines::SLOT_TURNOVER_MS;
 pub use self::engines::choose_decode_engine;
 use self::engines::choose_prefill_engine;
 pub use self::plain::choose_upstream;
 use self::record::{record_demand, record_placement};
+pub(crate) use self::refusal::jitter;
 pub use self::refusal::refusal_with_rest;
 use self::refusal::{log_too_late, refuse};
 use crate::answer::{Reason, Refusal};
--- a/crates/relay/src/placement/engines.rs
+++ b/crates/relay/src/placement/engines.rs
@@ -16,7 +16,7 @@
 use crate::urgency::Urgency;
 
 /// Time until a slot of a full batch becomes free, in ms.
-const SLOT_TURNOVER_MS: f64 = 250.0;
+pub(crate) const SLOT_TURNOVER_MS: f64 = 250.0;
 
 /// Fraction of the prefill time that is added to the cost of an engine which caches nothing of the
 /// prompt and is not its affinity target. Instances that receive the first requests of a new prefix
--- a/crates/relay/src/placement/record.rs
+++ b/crates/relay/src/placement/record.rs
@@ -6,6 +6,7 @@
 use crate::call::Call;
 use crate::dialect::Prompt;
 use crate::relay::Relay;
+use crate::shares::record_granted;
 
 /// Records the prefill demand of a request, whether or not it will be served.
 ///
@@ -36,12 +37,21 @@
     placement: &Placement,
     first: &Prediction,
 ) {
-    let (read, is_copied, cached_tokens) = match placement {
-        Placement::Disaggregated(prefill) => {
-            ("apart", prefill.copy_from.is_some(), prefill.cached_tokens)
-        }
-        Placement::Colocated(decode) => ("whole", decode.copy_from.is_some(), decode.cached_tokens),
+    let (read, is_copied, cached_tokens, prefill_tokens) = match placement {
+        Placement::Disaggregated(prefill) => (
+            "apart",
+            prefill.copy_from.is_some(),
+            prefill.cached_tokens,
+            prefill.prefill_tokens,
+        ),
+        Placement::Colocated(decode) => (
+            "whole",
+            decode.copy_from.is_some(),
+            decode.cached_tokens,
+            decode.prefill_tokens,
+        ),
     };
+    record_granted(relay, call, prefill_tokens, first.wait_ms);
     let held = match (is_copied, cached_tokens > 0.0) {
         (true, _) => "copied",
         (false, true) => "there",
--- a/crates/relay/src/placement/refusal.rs
+++ b/crates/relay/src/placement/refusal.rs
@@ -77,7 +77,7 @@
 
 /// Factor from 1 to 1.5, by the hash of the attempt's id, so that callers that were refused together do not
 /// retry together.
-fn jitter(call: &Call) -> f64 {
+pub(crate) fn jitter(call: &Call) -> f64 {
     1.0 + (call.id_hash % 512) as f64 / 1_024.0
 }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -6,6 +6,7 @@
 mod peers;
 mod poison;
 mod retries;
+mod shares;
 
 pub use list::{ChangesRead, Origin};
 pub(crate) use peers::unix_ms;
@@ -32,6 +33,7 @@
 use crate::reachability::Reachability;
 use crate::role_orders::RoleOrders;
 use crate::scheduling::SchedulingSettings;
+use crate::share_state::ShareState;
 use crate::singleton_tasks::{self, SingletonTasks};
 use crate::snapshot::{LastQuery, Snapshot};
 use crate::stream_origins::StreamOrigins;
@@ -122,6 +124,8 @@
     pub role_orders: RoleOrders,
     /// Tasks that one instance performs for the fleet.
     pub singleton_tasks: SingletonTasks,
+    /// Shares of workspaces in engine time.
+    pub(crate) shares: ShareState,
     /// Paths to the upstreams of each service.
     pub(crate) reachability: Reachability,
     /// Requests handed over to peers and taken over from them.
@@ -168,6 +172,7 @@
             part_tracker: RefCell::default(),
             role_orders,
             singleton_tasks,
+            shares: ShareState::default(),
             reachability: Reachability::default(),
             handovers: Handovers::default(),
             stream_origins: StreamOrigins::default(),
@@ -266,6 +271,7 @@
             .poison_requests
             .set(self.poison_requests().len().cast_signed() as i64);
         self.set_part_gauges();
+        self.set_share_gauges();
         let settings = self.settings.borrow().retry_budget;
         let share = self.share();
         for (service, retries) in self.retries.borrow_mut().iter_mut() {
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -104,6 +104,11 @@
         let candidates: Vec<SocketAddr> = candidates.filter_map(|hub| hub.gossip_address).collect();
         self.singleton_tasks
             .add_tallies(now_ms, &mut out, &candidates);
+        if self.shares_engine_time() {
+            let fleet_ms = self.singleton_tasks.fleet_ms();
+            self.shares.add_tallies(now_ms, fleet_ms, &mut out);
+            self.update_shares();
+        }
         out
     }
 
@@ -160,6 +165,10 @@
         self.apply_limits(now_ms, message);
         self.singleton_tasks
             .receive_gossip(self.settings.borrow().singleton_tasks, message);
+        if self.shares_engine_time() {
+            let fleet_ms = self.singleton_tasks.fleet_ms();
+            self.shares.receive_gossip(fleet_ms, message);
+        }
         let upstreams = self.upstreams.borrow();
         for change in &message.role_changes {
             if let Some(upstream) = upstreams.get_by_key(change.upstream) {
--- a/crates/relay/tests/access.rs
+++ b/crates/relay/tests/access.rs
@@ -21,6 +21,7 @@
     Workspace {
         name: name.to_owned(),
         priority,
+        weight: 1,
         keys: keys.iter().map(|key| KeyHash::of(key.as_bytes())).collect(),
     }
 }
--- a/crates/relay/tests/usage.rs
+++ b/crates/relay/tests/usage.rs
@@ -29,6 +29,7 @@
     let workspace = |name: &str| Workspace {
         name: name.to_owned(),
         priority: None,
+        weight: 1,
         keys: vec![KeyHash::of(name.as_bytes())],
     };
     let access = Access::keyed(vec![workspace("one"), workspace("other")]);
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -10,6 +10,7 @@
 
 mod clock;
 pub mod demand;
+pub mod engine_time;
 pub mod entry;
 pub mod gossip;
 pub mod heartbeats;
@@ -25,11 +26,13 @@
 pub mod poison;
 pub mod polling;
 pub mod queue;
+mod sections;
 pub mod sound_parts;
 pub mod stream_origin;
 
 pub use clock::FleetClock;
 pub use demand::ServiceDemand;
+pub use engine_time::{EngineTime, EngineTimeLedger, EngineTimeTally, ShareKey};
 pub use entry::{ListChange, Stage, UpstreamEntry, UpstreamState};
 pub use gossip::{ChangedLoads, GossipState, LocalState};
 pub use key::{
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -7,9 +7,11 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::sections::Sections;
 use crate::{
-    FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member, PartEvidence,
-    PrefillQueue, RANKS, RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey, WorkspaceKey,
+    EngineTimeTally, FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member,
+    PartEvidence, PrefillQueue, RANKS, RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey,
+    WorkspaceKey,
 };
 
 /// Version of the wire format, in the first byte of each datagram.
@@ -156,6 +158,8 @@
     pub last_task_token: Option<u64>,
     /// Usage counts that changed lately.
     pub tallies: Vec<Tally>,
+    /// Engine time of workspaces that changed lately.
+    pub engine_times: Vec<EngineTimeTally>,
 }
 
 impl GossipMessage {
@@ -184,6 +188,7 @@
             clock_ms: 0,
             last_task_token: None,
             tallies: Vec::new(),
+            engine_times: Vec::new(),
         }
     }
 }
@@ -247,8 +252,11 @@
 }
 
 /// Encodes a datagram.
-pub fn encode(message: GossipMessage) -> Result<Vec<u8>, MessageError> {
-    postcard::to_extend(&WireMessage::from(message), vec![FORMAT]).map_err(MessageError::Malformed)
+pub fn encode(mut message: GossipMessage) -> Result<Vec<u8>, MessageError> {
+    let sections = Sections::take(&mut message);
+    let bytes = postcard::to_extend(&WireMessage::from(message), vec![FORMAT])
+        .map_err(MessageError::Malformed)?;
+    sections.append_to(bytes)
 }
 
 /// Decodes a datagram.
@@ -257,8 +265,11 @@
     if format != Some(FORMAT) {
         return Err(MessageError::UnknownFormat { format });
     }
-    let wire: WireMessage = postcard::from_bytes(&bytes[1..]).map_err(MessageError::Malformed)?;
-    Ok(wire.into())
+    let (wire, rest): (WireMessage, &[u8]) =
+        postcard::take_from_bytes(&bytes[1..]).map_err(MessageError::Malformed)?;
+    let mut message = GossipMessage::from(wire);
+    Sections::read(rest).put_into(&mut message);
+    Ok(message)
 }
 
 impl From<GossipMessage> for WireMessage {
@@ -329,6 +340,7 @@
             clock_ms: wire.clock_ms,
             last_task_token: wire.last_task_token,
             tallies: wire.tallies,
+            engine_times: Vec::new(),
         }
     }
 }
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -11,9 +11,9 @@
 use view::gossip::{GossipState, LocalState, PERIOD_MS};
 use view::hubs::HubRanking;
 use view::{
-    FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
-    Members, PartEvidence, PartTracker, PoisonTracker, PrefillQueue, ServiceHeard, ServiceKey,
-    UpstreamKey, UpstreamLimit, decode, encode,
+    EngineTimeLedger, FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load,
+    LogPosition, Member, Members, PartEvidence, PartTracker, PoisonTracker, PrefillQueue,
+    ServiceHeard, ServiceKey, UpstreamKey, UpstreamLimit, decode, encode, engine_time,
 };
 
 /// Transit time of a datagram, in ms.
@@ -40,6 +40,7 @@
     pub poison: PoisonTracker,
     pub parts: PartTracker,
     pub limits: HashMap<UpstreamKey, UpstreamLimit>,
+    pub engine_time: EngineTimeLedger,
     pub is_running: bool,
     pub sent: usize,
     pub sent_bytes: usize,
@@ -97,6 +98,7 @@
                 poison: PoisonTracker::default(),
                 parts: PartTracker::default(),
                 limits: HashMap::new(),
+                engine_time: EngineTimeLedger::new(InstanceKey::of(&own.name).0),
                 is_running: true,
                 sent: 0,
                 sent_bytes: 0,
@@ -178,7 +180,10 @@
         }
         each.gossip.expire(now_ms);
         let ranks = HubRanking::of(&each.member.name, &each.members);
-        for (to, message) in each.gossip.tick(now_ms, own, &ranks) {
+        let mut out = each.gossip.tick(now_ms, own, &ranks);
+        let window = now_ms / engine_time::WINDOW_MS;
+        each.engine_time.add_tallies(now_ms, window, &mut out);
+        for (to, message) in out {
             let bytes = encode(message).unwrap();
             each.sent += 1;
             each.sent_bytes += bytes.len();
@@ -214,6 +219,8 @@
             self.members.record_alive(now_ms, *key);
         }
         self.gossip.receive(now_ms, message, from);
+        let window = now_ms / engine_time::WINDOW_MS;
+        self.engine_time.receive(window, message);
         for evidence in &message.evidence {
             if self.poison.receive(now_ms, *evidence) {
                 self.gossip.forward_evidence(*evidence, message.kind);
