--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -41,6 +41,8 @@
 pub mod room_waiters;
 pub mod scheduling;
 pub mod send;
+pub mod share_state;
+pub mod shares;
 pub mod shutdown;
 pub mod singleton_tasks;
 pub mod snapshot;
--- a/crates/relay/src/placement.rs
+++ b/crates/relay/src/placement.rs
@@ -13,11 +13,13 @@
 use plan::{LateRequest, LatestStart, Prediction};
 
 pub use self::candidates::engines_with_slots;
+pub(crate) use self::engines::SLOT_TURNOVER_MS;
 pub use self::engines::choose_decode_engine;
 use self::engines::choose_prefill_engine;
 pub use self::plain::choose_upstream;
 pub use self::record::record_demand;
 use self::record::record_placement;
+pub(crate) use self::refusal::jitter;
 pub use self::refusal::refusal_with_rest;
 use self::refusal::{log_too_late, refuse};
 use crate::answer::{Reason, Refusal};
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod poison;
 mod retries;
+mod shares;
 
 pub use list::{ChangesRead, Origin};
 pub(crate) use peers::unix_ms;
@@ -34,6 +35,7 @@
 use crate::role_orders::RoleOrders;
 use crate::room_waiters::RoomWaiters;
 use crate::scheduling::SchedulingSettings;
+use crate::share_state::ShareState;
 use crate::singleton_tasks::{self, SingletonTasks};
 use crate::snapshot::{LastQuery, Snapshot};
 use crate::stream_origins::StreamOrigins;
@@ -125,6 +127,8 @@
     pub role_orders: RoleOrders,
     /// Tasks that one instance performs for the fleet.
     pub singleton_tasks: SingletonTasks,
+    /// Shares of workspaces in engine time.
+    pub(crate) shares: ShareState,
     /// Paths to the upstreams of each service.
     pub(crate) reachability: Reachability,
     /// Requests handed over to peers and taken over from them.
@@ -175,6 +179,7 @@
             part_tracker: RefCell::default(),
             role_orders,
             singleton_tasks,
+            shares: ShareState::default(),
             reachability: Reachability::default(),
             handovers: Handovers::default(),
             room_waiters: RoomWaiters::default(),
@@ -281,6 +286,7 @@
             let gauge = metrics.waiting.requests.with_label_values(&[&service]);
             gauge.set(waiting.cast_signed() as i64);
         }
+        self.set_share_gauges();
         let settings = self.settings.borrow().retry_budget;
         let share = self.share();
         for (service, retries) in self.retries.borrow_mut().iter_mut() {
--- a/crates/relay/src/waiting.rs
+++ b/crates/relay/src/waiting.rs
@@ -17,6 +17,7 @@
 use crate::placement;
 use crate::relay::{Phase, Relay};
 use crate::room_waiters::{Reservation, ServiceWaiters, Verdict};
+use crate::shares;
 use crate::upstream::Upstream;
 
 /// Largest part of the time to a caller's deadline for which its request is held.
@@ -48,9 +49,10 @@
     is_called_for && config.service(service).is_some()
 }
 
-/// How far the workspace of a request is over its share of engine time: 0, as shares are not counted.
-pub fn share_excess(_relay: &Relay, _call: &Call) -> f64 {
-    0.0
+/// How far the workspace of a request is over its share of engine time; 0 if it has none.
+fn share_excess(relay: &Relay, call: &Call) -> f64 {
+    let workspace = call.workspace.as_ref();
+    workspace.map_or(0.0, |workspace| shares::share_excess(relay, workspace))
 }
 
 /// Waits until an engine has room for a generation, or refuses it.
