Engines exchange prefill and decode roles by speed

Cause: the role split counted engines, so on uneven fleets slow engines prefilled while faster ones decoded.

Ruled out: ordering both engines at once (prefill loses an engine for seconds), the pair in the order's record (the split planner mends a swap whose leader was lost).

Change: plan::swap_pairs and plan::swap_step decide on swaps. The fast engine is ordered first, the slow one when the fast one prefills. Demand is divided by the mean speed of the engines in a role, and the decode demand is measured in usual engines. Without known paces all factors are exactly 1. Metric role_changes_total{reason}, reason in the log line. Gossip of paces is tested with loss, at its bound and for its cost.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -21,6 +21,7 @@
 mod reach;
 mod rest;
 mod retry_budget;
+mod role_swap;
 mod roles;
 mod rollout;
 mod route;
@@ -46,12 +47,15 @@
 pub use reach::{EVIDENCE_WAIT_MS, Reach, ReachState, TELLING_UPSTREAMS};
 pub use rest::{MAX_REST_MS, Rest, common_rest_ms};
 pub use retry_budget::{BudgetShare, FleetRetryBudget, RetryBudgetSettings};
+pub use role_swap::{
+    RoleSpeeds, SwapEngine, SwapPair, SwapProgress, SwapStep, swap_pairs, swap_step,
+};
 pub use roles::{RoleChange, RoleCounts, RolePlanner, RoleSettings};
 pub use rollout::should_switch_version;
 pub use route::{Choice, Request, RouteSettings, Router};
 pub use split::{
     Demand, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitPlanner, max_changes_at_once,
-    wanted_prefill_engines,
+    max_changing, wanted_prefill_engines,
 };
 pub use stream_version::{OriginEvidence, STREAM_AGE_MS, ServiceVersions, origin_version};
 pub use zones::{
--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -21,7 +21,7 @@
 /// Fraction of the slots of a decode engine that may be in use: the rest is for clustered
 /// requests, for the load of an engine that fails, and because a fuller batch delays each token.
 /// A much smaller value moves engines to decode in each lull between two bursts of prompts.
-const DECODE_UTILIZATION: f64 = 0.6;
+pub(crate) const DECODE_UTILIZATION: f64 = 0.6;
 
 /// Pressure below which no engine changes, however uneven the split is, as no request waits.
 const MIN_PRESSURE: f64 = 0.8;
@@ -195,6 +195,11 @@
         is_due.then_some(change)
     }
 
+    /// The change that was wanted at the last check, due or not.
+    pub fn wanted(&self) -> Option<SplitChange> {
+        self.wanted.map(|(change, _)| change)
+    }
+
     /// Records that a change was ordered.
     pub fn record_order(&mut self, now_ms: u64, change: SplitChange) {
         self.last = Some((change, now_ms));
@@ -219,7 +224,7 @@
 }
 
 /// Most engines of a service that may be changing at the same time.
-fn max_changing(engines: usize) -> usize {
+pub fn max_changing(engines: usize) -> usize {
     ((engines as f64 * MAX_CHANGING_FRACTION) as usize).max(1)
 }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -213,6 +213,8 @@
     pub scaling: ScalingMetrics,
     /// Role orders to engines by outcome.
     pub role_orders: IntCounterVec,
+    /// Role changes that engines accepted by reason.
+    pub role_changes: IntCounterVec,
     /// Retries left in the current window by service.
     pub retries_left: IntGaugeVec,
     /// Log lines dropped since the start by kind.
@@ -357,6 +359,7 @@
             ),
             scaling: ScalingMetrics::new(&all),
             role_orders: all.counter("orders_total", "Role orders to engines.", &["outcome"]),
+            role_changes: all.counter("role_changes_total", "Role changes.", &["reason"]),
             time_to_send_s: all.histogram("own_seconds", "Time to the first send.", &["route"]),
             predicted_wait_s: all.histogram("wait_seconds", "Predicted wait.", &["service"]),
             upstream_head_s: all.histogram(
--- a/crates/relay/src/role_orders.rs
+++ b/crates/relay/src/role_orders.rs
@@ -5,7 +5,9 @@
 //! `lease::AppendLease` keeps orders safe even if several instances consider themselves the leader. Without
 //! any leader, requests are served with the roles as they are. See docs/design/orders.md.
 
+mod choice;
 mod sending;
+mod swaps;
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -13,8 +15,8 @@
 
 use lease::{AppendLease, AppendLeaseTimes};
 use plan::{
-    Demand, HealthStatus, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitPlanner,
-    max_changes_at_once, speed_class,
+    Demand, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitPlanner, max_changes_at_once,
+    max_changing,
 };
 use rand::Rng;
 use serde::{Deserialize, Serialize};
@@ -26,6 +28,9 @@
 
 pub use sending::{order_logged, send_order};
 
+use choice::Pauses;
+use swaps::Swaps;
+
 /// Interval between checks of the role split, in ms.
 pub const CHECK_INTERVAL_MS: u64 = 250;
 
@@ -45,12 +50,6 @@
 /// than the pause that `lease::AppendLease` requires after such an order, so it need not wait before its own first one.
 pub const STANDBY_READ_INTERVAL_MS: u64 = 6_000;
 
-/// Minimum age of an engine for an order, in ms; one that has just returned may be about to leave again.
-const MIN_ENGINE_AGE_MS: u64 = 1_000;
-
-/// Minimum time between two orders to one engine, in ms: an order may take effect up to 12 s late.
-const ENGINE_PAUSE_MS: u64 = 15_000;
-
 /// An order's record in the log, appended before the order is sent.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RoleOrderRecord {
@@ -77,6 +76,27 @@
     pub is_prefill: bool,
 }
 
+/// Why an engine is to change its role.
+#[derive(Clone)]
+enum ChangeReason {
+    /// The number of engines in each role does not fit the demand.
+    Split(SplitChange),
+    /// A fast engine takes over prefill from the slow one with this id.
+    SwapToPrefill { slow: String },
+    /// A slow engine decodes, as a fast one has taken over prefill from it.
+    SwapToDecode,
+}
+
+impl ChangeReason {
+    /// Label in metrics and log lines.
+    fn label(&self) -> &'static str {
+        match self {
+            Self::Split(_) => "split",
+            Self::SwapToPrefill { .. } | Self::SwapToDecode => "swap",
+        }
+    }
+}
+
 /// A planned role change of one engine.
 pub struct PlannedChange {
     /// The engine.
@@ -84,7 +104,7 @@
     /// Its new role.
     pub stage: Stage,
     service: String,
-    change: SplitChange,
+    reason: ChangeReason,
     demand: Demand,
     split: RoleSplit,
 }
@@ -97,6 +117,7 @@
     requests: MovingRate,
     peak: PeakDemand,
     planner: SplitPlanner,
+    swaps: Swaps,
 }
 
 /// State of role orders at one instance, whether it leads or not.
@@ -210,7 +231,7 @@
         let busy_engines: f64 = engines
             .iter()
             .filter(|each| each.stage() == Stage::Decode)
-            .map(|each| f64::from(each.decoding()) / f64::from(each.slots))
+            .map(|each| f64::from(each.decoding()) / f64::from(each.slots) * speed(each))
             .sum();
         state.decode.add(now_ms, busy_engines * elapsed_ms as f64);
         let peers = peer_demand.iter().find(|each| each.service == *service);
@@ -251,6 +272,11 @@
         .collect()
 }
 
+/// Speed of an engine relative to the usual one, which is assumed while its pace is not known.
+fn speed(engine: &Upstream) -> f64 {
+    1.0 / engine.known_lasting_factor().unwrap_or(1.0)
+}
+
 fn plan_service(
     relay: &Relay,
     service: &str,
@@ -259,92 +285,65 @@
     demand: &Demand,
 ) -> Vec<Rc<PlannedChange>> {
     let now_ms = relay.now_ms();
+    let ordered_ms = relay.role_orders.ordered_ms.borrow();
+    let pauses = Pauses::new(now_ms, &ordered_ms);
+    let slow_to_order =
+        service_state
+            .swaps
+            .advance(now_ms, engines, service_state.planner.wanted());
     let is_changing = |each: &&Rc<Upstream>| each.is_changing_role(now_ms);
-    let is_prefill = |each: &&Rc<Upstream>| each.target_stage(now_ms) == Stage::Prefill;
+    let (prefill, decode): (Vec<_>, Vec<_>) = engines
+        .iter()
+        .partition(|each| service_state.swaps.stage_after(each, now_ms) == Stage::Prefill);
     let split = RoleSplit {
-        prefill: engines.iter().filter(is_prefill).count(),
-        decode: engines.iter().filter(|each| !is_prefill(each)).count(),
+        prefill: prefill.len(),
+        decode: decode.len(),
         changing: engines.iter().filter(is_changing).count(),
     };
-    let Some(change) = service_state.planner.next_change(now_ms, demand, &split) else {
-        return Vec::new();
-    };
-    let stage = match change {
-        SplitChange::ToPrefill => Stage::Prefill,
-        SplitChange::ToDecode => Stage::Decode,
-    };
+    let available = demand.at_speeds(&swaps::role_speeds(&prefill, &decode));
     let max = engines.len().div_ceil(ENGINES_PER_ORDER);
-    let count = max.min(max_changes_at_once(change, demand, &split));
-    let chosen = choose_engines(relay, engines, stage, count);
-    let planned = |engine| {
+    let due = service_state
+        .planner
+        .next_change(now_ms, &available, &split);
+    let changes: Vec<(Rc<Upstream>, Stage, ChangeReason)> = if let Some(change) = due {
+        let stage = match change {
+            SplitChange::ToPrefill => Stage::Prefill,
+            SplitChange::ToDecode => Stage::Decode,
+        };
+        let count = max.min(max_changes_at_once(change, &available, &split));
+        let eligible = engines
+            .iter()
+            .filter(|each| pauses.may_change(each) && !service_state.swaps.has_slow(&each.id));
+        let chosen = choice::choose_engines(now_ms, engines, eligible, stage, count);
+        let planned = |engine| (engine, stage, ChangeReason::Split(change));
+        chosen.into_iter().map(planned).collect()
+    } else if service_state.planner.wanted().is_none() {
+        let eligible = engines.iter().filter(|each| pauses.may_change(each));
+        let eligible: Vec<&Rc<Upstream>> = eligible.collect();
+        let second = swaps::second_orders(&eligible, &slow_to_order);
+        let first = service_state
+            .swaps
+            .first_orders(now_ms, &eligible, &available, &split);
+        let room = max_changing(engines.len()).saturating_sub(split.changing);
+        second
+            .into_iter()
+            .chain(first)
+            .take(max.min(room))
+            .collect()
+    } else {
+        Vec::new()
+    };
+    let planned = |(engine, stage, reason)| {
         Rc::new(PlannedChange {
             engine,
             stage,
             service: service.to_owned(),
-            change,
+            reason,
             demand: *demand,
             split,
         })
     };
-    chosen.into_iter().map(planned).collect()
-}
-
-/// Chooses the engines to change, one after the other: a fast one to prefill or a slow one to decode, then the one
-/// with the lowest load in the zone with the fewest engines of the new role.
-///
-/// A prompt keeps a prefill engine busy, so a fast one serves more of them; a decode engine is bound by its slots.
-fn choose_engines(
-    relay: &Relay,
-    engines: &[Rc<Upstream>],
-    stage: Stage,
-    count: usize,
-) -> Vec<Rc<Upstream>> {
-    let now_ms = relay.now_ms();
-    let ordered_ms = relay.role_orders.ordered_ms.borrow();
-    let is_paused = |each: &Upstream| {
-        let at_ms = ordered_ms.get(&each.id);
-        at_ms.is_some_and(|at_ms| now_ms < at_ms + ENGINE_PAUSE_MS)
-    };
-    let mut in_zone: HashMap<&str, usize> = HashMap::new();
-    for each in engines {
-        let has_role = each.target_stage(now_ms) == stage;
-        *in_zone.entry(&each.zone).or_default() += usize::from(has_role);
-    }
-    let mut candidates: Vec<&Rc<Upstream>> = engines
-        .iter()
-        .filter(|each| each.stage() != stage && !each.is_changing_role(now_ms) && !is_paused(each))
-        .filter(|each| {
-            each.health_status(now_ms) == HealthStatus::Healthy
-                && each.accepts_requests(now_ms)
-                && each.age_ms(now_ms) >= MIN_ENGINE_AGE_MS
-        })
-        .collect();
-    let mut chosen = Vec::new();
-    while chosen.len() < count {
-        let best = candidates.iter().enumerate().min_by(|(_, a), (_, b)| {
-            let by_speed = speed_rank(a, stage).cmp(&speed_rank(b, stage));
-            let by_zone = in_zone[a.zone.as_str()].cmp(&in_zone[b.zone.as_str()]);
-            by_speed
-                .then(by_zone)
-                .then(a.load(now_ms).total_cmp(&b.load(now_ms)))
-        });
-        let Some((at, _)) = best else {
-            break;
-        };
-        let engine = candidates.swap_remove(at);
-        *in_zone.entry(&engine.zone).or_default() += 1;
-        chosen.push(Rc::clone(engine));
-    }
-    chosen
-}
-
-/// Place of an engine, by its speed, among those that may change to a stage; equal while no pace is known.
-fn speed_rank(engine: &Upstream, stage: Stage) -> i32 {
-    let class = speed_class(engine.lasting_factor());
-    match stage {
-        Stage::Prefill => class,
-        Stage::Decode | Stage::Whole => -class,
-    }
+    changes.into_iter().map(planned).collect()
 }
 
 /// The record of the order for a planned change.
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -8,7 +8,7 @@
 use lease::SendPermit;
 use tick::since_boot_ms;
 
-use super::{PlannedChange, RoleOrder};
+use super::{ChangeReason, PlannedChange, RoleOrder};
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements, note_leaving};
 use crate::dialect::{EngineReport, ResponseHead};
 use crate::own_request::{own_request, report_request};
@@ -45,7 +45,11 @@
         .borrow_mut()
         .get_mut(&planned.service)
     {
-        state.planner.record_order(now_ms, planned.change);
+        match &planned.reason {
+            ChangeReason::Split(change) => state.planner.record_order(now_ms, *change),
+            ChangeReason::SwapToPrefill { slow } => state.swaps.begin(now_ms, &engine.id, slow),
+            ChangeReason::SwapToDecode => {}
+        }
     }
     // Gossiped before the order is sent: requests that peers would still send there would be rejected.
     engine.begin_role_change(now_ms, planned.stage, ROLE_CHANGE_MS, true);
@@ -73,12 +77,18 @@
         Err(_) => "unanswered",
     };
     relay.metrics.role_orders.with_label_values(&[label]).inc();
+    let reason = planned.reason.label();
+    if label == "taken" {
+        let changes = &relay.metrics.role_changes;
+        changes.with_label_values(&[reason]).inc();
+    }
     let result = match outcome {
         Ok(status) => status.as_u16().to_string(),
         Err(error) => error.why,
     };
     log::info!(
-        engine = engine.id, stage:? = planned.stage, fence = permit.fence, result,
+        engine = engine.id, stage:? = planned.stage, reason, factor = engine.lasting_factor(),
+        fence = permit.fence, result,
         reading = planned.demand.prefill, making = planned.demand.decode,
         readers = planned.split.prefill, makers = planned.split.decode, away = planned.split.changing;
         "role change ordered"
--- a/crates/relay/src/upstream/pace.rs
+++ b/crates/relay/src/upstream/pace.rs
@@ -86,6 +86,12 @@
         self.pace.estimator.borrow().lasting_factor()
     }
 
+    /// The lasting part of its time factor; `None` until it is known.
+    pub fn known_lasting_factor(&self) -> Option<f64> {
+        let lasting = self.pace.estimator.borrow().lasting();
+        lasting.map(Pace::factor)
+    }
+
     /// Lasting pace, and the one before, if it became known or fell into another class since the last call.
     pub fn changed_lasting_pace(&self) -> Option<(Pace, Option<Pace>)> {
         let lasting = self.pace.estimator.borrow().lasting()?;
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -12,8 +12,8 @@
 use view::hubs::HubRanking;
 use view::{
     FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
-    Members, PartEvidence, PartTracker, PoisonTracker, PrefillQueue, ServiceHeard, ServiceKey,
-    UpstreamKey, UpstreamLimit, decode, encode,
+    Members, PaceReport, PartEvidence, PartTracker, PoisonTracker, PrefillQueue, ServiceHeard,
+    ServiceKey, UpstreamKey, UpstreamLimit, decode, encode,
 };
 
 /// Transit time of a datagram, in ms.
@@ -40,6 +40,9 @@
     pub poison: PoisonTracker,
     pub parts: PartTracker,
     pub limits: HashMap<UpstreamKey, UpstreamLimit>,
+    /// The last pace received of each upstream, and the most in one datagram.
+    pub paces: HashMap<UpstreamKey, PaceReport>,
+    pub max_paces: usize,
     pub is_running: bool,
     pub sent: usize,
     pub sent_bytes: usize,
@@ -97,6 +100,8 @@
                 poison: PoisonTracker::default(),
                 parts: PartTracker::default(),
                 limits: HashMap::new(),
+                paces: HashMap::new(),
+                max_paces: 0,
                 is_running: true,
                 sent: 0,
                 sent_bytes: 0,
@@ -234,6 +239,11 @@
                 self.gossip.forward_limit(*limit, message.kind);
             }
         }
+        self.max_paces = self.max_paces.max(message.paces.len());
+        for report in &message.paces {
+            self.paces.insert(report.upstream, *report);
+            self.gossip.forward_pace(now_ms, *report, message.kind);
+        }
         self.list_changes
             .extend(message.list_changes.iter().cloned());
         self.positions.extend(message.list_position);
