--- a/crates/plan/src/split.rs
+++ b/crates/plan/src/split.rs
@@ -21,7 +21,7 @@
 /// Fraction of the slots of a decode engine that may be in use: the rest is for clustered
 /// requests, for the load of an engine that fails, and because a fuller batch delays each token.
 /// A much smaller value moves engines to decode in each lull between two bursts of prompts.
-const DECODE_UTILIZATION: f64 = 0.6;
+pub(crate) const DECODE_UTILIZATION: f64 = 0.6;
 
 /// Pressure below which no engine changes, however uneven the split is, as no request waits.
 const MIN_PRESSURE: f64 = 0.8;
@@ -161,9 +161,35 @@
         .unwrap_or(1)
 }
 
+/// How engines are divided that neither role needs at the demand of the last half minute.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub enum SplitGoal {
+    /// Between both roles, so that the utilization of both is the lowest.
+    #[default]
+    LeastPressure,
+    /// All decode. A decode engine can also prefill, but a prefill engine cannot decode: in a burst of
+    /// short prompts the prefill engines would idle while the others reject requests. It suits fleets
+    /// whose fast engines prefill, since prompts wait less there at the same utilization.
+    SpareDecodes,
+}
+
+impl SplitGoal {
+    fn wanted_prefill_engines(self, demand: &Demand, engines: usize) -> usize {
+        let balanced = wanted_prefill_engines(demand, engines);
+        match self {
+            Self::LeastPressure => balanced,
+            Self::SpareDecodes => {
+                let enough = (demand.prefill / PREFILL_UTILIZATION).ceil() as usize;
+                enough.clamp(1, balanced)
+            }
+        }
+    }
+}
+
 /// Decides on role changes of the engines of one service.
 #[derive(Debug, Clone, Copy, PartialEq, Default)]
 pub struct SplitPlanner {
+    goal: SplitGoal,
     /// The change that is wanted, and since when.
     wanted: Option<(SplitChange, u64)>,
     /// The last change that was ordered, and when.
@@ -171,6 +197,11 @@
 }
 
 impl SplitPlanner {
+    /// Sets how engines are divided that neither role needs.
+    pub fn set_goal(&mut self, goal: SplitGoal) {
+        self.goal = goal;
+    }
+
     /// The change to order now, if one has been wanted for long enough and not too many engines
     /// are changing.
     pub fn next_change(
@@ -180,7 +211,7 @@
         split: &RoleSplit,
     ) -> Option<SplitChange> {
         let engines = split.prefill + split.decode;
-        let change = wanted_change(demand, split);
+        let change = wanted_change(demand, split, self.goal);
         let since_ms = match (change, self.wanted) {
             (Some(change), Some((previous, since_ms))) if previous == change => since_ms,
             _ => now_ms,
@@ -195,6 +226,11 @@
         is_due.then_some(change)
     }
 
+    /// The change that was wanted at the last check, due or not.
+    pub fn wanted(&self) -> Option<SplitChange> {
+        self.wanted.map(|(change, _)| change)
+    }
+
     /// Records that a change was ordered.
     pub fn record_order(&mut self, now_ms: u64, change: SplitChange) {
         self.last = Some((change, now_ms));
@@ -206,9 +242,14 @@
 ///
 /// A large fleet needs this. If a third of two hundred engines prefill and half should, changing
 /// one engine after the other takes a minute, and by then the burst is over.
-pub fn max_changes_at_once(change: SplitChange, demand: &Demand, split: &RoleSplit) -> usize {
+pub fn max_changes_at_once(
+    change: SplitChange,
+    demand: &Demand,
+    split: &RoleSplit,
+    goal: SplitGoal,
+) -> usize {
     let engines = split.prefill + split.decode;
-    let wanted = wanted_prefill_engines(demand, engines);
+    let wanted = goal.wanted_prefill_engines(demand, engines);
     let imbalance = match change {
         SplitChange::ToPrefill => wanted.saturating_sub(split.prefill),
         SplitChange::ToDecode => split.prefill.saturating_sub(wanted),
@@ -219,13 +260,13 @@
 }
 
 /// Most engines of a service that may be changing at the same time.
-fn max_changing(engines: usize) -> usize {
+pub fn max_changing(engines: usize) -> usize {
     ((engines as f64 * MAX_CHANGING_FRACTION) as usize).max(1)
 }
 
 /// The change that would improve the split, however long it has been wrong; the last engine of a
 /// role is never changed.
-fn wanted_change(demand: &Demand, split: &RoleSplit) -> Option<SplitChange> {
+fn wanted_change(demand: &Demand, split: &RoleSplit, goal: SplitGoal) -> Option<SplitChange> {
     let engines = split.prefill + split.decode;
     if engines < 3 {
         return None;
@@ -238,7 +279,7 @@
         return None;
     }
     let min_imbalance = if pressure < 1.0 { MIN_IMBALANCE } else { 1 };
-    let wanted = wanted_prefill_engines(demand, engines);
+    let wanted = goal.wanted_prefill_engines(demand, engines);
     if wanted >= split.prefill + min_imbalance && split.decode > 1 {
         return Some(SplitChange::ToPrefill);
     }
--- a/crates/plan/tests/split.rs
+++ b/crates/plan/tests/split.rs
@@ -2,7 +2,8 @@
 //! mixes, and engines that are withdrawn.
 
 use plan::{
-    Demand, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitPlanner, wanted_prefill_engines,
+    Demand, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitGoal, SplitPlanner,
+    max_changes_at_once, wanted_prefill_engines,
 };
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -210,3 +211,52 @@
         prop_assert!(wanted_prefill_engines(&demand(prefill + more, decode), engines) >= fewer);
     }
 }
+
+/// Prefill engines of 89 once a planner wants no more of them, at this demand.
+fn settled_prefill_engines(goal: SplitGoal, demand: &Demand) -> usize {
+    let mut planner = SplitPlanner::default();
+    planner.set_goal(goal);
+    let mut split = RoleSplit {
+        prefill: 26,
+        decode: 63,
+        changing: 0,
+    };
+    for check in 0..400 {
+        let now_ms = check * 250;
+        let Some(change) = planner.next_change(now_ms, demand, &split) else {
+            continue;
+        };
+        let count = max_changes_at_once(change, demand, &split, goal);
+        planner.record_order(now_ms, change);
+        match change {
+            SplitChange::ToPrefill => {
+                split.prefill += count;
+                split.decode -= count;
+            }
+            SplitChange::ToDecode => {
+                split.prefill -= count;
+                split.decode += count;
+            }
+        }
+    }
+    split.prefill
+}
+
+/// Guards against a rush of long prompts that leaves too few decode engines for the burst of short ones after it:
+/// engines that neither role needs decode, which they can do besides prefilling.
+#[test]
+fn spare_engines_decode_where_the_fast_ones_prefill() {
+    let rush = demand(28.2, 11.7);
+    let balanced = settled_prefill_engines(SplitGoal::LeastPressure, &rush);
+    let spared = settled_prefill_engines(SplitGoal::SpareDecodes, &rush);
+    assert!(28.2 / spared as f64 <= 0.66, "{spared} prefill");
+    let decode_in_burst = |prefill: usize| 30.0 / (89 - prefill) as f64;
+    assert!(decode_in_burst(balanced) > 0.9, "{balanced} prefill");
+    assert!(decode_in_burst(spared) < 0.7, "{spared} prefill");
+    // With too much to do for all engines, nothing is spare.
+    let overload = demand(60.0, 50.0);
+    assert_eq!(
+        settled_prefill_engines(SplitGoal::SpareDecodes, &overload),
+        settled_prefill_engines(SplitGoal::LeastPressure, &overload)
+    );
+}
