--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -77,6 +77,12 @@
     /// How far the answer to its last send has come, and the number of its events.
     pub(crate) progress: Cell<AnswerProgress>,
     pub(crate) events: Cell<u32>,
+    /// Engine time that it was recorded to ask for; none before.
+    pub(crate) share_asked_ms: Cell<Option<f64>>,
+    /// The part of that for its output.
+    pub(crate) share_decode_ms: Cell<f64>,
+    /// Whether engine time was recorded as granted to it.
+    pub(crate) share_granted: Cell<bool>,
     /// The trial of one of these parts that it is.
     pub(crate) part_trial: Cell<Option<PartTrial>>,
     /// Whether a peer that is cut off from upstreams handed it over; it goes no further then.
@@ -85,6 +91,14 @@
     pub(crate) is_handed_over: Cell<bool>,
     /// Whether its first send was counted for the retry budget.
     pub(crate) is_first_counted: Cell<bool>,
+    /// Whether it is sent only to engines that have room, if there are any.
+    pub(crate) needs_room: Cell<bool>,
+    /// Time for which it waited here for room, in ms.
+    pub(crate) queued_ms: Cell<u64>,
+    /// Sends that engines rejected for lack of capacity and after which it waited for room.
+    unrun_rejections: Cell<u32>,
+    /// Whether its demand was recorded.
+    pub(crate) is_demand_recorded: Cell<bool>,
     relay: Rc<Relay>,
     method: Method,
     target: PathAndQuery,
@@ -154,10 +168,17 @@
             shared_parts,
             progress: Cell::default(),
             events: Cell::default(),
+            share_asked_ms: Cell::default(),
+            share_decode_ms: Cell::default(),
+            share_granted: Cell::default(),
             part_trial: Cell::default(),
             is_taken_over: Cell::default(),
             is_handed_over: Cell::default(),
             is_first_counted: Cell::default(),
+            needs_room: Cell::default(),
+            queued_ms: Cell::default(),
+            unrun_rejections: Cell::default(),
+            is_demand_recorded: Cell::default(),
             relay: Rc::clone(relay),
             method: parts.method,
             target,
@@ -206,6 +227,19 @@
         }
     }
 
+    /// Records that an engine rejected it for lack of capacity: it is placed again as if that engine had not been
+    /// asked, but for the retry budget.
+    pub(crate) fn note_unrun_rejection(&self) {
+        self.unrun_rejections.set(self.unrun_rejections.get() + 1);
+    }
+
+    /// Sends that count towards the route's largest number of attempts.
+    pub(crate) fn counted_attempts(&self) -> u32 {
+        self.attempts
+            .get()
+            .saturating_sub(self.unrun_rejections.get())
+    }
+
     /// Rank in an engine's queue, 0 first.
     pub fn rank(&self, urgency: Urgency) -> u8 {
         urgency.rank(self.priority(), self.yields_to_longer)
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -176,6 +176,72 @@
     }
 }
 
+/// Metrics of generations that wait for room, by service.
+pub struct WaitingMetrics {
+    /// Requests that wait now.
+    pub requests: IntGaugeVec,
+    /// Time for which requests waited that were then placed, in seconds.
+    pub waited_s: HistogramVec,
+    /// Requests refused by the queue, by cause.
+    pub refusals: IntCounterVec,
+}
+
+impl WaitingMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            requests: all.gauges("waiting_requests", "Requests that wait.", &["service"]),
+            waited_s: all.histogram("waited_seconds", "Time waited for room.", &["service"]),
+            refusals: all.counter(
+                "queue_refusals_total",
+                "Requests refused by the queue.",
+                &["service", "cause"],
+            ),
+        }
+    }
+}
+
+/// Metrics of shares of engine time, by workspace: those that use most, and the others together.
+pub struct ShareMetrics {
+    /// Engines that the requests of a workspace keep busy, fleet-wide.
+    pub used_engines: GaugeVec,
+    /// Engines that the workspace is entitled to, or requests if that is less.
+    pub share_engines: GaugeVec,
+    /// Its requests that this instance refused for its share since the start.
+    pub refused: IntGaugeVec,
+    /// Whether room is short at any service.
+    pub is_short: IntGauge,
+}
+
+impl ShareMetrics {
+    fn new(all: &Registrar) -> Self {
+        Self {
+            used_engines: all.float_gauges(
+                "share_used_engines",
+                "Engines that the requests of a workspace keep busy.",
+                &["workspace"],
+            ),
+            share_engines: all.float_gauges(
+                "share_engines",
+                "Engines that a workspace is entitled to.",
+                &["workspace"],
+            ),
+            refused: all.gauges(
+                "share_refused",
+                "Requests refused for the share of their workspace.",
+                &["workspace"],
+            ),
+            is_short: all.gauge("room_short", "Whether room is short."),
+        }
+    }
+
+    /// Removes the figures of all workspaces, before the present ones are set.
+    pub fn clear(&self) {
+        self.used_engines.reset();
+        self.share_engines.reset();
+        self.refused.reset();
+    }
+}
+
 /// All metrics of an instance.
 pub struct Metrics {
     registry: Registry,
@@ -257,6 +323,10 @@
     pub parts: PartMetrics,
     /// Traffic within and between availability zones.
     pub zones: ZoneMetrics,
+    /// Generations that wait for room.
+    pub waiting: WaitingMetrics,
+    /// Shares of engine time.
+    pub shares: ShareMetrics,
     /// Requests whose answers are not complete yet.
     pub in_flight: IntGauge,
     /// Calls of singleton tasks to the platform, by call and outcome.
@@ -404,6 +474,8 @@
             pace: PaceMetrics::new(&all),
             parts: PartMetrics::new(&all),
             zones: ZoneMetrics::new(&all),
+            waiting: WaitingMetrics::new(&all),
+            shares: ShareMetrics::new(&all),
             in_flight: all.gauge("in_flight", "Requests in flight."),
             config_version: all.gauge("config_version", "Configuration version in force."),
             store_calls: all.counter("store_calls_total", "Calls.", &["call", "outcome"]),
--- a/crates/relay/src/placement/record.rs
+++ b/crates/relay/src/placement/record.rs
@@ -6,13 +6,19 @@
 use crate::call::Call;
 use crate::dialect::Prompt;
 use crate::relay::Relay;
+use crate::shares::record_granted;
 use crate::zone_cost::{relation_to, zone_label};
 
-/// Records the prefill demand of a request, whether or not it will be served.
+/// Records the prefill demand of a request, once, whether or not it will be served.
 ///
 /// Shared parts are left out: while caches are cold every engine prefills them, and a role split
 /// computed from that demand would be wrong as soon as the caches are warm.
-pub(super) fn record_demand(relay: &Relay, call: &Call, prompt: &Prompt) {
+pub fn record_demand(relay: &Relay, call: &Call, prompt: &Prompt) {
+    // The demand of a request that was placed at a peer before is counted there.
+    let is_counted_at_peer = call.is_taken_over.get() && call.is_first_counted.get();
+    if is_counted_at_peer || call.is_demand_recorded.replace(true) {
+        return;
+    }
     let tokens = f64::from(prompt.input_tokens);
     let unshared_tokens = prompt
         .parts
@@ -37,20 +43,23 @@
     placement: &Placement,
     first: &Prediction,
 ) {
-    let (read, engine, is_copied, cached_tokens) = match placement {
+    let (read, engine, is_copied, cached_tokens, prefill_tokens) = match placement {
         Placement::Disaggregated(prefill) => (
             "apart",
             &prefill.engine,
             prefill.copy_from.is_some(),
             prefill.cached_tokens,
+            prefill.prefill_tokens,
         ),
         Placement::Colocated(decode) => (
             "whole",
             &decode.engine,
             decode.copy_from.is_some(),
             decode.cached_tokens,
+            decode.prefill_tokens,
         ),
     };
+    record_granted(relay, call, prefill_tokens, first.wait_ms);
     let held = match (is_copied, cached_tokens > 0.0) {
         (true, _) => "copied",
         (false, true) => "there",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,6 +7,7 @@
 mod peers;
 mod poison;
 mod retries;
+mod shares;
 
 pub use list::{ChangesRead, Origin};
 pub(crate) use peers::unix_ms;
@@ -32,7 +33,9 @@
 use crate::metrics::Metrics;
 use crate::reachability::Reachability;
 use crate::role_orders::RoleOrders;
+use crate::room_waiters::RoomWaiters;
 use crate::scheduling::SchedulingSettings;
+use crate::share_state::ShareState;
 use crate::singleton_tasks::{self, SingletonTasks};
 use crate::snapshot::{LastQuery, Snapshot};
 use crate::stream_origins::StreamOrigins;
@@ -124,10 +127,14 @@
     pub role_orders: RoleOrders,
     /// Tasks that one instance performs for the fleet.
     pub singleton_tasks: SingletonTasks,
+    /// Shares of workspaces in engine time.
+    pub(crate) shares: ShareState,
     /// Paths to the upstreams of each service.
     pub(crate) reachability: Reachability,
     /// Requests handed over to peers and taken over from them.
     pub(crate) handovers: Handovers,
+    /// Generations that wait for room at engines.
+    pub(crate) room_waiters: RoomWaiters,
     /// Records of what began streams.
     pub stream_origins: StreamOrigins,
     /// What is kept for choices between availability zones.
@@ -172,8 +179,10 @@
             part_tracker: RefCell::default(),
             role_orders,
             singleton_tasks,
+            shares: ShareState::default(),
             reachability: Reachability::default(),
             handovers: Handovers::default(),
+            room_waiters: RoomWaiters::default(),
             stream_origins: StreamOrigins::default(),
             zone_costs: ZoneCosts::default(),
             list_position: RefCell::new(LogFollower::new(own)),
@@ -196,6 +205,7 @@
     pub fn enter(&self, phase: Phase) {
         if phase > self.phase.get() {
             self.phase.set(phase);
+            self.room_waiters.wake();
             match phase {
                 Phase::Serving => {}
                 Phase::Leaving => log::info!("leaving: no longer offered to callers"),
@@ -235,6 +245,7 @@
             .set(config.version.cast_signed());
         self.singleton_tasks.learn_workspace_names(&config.access);
         *current = Some(Rc::new(config));
+        self.room_waiters.wake();
         true
     }
 
@@ -271,6 +282,11 @@
             .poison_requests
             .set(self.poison_requests().len().cast_signed() as i64);
         self.set_part_gauges();
+        for (service, waiting) in self.room_waiters.counts() {
+            let gauge = metrics.waiting.requests.with_label_values(&[&service]);
+            gauge.set(waiting.cast_signed() as i64);
+        }
+        self.set_share_gauges();
         let settings = self.settings.borrow().retry_budget;
         let share = self.share();
         for (service, retries) in self.retries.borrow_mut().iter_mut() {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -1,11 +1,13 @@
 //! One incarnation of an upstream: its connections, load, health and cached prompt parts as seen by
 //! this instance.
 
+mod freed;
 mod in_flight;
 mod pace;
 mod prompt_cache;
 mod rate_limit;
 mod role_change;
+mod room;
 
 use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
@@ -17,6 +19,7 @@
 use crate::dialect::ReportedLoad;
 use crate::pool::Pool;
 
+pub use freed::FreedPlaces;
 pub use in_flight::{InFlight, Work};
 use pace::PaceState;
 pub use prompt_cache::{CachedParts, MIN_CACHED_TOKENS};
@@ -111,6 +114,7 @@
     peer_load: Cell<Option<Load>>,
     limit: RefCell<RateLimit>,
     pace: PaceState,
+    freed: RefCell<Option<Rc<FreedPlaces>>>,
 }
 
 impl Upstream {
@@ -152,6 +156,7 @@
             peer_load: Cell::default(),
             limit: RefCell::default(),
             pace: PaceState::default(),
+            freed: RefCell::default(),
         }
     }
 
@@ -351,7 +356,7 @@
 
     /// Whether requests may be sent to it, by its health.
     pub fn health_status(&self, now_ms: u64) -> HealthStatus {
-        if self.is_silent(now_ms) || now_ms < self.no_capacity_until_ms.get() {
+        if self.is_silent(now_ms) || self.is_known_full(now_ms) {
             return HealthStatus::Ejected;
         }
         self.health.borrow().status(now_ms)
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -7,17 +7,16 @@
 use derive_more::{Display, Error};
 use serde::{Deserialize, Serialize};
 
+use crate::sections::Sections;
 use crate::{
-    FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member, PartEvidence,
-    PrefillQueue, RANKS, RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey, WorkspaceKey,
+    EngineTimeTally, FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member,
+    PartEvidence, PrefillQueue, RANKS, RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey,
+    WorkspaceKey,
 };
 
 /// Version of the wire format, in the first byte of each datagram.
 const FORMAT: u8 = 10;
 
-/// Version of the same format with paces at the end; datagrams without paces stay as short as before.
-const FORMAT_WITH_PACES: u8 = 11;
-
 /// Whose state a datagram describes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum MessageKind {
@@ -176,6 +175,8 @@
     pub tallies: Vec<Tally>,
     /// Paces of upstreams.
     pub paces: Vec<PaceReport>,
+    /// Engine time of workspaces that changed lately.
+    pub engine_times: Vec<EngineTimeTally>,
 }
 
 impl GossipMessage {
@@ -205,6 +206,7 @@
             last_task_token: None,
             tallies: Vec::new(),
             paces: Vec::new(),
+            engine_times: Vec::new(),
         }
     }
 }
@@ -269,44 +271,25 @@
 
 /// Encodes a datagram.
 pub fn encode(mut message: GossipMessage) -> Result<Vec<u8>, MessageError> {
-    let paces = std::mem::take(&mut message.paces);
-    let format = if paces.is_empty() {
-        FORMAT
-    } else {
-        FORMAT_WITH_PACES
-    };
-    let bytes = postcard::to_extend(&WireMessage::from(message), vec![format])
+    let sections = Sections::take(&mut message);
+    let bytes = postcard::to_extend(&WireMessage::from(message), vec![FORMAT])
         .map_err(MessageError::Malformed)?;
-    if paces.is_empty() {
-        return Ok(bytes);
-    }
-    postcard::to_extend(&paces, bytes).map_err(MessageError::Malformed)
+    sections.append_to(bytes)
 }
 
 /// Decodes a datagram.
 pub fn decode(bytes: &[u8]) -> Result<GossipMessage, MessageError> {
     let format = bytes.first().copied();
-    let Some(has_paces) = has_paces(format) else {
+    if format != Some(FORMAT) {
         return Err(MessageError::UnknownFormat { format });
-    };
-    let (wire, rest) =
-        postcard::take_from_bytes::<WireMessage>(&bytes[1..]).map_err(MessageError::Malformed)?;
-    let mut message = GossipMessage::from(wire);
-    if has_paces {
-        message.paces = postcard::from_bytes(rest).map_err(MessageError::Malformed)?;
     }
+    let (wire, rest): (WireMessage, &[u8]) =
+        postcard::take_from_bytes(&bytes[1..]).map_err(MessageError::Malformed)?;
+    let mut message = GossipMessage::from(wire);
+    Sections::read(rest).put_into(&mut message);
     Ok(message)
 }
 
-/// Whether a datagram of this format has paces; `None` if the format is unknown.
-fn has_paces(format: Option<u8>) -> Option<bool> {
-    match format {
-        Some(FORMAT) => Some(false),
-        Some(FORMAT_WITH_PACES) => Some(true),
-        Some(_) | None => None,
-    }
-}
-
 impl From<GossipMessage> for WireMessage {
     fn from(message: GossipMessage) -> Self {
         let loads = message.loads.iter().map(|(upstream, load)| WireLoad {
@@ -376,6 +359,7 @@
             last_task_token: wire.last_task_token,
             tallies: wire.tallies,
             paces: Vec::new(),
+            engine_times: Vec::new(),
         }
     }
 }
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -11,9 +11,10 @@
 use view::gossip::{GossipState, LocalState, PERIOD_MS};
 use view::hubs::HubRanking;
 use view::{
-    FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
-    Members, PaceReport, PartEvidence, PartTracker, PoisonTracker, PrefillQueue, ServiceHeard,
-    ServiceKey, UpstreamKey, UpstreamLimit, decode, encode,
+    EngineTimeLedger, FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load,
+    LogPosition, Member, Members, PaceReport, PartEvidence, PartTracker, PoisonTracker,
+    PrefillQueue, ServiceHeard, ServiceKey, UpstreamKey, UpstreamLimit, decode, encode,
+    engine_time,
 };
 
 /// Transit time of a datagram, in ms.
@@ -43,6 +44,7 @@
     /// The last pace received of each upstream, and the most in one datagram.
     pub paces: HashMap<UpstreamKey, PaceReport>,
     pub max_paces: usize,
+    pub engine_time: EngineTimeLedger,
     pub is_running: bool,
     pub sent: usize,
     pub sent_bytes: usize,
@@ -102,6 +104,7 @@
                 limits: HashMap::new(),
                 paces: HashMap::new(),
                 max_paces: 0,
+                engine_time: EngineTimeLedger::new(InstanceKey::of(&own.name).0),
                 is_running: true,
                 sent: 0,
                 sent_bytes: 0,
@@ -183,7 +186,10 @@
         }
         each.gossip.expire(now_ms);
         let ranks = HubRanking::of(&each.member.name, &each.members);
-        for (to, message) in each.gossip.tick(now_ms, own, &ranks) {
+        let mut out = each.gossip.tick(now_ms, own, &ranks);
+        let window = now_ms / engine_time::WINDOW_MS;
+        each.engine_time.add_tallies(now_ms, window, &mut out);
+        for (to, message) in out {
             let bytes = encode(message).unwrap();
             each.sent += 1;
             each.sent_bytes += bytes.len();
@@ -219,6 +225,8 @@
             self.members.record_alive(now_ms, *key);
         }
         self.gossip.receive(now_ms, message, from);
+        let window = now_ms / engine_time::WINDOW_MS;
+        self.engine_time.receive(window, message);
         for evidence in &message.evidence {
             if self.poison.receive(now_ms, *evidence) {
                 self.gossip.forward_evidence(*evidence, message.kind);
