Stalled engines count as no room; a held request leaves time for its engine's queue

An engine whose time factor is beyond what a passing slowdown explains has no room now. A request was also held for all the time until its latest start, though its engine's queue takes a part of it. Ruled out: a longer short queue.

--- a/crates/relay/src/placement/candidates.rs
+++ b/crates/relay/src/placement/candidates.rs
@@ -36,7 +36,8 @@
     engines: &[Rc<Upstream>],
 ) -> Vec<Rc<Upstream>> {
     let now_ms = relay.now_ms();
-    let has_room = |each: &&Rc<Upstream>| each.free_places(now_ms) >= 1.0;
+    let has_room =
+        |each: &&Rc<Upstream>| each.free_places(now_ms) >= 1.0 && !each.is_stalled(now_ms);
     let with_room: Vec<Rc<Upstream>> = engines.iter().filter(has_room).cloned().collect();
     let mut free = FreePlaces::default();
     for engine in engines {
@@ -66,6 +67,9 @@
     engines.retain(|each| {
         each.is_known_full(now_ms) || each.health_status(now_ms) == HealthStatus::Healthy
     });
+    if engines.iter().any(|each| !each.is_stalled(now_ms)) {
+        engines.retain(|each| !each.is_stalled(now_ms));
+    }
     engines
 }
 
--- a/crates/relay/src/upstream/pace.rs
+++ b/crates/relay/src/upstream/pace.rs
@@ -10,6 +10,9 @@
 /// Age from which this instance's own reading of a pace is not reported to peers any more, in ms.
 const REPORTED_FOR_MS: u64 = 5_000;
 
+/// Multiple of the lasting factor that no passing slowdown explains: an upstream beyond it is silent.
+const STALLED_FACTOR: f64 = 3.0;
+
 /// What is known of the pace of an upstream.
 #[derive(Debug, Default)]
 pub(super) struct PaceState {
@@ -81,6 +84,12 @@
         estimator.time_factor(now_ms, silent_ms)
     }
 
+    /// Whether it is silent for longer than slowdowns explain. Its slots count as no room, since requests sent there
+    /// would wait until it is ejected; its prediction is still finite, so it is not left out where nobody waits.
+    pub fn is_stalled(&self, now_ms: u64) -> bool {
+        self.time_factor(now_ms) > self.lasting_factor() * STALLED_FACTOR
+    }
+
     /// The lasting part of its time factor.
     pub fn lasting_factor(&self) -> f64 {
         self.pace.estimator.borrow().lasting_factor()
--- a/crates/relay/src/waiting.rs
+++ b/crates/relay/src/waiting.rs
@@ -193,11 +193,11 @@
         waited_ms: call.prior_wait_ms as f64,
         left_ms: total_ms * USABLE_TIME_FRACTION,
     });
-    let held_ms = (latest_ms - processing_ms)
+    let engine_wait_ms = goal_ms * ENGINE_WAIT_FRACTION;
+    let held_ms = (latest_ms - engine_wait_ms - processing_ms)
         .min(total_ms - processing_ms / USABLE_TIME_FRACTION)
         .min(total_ms * MAX_HELD_FRACTION);
-    let on_time_ms =
-        goal_ms * (1.0 - ENGINE_WAIT_FRACTION) - call.prior_wait_ms as f64 - processing_ms;
+    let on_time_ms = goal_ms - engine_wait_ms - call.prior_wait_ms as f64 - processing_ms;
     Waiter {
         rank: call.priority(),
         since_ms,
