--- a/crates/relay/tests/waiting.rs
+++ b/crates/relay/tests/waiting.rs
@@ -266,3 +266,31 @@
     }
     assert!(metric(&cut_off, "handed_over_total").contains("answered"));
 }
+
+/// Guards against requests that are drawn to an engine which has a free place because it is silent.
+#[actix_rt::test]
+async fn a_stalled_engine_has_no_room() {
+    let (silent, sound) = (engine(4_000), engine(300));
+    let instance = waiting_instance(vec![entry(&silent, "silent"), entry(&sound, "sound")]);
+    let relay = &instance.relay;
+    let upstream = |id: &str| relay.upstreams.borrow().get(id).cloned().expect("listed");
+    for id in ["silent", "sound"] {
+        let usual = plan::Pace::from_percent(100.0).expect("in bounds");
+        upstream(id).note_pace(relay.now_ms(), usual);
+    }
+    upstream("sound").extend_rest(relay.now_ms(), 100);
+    let send = |id: usize| {
+        let instance = Rc::clone(&instance);
+        actix_rt::spawn(async move { instance.fetch(short(id)).await.0 })
+    };
+    let lost = send(0);
+    assert!(wait_until(|| silent.count() == 1).await);
+    assert!(!upstream("silent").is_stalled(relay.now_ms()));
+    assert!(wait_until(|| upstream("silent").is_stalled(relay.now_ms())).await);
+    let served = [send(1), send(2), send(3)];
+    for each in served {
+        assert_eq!(each.await.expect("no panic"), 200);
+    }
+    assert_eq!((silent.count(), sound.count()), (1, 3));
+    lost.abort();
+}
