--- a/crates/relay/src/relay/retries.rs
+++ b/crates/relay/src/relay/retries.rs
@@ -71,15 +71,19 @@
         is_taken
     }
 
+    /// First sends and retries that this instance counts for a service in the window that ends now.
+    pub fn retry_counts(&self, service: &str) -> (u32, u32) {
+        let settings = self.settings.borrow().retry_budget;
+        let mut all = self.retries.borrow_mut();
+        let retries = all.entry(service.to_owned()).or_default();
+        retries.counts(self.now_ms(), &settings)
+    }
+
     fn log_retry(&self, call: &Call, is_taken: bool) {
-        let now_ms = self.now_ms();
-        if !self.failure_log_limit.take(now_ms) {
+        if !self.failure_log_limit.take(self.now_ms()) {
             return;
         }
-        let settings = self.settings.borrow().retry_budget;
-        let mut all = self.retries.borrow_mut();
-        let retries = all.entry(call.service.clone()).or_default();
-        let (first, again) = retries.counts(now_ms, &settings);
+        let (first, again) = self.retry_counts(&call.service);
         log::info!(
             request = call.id(), service = call.service, outcome = outcome_label(is_taken), first, again,
             instances = self.share().instances;
--- a/crates/relay/tests/silent_peers.rs
+++ b/crates/relay/tests/silent_peers.rs
@@ -174,3 +174,22 @@
     let ((status, body), ()) = tokio::join!(stream, cut);
     assert_eq!((status, body.as_deref()), (200, Some(EVENTS)));
 }
+
+/// Guards against more retries than all instances may send because a request that two peers are asked for pays for them
+/// at both.
+#[actix_rt::test]
+async fn a_request_that_two_peers_take_over_counts_as_one_first_send() {
+    let peers = [Peer::start("b").await, Peer::start("c").await];
+    let instance = start_cut_off(&peers).await;
+    for peer in &peers {
+        peer.traffic.abort();
+    }
+    let first_sends = || -> u32 {
+        let counts = peers.iter().map(|it| it.instance.relay.retry_counts("llm"));
+        counts.map(|(first, _)| first).sum()
+    };
+    let before = first_sends();
+    instance.fetch(silent_request()).await;
+    assert!(peers.iter().all(Peer::is_asked), "both were asked");
+    assert_eq!(first_sends() - before, 1);
+}
