A request that several peers are asked for counts as one first send

What callers saw: nothing yet; by reading, an instance that is cut off asks a second peer when the first is silent or loses the request. Both took it as one whose first send nobody had counted, so it paid for retries twice.

Cause: the hand-over said what had been counted before the first peer was asked, to every peer.

Evidence: a_request_that_two_peers_take_over_counts_as_one_first_send, 2 before, 1 after.

Why this mends it: once a peer is asked the others are told that the first send is counted. A peer that refuses has not counted it and the note is taken back; one that never got the request counts nothing, which only makes the limit smaller.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -317,7 +317,11 @@
     last_event: Option<u64>,
 ) -> (AtPeer, Handed) {
     let at_peer = AtPeer::begin(relay, &peer);
+    let was_counted = call.is_first_counted.get();
     let handed = exchange_with_peer(relay, call, &peer, last_event).await;
+    if matches!(handed, Handed::NotTaken(_)) {
+        call.is_first_counted.set(was_counted);
+    }
     (at_peer, handed)
 }
 
@@ -340,6 +344,8 @@
     let headers = request.headers_mut();
     headers.insert(HANDOVER, value);
     write_version(headers, handover.began_version);
+    // This peer counts the first send, so no other one may: its request would pay for retries at both.
+    call.is_first_counted.set(true);
     call.attempts.set(call.attempts.get() + 1);
     call.possible_runs.set(call.possible_runs.get() + 1);
     call.current_upstream.borrow_mut().clone_from(&peer.name);
