--- a/crates/relay/tests/common/stub.rs
+++ b/crates/relay/tests/common/stub.rs
@@ -11,12 +11,21 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Bytes after which a stub gives up an answer without end.
+pub const MAX_ENDLESS_BYTES: usize = 256 << 20;
+
+/// Bytes that a stub hands to its socket at once in an answer without end.
+const ENDLESS_CHUNK_BYTES: usize = 64 << 10;
+
 /// A step of a response; a stub carries out its steps in order.
 pub enum Action {
     /// Writes bytes.
     Write(String),
     /// Waits for this many milliseconds, or until the other end closes the connection.
     Wait(u64),
+    /// Writes the same bytes again and again, until the other end closes the connection or [`MAX_ENDLESS_BYTES`] are
+    /// written.
+    WriteWithoutEnd(String),
     /// Closes the connection.
     Close,
     /// Ends the process: all connections close and no new one is accepted.
@@ -79,6 +88,8 @@
     pub received: Rc<RefCell<Vec<ReceivedRequest>>>,
     /// Connections that the other end closed while a response was under way.
     pub closed_by_relay: Rc<RefCell<usize>>,
+    /// Bytes that it wrote in answers without end.
+    pub endless_bytes: Rc<Cell<usize>>,
     ending: Ending,
     crashes: Rc<Cell<usize>>,
     /// Start of the incarnation, in ms, as its report tells it.
@@ -104,6 +115,7 @@
             address: listener.local_addr().expect("an address"),
             received: Rc::default(),
             closed_by_relay: Rc::default(),
+            endless_bytes: Rc::default(),
             ending,
             crashes: Rc::default(),
             started_ms: 1,
@@ -213,6 +225,10 @@
                             return;
                         }
                     }
+                    Action::WriteWithoutEnd(bytes) => {
+                        self.write_without_end(&mut stream, &bytes).await;
+                        return;
+                    }
                     Action::Close => return,
                     Action::Crash => {
                         self.crashes.set(self.crashes.get() + 1);
@@ -224,6 +240,19 @@
         }
     }
 
+    async fn write_without_end(&self, stream: &mut TcpStream, bytes: &str) {
+        let chunk = bytes.repeat((ENDLESS_CHUNK_BYTES / bytes.len()).max(1));
+        let mut written = 0;
+        while written < MAX_ENDLESS_BYTES {
+            let Ok(count) = stream.write(chunk.as_bytes()).await else {
+                *self.closed_by_relay.borrow_mut() += 1;
+                return;
+            };
+            written += count;
+            self.endless_bytes.set(self.endless_bytes.get() + count);
+        }
+    }
+
     /// The number of requests that it received.
     pub fn count(&self) -> usize {
         self.received.borrow().len()
