All reads of answers are bounded in bytes

Cause: bodies without a declared length, events, a prefill's answer and the answers to own calls were collected without a bound; interim answers are skipped by the HTTP library without one. Class: a read that trusts the other side to end.

Why this mends it: the socket fails once 512 KiB have come without a head; bodies are read up to 1 MiB, beyond 32 KiB each out of 8 MiB for all; an event has 64 KiB; own calls 8 MiB. Past a bound the answer is lost: repeated where it may be, connection reset, upstream suspected, counted by answers_past_bound_total. Freeing a cache has a timeout, which it lacked.

--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,14 +4,15 @@
 use std::time::Duration;
 
 use http::{Response, header};
-use http_body_util::BodyExt;
 
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::attribution::{ensure_not_poison, note_lost_answer};
+use crate::bounded_body::BodyError;
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
 use crate::generation::generate;
 use crate::handover::{ServedBy, hand_over, is_handed_over};
+use crate::metrics::PastBound;
 use crate::placement;
 use crate::plain_attempts::{Attempts, BegunAnswer, Next, Outcome};
 use crate::relay::Relay;
@@ -192,6 +193,22 @@
     relay.metrics.answers.with_label_values(&labels).inc();
 }
 
+/// Counts and logs that the body of an answer could not be read whole.
+pub fn note_body_error(relay: &Relay, call: &Call, from: &str, error: &BodyError) {
+    if error.is_past_bound() {
+        relay
+            .metrics
+            .past_bound
+            .count(&call.service, PastBound::Body);
+    }
+    if relay.failure_log_limit.take(relay.now_ms()) {
+        log::info!(
+            request = call.id(), key:% = call.key, upstream = from, why:% = error, is_past_bound = error.is_past_bound();
+            "answer could not be read whole"
+        );
+    }
+}
+
 /// Forwards an answer to the caller: buffered if it is short, streamed otherwise.
 ///
 /// Fails if a buffered answer ends early; the caller has then received no part of it.
@@ -213,23 +230,22 @@
         let origin = StreamOrigin::Engine(guard);
         stream_answer(relay, call, body, checked.connection, origin)
     } else {
-        let collected = body.collect().await;
-        let Ok(collected) = collected else {
-            upstream.note_failure(relay.now_ms());
-            note_lost_answer(relay, call, &upstream);
-            if relay.failure_log_limit.take(relay.now_ms()) {
-                log::info!(
-                    request = call.id(), key:% = call.key, upstream = upstream.id;
-                    "answer ended early"
-                );
+        let bytes = match relay.answer_memory.read_whole(body).await {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                // The connection is reset before anything is asked about the upstream.
+                drop(checked.connection);
+                upstream.note_failure(relay.now_ms());
+                note_lost_answer(relay, call, &upstream);
+                note_body_error(relay, call, &upstream.id, &error);
+                return Err(Refusal::new(Reason::Lost));
             }
-            return Err(Refusal::new(Reason::Lost));
         };
         head.headers.remove(header::CONTENT_LENGTH);
         checked.connection.release();
         drop(guard);
         relay.record_answered(call);
-        AnswerBody::whole(collected.to_bytes())
+        AnswerBody::whole(bytes)
     };
     let status = head.status.as_u16().to_string();
     call.count_end(&status);
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -12,7 +12,6 @@
 use futures_util::FutureExt;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderValue, Response, header};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use plan::AttemptTimeout;
 
@@ -26,7 +25,7 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
 use crate::dialect::SendOptions;
-use crate::forward::{MAX_BUFFERED_BYTES, may_retry};
+use crate::forward::{MAX_BUFFERED_BYTES, may_retry, note_body_error};
 use crate::pool::{ExchangeError, Exchanged, exchange};
 use crate::reachability::{cut_off_from, settle};
 use crate::relay::Relay;
@@ -410,12 +409,16 @@
     let body = if is_long {
         stream_answer(relay, call, body, connection, StreamOrigin::Peer(at_peer))
     } else {
-        let Ok(collected) = body.collect().await else {
-            return Err(Refusal::new(Reason::Lost));
+        let bytes = match relay.answer_memory.read_whole(body).await {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                note_body_error(relay, call, &at_peer.name, &error);
+                return Err(Refusal::new(Reason::Lost));
+            }
         };
         head.headers.remove(header::CONTENT_LENGTH);
         connection.release();
-        AnswerBody::whole(collected.to_bytes())
+        AnswerBody::whole(bytes)
     };
     call.is_finished.set(true);
     call.count_end("handed_over");
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod attribution;
 pub mod awaited;
+pub mod bounded_body;
 pub mod call;
 pub mod config;
 pub mod connection;
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,11 +1,15 @@
 //! Prometheus metrics of an instance; docs/OPERATIONS.md lists them.
 
+mod past_bound;
+
 use prometheus::core::Collector;
 use prometheus::{
     Encoder, GaugeVec, HistogramOpts, HistogramVec, IntCounter, IntCounterVec, IntGauge,
     IntGaugeVec, Opts, Registry, TextEncoder,
 };
 
+pub use self::past_bound::{PastBound, PastBoundMetrics};
+
 /// Histogram buckets for times, in seconds.
 const TIME_BUCKETS: [f64; 11] = [0.001, 0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.8, 1.6, 4.0, 10.0];
 
@@ -299,6 +303,8 @@
     pub rests: IntCounter,
     /// Requests that were placed and not sent, by what their upstream had announced meanwhile.
     pub sends_withheld: IntCounterVec,
+    /// Answers that went on past a bound.
+    pub past_bound: PastBoundMetrics,
     /// Retries requested from the budget by outcome.
     pub retries: IntCounterVec,
     /// Time from a request's arrival to the head of a streamed answer, by route, in seconds.
@@ -461,6 +467,7 @@
                 "Requests placed and not sent.",
                 &["reason"],
             ),
+            past_bound: PastBoundMetrics::new(&all),
             resting_upstreams: all.gauge("resting_upstreams", "Upstreams that rest."),
             rests: all.plain_counter("rests_total", "Rejections that asked for rest."),
             announced_leaving: all.plain_counter(
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -1,5 +1,6 @@
 //! Pool of HTTP/1 connections to one peer.
 
+mod bounded_socket;
 mod error;
 mod socket;
 
@@ -11,16 +12,18 @@
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
 use http::{Request, Response};
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
 use hyper_util::rt::TokioIo;
 use plan::Rest;
 use tick::Clock;
 
+use self::bounded_socket::{BoundedSocket, HeadAllowance, MAX_BUFFERED_BYTES};
 pub use self::error::ExchangeError;
 use self::socket::connect_to;
 pub use self::socket::{configure_socket, set_source_address};
+use crate::bounded_body::{BodyError, MAX_OWN_ANSWER_BYTES, read_own};
 
 /// Timeout for opening a connection, in ms: several round trips between availability zones and the
 /// first retransmission of a lost packet.
@@ -37,6 +40,7 @@
 /// An open connection and the task that drives it, which ends with the connection.
 struct Connection {
     sender: SendRequest<Full<Bytes>>,
+    allowance: HeadAllowance,
     task: JoinHandle<()>,
     /// When it began to be opened.
     began_ms: u64,
@@ -134,16 +138,15 @@
         let Some(connection) = pooled.connection.as_mut() else {
             return Err(ExchangeError::PoolExhausted { peer });
         };
-        let lost = |error: hyper::Error| ExchangeError::Lost {
-            peer,
-            why: error.to_string(),
-        };
+        connection.allowance.begin_head();
         let response = connection.sender.send_request(request).await;
-        let response = response.map_err(lost)?;
+        let response = response.map_err(|error| lost(peer, &error, &connection.allowance))?;
+        connection.allowance.end_head();
         self.note_answer(connection.began_ms);
         pooled.idle_ms = idle_ms(&response);
         let (head, body) = response.into_parts();
-        let body = body.collect().await.map_err(lost)?.to_bytes();
+        let body = read_own(body, MAX_OWN_ANSWER_BYTES).await;
+        let body = body.map_err(|error| lost_body(peer, &error))?;
         pooled.release();
         Ok(Response::from_parts(head, body))
     }
@@ -244,13 +247,16 @@
         };
         // The peer may have announced a leaving or a rest while the connection was opened.
         pool.check_accepts()?;
+        connection.allowance.begin_head();
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
+                connection.allowance.end_head();
                 pool.note_answer(connection.began_ms);
                 pooled.idle_ms = idle_ms(&response);
                 return Ok((response, pooled));
             }
             Err(mut error) => {
+                let allowance = connection.allowance.clone();
                 let why = error.error().to_string();
                 match error.take_message() {
                     Some(unsent) if !is_new => request = unsent,
@@ -261,7 +267,7 @@
                             is_refused: false,
                         });
                     }
-                    None => return Err(ExchangeError::Lost { peer, why }),
+                    None => return Err(lost(peer, error.error(), &allowance)),
                 }
             }
         }
@@ -280,14 +286,17 @@
     }
     let began_ms = pool.clock.now_ms();
     let stream = connect_to(peer, timeout_ms).await?;
-    let (mut sender, connection) =
-        http1::handshake(TokioIo::new(stream))
-            .await
-            .map_err(|error| ExchangeError::Connect {
-                peer,
-                why: error.to_string(),
-                is_refused: false,
-            })?;
+    let allowance = HeadAllowance::new();
+    let socket = BoundedSocket::new(stream, allowance.clone());
+    let (mut sender, connection) = http1::Builder::new()
+        .max_buf_size(MAX_BUFFERED_BYTES)
+        .handshake(TokioIo::new(socket))
+        .await
+        .map_err(|error| ExchangeError::Connect {
+            peer,
+            why: error.to_string(),
+            is_refused: false,
+        })?;
     let task = actix_rt::spawn(async move {
         if let Err(error) = connection.await {
             log::debug!(peer:%, error:%; "connection ended");
@@ -299,12 +308,32 @@
     pool.open.set(pool.open.get() + 1);
     Ok(Connection {
         sender,
+        allowance,
         task,
         began_ms,
         idle_until_ms: 0,
     })
 }
 
+/// The error of an answer whose head did not arrive.
+fn lost(peer: SocketAddr, error: &hyper::Error, allowance: &HeadAllowance) -> ExchangeError {
+    ExchangeError::Lost {
+        peer,
+        why: std::error::Error::source(error)
+            .map_or_else(|| error.to_string(), ToString::to_string),
+        is_past_bound: allowance.is_used_up() || error.is_parse_too_large(),
+    }
+}
+
+/// The error of an answer whose body could not be read whole.
+fn lost_body(peer: SocketAddr, error: &BodyError) -> ExchangeError {
+    ExchangeError::Lost {
+        peer,
+        why: error.to_string(),
+        is_past_bound: error.is_past_bound(),
+    }
+}
+
 /// Time for which the connection may idle after this answer, in ms; 0 if the peer closes it.
 fn idle_ms(response: &Response<Incoming>) -> u64 {
     let headers = response.headers();
@@ -345,8 +374,8 @@
             .await
             .map_err(|error| error.to_string())?;
         let (head, body) = response.into_parts();
-        let collected = body.collect().await;
-        let body = collected.map_err(|error| error.to_string())?.to_bytes();
+        let body = read_own(body, MAX_OWN_ANSWER_BYTES).await;
+        let body = body.map_err(|error| error.to_string())?;
         Ok(Response::from_parts(head, body))
     };
     let answered = actix_rt::time::timeout(wait, answer).await;
--- a/crates/relay/src/pool/error.rs
+++ b/crates/relay/src/pool/error.rs
@@ -54,5 +54,7 @@
         peer: SocketAddr,
         /// Cause.
         why: String,
+        /// Whether it went on past a bound: bytes that are no answer.
+        is_past_bound: bool,
     },
 }
--- a/crates/relay/src/prefill.rs
+++ b/crates/relay/src/prefill.rs
@@ -5,15 +5,16 @@
 use std::time::Duration;
 
 use http::{Response, StatusCode, header};
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use plan::PrefillSample;
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
 use crate::attribution::note_lost_answer;
 use crate::awaited::AwaitedAnswer;
+use crate::bounded_body::read_own;
 use crate::call::Call;
 use crate::dialect::{KvHandle, Prompt, SendOptions, Step};
+use crate::forward::note_body_error;
 use crate::framing::Framing;
 use crate::generation::record_cached_parts;
 use crate::handover::stays_cut_off_from;
@@ -38,6 +39,12 @@
 /// Interval at which the queue ahead of an overdue prefill is checked again, in ms.
 const RECHECK_MS: u64 = 200;
 
+/// Longest answer that names a KV cache or confirms that one is freed, in bytes.
+const MAX_HANDLE_ANSWER_BYTES: usize = 64 << 10;
+
+/// Time within which the freeing of a KV cache is answered, in ms; the engine frees it by itself after some seconds.
+const FREE_TIMEOUT_MS: u64 = 3_000;
+
 /// The KV cache of a prefilled prompt. Dropping it frees the cache unless an engine fetched it;
 /// otherwise it would fill the prefill engine's memory until it expires.
 pub struct PrefilledKv {
@@ -86,17 +93,24 @@
     let Ok(request) = request else {
         return;
     };
-    match exchange(&engine.pool, usize::MAX, request).await {
-        Ok((response, connection)) => {
-            let head = relay.dialect.parse_response_head(response.headers());
-            let status = response.status();
-            let answer = AnnouncingAnswer::to_own_call(AnswerTo::FreeKv, status, &head);
-            note_announcements(relay, engine, &answer);
-            if response.into_body().collect().await.is_ok() {
-                connection.release();
-            }
-        }
-        Err(fault) => log::debug!(fault:%; "KV cache of a prompt could not be freed"),
+    let freeing = async {
+        let (response, connection) = exchange(&engine.pool, usize::MAX, request)
+            .await
+            .map_err(|error| error.to_string())?;
+        let head = relay.dialect.parse_response_head(response.headers());
+        let status = response.status();
+        let answer = AnnouncingAnswer::to_own_call(AnswerTo::FreeKv, status, &head);
+        note_announcements(relay, engine, &answer);
+        let body = read_own(response.into_body(), MAX_HANDLE_ANSWER_BYTES).await;
+        body.map_err(|error| error.to_string())?;
+        connection.release();
+        Ok::<_, String>(())
+    };
+    let timeout = Duration::from_millis(FREE_TIMEOUT_MS);
+    let freed = actix_rt::time::timeout(timeout, freeing).await;
+    let freed = freed.unwrap_or_else(|_| Err(format!("nothing within {FREE_TIMEOUT_MS} ms")));
+    if let Err(why) = freed {
+        log::debug!(upstream = engine.id, why; "KV cache of a prompt could not be freed");
     }
 }
 
@@ -251,11 +265,15 @@
         log_not_prefilled(relay, call, engine, "the answer belongs to another request");
         return None;
     }
-    let body = match response.into_body().collect().await {
-        Ok(collected) => collected.to_bytes(),
+    let body = match read_own(response.into_body(), MAX_HANDLE_ANSWER_BYTES).await {
+        Ok(body) => body,
         Err(error) => {
+            drop(connection);
+            if error.is_past_bound() {
+                engine.note_failure(relay.now_ms());
+            }
             note_lost_answer(relay, call, engine);
-            log_not_prefilled(relay, call, engine, &error.to_string());
+            note_body_error(relay, call, &engine.id, &error);
             return None;
         }
     };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -25,6 +25,7 @@
     InstanceKey, ListedEntries, LogFollower, Members, PartTracker, PoisonTracker, PrefilledPart,
 };
 
+use crate::bounded_body::AnswerMemory;
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
 use crate::estimates::Estimates;
@@ -137,6 +138,8 @@
     pub(crate) room_waiters: RoomWaiters,
     /// Records of what began streams.
     pub stream_origins: StreamOrigins,
+    /// Memory for answers that are held until they are whole.
+    pub answer_memory: AnswerMemory,
     /// What is kept for choices between availability zones.
     pub zone_costs: ZoneCosts,
     /// Log position up to which the list of upstreams was applied.
@@ -184,6 +187,7 @@
             handovers: Handovers::default(),
             room_waiters: RoomWaiters::default(),
             stream_origins: StreamOrigins::default(),
+            answer_memory: AnswerMemory::default(),
             zone_costs: ZoneCosts::default(),
             list_position: RefCell::new(LogFollower::new(own)),
             last_listed: RefCell::default(),
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -12,6 +12,7 @@
 use crate::call::Call;
 use crate::config::RouteKind;
 use crate::dialect::{ResponseHead, SendOptions, Step};
+use crate::metrics::PastBound;
 use crate::part_evidence::{note_send_result, note_sent};
 use crate::path_check::suspect_path;
 use crate::placement::DEFAULT_ANSWER_MS;
@@ -207,7 +208,15 @@
                 .with_label_values(&[&call.service]);
             histogram.observe(seconds(began_ms));
         }
-        Err(ExchangeError::Lost { .. }) => note_lost_answer(relay, call, upstream),
+        Err(ExchangeError::Lost { is_past_bound, .. }) => {
+            if *is_past_bound {
+                relay
+                    .metrics
+                    .past_bound
+                    .count(&call.service, PastBound::Head);
+            }
+            note_lost_answer(relay, call, upstream);
+        }
         Err(ExchangeError::Leaving { .. }) => note_withheld(relay, "leaving"),
         Err(ExchangeError::Resting { .. }) => note_withheld(relay, "resting"),
         Err(
--- a/crates/relay/src/sse.rs
+++ b/crates/relay/src/sse.rs
@@ -94,12 +94,15 @@
     /// Length of the buffer's start in which no end of an event was found.
     searched: usize,
     scanner: EventScanner,
+    /// Bytes since the last complete event.
+    unfinished_bytes: usize,
 }
 
 impl EventSplitter {
     /// Appends bytes as received.
     pub fn push(&mut self, bytes: &[u8]) {
         self.buffer.extend_from_slice(bytes);
+        self.unfinished_bytes += bytes.len();
     }
 
     /// Removes and returns the next complete event, if there is one.
@@ -110,6 +113,7 @@
         };
         let bytes = self.buffer.split_to(self.searched + end).freeze();
         self.searched = 0;
+        self.unfinished_bytes = self.buffer.len();
         let id = event_id(&bytes);
         Some(Event { id, bytes })
     }
@@ -118,6 +122,7 @@
     pub fn take_all(&mut self) -> Bytes {
         while let Some(end) = self.scanner.find_end(&self.buffer[self.searched..]) {
             self.searched += end;
+            self.unfinished_bytes = self.buffer.len() - self.searched;
         }
         self.searched = 0;
         self.buffer.split().freeze()
@@ -128,6 +133,11 @@
         self.scanner.is_within_event()
     }
 
+    /// Bytes that arrived since the last event was complete.
+    pub fn unfinished_bytes(&self) -> usize {
+        self.unfinished_bytes
+    }
+
     /// Number of events that were complete since the start or the last [`EventSplitter::clear`].
     pub fn event_count(&self) -> u32 {
         self.scanner.events
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -22,6 +22,7 @@
 use crate::forward::count_answer;
 use crate::framing::{Framing, StreamEnd};
 use crate::handover::ServedBy;
+use crate::metrics::PastBound;
 use crate::part_evidence::note_events;
 use crate::pool::Exchanged;
 use crate::reachability::cut_off_from;
@@ -35,6 +36,9 @@
 /// Shortest silence after which a stream is resumed elsewhere, in ms: a sound engine may be silent for a second.
 const MIN_SILENCE_MS: u64 = 1_300;
 
+/// Longest event of a stream, with the comments before it, in bytes.
+const MAX_EVENT_BYTES: usize = 64 << 10;
+
 /// State of a stream that is forwarded from an engine to a caller.
 pub struct StreamForwarder {
     relay: Rc<Relay>,
@@ -141,6 +145,11 @@
                 Received::Data(bytes) => {
                     self.splitter.push(&bytes);
                     self.queue_received();
+                    if self.splitter.unfinished_bytes() > MAX_EVENT_BYTES
+                        && let Err(truncated) = self.give_up_endless_event().await
+                    {
+                        return Some(Err(truncated));
+                    }
                 }
                 Received::End => {
                     let Some(why) = self.note_end() else {
@@ -167,6 +176,17 @@
         }
     }
 
+    /// Goes on elsewhere after an event that does not end.
+    async fn give_up_endless_event(&mut self) -> Result<(), TruncatedAnswer> {
+        let metrics = &self.relay.metrics;
+        metrics
+            .past_bound
+            .count(&self.call.service, PastBound::Event);
+        self.note_lost_answer();
+        let why = format!("no event within {MAX_EVENT_BYTES} bytes");
+        self.resume_elsewhere(&why).await
+    }
+
     /// Queues what may be passed on: all bytes, or the complete events if the stream can be resumed, without those that
     /// the caller already has.
     fn queue_received(&mut self) {
