The last instance alive stops naming dead ones to callers

Cause: silence is counted up to the last gossip from any peer, so that an instance that is cut off drops nobody. The last one alive hears nobody, and its clock stands still. Class: evidence whose clock stands still when nobody speaks.

Why this mends it: the first two instances in rank renew their records in the store each second. One that hears no gossip reads the records: the first read is the base; if no peer has renewed its record 1.6 s later, all are gone and only those that renew are named again. If any has, the instance is cut off and drops nobody; nor does it while the store cannot be read. Re-reading the same record no longer counts as life (a dropped history made dead instances reachable for 0.8 s each time).

--- a/crates/view/src/heartbeats.rs
+++ b/crates/view/src/heartbeats.rs
@@ -24,6 +24,16 @@
 /// Pause between reads of an instance that receives no gossip, in ms.
 const ISOLATED_PAUSE_MS: u64 = 2_500;
 
+/// Pause between its reads until the store has shown whether its peers are gone, in ms.
+const JUDGING_PAUSE_MS: u64 = 500;
+
+/// Interval at which the first instances in rank write their records, in ms, so that one which hears nobody can tell from
+/// the store that others live.
+pub const SIGN_INTERVAL_MS: u64 = 1_000;
+
+/// Number of these instances: one of them may be the one that hears nobody.
+const SIGN_WRITERS: usize = 2;
+
 /// When the heartbeat records of all instances are read.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ReadSchedule {
@@ -45,6 +55,7 @@
                 let written_ms = writes.written_ms.unwrap_or(u64::MAX - STARTUP_PAUSE_MS);
                 return now_ms >= written_ms.max(self.read_ms) + STARTUP_PAUSE_MS;
             }
+            Some(_) if members.is_judging_silence(now_ms) => JUDGING_PAUSE_MS,
             Some(_) if members.is_isolated(now_ms) => ISOLATED_PAUSE_MS,
             Some(_) => members.heartbeat_interval_ms(),
         };
@@ -91,6 +102,15 @@
         }
     }
 
+    /// Whether an instance of this rank is to write as a sign of life for those that hear nobody.
+    pub fn is_sign_due(&self, now_ms: u64, rank: usize) -> bool {
+        let is_paused = |at_ms: u64| now_ms < at_ms + STARTUP_PAUSE_MS;
+        let is_old = |at_ms: u64| now_ms >= at_ms + SIGN_INTERVAL_MS;
+        rank < SIGN_WRITERS
+            && !self.failed_ms.is_some_and(is_paused)
+            && self.written_ms.is_some_and(is_old)
+    }
+
     /// Records that a write ended. One that was not acknowledged is retried after a short pause,
     /// because the next regular heartbeat would come much later.
     pub fn record_write(&mut self, now_ms: u64, is_ready: bool, was_acknowledged: bool) {
--- a/crates/view/src/members.rs
+++ b/crates/view/src/members.rs
@@ -20,6 +20,10 @@
 /// switched to another hub by then.
 const ISOLATED_MS: u64 = 1_200;
 
+/// Time for which the store may show no renewed record of any peer before all are taken for gone, in ms: those first in
+/// rank renew theirs every [`SIGN_INTERVAL_MS`](crate::heartbeats::SIGN_INTERVAL_MS).
+const NO_SIGN_MS: u64 = 1_600;
+
 /// How long gossip may name an instance that is unknown here before a peer is asked, in ms. The
 /// record of a new instance is gossiped for as long.
 const UNKNOWN_MEMBER_MS: u64 = 1_000;
@@ -66,24 +70,71 @@
     member: Member,
     /// When its heartbeat record was read.
     record_ms: u64,
+    /// When a record with a later heartbeat than before was read.
+    renewed_ms: u64,
     /// When gossip last reported it as alive.
     alive_ms: Option<u64>,
 }
 
+/// What the store shows of the peers while no gossip arrives.
+///
+/// Silence alone does not tell peers that are gone from those that this instance is cut off from. Of the latter, the first
+/// in rank go on renewing their records.
+#[derive(Debug, Clone, Copy, Default)]
+struct StoreEvidence {
+    /// When the first read ended that began without gossip; what it brings may be from before the silence.
+    since_ms: Option<u64>,
+    /// When a later read last brought a renewed record of a peer.
+    renewed_ms: Option<u64>,
+    /// When the read began that showed all peers to be gone.
+    gone_ms: Option<u64>,
+}
+
 /// All instances that this one knows of.
 #[derive(Debug, Clone, Default)]
 pub struct Members {
     known: HashMap<InstanceKey, Known>,
+    own: Option<InstanceKey>,
+    read_began_ms: u64,
     store_read_ms: u64,
+    evidence: StoreEvidence,
     last_gossip_ms: Option<u64>,
     unknown_since_ms: Option<u64>,
     version: u64,
 }
 
 impl Members {
-    /// Records that the store was read at `now_ms`, whether or not there were new records.
-    pub fn record_store_read(&mut self, now_ms: u64) {
+    /// Records that a read of the store begins.
+    pub fn begin_store_read(&mut self, now_ms: u64) {
+        self.read_began_ms = now_ms;
+    }
+
+    /// Records that the store was read at `now_ms`, whether or not there were new records; to be called after these were
+    /// recorded. Returns whether this read showed that all peers are gone.
+    pub fn record_store_read(&mut self, now_ms: u64) -> bool {
         self.store_read_ms = now_ms;
+        let began_ms = self.read_began_ms;
+        if self.last_gossip_ms.is_none() || !self.is_isolated(began_ms) {
+            return false;
+        }
+        let evidence = &mut self.evidence;
+        let Some(since_ms) = evidence.since_ms else {
+            evidence.since_ms = Some(now_ms);
+            return false;
+        };
+        let sign_ms = evidence.renewed_ms.unwrap_or(since_ms);
+        let are_gone = evidence.gone_ms.is_none() && began_ms >= sign_ms + NO_SIGN_MS;
+        if are_gone {
+            evidence.gone_ms = Some(began_ms);
+        }
+        are_gone
+    }
+
+    /// Whether no gossip arrives and the store has not shown yet whether the peers are gone.
+    pub fn is_judging_silence(&self, now_ms: u64) -> bool {
+        let evidence = &self.evidence;
+        let is_open = evidence.gone_ms.is_none() && evidence.renewed_ms.is_none();
+        self.last_gossip_ms.is_some() && self.is_isolated(now_ms) && is_open
     }
 
     /// Processes a heartbeat record. One that is older than the known one changes nothing, since
@@ -95,11 +146,17 @@
             return;
         }
         let alive_ms = known.and_then(|known| known.alive_ms);
+        let unchanged = known.filter(|known| known.member.heartbeat_seq == member.heartbeat_seq);
+        let renewed_ms = unchanged.map_or(now_ms, |known| known.renewed_ms);
+        if unchanged.is_none() && self.own != Some(key) && self.evidence.since_ms.is_some() {
+            self.evidence.renewed_ms = Some(now_ms);
+        }
         self.unknown_since_ms = None;
         self.version += 1;
         let known = Known {
             member,
             record_ms: now_ms,
+            renewed_ms,
             alive_ms,
         };
         self.known.insert(key, known);
@@ -133,12 +190,14 @@
     /// Records that an instance is alive, by its own gossip or that of a hub.
     pub fn record_alive(&mut self, now_ms: u64, key: InstanceKey) {
         self.last_gossip_ms = Some(now_ms);
+        self.evidence = StoreEvidence::default();
         self.mark_alive(now_ms, key);
     }
 
     /// Records that this instance itself is alive, which does not show that it receives gossip from
     /// peers.
     pub fn record_self_alive(&mut self, now_ms: u64, key: InstanceKey) {
+        self.own = Some(key);
         self.mark_alive(now_ms, key);
     }
 
@@ -185,15 +244,19 @@
     ///
     /// A killed or frozen instance stops gossiping at once, while its heartbeat records are missed
     /// only much later; callers sent there in between would lose a second each. Silence is counted
-    /// up to the last gossip from any peer, so an instance that is cut off drops no peer for it.
+    /// up to the last gossip from any peer, so an instance that is cut off drops no peer for it. Where the store shows that
+    /// all peers are gone, only those that have renewed their records since are reachable.
     pub fn reachable(&self) -> impl Iterator<Item = &Member> {
         self.reachable_entries().map(|known| &known.member)
     }
 
     fn reachable_entries(&self) -> impl Iterator<Item = &Known> {
         let last_gossip_ms = self.last_gossip_ms.unwrap_or_default();
-        self.ready_entries()
-            .filter(move |known| !known.is_silent(last_gossip_ms))
+        let gone_ms = self.evidence.gone_ms;
+        self.ready_entries().filter(move |known| match gone_ms {
+            Some(gone_ms) => known.shows_life_since(gone_ms),
+            None => !known.is_silent(last_gossip_ms),
+        })
     }
 
     /// Time since the reachable instance that has been silent the longest was last reported alive,
@@ -257,10 +320,15 @@
 }
 
 impl Known {
-    /// Whether it was last known to be alive too long before `last_gossip_ms`. Its record counts
-    /// too, so that a new instance is not silent before gossip names it.
+    /// Whether it was alive, or renewed its record, after the other instances were found to be gone.
+    fn shows_life_since(&self, gone_ms: u64) -> bool {
+        self.alive_ms.unwrap_or_default().max(self.renewed_ms) + SILENT_MS >= gone_ms
+    }
+
+    /// Whether it was last known to be alive too long before `last_gossip_ms`. The renewal of its record counts too, so
+    /// that a new instance is not silent before gossip names it; that the same record is read again says nothing.
     fn is_silent(&self, last_gossip_ms: u64) -> bool {
-        let last_ms = self.alive_ms.unwrap_or_default().max(self.record_ms);
+        let last_ms = self.alive_ms.unwrap_or_default().max(self.renewed_ms);
         last_ms + SILENT_MS < last_gossip_ms
     }
 }
