--- a/crates/plan/tests/fleet_retry_budget.rs
+++ b/crates/plan/tests/fleet_retry_budget.rs
@@ -37,14 +37,14 @@
     }
 
     fn sum(counts: &[u64], from: i64, to: i64) -> f64 {
-        let end = to.clamp(0, counts.len() as i64) as usize;
-        let start = (from.max(0) as usize).min(end);
+        let end = usize::try_from(to).unwrap_or(0).min(counts.len());
+        let start = usize::try_from(from).unwrap_or(0).min(end);
         counts[start..end].iter().sum::<u64>() as f64
     }
 
     /// Largest share of the limit that any window used; over 1 if one exceeded it.
     fn max_use(&self) -> f64 {
-        let window = (SETTINGS.window_ms / STEP_MS) as i64;
+        let window = (SETTINGS.window_ms / STEP_MS).cast_signed();
         let used = |start: i64| {
             let first_sends = [0, window / 2, window]
                 .map(|earlier| start - earlier)
@@ -54,7 +54,9 @@
             let limit = SETTINGS.ratio * first_sends + SETTINGS.slack;
             Self::sum(&self.retries, start, start + window) / limit
         };
-        (0..self.retries.len() as i64).map(used).fold(0.0, f64::max)
+        (0..self.retries.len().cast_signed() as i64)
+            .map(used)
+            .fold(0.0, f64::max)
     }
 }
 
@@ -166,9 +168,9 @@
         let mut fleet = Fleet::new(instances);
         fleet.play(20_000, per_s, at_once, |_| true, false);
         let silent_ms = 30_000..30_000 + MAX_LAG_MS;
-        let lag_ms = |now_ms| match silent_ms.contains(&now_ms) {
-            true => silent_ms.end - now_ms,
-            false => 0,
+        let lag_ms = |now_ms: u64| {
+            let is_silent = silent_ms.contains(&now_ms);
+            if is_silent { silent_ms.end - now_ms } else { 0 }
         };
         fleet.play(40_000, per_s, lag_ms, |_| true, true);
         let used = fleet.arrivals.max_use();
--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -165,7 +165,7 @@
         let endless = shape.upstream();
         let clock = Clock::of_age(Duration::from_secs(60));
         let request = || read_request(1);
-        let wait = Duration::from_millis(5_000);
+        let wait = Duration::from_secs(5);
         let began = Instant::now();
         let answered = call_on_new_connection(endless.address, clock, request(), wait).await;
         assert!(answered.is_err(), "{shape:?}");
