--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -42,6 +42,14 @@
 
     /// The heartbeat to write to the store now; it is gossiped too.
     pub fn heartbeat(&self) -> Member {
+        let member = self.sign_of_life();
+        let now_ms = self.now_ms();
+        self.gossip.borrow_mut().add_member(now_ms, member.clone());
+        member
+    }
+
+    /// The same, for those that read the store since they hear no gossip; no one else has to learn of it.
+    pub fn sign_of_life(&self) -> Member {
         // Peers ignore a heartbeat number below one they know. The wall clock may have been set back
         // since the previous process wrote its last one.
         let own = self.settings.borrow().name.clone();
@@ -52,10 +60,7 @@
             .unwrap_or_default();
         let heartbeat_seq = unix_ms().max(before + 1).max(self.heartbeat_seq.get() + 1);
         self.heartbeat_seq.set(heartbeat_seq);
-        let member = self.own_member();
-        let now_ms = self.now_ms();
-        self.gossip.borrow_mut().add_member(now_ms, member.clone());
-        member
+        self.own_member()
     }
 
     /// Records that a heartbeat of this instance is in the store.
--- a/crates/view/src/heartbeats.rs
+++ b/crates/view/src/heartbeats.rs
@@ -76,6 +76,8 @@
     written_ms: Option<u64>,
     written_ready: bool,
     failed_ms: Option<u64>,
+    /// When it last wrote as a sign of life.
+    sign_ms: Option<u64>,
 }
 
 impl WriteSchedule {
@@ -108,7 +110,16 @@
         let is_old = |at_ms: u64| now_ms >= at_ms + SIGN_INTERVAL_MS;
         rank < SIGN_WRITERS
             && !self.failed_ms.is_some_and(is_paused)
-            && self.written_ms.is_some_and(is_old)
+            && self.written_ms.max(self.sign_ms).is_some_and(is_old)
+    }
+
+    /// Records that a write as a sign of life ended. The regular ones go on, since peers are told of those.
+    pub fn record_sign(&mut self, now_ms: u64, was_acknowledged: bool) {
+        if was_acknowledged {
+            self.sign_ms = Some(now_ms);
+        } else {
+            self.failed_ms = Some(now_ms);
+        }
     }
 
     /// Records that a write ended. One that was not acknowledged is retried after a short pause,
--- a/crates/view/tests/last_alive.rs
+++ b/crates/view/tests/last_alive.rs
@@ -85,10 +85,15 @@
             let among = alive.iter().filter(|&&it| sees_observer || it >= survivors);
             let rank = among.take_while(|&&it| it != number).count();
             let schedule = &mut writers[number];
-            let is_due = schedule.is_due(now_ms, true, &own) || schedule.is_sign_due(now_ms, rank);
-            if !is_store_away && is_due {
+            if is_store_away {
+                continue;
+            }
+            if schedule.is_due(now_ms, true, &own) {
                 schedule.record_write(now_ms, true, true);
                 log[number].heartbeat_seq += 1;
+            } else if schedule.is_sign_due(now_ms, rank) {
+                schedule.record_sign(now_ms, true);
+                log[number].heartbeat_seq += 1;
             }
         }
         if let Some((_, records)) = pending.take_if(|(due_ms, _)| now_ms >= *due_ms) {
