Answers to calls of an instance's own have 64 KiB, the fleet's state 8 MiB

Cause: an upstream's report could be 8 MiB, which in chunks of 8 bytes is a million frames and a second of a busy core, on instances that have a tenth of one. The bound was one for all own calls, taken from the largest, the state of the fleet.

The check, its shapes and its time are unchanged.

--- a/crates/relay/src/bounded_body.rs
+++ b/crates/relay/src/bounded_body.rs
@@ -13,8 +13,11 @@
 /// Longest answer that is held whole, in bytes, if its head does not tell its length.
 pub const MAX_HELD_BYTES: usize = 1 << 20;
 
-/// Longest answer to a call of this instance's own, in bytes.
-pub const MAX_OWN_ANSWER_BYTES: usize = 8 << 20;
+/// Longest answer of an upstream, or of the platform, to a call of this instance's own, in bytes.
+pub const MAX_CALL_ANSWER_BYTES: usize = 64 << 10;
+
+/// Longest answer that holds the state of the fleet, from a peer or the store, in bytes.
+pub const MAX_STATE_BYTES: usize = 8 << 20;
 
 /// Part of an answer that is held in any case, in bytes: a few times the usual answer.
 const OWN_SHARE_BYTES: usize = 32 << 10;
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -23,7 +23,7 @@
 pub use self::error::ExchangeError;
 use self::socket::connect_to;
 pub use self::socket::{configure_socket, set_source_address};
-use crate::bounded_body::{BodyError, MAX_OWN_ANSWER_BYTES, read_own};
+use crate::bounded_body::{BodyError, MAX_CALL_ANSWER_BYTES, read_own};
 
 /// Timeout for opening a connection, in ms: several round trips between availability zones and the
 /// first retransmission of a lost packet.
@@ -145,7 +145,7 @@
         self.note_answer(connection.began_ms);
         pooled.idle_ms = idle_ms(&response);
         let (head, body) = response.into_parts();
-        let body = read_own(body, MAX_OWN_ANSWER_BYTES).await;
+        let body = read_own(body, MAX_CALL_ANSWER_BYTES).await;
         let body = body.map_err(|error| lost_body(peer, &error))?;
         pooled.release();
         Ok(Response::from_parts(head, body))
@@ -359,7 +359,7 @@
     }
 }
 
-/// Sends a request on a new connection, which is closed afterwards, and reads the whole answer.
+/// Sends a request on a new connection, which is closed afterwards, and reads the whole answer of up to `most_bytes`.
 ///
 /// If the call times out, its undelivered data is discarded with the connection.
 pub async fn call_on_new_connection(
@@ -367,6 +367,7 @@
     clock: Clock,
     request: Request<Full<Bytes>>,
     wait: Duration,
+    most_bytes: usize,
 ) -> Result<Response<Bytes>, String> {
     let answer = async {
         let pool = Pool::new(peer, clock);
@@ -374,7 +375,7 @@
             .await
             .map_err(|error| error.to_string())?;
         let (head, body) = response.into_parts();
-        let body = read_own(body, MAX_OWN_ANSWER_BYTES).await;
+        let body = read_own(body, most_bytes).await;
         let body = body.map_err(|error| error.to_string())?;
         Ok(Response::from_parts(head, body))
     };
--- a/crates/relay/src/role_orders/sending.rs
+++ b/crates/relay/src/role_orders/sending.rs
@@ -10,6 +10,7 @@
 
 use super::{ChangeReason, PlannedChange, RoleOrder};
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements, note_leaving};
+use crate::bounded_body::MAX_CALL_ANSWER_BYTES;
 use crate::dialect::{EngineReport, ResponseHead};
 use crate::own_request::{own_request, report_request};
 use crate::pool::call_on_new_connection;
@@ -185,7 +186,14 @@
     request: Request<Full<Bytes>>,
 ) -> Result<Response<Bytes>, String> {
     let timeout = Duration::from_millis(CALL_TIMEOUT_MS);
-    let response = call_on_new_connection(engine.address, relay.clock, request, timeout).await?;
+    let response = call_on_new_connection(
+        engine.address,
+        relay.clock,
+        request,
+        timeout,
+        MAX_CALL_ANSWER_BYTES,
+    )
+    .await?;
     let head = relay.dialect.parse_response_head(response.headers());
     let answer = AnnouncingAnswer::to_own_call(to, response.status(), &head);
     note_announcements(relay, engine, &answer);
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -18,6 +18,7 @@
 use tick::since_boot_ms;
 use view::{Member, RequestKey, UpstreamEntry};
 
+use crate::bounded_body::MAX_STATE_BYTES;
 use crate::config::{Access, Config, Limits, Route, Service};
 use crate::pool::call_on_new_connection;
 use crate::relay::{Origin, Relay};
@@ -140,7 +141,8 @@
         .body(Full::default())
         .map_err(|error| error.to_string())?;
     let timeout = Duration::from_millis(QUERY_TIMEOUT_MS);
-    let response = call_on_new_connection(peer, relay.clock, request, timeout).await?;
+    let response =
+        call_on_new_connection(peer, relay.clock, request, timeout, MAX_STATE_BYTES).await?;
     serde_json::from_slice(response.body()).map_err(|error| error.to_string())
 }
 
--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -12,6 +12,7 @@
 };
 use http::Request;
 use http_body_util::Full;
+use relay::bounded_body::MAX_CALL_ANSWER_BYTES;
 use relay::pool::{Pool, call_on_new_connection};
 use relay::upstream::Stage;
 use tick::Clock;
@@ -167,7 +168,14 @@
         let request = || read_request(1);
         let wait = Duration::from_secs(5);
         let began = Instant::now();
-        let answered = call_on_new_connection(endless.address, clock, request(), wait).await;
+        let answered = call_on_new_connection(
+            endless.address,
+            clock,
+            request(),
+            wait,
+            MAX_CALL_ANSWER_BYTES,
+        )
+        .await;
         assert!(answered.is_err(), "{shape:?}");
         let pool: Rc<Pool> = Pool::new(endless.address, clock);
         assert!(pool.call(request(), 350).await.is_err(), "{shape:?}");
