Tests: streams of whole events without end, an instance that starts alone, signs of life that the store turns away

Four tests that fail on this code, listed. A ninth shape (chunks of 64 KiB beside those of 8 bytes) passes here; on chunks of 8 bytes had not been seen failing on all paths.

--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -10,7 +10,7 @@
     Action, EVENTS, ReceivedRequest, StubUpstream, TestInstance, generation_request, in_other_zone,
     is_prefill, read_request,
 };
-use http::Request;
+use http::{HeaderValue, Request};
 use http_body_util::Full;
 use relay::bounded_body::MAX_CALL_ANSWER_BYTES;
 use relay::pool::{Pool, call_on_new_connection};
@@ -23,6 +23,12 @@
 /// Longest time that one of them may take beside a sound upstream, in ms.
 const MAX_TOOK_MS: u128 = 1_000;
 
+/// Time to the deadline of a stream that is never silent, in ms.
+const DEADLINE_MS: u64 = 1_000;
+
+/// Time by which it may end later, in ms.
+const MAX_LATE_MS: u128 = 500;
+
 /// Most that all of them together may make this instance take from the upstream, in bytes.
 const MAX_TAKEN_BYTES: usize = 64 << 20;
 
@@ -34,17 +40,19 @@
     InterimAnswers,
     ChunkExtension,
     Chunks,
+    TinyChunks,
     UntilClose,
     Event,
     Comments,
 }
 
-const ALL: [Shape; 8] = [
+const ALL: [Shape; 9] = [
     Shape::NoStatusLine,
     Shape::Header,
     Shape::InterimAnswers,
     Shape::ChunkExtension,
     Shape::Chunks,
+    Shape::TinyChunks,
     Shape::UntilClose,
     Shape::Event,
     Shape::Comments,
@@ -65,7 +73,11 @@
                 "HTTP/1.1 103 Early Hints\r\nlink: x\r\n\r\n".to_owned(),
             ),
             Self::ChunkExtension => (head(chunked) + "5;x=", "x".to_owned()),
-            Self::Chunks => (head(chunked), "8\r\nxxxxxxxx\r\n".to_owned()),
+            Self::Chunks => {
+                let chunk = format!("10000\r\n{}\r\n", "x".repeat(0x1_0000));
+                (head(chunked), chunk)
+            }
+            Self::TinyChunks => (head(chunked), "8\r\nxxxxxxxx\r\n".to_owned()),
             Self::UntilClose => (head(""), "xxxxxxxx".to_owned()),
             Self::Event => (head("") + "id: 1\ndata: ", "x".to_owned()),
             Self::Comments => (head(""), ": nothing\n".to_owned()),
@@ -142,6 +154,49 @@
     assert!(began.elapsed().as_millis() <= MAX_TOOK_MS);
 }
 
+/// An engine that writes whole events without end.
+fn endless_events() -> StubUpstream {
+    StubUpstream::start(|received| {
+        let head = received.response_text("200 OK", "", "");
+        let head = head.replace("content-length: 0\r\n", "");
+        let events = Action::WriteWithoutEnd("data: x\n\n".to_owned());
+        vec![Action::Write(head), events]
+    })
+}
+
+/// Guards against a stream that goes on past its deadline, because there is always something to pass on.
+#[actix_rt::test]
+async fn a_stream_that_is_never_silent_ends_at_its_deadline() {
+    let endless = endless_events();
+    let instance = TestInstance::start(vec![endless.entry("endless", "llm", Stage::Decode)]);
+    let mut request = generation_request("/once/x", 1, 300);
+    request.headers_mut().remove("x-prompt");
+    request
+        .headers_mut()
+        .insert("x-left-ms", HeaderValue::from(DEADLINE_MS));
+    let began = Instant::now();
+    let (_, body) = instance.fetch(request).await;
+    assert_eq!(body, None, "it must not look complete");
+    let took_ms = began.elapsed().as_millis();
+    assert!(
+        took_ms <= u128::from(DEADLINE_MS) + MAX_LATE_MS,
+        "{took_ms} ms"
+    );
+}
+
+/// Guards against callers that get events until their deadline, many more than the output that they asked for has tokens.
+#[actix_rt::test]
+async fn a_stream_with_more_events_than_tokens_is_broken_off() {
+    let endless = endless_events();
+    let instance = TestInstance::start(vec![endless.entry("endless", "llm", Stage::Decode)]);
+    let began = Instant::now();
+    let (_, body) = instance
+        .fetch(generation_request("/grades/x", 1, 300))
+        .await;
+    assert_eq!(body, None, "it must not look complete");
+    assert!(began.elapsed().as_millis() <= MAX_TOOK_MS);
+}
+
 /// Guards against prompts that are not prefilled, because the answer of the prefill engine does not end.
 #[actix_rt::test]
 async fn a_prefill_answer_without_end_is_no_answer() {
--- a/crates/view/tests/last_alive.rs
+++ b/crates/view/tests/last_alive.rs
@@ -32,6 +32,8 @@
     Usual,
     /// Each answer takes this long, in ms.
     Slow(u64),
+    /// It turns away the first two in rank of those that the observer does not hear.
+    TurnsFirstAway,
     Away,
 }
 
@@ -85,7 +87,9 @@
             let among = alive.iter().filter(|&&it| sees_observer || it >= survivors);
             let rank = among.take_while(|&&it| it != number).count();
             let schedule = &mut writers[number];
-            if is_store_away {
+            let is_turned_away =
+                is_lost && store == Store::TurnsFirstAway && (1..=2).contains(&number);
+            if is_store_away || is_turned_away {
                 continue;
             }
             if schedule.is_due(now_ms, true, &own) {
@@ -172,3 +176,27 @@
     let seen = replay(7, 1, Loss::Power, Store::Away);
     assert_eq!(seen.fewest_named, 7);
 }
+
+/// Guards against an instance that drops peers which serve callers, because the store turns away those that show that
+/// somebody lives.
+#[test]
+fn peers_whose_signs_of_life_the_store_turns_away_are_not_dropped() {
+    let seen = replay(7, 1, Loss::Cut, Store::TurnsFirstAway);
+    assert_eq!(seen.fewest_named, 7);
+}
+
+/// Guards against callers that are sent to dead instances by one that started after they had died, from the records that
+/// they left in the store.
+#[test]
+fn an_instance_that_starts_alone_names_no_dead_instances() {
+    let mut own = Members::default();
+    for number in 0..7 {
+        own.record_heartbeat(0, member(number, 1));
+    }
+    for now_ms in (0..MAX_NAMED_MS).step_by(STEP_MS as usize) {
+        own.record_self_alive(now_ms, key(0));
+        own.begin_store_read(now_ms);
+        own.record_store_read(now_ms + STEP_MS);
+    }
+    assert_eq!(own.reachable().count(), 1);
+}
