--- a/crates/relay/tests/endless_answers.rs
+++ b/crates/relay/tests/endless_answers.rs
@@ -168,7 +168,7 @@
 #[actix_rt::test]
 async fn a_stream_that_is_never_silent_ends_at_its_deadline() {
     let endless = endless_events();
-    let instance = TestInstance::start(vec![endless.entry("endless", "llm", Stage::Decode)]);
+    let instance = TestInstance::start(vec![endless.entry("endless", "llm", Stage::Whole)]);
     let mut request = generation_request("/once/x", 1, 300);
     request.headers_mut().remove("x-prompt");
     request
