review: a page that many read is refused for good after a crash of all its servers (CONFIG)

Three plain servers crash at once and are back after 4.9 s. Reads of one page that were under way at two of them count as a request that crashes servers, and no read of it is served again.

--- a/review/rig/src/caller.rs
+++ b/review/rig/src/caller.rs
@@ -198,3 +198,53 @@
     }
     Ok(())
 }
+
+/// Sends one request without a body to a plain service, and once more after a refusal; the status of the last answer, or
+/// 0 if none came.
+pub fn call(addresses: &Addresses, method: &str, target: &str, deadline_ms: u64) -> u16 {
+    let until = now_ms() + deadline_ms;
+    let mut failed = None;
+    let mut status = 0;
+    for _ in 0..2 {
+        let left = until.saturating_sub(now_ms());
+        let Some(address) = addresses.choose(failed).filter(|_| left > 50) else {
+            break;
+        };
+        let attempt = format!("{:016x}", random());
+        record(&format!("sent {attempt} to {address}: {method} {target}"));
+        let request = format!(
+            "{method} {target} HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: {left}\r\nContent-Length: 0\r\n\r\n"
+        );
+        let answered = read_whole(address, &request, left);
+        status = answered.as_ref().map_or(0, Message::status);
+        let body = answered.as_ref().map_or(String::new(), |it| {
+            String::from_utf8_lossy(&it.body).into_owned()
+        });
+        record(&format!(
+            "answered {attempt}: {method} {target}: {status} {body}"
+        ));
+        match answered {
+            Ok(answer) if status == 503 || status == 429 => {
+                let seconds = answer
+                    .header("retry-after")
+                    .and_then(|it| it.parse::<f64>().ok());
+                let left = until.saturating_sub(now_ms());
+                let pause = seconds
+                    .map_or(100, |it| (it * 1_000.0) as u64)
+                    .min(left / 3);
+                sleep_ms(pause);
+            }
+            Ok(_) => return status,
+            Err(_) => failed = Some(address),
+        }
+    }
+    status
+}
+
+fn read_whole(address: SocketAddr, request: &str, left_ms: u64) -> io::Result<Message> {
+    let mut conn = connect(address, 1_000)?;
+    conn.stream
+        .set_read_timeout(Some(Duration::from_millis(left_ms.max(1))))?;
+    conn.write(request.as_bytes())?;
+    conn.read_answer()
+}
--- a/review/rig/src/engine.rs
+++ b/review/rig/src/engine.rs
@@ -24,7 +24,8 @@
     pub first_ms: u64,
     pub gap_ms: u64,
     pub pieces: u64,
-    /// Length of the answer of a plain service.
+    /// Time that a plain service works on a request, and length of its answer.
+    pub work_ms: u64,
     pub body_bytes: usize,
 }
 
@@ -134,13 +135,23 @@
         self.write_entry();
     }
 
-    /// Ends the lifetime, as a crash does: all connections and the listener are closed.
-    pub fn crash(&self) {
+    /// Ends the lifetime, as a crash does: all connections and the listener are closed. The store removes the entry after
+    /// three beats of silence.
+    pub fn crash(self: &Arc<Self>) {
         record(&format!("server {} crashes", self.id));
         self.is_alive.store(false, Ordering::SeqCst);
         for connection in self.connections.lock().unwrap().drain(..) {
             let _ = connection.shutdown(Shutdown::Both);
         }
+        let server = Arc::clone(self);
+        let life = self.life.load(Ordering::SeqCst);
+        std::thread::spawn(move || {
+            sleep_ms(3 * BEAT_MS);
+            if server.life.load(Ordering::SeqCst) == life {
+                record(&format!("the store removes the entry of {}", server.id));
+                server.store.remove("keyed.servers", &server.id);
+            }
+        });
     }
 
     fn lives(&self, life: u64) -> bool {
@@ -252,7 +263,10 @@
                     request.method(),
                     request.path()
                 ));
-                sleep_ms(15);
+                sleep_ms(self.pace.work_ms);
+                if !self.lives(life) {
+                    return Err(std::io::Error::other("the lifetime is over"));
+                }
                 let head = format!(
                     "Attempt-Id: {attempt}\r\nReply-Stamp: {}.{life}\r\n{}",
                     self.id,
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -7,6 +7,7 @@
 mod clock;
 mod engine;
 mod fleet;
+mod hot_read;
 mod http;
 mod slow_reader;
 mod store;
@@ -44,6 +45,7 @@
     let run = || match case.as_str() {
         "versions" => versions::run(program.into(), has_trouble),
         "term-slow-reader" => slow_reader::run(program.into(), has_trouble),
+        "hot-read" => hot_read::run(program.into(), has_trouble),
         other => Outcome::CouldNotRun(format!("no case {other}")),
     };
     let outcome = std::panic::catch_unwind(run);
--- a/review/rig/src/slow_reader.rs
+++ b/review/rig/src/slow_reader.rs
@@ -33,6 +33,7 @@
         first_ms: 0,
         gap_ms: 0,
         pieces: 0,
+        work_ms: 15,
         body_bytes: BODY_BYTES,
     };
     for number in 0..3 {
--- a/review/rig/src/store.rs
+++ b/review/rig/src/store.rs
@@ -61,6 +61,11 @@
         true
     }
 
+    /// Removes a record of a keyed topic, if the store is up.
+    pub fn remove(&self, topic: &str, key: &str) {
+        self.put(topic, key, "");
+    }
+
     fn append(&self, topic: &str, new: Vec<Vec<u8>>) -> (u64, u64) {
         let mut topics = self.topics.lock().unwrap();
         let records = topics.records.entry(topic.to_owned()).or_default();
