review: slow readers take a process past its memory (LOST)

Run: 170 requesters at each of three machines of 120 MB read 1 MB slowly; all three processes pass 120 MB, and 18 requests on kept channels are closed unanswered (run with 150); 10 MB in use and no request lost with TROUBLE=0.

--- a/review/rig/src/fleet.rs
+++ b/review/rig/src/fleet.rs
@@ -49,6 +49,17 @@
 impl Fleet {
     /// Starts instances in three zones, with settings like those of a small deployment.
     pub fn start(program: PathBuf, net: Net, count: u8, store: SocketAddr) -> Self {
+        Self::start_with_memory(program, net, count, store, 260)
+    }
+
+    /// The same with machines of so much memory, in MB.
+    pub fn start_with_memory(
+        program: PathBuf,
+        net: Net,
+        count: u8,
+        store: SocketAddr,
+        ram_mb: u64,
+    ) -> Self {
         let folder =
             std::env::temp_dir().join(format!("review-{}-{}", std::process::id(), unix_ms()));
         std::fs::create_dir_all(&folder).expect("a temporary folder");
@@ -65,6 +76,7 @@
                 .replace("{ZONE}", zone)
                 .replace("{IP}", &net.at(host, 0).ip().to_string())
                 .replace("{SEEDS}", &seeds.join(","))
+                .replace("{RAM}", &ram_mb.to_string())
                 .replace("{STORE}", &store.to_string());
             let settings = folder.join(format!("{name}.toml"));
             std::fs::write(&settings, text).expect("settings can be written");
@@ -146,6 +158,18 @@
         instance.process = None;
     }
 
+    /// Memory that the process of an instance has in use, in kB.
+    pub fn memory_kb(&self, number: usize) -> u64 {
+        let Some(child) = &self.instances[number].process else {
+            return 0;
+        };
+        let text =
+            std::fs::read_to_string(format!("/proc/{}/status", child.id())).unwrap_or_default();
+        let line = text.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        line.and_then(|it| it.trim().trim_end_matches(" kB").parse().ok())
+            .unwrap_or(0)
+    }
+
     /// Whether all processes run.
     pub fn all_run(&mut self) -> bool {
         self.instances.iter_mut().all(|it| {
@@ -243,7 +267,7 @@
 [limits]
 cpuShare = 0.25
 cores = 1
-ramMb = 260
+ramMb = {RAM}
 maxFds = 4100
 linkMbps = 1000.0
 diskMb = 0
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -9,6 +9,7 @@
 mod fleet;
 mod hot_read;
 mod http;
+mod memory;
 mod slow_reader;
 mod store;
 mod versions;
@@ -46,6 +47,7 @@
         "versions" => versions::run(program.into(), has_trouble),
         "term-slow-reader" => slow_reader::run(program.into(), has_trouble),
         "hot-read" => hot_read::run(program.into(), has_trouble),
+        "memory" => memory::run(program.into(), has_trouble),
         other => Outcome::CouldNotRun(format!("no case {other}")),
     };
     let outcome = std::panic::catch_unwind(run);
--- a/review/rig/src/slow_reader.rs
+++ b/review/rig/src/slow_reader.rs
@@ -108,7 +108,7 @@
 }
 
 fn exchange(front: SocketAddr, attempt: &str, number: u64) -> Result<usize, (usize, io::Error)> {
-    let mut stream = connect_small(front).map_err(|error| (0, error))?;
+    let mut stream = connect_small(front, 16_384).map_err(|error| (0, error))?;
     let request = format!(
         "GET /desk/{number} HTTP/1.1\r\nHost: one.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: {DEADLINE_MS}\r\n\r\n"
     );
@@ -152,7 +152,7 @@
 }
 
 /// Connects with segments of the usual length on a network and a small receive buffer, as a slow device does.
-fn connect_small(address: SocketAddr) -> io::Result<TcpStream> {
+pub fn connect_small(address: SocketAddr, receive_bytes: i32) -> io::Result<TcpStream> {
     unsafe extern "C" {
         fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
         fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
@@ -179,7 +179,7 @@
         }
         let stream = TcpStream::from_raw_fd(descriptor);
         setsockopt(descriptor, IPPROTO_TCP, TCP_MAXSEG, &1_460, 4);
-        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &16_384, 4);
+        setsockopt(descriptor, SOL_SOCKET, SO_RCVBUF, &receive_bytes, 4);
         if connect(descriptor, raw.as_ptr(), 16) != 0 {
             return Err(io::Error::last_os_error());
         }
