--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -10,6 +10,7 @@
 mod hot_read;
 mod http;
 mod memory;
+mod slow_channel;
 mod slow_reader;
 mod store;
 mod versions;
@@ -48,6 +49,7 @@
         "term-slow-reader" => slow_reader::run(program.into(), has_trouble),
         "hot-read" => hot_read::run(program.into(), has_trouble),
         "memory" => memory::run(program.into(), has_trouble),
+        "slow-channel" => slow_channel::run(program.into(), has_trouble),
         other => Outcome::CouldNotRun(format!("no case {other}")),
     };
     let outcome = std::panic::catch_unwind(run);
