--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -7,4 +7,4 @@
     echo "build the deploy file and review/build.sh first"
     exit 2
 fi
-exec "$rig" term-slow-reader "$program" review/2/record.txt
+exec "$rig" hot-read "$program" review/2/record.txt
--- a/review/rig/src/engine.rs
+++ b/review/rig/src/engine.rs
@@ -135,6 +135,11 @@
         self.write_entry();
     }
 
+    /// Stops to work, as a crash does just before the system closes the connections.
+    pub fn stop(&self) {
+        self.is_alive.store(false, Ordering::SeqCst);
+    }
+
     /// Ends the lifetime, as a crash does: all connections and the listener are closed. The store removes the entry after
     /// three beats of silence.
     pub fn crash(self: &Arc<Self>) {
--- a/review/rig/src/hot_read.rs
+++ b/review/rig/src/hot_read.rs
@@ -106,6 +106,9 @@
     }
     sleep_ms(5_000);
     if has_trouble {
+        // None answers any more when the first connection closes.
+        servers.iter().for_each(|it| it.stop());
+        sleep_ms(10);
         servers.iter().for_each(|it| it.crash());
     }
     sleep_ms(DOWN_MS);
