--- a/review/rig/src/engine.rs
+++ b/review/rig/src/engine.rs
@@ -24,6 +24,8 @@
     pub first_ms: u64,
     pub gap_ms: u64,
     pub pieces: u64,
+    /// Whether a stream goes on without a pause and without end, until its reader closes.
+    pub is_endless: bool,
     /// Time that a plain service works on a request, and length of its answer.
     pub work_ms: u64,
     pub body_bytes: usize,
@@ -370,6 +372,14 @@
             self.id
         );
         conn.write(head.as_bytes())?;
+        let mut next = from + 1;
+        while self.pace.is_endless {
+            let events: String = (next..next + 64)
+                .map(|id| format!("id: {id}\ndata: {version} {} {life}\n\n", self.id))
+                .collect();
+            conn.write_chunk(events.as_bytes())?;
+            next += 64;
+        }
         for id in from + 1..=self.pace.pieces {
             let event = format!("id: {id}\ndata: {version} {} {life}\n\n", self.id);
             conn.write_chunk(event.as_bytes())?;
--- a/review/rig/src/hot_read.rs
+++ b/review/rig/src/hot_read.rs
@@ -41,6 +41,7 @@
         first_ms: 0,
         gap_ms: 0,
         pieces: 0,
+        is_endless: false,
         work_ms: 60,
         body_bytes: 800,
     };
--- a/review/rig/src/main.rs
+++ b/review/rig/src/main.rs
@@ -5,6 +5,7 @@
 
 mod caller;
 mod clock;
+mod endless;
 mod engine;
 mod fleet;
 mod hot_read;
@@ -50,6 +51,7 @@
         "hot-read" => hot_read::run(program.into(), has_trouble),
         "memory" => memory::run(program.into(), has_trouble),
         "slow-channel" => slow_channel::run(program.into(), has_trouble),
+        "endless" => endless::run(program.into(), has_trouble),
         other => Outcome::CouldNotRun(format!("no case {other}")),
     };
     let outcome = std::panic::catch_unwind(run);
--- a/review/rig/src/memory.rs
+++ b/review/rig/src/memory.rs
@@ -40,6 +40,7 @@
             first_ms: 0,
             gap_ms: 0,
             pieces: 0,
+            is_endless: false,
             work_ms,
             body_bytes,
         };
--- a/review/rig/src/versions.rs
+++ b/review/rig/src/versions.rs
@@ -37,6 +37,7 @@
         first_ms: 30,
         gap_ms: 100,
         pieces: 16,
+        is_endless: false,
         work_ms: 15,
         body_bytes: 0,
     };
