--- a/review/rig/src/caller.rs
+++ b/review/rig/src/caller.rs
@@ -218,7 +218,7 @@
         let answered = read_whole(address, &request, left);
         status = answered.as_ref().map_or(0, Message::status);
         let body = answered.as_ref().map_or(String::new(), |it| {
-            { String::from_utf8_lossy(&it.body[..it.body.len().min(60)]).into_owned() }
+            String::from_utf8_lossy(&it.body[..it.body.len().min(60)]).into_owned()
         });
         record(&format!(
             "answered {attempt}: {method} {target}: {status} {body}"
