--- a/review/rig/src/versions.rs
+++ b/review/rig/src/versions.rs
@@ -22,14 +22,14 @@
 const TRAFFIC_MS: u64 = 10_000;
 const DEADLINE_MS: u64 = 3_000;
 /// Servers that crash, of 18.
-const CRASHED: usize = 3;
+const CRASHED: usize = 4;
 /// How long they are down, and up before the second crash, in ms.
 const DOWN_MS: u64 = 800;
 const UP_MS: u64 = 2_700;
 /// Streams with events of two versions that the rule allows.
 const ALLOWED: usize = 2;
 
-/// Plays the case; the store is down for 4.5 s, in which three servers crash twice, and are back after 0.8 s each time.
+/// Plays the case; the store is down for 4.5 s, in which four servers crash twice, and are back after 0.8 s each time.
 pub fn run(program: PathBuf, has_trouble: bool) -> Outcome {
     let net = Net::free();
     let store = Store::start(net.at(1, 8_142));
