--- a/crates/relay/tests/list_consistency.rs
+++ b/crates/relay/tests/list_consistency.rs
@@ -15,6 +15,7 @@
 use relay::snapshot::Snapshot;
 use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
 use tick::{Clock, since_boot_ms};
+use view::log_follower::ListedEntries;
 use view::{GossipMessage, ListChange};
 
 /// Number of instances; each sends gossip to each.
@@ -31,6 +32,8 @@
 struct List {
     records: Vec<ListChange>,
     seqs: BTreeMap<String, u64>,
+    /// Upstreams that said in an answer that they leave, before their entries or after.
+    announced: BTreeSet<String>,
 }
 
 impl List {
@@ -42,9 +45,8 @@
             .copied();
         // An upstream that leaves stays so until its entry is removed, and its id isn't used again.
         let is_removed = previous.is_none() && self.seqs.contains_key(&id);
-        if is_removed
-            || previous == Some(UpstreamState::Leaving) && state == Some(UpstreamState::Ready)
-        {
+        let is_leaving = previous == Some(UpstreamState::Leaving) || self.announced.contains(&id);
+        if is_removed || is_leaving && state == Some(UpstreamState::Ready) {
             return;
         }
         let change = match state {
@@ -71,6 +73,18 @@
         all
     }
 
+    /// Offset after the last record before `end` that does more than confirm an entry.
+    fn last_change_before(&self, end: u64) -> u64 {
+        let mut listed = ListedEntries::default();
+        let mut last = 0;
+        for (offset, change) in self.records[..end as usize].iter().enumerate() {
+            if listed.apply(change) {
+                last = offset as u64 + 1;
+            }
+        }
+        last
+    }
+
     fn newest(&self) -> Vec<UpstreamEntry> {
         let mut all = BTreeMap::new();
         for change in &self.records {
@@ -210,6 +224,7 @@
             Step::Drop(which) => {
                 self.datagrams.remove(which % self.datagrams.len());
             }
+            Step::Announce(instance, upstream) => self.announce(instance, upstream),
             Step::LoseStore(instance) => {
                 let now_ms = self.instances[instance].now_ms();
                 self.instances[instance]
@@ -243,7 +258,32 @@
         }
     }
 
-    /// Describes an instance whose ready upstreams differ from those of the list at its offset.
+    /// An upstream answers an instance that it leaves.
+    fn announce(&mut self, instance: usize, upstream: usize) {
+        let id = format!("i-{upstream}");
+        let relay = &self.instances[instance];
+        let known = relay.upstreams.borrow().get(&id).cloned();
+        if let Some(known) = known {
+            relay.upstreams.borrow_mut().announce_leaving(&known);
+            self.list.announced.insert(id);
+        }
+    }
+
+    /// Describes an instance that tells its peers of no change where the list has one.
+    fn untold_change(&self) -> Option<String> {
+        let settled_ms = since_boot_ms() + 10_000;
+        self.instances.iter().find_map(|relay| {
+            let position = relay.list_position.borrow().position(settled_ms, true)?;
+            let last_change = self.list.last_change_before(position.end);
+            (last_change > position.last_change).then(|| {
+                let name = relay.settings.borrow().name.clone();
+                format!("{name} tells {position:?}, the list's last change is {last_change}")
+            })
+        })
+    }
+
+    /// Describes an instance whose ready upstreams differ from those of the list at its offset, but for those that
+    /// announced their leaving.
     fn inconsistency(&self) -> Option<String> {
         self.instances.iter().find_map(|relay| {
             let next = relay.list_position.borrow().next_offset()?;
@@ -256,7 +296,9 @@
             let listed = self.list.states_before(next).into_iter();
             let listed = listed.filter(|(_, state)| *state == UpstreamState::Ready);
             let listed: BTreeSet<String> = listed.map(|(id, _)| id).collect();
-            (ready != listed).then(|| {
+            let is_announced = |id: &String| self.list.announced.contains(id);
+            let is_right = ready.is_subset(&listed) && listed.difference(&ready).all(is_announced);
+            (!is_right).then(|| {
                 let name = relay.settings.borrow().name.clone();
                 format!("{name} at offset {next} holds {ready:?}, the list has {listed:?}")
             })
@@ -274,6 +316,7 @@
     SendGossip(usize),
     Deliver(usize),
     Drop(usize),
+    Announce(usize, usize),
     LoseStore(usize),
     RequireFullRead(usize),
     Restart(usize),
@@ -295,6 +338,7 @@
         3 => instance.clone().prop_map(Step::SendGossip),
         9 => (0..64_usize).prop_map(Step::Deliver),
         3 => (0..64_usize).prop_map(Step::Drop),
+        1 => (instance.clone(), 0..UPSTREAMS).prop_map(|(instance, upstream)| Step::Announce(instance, upstream)),
         1 => instance.clone().prop_map(Step::LoseStore),
         1 => instance.clone().prop_map(Step::RequireFullRead),
         1 => instance.prop_map(Step::Restart),
@@ -325,6 +369,27 @@
     }
 }
 
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 3_000,
+        failure_persistence: None,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(20),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against a change that no peer is told of: whoever missed its record takes itself for up to date, and sends
+    /// requests to an upstream that left.
+    #[test]
+    fn every_change_is_told(steps in steps()) {
+        let mut simulation = Simulation::new();
+        for step in &steps {
+            simulation.step(step);
+            let untold = simulation.untold_change();
+            prop_assert!(untold.is_none(), "after {step:?}: {}", untold.unwrap_or_default());
+        }
+    }
+}
+
 /// Guards against reverting to an older list: an instance that needs a full read queries a peer
 /// that is further behind than itself.
 #[test]
@@ -376,3 +441,25 @@
         assert_eq!(simulation.inconsistency(), None, "{step:?}");
     }
 }
+
+/// Guards against a leaving that no peer is told of: the instance that reads it has the list from a peer to which the
+/// upstream had announced it in an answer, so that the record seems to change nothing.
+#[test]
+fn a_leaving_that_a_peer_heard_of_before_is_told() {
+    let mut simulation = Simulation::new();
+    let steps = [
+        Step::Write(0, Some(UpstreamState::Ready)),
+        Step::Read(0),
+        Step::ApplyRead(0),
+        Step::Announce(0, 0),
+        Step::QueryPeer(1, 0),
+        Step::MergeAnswer(1),
+        Step::Write(0, Some(UpstreamState::Leaving)),
+        Step::Read(1),
+        Step::ApplyRead(1),
+    ];
+    for step in &steps {
+        simulation.step(step);
+    }
+    assert_eq!(simulation.untold_change(), None);
+}
--- a/crates/view/tests/log_follower.rs
+++ b/crates/view/tests/log_follower.rs
@@ -447,3 +447,24 @@
     };
     assert!(listed.apply(&ListChange::Put(leaving)));
 }
+
+/// Guards against an instance that lacks a change and takes its list for young: the reader that knows the change says
+/// again and again how fresh its own list is, and the peers that are asked lack the change too.
+#[test]
+fn news_of_a_missed_change_makes_the_own_list_no_younger() {
+    const READ_MS: u64 = 1_000;
+    let mut follower = follower_of(1);
+    follower.record_read(READ_MS, 22, Some(22));
+    let max_age_ms = BOUNDS.max_list_age_ms(ReaderRole::Other);
+    for now_ms in (READ_MS + 100..READ_MS + max_age_ms).step_by(100) {
+        let position = LogPosition {
+            read_id: source(now_ms),
+            end: 23,
+            last_change: 23,
+            age_ms: 10,
+        };
+        follower.receive_position(now_ms, &position);
+    }
+    let action = follower.next_action(READ_MS + max_age_ms, max_age_ms, false);
+    assert_eq!(action, FollowAction::ReadStore);
+}
