--- a/crates/relay/src/relay/list.rs
+++ b/crates/relay/src/relay/list.rs
@@ -4,6 +4,8 @@
 //! may arrive out of order. Each carries its log position and is applied only beyond the position reached
 //! before; otherwise an older update would bring back an upstream that left. See docs/design/views.md.
 
+use std::net::SocketAddr;
+
 use view::polling::{FreshnessBounds, ReaderRole};
 use view::{GossipedChange, ListChange, LogPosition, UpstreamEntry};
 
@@ -87,10 +89,24 @@
     }
 
     /// Records the log position that a peer gossiped for the list.
-    pub(super) fn apply_list_position(&self, since_boot_ms: u64, position: &LogPosition) {
+    pub(super) fn apply_list_position(
+        &self,
+        since_boot_ms: u64,
+        position: &LogPosition,
+        peer: SocketAddr,
+    ) {
         let mut list = self.list_position.borrow_mut();
         let knew_last_change = list.knows_last_change();
+        let was_behind = list.is_behind();
         list.receive_position(since_boot_ms, position);
+        if !was_behind && list.is_behind() {
+            log::info!(
+                peer:%, changed = position.last_change, list_next = list.next_offset().unwrap_or_default(),
+                list_age_ms = age_ms(&list).unwrap_or(u64::MAX), mark_age_ms = position.age_ms,
+                reader:? = position.read_id.reader;
+                "change of the list of upstreams missed"
+            );
+        }
         if !knew_last_change && list.knows_last_change() {
             log::info!(
                 changed = position.last_change, taken = list.last_applied_change(), mark_age_ms = position.age_ms,
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -165,7 +165,7 @@
         self.apply_members(now_ms, message);
         let changed = self.gossip.borrow_mut().receive(now_ms, message, peer);
         self.apply_loads(&changed);
-        self.apply_log_changes(now_ms, message);
+        self.apply_log_changes(now_ms, message, peer);
         self.apply_attributions(now_ms, message);
         self.apply_part_evidence(now_ms, message);
         self.apply_limits(now_ms, message);
@@ -226,13 +226,13 @@
         self.room_waiters.wake();
     }
 
-    fn apply_log_changes(&self, now_ms: u64, message: &GossipMessage) {
+    fn apply_log_changes(&self, now_ms: u64, message: &GossipMessage, peer: SocketAddr) {
         let since_boot_ms = since_boot_ms();
         for change in &message.list_changes {
             self.apply_gossiped_change(now_ms, change);
         }
         if let Some(position) = &message.list_position {
-            self.apply_list_position(since_boot_ms, position);
+            self.apply_list_position(since_boot_ms, position, peer);
         }
         if let Some(position) = &message.config_position {
             self.config_position
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -152,7 +152,9 @@
     let version = snapshot.config.as_ref().map_or(0, |config| config.version);
     log::info!(
         peer:%, version, upstreams = snapshot.upstreams.len(),
-        list_age_ms = snapshot.list_age_ms.unwrap_or(u64::MAX);
+        list_age_ms = snapshot.list_age_ms.unwrap_or(u64::MAX),
+        peer_list_next = snapshot.list_next.unwrap_or_default(),
+        list_next = relay.list_position.borrow().next_offset().unwrap_or_default();
         "snapshot received from peer"
     );
     merge_config(relay, snapshot);
