The freshness of a peer's list is not taken over while a change is missing here

What callers saw: requests at an upstream that had left, from instances whose lists seemed young. Cause: an instance that hears of a change which it lacks took over the age of the position that tells of it. It did not read, as its list seemed young, and asked peers for 1.2 s, which may lack the change as well. Class: the freshness of one state is dated to another. Why it suffices: the age of a list is now that of its own state, so each instance reads at the age at which it would if it heard nothing.

--- a/crates/view/src/log_follower.rs
+++ b/crates/view/src/log_follower.rs
@@ -91,7 +91,7 @@
     last_known_change: u64,
     /// Offset after the last record known from a read or from gossip.
     end: u64,
-    /// Time as of which there were no changes after `last_known_change`.
+    /// Time as of which all changes were applied.
     as_of_ms: u64,
     /// The read that proves it.
     read_id: ReadId,
@@ -193,8 +193,11 @@
         {
             self.pending_full_read = None;
         }
+        // The sender's freshness is that of a list with the change that is missing here. Taken over, it would keep this
+        // instance from reading while the peers that it asks lack the change too.
         if self.is_behind() {
             self.behind_since_ms.get_or_insert(since_boot_ms);
+            return;
         }
         if !self.is_new(position.read_id) {
             return;
