--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -355,9 +355,11 @@
 
     /// The snapshot for a peer that asks.
     pub fn snapshot(&self) -> Snapshot {
+        let (upstreams, announced) = self.listed_upstreams();
         Snapshot {
             config: self.config().map(|config| (&*config).into()),
-            upstreams: self.upstreams.borrow().entries(self.now_ms()),
+            upstreams,
+            announced,
             unconfirmed: self.upstreams.borrow().unconfirmed_entries(self.now_ms()),
             list_age_ms: known_age_ms(&self.list_position.borrow()),
             list_next: self.list_position.borrow().held_offset(),
--- a/crates/relay/src/relay/list.rs
+++ b/crates/relay/src/relay/list.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddr;
 
 use view::polling::{FreshnessBounds, ReaderRole};
-use view::{GossipedChange, ListChange, LogPosition, UpstreamEntry};
+use view::{GossipedChange, ListChange, LogPosition, UpstreamEntry, UpstreamKey};
 
 use super::{Relay, age_ms};
 use crate::upstream::Upstream;
@@ -61,6 +61,40 @@
         }
     }
 
+    /// Entries of the upstreams in use, each in the state that the list has, and those of them that have only announced
+    /// their leaving in answers.
+    ///
+    /// A peer must not take an announcement for a record. It would count the record of the leaving as no change, and not
+    /// pass it on to instances that had no answer of that upstream.
+    pub(super) fn listed_upstreams(&self) -> (Vec<UpstreamEntry>, Vec<UpstreamKey>) {
+        let listed = self.last_listed.borrow();
+        let mut announced = Vec::new();
+        let mut entries = self.upstreams.borrow().entries(self.now_ms());
+        for entry in &mut entries {
+            let Some(listed) = listed.get(&entry.id) else {
+                continue;
+            };
+            if listed.state != entry.state && listed.started_ms == entry.started_ms {
+                announced.push(UpstreamKey::of(&entry.id, entry.started_ms));
+                entry.state = listed.state;
+            }
+        }
+        (entries, announced)
+    }
+
+    /// Takes upstreams out of use that announced to a peer that they are leaving.
+    pub fn apply_announced(&self, announced: &[UpstreamKey]) {
+        let mut upstreams = self.upstreams.borrow_mut();
+        for key in announced {
+            let Some(upstream) = upstreams.get_by_key(*key).cloned() else {
+                continue;
+            };
+            if upstreams.announce_leaving(&upstream) {
+                log::info!(upstream = upstream.id; "upstream announced to a peer that it is leaving");
+            }
+        }
+    }
+
     /// Marks the entries that a peer's snapshot names as unconfirmed.
     pub fn mark_unconfirmed(&self, unconfirmed: &[Unconfirmed]) {
         self.upstreams
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -16,7 +16,7 @@
 use rand::seq::IndexedRandom;
 use serde::{Deserialize, Serialize};
 use tick::since_boot_ms;
-use view::{Member, RequestKey, UpstreamEntry};
+use view::{Member, RequestKey, UpstreamEntry, UpstreamKey};
 
 use crate::bounded_body::MAX_STATE_BYTES;
 use crate::config::{Access, Config, Limits, Route, Service};
@@ -73,8 +73,11 @@
 pub struct Snapshot {
     /// The configuration in force, if there is one.
     pub config: Option<ConfigSnapshot>,
-    /// Entries of all upstreams in use.
+    /// Entries of all upstreams in use, as the list has them.
     pub upstreams: Vec<UpstreamEntry>,
+    /// Those of `upstreams` that are leaving by what they said in answers; the list does not say so yet.
+    #[serde(default)]
+    pub announced: Vec<UpstreamKey>,
     /// Those of `upstreams` that are gone from the list but may have lapsed with the store.
     #[serde(default, rename = "doubted")]
     pub unconfirmed: Vec<Unconfirmed>,
@@ -159,6 +162,7 @@
     );
     merge_config(relay, snapshot);
     merge_list(relay, snapshot);
+    relay.apply_announced(&snapshot.announced);
     relay.learn_poison_requests(&snapshot.poisonous);
     let now_ms = relay.now_ms();
     let mut members = relay.members.borrow_mut();
--- a/crates/relay/tests/leaving_upstreams.rs
+++ b/crates/relay/tests/leaving_upstreams.rs
@@ -238,6 +238,7 @@
     Snapshot {
         config: None,
         upstreams: entries,
+        announced: Vec::new(),
         unconfirmed: Vec::new(),
         list_age_ms: Some(0),
         list_next: Some(next),
--- a/crates/relay/tests/list_consistency.rs
+++ b/crates/relay/tests/list_consistency.rs
@@ -463,3 +463,30 @@
     }
     assert_eq!(simulation.untold_change(), None);
 }
+
+/// Guards against requests at a leaving upstream from an instance that has just asked a peer which knew of the leaving.
+#[test]
+fn whoever_asks_a_peer_learns_which_upstreams_announced_their_leaving() {
+    let mut simulation = Simulation::new();
+    let steps = [
+        Step::Write(0, Some(UpstreamState::Ready)),
+        Step::Read(0),
+        Step::ApplyRead(0),
+        Step::Announce(0, 0),
+        Step::QueryPeer(1, 0),
+        Step::MergeAnswer(1),
+    ];
+    for step in &steps {
+        simulation.step(step);
+    }
+    let asker = &simulation.instances[1];
+    assert_eq!(asker.upstreams.borrow().len(), 1);
+    assert_eq!(
+        asker
+            .upstreams
+            .borrow()
+            .ready("llm", asker.now_ms())
+            .count(),
+        0
+    );
+}
--- a/crates/view/src/log_follower.rs
+++ b/crates/view/src/log_follower.rs
@@ -344,6 +344,11 @@
         }
     }
 
+    /// The latest entry of an upstream; its sequence number is not kept.
+    pub fn get(&self, id: &str) -> Option<&UpstreamEntry> {
+        self.entries.get(id)
+    }
+
     /// Replaces all entries by the full list.
     pub fn replace(&mut self, entries: &[UpstreamEntry]) {
         self.entries.clear();
