An instance that misses a change asks the peer that told of it

What callers saw: as before, requests at upstreams that had left. Cause: whoever misses a change asked the peer it had heard last, or its hub, which often lacks the change as well. A query that brings nothing is repeated after 0.5 s at the earliest. Class: a question to one who knows no more. Why it suffices: only who has applied the last change tells a position. One that does not answer is forgotten, and the former choice holds.

--- a/crates/relay/src/relay/list.rs
+++ b/crates/relay/src/relay/list.rs
@@ -132,7 +132,7 @@
         let mut list = self.list_position.borrow_mut();
         let knew_last_change = list.knows_last_change();
         let was_behind = list.is_behind();
-        list.receive_position(since_boot_ms, position);
+        list.receive_position_of(since_boot_ms, position, peer);
         if !was_behind && list.is_behind() {
             log::info!(
                 peer:%, changed = position.last_change, list_next = list.next_offset().unwrap_or_default(),
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -237,7 +237,7 @@
         if let Some(position) = &message.config_position {
             self.config_position
                 .borrow_mut()
-                .receive_position(since_boot_ms, position);
+                .receive_position_of(since_boot_ms, position, peer);
         }
     }
 }
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -118,12 +118,22 @@
     };
     match fetch(relay, peer).await {
         Ok(snapshot) => merge(relay, &snapshot, peer),
-        Err(why) => log::info!(peer:%, why; "peer did not send its snapshot"),
+        Err(why) => {
+            relay.list_position.borrow_mut().forget_informant(peer);
+            relay.config_position.borrow_mut().forget_informant(peer);
+            log::info!(peer:%, why; "peer did not send its snapshot");
+        }
     }
 }
 
-/// The peer to ask: a hub that gossip came from, or else a random member or seed.
+/// The peer to ask: one that told of a change which is missing here, or else a hub that gossip came from, or a random
+/// member or seed.
 fn choose_peer(relay: &Relay) -> Option<SocketAddr> {
+    let list_informant = relay.list_position.borrow().informant();
+    let informant = list_informant.or_else(|| relay.config_position.borrow().informant());
+    if informant.is_some() {
+        return informant;
+    }
     if let Some(peer) = relay.gossip.borrow().informed_peer() {
         return Some(peer);
     }
--- a/crates/view/src/log_follower.rs
+++ b/crates/view/src/log_follower.rs
@@ -12,6 +12,7 @@
 //! as a new one.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use serde::{Deserialize, Serialize};
 
@@ -99,6 +100,8 @@
     peer_reads: Vec<ReadId>,
     /// The last full read, until a peer has gossiped the offset of the last change before it.
     pending_full_read: Option<FullRead>,
+    /// The last peer that told of the last known change, and so has applied it.
+    informant: Option<SocketAddr>,
     /// When a change was first gossiped that is not applied yet.
     behind_since_ms: Option<u64>,
 }
@@ -205,6 +208,31 @@
         self.update_freshness(as_of_ms, position.read_id);
     }
 
+    /// Processes the log position of a peer, and remembers the peer if it knows of a change that is missing here.
+    pub fn receive_position_of(
+        &mut self,
+        since_boot_ms: u64,
+        position: &LogPosition,
+        peer: SocketAddr,
+    ) {
+        self.receive_position(since_boot_ms, position);
+        if position.last_change == self.last_known_change {
+            self.informant = Some(peer);
+        }
+    }
+
+    /// The peer to ask for what is missing here: one that has applied the last change known of. Others may lack it too.
+    pub fn informant(&self) -> Option<SocketAddr> {
+        self.informant.filter(|_| self.is_behind())
+    }
+
+    /// Records that a peer did not answer: another one is asked next.
+    pub fn forget_informant(&mut self, peer: SocketAddr) {
+        if self.informant == Some(peer) {
+            self.informant = None;
+        }
+    }
+
     fn own_read(&self, at_ms: u64) -> ReadId {
         ReadId {
             reader: self.own,
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -36,7 +36,7 @@
     /// Services that it hears all the time.
     pub hears: Vec<ServiceKey>,
     pub list: Option<LogPosition>,
-    pub positions: Vec<LogPosition>,
+    pub positions: Vec<(SocketAddr, LogPosition)>,
     pub list_changes: Vec<GossipedChange>,
     pub poison: PoisonTracker,
     pub parts: PartTracker,
@@ -254,7 +254,8 @@
         }
         self.list_changes
             .extend(message.list_changes.iter().cloned());
-        self.positions.extend(message.list_position);
+        let position = message.list_position.map(|position| (from, position));
+        self.positions.extend(position);
     }
 
     /// Records evidence that the instance itself has observed.
--- a/crates/view/tests/log_follower.rs
+++ b/crates/view/tests/log_follower.rs
@@ -3,7 +3,7 @@
 mod common;
 
 use common::log::{Log, follower_of};
-use common::{Fleet, STEP_MS};
+use common::{Fleet, STEP_MS, address};
 use view::log_follower::FollowAction;
 use view::polling::{CHECK_INTERVAL_MS, FreshnessBounds, ReaderRole, reader_role};
 use view::{
@@ -14,6 +14,9 @@
 /// Bound on new work for a leaving upstream, in ms.
 const BOUND_MS: u64 = 2_000;
 
+/// Minimum interval between two queries of an instance, in ms.
+const QUERY_INTERVAL_MS: u64 = 500;
+
 const BOUNDS: FreshnessBounds = FreshnessBounds {
     drain_ms: BOUND_MS,
     config_ms: 2_000,
@@ -49,6 +52,7 @@
     all: Vec<LogFollower>,
     reads: usize,
     peer_queries: usize,
+    queried_ms: Vec<u64>,
 }
 
 impl FollowerFleet {
@@ -59,6 +63,7 @@
             all: (0..instances).map(follower_of).collect(),
             reads: 0,
             peer_queries: 0,
+            queried_ms: vec![0; instances],
         }
     }
 
@@ -99,8 +104,8 @@
                 instance.gossip.add_list_change(now_ms, change);
             }
         }
-        for position in std::mem::take(&mut instance.positions) {
-            self.all[index].receive_position(now_ms, &position);
+        for (peer, position) in std::mem::take(&mut instance.positions) {
+            self.all[index].receive_position_of(now_ms, &position, peer);
         }
     }
 
@@ -127,19 +132,34 @@
         self.log.read_by(follower, now_ms);
     }
 
+    /// Asks the peer that told of the missing change, at most once in [`QUERY_INTERVAL_MS`].
     fn query_peer(&mut self, index: usize) {
         let now_ms = self.fleet.now_ms;
-        let informed_peer = self
-            .all
-            .iter()
-            .find(|each| !each.is_behind() && each.next_offset() > self.all[index].next_offset());
-        if let Some(informed_peer) = informed_peer.cloned() {
-            let as_of_ms = now_ms - informed_peer.age_ms(now_ms);
-            self.all[index].record_snapshot(as_of_ms, informed_peer.next_offset().unwrap());
-            self.peer_queries += 1;
+        if self.queried_ms[index] + QUERY_INTERVAL_MS > now_ms {
+            return;
+        }
+        let informant = self.all[index].informant();
+        let asked =
+            informant.and_then(|peer| (0..self.all.len()).find(|each| address(*each) == peer));
+        let Some(asked) = asked.map(|asked| self.all[asked].clone()) else {
+            return;
+        };
+        self.queried_ms[index] = now_ms;
+        self.peer_queries += 1;
+        if let Some(next) = asked
+            .held_offset()
+            .filter(|next| self.all[index].lacks_records_before(*next))
+        {
+            self.all[index].record_snapshot(now_ms - asked.age_ms(now_ms), next);
         }
     }
 
+    /// Starts an instance again: it reads the whole list.
+    fn restart(&mut self, index: usize) {
+        self.all[index] = follower_of(index);
+        self.read(index);
+    }
+
     /// The first change older than `age_ms` that some instance has not applied.
     fn first_missed(&self, age_ms: u64) -> Option<(u64, u64)> {
         let now_ms = self.fleet.now_ms;
@@ -192,6 +212,32 @@
     }
 }
 
+/// Guards against a change that only the first reader knows, since it was made just before that instance started and read
+/// the whole list. Whoever hears of it must ask an instance that has it.
+#[test]
+fn changes_spread_while_the_first_reader_starts_again() {
+    for instances in [7, 80] {
+        let mut followers = FollowerFleet::new(instances);
+        let order = hubs::order(followers.fleet.all.iter().map(|it| &it.member));
+        let first = order[0].name.clone();
+        let is_first = |index: &usize| followers.fleet.all[*index].member.name == first;
+        let first = (0..instances).find(is_first).unwrap();
+        for now_ms in (0..15_000).step_by(STEP_MS as usize) {
+            let is_change = now_ms > 3_000 && now_ms % 1_730 == 0;
+            followers.log.write(now_ms, is_change);
+            if is_change {
+                followers.restart(first);
+            }
+            followers.step(|_, _| false);
+            let first_missed = followers.first_missed(BOUND_MS / 2);
+            assert!(
+                first_missed.is_none(),
+                "{instances}, {now_ms}: {first_missed:?}"
+            );
+        }
+    }
+}
+
 /// Guards against changes that arrive too late when the readers are cut off from the fleet, but not
 /// from the store. The hubs must read instead, and then any instance that still receives nothing.
 #[test]
