--- a/crates/view/tests/last_alive.rs
+++ b/crates/view/tests/last_alive.rs
@@ -200,3 +200,48 @@
     }
     assert_eq!(own.reachable().count(), 1);
 }
+
+/// Guards against callers that are sent to an instance long after it died, as the last record that it wrote is read only
+/// then and taken for a sign of life.
+#[test]
+fn the_last_record_of_a_dead_instance_is_no_sign_of_life() {
+    const DEAD: usize = 1;
+    const MAX_SILENT_MS: u64 = 2_000;
+    // Between two reads of the records, which are ten seconds apart.
+    const DIED_AT_MS: u64 = 25_000;
+    for instances in [7, 60] {
+        let mut own = Members::default();
+        let mut reads = ReadSchedule::default();
+        let mut dead_writes = WriteSchedule::new(0);
+        let own_writes = WriteSchedule::new(0);
+        let mut log: Vec<Member> = (0..instances).map(|number| member(number, 1)).collect();
+        for now_ms in (0..DIED_AT_MS + AFTER_MS).step_by(STEP_MS as usize) {
+            let is_dead = now_ms >= DIED_AT_MS;
+            if !is_dead && dead_writes.is_due(now_ms, true, &own) {
+                dead_writes.record_write(now_ms, true, true);
+                log[DEAD].heartbeat_seq += 1;
+            } else if !is_dead && dead_writes.is_sign_due(now_ms, 0) {
+                dead_writes.record_sign(now_ms, true);
+                log[DEAD].heartbeat_seq += 1;
+            }
+            if reads.is_due(now_ms, &own, &own_writes) {
+                own.begin_store_read(now_ms);
+                for record in &log {
+                    own.record_heartbeat(now_ms, record.clone());
+                }
+                own.record_store_read(now_ms);
+                reads.next_offset = Some(0);
+                reads.record_read(now_ms);
+            }
+            own.record_self_alive(now_ms, key(0));
+            for number in (1..instances).filter(|&it| it != DEAD || !is_dead) {
+                own.record_alive(now_ms, key(number));
+            }
+            let is_named = own
+                .reachable()
+                .any(|it| InstanceKey::of(&it.name) == key(DEAD));
+            let is_late = now_ms >= DIED_AT_MS + MAX_SILENT_MS;
+            assert!(!(is_late && is_named), "{instances}: named at {now_ms}");
+        }
+    }
+}
