A renewed record is no sign of life of an instance that gossip has named

Cause: the first two in rank write a record each second that is not gossiped; the others read the records each 10 s and dated the last one of a dead instance by the reading. Class: evidence that is dated by when it was heard, not by when it was true. Why it suffices: whom gossip has named once, gossip alone keeps among the reachable. A record counts for an instance that gossip has not named yet, and, while no gossip arrives at all, as before, in the verdict on all peers.

--- a/crates/view/src/members.rs
+++ b/crates/view/src/members.rs
@@ -325,10 +325,13 @@
         self.alive_ms.unwrap_or_default().max(self.renewed_ms) + SILENT_MS >= gone_ms
     }
 
-    /// Whether it was last known to be alive too long before `last_gossip_ms`. The renewal of its record counts too, so
-    /// that a new instance is not silent before gossip names it; that the same record is read again says nothing.
+    /// Whether it was last known to be alive too long before `last_gossip_ms`.
+    ///
+    /// A record is read long after it was written, so one that is renewed says nothing about an instance that gossip has
+    /// named: the last record of a dead one would count as life. It counts for an instance that gossip has not named yet,
+    /// so that a new one is not silent before.
     fn is_silent(&self, last_gossip_ms: u64) -> bool {
-        let last_ms = self.alive_ms.unwrap_or_default().max(self.renewed_ms);
+        let last_ms = self.alive_ms.unwrap_or(self.renewed_ms);
         last_ms + SILENT_MS < last_gossip_ms
     }
 }
