An instance that starts alone names no dead instances

What callers saw: one instance that starts while all others are dead sent them to the dead ones for 30 s, from records in the store. Cause: the verdict that all peers are gone asked for gossip before the silence, which an instance that has just started never had. Why it suffices: the verdict rests on two reads of the store that began without gossip, 1.6 s apart, whether or not there was any before; any gossip ends it. isolated_instance_keeps_reading never told the members that a read had ended, as the program does after each; it does so now, and its bounds are the same.

--- a/crates/view/src/members.rs
+++ b/crates/view/src/members.rs
@@ -76,7 +76,7 @@
     alive_ms: Option<u64>,
 }
 
-/// What the store shows of the peers while no gossip arrives.
+/// What the store shows of the peers while no gossip arrives, or has never arrived since the start.
 ///
 /// Silence alone does not tell peers that are gone from those that this instance is cut off from. Of the latter, the first
 /// in rank go on renewing their records.
@@ -114,7 +114,7 @@
     pub fn record_store_read(&mut self, now_ms: u64) -> bool {
         self.store_read_ms = now_ms;
         let began_ms = self.read_began_ms;
-        if self.last_gossip_ms.is_none() || !self.is_isolated(began_ms) {
+        if !self.is_isolated(began_ms) {
             return false;
         }
         let evidence = &mut self.evidence;
@@ -134,7 +134,7 @@
     pub fn is_judging_silence(&self, now_ms: u64) -> bool {
         let evidence = &self.evidence;
         let is_open = evidence.gone_ms.is_none() && evidence.renewed_ms.is_none();
-        self.last_gossip_ms.is_some() && self.is_isolated(now_ms) && is_open
+        self.is_isolated(now_ms) && is_open
     }
 
     /// Processes a heartbeat record. One that is older than the known one changes nothing, since
--- a/crates/view/tests/heartbeats.rs
+++ b/crates/view/tests/heartbeats.rs
@@ -86,6 +86,8 @@
     for now_ms in (0..60_000).step_by(50) {
         if read_schedule.is_due(now_ms, &members, &write_schedule) {
             reads += 1;
+            members.begin_store_read(now_ms);
+            members.record_store_read(now_ms);
             read_schedule.next_offset = Some(1);
             read_schedule.record_read(now_ms);
         }
@@ -96,6 +98,8 @@
     for now_ms in (60_000..120_000).step_by(50) {
         if read_schedule.is_due(now_ms, &members, &write_schedule) {
             reads += 1;
+            members.begin_store_read(now_ms);
+            members.record_store_read(now_ms);
             read_schedule.record_read(now_ms);
         }
     }
