--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -72,6 +72,8 @@
     pub current_upstream: RefCell<String>,
     /// Version of the only upstreams that may go on with its stream; none before an event of the stream is known.
     pub(crate) began_version: Cell<Option<VersionKey>>,
+    /// Whether other instances were told that this version is not known yet.
+    pub(crate) is_origin_told: Cell<bool>,
     /// The parts of its prompt that other requests may have as well.
     pub(crate) shared_parts: Vec<PartKey>,
     /// How far the answer to its last send has come, and the number of its events.
@@ -165,6 +167,7 @@
             is_sent: Cell::default(),
             current_upstream: RefCell::default(),
             began_version: Cell::default(),
+            is_origin_told: Cell::default(),
             shared_parts,
             progress: Cell::default(),
             events: Cell::default(),
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -70,7 +70,7 @@
     upstream: &Rc<Upstream>,
     options: &SendOptions<'_>,
 ) -> SendResult {
-    if options.last_event.is_some() && came_back(relay, call, upstream).await {
+    if options.last_event.is_some() && came_back(relay, upstream).await {
         let peer = upstream.address;
         return SendResult::Unsent(ExchangeError::Replaced { peer });
     }
--- a/crates/relay/src/inquiry.rs
+++ b/crates/relay/src/inquiry.rs
@@ -81,6 +81,9 @@
     if names_another || is_misdirected || is_restarted {
         Sign::Replaced
     } else {
+        if started_ms == Some(upstream.started_ms) {
+            upstream.note_confirmed();
+        }
         Sign::Answered
     }
 }
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -193,6 +193,13 @@
 }
 
 impl PooledConnection {
+    /// When it began to be opened.
+    pub fn began_ms(&self) -> u64 {
+        self.connection
+            .as_ref()
+            .map_or(0, |connection| connection.began_ms)
+    }
+
     /// Returns the connection to the pool after its answer was read completely.
     pub fn release(mut self) {
         let Some(mut connection) = self.connection.take() else {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -192,12 +192,29 @@
     fn queue_received(&mut self) {
         self.queue_events();
         note_events(&self.relay, &self.call, self.splitter.event_count());
-        if !self.ready.is_empty() && self.call.began_version.get().is_none() {
-            let version = self.source.as_ref().and_then(|it| it.origin.version());
-            self.call.began_version.set(version);
-            if let Some(version) = version {
+        if !self.ready.is_empty() {
+            self.settle_began_version();
+        }
+    }
+
+    /// Notes and tells which version began the stream, once that is known for sure.
+    fn settle_began_version(&self) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        if self.call.began_version.get().is_some() {
+            return;
+        }
+        match source.sure_version(&self.relay) {
+            Some(version) => {
+                self.call.began_version.set(Some(version));
                 self.relay.tell_stream_began(&self.call, version);
             }
+            None if source.origin.engine().is_some() => {
+                self.relay.tell_origin_unknown(&self.call);
+            }
+            // The peer tells of its own.
+            None => {}
         }
     }
 
--- a/crates/relay/src/stream/resume.rs
+++ b/crates/relay/src/stream/resume.rs
@@ -38,6 +38,9 @@
     /// A sound engine may be silent and go on, and the other one may reject the request, be dead or silent itself. So the
     /// silent one is kept until the other one has begun to answer, and goes on if it is the first to do so.
     pub(super) async fn replace_silent(&mut self, why: &str) -> Received {
+        if self.last_event.is_some() {
+            self.settle_began_version();
+        }
         let Some(mut silent) = self.source.take() else {
             return Received::End;
         };
@@ -90,6 +93,9 @@
 
     /// Resumes the stream at another engine, after the last complete event.
     pub(super) async fn resume_elsewhere(&mut self, why: &str) -> Result<(), TruncatedAnswer> {
+        if self.last_event.is_some() {
+            self.settle_began_version();
+        }
         if let Some(source) = self.source.take() {
             self.note_interrupted(&source.origin, why);
         }
--- a/crates/relay/src/stream/source.rs
+++ b/crates/relay/src/stream/source.rs
@@ -11,6 +11,7 @@
 use crate::handover::AtPeer;
 use crate::pool::{Exchanged, PooledConnection};
 use crate::relay::Relay;
+use crate::stream_origins::is_from_listed;
 use crate::upstream::{InFlight, Upstream};
 
 /// Where a stream comes from.
@@ -80,6 +81,15 @@
 }
 
 impl StreamSource {
+    /// Version of the engine that serves the stream, if it is known for sure.
+    pub(super) fn sure_version(&self, relay: &Rc<Relay>) -> Option<VersionKey> {
+        let is_sure = self
+            .origin
+            .engine()
+            .is_none_or(|engine| is_from_listed(relay, &engine, self.connection.began_ms()));
+        self.origin.version().filter(|_| is_sure)
+    }
+
     /// The rest of a stream, from the answer with which it is resumed.
     pub(super) fn resumed((response, connection): Exchanged, origin: StreamOrigin) -> Self {
         Self {
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -37,6 +37,10 @@
 /// Time after which instances that have not answered are waited for no longer, in ms.
 const ANSWER_TIMEOUT_MS: u64 = 150;
 
+/// Age of the list of upstreams from which an upstream's incarnation is not taken from it alone, in ms: more than it has
+/// while anyone reads the store.
+const MAX_SURE_LIST_AGE_MS: u64 = 1_000;
+
 /// Age of the list of upstreams from which an instance that no other one answers does not trust it alone, in ms.
 const MAX_LIST_AGE_MS: u64 = 3_000;
 
@@ -145,8 +149,23 @@
 impl Relay {
     /// Tells other instances which version began a stream, if it is not the only one that serves.
     pub(crate) fn tell_stream_began(&self, call: &Call, version: VersionKey) {
+        if self.are_versions_mixed(ServiceKey::of(&call.service)) || call.is_origin_told.get() {
+            self.tell_origin(call, version);
+        }
+    }
+
+    /// Tells other instances that it is not known yet which version began a stream.
+    ///
+    /// They would take the one that they know of, if it is the only one.
+    pub(crate) fn tell_origin_unknown(&self, call: &Call) {
+        if !call.is_origin_told.replace(true) {
+            self.tell_origin(call, VersionKey::UNKNOWN);
+        }
+    }
+
+    fn tell_origin(&self, call: &Call, version: VersionKey) {
         let now_ms = self.now_ms();
-        if !self.are_versions_mixed(ServiceKey::of(&call.service)) || !call.route.is_retryable() {
+        if !call.route.is_retryable() {
             return;
         }
         let stream = StreamKey(call.id_hash);
@@ -340,20 +359,42 @@
     }
 }
 
-/// Whether another incarnation than the listed one answers for an engine that is to go on with a stream, while several
-/// versions serve; it is taken out of use then.
+/// Whether another incarnation than the listed one answers for an engine that is to go on with a stream; it is taken out
+/// of use then.
 ///
 /// An engine that crashed may be back at its address and id within 50 ms with another version, which the list tells
-/// later.
-pub async fn came_back(relay: &Relay, call: &Call, engine: &Upstream) -> bool {
-    let is_mixed = relay.are_versions_mixed(ServiceKey::of(&call.service));
-    if !is_mixed || ask(relay, engine).await != Sign::Replaced {
+/// later. So it is asked also where the list knows of one version.
+pub async fn came_back(relay: &Relay, engine: &Upstream) -> bool {
+    if ask(relay, engine).await != Sign::Replaced {
         return false;
     }
     relay.remove_replaced(engine);
     true
 }
 
+/// Whether what came on a connection is from the listed incarnation of an engine, and so from the version that the list
+/// names. If that is not known yet, the engine is asked, and a later call tells.
+///
+/// While the list is late, an engine may have come back with another version. The list shows that within a second
+/// otherwise.
+pub fn is_from_listed(relay: &Rc<Relay>, engine: &Rc<Upstream>, connection_began_ms: u64) -> bool {
+    let is_list_late = relay
+        .list_age_ms()
+        .is_some_and(|age_ms| age_ms > MAX_SURE_LIST_AGE_MS);
+    if !is_list_late || engine.is_confirmed_since(connection_began_ms) {
+        return true;
+    }
+    if engine.begin_confirmation() {
+        let (relay, engine) = (Rc::clone(relay), Rc::clone(engine));
+        actix_rt::spawn(async move {
+            if came_back(&relay, &engine).await {
+                log::info!(upstream = engine.id; "engine found to be of another incarnation while the list is late");
+            }
+        });
+    }
+    false
+}
+
 /// Refuses a stream of unknown origin. Once all that could have a record have replied, no time to come back would help.
 fn refuse_unknown(relay: &Relay, call: &Call, gathered: &Gathered) -> Refusal {
     let Gathered {
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -57,6 +57,9 @@
 /// the longest prompt.
 const ENGINE_SILENCE_MS: u64 = 1_500;
 
+/// Shortest pause between two questions for its incarnation, in ms: longer than one takes.
+const CONFIRMATION_PAUSE_MS: u64 = 500;
+
 /// Requests of other instances, derived from the load that the upstream reported.
 #[derive(Debug, Clone, Copy, Default)]
 struct ReportedPeers {
@@ -94,6 +97,10 @@
     health_check_ms: Cell<Option<u64>>,
     last_health_check_ms: Cell<Option<u64>>,
     unproven_until_ms: Cell<u64>,
+    /// When it was last found to be the listed incarnation, by its own word.
+    confirmed_ms: Cell<Option<u64>>,
+    /// When it was last asked for that.
+    confirming_ms: Cell<Option<u64>>,
     clock: Clock,
     joined_ms: u64,
     role_change: Cell<Option<RoleChange>>,
@@ -136,6 +143,8 @@
             health_check_ms: Cell::default(),
             last_health_check_ms: Cell::default(),
             unproven_until_ms: Cell::default(),
+            confirmed_ms: Cell::default(),
+            confirming_ms: Cell::default(),
             joined_ms: clock.now_ms(),
             role_change: Cell::default(),
             no_capacity_until_ms: Cell::default(),
@@ -209,6 +218,28 @@
         now_ms < self.unproven_until_ms.get()
     }
 
+    /// Records that it answered as the listed incarnation.
+    pub fn note_confirmed(&self) {
+        self.confirmed_ms.set(Some(self.clock.now_ms()));
+    }
+
+    /// Whether it was the listed incarnation at `since_ms`, or later: the process to which a connection was opened then is
+    /// no later one.
+    pub fn is_confirmed_since(&self, since_ms: u64) -> bool {
+        self.confirmed_ms.get() >= Some(since_ms)
+    }
+
+    /// Marks that it is asked for its incarnation; false if it was just now.
+    pub fn begin_confirmation(&self) -> bool {
+        let now_ms = self.clock.now_ms();
+        let is_recent = |at_ms: u64| now_ms < at_ms + CONFIRMATION_PAUSE_MS;
+        if self.confirming_ms.get().is_some_and(is_recent) {
+            return false;
+        }
+        self.confirming_ms.set(Some(now_ms));
+        true
+    }
+
     /// Whether it accepts new requests according to the list and its own answers.
     pub fn is_ready(&self) -> bool {
         self.state.get() == UpstreamState::Ready
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -15,6 +15,7 @@
 use http_body_util::{BodyExt, Full};
 use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
 use relay::upstreams::ListChange;
+use tick::since_boot_ms;
 
 /// Streams by which a test judges.
 const STREAMS: usize = 12;
@@ -213,6 +214,99 @@
     assert_eq!(back.count(), 0);
 }
 
+/// An entry as the list had it some seconds ago, before the engine's present lifetime; the stub reports a start at 1 ms.
+fn outdated(entry: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry {
+        started_ms: 7,
+        ..entry
+    }
+}
+
+/// An entry of the engine's present lifetime.
+fn current(entry: UpstreamEntry) -> UpstreamEntry {
+    UpstreamEntry {
+        started_ms: 1,
+        ..entry
+    }
+}
+
+/// An instance whose list of upstreams is five seconds old.
+fn start_with_late_list(entries: Vec<UpstreamEntry>) -> TestInstance {
+    let instance = TestInstance::start(entries.clone());
+    let as_of_ms = since_boot_ms().saturating_sub(5_000);
+    instance.relay.take_whole_list(as_of_ms, 9, entries);
+    instance
+}
+
+/// Guards against a stream that goes on at another version: the engine that began it had come back with the next one, which
+/// the list, late, does not tell.
+#[actix_rt::test]
+async fn a_stream_begun_by_an_engine_that_had_come_back_goes_on_at_no_other_version() {
+    let (back, other) = (breaking_engine("v2"), breaking_engine("v1"));
+    let instance = start_with_late_list(vec![
+        outdated(entry(&back, "back", "v1")),
+        in_other_zone(current(entry(&other, "other", "v1"))),
+    ]);
+    let (status, body) = instance.fetch(generation_request("/grades/x", 1, 90)).await;
+    assert_eq!((status, body), (200, None), "broken off");
+    assert_eq!((back.count(), other.count()), (1, 0));
+}
+
+/// Guards against the same where its caller takes it up.
+#[actix_rt::test]
+async fn a_stream_begun_by_an_engine_that_had_come_back_is_taken_up_at_no_other_version() {
+    let (back, other) = (hanging_engine("v2"), hanging_engine("v1"));
+    let instance = start_with_late_list(vec![
+        outdated(entry(&back, "back", "v1")),
+        in_other_zone(current(entry(&other, "other", "v1"))),
+    ]);
+    let response = instance
+        .send(generation_request("/grades/x", 1, 90))
+        .await
+        .expect("an answer's head");
+    let mut body = response.into_body();
+    body.frame().await.expect("an event").expect("no error");
+    drop(body);
+    let (status, _) = instance.fetch(take_up(2, 1)).await;
+    assert_eq!((status, other.count()), (503, 0));
+}
+
+/// Guards against streams that are broken off or refused for no reason while the list is late: their engines are asked.
+#[actix_rt::test]
+async fn streams_go_on_while_the_list_is_late() {
+    let entries = engines(breaking_engine, &["v1"]);
+    let instance = start_with_late_list(entries.into_iter().map(current).collect());
+    for id in 0..STREAMS {
+        let (status, body) = instance
+            .fetch(generation_request("/grades/x", id, 90))
+            .await;
+        assert!(status == 200 && body.is_some(), "{id}");
+    }
+}
+
+/// Guards against a stream that goes on at an engine that came back with another version while the list knows of one.
+#[actix_rt::test]
+async fn a_stream_of_the_only_listed_version_does_not_go_on_at_an_engine_that_came_back() {
+    let (first, back, other) = (
+        breaking_engine("v1"),
+        breaking_engine("v2"),
+        breaking_engine("v1"),
+    );
+    let instance = TestInstance::start(vec![
+        current(entry(&first, "first", "v1")),
+        in_other_zone(outdated(entry(&back, "back", "v1"))),
+        in_other_zone(current(entry(&other, "other", "v1"))),
+    ]);
+    for id in 0..STREAMS {
+        let (status, body) = instance
+            .fetch(generation_request("/grades/x", id, 90))
+            .await;
+        let body = body.expect("a whole stream");
+        assert_eq!((status, versions_in(&body)), (200, vec!["v1".to_owned()]));
+    }
+    assert_eq!(back.count(), 0);
+}
+
 /// Guards against a stream that its caller takes up at another instance, which did not begin it, and that goes on at
 /// another version.
 #[actix_rt::test]
--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -67,6 +67,9 @@
 pub struct VersionKey(#[serde(with = "postcard::fixint::le")] pub u64);
 
 impl VersionKey {
+    /// The key of no version: that of a stream which nobody knows to have been begun by a certain one.
+    pub const UNKNOWN: Self = Self(0);
+
     /// The key of a version's name.
     pub fn of(version: &str) -> Self {
         Self(xxh3_64(version.as_bytes()))
