Streams end at their deadline and at the tokens asked for, however much is ready

Cause: a timeout around a read does not fire while data is ready each time, and nothing bounds the number of events. Class: a deadline that nothing looks at while data is ready. Why it suffices: each read of a stream or a long answer looks at the deadline; what is ready within 250 ms after it is still passed on. An event has one token at least, so more events than tokens, and sixteen, are no answer: its caller sees it broken off, its engine counts as having lost it.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -30,6 +30,9 @@
     header::PROXY_AUTHORIZATION,
 ];
 
+/// Time after the deadline for which data of an answer that is ready is still passed on, in ms.
+const READY_GRACE_MS: u64 = 250;
+
 /// One attempt of a caller's request.
 pub struct Call {
     /// Its route.
@@ -207,6 +210,11 @@
         self.deadline_at_ms.saturating_sub(now_ms)
     }
 
+    /// Whether its deadline passed so long ago that nothing more is passed on, even if it is ready.
+    pub(crate) fn is_overdue(&self, now_ms: u64) -> bool {
+        now_ms >= self.deadline_at_ms.saturating_add(READY_GRACE_MS)
+    }
+
     /// Number of arrivals at its service as the retry budget counts them: every send, rejected or not,
     /// except the first separate prefill that was accepted.
     pub(crate) fn arrivals(&self) -> u32 {
--- a/crates/relay/src/metrics/past_bound.rs
+++ b/crates/relay/src/metrics/past_bound.rs
@@ -13,6 +13,8 @@
     Body,
     /// An event of a stream.
     Event,
+    /// The number of events of a stream.
+    Events,
 }
 
 impl PastBound {
@@ -22,6 +24,7 @@
             Self::Head => "head",
             Self::Body => "body",
             Self::Event => "event",
+            Self::Events => "events",
         }
     }
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -39,6 +39,10 @@
 /// Longest event of a stream, with the comments before it, in bytes.
 const MAX_EVENT_BYTES: usize = 64 << 10;
 
+/// Events of a stream beyond the tokens that were asked for, of which each event has one at least: its end, and events
+/// without a token.
+const MAX_EXTRA_EVENTS: u32 = 16;
+
 /// State of a stream that is forwarded from an engine to a caller.
 pub struct StreamForwarder {
     relay: Rc<Relay>,
@@ -145,8 +149,8 @@
                 Received::Data(bytes) => {
                     self.splitter.push(&bytes);
                     self.queue_received();
-                    if self.splitter.unfinished_bytes() > MAX_EVENT_BYTES
-                        && let Err(truncated) = self.give_up_endless_event().await
+                    if let Some(bound) = self.bound_passed()
+                        && let Err(truncated) = self.give_up_endless(bound).await
                     {
                         return Some(Err(truncated));
                     }
@@ -176,13 +180,28 @@
         }
     }
 
-    /// Goes on elsewhere after an event that does not end.
-    async fn give_up_endless_event(&mut self) -> Result<(), TruncatedAnswer> {
+    /// The bound that the stream has passed, so that it is no answer.
+    fn bound_passed(&self) -> Option<PastBound> {
+        let prompt = self.call.head.prompt.as_ref();
+        let max_events = prompt.map(|it| it.output_tokens.saturating_add(MAX_EXTRA_EVENTS));
+        if self.splitter.unfinished_bytes() > MAX_EVENT_BYTES {
+            Some(PastBound::Event)
+        } else if max_events.is_some_and(|most| self.splitter.event_count() > most) {
+            Some(PastBound::Events)
+        } else {
+            None
+        }
+    }
+
+    /// Goes on elsewhere after an event that does not end, or ends the answer if there are too many events: the caller has
+    /// some that belong to no answer.
+    async fn give_up_endless(&mut self, bound: PastBound) -> Result<(), TruncatedAnswer> {
         let metrics = &self.relay.metrics;
-        metrics
-            .past_bound
-            .count(&self.call.service, PastBound::Event);
+        metrics.past_bound.count(&self.call.service, bound);
         self.note_lost_answer();
+        if bound == PastBound::Events {
+            return Err(self.fail("more events than tokens were asked for"));
+        }
         let why = format!("no event within {MAX_EVENT_BYTES} bytes");
         self.resume_elsewhere(&why).await
     }
@@ -246,6 +265,10 @@
     async fn receive(&mut self) -> Received {
         let now_ms = self.relay.now_ms();
         let left_ms = self.call.left_ms(now_ms);
+        // A timeout does not end what is always ready.
+        if self.call.is_overdue(now_ms) {
+            return Received::OutOfTime;
+        }
         let Some(source) = self.source.as_mut() else {
             return Received::End;
         };
--- a/crates/relay/src/stream/long_answer.rs
+++ b/crates/relay/src/stream/long_answer.rs
@@ -39,6 +39,10 @@
         let mut state = state?;
         let left = Duration::from_millis(state.call.left_ms(state.relay.now_ms()));
         let why = match actix_rt::time::timeout(left, state.body.frame()).await {
+            // A timeout does not end what is always ready.
+            Ok(Some(Ok(_))) if state.call.is_overdue(state.relay.now_ms()) => {
+                "out of time".to_owned()
+            }
             Ok(Some(Ok(frame))) => {
                 return Some((Ok(frame.into_data().unwrap_or_default()), Some(state)));
             }
