--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -37,6 +37,10 @@
 /// Shortest pause between two looks at whether a connection has expired, in ms.
 const MIN_WAIT_MS: u64 = 20;
 
+/// Time without any byte written, while some wait, after which a connection is reset, in ms: its other end reads nothing or
+/// is gone, and no caller waits longer.
+const UNREAD_TIMEOUT_MS: u64 = 30_000;
+
 /// Time for which a connection may be idle.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum IdleLimit {
@@ -79,6 +83,8 @@
     BrokenAnswer,
     /// A limit of the configuration had passed.
     Limit,
+    /// The other end read nothing.
+    Unread,
 }
 
 impl Cause {
@@ -97,6 +103,7 @@
             Self::OtherEnd => "other_end",
             Self::BrokenAnswer => "broken_answer",
             Self::Limit => "limit",
+            Self::Unread => "unread",
         }
     }
 }
@@ -114,6 +121,15 @@
     /// Id of the last request, for the log.
     request: RefCell<Option<HeaderValue>>,
     knows_chunks: Cell<bool>,
+    has_unwritten: Cell<bool>,
+    /// When bytes were last written, or began to wait.
+    written_ms: Cell<u64>,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.set_unwritten(false);
+    }
 }
 
 /// Marks a connection as occupied by a request, until its answer was handed to the connection or dropped.
@@ -139,9 +155,52 @@
             has_expired: Cell::default(),
             request: RefCell::default(),
             knows_chunks: Cell::new(true),
+            has_unwritten: Cell::default(),
+            written_ms: Cell::default(),
         })
     }
 
+    /// Records whether bytes of answers wait for the other end to read, and counts such connections.
+    fn set_unwritten(&self, has_unwritten: bool) {
+        if has_unwritten && !self.has_unwritten.get() {
+            self.written_ms.set(self.relay.now_ms());
+        }
+        let count = &self.relay.unwritten_connections;
+        match (self.has_unwritten.replace(has_unwritten), has_unwritten) {
+            (false, true) => count.set(count.get() + 1),
+            (true, false) => count.set(count.get() - 1),
+            (true, true) | (false, false) => {}
+        }
+    }
+
+    /// Notes that an attempt to write ended.
+    fn note_written(&self, written: &Poll<io::Result<usize>>) {
+        if let Poll::Ready(Ok(1..)) = written {
+            self.written_ms.set(self.relay.now_ms());
+        }
+    }
+
+    /// Whether its other end has read nothing of what waits for too long.
+    fn is_stalled(&self) -> bool {
+        self.has_unwritten.get() && self.relay.now_ms() >= self.written_ms.get() + UNREAD_TIMEOUT_MS
+    }
+
+    /// Counts and logs that it is reset, since its other end reads nothing.
+    fn note_stalled(&self) {
+        let relay = &self.relay;
+        let labels = [Occupancy::Answer.label(), Cause::Unread.label()];
+        relay
+            .metrics
+            .connections_ended
+            .with_label_values(&labels)
+            .inc();
+        if relay.failure_log_limit.take(relay.now_ms()) {
+            let request = self.request.borrow();
+            let request = request.as_ref().and_then(|id| id.to_str().ok());
+            log::warn!(request = request.unwrap_or("-"); "answer not read by its caller, connection reset");
+        }
+    }
+
     /// Notes that a request has arrived.
     fn begin(self: &Rc<Self>, request: &Request<Incoming>) -> OnConnection {
         self.knows_chunks.set(request.version() >= Version::HTTP_11);
@@ -212,7 +271,7 @@
         };
         let occupancy = match cause {
             Cause::BrokenAnswer => Occupancy::Answer,
-            Cause::Orderly | Cause::OtherEnd | Cause::Limit => self.occupancy.get(),
+            Cause::Orderly | Cause::OtherEnd | Cause::Limit | Cause::Unread => self.occupancy.get(),
         };
         let labels = [occupancy.label(), cause.label()];
         let counter = &relay.metrics.connections_ended;
@@ -284,7 +343,10 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        self.connection.set_unwritten(true);
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.connection.note_written(&written);
+        written
     }
 
     fn poll_write_vectored(
@@ -292,14 +354,19 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        self.connection.set_unwritten(true);
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.connection.note_written(&written);
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
         self.stream.is_write_vectored()
     }
 
+    /// Called once all that waited was written.
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        self.connection.set_unwritten(false);
         Pin::new(&mut self.stream).poll_flush(context)
     }
 
@@ -345,15 +412,23 @@
     let mut is_closing = false;
     let ended = loop {
         tokio::select! {
-            ended = &mut serving => break ended,
+            ended = &mut serving => break Some(ended),
             _ = phase.wait_for(|phase| *phase == Phase::Closing), if !is_closing => {
                 is_closing = true;
                 Pin::new(&mut serving).graceful_shutdown();
             }
             // Polls the connection once more, which then finds its socket at the end.
-            () = connection.may_have_expired() => {}
+            () = connection.may_have_expired() => {
+                if connection.is_stalled() {
+                    break None;
+                }
+            }
         }
     };
+    let Some(ended) = ended else {
+        connection.note_stalled();
+        return reset(&serving.into_parts().io.inner().stream);
+    };
     connection.note_end(&ended);
     if ended.is_err() && !connection.knows_chunks.get() {
         reset(&serving.into_parts().io.inner().stream);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -104,6 +104,8 @@
     pub members: RefCell<Members>,
     /// Requests whose answers are not complete yet.
     pub in_flight: Rc<Cell<usize>>,
+    /// Connections with bytes of answers that the other end has not read yet.
+    pub unwritten_connections: Cell<usize>,
     /// Cached prompt parts to announce in the next gossip datagrams.
     pub(crate) unannounced_parts: RefCell<Vec<PrefilledPart>>,
     /// Gossip received from peers and waiting to be sent to them.
@@ -174,6 +176,7 @@
             ranks_seen: Cell::default(),
             phase: Cell::default(),
             in_flight: Rc::default(),
+            unwritten_connections: Cell::default(),
             heartbeat_seq: Cell::default(),
             config: RefCell::default(),
             retries: RefCell::default(),
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -36,9 +36,16 @@
     announce.await;
     sleep(at_ms(ACCEPT_SHARE).saturating_sub(relay.now_ms())).await;
     enter(relay, phase, Phase::Closing);
-    while relay.in_flight.get() > 0 && relay.now_ms() < at_ms(END_SHARE) {
+    // An answer is in flight until its caller has read it, not until it is taken from the upstream.
+    let is_busy = || relay.in_flight.get() > 0 || relay.unwritten_connections.get() > 0;
+    while is_busy() && relay.now_ms() < at_ms(END_SHARE) {
         sleep(CHECK_INTERVAL_MS).await;
     }
+    let unread = relay.unwritten_connections.get();
+    if unread > 0 {
+        relay.metrics.unread_at_end.inc_by(unread as u64);
+        log::warn!(connections = unread; "answers not read by their callers when the grace period ended");
+    }
     sleep(FLUSH_MS).await;
 }
 
