--- a/crates/relay/src/pool/socket.rs
+++ b/crates/relay/src/pool/socket.rs
@@ -23,16 +23,23 @@
 ///
 /// Nagle's algorithm is off, since small messages must not wait for the acknowledgement of earlier
 /// ones. A machine that is gone or cut off neither answers nor resets a connection; without the
-/// timeouts, the connection and all resources of its request would stay for many minutes.
+/// probes, an idle connection and all resources of its request would stay for many minutes.
 pub fn configure_socket(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(Duration::from_millis(UNACKED_TIMEOUT_MS)))?;
     let keepalive = TcpKeepalive::new()
         .with_time(Duration::from_secs(KEEPALIVE_IDLE_S))
         .with_interval(Duration::from_secs(1))
         .with_retries(3);
-    socket.set_tcp_keepalive(&keepalive)
+    SockRef::from(stream).set_tcp_keepalive(&keepalive)
+}
+
+/// Ends a connection to an upstream, a peer or the store whose sent data is not acknowledged.
+///
+/// Not for connections that others open: to this timeout, a caller that reads slowly, so that its window stays closed
+/// for a while, looks like one that is gone.
+fn limit_unacked(stream: &TcpStream) -> std::io::Result<()> {
+    let timeout = Duration::from_millis(UNACKED_TIMEOUT_MS);
+    SockRef::from(stream).set_tcp_user_timeout(Some(timeout))
 }
 
 /// Makes the kernel reset the connection on close and discard undelivered data.
@@ -79,6 +86,7 @@
         })?
         .map_err(|error| failed(&error))?;
     configure_socket(&stream).map_err(|error| failed(&error))?;
+    limit_unacked(&stream).map_err(|error| failed(&error))?;
     reset_on_drop(&stream).map_err(|error| failed(&error))?;
     Ok(stream)
 }
