--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -323,8 +323,6 @@
     pub poison_requests: IntGauge,
     /// Requests whose handling panicked.
     pub panics: IntCounter,
-    /// Connections whose answers were not read to the end when the grace period ended.
-    pub unread_at_end: IntCounter,
     /// Paces that upstreams report.
     pub pace: PaceMetrics,
     /// Prompt parts that may end upstreams.
@@ -480,10 +478,6 @@
             instances: all.gauge("instances", "Instances ready."),
             poison_requests: all.gauge("poisonous", "Known poison requests."),
             panics: all.plain_counter("panics_total", "Requests whose handling panicked."),
-            unread_at_end: all.plain_counter(
-                "unread_at_end_total",
-                "Connections whose answers were not read when the grace period ended.",
-            ),
             pace: PaceMetrics::new(&all),
             parts: PartMetrics::new(&all),
             zones: ZoneMetrics::new(&all),
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -43,7 +43,9 @@
     }
     let unread = relay.unwritten_connections.get();
     if unread > 0 {
-        relay.metrics.unread_at_end.inc_by(unread as u64);
+        let counter = &relay.metrics.connections_ended;
+        let labels = ["answer", "grace_period"];
+        counter.with_label_values(&labels).inc_by(unread as u64);
         log::warn!(connections = unread; "answers not read by their callers when the grace period ended");
     }
     sleep(FLUSH_MS).await;
--- a/crates/relay/tests/planned_stop.rs
+++ b/crates/relay/tests/planned_stop.rs
@@ -75,7 +75,7 @@
     let (mut stream, mut received) = ask(&instance).await;
     let reading = async {
         // The rest is read only after the listeners have closed.
-        actix_rt::time::sleep(Duration::from_millis(2_000)).await;
+        actix_rt::time::sleep(Duration::from_secs(2)).await;
         let mut rest = vec![0; ANSWER_BYTES];
         while received < ANSWER_BYTES {
             let read = stream.read(&mut rest).await.expect("no reset");
@@ -100,7 +100,9 @@
     let began = Instant::now();
     shut_down(&instance.relay, &instance.phase, GRACE_MS, async {}).await;
     assert!(began.elapsed().as_secs_f64() * 1_000.0 <= GRACE_MS);
-    assert_eq!(instance.relay.metrics.unread_at_end.get(), 1);
+    let ended = &instance.relay.metrics.connections_ended;
+    let labels = ["answer", "grace_period"];
+    assert_eq!(ended.with_label_values(&labels).get(), 1);
     drop(stream);
 }
 
