Sight: lines tell ends by the list, answers that clear, and how close ends were

What callers saw: review/2, a page that thirty callers read is refused after its three upstreams crashed at once.

Added: a line where an upstream that lost answers counts as ended because its entry is gone or names another incarnation, a line where an answer clears a request of its losses, and the numbers of ends and their span in the line of the verdict. No decision changes.

--- a/crates/relay/src/relay/poison.rs
+++ b/crates/relay/src/relay/poison.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 
 use serde::{Deserialize, Serialize};
-use view::poison::RETENTION_MS;
+use view::poison::{Losses, RETENTION_MS};
 use view::{FailureEvidence, GossipMessage, RequestKey};
 
 use super::Relay;
@@ -67,6 +67,7 @@
     /// Records evidence on whether a request or its upstream caused a loss, and gossips it if it is new.
     pub fn record_attribution(&self, evidence: FailureEvidence) {
         let now_ms = self.now_ms();
+        self.log_cleared(evidence, "own");
         if self.poison_tracker.borrow_mut().observe(now_ms, evidence) {
             self.gossip.borrow_mut().add_evidence(evidence);
         }
@@ -82,9 +83,13 @@
     pub(super) fn record_upstream_ended(&self, id: &str) {
         let removed = self.upstreams.borrow().last_removed(id);
         if let Some(upstream) = removed {
-            self.poison_tracker
+            let requests = self
+                .poison_tracker
                 .borrow_mut()
                 .upstream_unlisted(self.now_ms(), upstream);
+            if requests > 0 {
+                log::info!(upstream = id, requests; "upstream that lost answers is gone from the list and counts as ended");
+            }
             self.accuse_parts(upstream);
         }
     }
@@ -160,14 +165,38 @@
             .poison_tracker
             .borrow_mut()
             .take_new_poison(self.now_ms());
-        for (request, upstreams_lost) in found {
-            log::warn!(key:% = request, upstreams_lost; "request refused from now on: it terminates upstreams");
+        for request in found {
+            let Losses {
+                upstreams_lost,
+                upstreams_ended,
+                ends_within_ms,
+            } = self.poison_tracker.borrow().losses(request);
+            log::warn!(
+                key:% = request, upstreams_lost, upstreams_ended, ends_within_ms;
+                "request refused from now on: it terminates upstreams"
+            );
+        }
+    }
+
+    /// Logs that an answer is about to clear a request of its losses.
+    fn log_cleared(&self, evidence: FailureEvidence, seen_by: &str) {
+        let FailureEvidence::Answered(request) = evidence else {
+            return;
+        };
+        let losses = self.poison_tracker.borrow().losses(request);
+        if losses.upstreams_lost > 0 && self.failure_log_limit.take(self.now_ms()) {
+            log::info!(
+                key:% = request, seen_by, upstreams_lost = losses.upstreams_lost,
+                upstreams_ended = losses.upstreams_ended;
+                "request cleared of its losses: an upstream answered it"
+            );
         }
     }
 
     /// Applies the failure attributions and poison requests that a peer gossiped.
     pub(super) fn apply_attributions(&self, now_ms: u64, message: &GossipMessage) {
         for evidence in &message.evidence {
+            self.log_cleared(*evidence, "peer");
             if !self.poison_tracker.borrow_mut().receive(now_ms, *evidence) {
                 continue;
             }
--- a/crates/view/src/poison.rs
+++ b/crates/view/src/poison.rs
@@ -106,6 +106,17 @@
     }
 }
 
+/// What speaks against a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct Losses {
+    /// Upstreams that lost an answer to it.
+    pub upstreams_lost: usize,
+    /// Those of them that have ended.
+    pub upstreams_ended: usize,
+    /// Time between the first and the last of these ends, as this instance learned of them, in ms.
+    pub ends_within_ms: u64,
+}
+
 /// Requests under which connections to upstreams were lost lately, as seen by all instances.
 #[derive(Debug, Default)]
 pub struct PoisonTracker {
@@ -181,11 +192,31 @@
     }
 
     /// Records that an upstream is no longer listed. This is evidence if it was lost under a
-    /// request before.
-    pub fn upstream_unlisted(&mut self, now_ms: u64, upstream: UpstreamKey) {
-        let is_lost = |suspect: &Suspect| suspect.lost.contains(&upstream);
-        if self.requests.values().any(is_lost) {
-            self.record_end(now_ms, upstream);
+    /// request before. Returns the number of requests against which it is new evidence.
+    pub fn upstream_unlisted(&mut self, now_ms: u64, upstream: UpstreamKey) -> usize {
+        let suspects = self.requests.values();
+        let accused = suspects.filter(|suspect| suspect.lost.contains(&upstream));
+        let accused = accused.count();
+        if accused > 0 && self.record_end(now_ms, upstream) {
+            accused
+        } else {
+            0
+        }
+    }
+
+    /// The upstreams that lost an answer to a request, and how many of them have ended.
+    pub fn losses(&self, request: RequestKey) -> Losses {
+        let Some(suspect) = self.requests.get(&request) else {
+            return Losses::default();
+        };
+        let ended_ms = suspect.lost.iter().filter_map(|key| self.ended.get(key));
+        let ended_ms: Vec<u64> = ended_ms.copied().collect();
+        let first_ms = ended_ms.iter().min().copied().unwrap_or_default();
+        let last_ms = ended_ms.iter().max().copied().unwrap_or_default();
+        Losses {
+            upstreams_lost: suspect.lost.len(),
+            upstreams_ended: ended_ms.len(),
+            ends_within_ms: last_ms - first_ms,
         }
     }
 
@@ -294,14 +325,13 @@
         found.into_iter().map(|(_, request)| request).collect()
     }
 
-    /// Poison requests that earlier calls have not returned, each with the number of upstreams lost
-    /// under it.
-    pub fn take_new_poison(&mut self, now_ms: u64) -> Vec<(RequestKey, usize)> {
+    /// Poison requests that earlier calls have not returned.
+    pub fn take_new_poison(&mut self, now_ms: u64) -> Vec<RequestKey> {
         let mut found = Vec::new();
         for (request, suspect) in &mut self.requests {
             if !suspect.is_reported && suspect.is_poison(now_ms, &self.ended) {
                 suspect.is_reported = true;
-                found.push((*request, suspect.lost.len()));
+                found.push(*request);
             }
         }
         found
