Two tests that fail: sound requests and parts that stay refused after other crashes

The first test plays this with whole instances and three stubs: 503 for 6 s. The second is the same class among parts: after one failed trial none for 60 s, after two none at all.

--- a/crates/relay/tests/poison_requests.rs
+++ b/crates/relay/tests/poison_requests.rs
@@ -390,3 +390,48 @@
         assert_eq!(crash_count(&fleet), 2, "{path}");
     }
 }
+
+/// Time in which a sound request is served again after its upstreams are back, in ms.
+const SERVED_AGAIN_MS: u64 = 6_000;
+
+/// Crashes while it answers its first requests, and serves all later ones.
+fn crash_once() -> impl Fn(&ReceivedRequest) -> Vec<Action> {
+    let has_crashed = Cell::new(false);
+    move |received| {
+        if received.body.is_empty() || has_crashed.get() {
+            return received.response("200 OK", "", "ok");
+        }
+        has_crashed.set(true);
+        vec![Action::Wait(100), Action::Crash]
+    }
+}
+
+/// Guards against a request that many callers send and that is refused for ever because all its upstreams ended at one
+/// moment for another reason: nothing is sent any more whose answer could clear it.
+#[actix_rt::test]
+async fn a_sound_read_is_served_again_after_all_its_upstreams_ended_at_once() {
+    let start = |_| StubUpstream::start_ending(Ending::Restart(300), crash_once());
+    let fleet: Vec<StubUpstream> = (0..3).map(start).collect();
+    let instance = TestInstance::start(started_entries(&fleet));
+    let reads = (0..9).map(|attempt| instance.fetch(poison_request("/reads/1", attempt)));
+    futures_util::future::join_all(reads).await;
+    assert_eq!(crashes(&fleet), 3, "all have ended");
+    for entry in started_entries(&fleet) {
+        let entry = relay::upstream::UpstreamEntry {
+            started_ms: 2,
+            ..entry
+        };
+        instance
+            .relay
+            .apply_change(ListChange::Put(entry), relay::Origin::Read);
+    }
+    let back = std::time::Instant::now();
+    let mut statuses = Vec::new();
+    while statuses.last() != Some(&200) && back.elapsed().as_millis() < SERVED_AGAIN_MS.into() {
+        let attempt = 100 + statuses.len();
+        statuses.push(instance.fetch(poison_request("/reads/1", attempt)).await.0);
+        actix_rt::time::sleep(std::time::Duration::from_millis(100)).await;
+    }
+    assert_eq!(statuses.last(), Some(&200), "{statuses:?}");
+    assert_eq!(instance.relay.poison_requests(), []);
+}
--- a/crates/view/tests/parts.rs
+++ b/crates/view/tests/parts.rs
@@ -505,3 +505,34 @@
         );
     }
 }
+
+/// Guards against a sound part that stays refused because two of its trials met crashes of another cause.
+#[test]
+fn a_sound_part_whose_trials_met_two_other_crashes_is_tried_within_seconds() {
+    let mut tracker = PartTracker::default();
+    end_under(&mut tracker, 0, 1, &[9]);
+    end_under(&mut tracker, 0, 2, &[9]);
+    fail_trial(&mut tracker, 100, 3, 9);
+    let back_ms = 3_000;
+    let mut now_ms = back_ms;
+    while tracker.decide(now_ms, &[part(9)]) != PartVerdict::MayTry(part(9)) {
+        now_ms += 100;
+        assert!(now_ms <= back_ms + 6_000, "not tried after the first trial");
+    }
+    fail_trial(&mut tracker, now_ms, 4, 9);
+    let back_ms = now_ms + 3_000;
+    let mut now_ms = back_ms;
+    while tracker.decide(now_ms, &[part(9)]) != PartVerdict::MayTry(part(9)) {
+        now_ms += 100;
+        assert!(
+            now_ms <= back_ms + 6_000,
+            "not tried after the second trial"
+        );
+    }
+    tracker.claim_trial(now_ms, trial(9, OWN));
+    tracker.record_went_on(now_ms + 300, part(9));
+    assert_eq!(
+        tracker.decide(now_ms + 400, &[part(9)]),
+        PartVerdict::Allowed
+    );
+}
