--- a/crates/entry/src/runner/poison.rs
+++ b/crates/entry/src/runner/poison.rs
@@ -8,7 +8,7 @@
 
 use futures_util::StreamExt;
 use plan::{Inquiry, InquiryStep, Sign, Verdict};
-use view::{FailureEvidence, UpstreamKey};
+use view::{FailureEvidence, InstanceKey, RequestTrial, RequestVerdict, UpstreamKey};
 
 use super::CompletionRunner;
 use super::attempt::{Attempt, with_timeout};
@@ -27,24 +27,14 @@
 const IN_DOUBT_RETRY_MS: u64 = 1_000;
 
 impl CompletionRunner {
-    /// Refuses a poison request. Waits while so many engines may have ended under the request that it is one if they
+    /// Refuses a request under which engines ended, unless it is its trial. Waits while so many engines may have ended under the request that it is one if they
     /// have; otherwise it could crash a third before the end of the others is known.
     pub(super) async fn check_poison(&self) -> Result<(), Refusal> {
         let began_ms = self.app.now_ms();
         loop {
             let now_ms = self.app.now_ms();
-            if self
-                .app
-                .poison_tracker
-                .borrow()
-                .is_poison(now_ms, self.job.key)
-            {
-                let mut tracker = self.app.poison_tracker.borrow_mut();
-                tracker.record_refusal(now_ms, self.job.key);
-                let text = "engines end under this request";
-                return Err(Refusal::new(Code::NoUpstream, text));
-            }
-            if !self.app.waits_for_inquiry(self.job.key) {
+            let is_in_doubt = self.app.waits_for_inquiry(self.job.key);
+            if !is_in_doubt && self.may_be_sent(now_ms)? {
                 return Ok(());
             }
             if now_ms >= began_ms + MAX_WAIT_MS {
@@ -56,6 +46,34 @@
         }
     }
 
+    /// Whether the request may be sent, perhaps as its next trial; false while another trial may tell soon.
+    fn may_be_sent(&self, now_ms: u64) -> Result<bool, Refusal> {
+        let request = self.job.key;
+        let own = InstanceKey::of(&self.app.settings.instance);
+        let mut tracker = self.app.poison_tracker.borrow_mut();
+        let text = "engines end under this request";
+        let refusal = match tracker.decide(now_ms, request, own) {
+            RequestVerdict::Allowed => return Ok(true),
+            RequestVerdict::TrialRunning => return Ok(false),
+            RequestVerdict::MayTry(number) => {
+                let trial = RequestTrial {
+                    request,
+                    number,
+                    instance: own,
+                    nonce: now_ms as u32,
+                };
+                log::info!(step = "stream", key:% = request, number; "request is a trial: engines ended under it");
+                return Ok(tracker.claim_trial(now_ms, trial));
+            }
+            RequestVerdict::Held(wait_ms) => {
+                Refusal::new(Code::NoUpstream, text).retry_after(wait_ms)
+            }
+            RequestVerdict::Refused => Refusal::new(Code::NoUpstream, text),
+        };
+        tracker.record_refusal(now_ms, request);
+        Err(refusal)
+    }
+
     /// Resumes the stream of an attempt whose connection failed before the answer began, and tells what its first event
     /// shows.
     pub(super) async fn sign_of_first_event(&self, attempt: &Attempt) -> Sign {
@@ -146,7 +164,11 @@
     fn conclude(&self, name: &str, step: InquiryStep) -> bool {
         match step {
             InquiryStep::AskAgain(_) => return false,
-            InquiryStep::Conclude(Verdict::Lives | Verdict::Unknown) => {}
+            InquiryStep::Conclude(Verdict::Lives) => {
+                let mut tracker = self.poison_tracker.borrow_mut();
+                tracker.record_alive(self.now_ms(), UpstreamKey::of(name, 0));
+            }
+            InquiryStep::Conclude(Verdict::Unknown) => {}
             InquiryStep::Conclude(Verdict::Ended) => {
                 let ended = FailureEvidence::Ended(UpstreamKey::of(name, 0));
                 let mut tracker = self.poison_tracker.borrow_mut();
--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -177,6 +177,9 @@
     /// Poison request: it terminates the upstreams that run it.
     #[display("upstreams end under this request")]
     PoisonRequest,
+    /// Upstreams ended under it, and its next trial is to tell whether it was the cause.
+    #[display("upstreams ended under this request, which is tried again one at a time")]
+    HeldRequest,
     /// It is not known yet whether upstreams that lost its answer have ended.
     #[display("upstreams may have ended under this request")]
     InDoubt,
@@ -220,6 +223,7 @@
             Self::HelperBusy => "helper_busy",
             Self::Rejected => "rejected",
             Self::PoisonRequest => "poisonous",
+            Self::HeldRequest => "held_request",
             Self::InDoubt => "in_doubt",
             Self::HeldPart => "held_part",
             Self::Lost => "lost",
@@ -249,6 +253,7 @@
             | Self::HelperBusy
             | Self::Rejected
             | Self::PoisonRequest
+            | Self::HeldRequest
             | Self::InDoubt
             | Self::HeldPart => StatusCode::SERVICE_UNAVAILABLE,
             Self::NoRoute => StatusCode::NOT_FOUND,
--- a/crates/relay/src/attribution.rs
+++ b/crates/relay/src/attribution.rs
@@ -13,8 +13,9 @@
 
 use crate::answer::{Reason, Refusal};
 use crate::call::Call;
+use crate::claimed_trial::SendStep;
 use crate::inquiry::ask;
-use crate::part_evidence::{PartStep, log_lost_parts};
+use crate::part_evidence::log_lost_parts;
 use crate::path_check::{suspect_path, suspect_path_after_loss};
 use crate::reachability::settle;
 use crate::relay::Relay;
@@ -32,27 +33,35 @@
 /// upstreams that end have ended by then.
 pub(crate) const IN_DOUBT_RETRY_MS: u64 = 1_000;
 
-/// Refuses a poison request, which terminates the upstreams that run it, and a request with a prompt part that may do
-/// so, unless it is the part's trial.
+/// Refuses a request under which upstreams ended, and one with a prompt part that may end them, unless it is the trial
+/// that tells.
 ///
 /// Called before each send: a prompt may wait for seconds between two sends, and other instances may have
 /// identified it meanwhile. If the connection to an upstream was lost just now, this waits until it is known whether
 /// that upstream has ended; otherwise the request could terminate a third one before the end of the first is known.
 pub async fn ensure_not_poison(relay: &Rc<Relay>, call: &Call) -> Result<(), Refusal> {
     let began_ms = relay.now_ms();
+    let mut is_path_checked = false;
     let wait_ms = (call.left_ms(began_ms) / MAX_WAIT_FRACTION).min(MAX_WAIT_MS);
     loop {
-        relay.check_poison(call)?;
         inquire_into_losses(relay, call);
         let reason = if relay.waits_for_inquiry(call) {
             Reason::InDoubt
+        } else if relay.request_step(call)? == SendStep::Wait {
+            Reason::HeldRequest
+        } else if relay.part_step(call)? == SendStep::Wait {
+            Reason::HeldPart
         } else {
-            match relay.part_step(call)? {
-                PartStep::Send => return Ok(()),
-                PartStep::Wait => Reason::HeldPart,
-            }
+            return Ok(());
         };
-        if relay.now_ms() >= began_ms + wait_ms {
+        // What is held is not sent, so nothing else finds out that the upstreams are back.
+        if !std::mem::replace(&mut is_path_checked, true)
+            && relay.reach_state(&call.service) != ReachState::Reached
+        {
+            suspect_path(relay, &call.service, relay.now_ms());
+        }
+        // The claim of a trial spreads within a bound of its own.
+        if relay.now_ms() >= began_ms + wait_ms && !call.has_unused_trial() {
             return Err(Refusal::with_retry_after(reason, IN_DOUBT_RETRY_MS));
         }
         actix_rt::time::sleep(Duration::from_millis(INQUIRY_POLL_MS)).await;
@@ -166,7 +175,10 @@
     let labels = [upstream.service.as_str(), found.label()];
     relay.metrics.inquiries.with_label_values(&labels).inc();
     match found {
-        Found::Verdict(Verdict::Lives) => upstream.forgive_since(now_ms, inquiry.began_ms()),
+        Found::Verdict(Verdict::Lives) => {
+            relay.note_alive(upstream);
+            upstream.forgive_since(now_ms, inquiry.began_ms());
+        }
         Found::Verdict(Verdict::Ended) => {
             log::info!(
                 upstream = upstream.id, service = upstream.service, took_ms = now_ms - inquiry.began_ms();
--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -8,14 +8,16 @@
 use http::uri::PathAndQuery;
 use http::{HeaderMap, HeaderName, HeaderValue, Method, Request, Uri, header};
 use http_body_util::Full;
-use view::{AnswerProgress, PartKey, RequestKey, VersionKey};
+use view::parts::Trial;
+use view::{AnswerProgress, PartKey, RequestKey, RequestTrial, VersionKey};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::access::Admitted;
+use crate::claimed_trial::ClaimedTrial;
 use crate::config::{Route, Workspace};
 use crate::dialect::{Dialect, RequestHead, SendOptions};
 use crate::handover::{Handover, Spent};
-use crate::part_evidence::{PartTrial, shared_parts};
+use crate::part_evidence::shared_parts;
 use crate::relay::Relay;
 use crate::urgency::Urgency;
 
@@ -89,7 +91,9 @@
     /// Whether engine time was recorded as granted to it.
     pub(crate) share_granted: Cell<bool>,
     /// The trial of one of these parts that it is.
-    pub(crate) part_trial: Cell<Option<PartTrial>>,
+    pub(crate) part_trial: Cell<Option<ClaimedTrial<Trial>>>,
+    /// The trial of itself that it is, since upstreams ended under it.
+    pub(crate) request_trial: Cell<Option<ClaimedTrial<RequestTrial>>>,
     /// Whether a peer that is cut off from upstreams handed it over; it goes no further then.
     pub is_taken_over: Cell<bool>,
     /// Whether it was handed over to a peer, which counts it from then on.
@@ -178,6 +182,7 @@
             share_decode_ms: Cell::default(),
             share_granted: Cell::default(),
             part_trial: Cell::default(),
+            request_trial: Cell::default(),
             is_taken_over: Cell::default(),
             is_handed_over: Cell::default(),
             is_first_counted: Cell::default(),
@@ -221,6 +226,17 @@
         self.attempts.get() + self.prefill_sends.get()
     }
 
+    /// Whether it is or was a trial, of itself or of a part of its prompt.
+    pub(crate) fn is_trial(&self) -> bool {
+        self.request_trial.get().is_some() || self.part_trial.get().is_some()
+    }
+
+    /// Whether it is a trial whose send is still to come.
+    pub(crate) fn has_unused_trial(&self) -> bool {
+        let is_unused = |trial: ClaimedTrial<RequestTrial>| trial.is_unused(self);
+        self.request_trial.get().is_some_and(is_unused)
+    }
+
     /// Counts a separate prefill that is about to be sent.
     pub(crate) fn note_prefill_sent(&self) {
         self.prefill_sends.set(self.prefill_sends.get() + 1);
@@ -346,6 +362,7 @@
             self.relay.singleton_tasks.count_unanswered(settings, self);
         }
         self.relay.abandon_part_trial(self);
+        self.relay.abandon_request_trial(self);
         if self.is_finished.get() {
             return;
         }
--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -196,7 +196,7 @@
             }
             SendResult::NotRun(StatusCode::SERVICE_UNAVAILABLE)
                 if engine.accepts_requests(relay.now_ms())
-                    && relay.check_poison(call).is_ok()
+                    && relay.may_send_again(call)
                     && relay.may_send(call) =>
             {
                 // The KV cache expired or could not be fetched. The same engine can still do the
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod awaited;
 pub mod bounded_body;
 pub mod call;
+mod claimed_trial;
 pub mod config;
 pub mod connection;
 pub mod dialect;
--- a/crates/relay/src/part_evidence.rs
+++ b/crates/relay/src/part_evidence.rs
@@ -3,7 +3,6 @@
 //! A part may crash each engine that begins to write an answer on it. So for each answer it is known how far it has
 //! come when it is lost. See docs/design/prompt-parts.md.
 
-use view::parts::Trial;
 use view::{AnswerProgress, PartKey};
 
 use crate::call::Call;
@@ -12,39 +11,6 @@
 use crate::send::SendResult;
 use crate::upstream::Upstream;
 
-/// What the parts of its prompt mean for the next send of a request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum PartStep {
-    /// It may be sent.
-    Send,
-    /// It waits for the outcome of a trial, or for its own to be known to the peers.
-    Wait,
-}
-
-/// The trial of a part that a request is.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct PartTrial {
-    pub(crate) trial: Trial,
-    pub(crate) claimed_ms: u64,
-    /// Sends of the request before that may have run.
-    runs_before: u32,
-}
-
-impl PartTrial {
-    pub(crate) fn new(call: &Call, trial: Trial, claimed_ms: u64) -> Self {
-        Self {
-            trial,
-            claimed_ms,
-            runs_before: call.possible_runs.get(),
-        }
-    }
-
-    /// Whether its one send is still to come.
-    pub(crate) fn is_unused(&self, call: &Call) -> bool {
-        call.possible_runs.get() <= self.runs_before
-    }
-}
-
 /// The keys of a prompt's parts, each once, without the last, which no other request has.
 pub(crate) fn shared_parts(prompt: Option<&Prompt>) -> Vec<PartKey> {
     let Some((_, shared)) = prompt.and_then(|prompt| prompt.parts.split_last()) else {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -8,6 +8,7 @@
 mod poison;
 mod retries;
 mod shares;
+mod trials;
 
 pub use list::{ChangesRead, Origin};
 pub(crate) use peers::unix_ms;
@@ -182,7 +183,7 @@
             retries: RefCell::default(),
             estimates: Estimates::default(),
             poison_tracker: RefCell::default(),
-            part_tracker: RefCell::default(),
+            part_tracker: RefCell::new(PartTracker::of(own)),
             role_orders,
             singleton_tasks,
             shares: ShareState::default(),
@@ -370,6 +371,7 @@
             config_next: self.config_position.borrow().held_offset(),
             members: self.members.borrow().snapshot(),
             poisonous: self.poison_requests(),
+            trial_counts: self.trial_counts(&self.poison_requests()),
         }
     }
 
--- a/crates/relay/src/relay/parts.rs
+++ b/crates/relay/src/relay/parts.rs
@@ -2,50 +2,44 @@
 
 use view::parts::Trial;
 use view::{
-    AnswerProgress, FailureEvidence, GossipMessage, InstanceKey, PartEvidence, PartKey,
-    PartVerdict, RequestKey, Suspicion, UpstreamKey, gossip,
+    AnswerProgress, FailureEvidence, GossipMessage, PartEvidence, PartKey, PartVerdict, RequestKey,
+    Suspicion, UpstreamKey,
 };
 
 use super::{PoisonRecord, Relay};
 use crate::answer::{Reason, Refusal};
 use crate::attribution::IN_DOUBT_RETRY_MS;
 use crate::call::Call;
-use crate::part_evidence::{PartStep, PartTrial};
+use crate::claimed_trial::{ClaimedTrial, SendStep};
 use crate::upstream::Upstream;
 
-/// Time between the claim of a trial and its send, in ms: a claim of another instance has arrived by then.
-const CLAIM_MS: u64 = 4 * gossip::PERIOD_MS;
-
 impl Relay {
-    fn own_key(&self) -> InstanceKey {
-        InstanceKey::of(&self.settings.borrow().name)
-    }
-
     /// What the parts of its prompt mean for the next send of a request; refuses it if it must not be sent.
-    pub(crate) fn part_step(&self, call: &Call) -> Result<PartStep, Refusal> {
+    pub(crate) fn part_step(&self, call: &Call) -> Result<SendStep, Refusal> {
         if call.shared_parts.is_empty() {
-            return Ok(PartStep::Send);
+            return Ok(SendStep::Send);
         }
         let now_ms = self.now_ms();
         if let Some(trial) = call.part_trial.get()
             && trial.is_unused(call)
         {
             if self.part_tracker.borrow().holds_trial(now_ms, trial.trial) {
-                return Ok(self.trial_step(now_ms, trial));
+                return Ok(trial.step(self));
             }
             call.part_trial.set(None);
         }
-        self.check_listed_parts(call)?;
+        self.learn_listed_parts(call);
         let verdict = self
             .part_tracker
             .borrow_mut()
             .decide(now_ms, &call.shared_parts);
         match verdict {
-            PartVerdict::Allowed => Ok(PartStep::Send),
-            PartVerdict::MayTry(part) if call.part_trial.get().is_none() => {
+            PartVerdict::Allowed => Ok(SendStep::Send),
+            PartVerdict::MayTry(part) if self.may_try(call) => {
                 Ok(self.claim_part_trial(call, part))
             }
-            PartVerdict::Held if self.is_part_trial_running(call) => Ok(PartStep::Wait),
+            PartVerdict::Held if self.is_part_trial_running(call) => Ok(SendStep::Wait),
+            PartVerdict::MayTry(_) if self.waits_for_path(call) => Ok(SendStep::Wait),
             PartVerdict::MayTry(_) | PartVerdict::Held => {
                 let reason = Reason::HeldPart;
                 Err(Refusal::with_retry_after(reason, IN_DOUBT_RETRY_MS))
@@ -54,23 +48,20 @@
         }
     }
 
-    /// Refuses a request with a part that peers or the store name, unless this instance knows of its conviction and
-    /// decides itself on its trials.
-    fn check_listed_parts(&self, call: &Call) -> Result<(), Refusal> {
+    /// Takes over the convictions of parts that peers or the store name, with the number of their trials, so that this
+    /// instance decides on the next one like any other.
+    fn learn_listed_parts(&self, call: &Call) {
         let now_ms = self.now_ms();
         let mut poison = self.poison_tracker.borrow_mut();
-        let parts = self.part_tracker.borrow();
+        let mut parts = self.part_tracker.borrow_mut();
         for part in &call.shared_parts {
             let key = part.request_key();
             if !poison.is_poison(now_ms, key) {
                 continue;
             }
             poison.record_refusal(now_ms, key);
-            if !parts.is_convicted(*part) {
-                return Err(Refusal::new(Reason::PoisonRequest));
-            }
+            parts.learn_conviction(now_ms, *part, poison.trial_count(key).max(1));
         }
-        Ok(())
     }
 
     fn is_part_trial_running(&self, call: &Call) -> bool {
@@ -78,7 +69,7 @@
         tracker.is_trial_running(self.now_ms(), &call.shared_parts)
     }
 
-    fn claim_part_trial(&self, call: &Call, part: PartKey) -> PartStep {
+    fn claim_part_trial(&self, call: &Call, part: PartKey) -> SendStep {
         let now_ms = self.now_ms();
         let trial = Trial {
             part,
@@ -87,18 +78,9 @@
         let claim = self.part_tracker.borrow_mut().claim_trial(now_ms, trial);
         self.gossip.borrow_mut().add_part_evidence(claim);
         log::info!(request = call.id(), part:% = part; "request is the trial of a prompt part");
-        let trial = PartTrial::new(call, trial, now_ms);
-        call.part_trial.set(Some(trial));
-        self.trial_step(now_ms, trial)
-    }
-
-    /// A claim has to reach the peers before its request is sent.
-    fn trial_step(&self, now_ms: u64, trial: PartTrial) -> PartStep {
-        if self.has_senders() && now_ms < trial.claimed_ms + CLAIM_MS {
-            PartStep::Wait
-        } else {
-            PartStep::Send
-        }
+        let claimed = ClaimedTrial::new(call, trial, now_ms);
+        call.part_trial.set(Some(claimed));
+        claimed.step(self)
     }
 
     /// Ends the trial that a request is, if it showed nothing.
@@ -196,7 +178,10 @@
                     upstream,
                     suspicion,
                 } => self.log_accused(now_ms, part, upstream, suspicion),
-                PartEvidence::Convicted { part, .. } => self.part_convicted(part),
+                PartEvidence::Convicted {
+                    part,
+                    failed_trials,
+                } => self.part_convicted(part, failed_trials),
                 PartEvidence::WentOn(_)
                 | PartEvidence::TrialBegan(_)
                 | PartEvidence::TrialOver(_) => {}
@@ -215,7 +200,7 @@
     }
 
     /// Has a convicted part refused, told and recorded like a poison request.
-    fn part_convicted(&self, part: PartKey) {
+    fn part_convicted(&self, part: PartKey, failed_trials: u8) {
         self.count_part_trial("convicted");
         let ended = self.part_tracker.borrow().ended_under(part);
         log::warn!(part:% = part, upstreams_ended = ended.len(); "prompt part terminates upstreams");
@@ -225,6 +210,7 @@
             self.record_attribution(FailureEvidence::Ended(upstream));
         }
         self.learn_poison_requests(&[request]);
+        self.learn_trial_counts(&[(request, failed_trials)]);
         self.poison_tracker.borrow_mut().mark_unsaved(request);
     }
 
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -130,6 +130,7 @@
         let since_boot_ms = since_boot_ms();
         let reader_role = self.reader_role();
         let reads_for_others = reader_role.is_reader();
+        let poison = self.poison_requests();
         let upstreams = self.upstreams.borrow();
         let position =
             |log: &RefCell<LogFollower>| log.borrow().position(since_boot_ms, reads_for_others);
@@ -153,7 +154,8 @@
             fleet_clock_ms: self.singleton_tasks.fleet_ms(),
             list_position: position(&self.list_position),
             config_position: position(&self.config_position),
-            poison: self.poison_requests(),
+            trial_counts: self.trial_counts(&poison),
+            poison,
             unreached: self.unreached_services(),
             heard: self.heard_services(),
         }
--- a/crates/relay/src/relay/poison.rs
+++ b/crates/relay/src/relay/poison.rs
@@ -1,16 +1,12 @@
 //! Poison requests: requests that terminate the upstreams that run them.
 
-use std::rc::Rc;
-
 use serde::{Deserialize, Serialize};
-use view::poison::{Losses, RETENTION_MS};
+use view::poison::{Losses, RETENTION_MS, StoreStep};
 use view::{FailureEvidence, GossipMessage, RequestKey};
 
 use super::Relay;
 use super::peers::unix_ms;
-use crate::answer::{Reason, Refusal};
 use crate::call::Call;
-use crate::upstream::Upstream;
 
 /// Record of a poison request in the store.
 ///
@@ -23,6 +19,9 @@
     /// Trials that ended their upstream, if the key is that of a prompt part.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub failed_trials: Option<u8>,
+    /// Trials so far, if it was tried.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub trials: Option<u8>,
 }
 
 impl Relay {
@@ -37,33 +36,6 @@
         })
     }
 
-    /// Upstreams that may have ended under a request, and that this instance has not asked since they lost its answer;
-    /// none while one more end would not make it a poison request.
-    pub(crate) fn upstreams_to_inquire(&self, call: &Call) -> Vec<Rc<Upstream>> {
-        let upstreams = self.upstreams.borrow();
-        let tracker = self.poison_tracker.borrow();
-        let Some(lost_ms) = tracker.critical_loss_ms(call.key) else {
-            return Vec::new();
-        };
-        let undecided = tracker.undecided_upstreams(call.key).into_iter();
-        undecided
-            .filter_map(|key| upstreams.get_by_key(key))
-            .filter(|upstream| !upstream.was_health_checked_since(lost_ms))
-            .cloned()
-            .collect()
-    }
-
-    /// Returns a refusal for a known poison request; see [`crate::attribution::ensure_not_poison`].
-    pub fn check_poison(&self, call: &Call) -> Result<(), Refusal> {
-        let now_ms = self.now_ms();
-        let mut tracker = self.poison_tracker.borrow_mut();
-        if !tracker.is_poison(now_ms, call.key) {
-            return Ok(());
-        }
-        tracker.record_refusal(now_ms, call.key);
-        Err(Refusal::new(Reason::PoisonRequest))
-    }
-
     /// Records evidence on whether a request or its upstream caused a loss, and gossips it if it is new.
     pub fn record_attribution(&self, evidence: FailureEvidence) {
         let now_ms = self.now_ms();
@@ -82,7 +54,10 @@
     /// answers it lost.
     pub(super) fn record_upstream_ended(&self, id: &str) {
         let removed = self.upstreams.borrow().last_removed(id);
-        if let Some(upstream) = removed {
+        // One that was leaving has left as planned, and said nothing by that.
+        if let Some((upstream, is_leaving)) = removed
+            && !is_leaving
+        {
             let requests = self
                 .poison_tracker
                 .borrow_mut()
@@ -113,13 +88,16 @@
         let now_ms = self.now_ms();
         let mut tracker = self.poison_tracker.borrow_mut();
         for request in requests {
-            tracker.mark_poison(now_ms, *request);
+            if tracker.mark_poison(now_ms, *request) {
+                let answered = FailureEvidence::Answered(*request);
+                self.gossip.borrow_mut().add_evidence(answered);
+            }
         }
     }
 
-    /// Poison requests detected here that are not in the store yet.
-    pub fn unsaved_poison_requests(&self) -> Vec<RequestKey> {
-        self.poison_tracker.borrow().unsaved(self.now_ms())
+    /// What this instance has to write to the store of requests under which upstreams ended.
+    pub fn poison_store_steps(&self) -> Vec<StoreStep> {
+        self.poison_tracker.borrow().store_steps(self.now_ms())
     }
 
     /// Whether gossip of peers arrives.
@@ -137,6 +115,7 @@
         PoisonRecord {
             found_unix_ms: unix_ms(),
             failed_trials: self.failed_part_trials(request),
+            trials: Some(self.poison_tracker.borrow().trial_count(request)).filter(|it| *it > 0),
         }
     }
 
@@ -144,7 +123,8 @@
     pub fn load_poison_record(&self, request: RequestKey, record: PoisonRecord) {
         if unix_ms() < record.found_unix_ms.saturating_add(RETENTION_MS) {
             self.learn_poison_requests(&[request]);
-            self.poison_request_saved(request);
+            self.learn_trial_counts(&[(request, record.trials.unwrap_or_default())]);
+            self.poison_request_saved(request, record);
             self.learn_convicted_part(request, record);
         }
     }
@@ -154,9 +134,15 @@
         self.poison_tracker.borrow_mut().mark_all_unsaved();
     }
 
-    /// Notes that the store has the record of a poison request.
-    pub fn poison_request_saved(&self, request: RequestKey) {
-        self.poison_tracker.borrow_mut().mark_saved(request);
+    /// Notes that the store has this record of a poison request.
+    pub fn poison_request_saved(&self, request: RequestKey, record: PoisonRecord) {
+        let trials = record.trials.unwrap_or_default();
+        self.poison_tracker.borrow_mut().mark_saved(request, trials);
+    }
+
+    /// Notes that the store has dropped the record of a request that was cleared.
+    pub fn poison_record_dropped(&self, request: RequestKey) {
+        self.poison_tracker.borrow_mut().mark_dropped(request);
     }
 
     /// Logs each request that has become known as a poison request.
@@ -178,21 +164,6 @@
         }
     }
 
-    /// Logs that an answer is about to clear a request of its losses.
-    fn log_cleared(&self, evidence: FailureEvidence, seen_by: &str) {
-        let FailureEvidence::Answered(request) = evidence else {
-            return;
-        };
-        let losses = self.poison_tracker.borrow().losses(request);
-        if losses.upstreams_lost > 0 && self.failure_log_limit.take(self.now_ms()) {
-            log::info!(
-                key:% = request, seen_by, upstreams_lost = losses.upstreams_lost,
-                upstreams_ended = losses.upstreams_ended;
-                "request cleared of its losses: an upstream answered it"
-            );
-        }
-    }
-
     /// Applies the failure attributions and poison requests that a peer gossiped.
     pub(super) fn apply_attributions(&self, now_ms: u64, message: &GossipMessage) {
         for evidence in &message.evidence {
@@ -208,5 +179,6 @@
             }
         }
         self.learn_poison_requests(&message.poison);
+        self.apply_trials(now_ms, message);
     }
 }
--- a/crates/relay/src/relay/retries.rs
+++ b/crates/relay/src/relay/retries.rs
@@ -50,7 +50,12 @@
     /// Whether a request may be sent to a separate prefill engine and then to a decode engine.
     ///
     /// Only the first accepted prefill is free; a later one takes a retry in addition to that of the decode.
+    ///
+    /// A trial is one send: it would otherwise reach two upstreams.
     pub fn may_prefill_separately(&self, call: &Call) -> bool {
+        if call.has_unused_trial() {
+            return false;
+        }
         !call.prefill_accepted.get() || self.may_send_times(call, 2)
     }
 
--- a/crates/relay/src/snapshot.rs
+++ b/crates/relay/src/snapshot.rs
@@ -97,6 +97,9 @@
     /// Known poison requests.
     #[serde(default)]
     pub poisonous: Vec<RequestKey>,
+    /// Numbers of trials of those that were tried.
+    #[serde(default)]
+    pub trial_counts: Vec<(RequestKey, u8)>,
 }
 
 /// When a peer was last asked for a snapshot.
@@ -174,6 +177,7 @@
     merge_list(relay, snapshot);
     relay.apply_announced(&snapshot.announced);
     relay.learn_poison_requests(&snapshot.poisonous);
+    relay.learn_trial_counts(&snapshot.trial_counts);
     let now_ms = relay.now_ms();
     let mut members = relay.members.borrow_mut();
     for member in &snapshot.members {
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -217,8 +217,8 @@
         self.by_id.get(id)
     }
 
-    /// Key of the last removed incarnation of an id.
-    pub fn last_removed(&self, id: &str) -> Option<UpstreamKey> {
+    /// Key of the last removed incarnation of an id, and whether it was leaving.
+    pub fn last_removed(&self, id: &str) -> Option<(UpstreamKey, bool)> {
         self.removed.last(id)
     }
 
--- a/crates/relay/src/upstreams/removed.rs
+++ b/crates/relay/src/upstreams/removed.rs
@@ -47,10 +47,11 @@
         }
     }
 
-    /// Key of the last removed incarnation of an id.
-    pub fn last(&self, id: &str) -> Option<UpstreamKey> {
+    /// Key of the last removed incarnation of an id, and whether it was leaving.
+    pub fn last(&self, id: &str) -> Option<(UpstreamKey, bool)> {
         let removed = self.0.iter().rev().find(|each| each.id == id)?;
-        Some(UpstreamKey::of(&removed.id, removed.started_ms))
+        let key = UpstreamKey::of(&removed.id, removed.started_ms);
+        Some((key, removed.is_leaving))
     }
 
     /// Whether an entry was written before its incarnation was removed.
--- a/crates/relay/tests/leaving_upstreams.rs
+++ b/crates/relay/tests/leaving_upstreams.rs
@@ -246,6 +246,7 @@
         config_next: None,
         members: vec![peer_member()],
         poisonous: Vec::new(),
+        trial_counts: Vec::new(),
     }
 }
 
--- a/crates/view/src/gossip.rs
+++ b/crates/view/src/gossip.rs
@@ -20,7 +20,8 @@
 use crate::{
     FailureEvidence, GossipMessage, GossipedChange, InstanceKey, Load, LogPosition, Member,
     MessageKind, PartEvidence, PendingRoleChange, PrefilledPart, RecentChanges, RequestKey,
-    ServiceDemand, ServiceHeard, ServiceKey, Unreached, UpstreamKey, UpstreamLimit, demand,
+    ServiceDemand, ServiceHeard, ServiceKey, TrialNews, Unreached, UpstreamKey, UpstreamLimit,
+    demand,
 };
 
 /// Gossip period, in ms. All instances know the load of one instance within three periods, a
@@ -57,6 +58,8 @@
     pub config_position: Option<LogPosition>,
     /// Poison requests, which must not be sent to any upstream.
     pub poison: Vec<RequestKey>,
+    /// Numbers of trials of those that were tried.
+    pub trial_counts: Vec<(RequestKey, u8)>,
     /// Services of which it reaches no upstream.
     pub unreached: Vec<ServiceKey>,
     /// When it last heard upstreams.
@@ -118,6 +121,10 @@
     up_part_evidence: ResendQueue<PartEvidence>,
     /// Evidence on prompt parts from other hubs, for the reporters.
     down_part_evidence: ResendQueue<PartEvidence>,
+    /// Trials of requests by this instance or its reporters, for all instances.
+    up_trials: ResendQueue<TrialNews>,
+    /// Trials by instances of other hubs, for the reporters.
+    down_trials: ResendQueue<TrialNews>,
     /// Limits that upstreams named to this instance or its reporters, for all instances.
     up_limits: ResendQueue<UpstreamLimit>,
     /// Limits from other hubs, for the reporters.
@@ -388,6 +395,20 @@
         }
     }
 
+    /// Adds what this instance does about the trial of a request.
+    pub fn add_trial(&mut self, news: TrialNews) {
+        self.up_trials.add(news);
+    }
+
+    /// Passes on what was new here of a trial, to the instances that datagrams of its sender do not reach.
+    pub fn forward_trial(&mut self, news: TrialNews, sender_kind: MessageKind) {
+        match sender_kind {
+            MessageKind::Report => self.up_trials.add(news),
+            MessageKind::Sum => self.down_trials.add(news),
+            MessageKind::Digest => {}
+        }
+    }
+
     /// Adds a limit that an upstream named to this instance, or its withdrawal.
     pub fn add_limit(&mut self, limit: UpstreamLimit) {
         self.up_limits.add(limit);
--- a/crates/view/src/gossip/outgoing.rs
+++ b/crates/view/src/gossip/outgoing.rs
@@ -6,8 +6,8 @@
 use super::{GossipState, Hub, Loads, LocalState};
 use crate::hubs::HubRanking;
 use crate::{
-    GossipMessage, InstanceKey, Load, Member, MessageKind, RequestKey, ServiceDemand, ServiceHeard,
-    ServiceKey, Unreached, UpstreamKey, demand, hubs,
+    GossipMessage, InstanceKey, Load, Member, MessageKind, ServiceDemand, ServiceHeard, ServiceKey,
+    Unreached, UpstreamKey, demand, hubs,
 };
 
 /// Periods per full datagram, which has all loads, the live instances and the demand. The others
@@ -51,6 +51,7 @@
             has_changes || !self.up_evidence.is_empty() || !self.down_evidence.is_empty();
         let has_changes =
             has_changes || !self.up_part_evidence.is_empty() || !self.down_part_evidence.is_empty();
+        let has_changes = has_changes || !self.up_trials.is_empty() || !self.down_trials.is_empty();
         let has_changes = has_changes || !self.up_limits.is_empty() || !self.down_limits.is_empty();
         let has_receivers = self
             .senders
@@ -88,6 +89,7 @@
         self.down_role_changes.clear();
         self.down_evidence.clear();
         self.down_part_evidence.clear();
+        self.down_trials.clear();
         self.down_limits.clear();
         self.paces.clear_down();
         let is_new = self.hub.is_some_and(|hub| hub.since_ms == now_ms);
@@ -110,6 +112,8 @@
             limits: self.up_limits.next_batch(),
             paces: self.paces.next_up(now_ms),
             poison: self.poison_to_send(&own.poison),
+            trial_counts: self.poison_to_send(&own.trial_counts),
+            trials: self.up_trials.next_batch(),
             ..GossipMessage::new(InstanceKey::of(&own.member.name), MessageKind::Report)
         };
         vec![(hub, message)]
@@ -203,6 +207,8 @@
             part_evidence: self.up_part_evidence.next_batch(),
             limits: self.up_limits.next_batch(),
             poison: self.poison_to_send(&own.poison),
+            trial_counts: self.poison_to_send(&own.trial_counts),
+            trials: self.up_trials.next_batch(),
             ..GossipMessage::new(key, MessageKind::Sum)
         };
         let mut sum = GossipMessage {
@@ -225,6 +231,7 @@
         digest.evidence.extend(self.down_evidence.next_batch());
         let part_evidence = self.down_part_evidence.next_batch();
         digest.part_evidence.extend(part_evidence);
+        digest.trials.extend(self.down_trials.next_batch());
         digest.limits.extend(self.down_limits.next_batch());
         let (alive, demand) = self.alive(own, MessageKind::Report);
         if is_full {
@@ -304,8 +311,8 @@
         message
     }
 
-    /// Poison requests, which only full datagrams carry.
-    fn poison_to_send(&self, own: &[RequestKey]) -> Vec<RequestKey> {
+    /// Poison requests or the numbers of their trials, which only full datagrams carry.
+    fn poison_to_send<T: Copy>(&self, own: &[T]) -> Vec<T> {
         let is_full = self.ticks.is_multiple_of(FULL_DATAGRAM_PERIODS);
         own.iter().filter(|_| is_full).copied().collect()
     }
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -29,6 +29,7 @@
 mod sections;
 pub mod sound_parts;
 pub mod stream_origin;
+pub mod trials;
 
 pub use clock::FleetClock;
 pub use demand::ServiceDemand;
@@ -48,6 +49,7 @@
 };
 pub use part_losses::{AnswerProgress, Suspicion};
 pub use parts::{PartEvidence, PartTracker, PartVerdict};
-pub use poison::{FailureEvidence, PoisonTracker};
+pub use poison::{FailureEvidence, PoisonTracker, RequestVerdict};
 pub use queue::{PrefillQueue, RANKS};
 pub use stream_origin::{OriginMessage, StreamKey};
+pub use trials::{RequestTrial, TrialNews};
--- a/crates/view/src/message.rs
+++ b/crates/view/src/message.rs
@@ -10,8 +10,8 @@
 use crate::sections::Sections;
 use crate::{
     EngineTimeTally, FailureEvidence, GossipedChange, InstanceKey, Load, LogPosition, Member,
-    PartEvidence, PrefillQueue, RANKS, RequestKey, ServiceDemand, ServiceKey, Stage, UpstreamKey,
-    WorkspaceKey,
+    PartEvidence, PrefillQueue, RANKS, RequestKey, ServiceDemand, ServiceKey, Stage, TrialNews,
+    UpstreamKey, WorkspaceKey,
 };
 
 /// Version of the wire format, in the first byte of each datagram.
@@ -177,6 +177,10 @@
     pub paces: Vec<PaceReport>,
     /// Engine time of workspaces that changed lately.
     pub engine_times: Vec<EngineTimeTally>,
+    /// Trials of requests under which upstreams ended.
+    pub trials: Vec<TrialNews>,
+    /// Numbers of trials so far, of those in `poison` that were tried.
+    pub trial_counts: Vec<(RequestKey, u8)>,
 }
 
 impl GossipMessage {
@@ -207,6 +211,8 @@
             tallies: Vec::new(),
             paces: Vec::new(),
             engine_times: Vec::new(),
+            trials: Vec::new(),
+            trial_counts: Vec::new(),
         }
     }
 }
@@ -360,6 +366,8 @@
             tallies: wire.tallies,
             paces: Vec::new(),
             engine_times: Vec::new(),
+            trials: Vec::new(),
+            trial_counts: Vec::new(),
         }
     }
 }
--- a/crates/view/src/parts.rs
+++ b/crates/view/src/parts.rs
@@ -17,7 +17,8 @@
 use self::trial::{Conviction, RunningTrial};
 use crate::part_losses::{LostPart, PartLosses};
 use crate::sound_parts::SoundParts;
-use crate::{AnswerProgress, InstanceKey, PartKey, Suspicion, UpstreamKey};
+use crate::trials::{CLAIM_MS, MAX_TRIALS, spread_ms};
+use crate::{AnswerProgress, InstanceKey, PartKey, Suspicion, UpstreamKey, trials};
 
 /// Points from which a part is held: two upstreams that had just begun to write.
 const HOLD_POINTS: usize = 4;
@@ -38,8 +39,9 @@
 /// of them may come and tell which it is.
 const COMBINED_TRIAL_AFTER_MS: u64 = 2_000;
 
-/// Time by which instances may differ on when a convicted part is due, in ms: they hear of its conviction by gossip.
-const DUE_SLACK_MS: u64 = 1_000;
+/// Time by which instances may differ on when a convicted part is due, in ms: they hear of its conviction by gossip, and
+/// spread their claims.
+const DUE_SLACK_MS: u64 = trials::SPREAD_MS + 500;
 
 /// Evidence on parts that instances gossip.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -94,6 +96,8 @@
 struct Suspect {
     ends: Vec<(UpstreamKey, Suspicion)>,
     conviction: Option<Conviction>,
+    /// Trials that were claimed and may have been sent.
+    trials: u8,
     /// When it was last accused.
     accused_ms: u64,
     /// When it was last accused or refused.
@@ -113,15 +117,26 @@
 /// Parts under which upstreams ended lately, as seen by all instances.
 #[derive(Debug, Default)]
 pub struct PartTracker {
+    own: InstanceKey,
     sound: SoundParts,
     losses: PartLosses,
     suspects: HashMap<PartKey, Suspect>,
     trial: Option<RunningTrial>,
     /// The trial before; gossip may still repeat that it began.
     last_trial: Option<Trial>,
+    /// The last claim that came too late; gossip may repeat it.
+    late_trial: Option<Trial>,
 }
 
 impl PartTracker {
+    /// What an instance knows at its start.
+    pub fn of(own: InstanceKey) -> Self {
+        Self {
+            own,
+            ..Self::default()
+        }
+    }
+
     /// Records that an answer of this instance went past its first event; returns what peers need to hear of it.
     pub fn record_went_on(&mut self, now_ms: u64, part: PartKey) -> Option<PartEvidence> {
         self.sound.insert(now_ms, part);
@@ -210,7 +225,8 @@
             .suspects
             .get(&part)
             .and_then(|suspect| suspect.conviction);
-        let failed_trials = known.map_or(0, |known| known.failed_trials) + 1;
+        let tried = self.suspects.get(&part).map_or(0, |suspect| suspect.trials);
+        let failed_trials = tried.max(known.map_or(0, |known| known.failed_trials) + 1);
         self.convict(now_ms, part, failed_trials);
         Some(PartEvidence::Convicted {
             part,
@@ -233,7 +249,7 @@
             } => self.record_end(now_ms, part, upstream, suspicion),
             PartEvidence::WentOn(part) => self.receive_went_on(now_ms, part),
             PartEvidence::TrialBegan(trial) => self.receive_trial(now_ms, trial),
-            PartEvidence::TrialOver(trial) => self.finish_trial(|running| running == trial),
+            PartEvidence::TrialOver(trial) => self.give_back_trial(trial),
             PartEvidence::Convicted {
                 part,
                 failed_trials,
@@ -270,9 +286,16 @@
             return false;
         }
         let running = self.trial.filter(|running| !running.has_lapsed(now_ms));
+        if let Some(running) = running
+            && running.trial.part == trial.part
+            && now_ms >= running.began_ms + CLAIM_MS
+        {
+            return self.note_late_claim(running.trial, trial);
+        }
         if running.is_some_and(|running| running.trial.instance <= trial.instance) {
             return false;
         }
+        self.count_trial(trial.part, running.map(|running| running.trial.part));
         self.trial = Some(RunningTrial {
             trial,
             began_ms: now_ms,
@@ -281,6 +304,15 @@
         true
     }
 
+    /// Counts the claim of an instance that missed an earlier one, which has been sent: both reach engines.
+    fn note_late_claim(&mut self, running: Trial, late: Trial) -> bool {
+        let is_new = running != late && self.late_trial.replace(late) != Some(late);
+        if is_new {
+            self.count_trial(late.part, None);
+        }
+        is_new
+    }
+
     fn record_end(
         &mut self,
         now_ms: u64,
@@ -316,12 +348,22 @@
         if known >= failed_trials {
             return false;
         }
-        suspect.conviction = Some(Conviction::new(now_ms, failed_trials));
+        let spread_ms = spread_ms(part.request_key(), failed_trials, self.own);
+        suspect.conviction = Some(Conviction::new(now_ms + spread_ms, failed_trials));
+        suspect.trials = suspect.trials.max(failed_trials);
         suspect.at_ms = now_ms;
         self.evict(now_ms);
         true
     }
 
+    /// Takes over a conviction that peers list or the store has, unless more is known here.
+    pub fn learn_conviction(&mut self, now_ms: u64, part: PartKey, failed_trials: u8) {
+        let known = self.failed_trials(part).unwrap_or_default();
+        if failed_trials > known && !self.sound.contains(now_ms, part) {
+            self.convict(now_ms, part, failed_trials);
+        }
+    }
+
     /// Drops all that speaks against a part; returns whether there was anything.
     fn clear(&mut self, part: PartKey) -> bool {
         self.finish_trial(|running| running.part == part);
@@ -358,12 +400,14 @@
 
     /// Whether a part is convicted and not to be tried now; such a part is remembered for longer.
     fn is_refused(&mut self, now_ms: u64, part: PartKey) -> bool {
+        let is_running = self.is_trial_running(now_ms, &[part]);
         let Some(suspect) = self.suspects.get_mut(&part) else {
             return false;
         };
         let is_refused = suspect
             .conviction
             .is_some_and(|conviction| !conviction.may_be_tried(now_ms));
+        let is_refused = is_refused || suspect.trials >= MAX_TRIALS && !is_running;
         if is_refused && !suspect.is_old(now_ms) {
             suspect.at_ms = now_ms;
         }
@@ -419,7 +463,10 @@
 
     /// Claims the trial of a part for an instance; returns what peers have to hear.
     pub fn claim_trial(&mut self, now_ms: u64, trial: Trial) -> PartEvidence {
-        self.last_trial = self.trial.take().map(|running| running.trial);
+        let before = self.trial.take();
+        self.last_trial = before.map(|running| running.trial);
+        let crossing = before.filter(|running| !running.has_lapsed(now_ms));
+        self.count_trial(trial.part, crossing.map(|running| running.trial.part));
         self.trial = Some(RunningTrial {
             trial,
             began_ms: now_ms,
@@ -440,10 +487,28 @@
         if running.trial != trial || running.lost_at.is_some() {
             return None;
         }
-        self.finish_trial(|_| true);
+        self.give_back_trial(trial);
         Some(PartEvidence::TrialOver(trial))
     }
 
+    /// Counts a claim; of claims that cross, one is sent.
+    fn count_trial(&mut self, part: PartKey, crossing: Option<PartKey>) {
+        if let Some(suspect) = self.suspects.get_mut(&part)
+            && crossing != Some(part)
+        {
+            suspect.trials = suspect.trials.saturating_add(1);
+        }
+    }
+
+    /// Ends a trial that was not sent, so that it does not count.
+    fn give_back_trial(&mut self, trial: Trial) -> bool {
+        let is_finished = self.finish_trial(|running| running == trial);
+        if is_finished && let Some(suspect) = self.suspects.get_mut(&trial.part) {
+            suspect.trials = suspect.trials.saturating_sub(1);
+        }
+        is_finished
+    }
+
     fn finish_trial(&mut self, is_finished: impl Fn(Trial) -> bool) -> bool {
         let Some(running) = self.trial.filter(|running| is_finished(running.trial)) else {
             return false;
--- a/crates/view/src/poison.rs
+++ b/crates/view/src/poison.rs
@@ -6,16 +6,18 @@
 //! of another engine, and one request would take down all decode engines, one after the other.
 //!
 //! So losses count against the request as well, identified by its content and not by its attempt,
-//! and instances gossip the evidence that they observe. A request that gets a complete answer is
-//! cleared. See docs/design/retries.md.
+//! and instances gossip the evidence that they observe. Ends alone prove nothing: a request that many
+//! callers send is under way at nearly any end. So a suspected request is held and tried again
+//! ([`crate::trials`]), and a complete answer clears it. See docs/design/retries.md.
 
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
-use crate::{RequestKey, UpstreamKey};
+use crate::trials::{RequestTrial, TrialNews, TrialStep, Trials, spread_ms};
+use crate::{InstanceKey, RequestKey, UpstreamKey};
 
-/// Upstreams that must end under a request before it counts as poison. After one end, other
+/// Upstreams that must end under a request before it is held. After one end, other
 /// upstreams may still run it, since upstreams also end for reasons of their own. A third is not
 /// risked: an engine that ends takes its running answers along (9 to 37 in an observed case), while
 /// few requests meet two upstreams that end for their own reasons.
@@ -25,6 +27,14 @@
 /// may meet one more in any case, so a caller is not kept waiting for one that ends slowly.
 const FIRST_LOSS_WAIT_MS: u64 = 100;
 
+/// Time after a loss in which the end of its upstream counts against the request, in ms: longer than the list may lag,
+/// also while the store is away. An upstream that ends later has ended for another reason.
+const LOSS_COUNTS_MS: u64 = 30_000;
+
+/// Time after a loss in which a request is not sent on while its upstreams may have ended, in ms: the list has dropped
+/// those that have.
+pub const DOUBT_MS: u64 = 10_000;
+
 /// How long a request is remembered after it last arrived, in ms: far longer than callers wait
 /// before they retry, and short enough to find out that the upstreams have been fixed.
 pub const RETENTION_MS: u64 = 3_600_000;
@@ -33,9 +43,18 @@
 /// with a dozen answers each that all end at once. About 100 bytes each.
 const MAX_TRACKED: usize = 4_096;
 
-/// Most losses tracked per request: more than it takes to refuse it.
+/// Most losses tracked per request: more than it takes to hold it.
 const MAX_LOSSES: usize = 8;
 
+/// Most losses remembered of a request that was answered since: those that gossip may still repeat.
+const MAX_CLEARED: usize = 32;
+
+/// Shortest time between two tellings that a request was answered, in ms: more than gossip needs to reach all.
+const OBJECTION_PAUSE_MS: u64 = 500;
+
+/// Time for which refused callers are told to stay away while a trial is under way, in ms.
+const TRIAL_RETRY_MS: u64 = 500;
+
 /// Most poison requests in one datagram, the most recent ones: more than can end upstreams at the
 /// same time before the fleet has none left.
 const MAX_PER_MESSAGE: usize = 32;
@@ -77,17 +96,61 @@
     Unsaved,
     /// No longer: the store has it.
     Saved,
+    /// Its record is to be dropped, since the request was answered.
+    ToDrop,
+}
+
+/// Whether the store has to be told that a request was cleared.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StoreStep {
+    /// Write that it is held, and the number of its trials.
+    Write(RequestKey),
+    /// Drop its record.
+    Drop(RequestKey),
+}
+
+/// What becomes of a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum RequestVerdict {
+    /// Nothing speaks against it.
+    Allowed,
+    /// It may be sent once, as the trial with this number.
+    MayTry(u8),
+    /// Its trial is under way, and may clear it soon.
+    TrialRunning,
+    /// The next trial is due in this many ms.
+    Held(u64),
+    /// All trials ended their upstreams.
+    Refused,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Loss {
+    upstream: UpstreamKey,
+    at_ms: u64,
+    /// Whether it was the fault of an instance's own path.
+    is_excused: bool,
+}
+
+/// The end of an upstream.
+#[derive(Debug, Clone, Copy)]
+struct UpstreamEnd {
+    at_ms: u64,
+    /// Whether its entry in the list is gone or names a successor, whatever became of any path.
+    is_listed: bool,
 }
 
 #[derive(Debug, Default)]
 struct Suspect {
-    lost: Vec<UpstreamKey>,
-    /// Losses from before the request was answered. They are not counted when gossip repeats them.
+    losses: Vec<Loss>,
+    /// Upstreams with losses from before the request was answered. They are not counted when gossip repeats them.
     cleared: Vec<UpstreamKey>,
-    /// Losses that were the fault of an instance's own path. They are not counted either.
-    excused: Vec<UpstreamKey>,
-    /// Whether a peer or the store has reported it as poison.
-    is_known_poison: bool,
+    /// Its trials, while it is held.
+    trials: Option<Trials>,
+    /// Whether an answer has cleared it since upstreams ended under it; peers that have not heard so may still name it.
+    is_cleared: bool,
+    /// When a peer was last told that it was answered.
+    objected_ms: u64,
     store_record: StoreRecord,
     is_reported: bool,
     at_ms: u64,
@@ -98,11 +161,35 @@
         now_ms >= self.at_ms + RETENTION_MS
     }
 
-    fn is_poison(&self, now_ms: u64, ended: &HashMap<UpstreamKey, u64>) -> bool {
-        let ended = |key: &&UpstreamKey| ended.contains_key(key);
-        let is_suspected =
-            self.is_known_poison || self.lost.iter().filter(ended).count() >= ENDED_THRESHOLD;
-        is_suspected && !self.is_old(now_ms)
+    fn is_held(&self, now_ms: u64) -> bool {
+        self.trials.is_some() && !self.is_old(now_ms)
+    }
+
+    /// When the upstreams ended whose losses count against it: excused ones only if the list shows the end.
+    fn ended<'a>(
+        &'a self,
+        ended: &'a HashMap<UpstreamKey, UpstreamEnd>,
+    ) -> impl Iterator<Item = u64> + 'a {
+        let counted = |loss: &Loss| {
+            let end = ended.get(&loss.upstream)?;
+            let is_of_loss = end.at_ms.abs_diff(loss.at_ms) <= LOSS_COUNTS_MS;
+            (is_of_loss && (end.is_listed || !loss.is_excused)).then_some(end.at_ms)
+        };
+        self.losses.iter().filter_map(counted)
+    }
+
+    /// Holds it if enough upstreams have ended under it.
+    fn note_ends(&mut self, now_ms: u64, ended: &HashMap<UpstreamKey, UpstreamEnd>) {
+        if self.trials.is_none() && self.ended(ended).count() >= ENDED_THRESHOLD {
+            self.trials = Some(Trials::new(now_ms));
+            self.is_cleared = false;
+        }
+    }
+
+    fn loss_mut(&mut self, upstream: UpstreamKey) -> Option<&mut Loss> {
+        self.losses
+            .iter_mut()
+            .find(|loss| loss.upstream == upstream)
     }
 }
 
@@ -121,18 +208,31 @@
 #[derive(Debug, Default)]
 pub struct PoisonTracker {
     requests: HashMap<RequestKey, Suspect>,
-    ended: HashMap<UpstreamKey, u64>,
+    ended: HashMap<UpstreamKey, UpstreamEnd>,
+    /// Upstreams that gave this instance a sign of life after a loss.
+    alive: HashMap<UpstreamKey, u64>,
 }
 
 impl PoisonTracker {
     /// Processes evidence that this instance observed. Returns whether it is new.
     pub fn observe(&mut self, now_ms: u64, evidence: FailureEvidence) -> bool {
+        let was_held = match evidence {
+            FailureEvidence::Answered(request) => self.is_poison(now_ms, request),
+            _ => false,
+        };
         let is_new = self.receive(now_ms, evidence);
-        if let FailureEvidence::Lost { request, .. } = evidence
-            && let Some(suspect) = self.requests.get_mut(&request)
-            && suspect.store_record == StoreRecord::PeersOnly
-        {
-            suspect.store_record = StoreRecord::Unsaved;
+        let (FailureEvidence::Lost { request, .. } | FailureEvidence::Answered(request)) = evidence
+        else {
+            return is_new;
+        };
+        if let Some(suspect) = self.requests.get_mut(&request) {
+            suspect.store_record = match (evidence, suspect.store_record) {
+                (FailureEvidence::Answered(_), _) if was_held => StoreRecord::ToDrop,
+                (FailureEvidence::Lost { .. }, StoreRecord::PeersOnly | StoreRecord::ToDrop) => {
+                    StoreRecord::Unsaved
+                }
+                (_, record) => record,
+            };
         }
         is_new
     }
@@ -143,7 +243,7 @@
             FailureEvidence::Lost { request, upstream } => {
                 self.record_loss(now_ms, request, upstream)
             }
-            FailureEvidence::Ended(upstream) => self.record_end(now_ms, upstream),
+            FailureEvidence::Ended(upstream) => self.record_end(now_ms, upstream, false),
             FailureEvidence::Answered(request) => self.record_answer(request),
             FailureEvidence::Excused { request, upstream } => {
                 self.record_excuse(now_ms, request, upstream)
@@ -151,14 +251,23 @@
         }
     }
 
+    /// An excuse holds only for an upstream that lives: whether a path was cut or not, one that is found to have ended
+    /// has ended.
     fn record_excuse(&mut self, now_ms: u64, request: RequestKey, upstream: UpstreamKey) -> bool {
         let suspect = self.requests.entry(request).or_default();
-        if suspect.excused.contains(&upstream) || suspect.excused.len() >= MAX_LOSSES {
+        if let Some(loss) = suspect.loss_mut(upstream) {
+            return !std::mem::replace(&mut loss.is_excused, true);
+        }
+        if suspect.losses.len() >= MAX_LOSSES {
             return false;
         }
-        suspect.lost.retain(|lost| *lost != upstream);
-        suspect.excused.push(upstream);
+        suspect.losses.push(Loss {
+            upstream,
+            at_ms: now_ms,
+            is_excused: true,
+        });
         suspect.at_ms = suspect.at_ms.max(now_ms);
+        suspect.note_ends(now_ms, &self.ended);
         self.evict(now_ms);
         true
     }
@@ -168,36 +277,70 @@
         if suspect.is_old(now_ms) {
             *suspect = Suspect::default();
         }
-        let is_known = suspect.lost.contains(&upstream)
-            || suspect.cleared.contains(&upstream)
-            || suspect.excused.contains(&upstream);
-        if is_known || suspect.lost.len() >= MAX_LOSSES {
+        let is_known = suspect.loss_mut(upstream).is_some() || suspect.cleared.contains(&upstream);
+        if is_known {
             return false;
         }
-        suspect.lost.push(upstream);
+        // The oldest loss says least, unless the request is held already.
+        if suspect.losses.len() >= MAX_LOSSES {
+            if suspect.trials.is_some() {
+                return false;
+            }
+            suspect.losses.remove(0);
+        }
+        suspect.losses.push(Loss {
+            upstream,
+            at_ms: now_ms,
+            is_excused: false,
+        });
         suspect.at_ms = now_ms;
+        suspect.note_ends(now_ms, &self.ended);
         self.evict(now_ms);
         true
     }
 
-    fn record_end(&mut self, now_ms: u64, upstream: UpstreamKey) -> bool {
+    fn record_end(&mut self, now_ms: u64, upstream: UpstreamKey, is_listed: bool) -> bool {
         if self.ended.len() >= MAX_TRACKED {
-            self.ended.retain(|_, at_ms| now_ms < *at_ms + RETENTION_MS);
-            let oldest = self.ended.iter().min_by_key(|(_, at_ms)| **at_ms);
+            self.ended
+                .retain(|_, end| now_ms < end.at_ms + RETENTION_MS);
+            let oldest = self.ended.iter().min_by_key(|(_, end)| end.at_ms);
             if let Some(oldest) = oldest.map(|(key, _)| *key) {
                 self.ended.remove(&oldest);
             }
         }
-        self.ended.insert(upstream, now_ms).is_none()
+        let known = self.ended.get(&upstream).copied();
+        // The same end is told again later; an upstream that is known by its name alone may end a second time.
+        let is_same = |end: &UpstreamEnd| now_ms <= end.at_ms + LOSS_COUNTS_MS;
+        let end = UpstreamEnd {
+            at_ms: known.filter(is_same).map_or(now_ms, |end| end.at_ms),
+            is_listed: is_listed || known.is_some_and(|end| end.is_listed),
+        };
+        self.ended.insert(upstream, end);
+        for suspect in self.requests.values_mut() {
+            if suspect.loss_mut(upstream).is_some() {
+                suspect.note_ends(now_ms, &self.ended);
+            }
+        }
+        known.is_none()
+    }
+
+    /// Records that an upstream gave this instance a sign of life: what it lost before was a connection.
+    pub fn record_alive(&mut self, now_ms: u64, upstream: UpstreamKey) {
+        if self.alive.len() >= MAX_TRACKED {
+            self.alive.retain(|_, at_ms| now_ms < *at_ms + DOUBT_MS);
+        }
+        self.alive.insert(upstream, now_ms);
     }
 
     /// Records that an upstream is no longer listed. This is evidence if it was lost under a
     /// request before. Returns the number of requests against which it is new evidence.
     pub fn upstream_unlisted(&mut self, now_ms: u64, upstream: UpstreamKey) -> usize {
-        let suspects = self.requests.values();
-        let accused = suspects.filter(|suspect| suspect.lost.contains(&upstream));
-        let accused = accused.count();
-        if accused > 0 && self.record_end(now_ms, upstream) {
+        let losses = self.requests.values().flat_map(|suspect| &suspect.losses);
+        let losses = losses.filter(|loss| loss.upstream == upstream);
+        let accused = losses
+            .filter(|loss| now_ms <= loss.at_ms + LOSS_COUNTS_MS)
+            .count();
+        if accused > 0 && self.record_end(now_ms, upstream, true) {
             accused
         } else {
             0
@@ -209,60 +352,172 @@
         let Some(suspect) = self.requests.get(&request) else {
             return Losses::default();
         };
-        let ended_ms = suspect.lost.iter().filter_map(|key| self.ended.get(key));
-        let ended_ms: Vec<u64> = ended_ms.copied().collect();
+        let ended_ms: Vec<u64> = suspect.ended(&self.ended).collect();
         let first_ms = ended_ms.iter().min().copied().unwrap_or_default();
         let last_ms = ended_ms.iter().max().copied().unwrap_or_default();
         Losses {
-            upstreams_lost: suspect.lost.len(),
+            upstreams_lost: suspect.losses.len(),
             upstreams_ended: ended_ms.len(),
             ends_within_ms: last_ms - first_ms,
         }
     }
 
+    /// A whole answer clears a request of all that was held against it, and of its trials.
     fn record_answer(&mut self, request: RequestKey) -> bool {
         let Some(suspect) = self.requests.get_mut(&request) else {
             return false;
         };
-        let was_suspected = suspect.is_known_poison || !suspect.lost.is_empty();
-        suspect.is_known_poison = false;
-        let lost = std::mem::take(&mut suspect.lost);
-        suspect.cleared.extend(lost);
+        let was_suspected = suspect.trials.take().is_some() || !suspect.losses.is_empty();
+        let lost = std::mem::take(&mut suspect.losses);
+        suspect
+            .cleared
+            .extend(lost.iter().map(|loss| loss.upstream));
+        let forgotten = suspect.cleared.len().saturating_sub(MAX_CLEARED);
+        suspect.cleared.drain(..forgotten);
+        suspect.is_reported = false;
+        suspect.is_cleared = true;
+        // Who saw the answer drops the record.
+        if suspect.store_record != StoreRecord::ToDrop {
+            suspect.store_record = StoreRecord::PeersOnly;
+        }
         was_suspected
     }
 
-    /// Records that a peer or the store has reported a request as poison.
-    pub fn mark_poison(&mut self, now_ms: u64, request: RequestKey) {
+    /// Records that a peer or the store has reported a request as poison. Returns whether the peer is to be told that it
+    /// was answered since, which it may have missed.
+    pub fn mark_poison(&mut self, now_ms: u64, request: RequestKey) -> bool {
         let suspect = self.requests.entry(request).or_default();
-        // The request was answered; the peer may not have received that evidence yet.
-        if !suspect.cleared.is_empty() || (suspect.is_known_poison && !suspect.is_old(now_ms)) {
-            return;
+        if suspect.is_held(now_ms) {
+            return false;
         }
-        suspect.is_known_poison = true;
+        if suspect.is_cleared {
+            let is_due = now_ms >= suspect.objected_ms + OBJECTION_PAUSE_MS;
+            if is_due {
+                suspect.objected_ms = now_ms;
+            }
+            return is_due;
+        }
+        suspect.trials = Some(Trials::new(now_ms));
         suspect.at_ms = now_ms;
         self.evict(now_ms);
+        false
     }
 
-    /// Whether a request must not be sent to any upstream.
+    /// Whether a request is only sent as a trial, or not at all.
     pub fn is_poison(&self, now_ms: u64, request: RequestKey) -> bool {
         let suspect = self.requests.get(&request);
-        suspect.is_some_and(|suspect| suspect.is_poison(now_ms, &self.ended))
+        suspect.is_some_and(|suspect| suspect.is_held(now_ms))
+    }
+
+    /// What becomes of a request at an instance.
+    pub fn decide(&self, now_ms: u64, request: RequestKey, own: InstanceKey) -> RequestVerdict {
+        let suspect = self.requests.get(&request);
+        let Some(trials) = suspect
+            .filter(|suspect| !suspect.is_old(now_ms))
+            .and_then(|suspect| suspect.trials)
+        else {
+            return RequestVerdict::Allowed;
+        };
+        let spread_ms = spread_ms(request, trials.number(), own);
+        match trials.step(now_ms, spread_ms) {
+            TrialStep::Due(number) => RequestVerdict::MayTry(number),
+            TrialStep::Running => RequestVerdict::TrialRunning,
+            TrialStep::DueIn(wait_ms) => RequestVerdict::Held(wait_ms.max(TRIAL_RETRY_MS)),
+            TrialStep::Over => RequestVerdict::Refused,
+        }
+    }
+
+    /// Claims the next trial of a request for this instance; the store is to know of it.
+    pub fn claim_trial(&mut self, now_ms: u64, trial: RequestTrial) -> bool {
+        let Some(suspect) = self.requests.get_mut(&trial.request) else {
+            return false;
+        };
+        let Some(trials) = suspect.trials.as_mut() else {
+            return false;
+        };
+        let is_claimed = trials.claim(now_ms, trial);
+        if is_claimed {
+            suspect.store_record = StoreRecord::Unsaved;
+        }
+        is_claimed
+    }
+
+    /// Whether the claim of a trial still stands.
+    pub fn holds_trial(&self, trial: RequestTrial) -> bool {
+        let suspect = self.requests.get(&trial.request);
+        let trials = suspect.and_then(|suspect| suspect.trials);
+        trials.is_some_and(|trials| trials.holds(trial))
+    }
+
+    /// Frees the number of a trial of this instance that was not sent; returns whether peers are to be told.
+    pub fn give_back_trial(&mut self, now_ms: u64, trial: RequestTrial) -> bool {
+        self.receive_trial(now_ms, TrialNews::Unsent(trial))
+    }
+
+    /// Whether the instance that claims a trial missed that this one has sent it already, and has to be told.
+    pub fn objects_to_trial(&self, now_ms: u64, own: InstanceKey, trial: RequestTrial) -> bool {
+        let suspect = self.requests.get(&trial.request);
+        let trials = suspect.and_then(|suspect| suspect.trials);
+        trials.is_some_and(|trials| trials.objects(now_ms, own, trial))
+    }
+
+    /// Processes what a peer tells of a trial. Returns whether it is new.
+    pub fn receive_trial(&mut self, now_ms: u64, news: TrialNews) -> bool {
+        match news {
+            TrialNews::Claimed(trial) => {
+                let suspect = self.requests.entry(trial.request).or_default();
+                // The peer may not have heard yet that the request was answered.
+                if suspect.trials.is_none() && suspect.is_cleared {
+                    return false;
+                }
+                suspect.at_ms = suspect.at_ms.max(now_ms);
+                let trials = suspect.trials.get_or_insert_with(|| Trials::new(now_ms));
+                let is_new = trials.claim(now_ms, trial);
+                self.evict(now_ms);
+                is_new
+            }
+            TrialNews::Unsent(trial) => {
+                let suspect = self.requests.get_mut(&trial.request);
+                let trials = suspect.and_then(|suspect| suspect.trials.as_mut());
+                trials.is_some_and(|trials| trials.give_back(now_ms, trial))
+            }
+        }
+    }
+
+    /// Learns from a peer or the store how many trials of a request there were, if it is held here.
+    pub fn learn_trials(&mut self, now_ms: u64, request: RequestKey, number: u8) {
+        let suspect = self.requests.get_mut(&request);
+        if let Some(trials) = suspect.and_then(|suspect| suspect.trials.as_mut()) {
+            trials.learn(now_ms, number);
+        }
+    }
+
+    /// Number of trials of a request that is held.
+    pub fn trial_count(&self, request: RequestKey) -> u8 {
+        let trials = self
+            .requests
+            .get(&request)
+            .and_then(|suspect| suspect.trials);
+        trials.map_or(0, |trials| trials.number())
     }
 
-    /// Upstreams lost under a request that are not known to have ended, unless the request is poison already.
+    /// Upstreams lost under a request of which it is not known whether they have ended, unless it is held already.
     pub fn undecided_upstreams(&self, request: RequestKey) -> Vec<UpstreamKey> {
         let Some(suspect) = self.requests.get(&request) else {
             return Vec::new();
         };
-        let (ended, undecided): (Vec<UpstreamKey>, Vec<UpstreamKey>) = suspect
-            .lost
-            .iter()
-            .partition(|upstream| self.ended.contains_key(upstream));
-        if ended.len() < ENDED_THRESHOLD {
-            undecided
-        } else {
-            Vec::new()
+        if suspect.trials.is_some() {
+            return Vec::new();
         }
+        let losses = suspect.losses.iter();
+        losses
+            .filter(|loss| !self.ended.contains_key(&loss.upstream))
+            .filter(|loss| {
+                let alive_ms = self.alive.get(&loss.upstream);
+                alive_ms.is_none_or(|alive_ms| *alive_ms < loss.at_ms)
+            })
+            .map(|loss| loss.upstream)
+            .collect()
     }
 
     /// Whether a request waits before its next send, because upstreams that lost its answer may have ended.
@@ -280,22 +535,15 @@
         let Some(youngest_ms) = ages.iter().min() else {
             return false;
         };
-        self.ended_under(request) + ages.len() >= ENDED_THRESHOLD
+        self.losses(request).upstreams_ended + ages.len() >= ENDED_THRESHOLD
             || *youngest_ms < FIRST_LOSS_WAIT_MS
     }
 
-    /// When a request last lost an answer, if so many upstreams lost one that it is poison should all have ended.
+    /// When a request last lost an answer, if so many upstreams lost one that it is held should all have ended.
     pub fn critical_loss_ms(&self, request: RequestKey) -> Option<u64> {
         let suspect = self.requests.get(&request)?;
-        (suspect.lost.len() >= ENDED_THRESHOLD).then_some(suspect.at_ms)
-    }
-
-    fn ended_under(&self, request: RequestKey) -> usize {
-        let Some(suspect) = self.requests.get(&request) else {
-            return 0;
-        };
-        let ended = |key: &&UpstreamKey| self.ended.contains_key(key);
-        suspect.lost.iter().filter(ended).count()
+        let last_ms = suspect.losses.iter().map(|loss| loss.at_ms).max()?;
+        (suspect.losses.len() >= ENDED_THRESHOLD).then_some(last_ms)
     }
 
     /// Whether an answer to the request would be evidence.
@@ -317,7 +565,7 @@
     pub fn recent_poison(&self, now_ms: u64) -> Vec<RequestKey> {
         let found = self.requests.iter();
         let mut found: Vec<(u64, RequestKey)> = found
-            .filter(|(_, suspect)| suspect.is_poison(now_ms, &self.ended))
+            .filter(|(_, suspect)| suspect.is_held(now_ms))
             .map(|(request, suspect)| (suspect.at_ms, *request))
             .collect();
         found.sort_unstable_by_key(|(at_ms, _)| std::cmp::Reverse(*at_ms));
@@ -325,11 +573,19 @@
         found.into_iter().map(|(_, request)| request).collect()
     }
 
+    /// The number of trials of those of some requests that were tried.
+    pub fn trial_counts(&self, requests: &[RequestKey]) -> Vec<(RequestKey, u8)> {
+        let counts = requests
+            .iter()
+            .map(|request| (*request, self.trial_count(*request)));
+        counts.filter(|(_, count)| *count > 0).collect()
+    }
+
     /// Poison requests that earlier calls have not returned.
     pub fn take_new_poison(&mut self, now_ms: u64) -> Vec<RequestKey> {
         let mut found = Vec::new();
         for (request, suspect) in &mut self.requests {
-            if !suspect.is_reported && suspect.is_poison(now_ms, &self.ended) {
+            if !suspect.is_reported && suspect.is_held(now_ms) {
                 suspect.is_reported = true;
                 found.push(*request);
             }
@@ -337,23 +593,36 @@
         found
     }
 
-    /// Poison requests that were detected here and are not in the store yet.
-    pub fn unsaved(&self, now_ms: u64) -> Vec<RequestKey> {
-        let is_unsaved = |suspect: &Suspect| suspect.store_record == StoreRecord::Unsaved;
-        self.requests
-            .iter()
-            .filter(|(_, suspect)| is_unsaved(suspect) && suspect.is_poison(now_ms, &self.ended))
-            .map(|(request, _)| *request)
-            .collect()
+    /// What this instance has to write to the store: poison requests that it detected or tries, and those that were
+    /// cleared.
+    pub fn store_steps(&self, now_ms: u64) -> Vec<StoreStep> {
+        let step = |(request, suspect): (&RequestKey, &Suspect)| match suspect.store_record {
+            StoreRecord::Unsaved if suspect.is_held(now_ms) => Some(StoreStep::Write(*request)),
+            StoreRecord::ToDrop => Some(StoreStep::Drop(*request)),
+            StoreRecord::Unsaved | StoreRecord::PeersOnly | StoreRecord::Saved => None,
+        };
+        self.requests.iter().filter_map(step).collect()
     }
 
-    /// Records that the store has a poison request.
-    pub fn mark_saved(&mut self, request: RequestKey) {
+    /// Records that the store has a poison request with this number of trials, and is to be told once it is cleared.
+    pub fn mark_saved(&mut self, request: RequestKey, trials: u8) {
+        if self.trial_count(request) > trials {
+            return;
+        }
         if let Some(suspect) = self.requests.get_mut(&request) {
             suspect.store_record = StoreRecord::Saved;
         }
     }
 
+    /// Records that the store has no record of a request any more.
+    pub fn mark_dropped(&mut self, request: RequestKey) {
+        if let Some(suspect) = self.requests.get_mut(&request)
+            && suspect.store_record == StoreRecord::ToDrop
+        {
+            suspect.store_record = StoreRecord::PeersOnly;
+        }
+    }
+
     /// Records that what the store has of a poison request is out of date.
     pub fn mark_unsaved(&mut self, request: RequestKey) {
         if let Some(suspect) = self.requests.get_mut(&request) {
@@ -381,9 +650,8 @@
         if self.requests.len() <= MAX_TRACKED {
             return;
         }
-        let ended = &self.ended;
         self.requests.retain(|_, suspect| !suspect.is_old(now_ms));
-        let age = |suspect: &Suspect| (suspect.is_poison(now_ms, ended), suspect.at_ms);
+        let age = |suspect: &Suspect| (suspect.is_held(now_ms), suspect.at_ms);
         let first = self.requests.iter().min_by_key(|(_, it)| age(it));
         let first = first.map(|(request, _)| *request);
         if let Some(first) = first.filter(|_| self.requests.len() > MAX_TRACKED) {
--- a/crates/view/src/sections.rs
+++ b/crates/view/src/sections.rs
@@ -5,7 +5,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{EngineTimeTally, GossipMessage, MessageError, PaceReport};
+use crate::{EngineTimeTally, GossipMessage, MessageError, PaceReport, RequestKey, TrialNews};
 
 /// A section; its number in the wire format is its position here.
 #[derive(Serialize, Deserialize)]
@@ -14,6 +14,10 @@
     EngineTimes(Vec<EngineTimeTally>),
     /// What is known of the pace of upstreams.
     Paces(Vec<PaceReport>),
+    /// Trials of requests under which upstreams ended.
+    Trials(Vec<TrialNews>),
+    /// Numbers of such trials so far.
+    TrialCounts(Vec<(RequestKey, u8)>),
 }
 
 /// The sections that a datagram needs.
@@ -32,6 +36,14 @@
         if !paces.is_empty() {
             sections.push(Section::Paces(paces));
         }
+        let trials = std::mem::take(&mut message.trials);
+        if !trials.is_empty() {
+            sections.push(Section::Trials(trials));
+        }
+        let trial_counts = std::mem::take(&mut message.trial_counts);
+        if !trial_counts.is_empty() {
+            sections.push(Section::TrialCounts(trial_counts));
+        }
         Self(sections)
     }
 
@@ -59,6 +71,8 @@
             match section {
                 Section::EngineTimes(tallies) => message.engine_times.extend(tallies),
                 Section::Paces(paces) => message.paces.extend(paces),
+                Section::Trials(trials) => message.trials.extend(trials),
+                Section::TrialCounts(counts) => message.trial_counts.extend(counts),
             }
         }
     }
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod log;
 pub mod part_storm;
+pub mod request_storm;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
@@ -175,6 +176,7 @@
             list_position: each.list,
             config_position: None,
             poison: each.poison.recent_poison(now_ms),
+            trial_counts: each.poison.trial_counts(&each.poison.recent_poison(now_ms)),
         };
         each.members
             .record_self_alive(now_ms, InstanceKey::of(&each.member.name));
@@ -235,6 +237,14 @@
         for request in &message.poison {
             self.poison.mark_poison(now_ms, *request);
         }
+        for (request, number) in &message.trial_counts {
+            self.poison.learn_trials(now_ms, *request, *number);
+        }
+        for news in &message.trials {
+            if self.poison.receive_trial(now_ms, *news) {
+                self.gossip.forward_trial(*news, message.kind);
+            }
+        }
         for evidence in &message.part_evidence {
             let effect = self.parts.receive(now_ms, *evidence);
             if effect.is_new {
--- a/crates/view/tests/poison.rs
+++ b/crates/view/tests/poison.rs
@@ -215,3 +215,45 @@
         assert_eq!(unaware_count(&fleet), 0, "of {instances}");
     }
 }
+
+/// Guards against a request that ends upstreams and is let through again, because an instance took itself for cut off
+/// and excused the losses: the list shows later that their upstreams have ended.
+#[test]
+fn an_excuse_does_not_outlast_the_end_that_the_list_shows() {
+    let excused = |number| FailureEvidence::Excused {
+        request: REQUEST,
+        upstream: upstream(number),
+    };
+    let mut poison = tracker_after(&[
+        lost(1),
+        lost(2),
+        lost(3),
+        excused(1),
+        excused(2),
+        excused(3),
+    ]);
+    assert!(!poison.is_poison(0, REQUEST));
+    poison.upstream_unlisted(3_600, upstream(1));
+    assert!(!poison.is_poison(3_600, REQUEST));
+    poison.upstream_unlisted(3_600, upstream(2));
+    assert!(poison.is_poison(3_600, REQUEST));
+}
+
+/// Guards against a request that is held for connections that upstreams reset long before they end for another reason.
+#[test]
+fn an_end_long_after_a_loss_is_no_evidence() {
+    let mut poison = tracker_after(&[lost(1), lost(2)]);
+    poison.receive(60_000, ended(1));
+    poison.upstream_unlisted(60_000, upstream(2));
+    assert!(!poison.is_poison(60_000, REQUEST));
+}
+
+/// Guards against a request that stays held at an instance which missed that it was answered: a peer tells it.
+#[test]
+fn a_peer_that_holds_an_answered_request_is_told() {
+    let mut poison = tracker_after(&[lost(1), ended(1), lost(2), ended(2)]);
+    poison.receive(1, FailureEvidence::Answered(REQUEST));
+    assert!(poison.mark_poison(1_000, REQUEST));
+    assert!(!poison.mark_poison(1_100, REQUEST), "once in a while");
+    assert!(!poison.is_poison(1_100, REQUEST));
+}
