Requests are known by their caller too, where callers have names

So a small request that many callers send alike was held for all of them when it ended upstreams for one.

Mend: where a route knows its callers by workspace, its name is part of the key. Elsewhere callers have no name that reaches us, and the key stays as it is.

Test: requests_of_different_callers_have_different_keys (with the function, so not seen failing).

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -142,7 +142,9 @@
                 .yields_to_longer(&route.name, f64::from(prompt.input_tokens))
         });
         let target = parts.uri.path_and_query().cloned()?;
-        let key = RequestKey::of(&route.host, parts.method.as_str(), target.as_str(), &body);
+        let caller = workspace.as_ref().map(|workspace| workspace.name.as_str());
+        let key = RequestKey::of(&route.host, parts.method.as_str(), target.as_str(), &body)
+            .of_caller(caller);
         let mut headers = parts.headers;
         strip_hop_by_hop(&mut headers, |name| dialect.is_end_to_end(name));
         headers.remove(header::CONTENT_LENGTH);
--- a/crates/view/src/key.rs
+++ b/crates/view/src/key.rs
@@ -76,7 +76,7 @@
     }
 }
 
-/// The content of a request, by a hash of its host, method, path and body.
+/// The content of a request, by a hash of its host, method, path, body and, where it is known, caller.
 ///
 /// Each attempt of a caller has its own id. This key is the same for all attempts of a request, at
 /// whichever instance they arrive.
@@ -95,6 +95,14 @@
         hash.update(body);
         Self(hash.digest())
     }
+
+    /// The key of the same request of a certain caller, if callers are known by name.
+    #[must_use]
+    pub fn of_caller(self, caller: Option<&str>) -> Self {
+        caller.map_or(self, |caller| {
+            Self(xxh3_64_with_seed(caller.as_bytes(), self.0))
+        })
+    }
 }
 
 /// A part of prompts, by a hash of its id.
--- a/crates/view/tests/key.rs
+++ b/crates/view/tests/key.rs
@@ -18,3 +18,13 @@
     ];
     assert!(others.iter().all(|other| *other != key), "{others:?}");
 }
+
+/// Guards against callers that send the same small request being taken for one: what ends upstreams for one of them would
+/// be refused for all.
+#[test]
+fn requests_of_different_callers_have_different_keys() {
+    let key = RequestKey::of("host.test", "GET", "/a/1", b"");
+    assert_ne!(key.of_caller(Some("one")), key.of_caller(Some("other")));
+    assert_eq!(key.of_caller(Some("one")), key.of_caller(Some("one")));
+    assert_eq!(key.of_caller(None), key);
+}
