A list vouches for a process only if it was read after that process would have registered (ORDER)

Cause, two ways. (1) The list counted while it was less than 1.0 s old, whatever it was asked about: an engine that came back since it was read was taken for the listed one, and a doubt ended as soon as the list was young again, before the engine had registered. (2) A caller that takes a stream up at another instance: where the list knows one version, the first reply of any instance was enough, also of one that was not told of the doubt.

Evidence: three new tests fail on the code before, each with events of both versions in one answer or a taken-up stream served by the other version (200 for 503).

Mend: what is asked is whether the process behind a connection is the listed one. The pool knows since when connections to a peer are open without a gap; the list counts if it was read 1.0 s after that at least, and has not been late within 2.6 s, in which engines register anew. Otherwise the engine is asked, for a first connection already as the request is sent. One that was found replaced is never vouched for again. While the list is not settled, a stream without a record is taken up only if all instances that may have one replied.

Why it suffices: a process that started before a connection to it was opened has registered by the time of such a list, so the list would name it; an answer of its own says it at once.

Left: a process that loses power without a reset while another connection to it is still open counts as running until that one fails.

--- a/crates/relay/src/generation.rs
+++ b/crates/relay/src/generation.rs
@@ -19,6 +19,7 @@
 use crate::send::{SendResult, note_response};
 use crate::shares;
 use crate::stream::{StreamForwarder, StreamOrigin};
+use crate::stream_origins::confirm_before_events;
 use crate::upstream::{InFlight, MIN_CACHED_TOKENS, PrefillProgress, Upstream, Work};
 use crate::urgency::Urgency;
 use crate::waiting::{self, wait_for_room};
@@ -175,6 +176,7 @@
         last_event: call.head.last_event,
         ..SendOptions::default()
     };
+    confirm_before_events(relay, engine);
     let began_ms = relay.now_ms();
     let mut is_transferred = kv.is_some();
     let awaited = AwaitedAnswer::begin(
--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -44,6 +44,8 @@
     task: JoinHandle<()>,
     /// When it began to be opened.
     began_ms: u64,
+    /// Since when the peer's process is known to run.
+    process_since_ms: u64,
     idle_until_ms: u64,
 }
 
@@ -62,6 +64,8 @@
     is_closing: Cell<bool>,
     rest: Cell<Rest>,
     proven_ms: Cell<Option<u64>>,
+    /// Since when connections to the peer are open without a gap, so that its process is the same; none while none is.
+    process_since_ms: Cell<Option<u64>>,
 }
 
 impl Pool {
@@ -75,6 +79,7 @@
             is_closing: Cell::default(),
             rest: Cell::default(),
             proven_ms: Cell::default(),
+            process_since_ms: Cell::default(),
         })
     }
 
@@ -116,6 +121,24 @@
         self.proven_ms.get()
     }
 
+    /// Since when the peer's process is known to be the same; none if no connection to it is open.
+    ///
+    /// A process takes its connections along, so while one of them lives, those opened since are to the same process.
+    pub fn process_since_ms(&self) -> Option<u64> {
+        self.process_since_ms.get().filter(|_| self.has_living())
+    }
+
+    fn has_living(&self) -> bool {
+        let idle = self.idle.borrow();
+        let in_use = self.open.get().saturating_sub(idle.len());
+        in_use > 0 || idle.iter().any(|connection| !connection.sender.is_closed())
+    }
+
+    /// Records that a connection failed: its process may have ended.
+    fn forget_process(&self) {
+        self.process_since_ms.set(None);
+    }
+
     fn note_answer(&self, connection_began_ms: u64) {
         self.proven_ms
             .set(self.proven_ms.get().max(Some(connection_began_ms)));
@@ -179,6 +202,9 @@
             if is_usable {
                 return Some(connection);
             }
+            if connection.sender.is_closed() {
+                self.forget_process();
+            }
             self.open.set(self.open.get() - 1);
         }
     }
@@ -200,6 +226,13 @@
             .map_or(0, |connection| connection.began_ms)
     }
 
+    /// Since when the process at its other end is known to run.
+    pub fn process_since_ms(&self) -> u64 {
+        self.connection
+            .as_ref()
+            .map_or(0, |connection| connection.process_since_ms)
+    }
+
     /// Returns the connection to the pool after its answer was read completely.
     pub fn release(mut self) {
         let Some(mut connection) = self.connection.take() else {
@@ -218,7 +251,10 @@
 
 impl Drop for PooledConnection {
     fn drop(&mut self) {
-        if self.connection.take().is_some() {
+        if let Some(connection) = self.connection.take() {
+            if connection.sender.is_closed() {
+                self.pool.forget_process();
+            }
             self.pool.open.set(self.pool.open.get() - 1);
         }
     }
@@ -274,7 +310,10 @@
                             is_refused: false,
                         });
                     }
-                    None => return Err(lost(peer, error.error(), &allowance)),
+                    None => {
+                        pool.forget_process();
+                        return Err(lost(peer, error.error(), &allowance));
+                    }
                 }
             }
         }
@@ -292,7 +331,8 @@
         return Err(ExchangeError::PoolExhausted { peer });
     }
     let began_ms = pool.clock.now_ms();
-    let stream = connect_to(peer, timeout_ms).await?;
+    let connected = connect_to(peer, timeout_ms).await;
+    let stream = connected.inspect_err(|_| pool.forget_process())?;
     let allowance = HeadAllowance::new();
     let socket = BoundedSocket::new(stream, allowance.clone());
     let (mut sender, connection) = http1::Builder::new()
@@ -312,12 +352,15 @@
     // The task has to run once before the connection accepts a request. An error is ignored: the send will fail too, with
     // the request unsent. It counts as open only after the wait, since a caller that leaves meanwhile drops it.
     let _ = sender.ready().await;
+    let process_since_ms = pool.process_since_ms().unwrap_or(began_ms);
+    pool.process_since_ms.set(Some(process_since_ms));
     pool.open.set(pool.open.get() + 1);
     Ok(Connection {
         sender,
         allowance,
         task,
         began_ms,
+        process_since_ms,
         idle_until_ms: 0,
     })
 }
--- a/crates/relay/src/relay/peers.rs
+++ b/crates/relay/src/relay/peers.rs
@@ -96,6 +96,7 @@
         let expired = self.gossip.borrow_mut().expire(now_ms);
         self.apply_loads(&expired);
         self.remove_lapsed();
+        self.note_list_age();
         self.log_new_poison_requests();
         self.gossip_paces(now_ms);
         let own = self.local_state();
--- a/crates/relay/src/stream/source.rs
+++ b/crates/relay/src/stream/source.rs
@@ -83,10 +83,9 @@
 impl StreamSource {
     /// Version of the engine that serves the stream, if it is known for sure.
     pub(super) fn sure_version(&self, relay: &Rc<Relay>) -> Option<VersionKey> {
-        let is_sure = self
-            .origin
-            .engine()
-            .is_none_or(|engine| is_from_listed(relay, &engine, self.connection.began_ms()));
+        let is_sure = self.origin.engine().is_none_or(|engine| {
+            is_from_listed(relay, &engine, self.connection.process_since_ms())
+        });
         self.origin.version().filter(|_| is_sure)
     }
 
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -101,6 +101,8 @@
     confirmed_ms: Cell<Option<u64>>,
     /// When it was last asked for that.
     confirming_ms: Cell<Option<u64>>,
+    /// Whether another incarnation was found at its address.
+    is_replaced: Cell<bool>,
     clock: Clock,
     joined_ms: u64,
     role_change: Cell<Option<RoleChange>>,
@@ -145,6 +147,7 @@
             unproven_until_ms: Cell::default(),
             confirmed_ms: Cell::default(),
             confirming_ms: Cell::default(),
+            is_replaced: Cell::default(),
             joined_ms: clock.now_ms(),
             role_change: Cell::default(),
             no_capacity_until_ms: Cell::default(),
@@ -223,12 +226,21 @@
         self.confirmed_ms.set(Some(self.clock.now_ms()));
     }
 
-    /// Whether it was the listed incarnation at `since_ms`, or later: the process to which a connection was opened then is
-    /// no later one.
+    /// Whether it was the listed incarnation at `since_ms`, or later: a process that has run since then is no later one.
     pub fn is_confirmed_since(&self, since_ms: u64) -> bool {
         self.confirmed_ms.get() >= Some(since_ms)
     }
 
+    /// Records that another incarnation answered at its address.
+    pub fn note_replaced(&self) {
+        self.is_replaced.set(true);
+    }
+
+    /// Whether another incarnation is known to have answered at its address.
+    pub fn is_replaced(&self) -> bool {
+        self.is_replaced.get()
+    }
+
     /// Marks that it is asked for its incarnation; false if it was just now.
     pub fn begin_confirmation(&self) -> bool {
         let now_ms = self.clock.now_ms();
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -232,8 +232,12 @@
 
 /// An instance whose list of upstreams is five seconds old.
 fn start_with_late_list(entries: Vec<UpstreamEntry>) -> TestInstance {
+    start_with_list_of_age(entries, 5_000)
+}
+
+fn start_with_list_of_age(entries: Vec<UpstreamEntry>, age_ms: u64) -> TestInstance {
     let instance = TestInstance::start(entries.clone());
-    let as_of_ms = since_boot_ms().saturating_sub(5_000);
+    let as_of_ms = since_boot_ms().saturating_sub(age_ms);
     instance.relay.take_whole_list(as_of_ms, 9, entries);
     instance
 }
@@ -252,6 +256,55 @@
     assert_eq!((back.count(), other.count()), (1, 0));
 }
 
+/// Guards against the same where the list is young, and the engine came back since it was read.
+#[actix_rt::test]
+async fn a_stream_begun_by_an_engine_that_came_back_just_now_goes_on_at_no_other_version() {
+    for age_ms in [0, 300, 900] {
+        let (back, other) = (breaking_engine("v2"), breaking_engine("v1"));
+        let entries = vec![
+            outdated(entry(&back, "back", "v1")),
+            in_other_zone(current(entry(&other, "other", "v1"))),
+        ];
+        let instance = start_with_list_of_age(entries, age_ms);
+        let (status, body) = instance.fetch(generation_request("/grades/x", 1, 90)).await;
+        assert_eq!((status, body), (200, None), "broken off, {age_ms} ms");
+        assert_eq!((back.count(), other.count()), (1, 0), "{age_ms} ms");
+    }
+}
+
+/// Guards against a doubt about the version of a stream that ends because the list is read again, not because the engine
+/// answered: an engine that came back has not registered yet.
+#[actix_rt::test]
+async fn a_doubt_about_what_began_a_stream_does_not_end_with_a_young_list() {
+    let back = StubUpstream::start(|received| {
+        let whole = received.response_text("200 OK", "", &events("v2", 0, EVENTS));
+        let (second, third) = (whole.find("id: 2"), whole.find("id: 3"));
+        let (second, third) = (second.expect("an event"), third.expect("an event"));
+        vec![
+            Action::Write(whole[..second].to_owned()),
+            Action::Wait(400),
+            Action::Write(whole[second..third].to_owned()),
+            Action::Wait(20),
+            Action::Close,
+        ]
+    });
+    let other = breaking_engine("v1");
+    let entries = vec![
+        outdated(entry(&back, "back", "v1")),
+        in_other_zone(current(entry(&other, "other", "v1"))),
+    ];
+    let instance = start_with_late_list(entries.clone());
+    let stream = instance.fetch(generation_request("/grades/x", 1, 90));
+    let read_again = async {
+        actix_rt::time::sleep(Duration::from_millis(200)).await;
+        let relay = &instance.relay;
+        relay.take_whole_list(since_boot_ms(), 10, entries);
+    };
+    let ((status, body), ()) = futures_util::future::join(stream, read_again).await;
+    assert_eq!((status, body), (200, None), "broken off");
+    assert_eq!(other.count(), 0);
+}
+
 /// Guards against the same where its caller takes it up.
 #[actix_rt::test]
 async fn a_stream_begun_by_an_engine_that_had_come_back_is_taken_up_at_no_other_version() {
@@ -271,6 +324,39 @@
     assert_eq!((status, other.count()), (503, 0));
 }
 
+/// Guards against the same where it is taken up at another instance, and only those reply that were not told of the doubt.
+#[actix_rt::test]
+async fn a_stream_begun_while_the_list_is_late_is_taken_up_elsewhere_at_no_other_version() {
+    let (back, other) = (hanging_engine("v2"), hanging_engine("v1"));
+    let entries = vec![
+        outdated(entry(&back, "back", "v1")),
+        in_other_zone(current(entry(&other, "other", "v1"))),
+    ];
+    let mut instances = Vec::new();
+    for name in ["a", "b", "c", "d", "e", "f", "g", "h"] {
+        let instance = TestInstance::start_peer(name, "here", entries.clone()).await;
+        let as_of_ms = since_boot_ms().saturating_sub(2_000);
+        instance.relay.take_whole_list(as_of_ms, 9, entries.clone());
+        instances.push(instance);
+    }
+    meet(&instances.iter().collect::<Vec<_>>()).await;
+    let response = instances[0].send(generation_request("/grades/x", 1, 90));
+    let mut body = response.await.expect("an answer's head").into_body();
+    body.frame().await.expect("an event").expect("no error");
+    drop(body);
+    assert_eq!(back.count(), 1, "begun at the engine that came back");
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
+    let (told, others): (Vec<&TestInstance>, Vec<&TestInstance>) = instances
+        .iter()
+        .partition(|it| !it.relay.stream_origins.is_empty());
+    assert_eq!(told.len(), 3, "the one that began it and two that it told");
+    told.iter().for_each(|it| it.kill());
+    for instance in others {
+        let (status, _) = instance.fetch(take_up(2, 1)).await;
+        assert_eq!((status, other.count()), (503, 0));
+    }
+}
+
 /// Guards against streams that are broken off or refused for no reason while the list is late: their engines are asked.
 #[actix_rt::test]
 async fn streams_go_on_while_the_list_is_late() {
