Answers count against the memory of all until their callers have read them (LOST)

Cause: an answer of up to 1 MiB without a length is held whole before it is passed on, and its memory was counted only until it was whole. While its caller read it, it counted for nothing.

Mend: the bytes carry their share of the shared 8 MiB until the last of them was written to the caller. Where there is no memory for more of an answer, what has come is passed on and the rest as it comes: the upstream waits for the caller, where the answer was given up as lost before.

Test: answers_count_until_slow_callers_have_read_them, 24 callers with 21 MB of answers; on the code before, nothing is counted while all of it is held.

--- a/crates/relay/src/bounded_body.rs
+++ b/crates/relay/src/bounded_body.rs
@@ -3,7 +3,8 @@
 //! An upstream that fails may write without end. An instance that kept all of it would run out of memory, and with it
 //! would go the answers of all its callers. See docs/design/bounded-answers.md.
 
-use std::cell::Cell;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::{Bytes, BytesMut};
 use derive_more::Display;
@@ -37,9 +38,6 @@
         /// Its longest length, in bytes.
         most_bytes: usize,
     },
-    /// All answers together hold as much as they may.
-    #[display("all answers hold {SHARED_BYTES} bytes")]
-    NoMemory,
 }
 
 impl BodyError {
@@ -47,77 +45,112 @@
     pub fn is_past_bound(&self) -> bool {
         match self {
             Self::Broken(_) => false,
-            Self::TooLong { .. } | Self::NoMemory => true,
+            Self::TooLong { .. } => true,
         }
     }
 }
 
-/// Memory of this instance for answers that are held until they are whole.
+/// What came of reading a body.
+pub enum ReadBody {
+    /// All of it. Its memory counts until its last byte was written to the caller.
+    Whole(Bytes),
+    /// Its beginning. There is no memory for more, so the rest has to be passed on as it comes: a caller that reads slowly
+    /// then slows its upstream down.
+    Begun(Bytes, Incoming),
+}
+
+/// Memory of this instance for answers that are held until they are whole, and from then on until their callers have read
+/// them.
 ///
-/// Each may hold [`OWN_SHARE_BYTES`], so that upstreams which write without end take nothing from usual answers.
+/// Each may hold [`OWN_SHARE_BYTES`], so that upstreams which write without end, and callers that read slowly, take nothing
+/// from usual answers.
 #[derive(Debug, Default)]
 pub struct AnswerMemory {
-    shared_bytes: Cell<usize>,
+    shared_bytes: Arc<AtomicUsize>,
 }
 
 impl AnswerMemory {
-    /// Reads a body whole; one of more than [`MAX_HELD_BYTES`], or for which there is no memory, is an error.
-    pub async fn read_whole(&self, mut body: Incoming) -> Result<Bytes, BodyError> {
-        let mut held = Held::new(self);
+    /// Reads a body while there is memory for it; one of more than [`MAX_HELD_BYTES`] is an error.
+    pub async fn read_whole(&self, mut body: Incoming) -> Result<ReadBody, BodyError> {
+        let mut share = Share::of(self);
+        let mut bytes = BytesMut::new();
         while let Some(frame) = body.frame().await {
             let frame = frame.map_err(BodyError::Broken)?;
-            if let Ok(data) = frame.into_data() {
-                held.add(&data)?;
+            let Ok(data) = frame.into_data() else {
+                continue;
+            };
+            bytes.extend_from_slice(&data);
+            if bytes.len() > MAX_HELD_BYTES {
+                return Err(BodyError::TooLong {
+                    most_bytes: MAX_HELD_BYTES,
+                });
+            }
+            if !share.grow(bytes.len().saturating_sub(OWN_SHARE_BYTES)) {
+                return Ok(ReadBody::Begun(share.keep(bytes), body));
             }
         }
-        Ok(std::mem::take(&mut held.bytes).freeze())
+        Ok(ReadBody::Whole(share.keep(bytes)))
     }
 
     /// Bytes that answers hold beyond their own shares.
     pub fn shared_bytes(&self) -> usize {
-        self.shared_bytes.get()
+        self.shared_bytes.load(Ordering::Relaxed)
     }
 }
 
-/// The part of a body that was read.
-struct Held<'a> {
-    memory: &'a AnswerMemory,
-    bytes: BytesMut,
+/// What one answer holds of the shared memory.
+struct Share {
+    memory: Arc<AtomicUsize>,
     shared_bytes: usize,
 }
 
-impl<'a> Held<'a> {
-    fn new(memory: &'a AnswerMemory) -> Self {
+impl Share {
+    fn of(memory: &AnswerMemory) -> Self {
         Self {
-            memory,
-            bytes: BytesMut::new(),
+            memory: Arc::clone(&memory.shared_bytes),
             shared_bytes: 0,
         }
     }
 
-    fn add(&mut self, data: &[u8]) -> Result<(), BodyError> {
-        let length = self.bytes.len() + data.len();
-        if length > MAX_HELD_BYTES {
-            return Err(BodyError::TooLong {
-                most_bytes: MAX_HELD_BYTES,
-            });
+    /// Takes memory until the answer holds so much; false if all answers hold as much as they may.
+    fn grow(&mut self, to_bytes: usize) -> bool {
+        let more = to_bytes.saturating_sub(self.shared_bytes);
+        let before = self.memory.fetch_add(more, Ordering::Relaxed);
+        if more > 0 && before + more > SHARED_BYTES {
+            self.memory.fetch_sub(more, Ordering::Relaxed);
+            return false;
         }
-        let more = length.saturating_sub(OWN_SHARE_BYTES) - self.shared_bytes;
-        let all = self.memory.shared_bytes.get() + more;
-        if more > 0 && all > SHARED_BYTES {
-            return Err(BodyError::NoMemory);
-        }
-        self.memory.shared_bytes.set(all);
         self.shared_bytes += more;
-        self.bytes.extend_from_slice(data);
-        Ok(())
+        true
+    }
+
+    /// Bytes whose memory counts until they are dropped.
+    fn keep(self, bytes: BytesMut) -> Bytes {
+        if self.shared_bytes == 0 {
+            return bytes.freeze();
+        }
+        Bytes::from_owner(Kept {
+            bytes: bytes.freeze(),
+            _share: self,
+        })
     }
 }
 
-impl Drop for Held<'_> {
+impl Drop for Share {
     fn drop(&mut self) {
-        let all = self.memory.shared_bytes.get();
-        self.memory.shared_bytes.set(all - self.shared_bytes);
+        self.memory.fetch_sub(self.shared_bytes, Ordering::Relaxed);
+    }
+}
+
+/// Bytes of an answer with their share of the memory.
+struct Kept {
+    bytes: Bytes,
+    _share: Share,
+}
+
+impl AsRef<[u8]> for Kept {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
     }
 }
 
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -3,11 +3,12 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use http::{Response, header};
 
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::attribution::{ensure_not_poison, note_lost_answer};
-use crate::bounded_body::BodyError;
+use crate::bounded_body::{BodyError, ReadBody};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
 use crate::generation::generate;
@@ -226,26 +227,31 @@
         version: None,
     });
     let is_long = http_body::Body::size_hint(&body).lower() > MAX_BUFFERED_BYTES;
-    let body = if is_long {
-        let origin = StreamOrigin::Engine(guard);
-        stream_answer(relay, call, body, checked.connection, origin)
+    let read = if is_long {
+        Ok(ReadBody::Begun(Bytes::new(), body))
     } else {
-        let bytes = match relay.answer_memory.read_whole(body).await {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                // The connection is reset before anything is asked about the upstream.
-                drop(checked.connection);
-                upstream.note_failure(relay.now_ms());
-                note_lost_answer(relay, call, &upstream);
-                note_body_error(relay, call, &upstream.id, &error);
-                return Err(Refusal::new(Reason::Lost));
-            }
-        };
-        head.headers.remove(header::CONTENT_LENGTH);
-        checked.connection.release();
-        drop(guard);
-        relay.record_answered(call);
-        AnswerBody::whole(bytes)
+        relay.answer_memory.read_whole(body).await
+    };
+    let body = match read {
+        Ok(ReadBody::Begun(begun, rest)) => {
+            let origin = StreamOrigin::Engine(guard);
+            stream_answer(relay, call, (begun, rest), checked.connection, origin)
+        }
+        Ok(ReadBody::Whole(bytes)) => {
+            head.headers.remove(header::CONTENT_LENGTH);
+            checked.connection.release();
+            drop(guard);
+            relay.record_answered(call);
+            AnswerBody::whole(bytes)
+        }
+        Err(error) => {
+            // The connection is reset before anything is asked about the upstream.
+            drop(checked.connection);
+            upstream.note_failure(relay.now_ms());
+            note_lost_answer(relay, call, &upstream);
+            note_body_error(relay, call, &upstream.id, &error);
+            return Err(Refusal::new(Reason::Lost));
+        }
     };
     let status = head.status.as_u16().to_string();
     call.count_end(&status);
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::FutureExt;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderValue, Response, header};
@@ -22,6 +23,7 @@
 pub(crate) use self::wire::{ServedBy, mark_answer};
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_leaving};
 use crate::answer::{AnswerBody, Reason, Refusal};
+use crate::bounded_body::ReadBody;
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
 use crate::dialect::SendOptions;
@@ -406,19 +408,25 @@
     strip_hop_by_hop(&mut head.headers, |_| false);
     let is_refusal = head.headers.remove(REFUSED).is_some();
     let is_long = http_body::Body::size_hint(&body).lower() > MAX_BUFFERED_BYTES;
-    let body = if is_long {
-        stream_answer(relay, call, body, connection, StreamOrigin::Peer(at_peer))
+    let read = if is_long {
+        Ok(ReadBody::Begun(Bytes::new(), body))
     } else {
-        let bytes = match relay.answer_memory.read_whole(body).await {
-            Ok(bytes) => bytes,
-            Err(error) => {
-                note_body_error(relay, call, &at_peer.name, &error);
-                return Err(Refusal::new(Reason::Lost));
-            }
-        };
-        head.headers.remove(header::CONTENT_LENGTH);
-        connection.release();
-        AnswerBody::whole(bytes)
+        relay.answer_memory.read_whole(body).await
+    };
+    let body = match read {
+        Ok(ReadBody::Begun(begun, rest)) => {
+            let origin = StreamOrigin::Peer(at_peer);
+            stream_answer(relay, call, (begun, rest), connection, origin)
+        }
+        Ok(ReadBody::Whole(bytes)) => {
+            head.headers.remove(header::CONTENT_LENGTH);
+            connection.release();
+            AnswerBody::whole(bytes)
+        }
+        Err(error) => {
+            note_body_error(relay, call, &at_peer.name, &error);
+            return Err(Refusal::new(Reason::Lost));
+        }
     };
     call.is_finished.set(true);
     call.count_end("handed_over");
--- a/crates/relay/src/stream/long_answer.rs
+++ b/crates/relay/src/stream/long_answer.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use futures_util::stream::unfold;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
@@ -13,17 +14,18 @@
 use crate::pool::PooledConnection;
 use crate::relay::Relay;
 
-/// Streams a long answer to the caller as it arrives, until the request's deadline.
+/// Streams a long answer to the caller as it arrives after its beginning, until the request's deadline.
 pub fn stream_answer(
     relay: &Rc<Relay>,
     call: &Rc<Call>,
-    body: Incoming,
+    (begun, body): (Bytes, Incoming),
     connection: PooledConnection,
     origin: StreamOrigin,
 ) -> AnswerBody {
     struct State {
         relay: Rc<Relay>,
         call: Rc<Call>,
+        begun: Bytes,
         body: Incoming,
         connection: PooledConnection,
         origin: StreamOrigin,
@@ -31,12 +33,17 @@
     let state = State {
         relay: Rc::clone(relay),
         call: Rc::clone(call),
+        begun,
         body,
         connection,
         origin,
     };
     let frames = unfold(Some(state), |state| async move {
         let mut state = state?;
+        if !state.begun.is_empty() {
+            let begun = std::mem::take(&mut state.begun);
+            return Some((Ok(begun), Some(state)));
+        }
         let left = Duration::from_millis(state.call.left_ms(state.relay.now_ms()));
         let why = match actix_rt::time::timeout(left, state.body.frame()).await {
             // A timeout does not end what is always ready.
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -9,6 +9,7 @@
 mod dialect;
 mod link;
 mod requests;
+mod slow_callers;
 mod stub;
 
 use std::net::SocketAddr;
@@ -33,6 +34,7 @@
 pub use dialect::TestDialect;
 pub use link::{Link, LinkState};
 pub use requests::{EVENTS, generation_request, is_prefill, read_request};
+pub use slow_callers::{ANSWER_BYTES, large_answer, slow_connection};
 pub use stub::{Action, Ending, ReceivedRequest, StubUpstream};
 
 /// How long the process of an instance seems to have been running: longer than any of its time
