--- a/crates/relay/src/reachability.rs
+++ b/crates/relay/src/reachability.rs
@@ -113,7 +113,7 @@
 
     /// The instances that reach no upstream at all, as this one or its peers tell.
     pub fn fully_unreached(&self) -> Vec<InstanceKey> {
-        let services = self.upstreams.borrow().service_count();
+        let services = self.routed_services();
         let mut unreached: HashMap<InstanceKey, BTreeSet<ServiceKey>> = HashMap::new();
         for each in self.gossip.borrow().unreached() {
             let of_instance = unreached.entry(each.instance).or_default();
@@ -121,7 +121,9 @@
         }
         let own = InstanceKey::of(&self.settings.borrow().name);
         unreached.insert(own, self.unreached_services().into_iter().collect());
-        let is_fully = |all: &BTreeSet<ServiceKey>| services > 0 && all.len() >= services;
+        let is_fully = |all: &BTreeSet<ServiceKey>| {
+            !services.is_empty() && services.iter().all(|service| all.contains(service))
+        };
         unreached
             .into_iter()
             .filter(|(_, all)| is_fully(all))
@@ -129,6 +131,18 @@
             .collect()
     }
 
+    /// The services with upstreams that the configuration names. Others get no request that could show their path.
+    fn routed_services(&self) -> Vec<ServiceKey> {
+        let config = self.config();
+        let is_routed = |service: &String| {
+            let config = config.as_ref();
+            config.is_some_and(|config| config.service(service).is_some())
+        };
+        let services = self.upstreams.borrow().services();
+        let routed = services.iter().filter(|it| is_routed(it));
+        routed.map(|service| ServiceKey::of(service)).collect()
+    }
+
     /// How long ago this instance heard upstreams of each service, for gossip.
     pub(crate) fn heard_services(&self) -> Vec<ServiceHeard> {
         let now_ms = self.now_ms();
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -174,12 +174,6 @@
         ready.any(|each| each.reports_pace())
     }
 
-    /// Number of services that have upstreams.
-    pub fn service_count(&self) -> usize {
-        let has_any = |all: &&Vec<Rc<Upstream>>| !all.is_empty();
-        self.by_service.values().filter(has_any).count()
-    }
-
     /// Takes an incarnation out of use that announced in an answer that it is leaving; false if that was known.
     ///
     /// Its entry may have been removed since the request was sent, and may even be back. Unless all of these
--- a/crates/relay/tests/cut_off.rs
+++ b/crates/relay/tests/cut_off.rs
@@ -517,3 +517,20 @@
     }
     assert!(!is_ready());
 }
+
+/// Guards against callers that are sent to an instance which reaches no upstream, because the list also has an entry of a
+/// service that no route leads to, whose path nothing shows.
+#[actix_rt::test]
+async fn an_entry_of_an_unknown_service_hides_nobody_who_is_cut_off() {
+    let mut upstreams = Upstreams::start();
+    let stub = serving();
+    let entry = stub.entry("other", "unknown", Stage::Whole);
+    upstreams.stubs.push((stub, entry));
+    let (cut_off, peer, links) = start_pair(&upstreams).await;
+    let peer = Rc::new(peer);
+    let _busy = keep_busy(&peer);
+    set_all(&links, LinkState::Refusing);
+    press(&cut_off).await;
+    let own = view::InstanceKey::of("a");
+    assert!(cut_off.relay.fully_unreached().contains(&own));
+}
