Upstreams leave the ring of imports; signs of life and suspects have files of their own

No change of behaviour. upstream.rs imported the dialect for one type, which pulled it, its five files, upstreams, its removed ones, room_waiters and the choice of roles into the ring around Relay. The type is the upstream's now, and the dialect passes it on. ClaimedTrial imports nothing of the crate any more.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -235,7 +235,8 @@
 
     /// Whether it is a trial whose send is still to come.
     pub(crate) fn has_unused_trial(&self) -> bool {
-        let is_unused = |trial: ClaimedTrial<RequestTrial>| trial.is_unused(self);
+        let runs = self.possible_runs.get();
+        let is_unused = |trial: ClaimedTrial<RequestTrial>| trial.is_unused(runs);
         self.request_trial.get().is_some_and(is_unused)
     }
 
--- a/crates/relay/src/claimed_trial.rs
+++ b/crates/relay/src/claimed_trial.rs
@@ -2,9 +2,6 @@
 
 use view::trials::CLAIM_MS;
 
-use crate::call::Call;
-use crate::relay::Relay;
-
 /// What is held means for the next send of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum SendStep {
@@ -18,28 +15,20 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ClaimedTrial<T> {
     pub(crate) trial: T,
-    claimed_ms: u64,
+    pub(crate) claimed_ms: u64,
     /// Sends of the request before that may have run.
-    runs_before: u32,
+    pub(crate) runs_before: u32,
 }
 
 impl<T> ClaimedTrial<T> {
-    pub(crate) fn new(call: &Call, trial: T, claimed_ms: u64) -> Self {
-        Self {
-            trial,
-            claimed_ms,
-            runs_before: call.possible_runs.get(),
-        }
-    }
-
-    /// Whether its one send is still to come.
-    pub(crate) fn is_unused(&self, call: &Call) -> bool {
-        call.possible_runs.get() <= self.runs_before
+    /// Whether its one send is still to come, after so many sends that may have run.
+    pub(crate) fn is_unused(&self, runs: u32) -> bool {
+        runs <= self.runs_before
     }
 
-    /// A claim has to reach the peers before its request is sent.
-    pub(crate) fn step(&self, relay: &Relay) -> SendStep {
-        if relay.has_senders() && relay.now_ms() < self.claimed_ms + CLAIM_MS {
+    /// A claim has to reach the peers, if there are any, before its request is sent.
+    pub(crate) fn step(&self, now_ms: u64, has_peers: bool) -> SendStep {
+        if has_peers && now_ms < self.claimed_ms + CLAIM_MS {
             SendStep::Wait
         } else {
             SendStep::Send
--- a/crates/relay/src/dialect.rs
+++ b/crates/relay/src/dialect.rs
@@ -7,6 +7,7 @@
 use keys::KeyHash;
 
 use crate::role_orders::RoleOrder;
+pub use crate::upstream::ReportedLoad;
 use crate::upstream::Stage;
 
 /// Part of a prompt that several requests may share.
@@ -98,17 +99,6 @@
     pub last_event: Option<u64>,
 }
 
-/// Load that an upstream reports with an answer.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct ReportedLoad {
-    /// Requests that are running.
-    pub running: u32,
-    /// Requests that are waiting.
-    pub waiting: u32,
-    /// Time that work takes there, in percent of the usual, as reported; not a number if it could not be parsed.
-    pub pace_percent: Option<f64>,
-}
-
 /// Fields of an answer's head that the relay uses.
 #[derive(Debug, Clone, Default)]
 pub struct ResponseHead {
--- a/crates/relay/src/relay/parts.rs
+++ b/crates/relay/src/relay/parts.rs
@@ -21,10 +21,10 @@
         }
         let now_ms = self.now_ms();
         if let Some(trial) = call.part_trial.get()
-            && trial.is_unused(call)
+            && trial.is_unused(call.possible_runs.get())
         {
             if self.part_tracker.borrow().holds_trial(now_ms, trial.trial) {
-                return Ok(trial.step(self));
+                return Ok(trial.step(now_ms, self.has_senders()));
             }
             call.part_trial.set(None);
         }
@@ -78,9 +78,13 @@
         let claim = self.part_tracker.borrow_mut().claim_trial(now_ms, trial);
         self.gossip.borrow_mut().add_part_evidence(claim);
         log::info!(request = call.id(), part:% = part; "request is the trial of a prompt part");
-        let claimed = ClaimedTrial::new(call, trial, now_ms);
+        let claimed = ClaimedTrial {
+            trial,
+            claimed_ms: now_ms,
+            runs_before: call.possible_runs.get(),
+        };
         call.part_trial.set(Some(claimed));
-        claimed.step(self)
+        claimed.step(now_ms, self.has_senders())
     }
 
     /// Ends the trial that a request is, if it showed nothing.
--- a/crates/relay/src/relay/trials.rs
+++ b/crates/relay/src/relay/trials.rs
@@ -25,10 +25,10 @@
     pub(crate) fn request_step(&self, call: &Call) -> Result<SendStep, Refusal> {
         let now_ms = self.now_ms();
         if let Some(trial) = call.request_trial.get()
-            && trial.is_unused(call)
+            && trial.is_unused(call.possible_runs.get())
         {
             if self.poison_tracker.borrow().holds_trial(trial.trial) {
-                return Ok(trial.step(self));
+                return Ok(trial.step(now_ms, self.has_senders()));
             }
             call.request_trial.set(None);
         }
@@ -95,9 +95,13 @@
             .borrow_mut()
             .add_trial(TrialNews::Claimed(trial));
         log::info!(request = call.id(), key:% = call.key, number; "request is a trial: upstreams ended under it");
-        let claimed = ClaimedTrial::new(call, trial, now_ms);
+        let claimed = ClaimedTrial {
+            trial,
+            claimed_ms: now_ms,
+            runs_before: call.possible_runs.get(),
+        };
         call.request_trial.set(Some(claimed));
-        claimed.step(self)
+        claimed.step(now_ms, self.has_senders())
     }
 
     /// Gives back the trial that a request is, if it was not sent.
@@ -105,7 +109,7 @@
         let Some(claimed) = call.request_trial.take() else {
             return;
         };
-        if !claimed.is_unused(call) {
+        if !claimed.is_unused(call.possible_runs.get()) {
             return;
         }
         let now_ms = self.now_ms();
--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -6,8 +6,10 @@
 mod pace;
 mod prompt_cache;
 mod rate_limit;
+mod reported_load;
 mod role_change;
 mod room;
+mod signs;
 
 use std::cell::{Cell, RefCell, RefMut};
 use std::net::SocketAddr;
@@ -16,7 +18,6 @@
 use plan::{EngineView, Health, HealthStatus};
 use tick::Clock;
 
-use crate::dialect::ReportedLoad;
 use crate::pool::Pool;
 
 pub use freed::FreedPlaces;
@@ -24,7 +25,9 @@
 use pace::PaceState;
 pub use prompt_cache::{CachedParts, MIN_CACHED_TOKENS};
 pub use rate_limit::RateLimit;
+pub use reported_load::ReportedLoad;
 use role_change::RoleChange;
+use signs::SignsOfLife;
 pub use view::{
     Load, PrefillProgress, PrefillQueue, RANKS, Stage, UpstreamEntry, UpstreamKey, UpstreamState,
     VersionKey,
@@ -49,17 +52,10 @@
 /// free in less time.
 const NO_CAPACITY_BACKOFF_MS: u64 = 500;
 
-/// Time for which an upstream that lost an answer and then gave no sign of life gets no requests, in ms, unless it answers
-/// before; it is asked more often than that.
-const UNPROVEN_MS: u64 = 1_000;
-
 /// Time without any answer after which an engine counts as silent, in ms: longer than the prefill of
 /// the longest prompt.
 const ENGINE_SILENCE_MS: u64 = 1_500;
 
-/// Shortest pause between two questions for its incarnation, in ms: longer than one takes.
-const CONFIRMATION_PAUSE_MS: u64 = 500;
-
 /// Requests of other instances, derived from the load that the upstream reported.
 #[derive(Debug, Clone, Copy, Default)]
 struct ReportedPeers {
@@ -93,16 +89,7 @@
     pub is_spot: bool,
     /// Connections to it.
     pub pool: Rc<Pool>,
-    /// When the health check that is running began, and when the last one did.
-    health_check_ms: Cell<Option<u64>>,
-    last_health_check_ms: Cell<Option<u64>>,
-    unproven_until_ms: Cell<u64>,
-    /// When it was last found to be the listed incarnation, by its own word.
-    confirmed_ms: Cell<Option<u64>>,
-    /// When it was last asked for that.
-    confirming_ms: Cell<Option<u64>>,
-    /// Whether another incarnation was found at its address.
-    is_replaced: Cell<bool>,
+    signs: SignsOfLife,
     clock: Clock,
     joined_ms: u64,
     role_change: Cell<Option<RoleChange>>,
@@ -142,12 +129,7 @@
             version_key: VersionKey::of(&entry.version),
             is_spot: entry.is_spot,
             pool: Pool::new(entry.address, clock),
-            health_check_ms: Cell::default(),
-            last_health_check_ms: Cell::default(),
-            unproven_until_ms: Cell::default(),
-            confirmed_ms: Cell::default(),
-            confirming_ms: Cell::default(),
-            is_replaced: Cell::default(),
+            signs: SignsOfLife::default(),
             joined_ms: clock.now_ms(),
             role_change: Cell::default(),
             no_capacity_until_ms: Cell::default(),
@@ -172,86 +154,6 @@
         }
     }
 
-    /// Marks a health check as running, which finds out whether it has ended; false if one already was.
-    pub fn begin_health_check(&self) -> bool {
-        if self.is_health_check_running() {
-            return false;
-        }
-        let now_ms = Some(self.clock.now_ms());
-        self.health_check_ms.set(now_ms);
-        self.last_health_check_ms.set(now_ms);
-        true
-    }
-
-    /// Marks the health check as complete.
-    pub fn end_health_check(&self) {
-        self.health_check_ms.set(None);
-    }
-
-    /// Whether a health check is running.
-    pub fn is_health_check_running(&self) -> bool {
-        self.health_check_ms.get().is_some()
-    }
-
-    /// Time for which the health check has been running, in ms; none if none is.
-    pub fn health_check_age_ms(&self, now_ms: u64) -> Option<u64> {
-        let began_ms = self.health_check_ms.get()?;
-        Some(now_ms.saturating_sub(began_ms))
-    }
-
-    /// Whether a health check was begun at `since_ms` or later.
-    pub fn was_health_checked_since(&self, since_ms: u64) -> bool {
-        self.last_health_check_ms
-            .get()
-            .is_some_and(|began_ms| began_ms >= since_ms)
-    }
-
-    /// Records that it lost an answer and gave no sign of life since.
-    pub fn note_unproven(&self, now_ms: u64) {
-        self.unproven_until_ms.set(now_ms + UNPROVEN_MS);
-    }
-
-    /// Records a sign of life.
-    pub fn note_proven(&self) {
-        self.unproven_until_ms.set(0);
-    }
-
-    /// Whether it lost an answer and gave no sign of life since: a request sent there would probably be lost too.
-    pub fn is_unproven(&self, now_ms: u64) -> bool {
-        now_ms < self.unproven_until_ms.get()
-    }
-
-    /// Records that it answered as the listed incarnation.
-    pub fn note_confirmed(&self) {
-        self.confirmed_ms.set(Some(self.clock.now_ms()));
-    }
-
-    /// Whether it was the listed incarnation at `since_ms`, or later: a process that has run since then is no later one.
-    pub fn is_confirmed_since(&self, since_ms: u64) -> bool {
-        self.confirmed_ms.get() >= Some(since_ms)
-    }
-
-    /// Records that another incarnation answered at its address.
-    pub fn note_replaced(&self) {
-        self.is_replaced.set(true);
-    }
-
-    /// Whether another incarnation is known to have answered at its address.
-    pub fn is_replaced(&self) -> bool {
-        self.is_replaced.get()
-    }
-
-    /// Marks that it is asked for its incarnation; false if it was just now.
-    pub fn begin_confirmation(&self) -> bool {
-        let now_ms = self.clock.now_ms();
-        let is_recent = |at_ms: u64| now_ms < at_ms + CONFIRMATION_PAUSE_MS;
-        if self.confirming_ms.get().is_some_and(is_recent) {
-            return false;
-        }
-        self.confirming_ms.set(Some(now_ms));
-        true
-    }
-
     /// Whether it accepts new requests according to the list and its own answers.
     pub fn is_ready(&self) -> bool {
         self.state.get() == UpstreamState::Ready
--- a/crates/view/src/poison.rs
+++ b/crates/view/src/poison.rs
@@ -10,27 +10,20 @@
 //! callers send is under way at nearly any end. So a suspected request is held and tried again
 //! ([`crate::trials`]), and a complete answer clears it. See docs/design/retries.md.
 
+mod suspect;
+
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
+use self::suspect::{ENDED_THRESHOLD, LOSS_COUNTS_MS, Loss, StoreRecord, Suspect, UpstreamEnd};
 use crate::trials::{RequestTrial, TrialNews, TrialStep, Trials, spread_ms};
 use crate::{InstanceKey, RequestKey, UpstreamKey};
 
-/// Upstreams that must end under a request before it is held. After one end, other
-/// upstreams may still run it, since upstreams also end for reasons of their own. A third is not
-/// risked: an engine that ends takes its running answers along (9 to 37 in an observed case), while
-/// few requests meet two upstreams that end for their own reasons.
-const ENDED_THRESHOLD: usize = 2;
-
 /// Time for which a request waits until it is known whether the first upstream that lost its answer has ended, in ms. It
 /// may meet one more in any case, so a caller is not kept waiting for one that ends slowly.
 const FIRST_LOSS_WAIT_MS: u64 = 100;
 
-/// Time after a loss in which the end of its upstream counts against the request, in ms: longer than the list may lag,
-/// also while the store is away. An upstream that ends later has ended for another reason.
-const LOSS_COUNTS_MS: u64 = 30_000;
-
 /// Time after a loss in which a request is not sent on while its upstreams may have ended, in ms: the list has dropped
 /// those that have.
 pub const DOUBT_MS: u64 = 10_000;
@@ -86,21 +79,7 @@
     },
 }
 
-/// Whether this instance must write a request to the store once it counts as poison.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-enum StoreRecord {
-    /// No: only peers have seen upstreams end under it.
-    #[default]
-    PeersOnly,
-    /// Yes: this instance has seen one end.
-    Unsaved,
-    /// No longer: the store has it.
-    Saved,
-    /// Its record is to be dropped, since the request was answered.
-    ToDrop,
-}
-
-/// Whether the store has to be told that a request was cleared.
+/// What an instance has to write to the store of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StoreStep {
     /// Write that it is held, and the number of its trials.
@@ -124,75 +103,6 @@
     Refused,
 }
 
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Loss {
-    upstream: UpstreamKey,
-    at_ms: u64,
-    /// Whether it was the fault of an instance's own path.
-    is_excused: bool,
-}
-
-/// The end of an upstream.
-#[derive(Debug, Clone, Copy)]
-struct UpstreamEnd {
-    at_ms: u64,
-    /// Whether its entry in the list is gone or names a successor, whatever became of any path.
-    is_listed: bool,
-}
-
-#[derive(Debug, Default)]
-struct Suspect {
-    losses: Vec<Loss>,
-    /// Upstreams with losses from before the request was answered. They are not counted when gossip repeats them.
-    cleared: Vec<UpstreamKey>,
-    /// Its trials, while it is held.
-    trials: Option<Trials>,
-    /// Whether an answer has cleared it since upstreams ended under it; peers that have not heard so may still name it.
-    is_cleared: bool,
-    /// When a peer was last told that it was answered.
-    objected_ms: u64,
-    store_record: StoreRecord,
-    is_reported: bool,
-    at_ms: u64,
-}
-
-impl Suspect {
-    fn is_old(&self, now_ms: u64) -> bool {
-        now_ms >= self.at_ms + RETENTION_MS
-    }
-
-    fn is_held(&self, now_ms: u64) -> bool {
-        self.trials.is_some() && !self.is_old(now_ms)
-    }
-
-    /// When the upstreams ended whose losses count against it: excused ones only if the list shows the end.
-    fn ended<'a>(
-        &'a self,
-        ended: &'a HashMap<UpstreamKey, UpstreamEnd>,
-    ) -> impl Iterator<Item = u64> + 'a {
-        let counted = |loss: &Loss| {
-            let end = ended.get(&loss.upstream)?;
-            let is_of_loss = end.at_ms.abs_diff(loss.at_ms) <= LOSS_COUNTS_MS;
-            (is_of_loss && (end.is_listed || !loss.is_excused)).then_some(end.at_ms)
-        };
-        self.losses.iter().filter_map(counted)
-    }
-
-    /// Holds it if enough upstreams have ended under it.
-    fn note_ends(&mut self, now_ms: u64, ended: &HashMap<UpstreamKey, UpstreamEnd>) {
-        if self.trials.is_none() && self.ended(ended).count() >= ENDED_THRESHOLD {
-            self.trials = Some(Trials::new(now_ms));
-            self.is_cleared = false;
-        }
-    }
-
-    fn loss_mut(&mut self, upstream: UpstreamKey) -> Option<&mut Loss> {
-        self.losses
-            .iter_mut()
-            .find(|loss| loss.upstream == upstream)
-    }
-}
-
 /// What speaks against a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Losses {
