A list that has caught up takes over how fresh the news of its last change was

Where changes come one after the other each position arrives while one is missing, so the list ages until the instance reads the store itself.

Mend: the news is remembered with the change that it was true of, and counts once exactly that change is applied and no later one is known.

Why it suffices and stays safe: the news says that nothing changed after that change as of its time, and the list now has all up to it. news_of_a_missed_change_makes_the_ own_list_no_younger holds unchanged.

Test: a_list_that_has_caught_up_is_as_fresh_as_the_news_of_its_last_change; before, the age is 200 ms after the second change and grows with each, 100 ms with the mend.

--- a/crates/view/src/log_follower.rs
+++ b/crates/view/src/log_follower.rs
@@ -104,6 +104,16 @@
     informant: Option<SocketAddr>,
     /// When a change was first gossiped that is not applied yet.
     behind_since_ms: Option<u64>,
+    /// The freshest news of the last known change, while that is not applied yet.
+    news: Option<News>,
+}
+
+/// A peer's list with its last change was complete as of a time.
+#[derive(Debug, Clone, Copy)]
+struct News {
+    last_change: u64,
+    as_of_ms: u64,
+    read_id: ReadId,
 }
 
 impl LogFollower {
@@ -200,6 +210,7 @@
         // instance from reading while the peers that it asks lack the change too.
         if self.is_behind() {
             self.behind_since_ms.get_or_insert(since_boot_ms);
+            self.remember_news(as_of_ms, position);
             return;
         }
         if !self.is_new(position.read_id) {
@@ -291,9 +302,31 @@
         self.next.is_none_or(|next| next < self.last_known_change)
     }
 
+    /// Remembers how fresh this list will be once the last known change is applied.
+    fn remember_news(&mut self, as_of_ms: u64, position: &LogPosition) {
+        let known = self.news;
+        let is_fresher = known.is_none_or(|known| {
+            (position.last_change, as_of_ms) > (known.last_change, known.as_of_ms)
+        });
+        if position.last_change == self.last_known_change && is_fresher {
+            self.news = Some(News {
+                last_change: position.last_change,
+                as_of_ms,
+                read_id: position.read_id,
+            });
+        }
+    }
+
     fn note_caught_up(&mut self) {
-        if !self.is_behind() {
-            self.behind_since_ms = None;
+        if self.is_behind() {
+            return;
+        }
+        self.behind_since_ms = None;
+        if let Some(news) = self.news.take()
+            && news.last_change == self.last_known_change
+            && self.is_new(news.read_id)
+        {
+            self.update_freshness(news.as_of_ms, news.read_id);
         }
     }
 
--- a/crates/view/tests/log_follower.rs
+++ b/crates/view/tests/log_follower.rs
@@ -514,3 +514,31 @@
     let action = follower.next_action(READ_MS + max_age_ms, max_age_ms, false);
     assert_eq!(action, FollowAction::ReadStore);
 }
+
+/// Guards against hundreds of reads of the store where changes come one after the other: an instance that had applied them
+/// forgot how fresh they made its list, as their news had come a moment before.
+#[test]
+fn a_list_that_has_caught_up_is_as_fresh_as_the_news_of_its_last_change() {
+    const READ_MS: u64 = 1_000;
+    let mut follower = follower_of(1);
+    follower.record_read(READ_MS, 22, Some(22));
+    for (number, now_ms) in (READ_MS + 200..READ_MS + 5_000).step_by(200).enumerate() {
+        let offset = 23 + number as u64;
+        let position = LogPosition {
+            read_id: source(now_ms - 100),
+            end: offset,
+            last_change: offset,
+            age_ms: 100,
+        };
+        follower.receive_position(now_ms, &position);
+        assert!(follower.is_behind());
+        let change = GossipedChange {
+            previous_offset: offset - 1,
+            offset,
+            change: ListChange::Put(entry("i-1", offset)),
+            unconfirmed_ms: 0,
+        };
+        assert!(follower.apply_change(&change));
+        assert_eq!(follower.age_ms(now_ms), 100);
+    }
+}
