--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod answer;
 pub mod attribution;
 pub mod awaited;
+pub mod body_memory;
 pub mod bounded_body;
 pub mod call;
 mod claimed_trial;
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -10,7 +10,6 @@
 use futures_util::FutureExt;
 use http::request::Parts;
 use http::{HeaderName, HeaderValue, Method, Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use tokio::net::{TcpListener, TcpSocket};
 use tokio::sync::watch;
@@ -222,12 +221,12 @@
     // A caller that stops within its body must not delay a shutdown, and one whose body is slow is not idle.
     let longest_ms = limits.idle_ms.max(limits.head_ms);
     let wait = Duration::from_millis(longest_ms.min(head.deadline_ms.unwrap_or(u64::MAX)));
-    let body = Limited::new(body, limits.body_bytes).collect();
+    let body = relay.body_memory.read(body, limits.body_bytes);
     let Ok(body) = actix_rt::time::timeout(wait, body).await else {
         return refuse(relay, Refusal::new(Reason::BodyTimeout));
     };
     let body = match body {
-        Ok(collected) => collected.to_bytes(),
+        Ok(body) => body,
         Err(error) if error.is::<http_body_util::LengthLimitError>() => {
             return refuse(relay, Refusal::new(Reason::TooLong));
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -26,6 +26,7 @@
     InstanceKey, ListedEntries, LogFollower, Members, PartTracker, PoisonTracker, PrefilledPart,
 };
 
+use crate::body_memory::BodyMemory;
 use crate::bounded_body::AnswerMemory;
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
@@ -143,6 +144,8 @@
     pub stream_origins: StreamOrigins,
     /// Memory for answers that are held until they are whole.
     pub answer_memory: AnswerMemory,
+    /// Memory for the bodies of requests.
+    pub body_memory: BodyMemory,
     /// What is kept for choices between availability zones.
     pub zone_costs: ZoneCosts,
     /// Log position up to which the list of upstreams was applied.
@@ -192,6 +195,7 @@
             room_waiters: RoomWaiters::default(),
             stream_origins: StreamOrigins::default(),
             answer_memory: AnswerMemory::default(),
+            body_memory: BodyMemory::default(),
             zone_costs: ZoneCosts::default(),
             list_position: RefCell::new(LogFollower::new(own)),
             last_listed: RefCell::default(),
--- a/crates/relay/tests/common/stub.rs
+++ b/crates/relay/tests/common/stub.rs
@@ -278,14 +278,19 @@
 
 async fn read_request(stream: &mut TcpStream) -> Option<ReceivedRequest> {
     let mut bytes = Vec::new();
+    let mut whole_bytes = None;
     loop {
-        let mut chunk = [0; 4_096];
+        let mut chunk = [0; 65_536];
         let count = stream
             .read(&mut chunk)
             .await
             .ok()
             .filter(|&count| count > 0)?;
         bytes.extend_from_slice(&chunk[..count]);
+        // The text is looked at again only once it may be whole.
+        if whole_bytes.is_some_and(|whole_bytes| bytes.len() < whole_bytes) {
+            continue;
+        }
         let text = String::from_utf8_lossy(&bytes).into_owned();
         let Some((head, body)) = text.split_once("\r\n\r\n") else {
             continue;
@@ -302,5 +307,6 @@
         if body.len() >= length {
             return Some(received);
         }
+        whole_bytes = Some(bytes.len() + length - body.len());
     }
 }
