--- a/crates/relay/tests/common/stub.rs
+++ b/crates/relay/tests/common/stub.rs
@@ -280,7 +280,7 @@
     let mut bytes = Vec::new();
     let mut whole_bytes = None;
     loop {
-        let mut chunk = [0; 65_536];
+        let mut chunk = vec![0; 65_536];
         let count = stream
             .read(&mut chunk)
             .await
--- a/crates/relay/tests/slow_readers.rs
+++ b/crates/relay/tests/slow_readers.rs
@@ -40,7 +40,7 @@
             break;
         }
     }
-    text.iter().filter(|byte| **byte == b'x').count()
+    String::from_utf8_lossy(&text).matches('x').count()
 }
 
 /// Guards against an instance that is killed for its memory, with all its requests: answers that are whole were not counted
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -350,7 +350,9 @@
         .iter()
         .partition(|it| !it.relay.stream_origins.is_empty());
     assert_eq!(told.len(), 3, "the one that began it and two that it told");
-    told.iter().for_each(|it| it.kill());
+    for instance in told {
+        instance.kill();
+    }
     for instance in others {
         let (status, _) = instance.fetch(take_up(2, 1)).await;
         assert_eq!((status, other.count()), (503, 0));
--- a/crates/view/tests/common/request_storm.rs
+++ b/crates/view/tests/common/request_storm.rs
@@ -165,7 +165,9 @@
         }
         for (at_ms, which, down_ms) in self.storm.ends.clone() {
             if at_ms == now_ms {
-                which.iter().for_each(|index| self.end(*index, down_ms));
+                for index in which {
+                    self.end(index, down_ms);
+                }
             }
         }
         for index in 0..self.upstreams.len() {
