Claims are told with the list once they were sent; kept losses do not make old ones new

What operators would see. (1) Where a request lost answers at more upstreams than are kept, the oldest made room; each copy that gossip repeats was new again and passed on, without end. The same for losses cleared by answers, of which 32 were kept. (2) A trial that was not sent gives its number back, but a list told meanwhile taught it again: a request whose upstreams reject for a moment could use up its trials unsent.

Mend: losses and cleared losses make room only once they are older than an end may count (30 s), and a list tells the number of a claim 600 ms after it, when a trial that was not sent has been given back.

Tests: repeated_losses_beyond_those_kept_are_ not_new, a_claim_is_told_with_the_list_only_once_it_was_sent (with the mend).

--- a/crates/relay/src/relay/poison.rs
+++ b/crates/relay/src/relay/poison.rs
@@ -123,7 +123,8 @@
     pub fn load_poison_record(&self, request: RequestKey, record: PoisonRecord) {
         if unix_ms() < record.found_unix_ms.saturating_add(RETENTION_MS) {
             self.learn_poison_requests(&[request]);
-            self.learn_trial_counts(&[(request, record.trials.unwrap_or_default())]);
+            let trials = record.trials.or(record.failed_trials).unwrap_or_default();
+            self.learn_trial_counts(&[(request, trials)]);
             self.poison_request_saved(request, record);
             self.learn_convicted_part(request, record);
         }
--- a/crates/relay/src/relay/trials.rs
+++ b/crates/relay/src/relay/trials.rs
@@ -156,7 +156,8 @@
 
     /// Numbers of trials of some requests, of those that were tried.
     pub(crate) fn trial_counts(&self, requests: &[RequestKey]) -> Vec<(RequestKey, u8)> {
-        self.poison_tracker.borrow().trial_counts(requests)
+        let now_ms = self.now_ms();
+        self.poison_tracker.borrow().trial_counts(now_ms, requests)
     }
 
     /// Upstreams that may have ended under a request, to be asked for a sign of life; none while one more end would not
--- a/crates/view/src/poison.rs
+++ b/crates/view/src/poison.rs
@@ -39,9 +39,6 @@
 /// Most losses tracked per request: more than it takes to hold it.
 const MAX_LOSSES: usize = 8;
 
-/// Most losses remembered of a request that was answered since: those that gossip may still repeat.
-const MAX_CLEARED: usize = 32;
-
 /// Shortest time between two tellings that a request was answered, in ms: more than gossip needs to reach all.
 const OBJECTION_PAUSE_MS: u64 = 500;
 
@@ -154,7 +151,7 @@
                 self.record_loss(now_ms, request, upstream)
             }
             FailureEvidence::Ended(upstream) => self.record_end(now_ms, upstream, false),
-            FailureEvidence::Answered(request) => self.record_answer(request),
+            FailureEvidence::Answered(request) => self.record_answer(now_ms, request),
             FailureEvidence::Excused { request, upstream } => {
                 self.record_excuse(now_ms, request, upstream)
             }
@@ -187,16 +184,18 @@
         if suspect.is_old(now_ms) {
             *suspect = Suspect::default();
         }
-        let is_known = suspect.loss_mut(upstream).is_some() || suspect.cleared.contains(&upstream);
+        let is_known = suspect.loss_mut(upstream).is_some() || suspect.was_cleared(upstream);
         if is_known {
             return false;
         }
-        // The oldest loss says least, unless the request is held already.
+        // Those that no end can count against any more make room; a younger one that gossip repeats would be new for ever.
+        if suspect.losses.len() >= MAX_LOSSES && suspect.trials.is_none() {
+            suspect
+                .losses
+                .retain(|loss| now_ms <= loss.at_ms + LOSS_COUNTS_MS);
+        }
         if suspect.losses.len() >= MAX_LOSSES {
-            if suspect.trials.is_some() {
-                return false;
-            }
-            suspect.losses.remove(0);
+            return false;
         }
         suspect.losses.push(Loss {
             upstream,
@@ -273,17 +272,18 @@
     }
 
     /// A whole answer clears a request of all that was held against it, and of its trials.
-    fn record_answer(&mut self, request: RequestKey) -> bool {
+    fn record_answer(&mut self, now_ms: u64, request: RequestKey) -> bool {
         let Some(suspect) = self.requests.get_mut(&request) else {
             return false;
         };
         let was_suspected = suspect.trials.take().is_some() || !suspect.losses.is_empty();
         let lost = std::mem::take(&mut suspect.losses);
+        let cleared = lost.iter().map(|loss| (loss.upstream, now_ms));
+        suspect.cleared.extend(cleared);
+        // Gossip repeats a loss for a second or two.
         suspect
             .cleared
-            .extend(lost.iter().map(|loss| loss.upstream));
-        let forgotten = suspect.cleared.len().saturating_sub(MAX_CLEARED);
-        suspect.cleared.drain(..forgotten);
+            .retain(|(_, at_ms)| now_ms <= at_ms + LOSS_COUNTS_MS);
         suspect.is_reported = false;
         suspect.is_cleared = true;
         // Who saw the answer drops the record.
@@ -483,12 +483,14 @@
         found.into_iter().map(|(_, request)| request).collect()
     }
 
-    /// The number of trials of those of some requests that were tried.
-    pub fn trial_counts(&self, requests: &[RequestKey]) -> Vec<(RequestKey, u8)> {
-        let counts = requests
-            .iter()
-            .map(|request| (*request, self.trial_count(*request)));
-        counts.filter(|(_, count)| *count > 0).collect()
+    /// The numbers of trials to tell peers, of those of some requests that were tried.
+    pub fn trial_counts(&self, now_ms: u64, requests: &[RequestKey]) -> Vec<(RequestKey, u8)> {
+        let told = |request: &RequestKey| {
+            let trials = self.requests.get(request)?.trials?;
+            let number = trials.told_number(now_ms);
+            (number > 0).then_some((*request, number))
+        };
+        requests.iter().filter_map(told).collect()
     }
 
     /// Poison requests that earlier calls have not returned.
--- a/crates/view/src/poison/suspect.rs
+++ b/crates/view/src/poison/suspect.rs
@@ -50,7 +50,7 @@
 pub(super) struct Suspect {
     pub(super) losses: Vec<Loss>,
     /// Upstreams with losses from before the request was answered. They are not counted when gossip repeats them.
-    pub(super) cleared: Vec<UpstreamKey>,
+    pub(super) cleared: Vec<(UpstreamKey, u64)>,
     /// Its trials, while it is held.
     pub(super) trials: Option<Trials>,
     /// Whether an answer has cleared it since upstreams ended under it; peers that have not heard so may still name it.
@@ -92,6 +92,11 @@
         }
     }
 
+    /// Whether a loss at this upstream was cleared by an answer.
+    pub(super) fn was_cleared(&self, upstream: UpstreamKey) -> bool {
+        self.cleared.iter().any(|(key, _)| *key == upstream)
+    }
+
     pub(super) fn loss_mut(&mut self, upstream: UpstreamKey) -> Option<&mut Loss> {
         self.losses
             .iter_mut()
--- a/crates/view/src/trials.rs
+++ b/crates/view/src/trials.rs
@@ -24,6 +24,10 @@
 /// Time for which a claim keeps other instances from trying, in ms: the claim has spread, and most answers are whole.
 const CLAIM_LASTS_MS: u64 = 2_000;
 
+/// Time after a claim from which its number is told with the list of what is held, in ms: a trial that was not sent has
+/// given it back by then.
+const TOLD_AFTER_MS: u64 = 3 * CLAIM_MS;
+
 /// Pause after a trial that was not sent, in ms.
 const UNSENT_PAUSE_MS: u64 = 500;
 
@@ -108,6 +112,13 @@
         self.number
     }
 
+    /// The number to tell peers that may have missed claims: that of a claim which may still be given back would count it
+    /// for good.
+    pub fn told_number(&self, now_ms: u64) -> u8 {
+        let is_young = |claim: Claim| now_ms < claim.at_ms + TOLD_AFTER_MS;
+        self.number - u8::from(self.claim.is_some_and(is_young))
+    }
+
     /// What may be done now by an instance whose claims come this much later than those of others.
     pub fn step(&self, now_ms: u64, spread_ms: u64) -> TrialStep {
         let is_recent = |claim: Claim| now_ms < claim.at_ms + CLAIM_LASTS_MS;
--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -176,7 +176,9 @@
             list_position: each.list,
             config_position: None,
             poison: each.poison.recent_poison(now_ms),
-            trial_counts: each.poison.trial_counts(&each.poison.recent_poison(now_ms)),
+            trial_counts: each
+                .poison
+                .trial_counts(now_ms, &each.poison.recent_poison(now_ms)),
         };
         each.members
             .record_self_alive(now_ms, InstanceKey::of(&each.member.name));
--- a/crates/view/tests/common/request_storm.rs
+++ b/crates/view/tests/common/request_storm.rs
@@ -303,9 +303,14 @@
     fn tell_lists(&mut self) {
         let mut held: HashMap<RequestKey, u8> = HashMap::new();
         for tracker in &self.trackers {
-            for request in tracker.recent_poison(self.now_ms) {
+            let listed = tracker.recent_poison(self.now_ms);
+            held.extend(listed.iter().map(|request| (*request, 0)));
+        }
+        for tracker in &self.trackers {
+            let listed = tracker.recent_poison(self.now_ms);
+            for (request, number) in tracker.trial_counts(self.now_ms, &listed) {
                 let most = held.entry(request).or_default();
-                *most = tracker.trial_count(request).max(*most);
+                *most = number.max(*most);
             }
         }
         for to in 0..self.storm.instances {
--- a/crates/view/tests/poison.rs
+++ b/crates/view/tests/poison.rs
@@ -257,3 +257,41 @@
     assert!(!poison.mark_poison(1_100, REQUEST), "once in a while");
     assert!(!poison.is_poison(1_100, REQUEST));
 }
+
+/// Guards against evidence that goes through the fleet for ever: where more upstreams lost an answer than are kept, each
+/// copy that gossip repeats would be new again.
+#[test]
+fn repeated_losses_beyond_those_kept_are_not_new() {
+    let mut poison = PoisonTracker::default();
+    for index in 0..60 {
+        poison.receive(index as u64, lost(index));
+    }
+    let new = (0..60).filter(|index| poison.receive(1_000, lost(*index)));
+    assert_eq!(new.count(), 0);
+    let mut answered = PoisonTracker::default();
+    for index in 0..60 {
+        answered.receive(index as u64, lost(index));
+        answered.receive(index as u64, FailureEvidence::Answered(REQUEST));
+    }
+    let new = (0..60).filter(|index| answered.receive(1_000, lost(*index)));
+    assert_eq!(new.count(), 0);
+}
+
+/// Guards against trials that are used up without a send: a list that tells of a claim which is given back a moment later
+/// would count it for good.
+#[test]
+fn a_claim_is_told_with_the_list_only_once_it_was_sent() {
+    let own = view::InstanceKey(1);
+    let mut poison = tracker_after(&[lost(1), ended(1), lost(2), ended(2)]);
+    let trial = view::RequestTrial {
+        request: REQUEST,
+        number: 1,
+        instance: own,
+        nonce: 0,
+    };
+    assert!(poison.claim_trial(3_000, trial));
+    assert_eq!(poison.trial_counts(3_300, &[REQUEST]), []);
+    assert_eq!(poison.trial_counts(3_600, &[REQUEST]), [(REQUEST, 1)]);
+    assert!(poison.give_back_trial(3_700, trial));
+    assert_eq!(poison.trial_counts(9_000, &[REQUEST]), []);
+}
