--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -390,6 +390,7 @@
     };
     match origin_version(&gathered.evidence) {
         Some(version) => {
+            log_origin(relay, call, version, &gathered);
             call.began_version.set(Some(version));
             Ok(())
         }
@@ -446,6 +447,20 @@
     }
 }
 
+/// Logs what the origin of a stream that is taken up rests on, with how long this instance has run: one that has just
+/// started knows less than its peers.
+fn log_origin(relay: &Relay, call: &Call, version: VersionKey, gathered: &Gathered) {
+    if !relay.success_log_limit.take(relay.now_ms()) {
+        return;
+    }
+    let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
+    log::info!(
+        request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, version = version.0,
+        evidence:? = gathered.evidence, is_partial = gathered.is_partial, up_ms = relay.now_ms();
+        "origin of a stream that is taken up was found"
+    );
+}
+
 /// Refuses a stream of unknown origin. Once all that could have a record have replied, no time to come back would help.
 fn refuse_unknown(relay: &Relay, call: &Call, gathered: &Gathered) -> Refusal {
     let Gathered {
@@ -456,7 +471,8 @@
         let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
         let replies = evidence.len().saturating_sub(1);
         log::info!(
-            request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, replies, is_partial;
+            request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, replies, is_partial,
+            evidence:? = evidence, up_ms = relay.now_ms();
             "stream not taken up: no instance can tell which version began it"
         );
     }
