Stream versions: an instance says since when it knows, and what it can tell

Callers saw streams of two versions after a kill of many instances just after a swap, and refusals of streams whose version still served.

Cause: what an instance does not know was taken for what is not. One that has just started took the only version of its first list (first_to_come) for the only one there ever was; replies that cannot tell were left out, so one that knows of two versions was outvoted by one that had just started.

API (crates/plan): - KnownSince { Unknown (default), At(ms), Always }: watch(now_ms) begins, Always is "told by the store or by one that knows"; covers(now_ms, age_ms). - ServiceVersions: join, leave; load(now_ms, &set) at each read or change of the store's set (the first read: named ones served before, unnamed ones came just now; later reads: a version another instance wrote comes just now); reload() makes the next read a first one; recent(now) iterator; is_recorded(v) (false: write it before its first upstream is used or gossiped, also after the set lost it); are_mixed(now, known); forgettable(now): versions to drop from the set, after STREAM_AGE_MS + SPREAD_MS without an upstream, as others may use one for longer; unrecorded(now, known, member_lost_ms) -> Unrecorded { Unknown, Only(v), Before(v), Several }. - A loss counts from SPREAD_MS before the new version came here: another instance may have used it before, and taken its records with it. - OriginEvidence { Recorded(v), Unrecorded(Unrecorded<v>) } and origin_version(&evidence, all_replied).

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -10,6 +10,7 @@
 mod fleet;
 mod forecast;
 mod inquiry;
+mod known_since;
 mod kv_copy;
 mod latency_model;
 mod lateness;
@@ -37,6 +38,7 @@
 pub use fleet::{Engine, Fleet, LoadReport, Outstanding, Presence};
 pub use forecast::Forecast;
 pub use inquiry::{Inquiry, InquiryStep, Sign, Verdict};
+pub use known_since::KnownSince;
 pub use kv_copy::{KvCopy, KvLink, PrefixHolder, best_copy};
 pub use latency_model::{LatencyModel, PrefillSample, UnconfirmedFor};
 pub use lateness::{LateRequest, LatestStart};
@@ -58,7 +60,9 @@
     Demand, MovingRate, PeakDemand, RoleSplit, SplitChange, SplitGoal, SplitPlanner,
     max_changes_at_once, max_changing, wanted_prefill_engines,
 };
-pub use stream_version::{OriginEvidence, STREAM_AGE_MS, ServiceVersions, origin_version};
+pub use stream_version::{
+    OriginEvidence, SPREAD_MS, STREAM_AGE_MS, ServiceVersions, Unrecorded, origin_version,
+};
 pub use zones::{
     DEFAULT_CROSS_ZONE_PRICE, PlacedStep, ZoneChoice, ZoneRelation, ZoneTendency, crossing_ms,
 };
