What is known of an engine's process has a file of its own

Moved out of relay::stream_origins without a change of behaviour: came_back, is_from_listed, confirm, confirm_before_events, note_list_age, is_listed_since, is_list_settled, their constants and the time until which the list is unsettled (now in Relay::engine_processes).

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -27,13 +27,13 @@
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
 use crate::dialect::SendOptions;
+use crate::engine_process::came_back;
 use crate::forward::{MAX_BUFFERED_BYTES, may_retry, note_body_error};
 use crate::pool::{ExchangeError, Exchanged, exchange};
 use crate::reachability::{cut_off_from, settle};
 use crate::relay::Relay;
 use crate::send::{SendResult, send};
 use crate::stream::{StreamForwarder, StreamOrigin, stream_answer};
-use crate::stream_origins::came_back;
 use crate::upstream::Upstream;
 
 /// Peers that a request is handed over to, one after the other, until one takes it.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod connection;
 pub mod dialect;
 pub mod directory;
+pub mod engine_process;
 pub mod estimates;
 pub mod forward;
 pub mod framing;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::bounded_body::AnswerMemory;
 use crate::config::{Config, EngineLimits};
 use crate::dialect::Dialect;
+use crate::engine_process::EngineProcesses;
 use crate::estimates::Estimates;
 use crate::handover::Handovers;
 use crate::logging::{LogRateLimit, lines_dropped};
@@ -142,6 +143,8 @@
     pub(crate) room_waiters: RoomWaiters,
     /// Records of what began streams.
     pub stream_origins: StreamOrigins,
+    /// What is known of the processes of engines.
+    pub(crate) engine_processes: EngineProcesses,
     /// Memory for answers that are held until they are whole.
     pub answer_memory: AnswerMemory,
     /// Memory for the bodies of requests.
@@ -194,6 +197,7 @@
             handovers: Handovers::default(),
             room_waiters: RoomWaiters::default(),
             stream_origins: StreamOrigins::default(),
+            engine_processes: EngineProcesses::default(),
             answer_memory: AnswerMemory::default(),
             body_memory: BodyMemory::default(),
             zone_costs: ZoneCosts::default(),
--- a/crates/relay/src/stream/source.rs
+++ b/crates/relay/src/stream/source.rs
@@ -7,11 +7,11 @@
 
 use crate::attribution::note_lost_answer;
 use crate::call::Call;
+use crate::engine_process::is_from_listed;
 use crate::framing::Framing;
 use crate::handover::AtPeer;
 use crate::pool::{Exchanged, PooledConnection};
 use crate::relay::Relay;
-use crate::stream_origins::is_from_listed;
 use crate::upstream::{InFlight, Upstream};
 
 /// Where a stream comes from.
