--- a/crates/relay/src/gossip.rs
+++ b/crates/relay/src/gossip.rs
@@ -22,6 +22,7 @@
     loop {
         actix_rt::time::sleep(Duration::from_millis(PERIOD_MS)).await;
         check_paths(&relay);
+        relay.check_members_lost();
         for (peer, message) in relay.due_gossip() {
             match encode(message) {
                 Ok(bytes) => send(&socket, peer, &bytes).await,
--- a/crates/relay/src/relay/list.rs
+++ b/crates/relay/src/relay/list.rs
@@ -59,6 +59,7 @@
         for (id, effect) in effects {
             self.note_effect(&id, effect, origin);
         }
+        self.watch_versions();
     }
 
     /// Entries of the upstreams in use, each in the state that the list has, and those of them that have only announced
@@ -183,6 +184,8 @@
         if is_older {
             return;
         }
+        let may_be_used = |entry: &UpstreamEntry| !self.waits_for_store(entry);
+        let entries: Vec<UpstreamEntry> = entries.into_iter().filter(may_be_used).collect();
         self.last_listed.borrow_mut().replace(&entries);
         self.replace_list(entries, Origin::Whole);
         self.list_position
@@ -202,7 +205,8 @@
         };
         let mut changed = None;
         for (offset, change) in read.changes {
-            if offset < from {
+            // An upstream that has to wait tells of itself again with its next heartbeat.
+            if offset < from || self.change_waits_for_store(&change) {
                 continue;
             }
             if let Some(after) = self.apply_record(before, offset, change) {
@@ -267,6 +271,10 @@
         };
         self.log_upstream(id, what, origin);
         self.room_waiters.wake();
+        if effect == Effect::Joined {
+            let is_told = matches!(origin, Origin::Told | Origin::Asked);
+            self.note_version_came(id, is_told);
+        }
         // The restart of an upstream under the same id appears only as `Joined`.
         if matches!(effect, Effect::Joined | Effect::Left) {
             self.record_upstream_ended(id);
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -28,6 +28,7 @@
 use crate::reachability::cut_off_from;
 use crate::relay::Relay;
 use crate::sse::EventSplitter;
+use crate::stream_origins::RunningStream;
 
 /// Silence of an engine after which its stream is resumed elsewhere, in multiples of the objective
 /// for the gap between events. Callers give up after eight, which leaves time for the other engine.
@@ -55,6 +56,8 @@
     first_ms: u64,
     last_ms: u64,
     longest_gap_ms: u64,
+    /// Told to other instances should a second version come while the stream runs.
+    running: Option<RunningStream>,
     /// Before this time no other source is looked for in the place of a silent one, since none was found just now.
     look_again_ms: u64,
 }
@@ -80,8 +83,11 @@
         tried: Vec<String>,
     ) -> Response<AnswerBody> {
         let framing = Framing::of(response.headers());
+        let mut running = None;
         if call.head.last_event.is_some() {
             note_taken_up(relay, call, &origin);
+            let began_version = call.began_version.get();
+            running = began_version.map(|version| relay.stream_runs(call, version));
         }
         let (mut head, body) = response.into_parts();
         strip_hop_by_hop(&mut head.headers, |_| false);
@@ -115,6 +121,7 @@
             first_ms: relay.now_ms() - call.arrived_ms,
             last_ms: relay.now_ms(),
             longest_gap_ms: 0,
+            running,
             look_again_ms: 0,
         };
         let frames = unfold(Some(forwarder), |forwarder| async move {
@@ -217,7 +224,7 @@
     }
 
     /// Notes and tells which version began the stream, once that is known for sure.
-    fn settle_began_version(&self) {
+    fn settle_began_version(&mut self) {
         let Some(source) = &self.source else {
             return;
         };
@@ -227,6 +234,7 @@
         match source.sure_version(&self.relay) {
             Some(version) => {
                 self.call.began_version.set(Some(version));
+                self.running = Some(self.relay.stream_runs(&self.call, version));
                 self.relay.tell_stream_began(&self.call, version);
             }
             None if source.origin.engine().is_some() => {
--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -2,19 +2,33 @@
 //!
 //! While several versions of a service serve, an instance tells two others of each stream that it begins, before it
 //! passes on the first event: its caller may come back because the instance was killed right after. The id of the
-//! attempt names them, so that any instance knows whom to ask. What follows from their answers is decided in
-//! [`plan::origin_version`]. See docs/design/stream-versions.md.
+//! attempt names them, so that any instance knows whom to ask. One of them appends it to a log in the store, which
+//! outlives all instances. What follows from their answers is decided in [`plan::origin_version`]. See
+//! docs/design/stream-versions.md.
+
+mod history;
+mod log;
 
 use std::cell::{Cell, RefCell};
+use std::collections::hash_map::Entry;
 use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use plan::{OriginEvidence, origin_version};
+use ::log::{debug, error, info};
+use plan::{OriginEvidence, Unrecorded, origin_version};
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel};
-use view::{InstanceKey, OriginMessage, ServiceKey, StreamKey, VersionKey, stream_origin};
+use view::stream_origin::{Candidate, homes};
+use view::{
+    InstanceKey, OriginMessage, ServiceKey, StreamKey, ToldOrigin, VersionKey, stream_origin,
+};
+
+use history::VersionHistory;
+pub use history::{MalformedStoredVersion, StoredVersion};
+pub use log::LogStep;
+use log::{StoreWord, StreamLog};
 
 use crate::answer::{Reason, Refusal};
 use crate::call::Call;
@@ -53,6 +67,48 @@
     is_partial: bool,
 }
 
+impl Gathered {
+    fn is_recorded(&self) -> bool {
+        let is_recorded = |each: &Evidence| matches!(each, OriginEvidence::Recorded(_));
+        self.evidence.iter().any(is_recorded)
+    }
+}
+
+/// A stream that runs here, until this is dropped.
+pub(crate) struct RunningStream {
+    relay: Rc<Relay>,
+    stream: StreamKey,
+}
+
+impl Drop for RunningStream {
+    fn drop(&mut self) {
+        let mut running = self.relay.stream_origins.running.borrow_mut();
+        running.remove(&self.stream);
+    }
+}
+
+/// What goes to a peer that asks.
+fn told(evidence: Evidence) -> ToldOrigin {
+    match evidence {
+        OriginEvidence::Recorded(version) => ToldOrigin::Recorded(version),
+        OriginEvidence::Unrecorded(Unrecorded::Unknown) => ToldOrigin::Unknown,
+        OriginEvidence::Unrecorded(Unrecorded::Only(version)) => ToldOrigin::Only(version),
+        OriginEvidence::Unrecorded(Unrecorded::Before(version)) => ToldOrigin::Before(version),
+        OriginEvidence::Unrecorded(Unrecorded::Several) => ToldOrigin::Several,
+    }
+}
+
+/// What a peer told.
+fn evidence(told: ToldOrigin) -> Evidence {
+    OriginEvidence::Unrecorded(match told {
+        ToldOrigin::Recorded(version) => return OriginEvidence::Recorded(version),
+        ToldOrigin::Unknown => Unrecorded::Unknown,
+        ToldOrigin::Only(version) => Unrecorded::Only(version),
+        ToldOrigin::Before(version) => Unrecorded::Before(version),
+        ToldOrigin::Several => Unrecorded::Several,
+    })
+}
+
 /// A query that waits for replies. It is forgotten when dropped, also if the caller leaves meanwhile.
 struct WaitingQuery<'a> {
     origins: &'a StreamOrigins,
@@ -75,6 +131,10 @@
     ages: RefCell<VecDeque<(u64, StreamKey)>>,
     queries: RefCell<HashMap<u32, UnboundedSender<Reply>>>,
     last_query: Cell<u32>,
+    /// Streams that run here, each with its service and version.
+    running: RefCell<HashMap<StreamKey, (ServiceKey, VersionKey)>>,
+    history: VersionHistory,
+    log: StreamLog,
 }
 
 impl StreamOrigins {
@@ -92,10 +152,10 @@
             // A lost datagram is one of two records, or is asked for again.
             Ok(bytes) => {
                 if let Err(error) = socket.try_send_to(&bytes, peer) {
-                    log::debug!(peer:%, error:%; "datagram about a stream could not be sent");
+                    debug!(peer:%, error:%; "datagram about a stream could not be sent");
                 }
             }
-            Err(error) => log::error!(error:%; "datagram about a stream could not be encoded"),
+            Err(error) => error!(error:%; "datagram about a stream could not be encoded"),
         }
     }
 
@@ -108,8 +168,14 @@
             records.remove(&oldest);
             ages.pop_front();
         }
-        if records.insert(stream, version).is_none() {
-            ages.push_back((now_ms, stream));
+        match records.entry(stream) {
+            // A version is told once it is sure, so a doubt that arrives later is older.
+            Entry::Occupied(known) if version == VersionKey::UNKNOWN => drop(known),
+            Entry::Occupied(mut known) => drop(known.insert(version)),
+            Entry::Vacant(unknown) => {
+                unknown.insert(version);
+                ages.push_back((now_ms, stream));
+            }
         }
     }
 
@@ -127,6 +193,13 @@
         self.records.borrow().get(&stream).copied()
     }
 
+    fn receive_evidence(&self, number: u32, peer: SocketAddr, evidence: Evidence) {
+        if let Some(waiting) = self.queries.borrow().get(&number) {
+            // The query may have ended just now.
+            let _ = waiting.send((peer, evidence));
+        }
+    }
+
     fn begin_query(&self) -> WaitingQuery<'_> {
         let number = self.last_query.get().wrapping_add(1);
         self.last_query.set(number);
@@ -158,40 +231,84 @@
     }
 
     fn tell_origin(&self, call: &Call, version: VersionKey) {
+        if call.route.is_retryable() {
+            self.tell_homes(StreamKey(call.id_hash), version);
+        }
+    }
+
+    /// Records which version began a stream, here and at the instances that keep its record.
+    fn tell_homes(&self, stream: StreamKey, version: VersionKey) {
+        let origins = &self.stream_origins;
         let now_ms = self.now_ms();
-        if !call.route.is_retryable() {
-            return;
+        origins.record(now_ms, stream, version);
+        let homes = self.homes(stream);
+        let told = homes.iter().filter_map(|home| *home).take(HOMES);
+        if homes.first() == Some(&None) || homes.is_empty() {
+            origins.log.add(now_ms, stream, version);
+        }
+        let recorder = homes.first().copied().flatten();
+        for home in told {
+            let message = if recorder == Some(home) {
+                OriginMessage::Record { stream, version }
+            } else {
+                OriginMessage::Began { stream, version }
+            };
+            origins.send(home, &message);
         }
-        let stream = StreamKey(call.id_hash);
-        self.stream_origins.record(now_ms, stream, version);
-        for home in self.homes(stream, HOMES) {
-            let message = OriginMessage::Began { stream, version };
-            self.stream_origins.send(home, &message);
+    }
+
+    /// Notes a stream that runs here, until it is dropped. One that its caller took up is known by the attempt that began
+    /// it.
+    pub(crate) fn stream_runs(self: &Rc<Self>, call: &Call, version: VersionKey) -> RunningStream {
+        let began_as = call.head.resumes.as_ref();
+        let stream = match began_as.filter(|_| call.head.last_event.is_some()) {
+            Some(attempt) => StreamKey::of(attempt.as_bytes()),
+            None => StreamKey(call.id_hash),
+        };
+        if call.route.is_retryable() {
+            let service = ServiceKey::of(&call.service);
+            let mut running = self.stream_origins.running.borrow_mut();
+            running.insert(stream, (service, version));
+        }
+        RunningStream {
+            relay: Rc::clone(self),
+            stream,
         }
     }
 
-    fn are_versions_mixed(&self, service: ServiceKey) -> bool {
-        let upstreams = self.upstreams.borrow();
-        let versions = upstreams.versions(service);
-        versions.is_some_and(|versions| versions.are_mixed(self.now_ms()))
+    /// Tells of the streams of a service that run here.
+    fn tell_running_streams(&self, service: ServiceKey) {
+        let running = self.stream_origins.running.borrow();
+        let of_service = running.iter().filter(|(_, (of, _))| *of == service);
+        let all: Vec<(StreamKey, VersionKey)> = of_service
+            .map(|(stream, (_, version))| (*stream, *version))
+            .collect();
+        drop(running);
+        for (stream, version) in all {
+            self.tell_homes(stream, version);
+        }
     }
 
-    /// Addresses of the other instances that come first for a stream.
-    fn homes(&self, stream: StreamKey, count: usize) -> Vec<SocketAddr> {
+    /// The instances that come first for a stream, in the order in which they are told and asked: the one that appends to
+    /// the store's log, and others. None stands for this instance.
+    fn homes(&self, stream: StreamKey) -> Vec<Option<SocketAddr>> {
         let own = InstanceKey::of(&self.settings.borrow().name);
         let members = self.members.borrow();
-        let others = members.reachable().filter_map(|member| {
-            let key = InstanceKey::of(&member.name);
-            let address = member.gossip_address.filter(|_| key != own)?;
-            Some((stream.place(key), address))
-        });
-        let mut others: Vec<(u64, SocketAddr)> = others.collect();
-        let count = count.min(others.len());
-        if count < others.len() {
-            others.select_nth_unstable(count);
-        }
-        others.truncate(count);
-        others.into_iter().map(|(_, address)| address).collect()
+        let candidates: Vec<Candidate<Option<SocketAddr>>> = members
+            .reachable()
+            .filter_map(|member| {
+                let key = InstanceKey::of(&member.name);
+                let value = member.gossip_address.filter(|_| key != own);
+                let candidate = Candidate {
+                    key,
+                    zone: &member.zone,
+                    value,
+                };
+                (key == own || value.is_some()).then_some(candidate)
+            })
+            .collect();
+        let homes = homes(stream, &candidates, MAX_ASKED + 1);
+        homes.into_iter().map(|home| home.value).collect()
     }
 
     /// What this instance itself knows of a stream.
@@ -199,15 +316,7 @@
         if let Some(version) = self.stream_origins.recorded(stream) {
             return OriginEvidence::Recorded(version);
         }
-        self.unrecorded_evidence(service)
-    }
-
-    /// What this instance's view of versions says of a stream without a record.
-    fn unrecorded_evidence(&self, service: ServiceKey) -> Evidence {
-        let upstreams = self.upstreams.borrow();
-        let versions = upstreams.versions(service);
-        let unrecorded = versions.and_then(|versions| versions.unrecorded(self.now_ms()));
-        OriginEvidence::Unrecorded(unrecorded)
+        OriginEvidence::Unrecorded(self.unrecorded(service))
     }
 
     /// Handles a datagram of a peer.
@@ -217,6 +326,22 @@
             OriginMessage::Began { stream, version } => {
                 origins.record(self.now_ms(), stream, version);
             }
+            OriginMessage::Record { stream, version } => {
+                origins.record(self.now_ms(), stream, version);
+                origins.log.add(self.now_ms(), stream, version);
+            }
+            OriginMessage::Ask {
+                number,
+                stream,
+                service,
+            } => {
+                let told = told(self.own_evidence(stream, service));
+                origins.send(peer, &OriginMessage::Answer { number, told });
+            }
+            OriginMessage::Answer { number, told } => {
+                origins.receive_evidence(number, peer, evidence(told));
+            }
+            // An instance of an older build takes a named version for certain.
             OriginMessage::Query {
                 number,
                 stream,
@@ -224,7 +349,8 @@
             } => {
                 let (recorded, unrecorded) = match self.own_evidence(stream, service) {
                     OriginEvidence::Recorded(version) => (Some(version), None),
-                    OriginEvidence::Unrecorded(version) => (None, version),
+                    OriginEvidence::Unrecorded(Unrecorded::Only(version)) => (None, Some(version)),
+                    OriginEvidence::Unrecorded(_) => (None, None),
                 };
                 let reply = OriginMessage::Reply {
                     number,
@@ -233,19 +359,15 @@
                 };
                 origins.send(peer, &reply);
             }
+            // It does not say since when it knows.
             OriginMessage::Reply {
-                number,
-                recorded,
-                unrecorded,
+                number, recorded, ..
             } => {
                 let evidence = recorded.map_or(
-                    OriginEvidence::Unrecorded(unrecorded),
+                    OriginEvidence::Unrecorded(Unrecorded::Unknown),
                     OriginEvidence::Recorded,
                 );
-                if let Some(waiting) = origins.queries.borrow().get(&number) {
-                    // The query may have ended just now.
-                    let _ = waiting.send((peer, evidence));
-                }
+                origins.receive_evidence(number, peer, evidence);
             }
         }
     }
@@ -253,7 +375,8 @@
     /// What this instance and those that keep the stream's record know of it.
     async fn gather_evidence(&self, stream: StreamKey, service: ServiceKey) -> Gathered {
         let mut all = vec![self.own_evidence(stream, service)];
-        let homes = self.homes(stream, MAX_ASKED);
+        let homes = self.homes(stream);
+        let homes: Vec<SocketAddr> = homes.into_iter().flatten().take(MAX_ASKED).collect();
         if homes.is_empty() || matches!(all[0], OriginEvidence::Recorded(_)) {
             return Gathered {
                 evidence: all,
@@ -287,7 +410,7 @@
         let evidence = if self.are_versions_mixed(service) {
             Vec::new()
         } else {
-            vec![self.unrecorded_evidence(service)]
+            vec![OriginEvidence::Unrecorded(self.unrecorded(service))]
         };
         Gathered {
             evidence,
@@ -305,7 +428,7 @@
     ) -> Vec<Evidence> {
         let enough = if is_one_enough { 1 } else { homes.len() };
         let mut waiting = self.stream_origins.begin_query();
-        let query = OriginMessage::Query {
+        let query = OriginMessage::Ask {
             number: waiting.number,
             stream,
             service,
@@ -341,20 +464,33 @@
         return Ok(());
     }
     let service = ServiceKey::of(&call.service);
-    let gathered = match &call.head.resumes {
+    let mut gathered = gather(relay, call, service).await;
+    let mut origin = origin_version(&gathered.evidence, !gathered.is_partial);
+    if origin.is_none() && !gathered.is_recorded() {
+        match relay.await_store(service).await {
+            StoreWord::Told => {
+                gathered = gather(relay, call, service).await;
+                origin = origin_version(&gathered.evidence, !gathered.is_partial);
+            }
+            StoreWord::Away => gathered.is_partial = true,
+            StoreWord::Nothing => {}
+        }
+    }
+    let Some(version) = origin else {
+        return Err(refuse_unknown(relay, call, &gathered));
+    };
+    log_origin(relay, call, version, &gathered);
+    call.began_version.set(Some(version));
+    Ok(())
+}
+
+async fn gather(relay: &Relay, call: &Call, service: ServiceKey) -> Gathered {
+    match &call.head.resumes {
         Some(attempt) => {
             let stream = StreamKey::of(attempt.as_bytes());
             relay.gather_evidence(stream, service).await
         }
         None => relay.evidence_of_unnamed(service),
-    };
-    match origin_version(&gathered.evidence) {
-        Some(version) => {
-            log_origin(relay, call, version, &gathered);
-            call.began_version.set(Some(version));
-            Ok(())
-        }
-        None => Err(refuse_unknown(relay, call, &gathered)),
     }
 }
 
@@ -365,7 +501,7 @@
         return;
     }
     let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
-    log::info!(
+    info!(
         request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, version = version.0,
         evidence:? = gathered.evidence, is_partial = gathered.is_partial, up_ms = relay.now_ms();
         "origin of a stream that is taken up was found"
@@ -381,7 +517,7 @@
     if relay.failure_log_limit.take(relay.now_ms()) {
         let resumes = call.head.resumes.as_ref().and_then(|id| id.to_str().ok());
         let replies = evidence.len().saturating_sub(1);
-        log::info!(
+        info!(
             request = call.id(), resumes = resumes.unwrap_or("-"), service = call.service, replies, is_partial,
             evidence:? = evidence, up_ms = relay.now_ms();
             "stream not taken up: no instance can tell which version began it"
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -11,6 +11,7 @@
 pub use view::ListChange;
 use view::{ServiceKey, VersionKey};
 
+use crate::stream_origins::StoredVersion;
 use crate::upstream::{Upstream, UpstreamEntry, UpstreamKey};
 use removed::RemovedUpstreams;
 
@@ -221,6 +222,40 @@
         self.versions.get(&service)
     }
 
+    /// Takes over the store's whole set of versions; it names none of a service that is missing.
+    pub fn load_all_versions(
+        &mut self,
+        now_ms: u64,
+        stored: &HashMap<ServiceKey, Vec<VersionKey>>,
+    ) {
+        for (service, versions) in &mut self.versions {
+            if !stored.contains_key(service) {
+                versions.load(now_ms, &[]);
+            }
+        }
+        self.load_versions(now_ms, stored);
+    }
+
+    /// Takes over which versions of some services the store's set names.
+    pub fn load_versions(&mut self, now_ms: u64, stored: &HashMap<ServiceKey, Vec<VersionKey>>) {
+        for (service, versions) in stored {
+            self.versions
+                .entry(*service)
+                .or_default()
+                .load(now_ms, versions);
+        }
+    }
+
+    /// The versions in the store's set that served so long ago that no stream of theirs can be taken up.
+    pub fn forgettable_versions(&self, now_ms: u64) -> Vec<StoredVersion> {
+        let of_service = |(service, versions): (&ServiceKey, &ServiceVersions<VersionKey>)| {
+            let service = *service;
+            let forgettable = versions.forgettable(now_ms).into_iter();
+            forgettable.map(move |version| StoredVersion { service, version })
+        };
+        self.versions.iter().flat_map(of_service).collect()
+    }
+
     /// The upstream with this key.
     pub fn get_by_key(&self, key: UpstreamKey) -> Option<&Rc<Upstream>> {
         self.by_key.get(&key)
--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -10,6 +10,7 @@
 mod link;
 mod requests;
 mod slow_callers;
+mod store;
 mod stub;
 
 use std::net::SocketAddr;
@@ -35,6 +36,7 @@
 pub use link::{Link, LinkState};
 pub use requests::{EVENTS, generation_request, is_prefill, read_request};
 pub use slow_callers::{ANSWER_BYTES, large_answer, slow_connection};
+pub use store::TestStore;
 pub use stub::{Action, Ending, ReceivedRequest, StubUpstream};
 
 /// How long the process of an instance seems to have been running: longer than any of its time
@@ -134,9 +136,16 @@
         Self::start_with(settings(), entries)
     }
 
-    /// Starts an instance with these settings and upstreams. It knows itself as a member, as it has
-    /// no retries to spend before that.
+    /// Starts an instance with these settings and upstreams, whose store names no other versions than theirs. It knows
+    /// itself as a member, as it has no retries to spend before that.
     pub fn start_with(settings: Settings, entries: Vec<UpstreamEntry>) -> Self {
+        let instance = Self::start_without_versions(settings, entries);
+        TestStore::default().open(&instance.relay);
+        instance
+    }
+
+    /// Starts an instance with these settings and upstreams that does not know which versions served before.
+    pub fn start_without_versions(settings: Settings, entries: Vec<UpstreamEntry>) -> Self {
         let instance = Self::unconfigured(settings);
         instance.relay.configure(config(1));
         let own = instance.relay.heartbeat();
@@ -178,6 +187,17 @@
 
     /// Starts an instance that gossips with others; `seconds` of it are waited for by [`meet`].
     pub async fn start_peer(name: &str, zone: &str, entries: Vec<UpstreamEntry>) -> Self {
+        let instance = Self::start_peer_without_versions(name, zone, entries).await;
+        TestStore::default().open(&instance.relay);
+        instance
+    }
+
+    /// The same, for an instance that does not know which versions served before.
+    pub async fn start_peer_without_versions(
+        name: &str,
+        zone: &str,
+        entries: Vec<UpstreamEntry>,
+    ) -> Self {
         let (socket, listener) = peer_sockets().await;
         let peer = socket.local_addr().expect("an address");
         let named = Settings {
@@ -186,7 +206,7 @@
             peer: Some(peer),
             ..settings()
         };
-        let mut instance = Self::start_with(named, entries);
+        let mut instance = Self::start_without_versions(named, entries);
         let relay = &instance.relay;
         relay.settings.borrow_mut().address = instance.address;
         let serving = serve(
@@ -206,6 +226,20 @@
         instance
     }
 
+    /// Starts an instance that gossips with others and shares a store with them.
+    pub async fn start_with_store(
+        name: &str,
+        entries: Vec<UpstreamEntry>,
+        store: &Rc<TestStore>,
+    ) -> Self {
+        let mut instance = Self::start_peer_without_versions(name, "here", entries).await;
+        let relay = Rc::clone(&instance.relay);
+        store.open(&relay);
+        let following = actix_rt::spawn(Rc::clone(store).follow(relay));
+        instance.peer_tasks.push(following);
+        instance
+    }
+
     /// Ends the instance as a kill of its process does: nobody hears of it again.
     pub fn kill(&self) {
         self.phase.send_replace(Phase::Closing);
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -2,17 +2,19 @@
 
 mod common;
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use common::{
-    Action, Link, LinkState, ReceivedRequest, StubUpstream, TestInstance, generation_request,
-    in_other_zone, meet,
+    Action, Link, LinkState, ReceivedRequest, StubUpstream, TestInstance, TestStore,
+    generation_request, in_other_zone, meet,
 };
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use http::{HeaderValue, Request};
 use http_body_util::{BodyExt, Full};
+use relay::relay::ChangesRead;
 use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
 use relay::upstreams::ListChange;
 use tick::since_boot_ms;
@@ -452,18 +454,96 @@
 #[actix_rt::test]
 async fn streams_go_on_after_all_instances_were_killed() {
     let entries = engines(hanging_engine, &["v1", "v2"]);
-    let one = TestInstance::start_peer("a", "here", entries.clone()).await;
-    let two = TestInstance::start_peer("b", "here", entries.clone()).await;
+    let store = Rc::default();
+    let one = TestInstance::start_with_store("a", entries.clone(), &store).await;
+    let two = TestInstance::start_with_store("b", entries.clone(), &store).await;
     meet(&[&one, &two]).await;
     let begun = begin_streams(&one, 100).await;
+    actix_rt::time::sleep(Duration::from_millis(50)).await;
     one.kill();
     two.kill();
-    let again = TestInstance::start_peer("a", "here", entries.clone()).await;
-    let other = TestInstance::start_peer("b", "here", entries).await;
+    let again = TestInstance::start_with_store("a", entries.clone(), &store).await;
+    let other = TestInstance::start_with_store("b", entries, &store).await;
     meet(&[&again, &other]).await;
-    let taken_up = take_up_all(&other, &begun).await;
-    assert_eq!(taken_up.other, 0);
-    assert!(2 * taken_up.same >= STREAMS, "{taken_up:?}");
+    assert_eq!(take_up_all(&other, &begun).await, ALL_SAME);
+}
+
+/// Two instances begin streams at the first version; all are killed and come back to a list of the second one alone.
+async fn take_up_after_a_swap(store: &Rc<TestStore>) -> TakenUp {
+    let entries = engines(hanging_engine, &["v1"]);
+    let one = TestInstance::start_with_store("a", entries.clone(), store).await;
+    let two = TestInstance::start_with_store("b", entries, store).await;
+    meet(&[&one, &two]).await;
+    let begun = begin_streams(&one, 100).await;
+    one.kill();
+    two.kill();
+    let successors = engines(hanging_engine, &["v2"]);
+    let again = TestInstance::start_with_store("a", successors.clone(), store).await;
+    let other = TestInstance::start_with_store("b", successors, store).await;
+    meet(&[&again, &other]).await;
+    take_up_all(&other, &begun).await
+}
+
+/// Guards against streams that go on at the only version in the first list of instances that have just started, although
+/// another one began them and has left.
+#[actix_rt::test]
+async fn a_stream_of_a_version_that_left_before_all_were_killed_goes_on_at_no_other() {
+    let taken_up = take_up_after_a_swap(&Rc::default()).await;
+    assert_eq!((taken_up.same, taken_up.other), (0, 0));
+}
+
+/// Guards against streams that are refused after a kill of all although one version alone served.
+#[actix_rt::test]
+async fn streams_of_the_only_version_go_on_after_all_instances_were_killed() {
+    let entries = engines(hanging_engine, &["v1"]);
+    let store = Rc::default();
+    let one = TestInstance::start_with_store("a", entries.clone(), &store).await;
+    let begun = begin_streams(&one, 100).await;
+    one.kill();
+    let again = TestInstance::start_with_store("a", entries, &store).await;
+    assert_eq!(take_up_all(&again, &begun).await, ALL_SAME);
+}
+
+/// Guards against an instance that has just started and outvotes one that has watched: most were killed.
+#[actix_rt::test]
+async fn an_instance_that_has_just_started_does_not_outvote_one_that_has_watched() {
+    let watching = TestInstance::start_peer("a", "here", engines(hanging_engine, &["v1"])).await;
+    let begun = begin_streams(&watching, 100).await;
+    let successors = engines(hanging_engine, &["v2"]);
+    for new in &successors {
+        let change = ListChange::Put(new.clone());
+        watching.relay.apply_change(change, relay::Origin::Read);
+    }
+    let started = TestInstance::start_peer_without_versions("b", "here", successors).await;
+    meet(&[&watching, &started]).await;
+    // Of these streams nobody has a record.
+    let unknown: Vec<(usize, String)> = begun
+        .into_iter()
+        .map(|(id, version)| (id + 5_000, version))
+        .collect();
+    let taken_up = take_up_all(&started, &unknown).await;
+    assert_eq!((taken_up.same, taken_up.other), (0, 0));
+}
+
+/// Guards against an upstream that begins streams at a version which the store does not name: after a kill of all nobody
+/// would know of it.
+#[actix_rt::test]
+async fn an_upstream_waits_until_the_store_names_its_version() {
+    let instance = TestInstance::start(engines(hanging_engine, &["v1"]));
+    let new = engines(hanging_engine, &["v2"]).remove(0);
+    let read = |offset: u64| ChangesRead {
+        changes: vec![(offset, ListChange::Put(new.clone()))],
+        next: offset + 1,
+        end: offset + 1,
+    };
+    let relay = &instance.relay;
+    relay.take_changes(since_boot_ms(), read(0));
+    assert!(relay.upstreams.borrow().get(&new.id).is_none());
+    for (version, _) in relay.unstored_versions(std::iter::once(&new)) {
+        relay.version_stored(version);
+    }
+    relay.take_changes(since_boot_ms(), read(1));
+    assert!(relay.upstreams.borrow().get(&new.id).is_some());
 }
 
 /// Guards against a stream that goes on at another version since none of its own is left.
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -51,5 +51,5 @@
 pub use parts::{PartEvidence, PartTracker, PartVerdict};
 pub use poison::{FailureEvidence, PoisonTracker, RequestVerdict};
 pub use queue::{PrefillQueue, RANKS};
-pub use stream_origin::{OriginMessage, StreamKey};
+pub use stream_origin::{OriginMessage, StreamBatch, StreamKey, ToldOrigin};
 pub use trials::{RequestTrial, TrialNews};
