--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -170,8 +170,10 @@
         }
         match records.entry(stream) {
             // A version is told once it is sure, so a doubt that arrives later is older.
-            Entry::Occupied(known) if version == VersionKey::UNKNOWN => drop(known),
-            Entry::Occupied(mut known) => drop(known.insert(version)),
+            Entry::Occupied(_) if version == VersionKey::UNKNOWN => {}
+            Entry::Occupied(mut known) => {
+                known.insert(version);
+            }
             Entry::Vacant(unknown) => {
                 unknown.insert(version);
                 ages.push_back((now_ms, stream));
