Whether an engine's process is the listed one, as a pure decision that asks only where something speaks against the list

An engine that is listed and of which no loss was heard since its entry can last have been written by one that ended is the listed one once news of an end just before the connection would have come. Not used by the relay yet.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -6,6 +6,7 @@
 mod admission;
 mod deadline;
 mod ejection;
+mod engine_process;
 mod engine_profile;
 mod fleet;
 mod forecast;
@@ -32,6 +33,9 @@
 pub use admission::{Refusal, RefusalReason, WorkspaceLimiter};
 pub use deadline::{AttemptTimeout, RetryBudget, give_up_ms};
 pub use ejection::{Health, HealthStatus};
+pub use engine_process::{
+    ENTRY_LAPSES_MS, ProcessEvidence, ProcessStep, REGISTERED_MS, TOLD_MS, process_step,
+};
 pub use engine_profile::{EngineProfile, RANKS, rank_index};
 
 pub use fleet::{Engine, Fleet, LoadReport, Outstanding, Presence};
