The replay of engine processes tells of each end by one instance alone, twice

Before, all instances that lost an answer told of it, and the replay gave 0 wrong beliefs also with no wait for news (TOLD_MS 0): it guarded nothing. Now one instance alone tells, of the loss and 60 ms later of the end, six crashes a second. The relay does not use the decision yet.

--- a/crates/plan/tests/engine_process.rs
+++ b/crates/plan/tests/engine_process.rs
@@ -23,6 +23,9 @@
 const PERIOD_MS: u64 = 50;
 const SENDS: u64 = 3;
 
+/// Time in which an inquiry finds that another incarnation answers, in ms.
+const INQUIRY_MS: u64 = 60;
+
 #[derive(Debug, Clone, Copy)]
 struct Play {
     seed: u64,
@@ -183,8 +186,10 @@
                 link.open_until_ms = 0;
             }
         }
-        for stream in begun.iter().filter(|it| it.engine == engine) {
+        // The least that may be told: one instance alone lost an answer, and found then that the engine has ended.
+        if let Some(stream) = begun.iter().find(|it| it.engine == engine) {
             self.tell(now_ms, stream.instance, engine);
+            self.tell(now_ms + INQUIRY_MS, stream.instance, engine);
         }
         self.streams.retain(|it| it.engine != engine);
         let start_ms = now_ms + self.random.random_range(0..=50);
@@ -350,7 +355,7 @@
     for instances in SIZES {
         for (seed, store_away_ms) in [(1, (0, 0)), (2, (0, 0)), (3, (18_000, 23_000))] {
             let played = Fleet::new(Play {
-                crashes_per_s: 2.0,
+                crashes_per_s: 6.0,
                 store_away_ms,
                 ..play(seed, instances)
             });
