Test: answers cut after each byte of their head, at all readers of the relay

What callers saw: a server stopped in the middle of its answer's head and closed; they got a 200 with an empty or short body that was framed as whole.

The test cuts seven heads (length last and first, chunks, neither under HTTP/1.1 and 1.0, length under 1.0, after an interim answer) after each byte, with an orderly close and a reset, at: an upstream's first and second answer, a peer's answer, a separate prefill, an engine's report, a peer's state.

--- a/crates/relay/tests/common/mod.rs
+++ b/crates/relay/tests/common/mod.rs
@@ -178,6 +178,23 @@
 
     /// Starts an instance that gossips with others; `seconds` of it are waited for by [`meet`].
     pub async fn start_peer(name: &str, zone: &str, entries: Vec<UpstreamEntry>) -> Self {
+        let (mut instance, listener) = Self::start_gossiping(name, zone, entries).await;
+        let serving = serve(
+            Rc::clone(&instance.relay),
+            ListenerKind::Peers,
+            listener,
+            instance.phase.subscribe(),
+        );
+        instance.peer_tasks.push(actix_rt::spawn(serving));
+        instance
+    }
+
+    /// Starts an instance that gossips with others, and whose listener for requests of peers is left to the test.
+    pub async fn start_gossiping(
+        name: &str,
+        zone: &str,
+        entries: Vec<UpstreamEntry>,
+    ) -> (Self, tokio::net::TcpListener) {
         let (socket, listener) = peer_sockets().await;
         let peer = socket.local_addr().expect("an address");
         let named = Settings {
@@ -189,21 +206,11 @@
         let mut instance = Self::start_with(named, entries);
         let relay = &instance.relay;
         relay.settings.borrow_mut().address = instance.address;
-        let serving = serve(
-            Rc::clone(relay),
-            ListenerKind::Peers,
-            listener,
-            instance.phase.subscribe(),
-        );
         let receiving = relay::gossip::receive(Rc::clone(relay), Rc::clone(&socket));
         let sending = relay::gossip::send_periodically(Rc::clone(relay), socket);
-        let tasks = [
-            actix_rt::spawn(serving),
-            actix_rt::spawn(receiving),
-            actix_rt::spawn(sending),
-        ];
+        let tasks = [actix_rt::spawn(receiving), actix_rt::spawn(sending)];
         instance.peer_tasks.extend(tasks);
-        instance
+        (instance, listener)
     }
 
     /// Ends the instance as a kill of its process does: nobody hears of it again.
--- a/crates/relay/tests/common/stub.rs
+++ b/crates/relay/tests/common/stub.rs
@@ -7,6 +7,7 @@
 
 use relay::listener::bind;
 use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
+use socket2::SockRef;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -28,6 +29,8 @@
     WriteWithoutEnd(String),
     /// Closes the connection.
     Close,
+    /// Resets the connection.
+    Reset,
     /// Ends the process: all connections close and no new one is accepted.
     Crash,
 }
@@ -91,6 +94,7 @@
     /// Bytes that it wrote in answers without end.
     pub endless_bytes: Rc<Cell<usize>>,
     ending: Ending,
+    prescribes_reports: bool,
     crashes: Rc<Cell<usize>>,
     /// Start of the incarnation, in ms, as its report tells it.
     started_ms: u64,
@@ -111,12 +115,30 @@
         respond: impl Fn(&ReceivedRequest) -> Vec<Action> + 'static,
     ) -> Self {
         let listener = bind("127.0.0.1:0".parse().expect("an address")).expect("a port");
+        Self::run_on(listener, ending, false, respond)
+    }
+
+    /// Starts one at this listener that responds to queries for its report as to requests.
+    pub fn start_on(
+        listener: TcpListener,
+        respond: impl Fn(&ReceivedRequest) -> Vec<Action> + 'static,
+    ) -> Self {
+        Self::run_on(listener, Ending::AtOnce, true, respond)
+    }
+
+    fn run_on(
+        listener: TcpListener,
+        ending: Ending,
+        prescribes_reports: bool,
+        respond: impl Fn(&ReceivedRequest) -> Vec<Action> + 'static,
+    ) -> Self {
         let stub = Self {
             address: listener.local_addr().expect("an address"),
             received: Rc::default(),
             closed_by_relay: Rc::default(),
             endless_bytes: Rc::default(),
             ending,
+            prescribes_reports,
             crashes: Rc::default(),
             started_ms: 1,
             crashed: watch::Sender::new(false),
@@ -195,7 +217,8 @@
     ) {
         while let Some(received) = read_request(&mut stream).await {
             // An upstream answers this by itself, whatever becomes of callers' requests.
-            if received.request_line.starts_with("GET /report ") {
+            let is_query = received.request_line.starts_with("GET /report ");
+            if is_query && !self.prescribes_reports {
                 if *self.crashed.borrow() {
                     return;
                 }
@@ -230,6 +253,11 @@
                         return;
                     }
                     Action::Close => return,
+                    Action::Reset => {
+                        let linger = SockRef::from(&stream).set_linger(Some(Duration::ZERO));
+                        linger.expect("an option");
+                        return;
+                    }
                     Action::Crash => {
                         self.crashes.set(self.crashes.get() + 1);
                         self.crashed.send_replace(true);
