An answer to a caller has this instance's version, not the upstream's

What callers saw: a stream of an upstream that speaks HTTP/1.0 and stopped after its head, by close or reset, with a length of 14 in its head too, came as HTTP/1.0 and ended by an orderly close: a whole 200 without an event.

Cause: the head of an upstream's answer is passed on with its version, and under HTTP/1.0 the HTTP library marks the end of a stream by the close alone.

--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -396,6 +396,8 @@
         async move {
             let responded = responding.await;
             let mut response = responded.unwrap_or_else(|_| connection.note_panic());
+            // Under that of an upstream with HTTP/1.0, a stream that broke off would end by an orderly close.
+            *response.version_mut() = Version::HTTP_11;
             on_connection.0.occupancy.set(Occupancy::Answer);
             response.body_mut().occupy(on_connection);
             Ok::<_, Infallible>(response)
