--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,13 +4,15 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::{Response, header};
+use http::response::Parts;
+use http::{Response, StatusCode, header};
 
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::attribution::{ensure_not_poison, note_lost_answer};
 use crate::bounded_body::{BodyError, ReadBody};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
+use crate::framing::Framing;
 use crate::generation::generate;
 use crate::handover::{ServedBy, hand_over, is_handed_over};
 use crate::metrics::PastBound;
@@ -210,6 +212,12 @@
     }
 }
 
+/// Whether an answer is a success with a body whose end only the close of its connection marks.
+fn has_unmarked_body(head: &Parts, framing: Framing) -> bool {
+    let has_none = head.status == StatusCode::NO_CONTENT;
+    head.status.is_success() && !has_none && framing == Framing::Close
+}
+
 /// Forwards an answer to the caller: buffered if it is short, streamed otherwise.
 ///
 /// Fails if a buffered answer ends early; the caller has then received no part of it.
@@ -220,6 +228,7 @@
     guard: InFlight,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (mut head, body) = checked.response.into_parts();
+    let framing = Framing::of(&head.headers);
     strip_hop_by_hop(&mut head.headers, |_| false);
     let upstream = Rc::clone(guard.upstream());
     head.extensions.insert(ServedBy {
@@ -237,6 +246,13 @@
             let origin = StreamOrigin::Engine(guard);
             stream_answer(relay, call, (begun, rest), checked.connection, origin)
         }
+        // Nothing tells this from an upstream that stopped in its head.
+        Ok(ReadBody::Whole(bytes)) if bytes.is_empty() && has_unmarked_body(&head, framing) => {
+            drop(checked.connection);
+            upstream.note_failure(relay.now_ms());
+            note_lost_answer(relay, call, &upstream);
+            return Err(Refusal::new(Reason::Lost));
+        }
         Ok(ReadBody::Whole(bytes)) => {
             head.headers.remove(header::CONTENT_LENGTH);
             checked.connection.release();
