--- a/crates/plan/tests/engine_process.rs
+++ b/crates/plan/tests/engine_process.rs
@@ -129,10 +129,10 @@
     }
 
     fn listed_version(&self, engine: usize, listed_ms: u64) -> usize {
-        let listed = self.lives[engine]
+        let mut listed = self.lives[engine]
             .iter()
             .filter(|life| life.registered_ms <= listed_ms);
-        listed.last().map_or(0, |life| life.version)
+        listed.next_back().map_or(0, |life| life.version)
     }
 
     /// One hop of gossip; none if all datagrams that carry it are lost.
