Stream versions: replay of swaps, kills and outages, old rules and new

Callers saw streams of two versions after kills around a swap, and refusals of streams whose version still served; no test could draw the cases.

600 cases (2 to 300 instances, six swaps, five ends, four states of the store), the decisions of plan, StreamKey for homes, the store's set, log and eras as a model.

--- a/crates/view/tests/common/mod.rs
+++ b/crates/view/tests/common/mod.rs
@@ -3,8 +3,10 @@
 #![allow(dead_code, reason = "each test file uses a part of this")]
 
 pub mod log;
+pub mod old_versions;
 pub mod part_storm;
 pub mod request_storm;
+pub mod version_storm;
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
