--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -87,6 +87,11 @@
     }
 }
 
+/// Whether a record names a version.
+fn is_sure(evidence: &Evidence) -> bool {
+    matches!(evidence, OriginEvidence::Recorded(version) if *version != VersionKey::UNKNOWN)
+}
+
 /// What goes to a peer that asks.
 fn told(evidence: Evidence) -> ToldOrigin {
     match evidence {
@@ -395,6 +400,10 @@
         let is_list_late = self
             .list_age_ms()
             .is_none_or(|age_ms| age_ms > MAX_LIST_AGE_MS);
+        // A version is told once it is sure, so a doubt beside it is older.
+        if all.iter().any(is_sure) {
+            all.retain(is_sure);
+        }
         let is_recorded = |each: &Evidence| matches!(each, OriginEvidence::Recorded(_));
         let is_record_missing = !all.iter().any(is_recorded) && are_replies_missing;
         if all.len() == 1 && is_list_late || !is_settled && is_record_missing {
--- a/crates/relay/src/stream_origins/history.rs
+++ b/crates/relay/src/stream_origins/history.rs
@@ -123,6 +123,16 @@
         log::info!(versions = set.len(), is_whole; "versions that served lately read");
     }
 
+    /// Takes over the set of a store that came back from an older copy, once the upstreams that live have registered again.
+    /// What is listed may have begun streams too: the set may have named it before.
+    pub fn load_restored_versions(&self, set: &[StoredVersion]) {
+        let in_use = self.unstored_in_use();
+        let listed = in_use.into_iter().map(|(version, _)| version);
+        let all: Vec<StoredVersion> = set.iter().copied().chain(listed).collect();
+        self.upstreams.borrow_mut().forget_loaded_versions();
+        self.load_versions(&all, true);
+    }
+
     /// The versions of these upstreams that the store's set does not name yet, each with an upstream; none before the set
     /// was read.
     pub fn unstored_versions<'a>(
--- a/crates/relay/src/upstreams.rs
+++ b/crates/relay/src/upstreams.rs
@@ -222,6 +222,13 @@
         self.versions.get(&service)
     }
 
+    /// Makes the next set of versions that is read count as the first one.
+    pub fn forget_loaded_versions(&mut self) {
+        for versions in self.versions.values_mut() {
+            versions.reload();
+        }
+    }
+
     /// Takes over the store's whole set of versions; it names none of a service that is missing.
     pub fn load_all_versions(
         &mut self,
