An entry that says its upstream leaves holds whatever its number (DRAIN)

What callers saw: none yet; by a test. An entry of another writer under a sound upstream's name, with a seq of 2^53-1, made all its later entries count as older, so it went on getting requests after its draining entry. Cause: the number decided alone which of two entries is newer, and one that another writer chose shut off all later ones. Mend: leaving never ends within an incarnation, so an entry that tells of it is applied before numbers are compared. Evidence: an_upstream_leaves_whatever_number_another_writer_gave_it failed before (in use for 10 s, then given up), passes now. Not mended: a stage told under a lower number is still ignored until the upstream restarts.

--- a/crates/relay/src/upstream.rs
+++ b/crates/relay/src/upstream.rs
@@ -181,16 +181,17 @@
     /// Applies a list entry of this incarnation; returns whether its state or stage changed.
     ///
     /// Entries can arrive out of order. An older one is ignored, and an incarnation that is leaving
-    /// never becomes ready again; otherwise an old entry would bring it new requests.
+    /// never becomes ready again; otherwise an old entry would bring it new requests. So an entry that says
+    /// that it leaves holds whatever its number: another writer may have given it one that no later entry reaches.
     pub fn update(&self, entry: &UpstreamEntry) -> bool {
-        if entry.seq < self.seq.get() {
-            return false;
-        }
-        self.seq.set(entry.seq);
         let is_leaving = self.is_ready() && entry.state == UpstreamState::Leaving;
         if is_leaving {
             self.leave();
         }
+        if entry.seq < self.seq.get() {
+            return is_leaving;
+        }
+        self.seq.set(entry.seq);
         is_leaving || self.stage.replace(entry.stage) != entry.stage
     }
 
