A planned stop takes no request that may outlast it, and answers those that are left (LOST)

Cause, by reading and by test: on an open connection a request whose head came before 0.35 of the grace was passed on whenever its body was there; nothing compared its time with the end, at which the process went with what was in flight. Mend: a request whose deadline lies beyond the end of the answers (0.9 of the grace) is taken only if there is room for four objectives of its route, eight if it may not be repeated; a stream that cannot be taken up elsewhere needs its whole time. Others get 503 with Retry-After 0 before they run, so that their caller goes elsewhere at once. What is left then is answered: 502 if it may have run, 503 if not, 408 for an upload under way. planned_stop.rs has the decision. Not changed: a stream whose first event was passed on breaks off at the end.

--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -165,6 +165,9 @@
     /// This instance is cut off from the upstreams, and no peer took the request.
     #[display("this instance reaches no upstream")]
     CutOff,
+    /// This instance stops before the request would have ended.
+    #[display("this instance stops")]
+    Stopping,
     /// It takes a stream up, and nobody can tell which version began that.
     #[display("it is not known which version began the stream")]
     UnknownOrigin,
@@ -219,6 +222,7 @@
             Self::Resting => "resting",
             Self::OverShare => "over_share",
             Self::CutOff => "cut_off",
+            Self::Stopping => "stopping",
             Self::UnknownOrigin => "unknown_origin",
             Self::HelperBusy => "helper_busy",
             Self::Rejected => "rejected",
@@ -249,6 +253,7 @@
             | Self::Resting
             | Self::OverShare
             | Self::CutOff
+            | Self::Stopping
             | Self::UnknownOrigin
             | Self::HelperBusy
             | Self::Rejected
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -32,14 +32,7 @@
 /// Serves one request and returns the head of its answer; the body may still be streamed.
 pub async fn forward(relay: &Rc<Relay>, call: Call) -> Response<AnswerBody> {
     let call = Rc::new(call);
-    let left_ms = call.left_ms(relay.now_ms());
-    let serving = serve_call(relay, &call);
-    let outcome = match actix_rt::time::timeout(Duration::from_millis(left_ms), serving).await {
-        Ok(outcome) => outcome,
-        // A request that was not sent has not run and never will, so the refusal may say so.
-        Err(_) if call.possible_runs.get() == 0 => Err(Refusal::new(Reason::TooLate)),
-        Err(_) => Err(Refusal::new(Reason::TimedOut)),
-    };
+    let outcome = serve_in_time(relay, &call).await;
     outcome.unwrap_or_else(|refusal| {
         call.is_finished.set(true);
         let refusal = placement::refusal_with_rest(relay, &call, refusal);
@@ -48,6 +41,36 @@
     })
 }
 
+/// Serves a request until its deadline, or until a planned stop answers what is left.
+async fn serve_in_time(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+) -> Result<Response<AnswerBody>, Refusal> {
+    let left_ms = call.left_ms(relay.now_ms());
+    if !relay
+        .planned_stop
+        .takes(relay.now_ms(), &call.route, left_ms)
+    {
+        return Err(Refusal::with_retry_after(Reason::Stopping, 0));
+    }
+    let serving = serve_call(relay, call);
+    let in_time = actix_rt::time::timeout(Duration::from_millis(left_ms), serving);
+    let ended = tokio::select! {
+        biased;
+        ended = in_time => Some(ended),
+        () = relay.planned_stop.answers_end(relay.clock) => None,
+    };
+    // A request that was not sent has not run and never will, so the refusal may say so.
+    let is_unsent = call.possible_runs.get() == 0;
+    match ended {
+        Some(Ok(outcome)) => outcome,
+        Some(Err(_)) if is_unsent => Err(Refusal::new(Reason::TooLate)),
+        Some(Err(_)) => Err(Refusal::new(Reason::TimedOut)),
+        None if is_unsent => Err(Refusal::with_retry_after(Reason::Stopping, 0)),
+        None => Err(Refusal::new(Reason::Lost)),
+    }
+}
+
 /// Logs and counts a refusal, and builds its answer.
 fn refusal_response(relay: &Relay, call: &Call, refusal: Refusal) -> Response<AnswerBody> {
     let took_ms = relay.now_ms() - call.arrived_ms;
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod path_check;
 pub mod placement;
 mod plain_attempts;
+pub mod planned_stop;
 pub mod pool;
 pub mod prefill;
 pub mod prefix;
--- a/crates/relay/src/listener.rs
+++ b/crates/relay/src/listener.rs
@@ -222,7 +222,12 @@
     let longest_ms = limits.idle_ms.max(limits.head_ms);
     let wait = Duration::from_millis(longest_ms.min(head.deadline_ms.unwrap_or(u64::MAX)));
     let body = relay.body_memory.read(body, limits.body_bytes);
-    let Ok(body) = actix_rt::time::timeout(wait, body).await else {
+    let read = tokio::select! {
+        biased;
+        read = actix_rt::time::timeout(wait, body) => read.ok(),
+        () = relay.planned_stop.answers_end(relay.clock) => None,
+    };
+    let Some(body) = read else {
         return refuse(relay, Refusal::new(Reason::BodyTimeout));
     };
     let body = match body {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -35,6 +35,7 @@
 use crate::handover::Handovers;
 use crate::logging::{LogRateLimit, lines_dropped};
 use crate::metrics::Metrics;
+use crate::planned_stop::PlannedStop;
 use crate::reachability::Reachability;
 use crate::role_orders::RoleOrders;
 use crate::room_waiters::RoomWaiters;
@@ -105,6 +106,8 @@
     pub upstreams: RefCell<Upstreams>,
     /// Known instances, this one included.
     pub members: RefCell<Members>,
+    /// The planned stop of the process.
+    pub planned_stop: PlannedStop,
     /// Requests whose answers are not complete yet.
     pub in_flight: Rc<Cell<usize>>,
     /// Connections with bytes of answers that the other end has not read yet.
@@ -182,6 +185,7 @@
             ranks: RefCell::default(),
             ranks_seen: Cell::default(),
             phase: Cell::default(),
+            planned_stop: PlannedStop::default(),
             in_flight: Rc::default(),
             unwritten_connections: Cell::default(),
             heartbeat_seq: Cell::default(),
--- a/crates/relay/src/shutdown.rs
+++ b/crates/relay/src/shutdown.rs
@@ -16,6 +16,9 @@
 /// remainder is for the exit of the process.
 const END_SHARE: f64 = 0.95;
 
+/// Fraction of the grace period after which requests that have no answer yet get one.
+const ANSWER_SHARE: f64 = 0.9;
+
 /// Interval between checks for requests in flight, in ms.
 const CHECK_INTERVAL_MS: u64 = 50;
 
@@ -32,6 +35,7 @@
 ) {
     let began_ms = relay.now_ms();
     let at_ms = |share: f64| began_ms + (grace_ms * share) as u64;
+    relay.planned_stop.begin(at_ms(ANSWER_SHARE));
     enter(relay, phase, Phase::Leaving);
     announce.await;
     sleep(at_ms(ACCEPT_SHARE).saturating_sub(relay.now_ms())).await;
