--- a/crates/relay/src/pool.rs
+++ b/crates/relay/src/pool.rs
@@ -11,7 +11,7 @@
 
 use actix_rt::task::JoinHandle;
 use bytes::Bytes;
-use http::{Request, Response};
+use http::{Request, Response, StatusCode};
 use http_body_util::Full;
 use hyper::body::Incoming;
 use hyper::client::conn::http1::{self, SendRequest};
@@ -294,6 +294,13 @@
         match connection.sender.try_send_request(request).await {
             Ok(response) => {
                 connection.allowance.end_head();
+                if !is_final(response.status()) {
+                    return Err(ExchangeError::Lost {
+                        peer,
+                        why: format!("its status is {}", response.status().as_u16()),
+                        is_past_bound: false,
+                    });
+                }
                 pool.note_answer(connection.began_ms);
                 pooled.idle_ms = idle_ms(&response);
                 return Ok((response, pooled));
@@ -320,6 +327,12 @@
     }
 }
 
+/// Whether a status ends an exchange: interim ones do not, nor 101, which nothing here asks for, and those from 600 on are
+/// none of the protocol's.
+fn is_final(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 /// Opens a connection, unless `max_open` are open already.
 async fn open(
     pool: &Rc<Pool>,
