--- a/crates/relay/src/engine_process.rs
+++ b/crates/relay/src/engine_process.rs
@@ -87,6 +87,22 @@
     false
 }
 
+/// Logs that the version of a stream is not known, with what that rests on.
+pub fn log_doubt(relay: &Relay, request: &str, engine: &Upstream, process_since_ms: u64) {
+    if !relay.failure_log_limit.take(relay.now_ms()) {
+        return;
+    }
+    let now_ms = relay.now_ms();
+    log::info!(
+        request, upstream = engine.id, process_age_ms = now_ms.saturating_sub(process_since_ms),
+        confirmed_ago_ms = engine.confirmed_ago_ms().unwrap_or(u64::MAX),
+        asked_ago_ms = engine.asked_ago_ms().unwrap_or(u64::MAX),
+        list_age_ms = relay.list_age_ms().unwrap_or(u64::MAX), is_list_settled = relay.is_list_settled(),
+        is_replaced = engine.is_replaced();
+        "version of a stream is not known yet"
+    );
+}
+
 /// Asks an engine which incarnation it is, unless it was asked just now.
 pub fn confirm(relay: &Rc<Relay>, engine: &Rc<Upstream>) {
     if engine.begin_confirmation() {
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -19,6 +19,7 @@
 use self::source::{StreamSource, note_taken_up};
 use crate::answer::{AnswerBody, TruncatedAnswer};
 use crate::call::{Call, strip_hop_by_hop};
+use crate::engine_process::log_doubt;
 use crate::forward::count_answer;
 use crate::framing::{Framing, StreamEnd};
 use crate::handover::ServedBy;
@@ -237,11 +238,17 @@
                 self.running = Some(self.relay.stream_runs(&self.call, version));
                 self.relay.tell_stream_began(&self.call, version);
             }
-            None if source.origin.engine().is_some() => {
+            None => {
+                // A peer tells of its own.
+                let Some(engine) = source.origin.engine() else {
+                    return;
+                };
+                if !self.call.is_origin_told.get() {
+                    let since_ms = source.connection.process_since_ms();
+                    log_doubt(&self.relay, self.call.id(), &engine, since_ms);
+                }
                 self.relay.tell_origin_unknown(&self.call);
             }
-            // The peer tells of its own.
-            None => {}
         }
     }
 
--- a/crates/relay/src/upstream/signs.rs
+++ b/crates/relay/src/upstream/signs.rs
@@ -77,6 +77,18 @@
         self.signs.confirmed_ms.get() >= Some(since_ms)
     }
 
+    /// Time since it was last found to be the listed incarnation, in ms; none if it never was.
+    pub fn confirmed_ago_ms(&self) -> Option<u64> {
+        let confirmed_ms = self.signs.confirmed_ms.get()?;
+        Some(self.clock.now_ms().saturating_sub(confirmed_ms))
+    }
+
+    /// Time since it was last asked for its incarnation, in ms; none if it never was.
+    pub fn asked_ago_ms(&self) -> Option<u64> {
+        let confirming_ms = self.signs.confirming_ms.get()?;
+        Some(self.clock.now_ms().saturating_sub(confirming_ms))
+    }
+
     /// Records that another incarnation answered at its address.
     pub fn note_replaced(&self) {
         self.signs.is_replaced.set(true);
