--- a/crates/relay/src/inquiry.rs
+++ b/crates/relay/src/inquiry.rs
@@ -81,7 +81,8 @@
     if names_another || is_misdirected || is_restarted {
         Sign::Replaced
     } else {
-        if started_ms == Some(upstream.started_ms) {
+        // An upstream that names no start gets a new id at each, so its id alone tells.
+        if status.is_success() && started_ms.unwrap_or_default() == upstream.started_ms {
             upstream.note_confirmed();
         }
         Sign::Answered
