A stream whose version is in doubt is refused as of unknown origin, not for lack of an upstream (LOST)

What callers saw: 'no upstream is free' and a log line that the origin was found, where the record said that the version is not known. Both were untrue, and the caller was told to come back as for a lack of engines. Cause: a recorded doubt was taken for a version that no engine has. Mend: it is refused as of unknown origin, with a time to come back, since the doubt may end. Evidence: the test of a stream begun by an engine that had come back asks for the reason now, and failed before.

--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -487,7 +487,9 @@
             StoreWord::Nothing => {}
         }
     }
-    let Some(version) = origin else {
+    let Some(version) = origin.filter(|version| *version != VersionKey::UNKNOWN) else {
+        // A doubt ends as soon as the engine has said which incarnation it is.
+        gathered.is_partial |= origin.is_some();
         return Err(refuse_unknown(relay, call, &gathered));
     };
     log_origin(relay, call, version, &gathered);
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -322,8 +322,10 @@
     let mut body = response.into_body();
     body.frame().await.expect("an event").expect("no error");
     drop(body);
-    let (status, _) = instance.fetch(take_up(2, 1)).await;
+    let (status, why) = instance.fetch(take_up(2, 1)).await;
     assert_eq!((status, other.count()), (503, 0));
+    let truth = "it is not known which version began the stream";
+    assert_eq!(why.as_deref(), Some(truth), "no upstream is at fault");
 }
 
 /// Guards against the same where it is taken up at another instance, and only those reply that were not told of the doubt.
