--- a/crates/relay/src/placement/candidates.rs
+++ b/crates/relay/src/placement/candidates.rs
@@ -92,6 +92,35 @@
         .collect()
 }
 
+/// Logs the engines of a version that a stream has to go on at, each with what keeps it from that.
+fn log_none_of_version(relay: &Relay, call: &Call, version: VersionKey) {
+    let now_ms = relay.now_ms();
+    if !relay.failure_log_limit.take(now_ms) {
+        return;
+    }
+    let upstreams = relay.upstreams.borrow();
+    let of_version = upstreams.of_service(&call.service);
+    let states: Vec<String> = of_version
+        .filter(|each| each.version_key == version)
+        .map(|each| {
+            format!(
+                "{} {:?} ready={} changing={} rest_ms={} unproven={} health={:?}",
+                each.id,
+                each.stage(),
+                each.is_ready(),
+                each.is_changing_role(now_ms),
+                each.rest_left_ms(now_ms),
+                each.is_unproven(now_ms),
+                each.health_status(now_ms),
+            )
+        })
+        .collect();
+    log::info!(
+        request = call.id(), service = call.service, version = version.0, engines:? = states;
+        "no engine of a stream's version can go on with it"
+    );
+}
+
 /// Upstreams of the call's service in one of the given stages that have not been tried: the healthy
 /// ones, or all of them if none is healthy.
 pub(super) fn candidates(
@@ -111,6 +140,11 @@
     if all.is_empty() && call.began_version.get().is_some() {
         all = again;
     }
+    if all.is_empty()
+        && let Some(version) = version
+    {
+        log_none_of_version(relay, call, version);
+    }
     // A probe may hit an upstream that still fails, so only repeatable requests are used as probes.
     let may_probe = call.route.is_retryable();
     let is_healthy = |each: &&Rc<Upstream>| match each.health_status(now_ms) {
