--- a/crates/relay/src/answer.rs
+++ b/crates/relay/src/answer.rs
@@ -1,6 +1,7 @@
 //! Answers to callers: forwarded answers of upstreams, and refusals by this instance.
 
 use std::cell::Cell;
+use std::future::ready;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -8,6 +9,7 @@
 use bytes::Bytes;
 use derive_more::{Display, Error};
 use futures_util::Stream;
+use futures_util::stream::once;
 use http::{HeaderValue, Response, StatusCode};
 use http_body::{Body, Frame, SizeHint};
 use log::kv::ToValue;
@@ -60,6 +62,11 @@
         }
     }
 
+    /// A complete body that is written without its length, so that only the close of the connection ends it.
+    pub fn until_close(bytes: Bytes) -> Self {
+        Self::stream(once(ready(Ok(bytes))))
+    }
+
     /// Keeps the request counted as active, and as taken over if it is, until the body has been sent.
     pub fn track(&mut self, active: ActiveRequest, taken_over: Option<TakenOver>) {
         self.active = Some(active);
--- a/crates/relay/src/connection.rs
+++ b/crates/relay/src/connection.rs
@@ -23,6 +23,7 @@
 
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::config::Limits;
+use crate::framing::UnmarkedEnd;
 use crate::relay::{Phase, Relay};
 
 /// Time beyond a limit for which a connection is kept, in ms.
@@ -121,6 +122,8 @@
     /// Id of the last request, for the log.
     request: RefCell<Option<HeaderValue>>,
     knows_chunks: Cell<bool>,
+    /// Whether the end of the last answer is marked by the close of the connection alone.
+    ends_by_close: Cell<bool>,
     has_unwritten: Cell<bool>,
     /// When bytes were last written, or began to wait.
     written_ms: Cell<u64>,
@@ -155,6 +158,7 @@
             has_expired: Cell::default(),
             request: RefCell::default(),
             knows_chunks: Cell::new(true),
+            ends_by_close: Cell::default(),
             has_unwritten: Cell::default(),
             written_ms: Cell::default(),
         })
@@ -398,6 +402,11 @@
             let mut response = responded.unwrap_or_else(|_| connection.note_panic());
             // Under that of an upstream with HTTP/1.0, a stream that broke off would end by an orderly close.
             *response.version_mut() = Version::HTTP_11;
+            if response.extensions_mut().remove::<UnmarkedEnd>().is_some() {
+                // This version has no chunks, which would vouch for the end.
+                *response.version_mut() = Version::HTTP_10;
+                connection.ends_by_close.set(true);
+            }
             on_connection.0.occupancy.set(Occupancy::Answer);
             response.body_mut().occupy(on_connection);
             Ok::<_, Infallible>(response)
@@ -432,12 +441,12 @@
         return reset(&serving.into_parts().io.inner().stream);
     };
     connection.note_end(&ended);
-    if ended.is_err() && !connection.knows_chunks.get() {
+    if ended.is_err() && (!connection.knows_chunks.get() || connection.ends_by_close.get()) {
         reset(&serving.into_parts().io.inner().stream);
     }
 }
 
-/// Resets a connection. To a caller without chunks an orderly close would be the end of a whole answer.
+/// Resets a connection. To a caller without chunks, and after an answer without them, an orderly close would be the end of a whole answer.
 fn reset(stream: &TcpStream) {
     if let Err(error) = SockRef::from(stream).set_linger(Some(Duration::ZERO)) {
         log::warn!(error:%; "connection of a broken answer could not be reset");
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -4,15 +4,14 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http::response::Parts;
-use http::{Response, StatusCode, header};
+use http::{Response, header};
 
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::attribution::{ensure_not_poison, note_lost_answer};
 use crate::bounded_body::{BodyError, ReadBody};
 use crate::call::{Call, strip_hop_by_hop};
 use crate::config::RouteKind;
-use crate::framing::Framing;
+use crate::framing::{UnmarkedEnd, has_unmarked_end};
 use crate::generation::generate;
 use crate::handover::{ServedBy, hand_over, is_handed_over};
 use crate::metrics::PastBound;
@@ -235,12 +234,6 @@
     }
 }
 
-/// Whether an answer is a success with a body whose end only the close of its connection marks.
-fn has_unmarked_body(head: &Parts, framing: Framing) -> bool {
-    let has_none = head.status == StatusCode::NO_CONTENT;
-    head.status.is_success() && !has_none && framing == Framing::Close
-}
-
 /// Forwards an answer to the caller: buffered if it is short, streamed otherwise.
 ///
 /// Fails if a buffered answer ends early; the caller has then received no part of it.
@@ -251,7 +244,7 @@
     guard: InFlight,
 ) -> Result<Response<AnswerBody>, Refusal> {
     let (mut head, body) = checked.response.into_parts();
-    let framing = Framing::of(&head.headers);
+    let is_unmarked = has_unmarked_end(head.status, &head.headers);
     strip_hop_by_hop(&mut head.headers, |_| false);
     let upstream = Rc::clone(guard.upstream());
     head.extensions.insert(ServedBy {
@@ -270,7 +263,9 @@
             stream_answer(relay, call, (begun, rest), checked.connection, origin)
         }
         // Nothing tells this from an upstream that stopped in its head.
-        Ok(ReadBody::Whole(bytes)) if bytes.is_empty() && has_unmarked_body(&head, framing) => {
+        Ok(ReadBody::Whole(bytes))
+            if bytes.is_empty() && is_unmarked && head.status.is_success() =>
+        {
             drop(checked.connection);
             upstream.note_failure(relay.now_ms());
             note_lost_answer(relay, call, &upstream);
@@ -281,7 +276,11 @@
             checked.connection.release();
             drop(guard);
             relay.record_answered(call);
-            AnswerBody::whole(bytes)
+            if is_unmarked && !bytes.is_empty() {
+                AnswerBody::until_close(bytes)
+            } else {
+                AnswerBody::whole(bytes)
+            }
         }
         Err(error) => {
             // The connection is reset before anything is asked about the upstream.
@@ -292,6 +291,9 @@
             return Err(Refusal::new(Reason::Lost));
         }
     };
+    if is_unmarked {
+        head.extensions.insert(UnmarkedEnd);
+    }
     let status = head.status.as_u16().to_string();
     call.count_end(&status);
     let now_ms = relay.now_ms();
--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -1,6 +1,6 @@
 //! How the end of an answer's body is marked, and what the end of a stream says.
 
-use http::{HeaderMap, header};
+use http::{HeaderMap, StatusCode, header};
 
 use crate::sse::EventSplitter;
 
@@ -37,6 +37,17 @@
     }
 }
 
+/// An answer whose end its upstream marked only by the close of the connection: it is passed on as one, since nobody can
+/// vouch for more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct UnmarkedEnd;
+
+/// Whether an answer with this head has a body whose end only the close of its connection marks.
+pub fn has_unmarked_end(status: StatusCode, headers: &HeaderMap) -> bool {
+    let has_no_body = [StatusCode::NO_CONTENT, StatusCode::NOT_MODIFIED].contains(&status);
+    !has_no_body && Framing::of(headers) == Framing::Close
+}
+
 /// Where in its events a stream ended that its connection ended in an orderly way.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum StreamEnd {
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -18,6 +18,7 @@
 
 use self::peers::Peer;
 pub use self::peers::{AtPeer, Handovers, TakenOver};
+use self::wire::UNMARKED;
 use self::wire::{HANDOVER, REFUSED, is_refusal, take_version, write_version};
 pub use self::wire::{Handover, MalformedHandover, Spent};
 pub(crate) use self::wire::{ServedBy, mark_answer};
@@ -29,6 +30,7 @@
 use crate::dialect::SendOptions;
 use crate::engine_process::came_back;
 use crate::forward::{MAX_BUFFERED_BYTES, may_retry, note_body_error};
+use crate::framing::{UnmarkedEnd, has_unmarked_end};
 use crate::pool::{ExchangeError, Exchanged, exchange};
 use crate::reachability::{cut_off_from, settle};
 use crate::relay::Relay;
@@ -359,6 +361,9 @@
     let Some(upstream) = exchanged.0.headers_mut().remove(HANDOVER) else {
         return Handed::NotTaken("it takes no requests over".to_owned());
     };
+    if has_unmarked_end(exchanged.0.status(), exchanged.0.headers()) {
+        return Handed::Lost("the end of its answer is not marked".to_owned());
+    }
     note_announced_leaving(relay, call, &upstream, &exchanged.0);
     let label = exchanged.0.headers().get(REFUSED);
     let label = label.and_then(|label| label.to_str().ok());
@@ -407,6 +412,10 @@
     let (mut head, body) = response.into_parts();
     strip_hop_by_hop(&mut head.headers, |_| false);
     let is_refusal = head.headers.remove(REFUSED).is_some();
+    let is_unmarked = head.headers.remove(UNMARKED).is_some();
+    if is_unmarked {
+        head.extensions.insert(UnmarkedEnd);
+    }
     let is_long = http_body::Body::size_hint(&body).lower() > MAX_BUFFERED_BYTES;
     let read = if is_long {
         Ok(ReadBody::Begun(Bytes::new(), body))
@@ -421,7 +430,11 @@
         Ok(ReadBody::Whole(bytes)) => {
             head.headers.remove(header::CONTENT_LENGTH);
             connection.release();
-            AnswerBody::whole(bytes)
+            if is_unmarked {
+                AnswerBody::until_close(bytes)
+            } else {
+                AnswerBody::whole(bytes)
+            }
         }
         Err(error) => {
             note_body_error(relay, call, &at_peer.name, &error);
--- a/crates/relay/src/handover/wire.rs
+++ b/crates/relay/src/handover/wire.rs
@@ -5,6 +5,7 @@
 use view::VersionKey;
 
 use crate::answer::Refusal;
+use crate::framing::UnmarkedEnd;
 
 /// Header with which an instance hands a request over: what was spent on it, and the instance's name. An answer carries
 /// it too, with the id of the upstream that it comes from: the answer of an instance that takes no requests over is not
@@ -18,6 +19,10 @@
 /// Header of an answer with which an instance refuses a request that was handed over to it, with the reason's label.
 pub(super) const REFUSED: HeaderName = HeaderName::from_static("relay-refused");
 
+/// Header of an answer whose end its upstream marked only by the close of the connection. The end of what one instance
+/// sends another is always marked.
+pub(super) const UNMARKED: HeaderName = HeaderName::from_static("relay-unmarked-end");
+
 /// What was spent on a request before it was handed over.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub struct Spent {
@@ -120,6 +125,10 @@
     let headers = response.headers_mut();
     write_version(headers, version);
     headers.insert(HANDOVER, upstream.unwrap_or(HeaderValue::from_static("")));
+    if response.extensions_mut().remove::<UnmarkedEnd>().is_some() {
+        let headers = response.headers_mut();
+        headers.insert(UNMARKED, HeaderValue::from_static("1"));
+    }
     let Some(refusal) = response.extensions().get::<Refusal>() else {
         return;
     };
