--- a/crates/relay/src/framing.rs
+++ b/crates/relay/src/framing.rs
@@ -73,13 +73,14 @@
 
     /// Why a stream that ended here was broken off; none if it is complete.
     ///
-    /// A generation has an event at least. Without one, only an engine that marked the end can have meant it: a crash
-    /// closes the connection, too.
-    pub fn break_cause(self, framing: Framing) -> Option<&'static str> {
+    /// A generation has an event at least. Only the rest of a stream whose events came before may have none, if its engine
+    /// marked the end: a crash closes the connection, too.
+    pub fn break_cause(self, framing: Framing, is_rest: bool) -> Option<&'static str> {
         match (self, framing) {
             (Self::WithinEvent, _) => Some("it ended within an event"),
-            (Self::NoEvent, Framing::Close) => Some("it ended without an event"),
-            (Self::BetweenEvents, _) | (Self::NoEvent, Framing::Length | Framing::Chunks) => None,
+            (Self::NoEvent, Framing::Length | Framing::Chunks) if is_rest => None,
+            (Self::NoEvent, _) => Some("it ended without an event"),
+            (Self::BetweenEvents, _) => None,
         }
     }
 
--- a/crates/relay/src/send.rs
+++ b/crates/relay/src/send.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use http::{Response, StatusCode, header};
+use http_body::Body;
 use hyper::body::Incoming;
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
@@ -87,7 +88,7 @@
     let began_ms = relay.now_ms();
     let sent = match exchange_with(relay, call, upstream, request).await {
         Ok((response, connection)) => {
-            check_answer(relay, call, upstream, options.step, response, connection)
+            check_answer(relay, call, upstream, options, response, connection)
         }
         Err(error @ ExchangeError::Lost { .. }) => SendResult::Lost(error.to_string()),
         Err(error) => SendResult::Unsent(error),
@@ -301,7 +302,7 @@
     relay: &Rc<Relay>,
     call: &Call,
     upstream: &Rc<Upstream>,
-    step: Step,
+    options: &SendOptions<'_>,
     response: Response<Incoming>,
     connection: PooledConnection,
 ) -> SendResult {
@@ -315,7 +316,7 @@
         return SendResult::Lost("the answer belongs to another request".to_owned());
     }
     if status == StatusCode::MISDIRECTED_REQUEST {
-        note_misdirected(relay, upstream, head.instance.as_deref(), step);
+        note_misdirected(relay, upstream, head.instance.as_deref(), options.step);
         return SendResult::NotRun(status);
     }
     if head.not_run {
@@ -325,6 +326,13 @@
     if status.is_success() && (!head.is_signed || is_encoded) {
         return SendResult::Lost("the answer has no signature".to_owned());
     }
+    // A generation has an event at least.
+    let begins_stream = call.route.kind == RouteKind::Stream
+        && options.step == Step::Whole
+        && options.last_event.is_none();
+    if begins_stream && status.is_success() && response.body().size_hint().exact() == Some(0) {
+        return SendResult::Lost("a stream without an event".to_owned());
+    }
     SendResult::Answer(Box::new(CheckedAnswer {
         response,
         head,
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -351,7 +351,7 @@
         ];
         let ends = &self.relay.metrics.streams.ends;
         ends.with_label_values(&labels).inc();
-        end.break_cause(source.framing)
+        end.break_cause(source.framing, self.last_event.is_some())
     }
 
     /// Reports the lost connection to the failure attribution.
--- a/crates/relay/src/stream/resume.rs
+++ b/crates/relay/src/stream/resume.rs
@@ -47,7 +47,7 @@
         let kept = silent.origin.engine();
         // Nothing arrives meanwhile, so an end of the source now is either the stream's end or a break.
         let is_end = StreamEnd::of(&self.splitter)
-            .break_cause(silent.framing)
+            .break_cause(silent.framing, self.last_event.is_some())
             .is_none();
         let mut broken = None;
         let found = {
--- a/crates/relay/tests/cut_heads.rs
+++ b/crates/relay/tests/cut_heads.rs
@@ -425,13 +425,11 @@
 /// Guards against a stream without one event that looks like a whole generation, since its engine told a length of 0.
 #[actix_rt::test]
 async fn a_stream_that_is_empty_by_its_length_is_no_answer() {
-    let engine = || {
-        StubUpstream::start(|received| vec![Action::Write(head(received, EMPTY))]).entry(
-            "one",
-            "llm",
-            Stage::Decode,
-        )
+    let engine_of = |stage| {
+        let stub = StubUpstream::start(|received| vec![Action::Write(head(received, EMPTY))]);
+        stub.entry("one", "llm", stage)
     };
+    let engine = || engine_of(Stage::Decode);
     for path in ["/once/", "/grades/"] {
         let instance = TestInstance::start(vec![engine()]);
         let (status, _) = instance.fetch(caller_request(path, 1)).await;
@@ -442,7 +440,8 @@
     let instance = TestInstance::start(vec![engine(), beside]);
     let got = instance.fetch(caller_request("/grades/", 1)).await;
     assert_eq!(got, (200, Some(EVENTS.to_owned())));
-    let instance = TestInstance::start(vec![engine()]);
+    // Without a declared prompt only an engine without stages is asked.
+    let instance = TestInstance::start(vec![engine_of(Stage::Whole)]);
     let (status, _) = instance.fetch(request(Method::POST, "/once/x", "1")).await;
     assert_eq!(status, 502, "without a declared prompt");
 }
--- a/crates/relay/tests/stream_ends.rs
+++ b/crates/relay/tests/stream_ends.rs
@@ -7,7 +7,7 @@
 use common::{
     Action, ReceivedRequest, StubUpstream, TestInstance, generation_request, request, wait_until,
 };
-use http::Method;
+use http::{HeaderValue, Method};
 use relay::framing::Framing;
 use relay::upstream::Stage;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
@@ -90,21 +90,40 @@
     }
 }
 
-/// Guards against an engine that crashed before its first event and whose closed connection looks like an empty answer.
+/// Guards against a stream without an event that looks like a whole, empty answer, however its engine marked the end: a
+/// generation has one at least.
 #[actix_rt::test]
-async fn a_stream_without_an_event_is_complete_only_if_its_engine_marked_the_end() {
+async fn a_stream_without_an_event_is_never_complete() {
     for path in PATHS {
         for framing in FRAMINGS {
-            let expected = (framing != Framing::Close).then(String::new);
-            assert_eq!(
-                fetch(path, framing, "").await,
-                expected,
-                "{path} {framing:?}"
+            let engine = engine(framing, "");
+            let instance = TestInstance::start(vec![engine.entry("one", "llm", Stage::Decode)]);
+            let (status, body) = instance.fetch(generation_request(path, 1, 90)).await;
+            let is_broken_off = status == 200 && body.is_none();
+            assert!(
+                status == 502 || is_broken_off,
+                "{path} {framing:?}: {status} {body:?}"
             );
         }
     }
 }
 
+/// Guards against a stream that its caller has whole already, and that is taken for a broken one when it is taken up.
+#[actix_rt::test]
+async fn the_rest_of_a_stream_may_be_empty_if_its_engine_marked_the_end() {
+    for framing in FRAMINGS {
+        let engine = engine(framing, "");
+        let instance = TestInstance::start(vec![engine.entry("one", "llm", Stage::Decode)]);
+        let mut request = generation_request("/grades/x", 1, 90);
+        request
+            .headers_mut()
+            .insert("last-event-id", HeaderValue::from_static("2"));
+        let (status, body) = instance.fetch(request).await;
+        let expected = (framing != Framing::Close).then(String::new);
+        assert_eq!((status, body), (200, expected), "{framing:?}");
+    }
+}
+
 /// Guards against a whole stream that is taken for a broken one because of its line ends, which a stream may mix.
 #[actix_rt::test]
 async fn a_whole_stream_looks_complete_whatever_its_line_ends() {
