An empty report without a mark of its end shows nothing (MIXED)

Cause: an upstream that stopped right after the head of its report counted as alive and proven. Mend: such an answer is none. Evidence: a_report_that_stops_in_its_head_shows_nothing failed before, passes now.

--- a/crates/relay/src/inquiry.rs
+++ b/crates/relay/src/inquiry.rs
@@ -12,6 +12,7 @@
 use plan::Sign;
 
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_announcements};
+use crate::framing::has_unmarked_end;
 use crate::own_request::report_request;
 use crate::pool::ExchangeError;
 use crate::relay::Relay;
@@ -70,6 +71,10 @@
     if status == StatusCode::BAD_GATEWAY || status == StatusCode::GATEWAY_TIMEOUT {
         return Sign::Unanswered;
     }
+    // An upstream that stopped right after its head looks the same.
+    if response.body().is_empty() && has_unmarked_end(status, response.headers()) {
+        return Sign::Unanswered;
+    }
     let head = relay.dialect.parse_response_head(response.headers());
     let answer = AnnouncingAnswer::to_own_call(AnswerTo::Report, status, &head);
     note_announcements(relay, upstream, &answer);
