Two more instances write signs of life, for a store that turns the first ones away

Cause: exactly two instances told that anybody lives. Mend: the next two in rank write every 1.4 s, less than the 1.6 s after which peers without a sign count as gone. A fleet makes 3.4 calls a second for signs in place of 2, whatever its size. Evidence: peers_whose_signs_of_life_the_store_turns_away_are_not_dropped failed before, passes now; the other five of last_alive pass. Left: three or more in rank that are turned away together.

--- a/crates/view/src/heartbeats.rs
+++ b/crates/view/src/heartbeats.rs
@@ -34,6 +34,13 @@
 /// Number of these instances: one of them may be the one that hears nobody.
 const SIGN_WRITERS: usize = 2;
 
+/// Interval at which those that come next in rank write theirs, in ms: the store may turn the first ones away. It is shorter
+/// than the time after which peers without a sign of life count as gone.
+const SPARE_SIGN_INTERVAL_MS: u64 = 1_400;
+
+/// Number of all that write signs of life: an instance that hears nobody, two that are turned away, and one more.
+const ALL_SIGN_WRITERS: usize = 4;
+
 /// When the heartbeat records of all instances are read.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct ReadSchedule {
@@ -106,10 +113,14 @@
 
     /// Whether an instance of this rank is to write as a sign of life for those that hear nobody.
     pub fn is_sign_due(&self, now_ms: u64, rank: usize) -> bool {
+        let interval_ms = match rank {
+            0..SIGN_WRITERS => SIGN_INTERVAL_MS,
+            SIGN_WRITERS..ALL_SIGN_WRITERS => SPARE_SIGN_INTERVAL_MS,
+            _ => return false,
+        };
         let is_paused = |at_ms: u64| now_ms < at_ms + STARTUP_PAUSE_MS;
-        let is_old = |at_ms: u64| now_ms >= at_ms + SIGN_INTERVAL_MS;
-        rank < SIGN_WRITERS
-            && !self.failed_ms.is_some_and(is_paused)
+        let is_old = |at_ms: u64| now_ms >= at_ms + interval_ms;
+        !self.failed_ms.is_some_and(is_paused)
             && self.written_ms.max(self.sign_ms).is_some_and(is_old)
     }
 
