--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -232,24 +232,20 @@
         if self.call.began_version.get().is_some() {
             return;
         }
-        match source.sure_version(&self.relay) {
-            Some(version) => {
-                self.call.began_version.set(Some(version));
-                self.running = Some(self.relay.stream_runs(&self.call, version));
-                self.relay.tell_stream_began(&self.call, version);
-            }
-            None => {
-                // A peer tells of its own.
-                let Some(engine) = source.origin.engine() else {
-                    return;
-                };
-                if !self.call.is_origin_told.get() {
-                    let since_ms = source.connection.process_since_ms();
-                    log_doubt(&self.relay, self.call.id(), &engine, since_ms);
-                }
-                self.relay.tell_origin_unknown(&self.call);
-            }
+        if let Some(version) = source.sure_version(&self.relay) {
+            self.call.began_version.set(Some(version));
+            self.running = Some(self.relay.stream_runs(&self.call, version));
+            return self.relay.tell_stream_began(&self.call, version);
+        }
+        // A peer tells of its own.
+        let Some(engine) = source.origin.engine() else {
+            return;
+        };
+        if !self.call.is_origin_told.get() {
+            let since_ms = source.connection.process_since_ms();
+            log_doubt(&self.relay, self.call.id(), &engine, since_ms);
         }
+        self.relay.tell_origin_unknown(&self.call);
     }
 
     fn queue_events(&mut self) {
