--- a/crates/relay/src/relay/list.rs
+++ b/crates/relay/src/relay/list.rs
@@ -176,21 +176,32 @@
     /// it could restore an upstream whose entry was removed, and the record of the removal would not be read
     /// again.
     pub fn take_whole_list(&self, as_of_ms: u64, next: u64, entries: Vec<UpstreamEntry>) {
-        let is_older = self
-            .list_position
-            .borrow()
-            .next_offset()
-            .is_some_and(|own| own >= next);
-        if is_older {
-            return;
+        if self.replace_older_list(as_of_ms, next, entries) {
+            let mut position = self.list_position.borrow_mut();
+            position.record_snapshot(as_of_ms, next);
         }
+    }
+
+    /// Applies a list like [`Relay::take_whole_list`] of which entries are missing; it will be read again.
+    pub fn take_part_of_list(&self, as_of_ms: u64, next: u64, entries: Vec<UpstreamEntry>) {
+        if self.replace_older_list(as_of_ms, next, entries) {
+            self.list_position.borrow_mut().record_part(as_of_ms, next);
+        }
+    }
+
+    /// Replaces the list unless it is as new as this one; returns whether it did.
+    fn replace_older_list(&self, as_of_ms: u64, next: u64, entries: Vec<UpstreamEntry>) -> bool {
+        let mut position = self.list_position.borrow_mut();
+        if position.covers(next) {
+            position.record_outdated(as_of_ms);
+            return false;
+        }
+        drop(position);
         let may_be_used = |entry: &UpstreamEntry| !self.waits_for_store(entry);
         let entries: Vec<UpstreamEntry> = entries.into_iter().filter(may_be_used).collect();
         self.last_listed.borrow_mut().replace(&entries);
         self.replace_list(entries, Origin::Whole);
-        self.list_position
-            .borrow_mut()
-            .record_snapshot(as_of_ms, next);
+        true
     }
 
     /// Applies records of the list read as of `as_of_ms`. Records that gossip has brought meanwhile are
--- a/crates/view/src/lib.rs
+++ b/crates/view/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod members;
 pub mod message;
 pub mod part_losses;
+pub mod part_reads;
 pub mod parts;
 pub mod poison;
 pub mod polling;
@@ -48,6 +49,7 @@
     PrefilledPart, ServiceHeard, Tally, Unreached, UpstreamLimit, decode, encode,
 };
 pub use part_losses::{AnswerProgress, Suspicion};
+pub use part_reads::PartReads;
 pub use parts::{PartEvidence, PartTracker, PartVerdict};
 pub use poison::{FailureEvidence, PoisonTracker, RequestVerdict};
 pub use queue::{PrefillQueue, RANKS};
--- a/crates/view/src/log_follower.rs
+++ b/crates/view/src/log_follower.rs
@@ -16,6 +16,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::part_reads::PartReads;
 use crate::{GossipedChange, InstanceKey, ListChange, UpstreamEntry};
 
 /// How long an instance that missed a change asks its peers before it reads the store, in ms: two
@@ -106,6 +107,8 @@
     behind_since_ms: Option<u64>,
     /// The freshest news of the last known change, while that is not applied yet.
     news: Option<News>,
+    /// Repeats of a full read of which pages are missing.
+    part_reads: PartReads,
 }
 
 /// A peer's list with its last change was complete as of a time.
@@ -130,9 +133,20 @@
         self.next
     }
 
-    /// Offset up to which records were applied; `None` if none were.
+    /// Offset up to which records were applied; `None` if none were, or if some before it may be missing.
     pub fn held_offset(&self) -> Option<u64> {
-        self.held
+        self.held.filter(|_| !self.part_reads.is_pending())
+    }
+
+    /// Whether a full read up to `next` shows nothing new.
+    pub fn covers(&self, next: u64) -> bool {
+        let is_covered = |own: u64| own > next || own == next && !self.part_reads.is_pending();
+        self.next.is_some_and(is_covered)
+    }
+
+    /// Whether the whole log has to be read again, because pages were missing at the last full read.
+    pub fn is_repeat_due(&self, since_boot_ms: u64) -> bool {
+        self.part_reads.is_due(since_boot_ms)
     }
 
     /// Offset after the last change that was applied.
@@ -166,6 +180,23 @@
         self.record_read(as_of_ms, next, None);
         self.last_applied = self.last_applied.max(next);
         self.pending_full_read = Some(FullRead { as_of_ms, next });
+        self.part_reads.record(as_of_ms, true);
+    }
+
+    /// Records a full read up to `next` of which pages are missing. Changes are followed from there, but peers are told
+    /// nothing of this log until it was read whole: they would take what is missing for what is not there.
+    pub fn record_part(&mut self, as_of_ms: u64, next: u64) {
+        let mut part_reads = self.part_reads;
+        self.record_snapshot(as_of_ms, next);
+        part_reads.record(as_of_ms, false);
+        self.part_reads = part_reads;
+    }
+
+    /// Records that a full read could not be used, as later changes had been applied meanwhile.
+    pub fn record_outdated(&mut self, as_of_ms: u64) {
+        if self.part_reads.is_pending() {
+            self.part_reads.record(as_of_ms, false);
+        }
     }
 
     fn advance(&mut self, next: u64) {
@@ -182,7 +213,9 @@
     ///
     /// Answers may arrive out of order; one from before a change must not undo the change.
     pub fn lacks_records_before(&self, next: u64) -> bool {
-        self.held.is_none_or(|held| held < next)
+        let is_pending = self.part_reads.is_pending();
+        self.held
+            .is_none_or(|held| held < next || is_pending && held == next)
     }
 
     /// Whether the offset of the last change is known. After a full read it is unknown until a peer
@@ -337,7 +370,8 @@
 
     /// What this instance must do now if its knowledge may be at most `most_ms` old.
     pub fn next_action(&self, since_boot_ms: u64, most_ms: u64, is_reader: bool) -> FollowAction {
-        if self.next.is_none() || self.age_ms(since_boot_ms) >= most_ms {
+        let is_full_read_due = self.next.is_none() || self.is_repeat_due(since_boot_ms);
+        if is_full_read_due || self.age_ms(since_boot_ms) >= most_ms {
             return FollowAction::ReadStore;
         }
         if !self.is_behind() {
@@ -354,7 +388,7 @@
     /// The log position to gossip. `None` while this instance has not applied all changes it knows
     /// of, or does not know where the last change is.
     pub fn position(&self, since_boot_ms: u64, is_reader: bool) -> Option<LogPosition> {
-        if self.is_behind() {
+        if self.is_behind() || self.part_reads.is_pending() {
             return None;
         }
         let last_change = match self.pending_full_read {
