--- a/crates/relay/src/stream_origins/history.rs
+++ b/crates/relay/src/stream_origins/history.rs
@@ -9,7 +9,7 @@
 use std::str::FromStr;
 
 use derive_more::{Display, Error};
-use plan::{KnownSince, Unrecorded};
+use plan::{KnownSince, STREAM_AGE_MS, Unrecorded};
 use view::{InstanceKey, ListChange, ServiceKey, UpstreamEntry, VersionKey};
 
 use crate::relay::Relay;
@@ -182,6 +182,12 @@
         self.stream_origins.history.is_loaded()
     }
 
+    /// Whether this instance knows all versions that may have begun streams.
+    pub fn knows_all_versions(&self) -> bool {
+        let known = self.stream_origins.history.known.get();
+        known.covers(self.now_ms(), STREAM_AGE_MS)
+    }
+
     /// Names of a service and its version; empty if none of its upstreams is in use.
     pub fn names_of(&self, version: StoredVersion) -> (String, String) {
         let upstreams = self.upstreams.borrow();
