Streams: what a dead recorder was told is told again

Callers: all that were cut off were refused, though engines of their version served.

Cause: an instance is missed 0.8 s after its last sign. Until then it is still the one to append the records of streams (one for each 100 instances), and takes them with it; whoever told it never tells another.

Mend: each instance remembers for 3 s what it told which recorder. When an instance is missed, it tells again what recorders that are not reachable were told. Nothing more is sent while none is missed, and instances of a build before understand it. Weighed: an acknowledgement of each record, half as many datagrams again all the time, and a fleet of 300 that appends by itself as one recorder is slow.

Evidence: streams_told_to_a_recorder_that_was_dead_go_on_after_all_instances_were_killed, 0 of 12 went on before, 12 of 12 after.

--- a/crates/relay/src/stream_origins.rs
+++ b/crates/relay/src/stream_origins.rs
@@ -8,10 +8,11 @@
 
 mod history;
 mod log;
+mod told;
 
 use std::cell::{Cell, RefCell};
 use std::collections::hash_map::Entry;
-use std::collections::{HashMap, VecDeque};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -29,6 +30,7 @@
 pub use history::{MalformedStoredVersion, StoredVersion};
 pub use log::LogStep;
 use log::{StoreWord, StreamLog};
+use told::ToldStreams;
 
 use crate::answer::{Reason, Refusal};
 use crate::call::Call;
@@ -140,6 +142,7 @@
     running: RefCell<HashMap<StreamKey, (ServiceKey, VersionKey)>>,
     history: VersionHistory,
     log: StreamLog,
+    told: ToldStreams,
 }
 
 impl StreamOrigins {
@@ -254,6 +257,9 @@
             origins.log.add(now_ms, stream, version);
         }
         let recorder = homes.first().copied().flatten();
+        if let Some(recorder) = recorder {
+            origins.told.add(now_ms, stream, version, recorder);
+        }
         for home in told {
             let message = if recorder == Some(home) {
                 OriginMessage::Record { stream, version }
@@ -264,6 +270,24 @@
         }
     }
 
+    /// Tells again of the streams whose recorder is not reachable any more.
+    fn tell_lost_streams(&self) {
+        let members = self.members.borrow();
+        let reachable: HashSet<SocketAddr> = members
+            .reachable()
+            .filter_map(|member| member.gossip_address)
+            .collect();
+        drop(members);
+        let told = &self.stream_origins.told;
+        let lost = told.take_lost(self.now_ms(), |recorder| reachable.contains(recorder));
+        if !lost.is_empty() {
+            info!(streams = lost.len(); "streams are told again: their recorder is gone");
+        }
+        for (stream, version) in lost {
+            self.tell_homes(stream, version);
+        }
+    }
+
     /// Notes a stream that runs here, until it is dropped. One that its caller took up is known by the attempt that began
     /// it.
     pub(crate) fn stream_runs(self: &Rc<Self>, call: &Call, version: VersionKey) -> RunningStream {
--- a/crates/relay/src/stream_origins/history.rs
+++ b/crates/relay/src/stream_origins/history.rs
@@ -315,21 +315,24 @@
     pub(crate) fn check_members_lost(&self) {
         let history = &self.stream_origins.history;
         let is_due = self.now_ms() >= history.members_checked_ms.get() + MEMBERS_CHECK_MS;
-        if is_due && !history.recording.borrow().is_empty() {
-            self.check_members();
+        if is_due && !history.recording.borrow().is_empty() && self.check_members() {
+            self.tell_lost_streams();
         }
     }
 
-    fn check_members(&self) {
+    /// Notes which instances are there now; returns whether one was lost.
+    fn check_members(&self) -> bool {
         let now_ms = self.now_ms();
         let history = &self.stream_origins.history;
         let members = self.members.borrow();
         let reachable = members.reachable();
         let now: HashSet<InstanceKey> = reachable.map(|it| InstanceKey::of(&it.name)).collect();
         let before = history.members.replace(now);
-        if !before.is_subset(&history.members.borrow()) {
+        let is_lost = !before.is_subset(&history.members.borrow());
+        if is_lost {
             history.member_lost_ms.set(Some(now_ms));
         }
         history.members_checked_ms.set(now_ms);
+        is_lost
     }
 }
--- a/crates/relay/tests/stream_versions.rs
+++ b/crates/relay/tests/stream_versions.rs
@@ -18,6 +18,7 @@
 use relay::upstream::{Stage, UpstreamEntry, UpstreamState};
 use relay::upstreams::ListChange;
 use tick::since_boot_ms;
+use view::{InstanceKey, StreamKey};
 
 /// Streams by which a test judges.
 const STREAMS: usize = 12;
@@ -470,6 +471,37 @@
     assert_eq!(take_up_all(&other, &begun).await, ALL_SAME);
 }
 
+/// Guards against streams that are turned away after a kill of all: the instance that was to append their records had been
+/// killed before, and was not missed yet as they began.
+#[actix_rt::test]
+async fn streams_told_to_a_recorder_that_was_dead_go_on_after_all_instances_were_killed() {
+    let entries = engines(hanging_engine, &["v1", "v2"]);
+    let store = Rc::default();
+    let mut instances = Vec::new();
+    for name in ["a", "b", "c", "d"] {
+        instances.push(TestInstance::start_with_store(name, entries.clone(), &store).await);
+    }
+    meet(&instances.iter().collect::<Vec<_>>()).await;
+    let place = |instance: &&TestInstance| {
+        let name = instance.relay.settings.borrow().name.clone();
+        StreamKey(0).place(InstanceKey::of(&name))
+    };
+    let recorder = instances.iter().min_by_key(place).expect("a recorder");
+    recorder.kill();
+    let place_of_recorder = place(&recorder);
+    let mut left = instances.iter().filter(|it| place(it) != place_of_recorder);
+    let begun = begin_streams(left.next().expect("another instance"), 100).await;
+    // As long as it takes to miss an instance, twice.
+    actix_rt::time::sleep(Duration::from_secs(2)).await;
+    for instance in &instances {
+        instance.kill();
+    }
+    let again = TestInstance::start_with_store("a", entries.clone(), &store).await;
+    let other = TestInstance::start_with_store("b", entries, &store).await;
+    meet(&[&again, &other]).await;
+    assert_eq!(take_up_all(&other, &begun).await, ALL_SAME);
+}
+
 /// Two instances begin streams at the first version; all are killed and come back to a list of the second one alone.
 async fn take_up_after_a_swap(store: &Rc<TestStore>) -> TakenUp {
     let entries = engines(hanging_engine, &["v1"]);
