Hand-over: a peer that was asked is waited for after a rejection

Callers: 502 for a request that nobody had run.

The first end of the two counted, also where it was a rejection, so the peer's answer was dropped, and the hand-over stayed counted as a send that may have run. And a peer's refusal did not tell whether the peer's own sends had run: what was spent before went into its decision.

Mend: after a rejection or a loss the peer is waited for, for as long as for any attempt. A refusal to a peer carries relay-not-run if none of the refusing instance's sends has run, and then does not count; an instance of a build before sends no such header and is counted as before.

--- a/crates/relay/src/call.rs
+++ b/crates/relay/src/call.rs
@@ -59,6 +59,8 @@
     pub deadline_at_ms: u64,
     /// Number of its sends that may have run.
     pub possible_runs: Cell<u32>,
+    /// The same before a peer handed it over.
+    possible_runs_before: Cell<u32>,
     /// Number of upstreams that it was sent to, including those that rejected it.
     pub attempts: Cell<u32>,
     /// Separate prefills that reached an engine, without the first that was accepted.
@@ -167,6 +169,7 @@
             prior_wait_ms,
             deadline_at_ms: arrived_ms.saturating_add(wait_ms),
             possible_runs: Cell::default(),
+            possible_runs_before: Cell::default(),
             attempts: Cell::default(),
             prefill_sends: Cell::default(),
             prefill_accepted: Cell::default(),
@@ -314,6 +317,11 @@
         }
     }
 
+    /// Whether none of this instance's own sends has run it.
+    pub(crate) fn has_not_run_here(&self) -> bool {
+        self.possible_runs.get() <= self.possible_runs_before.get()
+    }
+
     /// Goes on with a request on which a peer has spent this; the next arrival at its service is covered there.
     pub(crate) fn take_over(&self, handover: &Handover) {
         let spent = &handover.spent;
@@ -323,6 +331,7 @@
         self.prefill_sends
             .set(spent.arrivals.saturating_sub(spent.attempts));
         self.possible_runs.set(spent.possible_runs);
+        self.possible_runs_before.set(spent.possible_runs);
         self.prefill_accepted.set(spent.is_prefill_accepted);
         self.is_first_counted.set(spent.is_first_counted);
         self.allowed_arrivals.set(self.arrivals() + 1);
--- a/crates/relay/src/forward.rs
+++ b/crates/relay/src/forward.rs
@@ -13,7 +13,7 @@
 use crate::config::RouteKind;
 use crate::framing::{UnmarkedEnd, has_unmarked_end};
 use crate::generation::generate;
-use crate::handover::{ServedBy, hand_over, is_handed_over};
+use crate::handover::{NotRunHere, ServedBy, hand_over, is_handed_over};
 use crate::metrics::PastBound;
 use crate::placement;
 use crate::plain_attempts::{Attempts, BegunAnswer, Next, Outcome};
@@ -87,7 +87,11 @@
     call.count_end(&status);
     let labels = [call.route.name.as_str(), refusal.reason.label()];
     relay.metrics.refusals.with_label_values(&labels).inc();
-    refusal.response(relay.dialect.encode_error(&refusal.reason.to_string()))
+    let mut response = refusal.response(relay.dialect.encode_error(&refusal.reason.to_string()));
+    if call.has_not_run_here() {
+        response.extensions_mut().insert(NotRunHere);
+    }
+    response
 }
 
 /// Serves a request by the kind of its route.
--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -6,11 +6,14 @@
 mod peers;
 mod wire;
 
+use std::future::Future;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use futures_util::FutureExt;
+use futures_util::future::FusedFuture;
 use futures_util::stream::{FuturesUnordered, StreamExt};
 use http::{HeaderValue, Response, header};
 use hyper::body::Incoming;
@@ -19,9 +22,9 @@
 use self::peers::Peer;
 pub use self::peers::{AtPeer, Handovers, TakenOver};
 use self::wire::UNMARKED;
-use self::wire::{HANDOVER, REFUSED, is_refusal, take_version, write_version};
+use self::wire::{HANDOVER, NOT_RUN, REFUSED, is_not_run, is_refusal, take_version, write_version};
 pub use self::wire::{Handover, MalformedHandover, Spent};
-pub(crate) use self::wire::{ServedBy, mark_answer};
+pub(crate) use self::wire::{NotRunHere, ServedBy, mark_answer};
 use crate::announcement::{AnnouncingAnswer, AnswerTo, note_leaving};
 use crate::answer::{AnswerBody, Reason, Refusal};
 use crate::bounded_body::ReadBody;
@@ -90,13 +93,7 @@
         None if options.last_event != call.head.last_event => {
             SendResult::Lost("the path to the upstream was cut".to_owned())
         }
-        None => tokio::select! {
-            sent = &mut sending => sent,
-            response = serve_at_peer(relay, call) => SendResult::HandedOver(Box::new(response)),
-            () = silent_for_too_long(relay, upstream) => {
-                SendResult::Lost("the path to the upstream was cut".to_owned())
-            }
-        },
+        None => beside_peer(relay, call, upstream, sending).await,
     };
     if let SendResult::Unsent(ExchangeError::Connect { .. }) = &sent {
         settle(relay, &call.service).await;
@@ -104,6 +101,47 @@
     sent
 }
 
+/// Waits for what `sending` brings from an upstream out of reach, and asks a peer beside it. The first to answer counts.
+///
+/// If the upstream rejects the request in the end, the peer may still serve it; it is waited for as long as for any
+/// attempt.
+async fn beside_peer(
+    relay: &Rc<Relay>,
+    call: &Rc<Call>,
+    upstream: &Upstream,
+    mut sending: Pin<&mut impl Future<Output = SendResult>>,
+) -> SendResult {
+    let at_peer = serve_at_peer(relay, call).fuse();
+    let silent = silent_for_too_long(relay, upstream);
+    tokio::pin!(at_peer, silent);
+    let failed = loop {
+        tokio::select! {
+            sent = &mut sending => match sent {
+                SendResult::Answer(_) => return sent,
+                failed => break failed,
+            },
+            response = &mut at_peer, if !at_peer.is_terminated() => {
+                if let Some(response) = response {
+                    return SendResult::HandedOver(Box::new(response));
+                }
+            }
+            () = &mut silent => {
+                return SendResult::Lost("the path to the upstream was cut".to_owned());
+            }
+        }
+    };
+    if at_peer.is_terminated() {
+        return failed;
+    }
+    tokio::select! {
+        response = &mut at_peer => match response {
+            Some(response) => SendResult::HandedOver(Box::new(response)),
+            None => failed,
+        },
+        () = sleep_until(relay, share_ends_ms(relay, call)) => failed,
+    }
+}
+
 /// Completes once an upstream has been out of reach for longer than a sound one is silent.
 async fn silent_for_too_long(relay: &Relay, upstream: &Upstream) {
     loop {
@@ -114,17 +152,17 @@
     }
 }
 
-/// Completes once a peer serves a request; never if none does, since the upstream may answer yet.
-async fn serve_at_peer(relay: &Rc<Relay>, call: &Rc<Call>) -> Response<AnswerBody> {
+/// Has a peer serve a request; none if none does, since the upstream may answer yet.
+async fn serve_at_peer(relay: &Rc<Relay>, call: &Rc<Call>) -> Option<Response<AnswerBody>> {
     if let Ok(((response, connection), at_peer)) =
         hand_over_from(relay, call, call.head.last_event).await
         && !is_refusal(&response)
         && !response.status().is_server_error()
         && let Ok(response) = use_peer_answer(relay, call, (response, connection), at_peer).await
     {
-        return response;
+        return Some(response);
     }
-    std::future::pending().await
+    None
 }
 
 /// Completes once this instance is cut off from `upstream` and a peer may serve the request that waits there.
@@ -242,8 +280,8 @@
                 return Ok(take_answer(relay, call, *exchanged, at_peer));
             }
             // Those that were asked before may still serve it.
-            Handed::Answered(_) => {
-                is_lost = true;
+            Handed::Answered(exchanged) => {
+                is_lost |= !is_not_run(&exchanged.0);
                 note_failure(relay, call, &at_peer, "not_taken", "refused");
             }
             Handed::NotTaken(why) => {
@@ -364,6 +402,9 @@
     if has_unmarked_end(exchanged.0.status(), exchanged.0.headers()) {
         return Handed::Lost("the end of its answer is not marked".to_owned());
     }
+    if is_not_run(&exchanged.0) {
+        call.possible_runs.set(call.possible_runs.get() - 1);
+    }
     note_announced_leaving(relay, call, &upstream, &exchanged.0);
     let label = exchanged.0.headers().get(REFUSED);
     let label = label.and_then(|label| label.to_str().ok());
@@ -412,6 +453,7 @@
     let (mut head, body) = response.into_parts();
     strip_hop_by_hop(&mut head.headers, |_| false);
     let is_refusal = head.headers.remove(REFUSED).is_some();
+    head.headers.remove(NOT_RUN);
     let is_unmarked = head.headers.remove(UNMARKED).is_some();
     if is_unmarked {
         head.extensions.insert(UnmarkedEnd);
--- a/crates/relay/src/handover/wire.rs
+++ b/crates/relay/src/handover/wire.rs
@@ -19,6 +19,9 @@
 /// Header of an answer with which an instance refuses a request that was handed over to it, with the reason's label.
 pub(super) const REFUSED: HeaderName = HeaderName::from_static("relay-refused");
 
+/// Header of a refusal by which an instance tells that none of its own sends ran the request.
+pub(super) const NOT_RUN: HeaderName = HeaderName::from_static("relay-not-run");
+
 /// Header of an answer whose end its upstream marked only by the close of the connection. The end of what one instance
 /// sends another is always marked.
 pub(super) const UNMARKED: HeaderName = HeaderName::from_static("relay-unmarked-end");
@@ -117,6 +120,10 @@
     pub version: Option<VersionKey>,
 }
 
+/// Marks a refusal of a request of which no send of this instance has run.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct NotRunHere;
+
 /// Marks an answer for the peer that handed the request over, which has to know if this instance refused it.
 pub(crate) fn mark_answer<B>(response: &mut Response<B>) {
     let served_by = response.extensions_mut().remove::<ServedBy>();
@@ -134,6 +141,15 @@
     };
     let label = HeaderValue::from_static(refusal.reason.label());
     response.headers_mut().insert(REFUSED, label);
+    if response.extensions_mut().remove::<NotRunHere>().is_some() {
+        let headers = response.headers_mut();
+        headers.insert(NOT_RUN, HeaderValue::from_static("1"));
+    }
+}
+
+/// Whether a peer refused a request and none of its sends has run it.
+pub(super) fn is_not_run(response: &Response<Incoming>) -> bool {
+    is_refusal(response) && response.headers().contains_key(NOT_RUN)
 }
 
 pub(super) fn is_refusal(response: &Response<Incoming>) -> bool {
