Hand-over: a peer that did not take a request takes off one send, not two

In a release build the count wraps round, and callers of an instance that is cut off get 502 where 503 is true.

--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -402,15 +402,17 @@
     if has_unmarked_end(exchanged.0.status(), exchanged.0.headers()) {
         return Handed::Lost("the end of its answer is not marked".to_owned());
     }
-    if is_not_run(&exchanged.0) {
-        call.possible_runs.set(call.possible_runs.get() - 1);
-    }
     note_announced_leaving(relay, call, &upstream, &exchanged.0);
     let label = exchanged.0.headers().get(REFUSED);
     let label = label.and_then(|label| label.to_str().ok());
     match label.filter(|label| is_refused_by_peer_alone(label)) {
         Some(label) => Handed::NotTaken(label.to_owned()),
-        None => Handed::Answered(Box::new(exchanged)),
+        None => {
+            if is_not_run(&exchanged.0) {
+                call.possible_runs.set(call.possible_runs.get() - 1);
+            }
+            Handed::Answered(Box::new(exchanged))
+        }
     }
 }
 
--- a/crates/relay/tests/beside_a_peer.rs
+++ b/crates/relay/tests/beside_a_peer.rs
@@ -73,6 +73,37 @@
     answer.0
 }
 
+/// Guards against a send that is taken off twice from those that may have run: a peer that is cut off itself has not run
+/// the request, and does not count as asked.
+#[actix_rt::test]
+async fn a_peer_that_is_cut_off_too_counts_as_no_send() {
+    let desk = StubUpstream::start(|received| received.response("200 OK", "", "read"));
+    let entry = desk.entry("up", "desk", Stage::Whole);
+    let link = Link::open(desk.address);
+    let instance = TestInstance::start_peer("a", "here", vec![link.entry(entry.clone())]).await;
+    let (peer, listener) = TestInstance::start_gossiping("b", "here", vec![entry]).await;
+    let at_peer = StubUpstream::start_on(listener, |received| {
+        let headers = "relay-handover: \r\nrelay-refused: cut_off\r\nrelay-not-run: 1\r\n";
+        received.response("503 Service Unavailable", headers, "")
+    });
+    meet(&[&instance, &peer]).await;
+    link.set(LinkState::Refusing);
+    let busy = actix_rt::spawn(async move {
+        for id in OTHERS.. {
+            peer.fetch(read_request(id)).await;
+            actix_rt::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let mut statuses = Vec::new();
+    for id in 0..100 {
+        statuses.push(instance.fetch(read_request(id)).await.0);
+        actix_rt::time::sleep(Duration::from_millis(20)).await;
+    }
+    busy.abort();
+    assert!(at_peer.count() > 0, "no peer was asked");
+    assert_eq!(statuses, [503; 100]);
+}
+
 /// Guards against a caller that gets an error though a peer is about to serve it: the upstream that fell silent rejects
 /// the request in the end.
 #[actix_rt::test]
