--- a/crates/relay/src/handover.rs
+++ b/crates/relay/src/handover.rs
@@ -405,15 +405,13 @@
     note_announced_leaving(relay, call, &upstream, &exchanged.0);
     let label = exchanged.0.headers().get(REFUSED);
     let label = label.and_then(|label| label.to_str().ok());
-    match label.filter(|label| is_refused_by_peer_alone(label)) {
-        Some(label) => Handed::NotTaken(label.to_owned()),
-        None => {
-            if is_not_run(&exchanged.0) {
-                call.possible_runs.set(call.possible_runs.get() - 1);
-            }
-            Handed::Answered(Box::new(exchanged))
-        }
+    if let Some(label) = label.filter(|label| is_refused_by_peer_alone(label)) {
+        return Handed::NotTaken(label.to_owned());
+    }
+    if is_not_run(&exchanged.0) {
+        call.possible_runs.set(call.possible_runs.get() - 1);
     }
+    Handed::Answered(Box::new(exchanged))
 }
 
 /// Takes an upstream out of use that announced its leaving in an answer to a peer: the answer is passed on here.
