--- a/crates/relay/src/handover/wire.rs
+++ b/crates/relay/src/handover/wire.rs
@@ -20,7 +20,7 @@
 pub(super) const REFUSED: HeaderName = HeaderName::from_static("relay-refused");
 
 /// Header of a refusal by which an instance tells that none of its own sends ran the request.
-pub(super) const NOT_RUN: HeaderName = HeaderName::from_static("relay-not-run");
+pub(super) const NOT_RUN: HeaderName = HeaderName::from_static("relay-unrun");
 
 /// Header of an answer whose end its upstream marked only by the close of the connection. The end of what one instance
 /// sends another is always marked.
--- a/crates/relay/tests/beside_a_peer.rs
+++ b/crates/relay/tests/beside_a_peer.rs
@@ -83,7 +83,7 @@
     let instance = TestInstance::start_peer("a", "here", vec![link.entry(entry.clone())]).await;
     let (peer, listener) = TestInstance::start_gossiping("b", "here", vec![entry]).await;
     let at_peer = StubUpstream::start_on(listener, |received| {
-        let headers = "relay-handover: \r\nrelay-refused: cut_off\r\nrelay-not-run: 1\r\n";
+        let headers = "relay-handover: \r\nrelay-refused: cut_off\r\nrelay-unrun: 1\r\n";
         received.response("503 Service Unavailable", headers, "")
     });
     meet(&[&instance, &peer]).await;
