List: a part of it is passed on in the end while the store is away

Only reads that were answered counted as repeats, so if the store went away right after a page had failed, new instances got no list from anyone for as long, and refused all.

Mend: a full read that fails counts as a repeat; after five, within some seconds, the part is passed on as before.

--- a/crates/relay/src/relay/list.rs
+++ b/crates/relay/src/relay/list.rs
@@ -193,7 +193,7 @@
     fn replace_older_list(&self, as_of_ms: u64, next: u64, entries: Vec<UpstreamEntry>) -> bool {
         let mut position = self.list_position.borrow_mut();
         if position.covers(next) {
-            position.record_outdated(as_of_ms);
+            position.record_failed_read(as_of_ms);
             return false;
         }
         drop(position);
--- a/crates/view/src/log_follower.rs
+++ b/crates/view/src/log_follower.rs
@@ -192,8 +192,9 @@
         self.part_reads = part_reads;
     }
 
-    /// Records that a full read could not be used, as later changes had been applied meanwhile.
-    pub fn record_outdated(&mut self, as_of_ms: u64) {
+    /// Records that a full read failed, or could not be used as later changes had been applied meanwhile. A part of the log
+    /// is passed on in the end: while the store is away, new instances have nothing else.
+    pub fn record_failed_read(&mut self, as_of_ms: u64) {
         if self.part_reads.is_pending() {
             self.part_reads.record(as_of_ms, false);
         }
